--- /dev/null
+++ b/Makefile
@@ -0,0 +1,59 @@
+# The rules of all folders; a folder's Makefile names its sources only.
+CC = gcc
+STD = -std=gnu11 -D_GNU_SOURCE
+WARN = -Wall -Wextra -Werror -Wswitch-enum -Wstrict-prototypes -Wmissing-prototypes -Wshadow
+OPT = -O2 -g
+SAN =
+OUT = build
+PKGS = apr-1 apr-util-1 glib-2.0 msgpack libmicrohttpd libcurl yajl libxxhash
+CFLAGS = $(STD) $(WARN) $(OPT) $(SAN) -I. $(shell pkg-config --cflags $(PKGS))
+LDLIBS = $(shell pkg-config --libs $(PKGS)) -largtable2 -lm -lpthread
+folders = base core caller target peer platform operator
+
+all: programs
+
+include $(folders:%=%/Makefile)
+include godwithitchd/Makefile godwithitch/Makefile regress/Makefile
+
+lib_objs = $(foreach f,$(folders),$($(f)_srcs:%.c=$(OUT)/$(f)/%.o))
+lib = $(OUT)/libgodwithitch.a
+daemon = $(OUT)/bin/godwithitchd
+tool = $(OUT)/bin/godwithitch
+helpers = $(regress_helpers:%=$(OUT)/bin/%)
+tests = $(regress_tests:%=$(OUT)/test/%)
+
+programs: $(daemon) $(tool) $(helpers)
+
+$(OUT)/%.o: %.c
+	@mkdir -p $(@D)
+	@echo CC $<; $(CC) $(CFLAGS) -MMD -c -o $@ $<
+
+$(lib): $(lib_objs)
+	@rm -f $@
+	@ar rcs $@ $^
+
+$(daemon): $(godwithitchd_srcs:%.c=$(OUT)/godwithitchd/%.o) $(lib)
+	@mkdir -p $(@D)
+	@echo LD $@; $(CC) $(SAN) -o $@ $^ $(LDLIBS)
+
+$(tool): $(godwithitch_srcs:%.c=$(OUT)/godwithitch/%.o) $(lib)
+	@mkdir -p $(@D)
+	@echo LD $@; $(CC) $(SAN) -o $@ $^ $(LDLIBS)
+
+$(OUT)/bin/%: $(OUT)/regress/%.o $(lib)
+	@mkdir -p $(@D)
+	@echo LD $@; $(CC) $(SAN) -o $@ $^ $(LDLIBS)
+
+$(OUT)/test/%: $(OUT)/regress/%.o $(regress_common:%.c=$(OUT)/regress/%.o) $(lib)
+	@mkdir -p $(@D)
+	@echo LD $@; $(CC) $(SAN) -o $@ $^ $(LDLIBS) -lcmocka
+
+lib: $(lib)
+
+clean:
+	rm -rf build build-*
+
+-include $(shell find $(OUT) -name '*.d' 2>/dev/null)
+
+.PHONY: all programs lib clean
+.SECONDARY:
--- /dev/null
+++ b/base/clock.h
@@ -0,0 +1,39 @@
+/**
+ * @file
+ * Times and deadlines. Core code gets a struct instant passed in; only programs read clocks.
+ */
+#ifndef BASE_CLOCK_H
+#define BASE_CLOCK_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/str.h"
+
+#define US_PER_MS 1000LL
+#define US_PER_S  1000000LL
+
+/** One moment on both clocks, microseconds. */
+struct instant {
+	int64_t mono_us; /**< monotonic: for deadlines and intervals */
+	int64_t wall_us; /**< since 1970 UTC: for times that operators state */
+};
+
+/** The moment after which something no longer holds, monotonic microseconds; 0 is never. */
+struct deadline {
+	int64_t at_us;
+};
+
+struct instant clock_now(void);
+
+struct deadline deadline_after(struct instant now, int64_t us);
+bool deadline_passed(struct deadline deadline, struct instant now);
+/** Microseconds left, 0 if passed; INT64_MAX without a deadline. */
+int64_t deadline_left_us(struct deadline deadline, struct instant now);
+
+/** Parses "2026-12-04T10:00:00Z"; false if @p s is anything else. */
+bool clock_parse_utc(struct str s, int64_t *wall_us);
+/** Appends the same form. */
+void clock_format_utc(struct strbuf *out, int64_t wall_us);
+
+#endif
--- /dev/null
+++ b/base/hist.c
@@ -0,0 +1,55 @@
+#include "base/hist.h"
+
+enum {
+	FIRST_OCTAVE = 6, /* 64 us */
+	PER_OCTAVE_BITS = 2,
+};
+
+int hist_bucket(int64_t us)
+{
+	int octave;
+	int bucket;
+
+	if (us < (1 << FIRST_OCTAVE))
+		return 0;
+	octave = 63 - __builtin_clzll((unsigned long long)us);
+	bucket = ((octave - FIRST_OCTAVE) << PER_OCTAVE_BITS) +
+		 (int)((us >> (octave - PER_OCTAVE_BITS)) & ((1 << PER_OCTAVE_BITS) - 1));
+	return bucket < HIST_BUCKETS ? bucket : HIST_BUCKETS - 1;
+}
+
+int64_t hist_bound_us(int bucket)
+{
+	int octave = FIRST_OCTAVE + (bucket >> PER_OCTAVE_BITS);
+	int64_t step = 1LL << (octave - PER_OCTAVE_BITS);
+
+	return (1LL << octave) + step * ((bucket & ((1 << PER_OCTAVE_BITS) - 1)) + 1);
+}
+
+void hist_add(struct hist *hist, int64_t us)
+{
+	hist->count[hist_bucket(us)]++;
+	hist->total++;
+	hist->sum_us += us > 0 ? us : 0;
+}
+
+void hist_merge(struct hist *into, const struct hist *from)
+{
+	for (int i = 0; i < HIST_BUCKETS; i++)
+		into->count[i] += from->count[i];
+	into->total += from->total;
+	into->sum_us += from->sum_us;
+}
+
+int64_t hist_quantile_us(const struct hist *hist, double q)
+{
+	uint64_t rank = (uint64_t)(q * (double)hist->total);
+	uint64_t seen = 0;
+
+	for (int i = 0; i < HIST_BUCKETS; i++) {
+		seen += hist->count[i];
+		if (seen > rank || (seen == hist->total && seen > 0))
+			return hist_bound_us(i);
+	}
+	return 0;
+}
--- /dev/null
+++ b/base/logger.c
@@ -0,0 +1,118 @@
+#include "base/logger.h"
+
+#include <fcntl.h>
+#include <glib.h>
+#include <pthread.h>
+#include <glib/gprintf.h>
+#include <stdarg.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "base/clock.h"
+#include "base/str.h"
+
+/*
+ * The process's one log. Its lock is a leaf, so a plain mutex stands in for LOCK_LOG: the
+ * logger works before APR is started.
+ */
+static pthread_mutex_t log_mutex = PTHREAD_MUTEX_INITIALIZER;
+static int log_fd = -1;
+static char *log_path;
+
+static int open_path(const char *path)
+{
+	if (strcmp(path, "-") == 0)
+		return STDERR_FILENO;
+	return open(path, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+}
+
+static void close_fd(void)
+{
+	if (log_fd > STDERR_FILENO)
+		close(log_fd);
+	log_fd = -1;
+}
+
+bool logger_open(const char *path)
+{
+	int fd = open_path(path);
+
+	if (fd < 0)
+		return false;
+	g_free(log_path);
+	log_path = g_strdup(path);
+	log_fd = fd;
+	return true;
+}
+
+void logger_reopen(void)
+{
+	int fd;
+
+	if (!log_path)
+		return;
+	fd = open_path(log_path);
+	if (fd < 0)
+		return;
+	pthread_mutex_lock(&log_mutex);
+	close_fd();
+	log_fd = fd;
+	pthread_mutex_unlock(&log_mutex);
+	logger_event(NOTE_LOG_REOPENED, "path=%s", log_path);
+}
+
+void logger_close(void)
+{
+	close_fd();
+	g_free(log_path);
+	log_path = NULL;
+}
+
+static const char *event_name(enum log_event event)
+{
+	switch (event) {
+#define LOG_EVENT_NAME(number, name, level) \
+	case NOTE_##name:                  \
+		return #name;
+		LOG_EVENTS(LOG_EVENT_NAME)
+#undef LOG_EVENT_NAME
+	}
+	g_assert_not_reached();
+}
+
+static const char *event_level(enum log_event event)
+{
+	static const char *const names[] = { "info", "warn", "error" };
+
+	switch (event) {
+#define LOG_EVENT_LEVEL(number, name, level) \
+	case NOTE_##name:                   \
+		return names[level];
+		LOG_EVENTS(LOG_EVENT_LEVEL)
+#undef LOG_EVENT_LEVEL
+	}
+	g_assert_not_reached();
+}
+
+void logger_event(enum log_event event, const char *format, ...)
+{
+	struct strbuf line = { 0 };
+	va_list args;
+	char *fields = NULL;
+
+	if (log_fd < 0)
+		return;
+	va_start(args, format);
+	g_vasprintf(&fields, format, args);
+	va_end(args);
+	clock_format_utc(&line, clock_now().wall_us);
+	strbuf_addf(&line, " %s %d %s %s\n", event_level(event), (int)event, event_name(event),
+		    fields);
+	g_free(fields);
+	pthread_mutex_lock(&log_mutex);
+	if (write(log_fd, line.data, line.len) < 0) {
+		/* Nowhere is left to report a log that can't be written. */
+	}
+	pthread_mutex_unlock(&log_mutex);
+	strbuf_clear(&line);
+}
--- /dev/null
+++ b/base/workers.h
@@ -0,0 +1,56 @@
+/**
+ * @file
+ * The pool of workers. A worker waits in one place for ready descriptors, timers and posted work,
+ * so that whoever sees an event handles it itself. A descriptor is handed to one worker at a time
+ * and stays disarmed until workers_rearm().
+ */
+#ifndef BASE_WORKERS_H
+#define BASE_WORKERS_H
+
+#include <apr_pools.h>
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+enum { WATCH_READ = 1, WATCH_WRITE = 2 };
+
+/** What a worker is asked to do; the program's one handler switches on .kind. */
+struct work {
+	int kind; /**< the program's own tag */
+	uint64_t number;
+	void *data;
+};
+
+typedef void workers_handle_fn(void *context, const struct work *work, int ready);
+
+struct workers_options {
+	int threads;
+	int queue_max; /**< posted work; past it workers_post() refuses */
+	workers_handle_fn *handle;
+	void *context;
+};
+
+struct workers;
+
+/** Returns NULL and sets @p error if threads or descriptors can't be had. */
+struct workers *workers_new(const struct workers_options *options, apr_pool_t *pool,
+			    GError **error);
+/** Starts the threads. */
+void workers_start(struct workers *workers);
+/** Ends and joins all threads, frees the pool. Work that is still queued is dropped. */
+void workers_free(struct workers *workers);
+
+/** Queues work for the next idle worker. False if the queue is full. Takes LOCK_WORKERS. */
+bool workers_post(struct workers *workers, struct work work);
+
+/** A descriptor to wait for. It belongs to its owner and must outlive workers_unwatch(). */
+struct watch {
+	int fd;
+	struct work work;
+};
+
+bool workers_watch(struct workers *workers, struct watch *watch, int interest);
+void workers_rearm(struct workers *workers, struct watch *watch, int interest);
+void workers_unwatch(struct workers *workers, struct watch *watch);
+
+#endif
--- /dev/null
+++ b/core/admit.c
@@ -0,0 +1,365 @@
+#include "core/admit.h"
+
+#include "base/lockorder.h"
+
+enum {
+	QUEUE_PER_SLOT = 8, /* waiting calls for each slot */
+	TENANTS_MAX = 256, /* past it tenants share one queue by hash */
+	ROUTES_MAX = 256,
+	BULK_SLOT_PERCENT = 50,
+	FIRST_SERVICE_US = 2000, /* expected before anything was measured */
+	QUANTUM_US = 1000,
+	GROW_AFTER = 32, /* served calls before one more slot is tried again */
+};
+
+/* Turns that a class gets before a lower one has its own. */
+static const int class_weight[CLASS_COUNT] = { 64, 16, 4, 1 };
+
+struct tenant_queue {
+	struct label tenant;
+	GQueue tickets;
+	int64_t deficit_us;
+};
+
+struct class_queue {
+	GQueue active; /* struct tenant_queue with tickets, in turn */
+	int queued;
+	int turns; /* left in this round */
+};
+
+struct route_use {
+	struct label name;
+	int running;
+	double service_us; /* smoothed */
+};
+
+struct admit {
+	struct lock lock;
+	bool closed;
+	int announced;
+	int slots;
+	int running;
+	int bulk_running;
+	int queued;
+	int served_since_shed;
+	double service_us;
+	struct class_queue classes[CLASS_COUNT];
+	GHashTable *tenants[CLASS_COUNT]; /* struct label -> struct tenant_queue */
+	GHashTable *routes; /* struct label -> struct route_use */
+};
+
+struct str admit_result_name(enum admit_result result)
+{
+	switch (result) {
+	case ADMIT_RUN:
+		return STR("run");
+	case ADMIT_QUEUED:
+		return STR("queued");
+	case ADMIT_FULL:
+		return STR("queue full");
+	case ADMIT_LATE:
+		return STR("deadline can't be met");
+	case ADMIT_CLOSED:
+		return STR("target takes no work");
+	}
+	g_assert_not_reached();
+}
+
+struct admit *admit_new(apr_pool_t *pool)
+{
+	struct admit *admit = g_new0(struct admit, 1);
+
+	lock_init(&admit->lock, LOCK_ADMIT, pool);
+	admit->service_us = FIRST_SERVICE_US;
+	admit->routes = g_hash_table_new_full(label_hash, label_hash_equal, NULL, g_free);
+	for (int i = 0; i < CLASS_COUNT; i++) {
+		admit->tenants[i] =
+			g_hash_table_new_full(label_hash, label_hash_equal, NULL, g_free);
+		g_queue_init(&admit->classes[i].active);
+		admit->classes[i].turns = class_weight[i];
+	}
+	return admit;
+}
+
+void admit_free(struct admit *admit)
+{
+	if (!admit)
+		return;
+	for (int i = 0; i < CLASS_COUNT; i++) {
+		g_queue_clear(&admit->classes[i].active);
+		g_hash_table_destroy(admit->tenants[i]);
+	}
+	g_hash_table_destroy(admit->routes);
+	lock_destroy(&admit->lock);
+	g_free(admit);
+}
+
+void admit_set_slots(struct admit *admit, int slots)
+{
+	lock_acquire(&admit->lock);
+	if (slots != admit->announced)
+		admit->slots = slots;
+	admit->announced = slots;
+	admit->closed = false;
+	lock_release(&admit->lock);
+}
+
+void admit_close(struct admit *admit)
+{
+	lock_acquire(&admit->lock);
+	admit->closed = true;
+	lock_release(&admit->lock);
+}
+
+static struct route_use *route_get(struct admit *admit, const struct label *name)
+{
+	struct route_use *route = g_hash_table_lookup(admit->routes, name);
+
+	if (route)
+		return route;
+	/* Routes that the configuration dropped go with the table, now and then. */
+	if (g_hash_table_size(admit->routes) >= ROUTES_MAX && admit->running == 0)
+		g_hash_table_remove_all(admit->routes);
+	route = g_new0(struct route_use, 1);
+	route->name = *name;
+	route->service_us = admit->service_us;
+	g_hash_table_insert(admit->routes, &route->name, route);
+	return route;
+}
+
+static int route_limit(const struct admit *admit, const struct ticket *ticket)
+{
+	int limit = admit->slots * ticket->concurrency_percent / 100;
+
+	return limit > 0 ? limit : 1;
+}
+
+static bool may_run(struct admit *admit, const struct ticket *ticket)
+{
+	int bulk_limit = (admit->slots * BULK_SLOT_PERCENT + 99) / 100;
+
+	if (admit->running >= admit->slots)
+		return false;
+	if (ticket->class == CLASS_BULK && admit->bulk_running >= bulk_limit)
+		return false;
+	return route_get(admit, &ticket->route)->running < route_limit(admit, ticket);
+}
+
+static void start(struct admit *admit, const struct ticket *ticket)
+{
+	admit->running++;
+	admit->bulk_running += ticket->class == CLASS_BULK;
+	route_get(admit, &ticket->route)->running++;
+}
+
+/* What waits before a new ticket: its own class and those above. */
+static int64_t expected_wait_us(const struct admit *admit, const struct ticket *ticket)
+{
+	int ahead = 0;
+
+	for (int i = 0; i <= (int)ticket->class; i++)
+		ahead += admit->classes[i].queued;
+	return (int64_t)((double)(ahead + 1) * admit->service_us / admit->slots);
+}
+
+static struct tenant_queue *tenant_get(struct admit *admit, const struct ticket *ticket)
+{
+	GHashTable *tenants = admit->tenants[ticket->class];
+	struct tenant_queue *tenant = g_hash_table_lookup(tenants, &ticket->tenant);
+	struct label name = ticket->tenant;
+
+	if (tenant)
+		return tenant;
+	if (g_hash_table_size(tenants) >= TENANTS_MAX) {
+		name = label_from(STR("others"));
+		tenant = g_hash_table_lookup(tenants, &name);
+		if (tenant)
+			return tenant;
+	}
+	tenant = g_new0(struct tenant_queue, 1);
+	tenant->tenant = name;
+	g_queue_init(&tenant->tickets);
+	g_hash_table_insert(tenants, &tenant->tenant, tenant);
+	return tenant;
+}
+
+static void enqueue(struct admit *admit, struct ticket *ticket)
+{
+	struct class_queue *class = &admit->classes[ticket->class];
+	struct tenant_queue *tenant = tenant_get(admit, ticket);
+
+	if (g_queue_is_empty(&tenant->tickets))
+		g_queue_push_tail(&class->active, tenant);
+	g_queue_push_tail(&tenant->tickets, ticket);
+	class->queued++;
+	admit->queued++;
+}
+
+static enum admit_result offer(struct admit *admit, struct ticket *ticket, struct instant now)
+{
+	int64_t left_us = deadline_left_us(ticket->deadline, now);
+
+	if (admit->slots == 0 || admit->closed)
+		return ADMIT_CLOSED;
+	if (left_us == 0)
+		return ADMIT_LATE;
+	if (admit->queued == 0 && may_run(admit, ticket)) {
+		start(admit, ticket);
+		return ADMIT_RUN;
+	}
+	if (admit->queued >= admit->slots * QUEUE_PER_SLOT)
+		return ADMIT_FULL;
+	if (expected_wait_us(admit, ticket) > left_us)
+		return ADMIT_LATE;
+	ticket->queued_at_us = now.mono_us;
+	enqueue(admit, ticket);
+	return ADMIT_QUEUED;
+}
+
+enum admit_result admit_offer(struct admit *admit, struct ticket *ticket, struct instant now)
+{
+	enum admit_result result;
+
+	lock_acquire(&admit->lock);
+	result = offer(admit, ticket, now);
+	lock_release(&admit->lock);
+	return result;
+}
+
+static void adapt(struct admit *admit, enum slot_use use)
+{
+	switch (use) {
+	case SLOT_SHED:
+		/* Its real slots are fewer than it announced. */
+		if (admit->slots > 1)
+			admit->slots--;
+		admit->served_since_shed = 0;
+		return;
+	case SLOT_SERVED:
+		if (++admit->served_since_shed < GROW_AFTER || admit->slots >= admit->announced)
+			return;
+		admit->slots++;
+		admit->served_since_shed = 0;
+		return;
+	}
+	g_assert_not_reached();
+}
+
+void admit_done(struct admit *admit, const struct ticket *ticket, enum slot_use use,
+		int64_t service_us)
+{
+	struct route_use *route;
+
+	lock_acquire(&admit->lock);
+	route = route_get(admit, &ticket->route);
+	route->running--;
+	admit->running--;
+	admit->bulk_running -= ticket->class == CLASS_BULK;
+	if (use == SLOT_SERVED) {
+		route->service_us += 0.1 * ((double)service_us - route->service_us);
+		admit->service_us += 0.05 * ((double)service_us - admit->service_us);
+	}
+	if (admit->slots > 0)
+		adapt(admit, use);
+	lock_release(&admit->lock);
+}
+
+static struct ticket *take_head(struct admit *admit, struct class_queue *class,
+				struct tenant_queue *tenant)
+{
+	struct ticket *ticket = g_queue_pop_head(&tenant->tickets);
+
+	class->queued--;
+	admit->queued--;
+	if (g_queue_is_empty(&tenant->tickets)) {
+		g_queue_remove(&class->active, tenant);
+		tenant->deficit_us = 0;
+	}
+	return ticket;
+}
+
+static bool is_late(const struct ticket *ticket, struct instant now)
+{
+	return deadline_passed(ticket->deadline, now);
+}
+
+/* Deficit round robin: a tenant whose deficit covers its next call has its turn. */
+static struct admit_turn next_of_class(struct admit *admit, struct class_queue *class,
+				       struct instant now)
+{
+	/* A blocked head (its route is at its limit) passes its turn on; two rounds suffice. */
+	guint tries = 2 * g_queue_get_length(&class->active) + 1;
+
+	while (tries-- > 0 && !g_queue_is_empty(&class->active)) {
+		struct tenant_queue *tenant = g_queue_peek_head(&class->active);
+		struct ticket *head = g_queue_peek_head(&tenant->tickets);
+		int64_t cost_us = (int64_t)route_get(admit, &head->route)->service_us;
+
+		/* Without slots the target is gone, and what waits for it can't run here. */
+		if (is_late(head, now) || admit->slots == 0)
+			return (struct admit_turn){ TURN_LATE, take_head(admit, class, tenant) };
+		if (may_run(admit, head) && tenant->deficit_us >= 0) {
+			tenant->deficit_us -= cost_us;
+			start(admit, head);
+			return (struct admit_turn){ TURN_RUN, take_head(admit, class, tenant) };
+		}
+		if (tenant->deficit_us < 0) {
+			/* One quantum a round; a long call waits out several of them. */
+			tenant->deficit_us += QUANTUM_US > cost_us ? QUANTUM_US : cost_us;
+			tries++;
+		}
+		g_queue_push_tail(&class->active, g_queue_pop_head(&class->active));
+	}
+	return (struct admit_turn){ TURN_NONE, NULL };
+}
+
+static void refill_turns(struct admit *admit)
+{
+	for (int i = 0; i < CLASS_COUNT; i++)
+		admit->classes[i].turns = class_weight[i];
+}
+
+static struct admit_turn next_turn(struct admit *admit, struct instant now)
+{
+	struct admit_turn turn = { TURN_NONE, NULL };
+
+	/* Classes that used up their turns wait for the lower ones, so that none starves. */
+	for (int pass = 0; pass < 2; pass++) {
+		for (int i = 0; i < CLASS_COUNT; i++) {
+			struct class_queue *class = &admit->classes[i];
+
+			if (class->queued == 0 || (pass == 0 && class->turns <= 0))
+				continue;
+			turn = next_of_class(admit, class, now);
+			if (turn.kind == TURN_NONE)
+				continue;
+			class->turns -= turn.kind == TURN_RUN;
+			return turn;
+		}
+		refill_turns(admit);
+	}
+	return turn;
+}
+
+struct admit_turn admit_next(struct admit *admit, struct instant now)
+{
+	struct admit_turn turn = { TURN_NONE, NULL };
+
+	lock_acquire(&admit->lock);
+	if (admit->queued > 0)
+		turn = next_turn(admit, now);
+	lock_release(&admit->lock);
+	return turn;
+}
+
+struct admit_counts admit_count(struct admit *admit)
+{
+	struct admit_counts counts;
+
+	lock_acquire(&admit->lock);
+	counts.slots = admit->slots;
+	counts.running = admit->running;
+	counts.queued = admit->queued;
+	lock_release(&admit->lock);
+	return counts;
+}
--- /dev/null
+++ b/core/config.c
@@ -0,0 +1,474 @@
+#include "core/config.h"
+
+#include <stdio.h>
+#include <string.h>
+
+GQuark config_error_quark(void)
+{
+	return g_quark_from_static_string("godwithitch-config");
+}
+
+struct str traffic_class_name(enum traffic_class class)
+{
+	switch (class) {
+	case CLASS_INTERACTIVE:
+		return STR("interactive");
+	case CLASS_STANDARD:
+		return STR("standard");
+	case CLASS_BULK:
+		return STR("bulk");
+	case CLASS_BACKGROUND:
+		return STR("background");
+	case CLASS_COUNT:
+		break;
+	}
+	g_assert_not_reached();
+}
+
+bool traffic_class_parse(struct str name, enum traffic_class *class)
+{
+	for (int i = 0; i < CLASS_COUNT; i++) {
+		if (!str_equal(name, traffic_class_name(i)))
+			continue;
+		*class = i;
+		return true;
+	}
+	return false;
+}
+
+struct str auto_kind_name(enum auto_kind kind)
+{
+	switch (kind) {
+	case AUTO_ADVANCE:
+		return STR("advance");
+	case AUTO_WITHDRAW:
+		return STR("withdraw");
+	case AUTO_EJECT:
+		return STR("eject");
+	case AUTO_QUARANTINE:
+		return STR("quarantine");
+	case AUTO_COUNT:
+		break;
+	}
+	g_assert_not_reached();
+}
+
+bool auto_kind_parse(struct str name, enum auto_kind *kind)
+{
+	for (int i = 0; i < AUTO_COUNT; i++) {
+		if (!str_equal(name, auto_kind_name(i)))
+			continue;
+		*kind = i;
+		return true;
+	}
+	return false;
+}
+
+int method_bit(struct str name)
+{
+	static const char *const names[] = { "GET",    "HEAD",	"POST",	  "PUT",
+					     "DELETE", "PATCH", "OPTIONS" };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(names); i++)
+		if (str_equal(name, str_from_cstr(names[i])))
+			return 1 << i;
+	return 0;
+}
+
+static void service_clear(gpointer data)
+{
+	struct service *service = data;
+
+	g_array_unref(service->versions);
+}
+
+struct config_file *config_file_new(void)
+{
+	struct config_file *file = g_new0(struct config_file, 1);
+
+	file->services = g_array_new(FALSE, TRUE, sizeof(struct service));
+	g_array_set_clear_func(file->services, service_clear);
+	file->routes = g_array_new(FALSE, TRUE, sizeof(struct route));
+	file->moves = g_array_new(FALSE, TRUE, sizeof(struct move_spec));
+	file->switches = g_array_new(FALSE, TRUE, sizeof(struct auto_switch));
+	file->text = g_string_chunk_new(256);
+	return file;
+}
+
+void config_file_free(struct config_file *file)
+{
+	if (!file)
+		return;
+	g_array_unref(file->services);
+	g_array_unref(file->routes);
+	g_array_unref(file->moves);
+	g_array_unref(file->switches);
+	g_string_chunk_free(file->text);
+	g_free(file);
+}
+
+struct str config_file_keep(struct config_file *file, struct str s)
+{
+	if (s.len == 0)
+		return STR("");
+	return (struct str){ g_string_chunk_insert_len(file->text, s.data, s.len), s.len };
+}
+
+struct change *change_new(struct label id, struct label file, int64_t base, struct str content)
+{
+	struct change *change = g_new0(struct change, 1);
+
+	change->refs = 1;
+	change->id = id;
+	change->file = file;
+	change->base = base;
+	change->content = str_dup(content);
+	return change;
+}
+
+struct change *change_ref(struct change *change)
+{
+	g_atomic_int_inc(&change->refs);
+	return change;
+}
+
+void change_unref(struct change *change)
+{
+	if (!change || !g_atomic_int_dec_and_test(&change->refs))
+		return;
+	config_file_free(change->parsed);
+	g_free(change->parse_error);
+	g_free((char *)change->content.data);
+	g_free(change);
+}
+
+struct accepted_file *accepted_file_new(struct label name, int64_t version, struct change *change)
+{
+	struct accepted_file *file = g_new0(struct accepted_file, 1);
+
+	file->name = name;
+	file->version = version;
+	file->change = change_ref(change);
+	file->move_ids = g_array_new(FALSE, TRUE, sizeof(uint64_t));
+	return file;
+}
+
+struct accepted_file *accepted_file_copy(const struct accepted_file *from)
+{
+	struct accepted_file *file = accepted_file_new(from->name, from->version, from->change);
+
+	g_array_append_vals(file->move_ids, from->move_ids->data, from->move_ids->len);
+	return file;
+}
+
+void accepted_file_free(struct accepted_file *file)
+{
+	if (!file)
+		return;
+	change_unref(file->change);
+	g_array_unref(file->move_ids);
+	g_free(file);
+}
+
+/* Words an error as "FILE:LINE: PATH: text". */
+static bool fail(GError **error, enum config_error code, const struct accepted_file *file, int line,
+		 const char *path, const char *format, ...) __attribute__((format(printf, 6, 7)));
+
+static bool fail(GError **error, enum config_error code, const struct accepted_file *file, int line,
+		 const char *path, const char *format, ...)
+{
+	va_list args;
+	char *text;
+
+	va_start(args, format);
+	text = g_strdup_vprintf(format, args);
+	va_end(args);
+	g_set_error(error, CONFIG_ERROR, code, "%.*s:%d: %s: %s", STR_ARG(label_str(&file->name)),
+		    line, path, text);
+	g_free(text);
+	return false;
+}
+
+static bool add_service(struct config *config, const struct accepted_file *file,
+			struct service *service, GError **error)
+{
+	char path[64];
+	int sum = 0;
+
+	snprintf(path, sizeof(path), "services.%.*s", STR_ARG(label_str(&service->name)));
+	if (g_hash_table_contains(config->services, &service->name))
+		return fail(error, CONFIG_ERROR_NAME, file, service->line, path,
+			    "the service is declared twice");
+	for (guint i = 0; i < service->versions->len; i++)
+		sum += g_array_index(service->versions, struct version, i).share_percent;
+	if (sum != 100)
+		return fail(error, CONFIG_ERROR_SHARE, file, service->line, path,
+			    "shares add up to %d, expected 100", sum);
+	g_hash_table_insert(config->services, &service->name, service);
+	return true;
+}
+
+static bool has_version(const struct service *service, struct label name)
+{
+	for (guint i = 0; i < service->versions->len; i++)
+		if (label_equal(&g_array_index(service->versions, struct version, i).name, &name))
+			return true;
+	return false;
+}
+
+static bool add_route(struct config *config, const struct accepted_file *file, struct route *route,
+		      GError **error)
+{
+	char path[64];
+
+	snprintf(path, sizeof(path), "routes.%.*s", STR_ARG(label_str(&route->name)));
+	if (config_find_route(config, route->name))
+		return fail(error, CONFIG_ERROR_NAME, file, route->line, path,
+			    "the route is declared twice");
+	if (!config_find_service(config, route->service))
+		return fail(error, CONFIG_ERROR_NAME, file, route->line, path,
+			    "no service \"%.*s\" is declared", STR_ARG(label_str(&route->service)));
+	g_ptr_array_add(config->routes, route);
+	return true;
+}
+
+static bool check_move_versions(const struct config *config, const struct accepted_file *file,
+				const struct move_spec *move, const char *path, GError **error)
+{
+	const struct service *service = config_find_service(config, move->service);
+	const struct label *names[] = { &move->from, &move->to };
+
+	if (!service)
+		return fail(error, CONFIG_ERROR_NAME, file, move->line, path,
+			    "no service \"%.*s\" is declared", STR_ARG(label_str(&move->service)));
+	for (size_t i = 0; i < G_N_ELEMENTS(names); i++)
+		if (!has_version(service, *names[i]))
+			return fail(error, CONFIG_ERROR_NAME, file, move->line, path,
+				    "service \"%.*s\" declares no version \"%.*s\"",
+				    STR_ARG(label_str(&move->service)),
+				    STR_ARG(label_str(names[i])));
+	if (label_equal(&move->from, &move->to))
+		return fail(error, CONFIG_ERROR_NAME, file, move->line, path,
+			    "from and to name the same version");
+	return true;
+}
+
+static bool add_move(struct config *config, const struct accepted_file *file, guint index,
+		     GError **error)
+{
+	struct move_spec move = g_array_index(file->change->parsed->moves, struct move_spec, index);
+	char path[32];
+
+	snprintf(path, sizeof(path), "moves[%u]", index);
+	if (!check_move_versions(config, file, &move, path, error))
+		return false;
+	if (move.start_at_us >= move.finish_at_us)
+		return fail(error, CONFIG_ERROR_TIME, file, move.line, path,
+			    "the move finishes before it starts");
+	for (guint i = 0; i < config->moves->len; i++)
+		if (label_equal(&g_array_index(config->moves, struct move_spec, i).service,
+				&move.service))
+			return fail(error, CONFIG_ERROR_NAME, file, move.line, path,
+				    "service \"%.*s\" has another move already",
+				    STR_ARG(label_str(&move.service)));
+	if (index < file->move_ids->len)
+		move.id = g_array_index(file->move_ids, uint64_t, index);
+	g_array_append_val(config->moves, move);
+	return true;
+}
+
+static bool add_switch(struct config *config, const struct accepted_file *file,
+		       const struct auto_switch *one, GError **error)
+{
+	if (one->service.len && !config_find_service(config, one->service))
+		return fail(error, CONFIG_ERROR_NAME, file, one->line, "switches",
+			    "no service \"%.*s\" is declared", STR_ARG(label_str(&one->service)));
+	for (guint i = 0; i < config->switches->len; i++) {
+		const struct auto_switch *other =
+			&g_array_index(config->switches, struct auto_switch, i);
+
+		if (label_equal(&other->service, &one->service) && other->kind == one->kind)
+			return fail(error, CONFIG_ERROR_NAME, file, one->line, "switches",
+				    "the switch is set twice");
+	}
+	g_array_append_val(config->switches, *one);
+	return true;
+}
+
+static bool add_services(struct config *config, const struct accepted_file *file, GError **error)
+{
+	GArray *services = file->change->parsed->services;
+
+	for (guint i = 0; i < services->len; i++)
+		if (!add_service(config, file, &g_array_index(services, struct service, i), error))
+			return false;
+	return true;
+}
+
+static bool add_rest(struct config *config, const struct accepted_file *file, GError **error)
+{
+	const struct config_file *parsed = file->change->parsed;
+
+	for (guint i = 0; i < parsed->routes->len; i++)
+		if (!add_route(config, file, &g_array_index(parsed->routes, struct route, i),
+			       error))
+			return false;
+	for (guint i = 0; i < parsed->moves->len; i++)
+		if (!add_move(config, file, i, error))
+			return false;
+	for (guint i = 0; i < parsed->switches->len; i++)
+		if (!add_switch(config, file,
+				&g_array_index(parsed->switches, struct auto_switch, i), error))
+			return false;
+	return true;
+}
+
+static gint compare_routes(gconstpointer a, gconstpointer b)
+{
+	const struct route *x = *(struct route *const *)a;
+	const struct route *y = *(struct route *const *)b;
+
+	if (x->path.len != y->path.len)
+		return x->path.len > y->path.len ? -1 : 1;
+	if ((x->host.len == 0) != (y->host.len == 0))
+		return x->host.len ? -1 : 1;
+	return str_compare(label_str(&x->name), label_str(&y->name));
+}
+
+static gint compare_files(gconstpointer a, gconstpointer b)
+{
+	const struct accepted_file *x = *(struct accepted_file *const *)a;
+	const struct accepted_file *y = *(struct accepted_file *const *)b;
+
+	return str_compare(label_str(&x->name), label_str(&y->name));
+}
+
+static bool add_files(struct config *config, GError **error)
+{
+	for (guint i = 0; i < config->files->len; i++) {
+		const struct accepted_file *file = g_ptr_array_index(config->files, i);
+
+		if (file->change->parsed && !add_services(config, file, error))
+			return false;
+	}
+	for (guint i = 0; i < config->files->len; i++) {
+		const struct accepted_file *file = g_ptr_array_index(config->files, i);
+
+		if (file->change->parsed && !add_rest(config, file, error))
+			return false;
+	}
+	return true;
+}
+
+struct config *config_build(GPtrArray *files, int64_t version, int64_t accepted, GError **error)
+{
+	struct config *config = g_new0(struct config, 1);
+
+	config->refs = 1;
+	config->version = version;
+	config->accepted = accepted;
+	config->files = files;
+	g_ptr_array_sort(files, compare_files);
+	config->services = g_hash_table_new(label_hash, label_hash_equal);
+	config->routes = g_ptr_array_new();
+	config->moves = g_array_new(FALSE, TRUE, sizeof(struct move_spec));
+	config->switches = g_array_new(FALSE, TRUE, sizeof(struct auto_switch));
+	if (!add_files(config, error)) {
+		config_unref(config);
+		return NULL;
+	}
+	g_ptr_array_sort(config->routes, compare_routes);
+	return config;
+}
+
+struct config *config_ref(struct config *config)
+{
+	g_atomic_int_inc(&config->refs);
+	return config;
+}
+
+void config_unref(struct config *config)
+{
+	if (!config || !g_atomic_int_dec_and_test(&config->refs))
+		return;
+	g_hash_table_destroy(config->services);
+	g_ptr_array_unref(config->routes);
+	g_array_unref(config->moves);
+	g_array_unref(config->switches);
+	g_ptr_array_unref(config->files);
+	g_free(config);
+}
+
+const struct accepted_file *config_find_file(const struct config *config, struct label name)
+{
+	for (guint i = 0; i < config->files->len; i++) {
+		const struct accepted_file *file = g_ptr_array_index(config->files, i);
+
+		if (label_equal(&file->name, &name))
+			return file;
+	}
+	return NULL;
+}
+
+const struct service *config_find_service(const struct config *config, struct label name)
+{
+	return g_hash_table_lookup(config->services, &name);
+}
+
+const struct route *config_find_route(const struct config *config, struct label name)
+{
+	for (guint i = 0; i < config->routes->len; i++) {
+		const struct route *route = g_ptr_array_index(config->routes, i);
+
+		if (label_equal(&route->name, &name))
+			return route;
+	}
+	return NULL;
+}
+
+/* "/a" matches "/a" and "/a/b", not "/ab"; a prefix that ends in a slash matches what follows. */
+static bool path_matches(struct str path, struct str prefix)
+{
+	if (!str_has_prefix(path, prefix))
+		return false;
+	if (path.len == prefix.len || prefix.len == 0 || prefix.data[prefix.len - 1] == '/')
+		return true;
+	return path.data[prefix.len] == '/' || path.data[prefix.len] == '?';
+}
+
+const struct route *config_match(const struct config *config, struct str host, struct str method,
+				 struct str path)
+{
+	int bit = method_bit(method);
+	struct str port;
+
+	host = str_split(host, ':', &port);
+	for (guint i = 0; i < config->routes->len; i++) {
+		const struct route *route = g_ptr_array_index(config->routes, i);
+
+		if ((route->methods & bit) && path_matches(path, route->path) &&
+		    (route->host.len == 0 || str_equal_nocase(route->host, host)))
+			return route;
+	}
+	return NULL;
+}
+
+bool config_auto_allowed(const struct config *config, struct label service, enum auto_kind kind)
+{
+	bool all_off = false;
+	bool own_off = false;
+
+	for (guint i = 0; i < config->switches->len; i++) {
+		const struct auto_switch *one =
+			&g_array_index(config->switches, struct auto_switch, i);
+
+		if (one->kind != kind || !one->off)
+			continue;
+		if (one->service.len == 0)
+			all_off = true;
+		else if (label_equal(&one->service, &service))
+			own_off = true;
+	}
+	/* Off for all wins: that is the one that an operator sets before a holiday. */
+	return !all_off && !own_off;
+}
--- /dev/null
+++ b/core/event.c
@@ -0,0 +1,66 @@
+#include "core/event.h"
+
+static void action_clear(gpointer data)
+{
+	struct action *action = data;
+
+	switch (action->kind) {
+	case ACTION_SEND:
+		message_unref(action->send.message);
+		return;
+	case ACTION_APPEND:
+		log_record_clear(&action->append.record);
+		return;
+	case ACTION_READ_LOG:
+	case ACTION_NOTE:
+		return;
+	}
+	g_assert_not_reached();
+}
+
+struct actions actions_new(void)
+{
+	struct actions actions = { g_array_new(FALSE, TRUE, sizeof(struct action)) };
+
+	g_array_set_clear_func(actions.list, action_clear);
+	return actions;
+}
+
+void actions_clear(struct actions *actions)
+{
+	g_array_unref(actions->list);
+	actions->list = NULL;
+}
+
+void actions_send(struct actions *actions, uint64_t to, struct message *message)
+{
+	struct action action = { .kind = ACTION_SEND, .send = { to, message } };
+
+	g_array_append_val(actions->list, action);
+}
+
+void actions_read(struct actions *actions, enum log_stream stream, int64_t from,
+		  struct deadline wait_until)
+{
+	struct action action = { .kind = ACTION_READ_LOG, .read = { stream, from, wait_until } };
+
+	g_array_append_val(actions->list, action);
+}
+
+void actions_append(struct actions *actions, uint64_t tag, struct log_record record)
+{
+	struct action action = { .kind = ACTION_APPEND, .append = { tag, record } };
+
+	g_array_append_val(actions->list, action);
+}
+
+void actions_note(struct actions *actions, enum log_event event, const char *format, ...)
+{
+	struct action action = { .kind = ACTION_NOTE, .note = { .event = event } };
+	va_list args;
+
+	va_start(args, format);
+	g_vsnprintf(action.note.text, sizeof(action.note.text), format, args);
+	va_end(args);
+	g_array_append_val(actions->list, action);
+}
--- /dev/null
+++ b/core/member.c
@@ -0,0 +1,764 @@
+#include "core/member.h"
+
+#include <string.h>
+
+#include "base/lockorder.h"
+
+/* Evidence against one target by this node's own calls, in log-likelihood units (a CUSUM of
+ * "half of its calls fail" against "one in twenty fails"). */
+#define EJECT_FAILURE_STEP  2.303
+#define EJECT_SUCCESS_STEP  0.642
+#define EJECT_BROKEN_STEP   4.0
+#define EJECT_THRESHOLD	    9.0
+#define EJECT_US	    (10 * US_PER_S)
+#define SLOW_START_US	    (10 * US_PER_S)
+
+/** A member with what this node adds of its own. */
+struct peer {
+	struct member record;
+	uint32_t all_index;
+	uint32_t live_index; /* in members.live, UINT32_MAX if not there */
+	uint32_t local_index; /* in members.local, likewise */
+	struct deadline dead_at; /* of a suspect */
+	struct deadline forget_at; /* of a dead one */
+	struct deadline warm_at; /* slow start until then */
+	struct deadline contained_until;
+	int in_flight;
+	double evidence;
+};
+
+struct members {
+	struct lock lock;
+	struct members_options options;
+	uint64_t self;
+	GHashTable *by_id; /* uint64_t in the peer -> struct peer */
+	GHashTable *by_service; /* struct label -> GPtrArray of struct peer */
+	GPtrArray *all;
+	GPtrArray *live;
+	GPtrArray *local;
+	GArray *round; /* uint64_t, members still to probe */
+	uint64_t hash;
+	uint64_t bucket[MEMBER_BUCKETS];
+};
+
+struct str member_state_name(enum member_state state)
+{
+	switch (state) {
+	case MEMBER_JOINING:
+		return STR("joining");
+	case MEMBER_ALIVE:
+		return STR("alive");
+	case MEMBER_SUSPECT:
+		return STR("suspect");
+	case MEMBER_LEAVING:
+		return STR("leaving");
+	case MEMBER_DEAD:
+		return STR("dead");
+	}
+	g_assert_not_reached();
+}
+
+uint64_t member_id(uint32_t ipv4, uint16_t port)
+{
+	return ((uint64_t)ipv4 << 16) | port;
+}
+
+uint32_t member_ipv4(uint64_t id)
+{
+	return (uint32_t)(id >> 16);
+}
+
+uint16_t member_port(uint64_t id)
+{
+	return (uint16_t)id;
+}
+
+static bool is_live(const struct peer *peer)
+{
+	return peer->record.state == MEMBER_ALIVE || peer->record.state == MEMBER_SUSPECT;
+}
+
+static uint64_t record_hash(const struct member *record)
+{
+	return rng_mix(rng_mix(record->id) ^ rng_mix(record->incarnation * 8 + record->state));
+}
+
+static int bucket_of(uint64_t id)
+{
+	return (int)(rng_mix(id) % MEMBER_BUCKETS);
+}
+
+static void toggle_hash(struct members *members, const struct member *record)
+{
+	uint64_t hash = record_hash(record);
+
+	members->hash ^= hash;
+	members->bucket[bucket_of(record->id)] ^= hash;
+}
+
+static void service_list_free(gpointer list)
+{
+	g_ptr_array_unref(list);
+}
+
+struct members *members_new(const struct members_options *options, apr_pool_t *pool)
+{
+	struct members *members = g_new0(struct members, 1);
+
+	members->options = *options;
+	members->self = options->self.id;
+	lock_init(&members->lock, LOCK_MEMBERS, pool);
+	members->by_id = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+	members->by_service =
+		g_hash_table_new_full(label_hash, label_hash_equal, g_free, service_list_free);
+	members->all = g_ptr_array_new();
+	members->live = g_ptr_array_new();
+	members->local = g_ptr_array_new();
+	members->round = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	members_merge(members, &options->self, (struct instant){ 0, 0 });
+	return members;
+}
+
+void members_free(struct members *members)
+{
+	if (!members)
+		return;
+	g_ptr_array_unref(members->all);
+	g_ptr_array_unref(members->live);
+	g_ptr_array_unref(members->local);
+	g_array_unref(members->round);
+	g_hash_table_destroy(members->by_service);
+	g_hash_table_destroy(members->by_id);
+	lock_destroy(&members->lock);
+	g_free(members);
+}
+
+static struct peer *find(struct members *members, uint64_t id)
+{
+	return g_hash_table_lookup(members->by_id, &id);
+}
+
+/* Removes by moving the last one into the gap. */
+static void remove_live(struct members *members, struct peer *peer)
+{
+	struct peer *last;
+
+	if (peer->live_index != UINT32_MAX) {
+		last = g_ptr_array_index(members->live, members->live->len - 1);
+		last->live_index = peer->live_index;
+		g_ptr_array_remove_index_fast(members->live, peer->live_index);
+		peer->live_index = UINT32_MAX;
+	}
+	if (peer->local_index != UINT32_MAX) {
+		last = g_ptr_array_index(members->local, members->local->len - 1);
+		last->local_index = peer->local_index;
+		g_ptr_array_remove_index_fast(members->local, peer->local_index);
+		peer->local_index = UINT32_MAX;
+	}
+}
+
+static void add_live(struct members *members, struct peer *peer)
+{
+	peer->live_index = members->live->len;
+	g_ptr_array_add(members->live, peer);
+	if (!label_equal(&peer->record.data_centre, &members->options.self.data_centre))
+		return;
+	peer->local_index = members->local->len;
+	g_ptr_array_add(members->local, peer);
+}
+
+static void leave_service(struct members *members, struct peer *peer)
+{
+	GPtrArray *list = g_hash_table_lookup(members->by_service, &peer->record.service);
+
+	if (list)
+		g_ptr_array_remove_fast(list, peer);
+	if (list && list->len == 0)
+		g_hash_table_remove(members->by_service, &peer->record.service);
+}
+
+static void enter_service(struct members *members, struct peer *peer)
+{
+	GPtrArray *list;
+
+	if (peer->record.service.len == 0)
+		return;
+	list = g_hash_table_lookup(members->by_service, &peer->record.service);
+	if (!list) {
+		list = g_ptr_array_new();
+		g_hash_table_insert(members->by_service,
+				    g_memdup2(&peer->record.service, sizeof(struct label)), list);
+	}
+	g_ptr_array_add(list, peer);
+}
+
+static void note_target_change(struct peer *peer, const struct member *record, struct instant now)
+{
+	if (record->slots == 0 || (label_equal(&peer->record.service, &record->service) &&
+				   label_equal(&peer->record.version, &record->version)))
+		return;
+	/* A target that starts cold gets its share of calls little by little. */
+	peer->warm_at = deadline_after(now, SLOW_START_US);
+	peer->evidence = 0;
+	peer->contained_until = (struct deadline){ 0 };
+}
+
+static void set_deadlines(struct members *members, struct peer *peer, struct instant now)
+{
+	peer->dead_at = (struct deadline){ 0 };
+	peer->forget_at = (struct deadline){ 0 };
+	switch (peer->record.state) {
+	case MEMBER_JOINING:
+	case MEMBER_ALIVE:
+		break;
+	case MEMBER_SUSPECT:
+	case MEMBER_LEAVING:
+		/* Leaving takes as long as the longest answer; forget_us bounds it. */
+		peer->dead_at = deadline_after(now, peer->record.state == MEMBER_SUSPECT ?
+							    members->options.suspect_us :
+							    members->options.forget_us);
+		break;
+	case MEMBER_DEAD:
+		peer->forget_at = deadline_after(now, members->options.forget_us);
+		break;
+	}
+}
+
+static void put(struct members *members, struct peer *peer, const struct member *record,
+		struct instant now)
+{
+	bool moved = !label_equal(&peer->record.service, &record->service);
+
+	remove_live(members, peer);
+	if (moved)
+		leave_service(members, peer);
+	note_target_change(peer, record, now);
+	peer->record = *record;
+	toggle_hash(members, record);
+	if (moved)
+		enter_service(members, peer);
+	if (is_live(peer))
+		add_live(members, peer);
+	set_deadlines(members, peer, now);
+}
+
+static struct peer *add(struct members *members, uint64_t id)
+{
+	struct peer *peer = g_new0(struct peer, 1);
+
+	peer->record.id = id;
+	peer->live_index = UINT32_MAX;
+	peer->local_index = UINT32_MAX;
+	peer->all_index = members->all->len;
+	g_ptr_array_add(members->all, peer);
+	g_hash_table_insert(members->by_id, &peer->record.id, peer);
+	return peer;
+}
+
+static void drop(struct members *members, struct peer *peer)
+{
+	struct peer *last = g_ptr_array_index(members->all, members->all->len - 1);
+
+	toggle_hash(members, &peer->record);
+	remove_live(members, peer);
+	leave_service(members, peer);
+	last->all_index = peer->all_index;
+	g_ptr_array_remove_index_fast(members->all, peer->all_index);
+	g_hash_table_remove(members->by_id, &peer->record.id);
+}
+
+static bool is_newer(const struct member *a, const struct member *b)
+{
+	if (a->incarnation != b->incarnation)
+		return a->incarnation > b->incarnation;
+	return a->state > b->state;
+}
+
+enum merge_result members_merge(struct members *members, const struct member *record,
+				struct instant now)
+{
+	enum merge_result result = MERGE_KNOWN;
+	struct peer *peer;
+
+	lock_acquire(&members->lock);
+	peer = find(members, record->id);
+	if (!peer) {
+		put(members, add(members, record->id), record, now);
+		result = MERGE_NEWER;
+	} else if (is_newer(record, &peer->record)) {
+		result = record->id == members->self ? MERGE_ABOUT_SELF : MERGE_NEWER;
+	}
+	if (peer && result == MERGE_NEWER) {
+		toggle_hash(members, &peer->record);
+		put(members, peer, record, now);
+	}
+	lock_release(&members->lock);
+	return result;
+}
+
+struct member members_update_self(struct members *members, const struct member *self,
+				  uint64_t refute)
+{
+	struct member record = *self;
+	struct peer *peer;
+
+	lock_acquire(&members->lock);
+	peer = find(members, members->self);
+	record.id = members->self;
+	record.incarnation = peer->record.incarnation + 1;
+	if (refute >= record.incarnation)
+		record.incarnation = refute + 1;
+	toggle_hash(members, &peer->record);
+	put(members, peer, &record, (struct instant){ 0, 0 });
+	lock_release(&members->lock);
+	return record;
+}
+
+bool members_get(struct members *members, uint64_t id, struct member *out)
+{
+	const struct peer *peer;
+
+	lock_acquire(&members->lock);
+	peer = find(members, id);
+	if (peer)
+		*out = peer->record;
+	lock_release(&members->lock);
+	return peer != NULL;
+}
+
+struct member members_self(struct members *members)
+{
+	struct member self = { 0 };
+
+	members_get(members, members->self, &self);
+	return self;
+}
+
+static void change_state(struct members *members, struct peer *peer, enum member_state state,
+			 struct instant now)
+{
+	struct member record = peer->record;
+
+	toggle_hash(members, &peer->record);
+	record.state = state;
+	put(members, peer, &record, now);
+}
+
+bool members_suspect(struct members *members, uint64_t id, struct instant now, struct member *out)
+{
+	struct peer *peer;
+	bool suspected;
+
+	lock_acquire(&members->lock);
+	peer = find(members, id);
+	suspected = peer && id != members->self && peer->record.state != MEMBER_SUSPECT &&
+		    peer->record.state != MEMBER_DEAD;
+	if (suspected) {
+		/* One that said it would leave needs no time to refute. */
+		change_state(members, peer,
+			     peer->record.state == MEMBER_LEAVING ? MEMBER_DEAD : MEMBER_SUSPECT,
+			     now);
+		*out = peer->record;
+	}
+	lock_release(&members->lock);
+	return suspected;
+}
+
+int members_sweep(struct members *members, struct instant now, struct member *out, int max)
+{
+	int count = 0;
+
+	lock_acquire(&members->lock);
+	for (guint i = members->all->len; i-- > 0;) {
+		struct peer *peer = g_ptr_array_index(members->all, i);
+
+		if (peer->record.id == members->self)
+			continue;
+		if (deadline_passed(peer->forget_at, now)) {
+			drop(members, peer);
+			continue;
+		}
+		if (count < max && deadline_passed(peer->dead_at, now)) {
+			change_state(members, peer, MEMBER_DEAD, now);
+			out[count++] = peer->record;
+		}
+	}
+	lock_release(&members->lock);
+	return count;
+}
+
+uint64_t members_hash(struct members *members)
+{
+	uint64_t hash;
+
+	lock_acquire(&members->lock);
+	hash = members->hash;
+	lock_release(&members->lock);
+	return hash;
+}
+
+void members_buckets(struct members *members, uint64_t *hashes)
+{
+	lock_acquire(&members->lock);
+	memcpy(hashes, members->bucket, sizeof(members->bucket));
+	lock_release(&members->lock);
+}
+
+GArray *members_differing(struct members *members, const uint64_t *hashes)
+{
+	GArray *records = g_array_new(FALSE, FALSE, sizeof(struct member));
+
+	lock_acquire(&members->lock);
+	for (guint i = 0; i < members->all->len; i++) {
+		const struct peer *peer = g_ptr_array_index(members->all, i);
+		int bucket = bucket_of(peer->record.id);
+
+		if (hashes[bucket] != members->bucket[bucket])
+			g_array_append_val(records, peer->record);
+	}
+	lock_release(&members->lock);
+	return records;
+}
+
+struct member_counts members_count(struct members *members)
+{
+	struct member_counts counts = { 0 };
+
+	lock_acquire(&members->lock);
+	counts.total = (int)members->all->len;
+	counts.live = (int)members->live->len;
+	for (guint i = 0; i < members->all->len; i++) {
+		const struct peer *peer = g_ptr_array_index(members->all, i);
+
+		counts.dead += peer->record.state == MEMBER_DEAD;
+	}
+	lock_release(&members->lock);
+	return counts;
+}
+
+GArray *members_list(struct members *members)
+{
+	GArray *records = g_array_new(FALSE, FALSE, sizeof(struct member));
+
+	lock_acquire(&members->lock);
+	for (guint i = 0; i < members->all->len; i++) {
+		const struct peer *peer = g_ptr_array_index(members->all, i);
+
+		g_array_append_val(records, peer->record);
+	}
+	lock_release(&members->lock);
+	return records;
+}
+
+static bool holds(const uint64_t *ids, int count, uint64_t id)
+{
+	for (int i = 0; i < count; i++)
+		if (ids[i] == id)
+			return true;
+	return false;
+}
+
+int members_random(struct members *members, struct rng *rng, bool local, uint64_t *out, int max)
+{
+	const GPtrArray *list;
+	int count = 0;
+
+	lock_acquire(&members->lock);
+	list = local ? members->local : members->live;
+	/* A few more draws than wanted make up for self and doubles. */
+	for (int draws = max * 3; draws > 0 && count < max && list->len; draws--) {
+		const struct peer *peer =
+			g_ptr_array_index(list, (guint)rng_below(rng, list->len));
+
+		if (peer->record.id != members->self && !holds(out, count, peer->record.id))
+			out[count++] = peer->record.id;
+	}
+	lock_release(&members->lock);
+	return count;
+}
+
+uint64_t members_random_dead(struct members *members, struct rng *rng)
+{
+	uint64_t id = 0;
+	guint start;
+
+	lock_acquire(&members->lock);
+	start = (guint)rng_below(rng, members->all->len);
+	for (guint i = 0; i < members->all->len && id == 0; i++) {
+		const struct peer *peer =
+			g_ptr_array_index(members->all, (start + i) % members->all->len);
+
+		if (peer->record.state == MEMBER_DEAD)
+			id = peer->record.id;
+	}
+	lock_release(&members->lock);
+	return id;
+}
+
+static void start_round(struct members *members, struct rng *rng)
+{
+	for (guint i = 0; i < members->all->len; i++) {
+		const struct peer *peer = g_ptr_array_index(members->all, i);
+
+		if (peer->record.id != members->self && peer->record.state != MEMBER_DEAD)
+			g_array_append_val(members->round, peer->record.id);
+	}
+	for (guint i = members->round->len; i > 1; i--) {
+		uint64_t *ids = (uint64_t *)(void *)members->round->data;
+		guint j = (guint)rng_below(rng, i);
+		uint64_t swap = ids[i - 1];
+
+		ids[i - 1] = ids[j];
+		ids[j] = swap;
+	}
+}
+
+uint64_t members_next_probe(struct members *members, struct rng *rng)
+{
+	uint64_t id = 0;
+
+	lock_acquire(&members->lock);
+	if (members->round->len == 0)
+		start_round(members, rng);
+	while (members->round->len && id == 0) {
+		const struct peer *peer;
+
+		id = g_array_index(members->round, uint64_t, members->round->len - 1);
+		g_array_set_size(members->round, members->round->len - 1);
+		peer = find(members, id);
+		if (!peer || peer->record.state == MEMBER_DEAD)
+			id = 0;
+	}
+	lock_release(&members->lock);
+	return id;
+}
+
+static const GPtrArray *scope_list(struct members *members, enum scope_kind scope,
+				   struct label name)
+{
+	switch (scope) {
+	case SCOPE_ALL:
+		return members->live;
+	case SCOPE_DATA_CENTRE:
+		if (label_equal(&name, &members->options.self.data_centre))
+			return members->local;
+		return members->live;
+	case SCOPE_SERVICE:
+		return g_hash_table_lookup(members->by_service, &name);
+	}
+	g_assert_not_reached();
+}
+
+static bool in_scope(const struct peer *peer, enum scope_kind scope, struct label name)
+{
+	if (!is_live(peer))
+		return false;
+	switch (scope) {
+	case SCOPE_ALL:
+		return true;
+	case SCOPE_DATA_CENTRE:
+		return label_equal(&peer->record.data_centre, &name);
+	case SCOPE_SERVICE:
+		return label_equal(&peer->record.service, &name);
+	}
+	g_assert_not_reached();
+}
+
+static uint64_t rendezvous(uint64_t id, uint64_t salt)
+{
+	return rng_mix(rng_mix(id) ^ rng_mix(salt + 0x9e3779b97f4a7c15ULL));
+}
+
+int members_rank(struct members *members, enum scope_kind scope, struct label name, uint64_t salt)
+{
+	uint64_t own = rendezvous(members->self, salt);
+	const GPtrArray *list;
+	int rank = 0;
+
+	lock_acquire(&members->lock);
+	list = scope_list(members, scope, name);
+	for (guint i = 0; list && i < list->len; i++) {
+		const struct peer *peer = g_ptr_array_index(list, i);
+
+		if (peer->record.id != members->self && in_scope(peer, scope, name) &&
+		    rendezvous(peer->record.id, salt) > own)
+			rank++;
+	}
+	lock_release(&members->lock);
+	return rank;
+}
+
+/* Inserts id into out, which is sorted by falling hash. */
+static int insert_by_hash(uint64_t *out, int count, int max, uint64_t id, uint64_t salt)
+{
+	uint64_t hash = rendezvous(id, salt);
+	int at = count;
+
+	while (at > 0 && rendezvous(out[at - 1], salt) < hash)
+		at--;
+	if (at >= max)
+		return count;
+	if (count < max)
+		count++;
+	memmove(out + at + 1, out + at, (size_t)(count - at - 1) * sizeof(*out));
+	out[at] = id;
+	return count;
+}
+
+int members_first(struct members *members, enum scope_kind scope, struct label name, uint64_t salt,
+		  uint64_t *out, int max)
+{
+	const GPtrArray *list;
+	int count = 0;
+
+	lock_acquire(&members->lock);
+	list = scope_list(members, scope, name);
+	for (guint i = 0; list && i < list->len; i++) {
+		const struct peer *peer = g_ptr_array_index(list, i);
+
+		if (in_scope(peer, scope, name))
+			count = insert_by_hash(out, count, max, peer->record.id, salt);
+	}
+	lock_release(&members->lock);
+	return count;
+}
+
+static bool takes_work(const struct peer *peer, const struct choice_options *options,
+		       struct instant now)
+{
+	return peer->record.state == MEMBER_ALIVE && peer->record.slots > 0 &&
+	       label_equal(&peer->record.version, &options->version) &&
+	       !holds(options->avoid, options->avoid_count, peer->record.id) &&
+	       (peer->contained_until.at_us == 0 || deadline_passed(peer->contained_until, now));
+}
+
+/* Calls in flight over slots; a cold target counts as if it had a quarter of its slots. */
+static double load_of(const struct peer *peer, struct instant now)
+{
+	double slots = peer->record.slots;
+
+	if (peer->warm_at.at_us && !deadline_passed(peer->warm_at, now))
+		slots /= 4;
+	return (peer->in_flight + 1) / slots;
+}
+
+struct candidates {
+	struct peer *near[2]; /* two random ones of this data centre */
+	struct peer *far[2]; /* two random ones of the others */
+	int near_seen;
+	int far_seen;
+};
+
+/* Keeps a uniform sample of two. */
+static void sample(struct peer **kept, int *seen, struct peer *peer, struct rng *rng)
+{
+	int at = *seen < 2 ? *seen : (int)rng_below(rng, (uint64_t)*seen + 1);
+
+	(*seen)++;
+	if (at < 2)
+		kept[at] = peer;
+}
+
+static struct peer *less_loaded(struct peer **two, int seen, struct instant now)
+{
+	if (seen == 0)
+		return NULL;
+	if (seen == 1 || load_of(two[0], now) <= load_of(two[1], now))
+		return two[0];
+	return two[1];
+}
+
+static struct peer *choose(struct candidates *found, struct instant now)
+{
+	struct peer *near = less_loaded(found->near, found->near_seen, now);
+	struct peer *far = less_loaded(found->far, found->far_seen, now);
+
+	if (!near || !far)
+		return near ? near : far;
+	/* Spill to another data centre once the near target's slots are all taken. */
+	if (load_of(near, now) > 1.0 && load_of(far, now) < load_of(near, now))
+		return far;
+	return near;
+}
+
+uint64_t members_choose(struct members *members, const struct choice_options *options,
+			struct rng *rng, struct instant now)
+{
+	struct candidates found = { 0 };
+	struct peer *chosen;
+	const GPtrArray *list;
+
+	lock_acquire(&members->lock);
+	list = g_hash_table_lookup(members->by_service, &options->service);
+	for (guint i = 0; list && i < list->len; i++) {
+		struct peer *peer = g_ptr_array_index(list, i);
+
+		if (!takes_work(peer, options, now))
+			continue;
+		if (label_equal(&peer->record.data_centre, &members->options.self.data_centre))
+			sample(found.near, &found.near_seen, peer, rng);
+		else
+			sample(found.far, &found.far_seen, peer, rng);
+	}
+	chosen = choose(&found, now);
+	if (chosen)
+		chosen->in_flight++;
+	lock_release(&members->lock);
+	return chosen ? chosen->record.id : 0;
+}
+
+static double evidence_step(enum call_outcome outcome)
+{
+	switch (outcome) {
+	case CALL_ANSWERED:
+		return -EJECT_SUCCESS_STEP;
+	case CALL_FAILED:
+		return EJECT_FAILURE_STEP;
+	case CALL_REFUSED:
+		return 0;
+	case CALL_BROKEN:
+		return EJECT_BROKEN_STEP;
+	}
+	g_assert_not_reached();
+}
+
+bool members_call_ended(struct members *members, uint64_t id, enum call_outcome outcome,
+			bool may_eject, struct instant now)
+{
+	struct peer *peer;
+	bool eject = false;
+
+	lock_acquire(&members->lock);
+	peer = find(members, id);
+	if (peer) {
+		if (peer->in_flight > 0)
+			peer->in_flight--;
+		peer->evidence += evidence_step(outcome);
+		if (peer->evidence < 0)
+			peer->evidence = 0;
+		eject = may_eject && peer->evidence >= EJECT_THRESHOLD;
+	}
+	if (eject) {
+		peer->contained_until = deadline_after(now, EJECT_US);
+		peer->evidence = 0;
+	}
+	lock_release(&members->lock);
+	return eject;
+}
+
+int members_version_targets(struct members *members, struct label service, struct label version)
+{
+	const GPtrArray *list;
+	int count = 0;
+
+	lock_acquire(&members->lock);
+	list = g_hash_table_lookup(members->by_service, &service);
+	for (guint i = 0; list && i < list->len; i++) {
+		const struct peer *peer = g_ptr_array_index(list, i);
+
+		count += peer->record.state == MEMBER_ALIVE && peer->record.slots > 0 &&
+			 label_equal(&peer->record.version, &version);
+	}
+	lock_release(&members->lock);
+	return count;
+}
--- /dev/null
+++ b/core/node.c
@@ -0,0 +1,355 @@
+#include "core/node_parts.h"
+
+#define SUSPECT_US (4 * US_PER_S)
+/* Longer than regions are apart, so that a healed partition finds the other side again. */
+#define FORGET_US (2 * 3600 * US_PER_S)
+#define RETENTION_DEFAULT_US (3600 * US_PER_S)
+#define BOOT_LOG_US (1500 * US_PER_MS)
+#define BOOT_JITTER_US (3 * US_PER_S)
+enum { READERS_DEFAULT = 2, READERS_MAX = 16 };
+
+static void spread_init(struct node *node, struct instant now)
+{
+	struct spread_state *spread = &node->spread;
+	uint64_t jitter_us;
+
+	lock_init(&spread->lock, LOCK_SPREAD, node->pool);
+	spread->rng.state = node->options.seed ^ rng_mix(node->options.id);
+	spread->updates = g_queue_new();
+	spread->unsaved = g_array_new(FALSE, TRUE, sizeof(struct unsaved_state));
+	spread->budgets = g_hash_table_new_full(label_hash, label_hash_equal, NULL, g_free);
+	spread->log.retry_us = LOG_RETRY_MIN_US;
+	spread->log.system_next = 1;
+	spread->boot.ask_at = now.mono_us ? (struct deadline){ now.mono_us } :
+					    (struct deadline){ 1 };
+	/* After the death of a whole fleet not all turn to the log at once. */
+	jitter_us = node->options.seed_count ? rng_below(&spread->rng, BOOT_JITTER_US) : 0;
+	spread->boot.log_at = deadline_after(
+		now, node->options.seed_count ? BOOT_LOG_US + (int64_t)jitter_us : 0);
+	spread->round_at = deadline_after(now, (int64_t)rng_below(&spread->rng, ROUND_US));
+	spread->flush_at = deadline_after(now, (int64_t)rng_below(&spread->rng, FLUSH_US));
+}
+
+static bool check_options(const struct node_options *options, GError **error)
+{
+	if (options->id == 0 || options->data_centre.len == 0) {
+		g_set_error(error, CONFIG_ERROR, CONFIG_ERROR_TYPE,
+			    "a node needs an id and a data centre");
+		return false;
+	}
+	if (options->readers < 0 || options->readers > READERS_MAX) {
+		g_set_error(error, CONFIG_ERROR, CONFIG_ERROR_TYPE, "readers: expected 1 to %d",
+			    READERS_MAX);
+		return false;
+	}
+	return true;
+}
+
+struct node *node_new(const struct node_options *options, struct instant now, GError **error)
+{
+	struct members_options members = { .suspect_us = SUSPECT_US, .forget_us = FORGET_US };
+	struct node *node;
+
+	if (!check_options(options, error))
+		return NULL;
+	node = g_new0(struct node, 1);
+	node->options = *options;
+	if (node->options.readers == 0)
+		node->options.readers = READERS_DEFAULT;
+	if (node->options.log_retention_us == 0)
+		node->options.log_retention_us = RETENTION_DEFAULT_US;
+	node->seeds = g_memdup2(options->seeds, options->seed_count * sizeof(uint64_t));
+	apr_pool_create(&node->pool, NULL);
+	members.self = (struct member){ .id = options->id,
+					.incarnation = (uint64_t)now.wall_us,
+					.state = MEMBER_JOINING,
+					.data_centre = options->data_centre };
+	node->history = history_new(node->pool);
+	node->members = members_new(&members, node->pool);
+	node->moves = moves_new(node->pool);
+	node->admit = admit_new(node->pool);
+	node->tally = tally_new(node->pool);
+	node->poison = poison_new(node->pool);
+	spread_init(node, now);
+	return node;
+}
+
+static void assembly_clear(struct assembly *assembly)
+{
+	g_free(assembly->have);
+	if (assembly->files)
+		g_ptr_array_unref(assembly->files);
+}
+
+void node_free(struct node *node)
+{
+	if (!node)
+		return;
+	g_queue_free_full(node->spread.updates, g_free);
+	g_array_unref(node->spread.unsaved);
+	g_hash_table_destroy(node->spread.budgets);
+	assembly_clear(&node->spread.from_peer);
+	assembly_clear(&node->spread.from_log);
+	lock_destroy(&node->spread.lock);
+	poison_free(node->poison);
+	tally_free(node->tally);
+	admit_free(node->admit);
+	moves_free(node->moves);
+	members_free(node->members);
+	history_free(node->history);
+	apr_pool_destroy(node->pool);
+	g_free(node->seeds);
+	g_free(node);
+}
+
+struct rng node_rng(struct node *node)
+{
+	struct rng rng;
+
+	lock_acquire(&node->spread.lock);
+	rng.state = rng_next(&node->spread.rng);
+	lock_release(&node->spread.lock);
+	return rng;
+}
+
+void node_tell_some(struct node *node, struct message *message, struct actions *out)
+{
+	struct rng rng = node_rng(node);
+	uint64_t peers[FANOUT];
+	int count = members_random(node->members, &rng, true, peers, FANOUT_LOCAL);
+
+	count += members_random(node->members, &rng, false, peers + count, FANOUT - count);
+	for (int i = 0; i < count; i++)
+		actions_send(out, peers[i], message_ref(message));
+	message_unref(message);
+}
+
+static void on_message(struct node *node, const struct event *event, struct instant now,
+		       struct actions *out)
+{
+	const struct message *message = event->message.message;
+	uint64_t from = event->message.from;
+
+	switch (message->kind) {
+	case MESSAGE_PING:
+	case MESSAGE_ACK:
+		fleet_on_probe(node, from, message, now, out);
+		return;
+	case MESSAGE_PING_REQUEST:
+		fleet_on_ping_request(node, from, message, out);
+		return;
+	case MESSAGE_ADVERT:
+		config_on_advert(node, from, message->version, now, out);
+		return;
+	case MESSAGE_PULL:
+		config_on_pull(node, from, message->version, out);
+		return;
+	case MESSAGE_RECORDS:
+		config_on_records(node, from, message, now, out);
+		return;
+	case MESSAGE_SNAPSHOT:
+		config_on_snapshot(node, from, &message->snapshot, now, out);
+		return;
+	case MESSAGE_MEMBERS_ASK:
+		fleet_on_members_ask(node, from, message, out);
+		return;
+	case MESSAGE_MEMBERS:
+		fleet_on_members(node, message->members, now, out);
+		return;
+	case MESSAGE_MOVES:
+		moves_on_states(node, message->states, true, out);
+		return;
+	case MESSAGE_EVIDENCE:
+		moves_on_evidence(node, message);
+		return;
+	case MESSAGE_RETRY:
+		config_on_retry(node, from, message->retry_after_us, now);
+		return;
+	case MESSAGE_POISON:
+		calls_on_poison(node, &message->poison, now, out);
+		return;
+	case MESSAGE_CENSUS_ASK:
+		calls_on_census_ask(node, from, message->census.seq, out);
+		return;
+	case MESSAGE_CENSUS:
+		calls_on_census(node, message->census.seq, message->census.version);
+		return;
+	case MESSAGE_KINDS:
+		break;
+	}
+	g_assert_not_reached();
+}
+
+static bool take_turn(struct node *node, struct deadline *due, int64_t every_us, struct instant now)
+{
+	bool turn;
+
+	lock_acquire(&node->spread.lock);
+	turn = deadline_passed(*due, now);
+	if (turn)
+		*due = deadline_after(now, every_us);
+	lock_release(&node->spread.lock);
+	return turn;
+}
+
+static void on_tick(struct node *node, struct instant now, struct actions *out)
+{
+	config_boot_tick(node, now, out);
+	fleet_tick(node, now, out);
+	config_tick(node, now, out);
+	log_tick(node, now, out);
+	if (!take_turn(node, &node->spread.round_at, ROUND_US, now))
+		return;
+	fleet_round(node, now, out);
+	log_round(node, now, out);
+	moves_round(node, now, out);
+}
+
+static void on_target_up(struct node *node, const struct event *event, struct instant now,
+			 struct actions *out)
+{
+	struct member self = members_self(node->members);
+	bool same = self.slots == event->target.slots &&
+		    label_equal(&self.service, &event->target.service) &&
+		    label_equal(&self.version, &event->target.version) &&
+		    self.state != MEMBER_LEAVING;
+
+	if (same)
+		return;
+	if (self.slots == 0) {
+		lock_acquire(&node->spread.lock);
+		node->target_cold_until = deadline_after(now, 5 * US_PER_S);
+		lock_release(&node->spread.lock);
+	}
+	self.service = event->target.service;
+	self.version = event->target.version;
+	self.slots = (uint16_t)event->target.slots;
+	if (self.state == MEMBER_SUSPECT || self.state == MEMBER_DEAD)
+		self.state = MEMBER_ALIVE;
+	admit_set_slots(node->admit, event->target.slots);
+	fleet_update_self(node, &self, 0, out);
+}
+
+/* Without a target the node still serves callers; only its target takes no work. */
+static void on_target_down(struct node *node, struct actions *out)
+{
+	struct member self = members_self(node->members);
+
+	if (self.slots == 0)
+		return;
+	self.slots = 0;
+	self.service = (struct label){ 0 };
+	self.version = (struct label){ 0 };
+	admit_set_slots(node->admit, 0);
+	fleet_update_self(node, &self, 0, out);
+}
+
+static void on_target_leaving(struct node *node, struct actions *out)
+{
+	struct member self = members_self(node->members);
+
+	admit_close(node->admit);
+	if (self.slots == 0)
+		return;
+	self.slots = 0;
+	fleet_update_self(node, &self, 0, out);
+}
+
+static void on_stop(struct node *node, struct actions *out)
+{
+	struct member self = members_self(node->members);
+
+	lock_acquire(&node->spread.lock);
+	node->spread.stopping = true;
+	lock_release(&node->spread.lock);
+	admit_close(node->admit);
+	self.state = MEMBER_LEAVING;
+	fleet_update_self(node, &self, 0, out);
+}
+
+void node_handle(struct node *node, const struct event *event, struct instant now,
+		 struct actions *out)
+{
+	switch (event->kind) {
+	case EVENT_TICK:
+		on_tick(node, now, out);
+		return;
+	case EVENT_MESSAGE:
+		on_message(node, event, now, out);
+		return;
+	case EVENT_LOG_BATCH:
+		log_on_batch(node, event, now, out);
+		return;
+	case EVENT_LOG_FAILED:
+		log_on_failed(node, event, now, out);
+		return;
+	case EVENT_APPENDED:
+	case EVENT_APPEND_FAILED:
+		log_on_append(node, event->append.tag, event->kind == EVENT_APPENDED, now, out);
+		return;
+	case EVENT_TARGET_UP:
+		on_target_up(node, event, now, out);
+		return;
+	case EVENT_TARGET_DOWN:
+		on_target_down(node, out);
+		return;
+	case EVENT_TARGET_LEAVING:
+		on_target_leaving(node, out);
+		return;
+	case EVENT_STOP:
+		on_stop(node, out);
+		return;
+	}
+	g_assert_not_reached();
+}
+
+struct config *node_config(struct node *node)
+{
+	return history_config(node->history);
+}
+
+bool node_is_current(struct node *node)
+{
+	bool current;
+
+	lock_acquire(&node->spread.lock);
+	current = node->spread.boot.phase == BOOT_CURRENT;
+	lock_release(&node->spread.lock);
+	return current;
+}
+
+struct history *node_history(struct node *node)
+{
+	return node->history;
+}
+
+struct members *node_members(struct node *node)
+{
+	return node->members;
+}
+
+struct moves *node_moves(struct node *node)
+{
+	return node->moves;
+}
+
+struct admit *node_admit(struct node *node)
+{
+	return node->admit;
+}
+
+struct digest node_digest(struct node *node)
+{
+	struct digest digest = {
+		.version = history_version(node->history),
+		.members_hash = members_hash(node->members),
+		.moves_hash = moves_hash(node->moves),
+	};
+
+	lock_acquire(&node->spread.lock);
+	digest.current = node->spread.boot.phase == BOOT_CURRENT;
+	digest.snapshot_version = node->spread.snapshot_version;
+	digest.snapshot_at_us = node->spread.snapshot_at_us;
+	lock_release(&node->spread.lock);
+	return digest;
+}
--- /dev/null
+++ b/core/node_calls.c
@@ -0,0 +1,220 @@
+/*
+ * Calls: choice of version and target, retry budgets, outcomes, quarantine, and the census.
+ */
+#include "core/node_parts.h"
+
+#define BUDGET_PER_CALL 0.1
+#define BUDGET_START	10.0
+#define BUDGET_MAX	50.0
+
+static uint64_t choose_target(struct node *node, const struct call_facts *facts,
+			      struct label version, struct rng *rng, struct instant now)
+{
+	struct choice_options options = {
+		.service = facts->route->service,
+		.version = version,
+		.avoid_count = facts->avoid_count,
+	};
+
+	for (int i = 0; i < facts->avoid_count; i++)
+		options.avoid[i] = facts->avoid[i];
+	return members_choose(node->members, &options, rng, now);
+}
+
+struct choice node_choose(struct node *node, const struct config *config,
+			  const struct call_facts *facts, struct instant now)
+{
+	struct choice choice = { .kind = CHOICE_NO_TARGET };
+	struct label service = facts->route->service;
+	struct rng rng = node_rng(node);
+
+	if (!node_is_current(node)) {
+		choice.kind = CHOICE_NOT_CURRENT;
+		return choice;
+	}
+	if (config_auto_allowed(config, service, AUTO_QUARANTINE) &&
+	    poison_is_quarantined(node->poison, facts->fingerprint, now)) {
+		choice.kind = CHOICE_QUARANTINED;
+		return choice;
+	}
+	if (!moves_choose_version(node->moves, config, service, facts->point, now, &choice.version))
+		return choice;
+	choice.target = choose_target(node, facts, choice.version, &rng, now);
+	if (choice.target == 0 &&
+	    moves_fallback_version(node->moves, service, choice.version, &choice.version))
+		choice.target = choose_target(node, facts, choice.version, &rng, now);
+	if (choice.target)
+		choice.kind = CHOICE_TARGET;
+	return choice;
+}
+
+void node_call_ended(struct node *node, struct label service, uint64_t target,
+		     enum call_outcome outcome, struct instant now, struct actions *out)
+{
+	struct config *config = node_config(node);
+	bool may_eject = config_auto_allowed(config, service, AUTO_EJECT);
+	struct member record;
+
+	config_unref(config);
+	if (members_call_ended(node->members, target, outcome, may_eject, now))
+		actions_note(out, NOTE_TARGET_EJECTED, "member=%lx service=%.*s", target,
+			     STR_ARG(label_str(&service)));
+	if (may_eject && members_get(node->members, target, &record))
+		moves_note_call(node->moves, service, record.version,
+				outcome == CALL_FAILED || outcome == CALL_BROKEN, now);
+}
+
+static struct retry_budget *budget_get(struct node *node, struct label service)
+{
+	struct retry_budget *budget = g_hash_table_lookup(node->spread.budgets, &service);
+
+	if (budget)
+		return budget;
+	budget = g_new0(struct retry_budget, 1);
+	budget->service = service;
+	budget->tokens = BUDGET_START;
+	g_hash_table_insert(node->spread.budgets, &budget->service, budget);
+	return budget;
+}
+
+bool node_take_retry(struct node *node, struct label service)
+{
+	struct retry_budget *budget;
+	bool taken;
+
+	lock_acquire(&node->spread.lock);
+	budget = budget_get(node, service);
+	taken = budget->tokens >= 1;
+	if (taken)
+		budget->tokens -= 1;
+	lock_release(&node->spread.lock);
+	return taken;
+}
+
+void node_note_call(struct node *node, struct label service)
+{
+	struct retry_budget *budget;
+
+	lock_acquire(&node->spread.lock);
+	budget = budget_get(node, service);
+	budget->tokens = MIN(budget->tokens + BUDGET_PER_CALL, BUDGET_MAX);
+	lock_release(&node->spread.lock);
+}
+
+void node_target_ended(struct node *node, struct label route, enum target_outcome outcome,
+		       int64_t service_us, struct instant now)
+{
+	bool cold;
+
+	lock_acquire(&node->spread.lock);
+	cold = !deadline_passed(node->target_cold_until, now);
+	lock_release(&node->spread.lock);
+	tally_add(node->tally, route, outcome, service_us, cold);
+}
+
+static void tell_poison(struct node *node, const struct poison_mark *mark, struct actions *out)
+{
+	struct message *message = message_new(MESSAGE_POISON);
+
+	message->poison = *mark;
+	node_tell_some(node, message, out);
+}
+
+void calls_on_poison(struct node *node, const struct poison_mark *mark, struct instant now,
+		     struct actions *out)
+{
+	if (!poison_merge(node->poison, mark, now))
+		return;
+	if (poison_is_quarantined(node->poison, mark->fingerprint, now))
+		actions_note(out, NOTE_REQUEST_QUARANTINED, "fingerprint=%lx", mark->fingerprint);
+	tell_poison(node, mark, out);
+}
+
+void node_target_crashed(struct node *node, const uint64_t *fingerprints, int count,
+			 struct label route, struct instant now, struct actions *out)
+{
+	struct member self = members_self(node->members);
+	struct config *config = node_config(node);
+	bool may_mark = config_auto_allowed(config, self.service, AUTO_QUARANTINE);
+
+	config_unref(config);
+	tally_crash(node->tally, route);
+	for (int i = 0; may_mark && i < count; i++) {
+		struct poison_mark mark = {
+			.fingerprint = fingerprints[i],
+			.crash = rng_mix(self.id ^ (uint64_t)now.wall_us),
+			.expires_at_us = now.wall_us + POISON_MEMORY_US,
+		};
+
+		calls_on_poison(node, &mark, now, out);
+	}
+}
+
+uint64_t node_census_start(struct node *node, int64_t version, struct actions *out)
+{
+	struct message *message = message_new(MESSAGE_CENSUS_ASK);
+	GArray *records = members_list(node->members);
+	uint64_t seq;
+	int slot;
+
+	lock_acquire(&node->spread.lock);
+	seq = ++node->spread.tag;
+	slot = (int)(seq % CENSUS_ENTRIES);
+	node->spread.census[slot].seq = seq;
+	node->spread.census[slot].version = version;
+	/* This node answers for itself. */
+	node->spread.census[slot].census = (struct census){ 1, 1, 0 };
+	lock_release(&node->spread.lock);
+	message->census.seq = seq;
+	for (guint i = 0; i < records->len; i++) {
+		const struct member *record = &g_array_index(records, struct member, i);
+
+		if (record->id == node->options.id || record->state > MEMBER_SUSPECT ||
+		    !label_equal(&record->data_centre, &node->options.data_centre))
+			continue;
+		actions_send(out, record->id, message_ref(message));
+		lock_acquire(&node->spread.lock);
+		node->spread.census[slot].census.asked++;
+		lock_release(&node->spread.lock);
+	}
+	message_unref(message);
+	g_array_unref(records);
+	return seq;
+}
+
+struct census node_census_result(struct node *node, uint64_t seq)
+{
+	int slot = (int)(seq % CENSUS_ENTRIES);
+	int64_t have = history_version(node->history);
+	struct census census = { 0 };
+
+	lock_acquire(&node->spread.lock);
+	if (node->spread.census[slot].seq == seq) {
+		census = node->spread.census[slot].census;
+		census.holding += have >= node->spread.census[slot].version;
+	}
+	lock_release(&node->spread.lock);
+	return census;
+}
+
+void calls_on_census_ask(struct node *node, uint64_t from, uint64_t seq, struct actions *out)
+{
+	struct message *message = message_new(MESSAGE_CENSUS);
+
+	message->census.seq = seq;
+	message->census.version = node_is_current(node) ? history_version(node->history) : 0;
+	actions_send(out, from, message);
+}
+
+void calls_on_census(struct node *node, uint64_t seq, int64_t version)
+{
+	int slot = (int)(seq % CENSUS_ENTRIES);
+
+	lock_acquire(&node->spread.lock);
+	if (node->spread.census[slot].seq == seq) {
+		node->spread.census[slot].census.answered++;
+		node->spread.census[slot].census.holding +=
+			version >= node->spread.census[slot].version;
+	}
+	lock_release(&node->spread.lock);
+}
--- /dev/null
+++ b/core/node_moves.c
@@ -0,0 +1,158 @@
+/*
+ * Moves: evidence from the own target to the coordinators, the coordinators' decisions, and the
+ * spread of states.
+ */
+#include "core/node_parts.h"
+
+enum { COORDINATORS = 2 };
+
+struct message *moves_message(struct node *node)
+{
+	struct message *message = message_new(MESSAGE_MOVES);
+
+	message->states = moves_states(node->moves);
+	return message;
+}
+
+static void tell_state(struct node *node, const struct move_state *state, struct actions *out)
+{
+	struct message *message = message_new(MESSAGE_MOVES);
+
+	message->states = g_array_new(FALSE, FALSE, sizeof(*state));
+	g_array_append_vals(message->states, state, 1);
+	node_tell_some(node, message, out);
+}
+
+void moves_on_states(struct node *node, const GArray *states, bool tell, struct actions *out)
+{
+	for (guint i = 0; i < states->len; i++) {
+		const struct move_state *state = &g_array_index(states, struct move_state, i);
+
+		if (moves_merge(node->moves, state) && tell)
+			tell_state(node, state, out);
+	}
+}
+
+void moves_on_digest(struct node *node, uint64_t from, const struct digest *digest,
+		     struct instant now, struct actions *out)
+{
+	bool due;
+
+	/* At different versions the sets of moves differ as well; the pull comes first. */
+	if (digest->moves_hash == moves_hash(node->moves) ||
+	    digest->version != history_version(node->history))
+		return;
+	lock_acquire(&node->spread.lock);
+	due = node->spread.moves_sync_at.at_us == 0 ||
+	      deadline_passed(node->spread.moves_sync_at, now);
+	if (due)
+		node->spread.moves_sync_at = deadline_after(now, MOVES_SYNC_US);
+	lock_release(&node->spread.lock);
+	if (due)
+		actions_send(out, from, moves_message(node));
+}
+
+void moves_on_evidence(struct node *node, const struct message *message)
+{
+	const GArray *windows = message->evidence.windows;
+
+	for (guint i = 0; i < windows->len; i++)
+		moves_add_evidence(node->moves, message->evidence.move, message->evidence.version,
+				   &g_array_index(windows, struct evidence_window, i));
+}
+
+static void send_evidence(struct node *node, const struct member *self, uint64_t move,
+			  struct actions *out)
+{
+	struct message *message = message_new(MESSAGE_EVIDENCE);
+	uint64_t to[COORDINATORS];
+	int count = members_first(node->members, SCOPE_SERVICE, self->service, move, to,
+				  COORDINATORS);
+
+	message->evidence.move = move;
+	message->evidence.version = self->version;
+	message->evidence.windows = tally_take(
+		node->tally, self->id,
+		(uint32_t)members_version_targets(node->members, self->service, self->version));
+	for (int i = 0; i < count && message->evidence.windows->len; i++) {
+		if (to[i] == self->id)
+			moves_on_evidence(node, message);
+		else
+			actions_send(out, to[i], message_ref(message));
+	}
+	message_unref(message);
+}
+
+static void note_change(const struct move_change *change, struct actions *out)
+{
+	const struct move_spec *spec = &change->spec;
+	struct str service = label_str(&spec->service);
+	struct str to = label_str(&spec->to);
+
+	switch (change->kind) {
+	case MOVE_CHANGE_NONE:
+		return;
+	case MOVE_CHANGE_STEP:
+		actions_note(out, NOTE_MOVE_STEP_OPENED, "move=%lu service=%.*s to=%.*s step=%d",
+			     spec->id, STR_ARG(service), STR_ARG(to), change->state.step);
+		return;
+	case MOVE_CHANGE_DONE:
+		actions_note(out, NOTE_MOVE_DONE, "move=%lu service=%.*s to=%.*s", spec->id,
+			     STR_ARG(service), STR_ARG(to));
+		return;
+	case MOVE_CHANGE_WITHDRAW:
+		actions_note(out, NOTE_MOVE_WITHDRAWN,
+			     "move=%lu service=%.*s to=%.*s why=\"%.*s\" route=%.*s", spec->id,
+			     STR_ARG(service), STR_ARG(to),
+			     STR_ARG(withdraw_reason_name(change->state.reason)),
+			     STR_ARG(label_str(&change->state.route)));
+		return;
+	}
+	g_assert_not_reached();
+}
+
+static void coordinate(struct node *node, const struct config *config, uint64_t id,
+		       struct instant now, struct actions *out)
+{
+	struct member self = members_self(node->members);
+	struct move_surroundings around;
+	struct move_change change;
+	struct move_spec spec;
+
+	if (!moves_spec(node->moves, id, &spec) || !label_equal(&spec.service, &self.service))
+		return;
+	if (members_rank(node->members, SCOPE_SERVICE, spec.service, id) >= COORDINATORS)
+		return;
+	around.may_advance = config_auto_allowed(config, spec.service, AUTO_ADVANCE);
+	around.may_withdraw = config_auto_allowed(config, spec.service, AUTO_WITHDRAW);
+	around.new_targets = members_version_targets(node->members, spec.service, spec.to);
+	change = moves_coordinate(node->moves, id, &around, now);
+	if (change.kind == MOVE_CHANGE_NONE)
+		return;
+	note_change(&change, out);
+	log_save_state(node, &change.state);
+	tell_state(node, &change.state, out);
+}
+
+void moves_round(struct node *node, struct instant now, struct actions *out)
+{
+	struct member self = members_self(node->members);
+	struct config *config;
+	GArray *ids;
+	uint64_t move;
+
+	if (!node_is_current(node) || self.state != MEMBER_ALIVE)
+		return;
+	if (self.slots > 0) {
+		if (moves_wants_evidence(node->moves, self.service, self.version, &move))
+			send_evidence(node, &self, move, out);
+		else
+			g_array_unref(tally_take(node->tally, self.id, 0));
+	}
+	config = node_config(node);
+	ids = moves_ids(node->moves);
+	for (guint i = 0; i < ids->len; i++)
+		coordinate(node, config, g_array_index(ids, uint64_t, i), now, out);
+	g_array_unref(ids);
+	config_unref(config);
+}
--- /dev/null
+++ b/operator/json.c
@@ -0,0 +1,397 @@
+#include "operator/json.h"
+
+#include <string.h>
+#include <yajl/yajl_parse.h>
+
+enum { DEPTH_MAX = 32 };
+
+struct builder {
+	struct json_doc *doc;
+	yajl_handle handle;
+	struct str text;
+	size_t counted; /* bytes whose line ends are in line */
+	int line;
+	struct json *open; /* innermost array or object */
+	int depth;
+	struct str key;
+	const char *problem;
+};
+
+static int line_at(struct builder *b)
+{
+	size_t at = yajl_get_bytes_consumed(b->handle);
+
+	for (; b->counted < at && b->counted < b->text.len; b->counted++)
+		b->line += b->text.data[b->counted] == '\n';
+	return b->line;
+}
+
+static void value_free(gpointer data)
+{
+	struct json *value = data;
+
+	g_free((char *)value->key.data);
+	switch (value->kind) {
+	case JSON_STRING:
+		g_free((char *)value->string.data);
+		break;
+	case JSON_ARRAY:
+	case JSON_OBJECT:
+		g_ptr_array_unref(value->items);
+		break;
+	case JSON_NULL:
+	case JSON_BOOL:
+	case JSON_INTEGER:
+	case JSON_DOUBLE:
+		break;
+	}
+	g_free(value);
+}
+
+static bool has_key(const struct json *object, struct str key)
+{
+	for (guint i = 0; i < object->items->len; i++) {
+		const struct json *item = g_ptr_array_index(object->items, i);
+
+		if (str_equal(item->key, key))
+			return true;
+	}
+	return false;
+}
+
+/* Puts a value into the innermost open one; NULL with b->problem set if it may not go there. */
+static struct json *add_value(struct builder *b, enum json_kind kind)
+{
+	struct json *value = g_new0(struct json, 1);
+
+	value->kind = kind;
+	value->line = line_at(b);
+	value->parent = b->open;
+	if (!b->open) {
+		b->doc->root = value;
+		return value;
+	}
+	if (b->open->kind == JSON_OBJECT && has_key(b->open, b->key)) {
+		b->problem = "the key stands twice";
+		g_free((char *)b->key.data);
+		b->key = (struct str){ 0 };
+		g_free(value);
+		return NULL;
+	}
+	value->key = b->key;
+	b->key = (struct str){ 0 };
+	value->index = (int)b->open->items->len;
+	g_ptr_array_add(b->open->items, value);
+	return value;
+}
+
+static int on_null(void *context)
+{
+	return add_value(context, JSON_NULL) != NULL;
+}
+
+static int on_boolean(void *context, int boolean)
+{
+	struct json *value = add_value(context, JSON_BOOL);
+
+	if (value)
+		value->boolean = boolean;
+	return value != NULL;
+}
+
+static int on_integer(void *context, long long integer)
+{
+	struct json *value = add_value(context, JSON_INTEGER);
+
+	if (value)
+		value->integer = integer;
+	return value != NULL;
+}
+
+static int on_double(void *context, double number)
+{
+	struct json *value = add_value(context, JSON_DOUBLE);
+
+	if (value)
+		value->number = number;
+	return value != NULL;
+}
+
+static int on_string(void *context, const unsigned char *data, size_t len)
+{
+	struct json *value = add_value(context, JSON_STRING);
+
+	if (value)
+		value->string = str_dup((struct str){ (const char *)data, len });
+	return value != NULL;
+}
+
+static int on_key(void *context, const unsigned char *data, size_t len)
+{
+	struct builder *b = context;
+
+	g_free((char *)b->key.data);
+	b->key = str_dup((struct str){ (const char *)data, len });
+	return 1;
+}
+
+static int open_value(struct builder *b, enum json_kind kind)
+{
+	struct json *value;
+
+	if (++b->depth > DEPTH_MAX) {
+		b->problem = "nested too deep";
+		return 0;
+	}
+	value = add_value(b, kind);
+	if (!value)
+		return 0;
+	value->items = g_ptr_array_new_with_free_func(value_free);
+	b->open = value;
+	return 1;
+}
+
+static int on_start_map(void *context)
+{
+	return open_value(context, JSON_OBJECT);
+}
+
+static int on_start_array(void *context)
+{
+	return open_value(context, JSON_ARRAY);
+}
+
+static int on_end(void *context)
+{
+	struct builder *b = context;
+
+	b->open = b->open->parent;
+	b->depth--;
+	return 1;
+}
+
+static const yajl_callbacks callbacks = {
+	.yajl_null = on_null,
+	.yajl_boolean = on_boolean,
+	.yajl_integer = on_integer,
+	.yajl_double = on_double,
+	.yajl_string = on_string,
+	.yajl_start_map = on_start_map,
+	.yajl_map_key = on_key,
+	.yajl_end_map = on_end,
+	.yajl_start_array = on_start_array,
+	.yajl_end_array = on_end,
+};
+
+/* yajl's own message, cut at its first line. */
+static void syntax_error(struct builder *b, GError **error)
+{
+	unsigned char *text = yajl_get_error(b->handle, 0, NULL, 0);
+	const char *message = b->problem ? b->problem : (const char *)text;
+	struct str rest;
+	struct str first = str_split(str_from_cstr(message), '\n', &rest);
+
+	g_set_error(error, CONFIG_ERROR, CONFIG_ERROR_SYNTAX, "%.*s:%d: %.*s",
+		    STR_ARG(b->doc->file), line_at(b), STR_ARG(first));
+	yajl_free_error(b->handle, text);
+}
+
+struct json_doc *json_parse(struct str file, struct str text, GError **error)
+{
+	struct builder b = { .doc = g_new0(struct json_doc, 1), .text = text, .line = 1 };
+	bool good;
+
+	b.doc->file = str_dup(file);
+	b.handle = yajl_alloc(&callbacks, NULL, &b);
+	yajl_config(b.handle, yajl_allow_comments, 1);
+	good = yajl_parse(b.handle, (const unsigned char *)text.data, text.len) == yajl_status_ok &&
+	       yajl_complete_parse(b.handle) == yajl_status_ok && b.doc->root;
+	if (!good)
+		syntax_error(&b, error);
+	yajl_free(b.handle);
+	g_free((char *)b.key.data);
+	if (good)
+		return b.doc;
+	json_free(b.doc);
+	return NULL;
+}
+
+void json_free(struct json_doc *doc)
+{
+	if (!doc)
+		return;
+	if (doc->root)
+		value_free(doc->root);
+	g_free((char *)doc->file.data);
+	g_free(doc);
+}
+
+static void print_path(struct strbuf *out, const struct json *at)
+{
+	if (!at->parent)
+		return;
+	print_path(out, at->parent);
+	if (at->parent->kind == JSON_ARRAY)
+		strbuf_addf(out, "[%d]", at->index);
+	else
+		strbuf_addf(out, "%s%.*s", out->len ? "." : "", STR_ARG(at->key));
+}
+
+bool json_fail(const struct json_doc *doc, const struct json *at, enum config_error code,
+	       GError **error, const char *format, ...)
+{
+	struct strbuf path = { 0 };
+	va_list args;
+	char *text;
+
+	va_start(args, format);
+	text = g_strdup_vprintf(format, args);
+	va_end(args);
+	print_path(&path, at);
+	g_set_error(error, CONFIG_ERROR, code, "%.*s:%d: %.*s%s%s", STR_ARG(doc->file), at->line,
+		    STR_ARG(strbuf_str(&path)), path.len ? ": " : "", text);
+	strbuf_clear(&path);
+	g_free(text);
+	return false;
+}
+
+struct json *json_get(const struct json *object, struct str key)
+{
+	for (guint i = 0; i < object->items->len; i++) {
+		struct json *item = g_ptr_array_index(object->items, i);
+
+		if (!str_equal(item->key, key))
+			continue;
+		item->used = true;
+		return item;
+	}
+	return NULL;
+}
+
+static const char *kind_name(enum json_kind kind)
+{
+	switch (kind) {
+	case JSON_NULL:
+		return "null";
+	case JSON_BOOL:
+		return "true or false";
+	case JSON_INTEGER:
+		return "a whole number";
+	case JSON_DOUBLE:
+		return "a number";
+	case JSON_STRING:
+		return "a string";
+	case JSON_ARRAY:
+		return "an array";
+	case JSON_OBJECT:
+		return "an object";
+	}
+	g_assert_not_reached();
+}
+
+bool json_want_kind(const struct json_doc *doc, const struct json *value, enum json_kind kind,
+		    GError **error)
+{
+	if (value->kind == kind)
+		return true;
+	return json_fail(doc, value, CONFIG_ERROR_TYPE, error, "expected %s, found %s",
+			 kind_name(kind), kind_name(value->kind));
+}
+
+bool json_take(const struct json_doc *doc, const struct json *object, struct str key,
+	       enum json_need need, enum json_kind kind, struct json **out, GError **error)
+{
+	*out = json_get(object, key);
+	if (*out)
+		return json_want_kind(doc, *out, kind, error);
+	switch (need) {
+	case JSON_OPTIONAL:
+		return true;
+	case JSON_REQUIRED:
+		return json_fail(doc, object, CONFIG_ERROR_TYPE, error,
+				 "the key \"%.*s\" is missing, expected %s", STR_ARG(key),
+				 kind_name(kind));
+	}
+	g_assert_not_reached();
+}
+
+bool json_take_str(const struct json_doc *doc, const struct json *object, struct str key,
+		   enum json_need need, struct str *out, GError **error)
+{
+	struct json *value;
+
+	if (!json_take(doc, object, key, need, JSON_STRING, &value, error))
+		return false;
+	if (value)
+		*out = value->string;
+	return true;
+}
+
+bool json_check_name(const struct json_doc *doc, const struct json *at, struct str s,
+		     GError **error)
+{
+	bool good = s.len > 0 && label_fits(s);
+
+	for (size_t i = 0; good && i < s.len; i++)
+		good = g_ascii_isalnum(s.data[i]) || strchr("-_.", s.data[i]) != NULL;
+	if (good)
+		return true;
+	return json_fail(doc, at, CONFIG_ERROR_TYPE, error,
+			 "\"%.*s\": expected a name of 1 to %d letters, digits, '-', '_' or '.'",
+			 STR_ARG(s), LABEL_MAX_BYTES);
+}
+
+bool json_take_label(const struct json_doc *doc, const struct json *object, struct str key,
+		     enum json_need need, struct label *out, GError **error)
+{
+	struct json *value;
+
+	if (!json_take(doc, object, key, need, JSON_STRING, &value, error))
+		return false;
+	if (!value)
+		return true;
+	if (!json_check_name(doc, value, value->string, error))
+		return false;
+	*out = label_from(value->string);
+	return true;
+}
+
+bool json_take_int(const struct json_doc *doc, const struct json *object, struct str key,
+		   enum json_need need, int64_t min, int64_t max, int64_t *out, GError **error)
+{
+	struct json *value;
+
+	if (!json_take(doc, object, key, need, JSON_INTEGER, &value, error))
+		return false;
+	if (!value)
+		return true;
+	if (value->integer < min || value->integer > max)
+		return json_fail(doc, value, CONFIG_ERROR_TYPE, error,
+				 "%ld: expected a number from %ld to %ld", value->integer, min,
+				 max);
+	*out = value->integer;
+	return true;
+}
+
+bool json_take_bool(const struct json_doc *doc, const struct json *object, struct str key,
+		    bool *out, GError **error)
+{
+	struct json *value;
+
+	if (!json_take(doc, object, key, JSON_OPTIONAL, JSON_BOOL, &value, error))
+		return false;
+	if (value)
+		*out = value->boolean;
+	return true;
+}
+
+bool json_all_used(const struct json_doc *doc, const struct json *object, GError **error)
+{
+	for (guint i = 0; i < object->items->len; i++) {
+		const struct json *item = g_ptr_array_index(object->items, i);
+
+		if (!item->used)
+			return json_fail(doc, item, CONFIG_ERROR_TYPE, error, "unknown key");
+	}
+	return true;
+}
--- /dev/null
+++ b/operator/parse.c
@@ -0,0 +1,312 @@
+#include "operator/parse.h"
+
+#include "base/clock.h"
+#include "operator/json.h"
+
+enum {
+	TIMEOUT_DEFAULT_MS = 10000,
+	TIMEOUT_MAX_MS = 3600 * 1000,
+};
+
+/* Where a part of the file is read to. */
+struct parser {
+	const struct json_doc *doc;
+	struct config_file *file;
+	GError **error;
+};
+
+static bool parse_versions(struct parser *p, const struct json *versions, struct service *service)
+{
+	for (guint i = 0; i < versions->items->len; i++) {
+		const struct json *item = g_ptr_array_index(versions->items, i);
+		struct version version = { .name = label_from(item->key) };
+		int64_t share = 0;
+
+		if (!json_check_name(p->doc, item, item->key, p->error) ||
+		    !json_want_kind(p->doc, item, JSON_OBJECT, p->error) ||
+		    !json_take_int(p->doc, item, STR("share"), JSON_OPTIONAL, 0, 100, &share,
+				   p->error) ||
+		    !json_all_used(p->doc, item, p->error))
+			return false;
+		version.share_percent = (int)share;
+		g_array_append_val(service->versions, version);
+	}
+	return true;
+}
+
+static bool parse_service(struct parser *p, const struct json *item)
+{
+	struct service service = { .name = label_from(item->key), .line = item->line };
+	struct json *versions;
+
+	if (!json_check_name(p->doc, item, item->key, p->error) ||
+	    !json_want_kind(p->doc, item, JSON_OBJECT, p->error) ||
+	    !json_take(p->doc, item, STR("versions"), JSON_REQUIRED, JSON_OBJECT, &versions,
+		       p->error))
+		return false;
+	service.versions = g_array_new(FALSE, TRUE, sizeof(struct version));
+	g_array_append_val(p->file->services, service);
+	return parse_versions(p, versions, &service) && json_all_used(p->doc, item, p->error);
+}
+
+static bool parse_methods(struct parser *p, const struct json *item, struct route *route)
+{
+	struct json *methods;
+
+	route->methods = METHOD_ANY;
+	if (!json_take(p->doc, item, STR("methods"), JSON_OPTIONAL, JSON_ARRAY, &methods,
+		       p->error))
+		return false;
+	if (!methods)
+		return true;
+	route->methods = 0;
+	for (guint i = 0; i < methods->items->len; i++) {
+		const struct json *method = g_ptr_array_index(methods->items, i);
+
+		if (!json_want_kind(p->doc, method, JSON_STRING, p->error))
+			return false;
+		if (!method_bit(method->string))
+			return json_fail(p->doc, method, CONFIG_ERROR_TYPE, p->error,
+					 "\"%.*s\": expected a method such as GET or POST",
+					 STR_ARG(method->string));
+		route->methods |= method_bit(method->string);
+	}
+	return true;
+}
+
+static bool parse_repeat(struct parser *p, const struct json *item, struct route *route)
+{
+	struct str repeat = STR("not-run");
+	struct json *value;
+
+	if (!json_take_str(p->doc, item, STR("repeat"), JSON_OPTIONAL, &repeat, p->error))
+		return false;
+	value = json_get(item, STR("repeat"));
+	if (str_equal(repeat, STR("idempotent")))
+		route->repeat = REPEAT_IDEMPOTENT;
+	else if (str_equal(repeat, STR("not-run")))
+		route->repeat = REPEAT_NOT_RUN;
+	else if (str_equal(repeat, STR("at-most-once")))
+		route->repeat = REPEAT_AT_MOST_ONCE;
+	else
+		return json_fail(
+			p->doc, value, CONFIG_ERROR_TYPE, p->error,
+			"\"%.*s\": expected \"idempotent\", \"not-run\" or \"at-most-once\"",
+			STR_ARG(repeat));
+	return true;
+}
+
+static bool parse_class(struct parser *p, const struct json *item, struct route *route)
+{
+	struct str name = STR("standard");
+
+	if (!json_take_str(p->doc, item, STR("class"), JSON_OPTIONAL, &name, p->error))
+		return false;
+	if (traffic_class_parse(name, &route->class))
+		return true;
+	return json_fail(p->doc, json_get(item, STR("class")), CONFIG_ERROR_TYPE, p->error,
+			 "\"%.*s\": expected \"interactive\", \"standard\", \"bulk\" or "
+			 "\"background\"",
+			 STR_ARG(name));
+}
+
+static bool parse_match(struct parser *p, const struct json *item, struct route *route)
+{
+	struct str host = STR("");
+	struct str path = STR("");
+	struct str tenant = STR("");
+
+	if (!json_take_str(p->doc, item, STR("host"), JSON_OPTIONAL, &host, p->error) ||
+	    !json_take_str(p->doc, item, STR("path"), JSON_REQUIRED, &path, p->error) ||
+	    !json_take_str(p->doc, item, STR("tenant_header"), JSON_OPTIONAL, &tenant, p->error) ||
+	    !parse_methods(p, item, route))
+		return false;
+	if (path.len == 0 || path.data[0] != '/')
+		return json_fail(p->doc, json_get(item, STR("path")), CONFIG_ERROR_TYPE, p->error,
+				 "\"%.*s\": expected a path that starts with '/'", STR_ARG(path));
+	route->host = config_file_keep(p->file, host);
+	route->path = config_file_keep(p->file, path);
+	route->tenant_header = config_file_keep(p->file, tenant);
+	return true;
+}
+
+static bool parse_route(struct parser *p, const struct json *item)
+{
+	struct route route = { .line = item->line };
+	int64_t timeout_ms = TIMEOUT_DEFAULT_MS;
+	int64_t concurrency = 100;
+
+	if (!json_want_kind(p->doc, item, JSON_OBJECT, p->error) ||
+	    !json_take_label(p->doc, item, STR("name"), JSON_REQUIRED, &route.name, p->error) ||
+	    !json_take_label(p->doc, item, STR("service"), JSON_REQUIRED, &route.service,
+			     p->error) ||
+	    !parse_match(p, item, &route) || !parse_class(p, item, &route) ||
+	    !parse_repeat(p, item, &route) ||
+	    !json_take_int(p->doc, item, STR("deadline_ms"), JSON_OPTIONAL, 1, TIMEOUT_MAX_MS,
+			   &timeout_ms, p->error) ||
+	    !json_take_int(p->doc, item, STR("concurrency_percent"), JSON_OPTIONAL, 1, 100,
+			   &concurrency, p->error) ||
+	    !json_all_used(p->doc, item, p->error))
+		return false;
+	route.timeout_us = timeout_ms * US_PER_MS;
+	route.concurrency_percent = (int)concurrency;
+	g_array_append_val(p->file->routes, route);
+	return true;
+}
+
+static bool parse_time(struct parser *p, const struct json *item, struct str key, int64_t *wall_us)
+{
+	struct str text = STR("");
+
+	if (!json_take_str(p->doc, item, key, JSON_REQUIRED, &text, p->error))
+		return false;
+	if (clock_parse_utc(text, wall_us))
+		return true;
+	return json_fail(p->doc, json_get(item, key), CONFIG_ERROR_TIME, p->error,
+			 "\"%.*s\": expected a time such as \"2026-12-04T10:00:00Z\"",
+			 STR_ARG(text));
+}
+
+static bool parse_move(struct parser *p, const struct json *item)
+{
+	struct move_spec move = { .line = item->line };
+
+	if (!json_want_kind(p->doc, item, JSON_OBJECT, p->error) ||
+	    !json_take_label(p->doc, item, STR("service"), JSON_REQUIRED, &move.service,
+			     p->error) ||
+	    !json_take_label(p->doc, item, STR("from"), JSON_REQUIRED, &move.from, p->error) ||
+	    !json_take_label(p->doc, item, STR("to"), JSON_REQUIRED, &move.to, p->error) ||
+	    !parse_time(p, item, STR("start"), &move.start_at_us) ||
+	    !parse_time(p, item, STR("finish"), &move.finish_at_us) ||
+	    !json_all_used(p->doc, item, p->error))
+		return false;
+	if (move.start_at_us >= move.finish_at_us)
+		return json_fail(p->doc, json_get(item, STR("finish")), CONFIG_ERROR_TIME,
+				 p->error, "expected a time after the start");
+	if (p->file->moves->len >= MOVES_PER_FILE)
+		return json_fail(p->doc, item, CONFIG_ERROR_TYPE, p->error,
+				 "expected at most %d moves in a file", MOVES_PER_FILE);
+	g_array_append_val(p->file->moves, move);
+	return true;
+}
+
+static bool parse_switch(struct parser *p, const struct json *scope, const struct json *item)
+{
+	struct auto_switch one = { .line = item->line };
+
+	if (!auto_kind_parse(item->key, &one.kind))
+		return json_fail(p->doc, item, CONFIG_ERROR_TYPE, p->error,
+				 "unknown key, expected \"advance\", \"withdraw\", \"eject\" or "
+				 "\"quarantine\"");
+	if (!json_want_kind(p->doc, item, JSON_STRING, p->error))
+		return false;
+	if (str_equal(item->string, STR("off")))
+		one.off = true;
+	else if (!str_equal(item->string, STR("on")))
+		return json_fail(p->doc, item, CONFIG_ERROR_TYPE, p->error,
+				 "\"%.*s\": expected \"on\" or \"off\"", STR_ARG(item->string));
+	if (!str_equal(scope->key, STR("all")))
+		one.service = label_from(scope->key);
+	g_array_append_val(p->file->switches, one);
+	return true;
+}
+
+static bool parse_switches(struct parser *p, const struct json *scope)
+{
+	if (!json_check_name(p->doc, scope, scope->key, p->error) ||
+	    !json_want_kind(p->doc, scope, JSON_OBJECT, p->error))
+		return false;
+	for (guint i = 0; i < scope->items->len; i++)
+		if (!parse_switch(p, scope, g_ptr_array_index(scope->items, i)))
+			return false;
+	return true;
+}
+
+typedef bool parse_item_fn(struct parser *p, const struct json *item);
+
+static bool parse_section(struct parser *p, struct str key, enum json_kind kind,
+			  parse_item_fn *parse_item)
+{
+	struct json *section;
+
+	if (!json_take(p->doc, p->doc->root, key, JSON_OPTIONAL, kind, &section, p->error))
+		return false;
+	for (guint i = 0; section && i < section->items->len; i++)
+		if (!parse_item(p, g_ptr_array_index(section->items, i)))
+			return false;
+	return true;
+}
+
+static bool parse_root(struct parser *p)
+{
+	return json_want_kind(p->doc, p->doc->root, JSON_OBJECT, p->error) &&
+	       parse_section(p, STR("services"), JSON_OBJECT, parse_service) &&
+	       parse_section(p, STR("routes"), JSON_ARRAY, parse_route) &&
+	       parse_section(p, STR("moves"), JSON_ARRAY, parse_move) &&
+	       parse_section(p, STR("switches"), JSON_OBJECT, parse_switches) &&
+	       json_all_used(p->doc, p->doc->root, p->error);
+}
+
+struct config_file *parse_config(struct str file, struct str text, GError **error)
+{
+	struct json_doc *doc = json_parse(file, text, error);
+	struct parser parser = { .doc = doc, .error = error };
+	bool good;
+
+	if (!doc)
+		return NULL;
+	parser.file = config_file_new();
+	good = parse_root(&parser);
+	json_free(doc);
+	if (good)
+		return parser.file;
+	config_file_free(parser.file);
+	return NULL;
+}
+
+void parse_change(struct change *change)
+{
+	GError *error = NULL;
+
+	if (change->parsed || change->parse_error || change->content.len == 0)
+		return;
+	change->parsed = parse_config(label_str(&change->file), change->content, &error);
+	if (change->parsed)
+		return;
+	change->parse_error = g_strdup(error->message);
+	g_error_free(error);
+}
+
+static void parse_files(const GPtrArray *files)
+{
+	for (guint i = 0; i < files->len; i++) {
+		const struct accepted_file *file = g_ptr_array_index(files, i);
+
+		parse_change(file->change);
+	}
+}
+
+void parse_message(struct message *message)
+{
+	if (message->kind == MESSAGE_RECORDS)
+		for (int i = 0; i < message->records.count; i++)
+			parse_change(message->records.records[i].change);
+	if (message->kind == MESSAGE_SNAPSHOT)
+		parse_files(message->snapshot.files);
+}
+
+void parse_record(struct log_record *record)
+{
+	switch (record->kind) {
+	case LOG_CHANGE:
+		parse_change(record->change);
+		return;
+	case LOG_SNAPSHOT:
+		parse_files(record->snapshot.files);
+		return;
+	case LOG_MOVE:
+	case LOG_BAD:
+		return;
+	}
+	g_assert_not_reached();
+}
--- /dev/null
+++ b/peer/codec.c
@@ -0,0 +1,351 @@
+#include "peer/codec.h"
+
+#include "peer/pack.h"
+
+static int write_buf(void *data, const char *bytes, size_t len)
+{
+	strbuf_add(data, (struct str){ bytes, len });
+	return 0;
+}
+
+static void pack_digest(msgpack_packer *out, const struct digest *digest)
+{
+	msgpack_pack_array(out, 6);
+	msgpack_pack_int64(out, digest->version);
+	msgpack_pack_int64(out, digest->snapshot_version);
+	msgpack_pack_int64(out, digest->snapshot_at_us);
+	msgpack_pack_uint64(out, digest->members_hash);
+	msgpack_pack_uint64(out, digest->moves_hash);
+	if (digest->current)
+		msgpack_pack_true(out);
+	else
+		msgpack_pack_false(out);
+}
+
+static void pack_probe(msgpack_packer *out, const struct probe_body *probe)
+{
+	msgpack_pack_array(out, 6);
+	msgpack_pack_int(out, 0);
+	msgpack_pack_uint32(out, probe->seq);
+	msgpack_pack_uint64(out, probe->origin);
+	msgpack_pack_uint64(out, probe->subject);
+	pack_digest(out, &probe->digest);
+	pack_members(out, probe->members);
+}
+
+static void pack_records(msgpack_packer *out, const struct message *message)
+{
+	msgpack_pack_array(out, 2);
+	msgpack_pack_int64(out, message->records.newest);
+	msgpack_pack_array(out, (size_t)message->records.count);
+	for (int i = 0; i < message->records.count; i++) {
+		msgpack_pack_array(out, 2);
+		msgpack_pack_int64(out, message->records.records[i].offset);
+		pack_change(out, message->records.records[i].change);
+	}
+}
+
+static void pack_states(msgpack_packer *out, const GArray *states)
+{
+	msgpack_pack_array(out, states->len);
+	for (guint i = 0; i < states->len; i++)
+		pack_state(out, &g_array_index(states, struct move_state, i));
+}
+
+/* Latency counts are sparse: pairs of bucket and count. */
+static void pack_window(msgpack_packer *out, const struct evidence_window *window)
+{
+	uint32_t used = 0;
+
+	for (int i = 0; i < HIST_BUCKETS; i++)
+		used += window->latency[i] != 0;
+	msgpack_pack_array(out, 7);
+	pack_label(out, &window->route);
+	msgpack_pack_uint64(out, window->target);
+	msgpack_pack_uint32(out, window->calls);
+	msgpack_pack_uint32(out, window->failures);
+	msgpack_pack_uint32(out, window->crashes);
+	msgpack_pack_uint32(out, window->targets);
+	msgpack_pack_array(out, (size_t)used * 2);
+	for (int i = 0; i < HIST_BUCKETS; i++) {
+		if (window->latency[i] == 0)
+			continue;
+		msgpack_pack_int(out, i);
+		msgpack_pack_int(out, window->latency[i]);
+	}
+}
+
+static void pack_evidence(msgpack_packer *out, const struct message *message)
+{
+	const GArray *windows = message->evidence.windows;
+
+	msgpack_pack_array(out, 3);
+	msgpack_pack_uint64(out, message->evidence.move);
+	pack_label(out, &message->evidence.version);
+	msgpack_pack_array(out, windows->len);
+	for (guint i = 0; i < windows->len; i++)
+		pack_window(out, &g_array_index(windows, struct evidence_window, i));
+}
+
+static void pack_buckets(msgpack_packer *out, const uint64_t *buckets)
+{
+	msgpack_pack_array(out, MEMBER_BUCKETS);
+	for (int i = 0; i < MEMBER_BUCKETS; i++)
+		msgpack_pack_uint64(out, buckets[i]);
+}
+
+static void pack_poison(msgpack_packer *out, const struct poison_mark *mark)
+{
+	msgpack_pack_array(out, 3);
+	msgpack_pack_uint64(out, mark->fingerprint);
+	msgpack_pack_uint64(out, mark->crash);
+	msgpack_pack_int64(out, mark->expires_at_us);
+}
+
+static void pack_body(msgpack_packer *out, const struct message *message)
+{
+	switch (message->kind) {
+	case MESSAGE_PING:
+	case MESSAGE_ACK:
+		pack_probe(out, &message->probe);
+		return;
+	case MESSAGE_PING_REQUEST:
+		msgpack_pack_array(out, 2);
+		msgpack_pack_uint32(out, message->ping_request.seq);
+		msgpack_pack_uint64(out, message->ping_request.subject);
+		return;
+	case MESSAGE_ADVERT:
+	case MESSAGE_PULL:
+		msgpack_pack_array(out, 1);
+		msgpack_pack_int64(out, message->version);
+		return;
+	case MESSAGE_RECORDS:
+		pack_records(out, message);
+		return;
+	case MESSAGE_SNAPSHOT:
+		msgpack_pack_array(out, 1);
+		pack_snapshot(out, &message->snapshot);
+		return;
+	case MESSAGE_MEMBERS_ASK:
+		pack_buckets(out, message->buckets);
+		return;
+	case MESSAGE_MEMBERS:
+		msgpack_pack_array(out, 1);
+		pack_members(out, message->members);
+		return;
+	case MESSAGE_MOVES:
+		pack_states(out, message->states);
+		return;
+	case MESSAGE_EVIDENCE:
+		pack_evidence(out, message);
+		return;
+	case MESSAGE_RETRY:
+		msgpack_pack_array(out, 1);
+		msgpack_pack_int64(out, message->retry_after_us);
+		return;
+	case MESSAGE_POISON:
+		pack_poison(out, &message->poison);
+		return;
+	case MESSAGE_CENSUS_ASK:
+	case MESSAGE_CENSUS:
+		msgpack_pack_array(out, 2);
+		msgpack_pack_uint64(out, message->census.seq);
+		msgpack_pack_int64(out, message->census.version);
+		return;
+	case MESSAGE_KINDS:
+		break;
+	}
+	g_assert_not_reached();
+}
+
+void codec_encode(const struct message *message, struct strbuf *out)
+{
+	msgpack_packer packer;
+
+	msgpack_packer_init(&packer, out, write_buf);
+	msgpack_pack_array(&packer, 2);
+	msgpack_pack_int(&packer, message->kind);
+	pack_body(&packer, message);
+}
+
+static void unpack_digest(struct unpack *in, struct digest *digest)
+{
+	struct unpack inner = unpack_inner(in);
+
+	digest->version = unpack_i64(&inner);
+	digest->snapshot_version = unpack_i64(&inner);
+	digest->snapshot_at_us = unpack_i64(&inner);
+	digest->members_hash = unpack_u64(&inner);
+	digest->moves_hash = unpack_u64(&inner);
+	digest->current = unpack_bool(&inner);
+	in->bad |= inner.bad;
+}
+
+static void unpack_probe(struct unpack *in, struct probe_body *probe)
+{
+	unpack_int(in, 0);
+	probe->seq = (uint32_t)unpack_u64(in);
+	probe->origin = unpack_u64(in);
+	probe->subject = unpack_u64(in);
+	unpack_digest(in, &probe->digest);
+	probe->members = unpack_members(in);
+}
+
+static void unpack_records(struct unpack *in, struct message *message)
+{
+	struct unpack list;
+
+	message->records.newest = unpack_i64(in);
+	list = unpack_inner(in);
+	if (list.left > HISTORY_PULL_MAX)
+		list.bad = true;
+	message->records.records = g_new0(struct change_record, HISTORY_PULL_MAX);
+	while (list.left && !list.bad) {
+		struct unpack one = unpack_inner(&list);
+		int64_t offset = unpack_i64(&one);
+		struct change *change = unpack_change(&one);
+
+		list.bad |= one.bad;
+		if (!change)
+			break;
+		message->records.records[message->records.count].offset = offset;
+		message->records.records[message->records.count++].change = change;
+	}
+	in->bad |= list.bad;
+}
+
+static GArray *unpack_states(struct unpack *in)
+{
+	GArray *states = g_array_new(FALSE, TRUE, sizeof(struct move_state));
+
+	while (in->left && !in->bad) {
+		struct move_state state = { 0 };
+
+		unpack_state(in, &state);
+		g_array_append_val(states, state);
+	}
+	return states;
+}
+
+static struct evidence_window unpack_window(struct unpack *in)
+{
+	struct unpack inner = unpack_inner(in);
+	struct evidence_window window = { .route = unpack_label(&inner) };
+	struct unpack counts;
+
+	window.target = unpack_u64(&inner);
+	window.calls = (uint32_t)unpack_int(&inner, INT32_MAX);
+	window.failures = (uint32_t)unpack_int(&inner, INT32_MAX);
+	window.crashes = (uint32_t)unpack_int(&inner, INT32_MAX);
+	window.targets = (uint32_t)unpack_int(&inner, INT32_MAX);
+	counts = unpack_inner(&inner);
+	while (counts.left && !counts.bad) {
+		int bucket = unpack_int(&counts, HIST_BUCKETS - 1);
+
+		window.latency[bucket] = (uint16_t)unpack_int(&counts, UINT16_MAX);
+	}
+	in->bad |= inner.bad || counts.bad;
+	return window;
+}
+
+static void unpack_evidence(struct unpack *in, struct message *message)
+{
+	struct unpack list;
+
+	message->evidence.move = unpack_u64(in);
+	message->evidence.version = unpack_label(in);
+	message->evidence.windows = g_array_new(FALSE, TRUE, sizeof(struct evidence_window));
+	list = unpack_inner(in);
+	while (list.left && !list.bad) {
+		struct evidence_window window = unpack_window(&list);
+
+		g_array_append_val(message->evidence.windows, window);
+	}
+	in->bad |= list.bad;
+}
+
+static void unpack_body(struct unpack *in, struct message *message)
+{
+	switch (message->kind) {
+	case MESSAGE_PING:
+	case MESSAGE_ACK:
+		unpack_probe(in, &message->probe);
+		return;
+	case MESSAGE_PING_REQUEST:
+		message->ping_request.seq = (uint32_t)unpack_u64(in);
+		message->ping_request.subject = unpack_u64(in);
+		return;
+	case MESSAGE_ADVERT:
+	case MESSAGE_PULL:
+		message->version = unpack_i64(in);
+		return;
+	case MESSAGE_RECORDS:
+		unpack_records(in, message);
+		return;
+	case MESSAGE_SNAPSHOT:
+		unpack_snapshot(in, &message->snapshot);
+		return;
+	case MESSAGE_MEMBERS_ASK:
+		message->buckets = g_new0(uint64_t, MEMBER_BUCKETS);
+		for (int i = 0; i < MEMBER_BUCKETS; i++)
+			message->buckets[i] = unpack_u64(in);
+		return;
+	case MESSAGE_MEMBERS:
+		message->members = unpack_members(in);
+		return;
+	case MESSAGE_MOVES:
+		message->states = unpack_states(in);
+		return;
+	case MESSAGE_EVIDENCE:
+		unpack_evidence(in, message);
+		return;
+	case MESSAGE_RETRY:
+		message->retry_after_us = unpack_i64(in);
+		return;
+	case MESSAGE_POISON:
+		message->poison.fingerprint = unpack_u64(in);
+		message->poison.crash = unpack_u64(in);
+		message->poison.expires_at_us = unpack_i64(in);
+		return;
+	case MESSAGE_CENSUS_ASK:
+	case MESSAGE_CENSUS:
+		message->census.seq = unpack_u64(in);
+		message->census.version = unpack_i64(in);
+		return;
+	case MESSAGE_KINDS:
+		break;
+	}
+	g_assert_not_reached();
+}
+
+static struct message *decode_object(const msgpack_object *object)
+{
+	struct unpack in = unpack_array(object);
+	int kind = unpack_int(&in, MESSAGE_KINDS - 1);
+	struct unpack body = unpack_inner(&in);
+	struct message *message;
+
+	if (in.bad || body.bad)
+		return NULL;
+	message = message_new(kind);
+	unpack_body(&body, message);
+	if (!body.bad)
+		return message;
+	message_unref(message);
+	return NULL;
+}
+
+struct message *codec_decode(struct str bytes)
+{
+	struct message *message = NULL;
+	msgpack_unpacked unpacked;
+	size_t used = 0;
+
+	msgpack_unpacked_init(&unpacked);
+	if (msgpack_unpack_next(&unpacked, bytes.data, bytes.len, &used) ==
+		    MSGPACK_UNPACK_SUCCESS &&
+	    used == bytes.len)
+		message = decode_object(&unpacked.data);
+	msgpack_unpacked_destroy(&unpacked);
+	return message;
+}
--- /dev/null
+++ b/peer/pack.c
@@ -0,0 +1,265 @@
+#include "peer/pack.h"
+
+enum {
+	ITEMS_MAX = 65536, /* of any list in one message */
+};
+
+void pack_str(msgpack_packer *out, struct str s)
+{
+	msgpack_pack_bin(out, s.len);
+	msgpack_pack_bin_body(out, s.data, s.len);
+}
+
+void pack_label(msgpack_packer *out, const struct label *label)
+{
+	pack_str(out, label_str(label));
+}
+
+static void pack_member(msgpack_packer *out, const struct member *member)
+{
+	msgpack_pack_array(out, 7);
+	msgpack_pack_uint64(out, member->id);
+	msgpack_pack_uint64(out, member->incarnation);
+	msgpack_pack_int(out, member->state);
+	msgpack_pack_int(out, member->slots);
+	pack_label(out, &member->data_centre);
+	pack_label(out, &member->service);
+	pack_label(out, &member->version);
+}
+
+void pack_members(msgpack_packer *out, const GArray *members)
+{
+	msgpack_pack_array(out, members->len);
+	for (guint i = 0; i < members->len; i++)
+		pack_member(out, &g_array_index(members, struct member, i));
+}
+
+void pack_change(msgpack_packer *out, const struct change *change)
+{
+	msgpack_pack_array(out, 4);
+	pack_label(out, &change->id);
+	pack_label(out, &change->file);
+	msgpack_pack_int64(out, change->base);
+	pack_str(out, change->content);
+}
+
+void pack_state(msgpack_packer *out, const struct move_state *state)
+{
+	msgpack_pack_array(out, 6);
+	msgpack_pack_uint64(out, state->id);
+	msgpack_pack_int(out, state->step);
+	msgpack_pack_int64(out, state->done_at_us);
+	msgpack_pack_int64(out, state->withdrawn_at_us);
+	msgpack_pack_int(out, state->reason);
+	pack_label(out, &state->route);
+}
+
+static void pack_file(msgpack_packer *out, const struct accepted_file *file)
+{
+	msgpack_pack_array(out, 4);
+	pack_label(out, &file->name);
+	msgpack_pack_int64(out, file->version);
+	pack_change(out, file->change);
+	msgpack_pack_array(out, file->move_ids->len);
+	for (guint i = 0; i < file->move_ids->len; i++)
+		msgpack_pack_uint64(out, g_array_index(file->move_ids, uint64_t, i));
+}
+
+void pack_snapshot(msgpack_packer *out, const struct snapshot_part *part)
+{
+	msgpack_pack_array(out, 7);
+	msgpack_pack_int64(out, part->version);
+	msgpack_pack_int64(out, part->accepted);
+	msgpack_pack_int64(out, part->written_at_us);
+	msgpack_pack_int(out, part->index);
+	msgpack_pack_int(out, part->count);
+	msgpack_pack_array(out, part->files->len);
+	for (guint i = 0; i < part->files->len; i++)
+		pack_file(out, g_ptr_array_index(part->files, i));
+	msgpack_pack_array(out, part->states->len);
+	for (guint i = 0; i < part->states->len; i++)
+		pack_state(out, &g_array_index(part->states, struct move_state, i));
+}
+
+struct unpack unpack_array(const msgpack_object *object)
+{
+	if (object->type != MSGPACK_OBJECT_ARRAY || object->via.array.size > ITEMS_MAX)
+		return (struct unpack){ .bad = true };
+	return (struct unpack){ .items = object->via.array.ptr, .left = object->via.array.size };
+}
+
+static const msgpack_object *next(struct unpack *in, msgpack_object_type type)
+{
+	const msgpack_object *object;
+
+	if (in->bad || in->left == 0) {
+		in->bad = true;
+		return NULL;
+	}
+	object = in->items++;
+	in->left--;
+	if (object->type == type)
+		return object;
+	in->bad = true;
+	return NULL;
+}
+
+struct unpack unpack_inner(struct unpack *in)
+{
+	const msgpack_object *object = next(in, MSGPACK_OBJECT_ARRAY);
+
+	return object ? unpack_array(object) : (struct unpack){ .bad = true };
+}
+
+uint64_t unpack_u64(struct unpack *in)
+{
+	const msgpack_object *object = next(in, MSGPACK_OBJECT_POSITIVE_INTEGER);
+
+	return object ? object->via.u64 : 0;
+}
+
+int64_t unpack_i64(struct unpack *in)
+{
+	if (!in->bad && in->left && in->items->type == MSGPACK_OBJECT_NEGATIVE_INTEGER)
+		return next(in, MSGPACK_OBJECT_NEGATIVE_INTEGER)->via.i64;
+	return (int64_t)unpack_u64(in);
+}
+
+int unpack_int(struct unpack *in, int max)
+{
+	uint64_t value = unpack_u64(in);
+
+	if (value <= (uint64_t)max)
+		return (int)value;
+	in->bad = true;
+	return 0;
+}
+
+bool unpack_bool(struct unpack *in)
+{
+	const msgpack_object *object = next(in, MSGPACK_OBJECT_BOOLEAN);
+
+	return object && object->via.boolean;
+}
+
+struct str unpack_str(struct unpack *in)
+{
+	const msgpack_object *object = next(in, MSGPACK_OBJECT_BIN);
+
+	return object ? (struct str){ object->via.bin.ptr, object->via.bin.size } : STR("");
+}
+
+struct label unpack_label(struct unpack *in)
+{
+	struct str s = unpack_str(in);
+
+	if (!label_fits(s))
+		in->bad = true;
+	return label_from(s);
+}
+
+static struct member unpack_member(struct unpack *in)
+{
+	struct unpack inner = unpack_inner(in);
+	struct member member = { .id = unpack_u64(&inner) };
+
+	member.incarnation = unpack_u64(&inner);
+	member.state = unpack_int(&inner, MEMBER_DEAD);
+	member.slots = (uint16_t)unpack_int(&inner, UINT16_MAX);
+	member.data_centre = unpack_label(&inner);
+	member.service = unpack_label(&inner);
+	member.version = unpack_label(&inner);
+	in->bad |= inner.bad || member.id == 0;
+	return member;
+}
+
+GArray *unpack_members(struct unpack *in)
+{
+	GArray *members = g_array_new(FALSE, FALSE, sizeof(struct member));
+	struct unpack list = unpack_inner(in);
+
+	while (list.left && !list.bad) {
+		struct member member = unpack_member(&list);
+
+		if (!list.bad)
+			g_array_append_val(members, member);
+	}
+	in->bad |= list.bad;
+	return members;
+}
+
+struct change *unpack_change(struct unpack *in)
+{
+	struct unpack inner = unpack_inner(in);
+	struct label id = unpack_label(&inner);
+	struct label file = unpack_label(&inner);
+	int64_t base = unpack_i64(&inner);
+	struct str content = unpack_str(&inner);
+
+	in->bad |= inner.bad;
+	return in->bad ? NULL : change_new(id, file, base, content);
+}
+
+void unpack_state(struct unpack *in, struct move_state *state)
+{
+	struct unpack inner = unpack_inner(in);
+
+	state->id = unpack_u64(&inner);
+	state->step = (uint8_t)unpack_int(&inner, MOVE_STEPS);
+	state->done_at_us = unpack_i64(&inner);
+	state->withdrawn_at_us = unpack_i64(&inner);
+	state->reason = unpack_int(&inner, WITHDRAW_LATENCY);
+	state->route = unpack_label(&inner);
+	in->bad |= inner.bad;
+}
+
+static void unpack_file(struct unpack *in, GPtrArray *files)
+{
+	struct unpack inner = unpack_inner(in);
+	struct label name = unpack_label(&inner);
+	int64_t version = unpack_i64(&inner);
+	struct change *change = unpack_change(&inner);
+	struct accepted_file *file;
+	struct unpack ids;
+
+	if (!change) {
+		in->bad = true;
+		return;
+	}
+	file = accepted_file_new(name, version, change);
+	change_unref(change);
+	g_ptr_array_add(files, file);
+	ids = unpack_inner(&inner);
+	while (ids.left && !ids.bad) {
+		uint64_t id = unpack_u64(&ids);
+
+		g_array_append_val(file->move_ids, id);
+	}
+	in->bad |= inner.bad || ids.bad;
+}
+
+void unpack_snapshot(struct unpack *in, struct snapshot_part *part)
+{
+	struct unpack inner = unpack_inner(in);
+	struct unpack list;
+
+	part->version = unpack_i64(&inner);
+	part->accepted = unpack_i64(&inner);
+	part->written_at_us = unpack_i64(&inner);
+	part->index = unpack_int(&inner, ITEMS_MAX);
+	part->count = unpack_int(&inner, ITEMS_MAX);
+	part->files = g_ptr_array_new_with_free_func((GDestroyNotify)accepted_file_free);
+	part->states = g_array_new(FALSE, TRUE, sizeof(struct move_state));
+	list = unpack_inner(&inner);
+	while (list.left && !list.bad)
+		unpack_file(&list, part->files);
+	inner.bad |= list.bad;
+	list = unpack_inner(&inner);
+	while (list.left && !list.bad) {
+		struct move_state state = { 0 };
+
+		unpack_state(&list, &state);
+		g_array_append_val(part->states, state);
+	}
+	in->bad |= inner.bad || list.bad;
+}
--- /dev/null
+++ b/peer/pack.h
@@ -0,0 +1,44 @@
+/**
+ * @file
+ * Packing core's types with msgpack: what messages between nodes and records of the log share.
+ */
+#ifndef PEER_PACK_H
+#define PEER_PACK_H
+
+#include <msgpack.h>
+
+#include "core/message.h"
+
+/* Packing, onto any msgpack_packer. */
+void pack_str(msgpack_packer *out, struct str s);
+void pack_label(msgpack_packer *out, const struct label *label);
+void pack_members(msgpack_packer *out, const GArray *members);
+void pack_change(msgpack_packer *out, const struct change *change);
+void pack_state(msgpack_packer *out, const struct move_state *state);
+void pack_snapshot(msgpack_packer *out, const struct snapshot_part *part);
+
+/** A cursor over the items of an array; any misfit sets .bad and yields zeroes from there on. */
+struct unpack {
+	const msgpack_object *items;
+	uint32_t left;
+	bool bad;
+};
+
+struct unpack unpack_array(const msgpack_object *object);
+/** The next item as an array of its own. */
+struct unpack unpack_inner(struct unpack *in);
+uint64_t unpack_u64(struct unpack *in);
+int64_t unpack_i64(struct unpack *in);
+/** A number from 0 to @p max. */
+int unpack_int(struct unpack *in, int max);
+bool unpack_bool(struct unpack *in);
+/** A view of the packed bytes. */
+struct str unpack_str(struct unpack *in);
+struct label unpack_label(struct unpack *in);
+GArray *unpack_members(struct unpack *in);
+/** Returns NULL if it is bad. */
+struct change *unpack_change(struct unpack *in);
+void unpack_state(struct unpack *in, struct move_state *state);
+void unpack_snapshot(struct unpack *in, struct snapshot_part *part);
+
+#endif
