--- a/base/counter.c
+++ b/base/counter.c
@@ -156,8 +156,8 @@
 {
 	switch (series->kind) {
 	case SERIES_COUNTER:
-		strbuf_addf(out, "%.*s{%.*s} %ld\n", STR_ARG(series->name),
-			    STR_ARG(series->labels), series->value);
+		strbuf_addf(out, "%.*s{%.*s} %ld\n", STR_ARG(series->name), STR_ARG(series->labels),
+			    series->value);
 		return;
 	case SERIES_HISTOGRAM:
 		print_histogram(series, out);
--- a/base/events.h
+++ b/base/events.h
@@ -9,36 +9,36 @@
 
 enum log_level { LOG_LEVEL_INFO, LOG_LEVEL_WARN, LOG_LEVEL_ERROR };
 
-#define LOG_EVENTS(X)                                   \
-	X(100, DAEMON_STARTED, LOG_LEVEL_INFO)          \
-	X(101, DAEMON_STOPPING, LOG_LEVEL_INFO)         \
-	X(102, DAEMON_STOPPED, LOG_LEVEL_INFO)          \
-	X(103, LOG_REOPENED, LOG_LEVEL_INFO)            \
-	X(104, STOP_CUT_REQUEST, LOG_LEVEL_WARN)        \
-	X(200, CHANGE_ACCEPTED, LOG_LEVEL_INFO)         \
-	X(201, CHANGE_REJECTED, LOG_LEVEL_WARN)         \
-	X(202, SNAPSHOT_LOADED, LOG_LEVEL_INFO)         \
-	X(203, SNAPSHOT_WRITTEN, LOG_LEVEL_INFO)        \
-	X(204, NODE_CURRENT, LOG_LEVEL_INFO)            \
-	X(300, MEMBER_CHANGED, LOG_LEVEL_INFO)          \
-	X(301, SUSPICION_REFUTED, LOG_LEVEL_WARN)       \
-	X(302, READER_STARTED, LOG_LEVEL_INFO)          \
-	X(303, READER_STOPPED, LOG_LEVEL_INFO)          \
-	X(400, MOVE_STEP_OPENED, LOG_LEVEL_INFO)        \
-	X(401, MOVE_DONE, LOG_LEVEL_INFO)               \
-	X(402, MOVE_WITHDRAWN, LOG_LEVEL_WARN)          \
-	X(403, MOVE_HELD, LOG_LEVEL_WARN)               \
-	X(404, TARGET_EJECTED, LOG_LEVEL_WARN)          \
-	X(405, REQUEST_QUARANTINED, LOG_LEVEL_WARN)     \
-	X(500, TARGET_ANNOUNCED, LOG_LEVEL_INFO)        \
-	X(501, TARGET_LAPSED, LOG_LEVEL_WARN)           \
-	X(502, TARGET_LEAVING, LOG_LEVEL_INFO)          \
-	X(600, PLATFORM_LOG_OUT, LOG_LEVEL_WARN)        \
-	X(601, PLATFORM_LOG_BACK, LOG_LEVEL_INFO)       \
-	X(602, PLATFORM_RECORD_BAD, LOG_LEVEL_ERROR)    \
-	X(700, FRAME_BAD, LOG_LEVEL_WARN)               \
-	X(701, LINK_SILENT, LOG_LEVEL_WARN)             \
-	X(702, PEER_REFUSED, LOG_LEVEL_WARN)            \
+#define LOG_EVENTS(X)                                                                              \
+	X(100, DAEMON_STARTED, LOG_LEVEL_INFO)                                                     \
+	X(101, DAEMON_STOPPING, LOG_LEVEL_INFO)                                                    \
+	X(102, DAEMON_STOPPED, LOG_LEVEL_INFO)                                                     \
+	X(103, LOG_REOPENED, LOG_LEVEL_INFO)                                                       \
+	X(104, STOP_CUT_REQUEST, LOG_LEVEL_WARN)                                                   \
+	X(200, CHANGE_ACCEPTED, LOG_LEVEL_INFO)                                                    \
+	X(201, CHANGE_REJECTED, LOG_LEVEL_WARN)                                                    \
+	X(202, SNAPSHOT_LOADED, LOG_LEVEL_INFO)                                                    \
+	X(203, SNAPSHOT_WRITTEN, LOG_LEVEL_INFO)                                                   \
+	X(204, NODE_CURRENT, LOG_LEVEL_INFO)                                                       \
+	X(300, MEMBER_CHANGED, LOG_LEVEL_INFO)                                                     \
+	X(301, SUSPICION_REFUTED, LOG_LEVEL_WARN)                                                  \
+	X(302, READER_STARTED, LOG_LEVEL_INFO)                                                     \
+	X(303, READER_STOPPED, LOG_LEVEL_INFO)                                                     \
+	X(400, MOVE_STEP_OPENED, LOG_LEVEL_INFO)                                                   \
+	X(401, MOVE_DONE, LOG_LEVEL_INFO)                                                          \
+	X(402, MOVE_WITHDRAWN, LOG_LEVEL_WARN)                                                     \
+	X(403, MOVE_HELD, LOG_LEVEL_WARN)                                                          \
+	X(404, TARGET_EJECTED, LOG_LEVEL_WARN)                                                     \
+	X(405, REQUEST_QUARANTINED, LOG_LEVEL_WARN)                                                \
+	X(500, TARGET_ANNOUNCED, LOG_LEVEL_INFO)                                                   \
+	X(501, TARGET_LAPSED, LOG_LEVEL_WARN)                                                      \
+	X(502, TARGET_LEAVING, LOG_LEVEL_INFO)                                                     \
+	X(600, PLATFORM_LOG_OUT, LOG_LEVEL_WARN)                                                   \
+	X(601, PLATFORM_LOG_BACK, LOG_LEVEL_INFO)                                                  \
+	X(602, PLATFORM_RECORD_BAD, LOG_LEVEL_ERROR)                                               \
+	X(700, FRAME_BAD, LOG_LEVEL_WARN)                                                          \
+	X(701, LINK_SILENT, LOG_LEVEL_WARN)                                                        \
+	X(702, PEER_REFUSED, LOG_LEVEL_WARN)                                                       \
 	X(800, CALL_CUT, LOG_LEVEL_WARN)
 
 enum log_event {
--- a/base/lockorder.h
+++ b/base/lockorder.h
@@ -14,21 +14,21 @@
 #include <stdbool.h>
 
 enum lock_rank {
-	LOCK_CALLS, /**< open calls of the daemon */
-	LOCK_LINKS, /**< table of links to other nodes */
-	LOCK_LINK, /**< one link's streams and output */
-	LOCK_HISTORY, /**< accepted configuration */
-	LOCK_MEMBERS, /**< membership and what is known of each target */
-	LOCK_SPREAD, /**< probes, pulls and pending updates */
-	LOCK_MOVES, /**< state and evidence of the moves */
-	LOCK_ADMIT, /**< slots and queue of the node's own target */
-	LOCK_CLAIMS, /**< idempotency keys */
-	LOCK_POISON, /**< fingerprints of requests that crash targets */
-	LOCK_TARGET, /**< the announced target */
-	LOCK_PIPE, /**< one body in transit */
-	LOCK_WORKERS, /**< queue of posted work */
+	LOCK_CALLS,    /**< open calls of the daemon */
+	LOCK_LINKS,    /**< table of links to other nodes */
+	LOCK_LINK,     /**< one link's streams and output */
+	LOCK_HISTORY,  /**< accepted configuration */
+	LOCK_MEMBERS,  /**< membership and what is known of each target */
+	LOCK_SPREAD,   /**< probes, pulls and pending updates */
+	LOCK_MOVES,    /**< state and evidence of the moves */
+	LOCK_ADMIT,    /**< slots and queue of the node's own target */
+	LOCK_CLAIMS,   /**< idempotency keys */
+	LOCK_POISON,   /**< fingerprints of requests that crash targets */
+	LOCK_TARGET,   /**< the announced target */
+	LOCK_PIPE,     /**< one body in transit */
+	LOCK_WORKERS,  /**< queue of posted work */
 	LOCK_COUNTERS, /**< tables of counters and histograms */
-	LOCK_LOG, /**< the logger's output */
+	LOCK_LOG,      /**< the logger's output */
 	LOCK_RANKS,
 };
 
--- a/base/logger.c
+++ b/base/logger.c
@@ -2,8 +2,8 @@
 
 #include <fcntl.h>
 #include <glib.h>
-#include <pthread.h>
 #include <glib/gprintf.h>
+#include <pthread.h>
 #include <stdarg.h>
 #include <string.h>
 #include <unistd.h>
@@ -71,8 +71,8 @@
 static const char *event_name(enum log_event event)
 {
 	switch (event) {
-#define LOG_EVENT_NAME(number, name, level) \
-	case NOTE_##name:                  \
+#define LOG_EVENT_NAME(number, name, level)                                                        \
+	case NOTE_##name:                                                                          \
 		return #name;
 		LOG_EVENTS(LOG_EVENT_NAME)
 #undef LOG_EVENT_NAME
@@ -85,8 +85,8 @@
 	static const char *const names[] = { "info", "warn", "error" };
 
 	switch (event) {
-#define LOG_EVENT_LEVEL(number, name, level) \
-	case NOTE_##name:                   \
+#define LOG_EVENT_LEVEL(number, name, level)                                                       \
+	case NOTE_##name:                                                                          \
 		return names[level];
 		LOG_EVENTS(LOG_EVENT_LEVEL)
 #undef LOG_EVENT_LEVEL
--- a/base/pipe.h
+++ b/base/pipe.h
@@ -12,8 +12,8 @@
 #include "base/str.h"
 
 enum pipe_end {
-	PIPE_OPEN, /**< more may come */
-	PIPE_DONE, /**< the writer gave the whole body */
+	PIPE_OPEN,   /**< more may come */
+	PIPE_DONE,   /**< the writer gave the whole body */
 	PIPE_FAILED, /**< the body is cut; the reader must not take it as whole */
 };
 
--- a/base/verdict.h
+++ b/base/verdict.h
@@ -8,9 +8,9 @@
 #include "base/str.h"
 
 enum verdict {
-	VERDICT_NOT_RUN, /**< no byte of it reached a target: safe to repeat */
+	VERDICT_NOT_RUN,      /**< no byte of it reached a target: safe to repeat */
 	VERDICT_MAY_HAVE_RUN, /**< unknown: only an idempotent request may be repeated */
-	VERDICT_RAN, /**< a target answered it */
+	VERDICT_RAN,	      /**< a target answered it */
 };
 
 /** The name as the response header carries it. */
--- a/base/workers.c
+++ b/base/workers.c
@@ -44,8 +44,8 @@
 	workers->stop_fd = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
 	workers->threads = g_new0(apr_thread_t *, options->threads);
 	if (workers->epoll_fd < 0 || workers->wake_fd < 0 || workers->stop_fd < 0) {
-		g_set_error(error, G_FILE_ERROR, g_file_error_from_errno(errno),
-			    "workers: %s", g_strerror(errno));
+		g_set_error(error, G_FILE_ERROR, g_file_error_from_errno(errno), "workers: %s",
+			    g_strerror(errno));
 		workers_free(workers);
 		return NULL;
 	}
--- a/base/workers.h
+++ b/base/workers.h
@@ -14,10 +14,20 @@
 
 enum { WATCH_READ = 1, WATCH_WRITE = 2 };
 
-/** What a worker is asked to do; the program's one handler switches on .kind. */
+/** What a worker is asked to do. The program's one handler switches on it. */
+enum work_kind {
+	WORK_TICK, /**< the program's timer */
+	WORK_PEER_LISTEN,
+	WORK_PEER_DATAGRAM,
+	WORK_LINK_READ,
+	WORK_LINK_WRITE,
+	WORK_SERVE, /**< a call that has a slot of the target */
+	WORK_READ_LOG,
+	WORK_APPEND,
+};
+
 struct work {
-	int kind; /**< the program's own tag */
-	uint64_t number;
+	enum work_kind kind;
 	void *data;
 };
 
--- a/core/admit.c
+++ b/core/admit.c
@@ -4,7 +4,7 @@
 
 enum {
 	QUEUE_PER_SLOT = 8, /* waiting calls for each slot */
-	TENANTS_MAX = 256, /* past it tenants share one queue by hash */
+	TENANTS_MAX = 256,  /* past it tenants share one queue by hash */
 	ROUTES_MAX = 256,
 	BULK_SLOT_PERCENT = 50,
 	FIRST_SERVICE_US = 2000, /* expected before anything was measured */
@@ -45,7 +45,7 @@
 	double service_us;
 	struct class_queue classes[CLASS_COUNT];
 	GHashTable *tenants[CLASS_COUNT]; /* struct label -> struct tenant_queue */
-	GHashTable *routes; /* struct label -> struct route_use */
+	GHashTable *routes;		  /* struct label -> struct route_use */
 };
 
 struct str admit_result_name(enum admit_result result)
--- a/core/admit.h
+++ b/core/admit.h
@@ -18,15 +18,15 @@
 	enum traffic_class class;
 	int concurrency_percent; /**< of the slots, for this route */
 	struct deadline deadline;
-	void *owner; /**< the caller's own */
+	void *owner;	      /**< the caller's own */
 	int64_t queued_at_us; /**< monotonic; set by admit_offer() */
 };
 
 enum admit_result {
-	ADMIT_RUN, /**< has a slot; end with admit_done() */
+	ADMIT_RUN,    /**< has a slot; end with admit_done() */
 	ADMIT_QUEUED, /**< comes back from admit_next() */
-	ADMIT_FULL, /**< the queue is full: not run */
-	ADMIT_LATE, /**< can't meet its deadline: not run */
+	ADMIT_FULL,   /**< the queue is full: not run */
+	ADMIT_LATE,   /**< can't meet its deadline: not run */
 	ADMIT_CLOSED, /**< the target is leaving or there is none: not run */
 };
 
--- a/core/config.h
+++ b/core/config.h
@@ -17,10 +17,10 @@
 
 enum config_error {
 	CONFIG_ERROR_SYNTAX, /**< not JSON with comments */
-	CONFIG_ERROR_TYPE, /**< wrong type, unknown key or bad value */
-	CONFIG_ERROR_NAME, /**< a name that nothing declares, or that is declared twice */
-	CONFIG_ERROR_SHARE, /**< shares that don't add up to 100 */
-	CONFIG_ERROR_TIME, /**< a move whose times make no sense */
+	CONFIG_ERROR_TYPE,   /**< wrong type, unknown key or bad value */
+	CONFIG_ERROR_NAME,   /**< a name that nothing declares, or that is declared twice */
+	CONFIG_ERROR_SHARE,  /**< shares that don't add up to 100 */
+	CONFIG_ERROR_TIME,   /**< a move whose times make no sense */
 };
 
 /** Order of service at a target: lower values go first. */
@@ -58,16 +58,24 @@
 	int line;
 };
 
-enum { METHOD_GET = 1, METHOD_HEAD = 2, METHOD_POST = 4, METHOD_PUT = 8, METHOD_DELETE = 16,
-       METHOD_PATCH = 32, METHOD_OPTIONS = 64, METHOD_ANY = 127 };
+enum {
+	METHOD_GET = 1,
+	METHOD_HEAD = 2,
+	METHOD_POST = 4,
+	METHOD_PUT = 8,
+	METHOD_DELETE = 16,
+	METHOD_PATCH = 32,
+	METHOD_OPTIONS = 64,
+	METHOD_ANY = 127
+};
 
 /** The bit of a method name; 0 if it is none of the above. */
 int method_bit(struct str name);
 
 /** What a repeat of a request on a route may do. */
 enum repeat_rule {
-	REPEAT_IDEMPOTENT, /**< may be repeated whatever became of it */
-	REPEAT_NOT_RUN, /**< only if it surely did not run */
+	REPEAT_IDEMPOTENT,   /**< may be repeated whatever became of it */
+	REPEAT_NOT_RUN,	     /**< only if it surely did not run */
 	REPEAT_AT_MOST_ONCE, /**< the same, and its idempotency key is claimed first */
 };
 
@@ -80,7 +88,7 @@
 	enum traffic_class class;
 	struct str tenant_header; /**< empty: all callers are one tenant */
 	enum repeat_rule repeat;
-	int64_t timeout_us; /**< gives each call its deadline */
+	int64_t timeout_us;	 /**< gives each call its deadline */
 	int concurrency_percent; /**< of a target's slots */
 	int line;
 };
@@ -90,7 +98,7 @@
 	struct label service;
 	struct label from;
 	struct label to;
-	int64_t start_at_us; /**< wall clock */
+	int64_t start_at_us;  /**< wall clock */
 	int64_t finish_at_us; /**< wall clock */
 	int line;
 };
@@ -107,8 +115,8 @@
 /** What one file declares. Owned by its struct change. */
 struct config_file {
 	GArray *services; /**< struct service */
-	GArray *routes; /**< struct route */
-	GArray *moves; /**< struct move_spec; ids are 0 until accepted */
+	GArray *routes;	  /**< struct route */
+	GArray *moves;	  /**< struct move_spec; ids are 0 until accepted */
 	GArray *switches; /**< struct auto_switch */
 	GStringChunk *text;
 };
@@ -123,10 +131,10 @@
 	gint refs;
 	struct label id; /**< unique, made by the tool */
 	struct label file;
-	int64_t base; /**< version of the file that the operator saw; 0: none */
-	struct str content; /**< owned; empty content removes the file */
+	int64_t base;		    /**< version of the file that the operator saw; 0: none */
+	struct str content;	    /**< owned; empty content removes the file */
 	struct config_file *parsed; /**< NULL if the content does not parse */
-	char *parse_error; /**< then says why */
+	char *parse_error;	    /**< then says why */
 };
 
 struct change *change_new(struct label id, struct label file, int64_t base, struct str content);
@@ -144,13 +152,13 @@
 /** Everything accepted up to a version. Immutable and counted. */
 struct config {
 	gint refs;
-	int64_t version; /**< offset of the newest record judged */
+	int64_t version;  /**< offset of the newest record judged */
 	int64_t accepted; /**< offset of the newest change accepted */
 	GPtrArray *files; /**< struct accepted_file, by name; removed files stay, without content */
 	GHashTable *services; /**< struct label -> struct service, borrowed from the files */
-	GPtrArray *routes; /**< struct route, longest path first */
-	GArray *moves; /**< struct move_spec with ids */
-	GArray *switches; /**< struct auto_switch */
+	GPtrArray *routes;    /**< struct route, longest path first */
+	GArray *moves;	      /**< struct move_spec with ids */
+	GArray *switches;     /**< struct auto_switch */
 };
 
 /**
@@ -174,7 +182,4 @@
 /** Whether an automatic move may be originated for a service: its own switch, then that for all. */
 bool config_auto_allowed(const struct config *config, struct label service, enum auto_kind kind);
 
-
-
-
 #endif
--- a/core/event.h
+++ b/core/event.h
@@ -10,22 +10,22 @@
 
 /** How a request to the platform's log failed. */
 enum log_failure {
-	LOG_FAILURE_OUT, /**< no answer, or an error of the service */
+	LOG_FAILURE_OUT,     /**< no answer, or an error of the service */
 	LOG_FAILURE_LIMITED, /**< over its rate: come back later */
-	LOG_FAILURE_GONE, /**< the wanted offset has lapsed */
+	LOG_FAILURE_GONE,    /**< the wanted offset has lapsed */
 };
 
 enum event_kind {
 	EVENT_TICK, /**< every 100 ms */
 	EVENT_MESSAGE,
-	EVENT_LOG_BATCH, /**< answer to ACTION_READ_LOG; may be empty */
-	EVENT_LOG_FAILED, /**< likewise */
-	EVENT_APPENDED, /**< answer to ACTION_APPEND */
-	EVENT_APPEND_FAILED, /**< likewise; it may have taken effect all the same */
-	EVENT_TARGET_UP, /**< the target announced itself, or renewed */
-	EVENT_TARGET_DOWN, /**< its announcement lapsed, or it said goodbye */
+	EVENT_LOG_BATCH,      /**< answer to ACTION_READ_LOG; may be empty */
+	EVENT_LOG_FAILED,     /**< likewise */
+	EVENT_APPENDED,	      /**< answer to ACTION_APPEND */
+	EVENT_APPEND_FAILED,  /**< likewise; it may have taken effect all the same */
+	EVENT_TARGET_UP,      /**< the target announced itself, or renewed */
+	EVENT_TARGET_DOWN,    /**< its announcement lapsed, or it said goodbye */
 	EVENT_TARGET_LEAVING, /**< it drains */
-	EVENT_STOP, /**< the node leaves */
+	EVENT_STOP,	      /**< the node leaves */
 };
 
 /** The tag says which member holds. The handler owns nothing of it. */
@@ -60,8 +60,8 @@
 enum action_kind {
 	ACTION_SEND,
 	ACTION_READ_LOG, /**< long poll; answered by EVENT_LOG_BATCH or EVENT_LOG_FAILED */
-	ACTION_APPEND, /**< to the system's stream */
-	ACTION_NOTE, /**< for the log */
+	ACTION_APPEND,	 /**< to the system's stream */
+	ACTION_NOTE,	 /**< for the log */
 };
 
 enum { NOTE_MAX_BYTES = 200 };
--- a/core/evidence.c
+++ b/core/evidence.c
@@ -12,8 +12,8 @@
 /* The old version's counts fade by this factor a second. */
 #define BASE_FADE 0.98
 /* Short memory of the old version, for faults that hit both. */
-#define RECENT_FADE 0.7
-#define BASE_MIN_CALLS 20.0
+#define RECENT_FADE	 0.7
+#define BASE_MIN_CALLS	 20.0
 #define RECENT_MIN_CALLS 5.0
 
 /** One hypothesis test. */
@@ -276,8 +276,8 @@
 
 static enum evidence_finding finding_of(int kind)
 {
-	return kind == TEST_FAIL_SOME || kind == TEST_FAIL_MANY ? EVIDENCE_FAILURES :
-								  EVIDENCE_LATENCY;
+	return kind == TEST_FAIL_SOME || kind == TEST_FAIL_MANY ? EVIDENCE_FAILURES
+								: EVIDENCE_LATENCY;
 }
 
 static enum evidence_finding judge_route(struct route_evidence *route)
--- a/core/evidence.h
+++ b/core/evidence.h
@@ -17,10 +17,10 @@
 struct evidence_window {
 	struct label route;
 	uint64_t target; /**< member id */
-	uint32_t calls; /**< that ran: refused ones are left out */
+	uint32_t calls;	 /**< that ran: refused ones are left out */
 	uint32_t failures;
-	uint32_t crashes; /**< times that the target went away with calls in flight */
-	uint32_t targets; /**< live targets of the version as the sender knows them */
+	uint32_t crashes;		/**< times that the target went away with calls in flight */
+	uint32_t targets;		/**< live targets of the version as the sender knows them */
 	uint16_t latency[HIST_BUCKETS]; /**< of the calls that were answered, service time */
 };
 
@@ -29,7 +29,7 @@
 enum evidence_finding {
 	EVIDENCE_NONE,
 	EVIDENCE_FAILURES, /**< the new version fails more */
-	EVIDENCE_LATENCY, /**< the new version is slower */
+	EVIDENCE_LATENCY,  /**< the new version is slower */
 };
 
 struct evidence;
--- a/core/history.h
+++ b/core/history.h
@@ -12,16 +12,16 @@
 
 enum judgement_kind {
 	JUDGED_ACCEPTED,
-	JUDGED_CONFLICT, /**< the file's current version is not the change's base */
-	JUDGED_DUPLICATE, /**< this very change is in force already */
-	JUDGED_INVALID, /**< it does not parse, or the whole does not check */
+	JUDGED_CONFLICT,     /**< the file's current version is not the change's base */
+	JUDGED_DUPLICATE,    /**< this very change is in force already */
+	JUDGED_INVALID,	     /**< it does not parse, or the whole does not check */
 	JUDGED_OUT_OF_ORDER, /**< not the next offset; nothing was judged */
 };
 
 struct judgement {
 	enum judgement_kind kind;
 	int64_t offset;
-	int64_t current; /**< version of the file after the judgement */
+	int64_t current;  /**< version of the file after the judgement */
 	char reason[256]; /**< for people; the same on every node */
 };
 
--- a/core/member.c
+++ b/core/member.c
@@ -6,22 +6,22 @@
 
 /* Evidence against one target by this node's own calls, in log-likelihood units (a CUSUM of
  * "half of its calls fail" against "one in twenty fails"). */
-#define EJECT_FAILURE_STEP  2.303
-#define EJECT_SUCCESS_STEP  0.642
-#define EJECT_BROKEN_STEP   4.0
-#define EJECT_THRESHOLD	    9.0
-#define EJECT_US	    (10 * US_PER_S)
-#define SLOW_START_US	    (10 * US_PER_S)
+#define EJECT_FAILURE_STEP 2.303
+#define EJECT_SUCCESS_STEP 0.642
+#define EJECT_BROKEN_STEP  4.0
+#define EJECT_THRESHOLD	   9.0
+#define EJECT_US	   (10 * US_PER_S)
+#define SLOW_START_US	   (10 * US_PER_S)
 
 /** A member with what this node adds of its own. */
 struct peer {
 	struct member record;
 	uint32_t all_index;
-	uint32_t live_index; /* in members.live, UINT32_MAX if not there */
-	uint32_t local_index; /* in members.local, likewise */
-	struct deadline dead_at; /* of a suspect */
+	uint32_t live_index;	   /* in members.live, UINT32_MAX if not there */
+	uint32_t local_index;	   /* in members.local, likewise */
+	struct deadline dead_at;   /* of a suspect */
 	struct deadline forget_at; /* of a dead one */
-	struct deadline warm_at; /* slow start until then */
+	struct deadline warm_at;   /* slow start until then */
 	struct deadline contained_until;
 	int in_flight;
 	double evidence;
@@ -31,7 +31,7 @@
 	struct lock lock;
 	struct members_options options;
 	uint64_t self;
-	GHashTable *by_id; /* uint64_t in the peer -> struct peer */
+	GHashTable *by_id;	/* uint64_t in the peer -> struct peer */
 	GHashTable *by_service; /* struct label -> GPtrArray of struct peer */
 	GPtrArray *all;
 	GPtrArray *live;
@@ -214,9 +214,9 @@
 	case MEMBER_SUSPECT:
 	case MEMBER_LEAVING:
 		/* Leaving takes as long as the longest answer; forget_us bounds it. */
-		peer->dead_at = deadline_after(now, peer->record.state == MEMBER_SUSPECT ?
-							    members->options.suspect_us :
-							    members->options.forget_us);
+		peer->dead_at = deadline_after(now, peer->record.state == MEMBER_SUSPECT
+							    ? members->options.suspect_us
+							    : members->options.forget_us);
 		break;
 	case MEMBER_DEAD:
 		peer->forget_at = deadline_after(now, members->options.forget_us);
@@ -467,8 +467,7 @@
 	list = local ? members->local : members->live;
 	/* A few more draws than wanted make up for self and doubles. */
 	for (int draws = max * 3; draws > 0 && count < max && list->len; draws--) {
-		const struct peer *peer =
-			g_ptr_array_index(list, (guint)rng_below(rng, list->len));
+		const struct peer *peer = g_ptr_array_index(list, (guint)rng_below(rng, list->len));
 
 		if (peer->record.id != members->self && !holds(out, count, peer->record.id))
 			out[count++] = peer->record.id;
@@ -644,7 +643,7 @@
 
 struct candidates {
 	struct peer *near[2]; /* two random ones of this data centre */
-	struct peer *far[2]; /* two random ones of the others */
+	struct peer *far[2];  /* two random ones of the others */
 	int near_seen;
 	int far_seen;
 };
--- a/core/member.h
+++ b/core/member.h
@@ -27,7 +27,7 @@
 
 /** What a node tells of itself; spreads to all. */
 struct member {
-	uint64_t id; /**< IPv4 address and port, see member_id() */
+	uint64_t id;	      /**< IPv4 address and port, see member_id() */
 	uint64_t incarnation; /**< wall clock of the start, microseconds; grows by refutation */
 	enum member_state state;
 	uint16_t slots; /**< of the target; 0 without one */
@@ -41,15 +41,15 @@
 uint16_t member_port(uint64_t id);
 
 enum merge_result {
-	MERGE_KNOWN, /**< nothing new */
-	MERGE_NEWER, /**< taken; pass it on */
+	MERGE_KNOWN,	  /**< nothing new */
+	MERGE_NEWER,	  /**< taken; pass it on */
 	MERGE_ABOUT_SELF, /**< somebody is wrong about this node: refute */
 };
 
 struct members_options {
 	struct member self;
 	int64_t suspect_us; /**< a suspect that does not refute is dead after this */
-	int64_t forget_us; /**< a dead member's record is dropped after this */
+	int64_t forget_us;  /**< a dead member's record is dropped after this */
 };
 
 struct members;
@@ -66,7 +66,8 @@
 struct member members_self(struct members *members);
 bool members_get(struct members *members, uint64_t id, struct member *out);
 
-/** Makes a member that does not answer suspect, or dead if it was leaving; false if it is already. */
+/** Makes a member that does not answer suspect, or dead if it was leaving; false if it is already.
+ */
 bool members_suspect(struct members *members, uint64_t id, struct instant now, struct member *out);
 /** Ends suspicions whose deadline passed: gives up to @p max records that became dead. */
 int members_sweep(struct members *members, struct instant now, struct member *out, int max);
@@ -123,9 +124,9 @@
 
 enum call_outcome {
 	CALL_ANSWERED, /**< the target answered, and not with a fault of its own */
-	CALL_FAILED, /**< the target answered with a fault */
-	CALL_REFUSED, /**< shed, draining or queue full: says nothing of the target's health */
-	CALL_BROKEN, /**< no answer: the connection failed or fell silent */
+	CALL_FAILED,   /**< the target answered with a fault */
+	CALL_REFUSED,  /**< shed, draining or queue full: says nothing of the target's health */
+	CALL_BROKEN,   /**< no answer: the connection failed or fell silent */
 };
 
 /**
--- a/core/message.h
+++ b/core/message.h
@@ -15,9 +15,9 @@
 
 /** What a node holds, in a few words: whoever is behind pulls. */
 struct digest {
-	int64_t version; /**< newest record judged */
+	int64_t version;	  /**< newest record judged */
 	int64_t snapshot_version; /**< newest snapshot known to be in the system's stream */
-	int64_t snapshot_at_us; /**< when it was written, wall clock */
+	int64_t snapshot_at_us;	  /**< when it was written, wall clock */
 	uint64_t members_hash;
 	uint64_t moves_hash;
 	bool current; /**< false while the node still joins */
@@ -31,7 +31,7 @@
 	int index;
 	int count;
 	GPtrArray *files; /**< struct accepted_file, owned */
-	GArray *states; /**< struct move_state, owned */
+	GArray *states;	  /**< struct move_state, owned */
 };
 
 enum message_kind {
@@ -57,7 +57,7 @@
 
 struct probe_body {
 	uint32_t seq;
-	uint64_t origin; /**< for whom a relay probes; 0: for itself */
+	uint64_t origin;  /**< for whom a relay probes; 0: for itself */
 	uint64_t subject; /**< who is probed */
 	struct digest digest;
 	GArray *members; /**< struct member, owned */
@@ -65,7 +65,7 @@
 
 struct poison_mark {
 	uint64_t fingerprint;
-	uint64_t crash; /**< which crash the request had a part in */
+	uint64_t crash;	       /**< which crash the request had a part in */
 	int64_t expires_at_us; /**< wall clock */
 };
 
@@ -87,8 +87,8 @@
 		} records;
 		struct snapshot_part snapshot;
 		uint64_t *buckets; /**< MEMBERS_ASK: MEMBER_BUCKETS hashes, owned */
-		GArray *members; /**< MEMBERS: struct member, owned */
-		GArray *states; /**< MOVES: struct move_state, owned */
+		GArray *members;   /**< MEMBERS: struct member, owned */
+		GArray *states;	   /**< MOVES: struct move_state, owned */
 		struct {
 			uint64_t move;
 			struct label version;
@@ -121,9 +121,9 @@
 	int64_t offset;
 	enum log_record_kind kind;
 	union {
-		struct change *change; /**< LOG_CHANGE, owned */
+		struct change *change;	       /**< LOG_CHANGE, owned */
 		struct snapshot_part snapshot; /**< LOG_SNAPSHOT */
-		struct move_state move; /**< LOG_MOVE */
+		struct move_state move;	       /**< LOG_MOVE */
 	};
 };
 
--- a/core/move.c
+++ b/core/move.c
@@ -10,7 +10,7 @@
 #define CONTAIN_THRESHOLD    9.0
 #define CONTAIN_US	     (10 * US_PER_S)
 /* An old version that fails this often as well shows a fault that both share. */
-#define CONTAIN_OLD_MAX	     0.2
+#define CONTAIN_OLD_MAX 0.2
 
 enum {
 	SHARE_WHOLE = 10000, /* hundredths of a per cent */
@@ -22,15 +22,15 @@
 	struct move_spec spec;
 	struct move_state state;
 	struct evidence *evidence; /* on coordinators only */
-	int64_t step_seen_at_us; /* wall clock, when this node learned of the current step */
-	double own_evidence; /* against the new version, by this node's own calls */
-	double old_failing; /* smoothed failure rate of the old version, likewise */
+	int64_t step_seen_at_us;   /* wall clock, when this node learned of the current step */
+	double own_evidence;	   /* against the new version, by this node's own calls */
+	double old_failing;	   /* smoothed failure rate of the old version, likewise */
 	struct deadline contained_until;
 };
 
 struct moves {
 	struct lock lock;
-	GPtrArray *moves; /* struct move, of the configuration */
+	GPtrArray *moves;    /* struct move, of the configuration */
 	GHashTable *unknown; /* id -> struct move_state, ahead of their configuration */
 	uint64_t hash;
 };
@@ -100,7 +100,7 @@
 
 int move_step_share(int step)
 {
-	static const int shares[MOVE_STEPS + 1] = { 0,	 100,  200,  400,  800,
+	static const int shares[MOVE_STEPS + 1] = { 0,	  100,	200,  400,	  800,
 						    1600, 3200, 6400, SHARE_WHOLE };
 
 	return shares[step < MOVE_STEPS ? step : MOVE_STEPS];
@@ -425,8 +425,7 @@
 	lock_acquire(&moves->lock);
 	move = find_service(moves, &service);
 	wanted = move && move->state.withdrawn_at_us == 0 &&
-		 (label_equal(&version, &move->spec.from) ||
-		  label_equal(&version, &move->spec.to));
+		 (label_equal(&version, &move->spec.from) || label_equal(&version, &move->spec.to));
 	if (wanted)
 		*id = move->spec.id;
 	lock_release(&moves->lock);
--- a/core/move.h
+++ b/core/move.h
@@ -24,9 +24,10 @@
 /** The part of a move that spreads. */
 struct move_state {
 	uint64_t id;
-	uint8_t step; /**< highest step opened; 0: none */
-	int64_t done_at_us; /**< wall clock; 0: not done; the earliest wins */
-	int64_t withdrawn_at_us; /**< wall clock; 0: not withdrawn; the earliest wins, and is final */
+	uint8_t step;		 /**< highest step opened; 0: none */
+	int64_t done_at_us;	 /**< wall clock; 0: not done; the earliest wins */
+	int64_t withdrawn_at_us; /**< wall clock; 0: not withdrawn; the earliest wins, and is final
+				  */
 	enum withdraw_reason reason;
 	struct label route; /**< that showed the reason */
 };
@@ -43,7 +44,8 @@
 enum move_phase {
 	MOVE_WAITING, /**< its start has not come */
 	MOVE_RUNNING,
-	MOVE_HELD, /**< would go on, but the switch for it is off, or no target of the version lives */
+	MOVE_HELD, /**< would go on, but the switch for it is off, or no target of the version lives
+		    */
 	MOVE_DONE,
 	MOVE_WITHDRAWN,
 };
@@ -60,7 +62,12 @@
 };
 
 /** What the coordinator of a move originated. */
-enum move_change_kind { MOVE_CHANGE_NONE, MOVE_CHANGE_STEP, MOVE_CHANGE_DONE, MOVE_CHANGE_WITHDRAW };
+enum move_change_kind {
+	MOVE_CHANGE_NONE,
+	MOVE_CHANGE_STEP,
+	MOVE_CHANGE_DONE,
+	MOVE_CHANGE_WITHDRAW
+};
 
 struct move_change {
 	enum move_change_kind kind;
--- a/core/node.c
+++ b/core/node.c
@@ -2,10 +2,10 @@
 
 #define SUSPECT_US (4 * US_PER_S)
 /* Longer than regions are apart, so that a healed partition finds the other side again. */
-#define FORGET_US (2 * 3600 * US_PER_S)
+#define FORGET_US	     (2 * 3600 * US_PER_S)
 #define RETENTION_DEFAULT_US (3600 * US_PER_S)
-#define BOOT_LOG_US (1500 * US_PER_MS)
-#define BOOT_JITTER_US (3 * US_PER_S)
+#define BOOT_LOG_US	     (1500 * US_PER_MS)
+#define BOOT_JITTER_US	     (3 * US_PER_S)
 enum { READERS_DEFAULT = 2, READERS_MAX = 16 };
 
 static void spread_init(struct node *node, struct instant now)
@@ -20,8 +20,8 @@
 	spread->budgets = g_hash_table_new_full(label_hash, label_hash_equal, NULL, g_free);
 	spread->log.retry_us = LOG_RETRY_MIN_US;
 	spread->log.system_next = 1;
-	spread->boot.ask_at = now.mono_us ? (struct deadline){ now.mono_us } :
-					    (struct deadline){ 1 };
+	spread->boot.ask_at =
+		now.mono_us ? (struct deadline){ now.mono_us } : (struct deadline){ 1 };
 	/* After the death of a whole fleet not all turn to the log at once. */
 	jitter_us = node->options.seed_count ? rng_below(&spread->rng, BOOT_JITTER_US) : 0;
 	spread->boot.log_at = deadline_after(
--- a/core/node.h
+++ b/core/node.h
@@ -19,7 +19,7 @@
 	uint64_t seed;
 	const uint64_t *seeds; /**< nodes to ask on the start; copied */
 	int seed_count;
-	int readers; /**< of the log, in each data centre; default 2 */
+	int readers;		  /**< of the log, in each data centre; default 2 */
 	int64_t log_retention_us; /**< how long the log keeps records; default 1 hour */
 };
 
@@ -49,15 +49,15 @@
 /** What a call is, for the choice of its target. */
 struct call_facts {
 	const struct route *route;
-	uint64_t point; /**< stable hash that places it in the shares */
-	uint64_t fingerprint; /**< of the request, for quarantine */
+	uint64_t point;			  /**< stable hash that places it in the shares */
+	uint64_t fingerprint;		  /**< of the request, for quarantine */
 	uint64_t avoid[CHOICE_AVOID_MAX]; /**< targets tried before */
 	int avoid_count;
 };
 
 enum choice_kind {
 	CHOICE_TARGET,
-	CHOICE_NO_TARGET, /**< no target of the service takes work: not run */
+	CHOICE_NO_TARGET,   /**< no target of the service takes work: not run */
 	CHOICE_QUARANTINED, /**< it crashed targets before: not run */
 	CHOICE_NOT_CURRENT, /**< the node still joins: not run */
 };
--- a/core/node_config.c
+++ b/core/node_config.c
@@ -237,8 +237,8 @@
 	bool moved = false;
 
 	for (int i = 0; i < count; i++) {
-		struct judgement judgement = history_offer(node->history, records[i].offset,
-							   records[i].change);
+		struct judgement judgement =
+			history_offer(node->history, records[i].offset, records[i].change);
 
 		moved |= judgement.kind != JUDGED_OUT_OF_ORDER;
 		note_judgement(&judgement, records[i].change, out);
@@ -289,8 +289,8 @@
 void config_on_records(struct node *node, uint64_t from, const struct message *message,
 		       struct instant now, struct actions *out)
 {
-	bool moved = config_take_records(node, message->records.records, message->records.count,
-					 out);
+	bool moved =
+		config_take_records(node, message->records.records, message->records.count, out);
 
 	after_pull(node, from, moved, now, out);
 }
@@ -319,8 +319,7 @@
 	if (part->version > assembly->version ||
 	    (part->version == assembly->version && part->count != assembly->count))
 		assembly_start(assembly, part);
-	if (part->version != assembly->version || !assembly->files ||
-	    assembly->have[part->index])
+	if (part->version != assembly->version || !assembly->files || assembly->have[part->index])
 		return NULL;
 	assembly->have[part->index] = true;
 	for (guint i = 0; i < part->files->len; i++)
@@ -345,8 +344,7 @@
 	if (!files || !history_import(node->history, files, part->version, part->accepted))
 		return false;
 	config_changed(node);
-	actions_note(out, NOTE_SNAPSHOT_LOADED, "version=%ld parts=%d", part->version,
-		     part->count);
+	actions_note(out, NOTE_SNAPSHOT_LOADED, "version=%ld parts=%d", part->version, part->count);
 	return true;
 }
 
--- a/core/node_fleet.c
+++ b/core/node_fleet.c
@@ -117,8 +117,8 @@
 static void note_member(const struct member *record, struct actions *out)
 {
 	actions_note(out, NOTE_MEMBER_CHANGED,
-		     "member=%lx state=%.*s service=%.*s version=%.*s data_centre=%.*s",
-		     record->id, STR_ARG(member_state_name(record->state)),
+		     "member=%lx state=%.*s service=%.*s version=%.*s data_centre=%.*s", record->id,
+		     STR_ARG(member_state_name(record->state)),
 		     STR_ARG(label_str(&record->service)), STR_ARG(label_str(&record->version)),
 		     STR_ARG(label_str(&record->data_centre)));
 }
@@ -223,8 +223,7 @@
 	if (digest->members_hash == members_hash(node->members))
 		return;
 	lock_acquire(&node->spread.lock);
-	due = deadline_passed(node->spread.sync_at, now) &&
-	      g_queue_is_empty(node->spread.updates);
+	due = deadline_passed(node->spread.sync_at, now) && g_queue_is_empty(node->spread.updates);
 	if (due || node->spread.sync_at.at_us == 0)
 		node->spread.sync_at = deadline_after(now, SYNC_US);
 	lock_release(&node->spread.lock);
--- a/core/node_log.c
+++ b/core/node_log.c
@@ -4,7 +4,7 @@
  */
 #include "core/node_parts.h"
 
-#define SNAPSHOT_RANK_US (5 * US_PER_S)
+#define SNAPSHOT_RANK_US  (5 * US_PER_S)
 #define SNAPSHOT_AGAIN_US (10 * US_PER_S)
 
 enum { APPENDS_AT_ONCE = 4, SNAPSHOT_RANKS = 4 };
--- a/core/node_moves.c
+++ b/core/node_moves.c
@@ -66,8 +66,8 @@
 {
 	struct message *message = message_new(MESSAGE_EVIDENCE);
 	uint64_t to[COORDINATORS];
-	int count = members_first(node->members, SCOPE_SERVICE, self->service, move, to,
-				  COORDINATORS);
+	int count =
+		members_first(node->members, SCOPE_SERVICE, self->service, move, to, COORDINATORS);
 
 	message->evidence.move = move;
 	message->evidence.version = self->version;
--- a/core/node_parts.h
+++ b/core/node_parts.h
@@ -9,10 +9,10 @@
 #include "core/node.h"
 #include "core/poison.h"
 
-#define ROUND_US	 (1 * US_PER_S) /* probes, sweeps, coordination */
+#define ROUND_US	 (1 * US_PER_S)	   /* probes, sweeps, coordination */
 #define FLUSH_US	 (200 * US_PER_MS) /* pending member records */
 #define ACK_US		 (400 * US_PER_MS) /* then others are asked to probe */
-#define PULL_US		 (1 * US_PER_S) /* then another peer is asked */
+#define PULL_US		 (1 * US_PER_S)	   /* then another peer is asked */
 #define LOG_WAIT_US	 (20 * US_PER_S)
 #define LOG_RETRY_MIN_US (500 * US_PER_MS)
 #define LOG_RETRY_MAX_US (8 * US_PER_S)
@@ -21,13 +21,13 @@
 #define DEAD_PING_US	 (5 * US_PER_S)
 
 enum {
-	FANOUT = 4, /* peers told of news at once */
-	FANOUT_LOCAL = 3, /* of them in the own data centre */
-	RELAYS = 3, /* peers asked to probe for us */
+	FANOUT = 4,		  /* peers told of news at once */
+	FANOUT_LOCAL = 3,	  /* of them in the own data centre */
+	RELAYS = 3,		  /* peers asked to probe for us */
 	UPDATES_PER_MESSAGE = 12, /* member records that ride on a datagram */
-	RECORDS_PER_SYNC = 100, /* member records in one message of a sync */
-	SERVED_PER_ROUND = 40, /* pulls and syncs answered in a second */
-	BOOT_SAMPLE = 3, /* current peers heard before a joining node trusts what it has */
+	RECORDS_PER_SYNC = 100,	  /* member records in one message of a sync */
+	SERVED_PER_ROUND = 40,	  /* pulls and syncs answered in a second */
+	BOOT_SAMPLE = 3,	  /* current peers heard before a joining node trusts what it has */
 	SNAPSHOT_PART_BYTES = 32 << 10,
 	SNAPSHOT_EVERY = 256, /* records between snapshots */
 	SNAPSHOT_PARTS_MAX = 4096,
@@ -58,7 +58,7 @@
 };
 
 enum boot_phase {
-	BOOT_PEERS, /* asks peers */
+	BOOT_PEERS,  /* asks peers */
 	BOOT_SYSTEM, /* reads the system's stream */
 	BOOT_CONFIG, /* reads the stream of changes to its end */
 	BOOT_CURRENT,
@@ -111,7 +111,7 @@
 	struct assembly from_log;
 	int64_t snapshot_version;
 	int64_t snapshot_at_us; /* wall clock */
-	uint64_t snapshot_tag; /* last part of the append under way */
+	uint64_t snapshot_tag;	/* last part of the append under way */
 	int64_t snapshot_pending_version;
 	struct deadline snapshot_not_before;
 	GArray *unsaved; /* struct unsaved_state, states of moves not in the log yet */
--- a/core/tally.c
+++ b/core/tally.c
@@ -89,8 +89,7 @@
 	tally->windows = g_array_new(FALSE, TRUE, sizeof(struct evidence_window));
 	lock_release(&tally->lock);
 	for (guint i = 0; i < windows->len; i++) {
-		struct evidence_window *window =
-			&g_array_index(windows, struct evidence_window, i);
+		struct evidence_window *window = &g_array_index(windows, struct evidence_window, i);
 
 		window->target = target;
 		window->targets = targets;
--- a/core/tally.h
+++ b/core/tally.h
@@ -17,10 +17,10 @@
 
 /** How a call ended at the target. */
 enum target_outcome {
-	TARGET_ANSWERED, /**< status below 500 */
-	TARGET_FAILED, /**< status of 500 or more, but not shed */
-	TARGET_SHED, /**< 503 or 429: it is full, which is no fault of the version */
-	TARGET_CRASHED, /**< the connection broke with the call in flight */
+	TARGET_ANSWERED,  /**< status below 500 */
+	TARGET_FAILED,	  /**< status of 500 or more, but not shed */
+	TARGET_SHED,	  /**< 503 or 429: it is full, which is no fault of the version */
+	TARGET_CRASHED,	  /**< the connection broke with the call in flight */
 	TARGET_UNREACHED, /**< no connection: nothing was sent */
 };
 
--- /dev/null
+++ b/godwithitch/apply.c
@@ -0,0 +1,363 @@
+/*
+ * check, diff and apply: files on their way into the log.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/random.h>
+
+#include "godwithitch/tool.h"
+#include "operator/parse.h"
+#include "platform/logclient.h"
+
+#define APPEND_WAIT_US (3 * US_PER_S)
+
+enum { POLL_MS = 100, CENSUS_MS = 200, ID_BYTES = 12 };
+
+/* A file from the operator's disk, parsed. */
+struct source {
+	struct label name;
+	char *text;
+	gsize len;
+};
+
+static void source_clear(struct source *source)
+{
+	g_free(source->text);
+}
+
+static bool source_read(const char *path, struct source *source)
+{
+	struct config_file *parsed;
+	GError *error = NULL;
+	char *base = g_path_get_basename(path);
+
+	*source = (struct source){ .name = label_from(str_from_cstr(base)) };
+	if (!label_fits(str_from_cstr(base)))
+		g_set_error(&error, CONFIG_ERROR, CONFIG_ERROR_NAME,
+			    "%s: the name has more than %d bytes", base, LABEL_MAX_BYTES);
+	g_free(base);
+	if (error || !g_file_get_contents(path, &source->text, &source->len, &error)) {
+		fprintf(stderr, "godwithitch: %s\n", error->message);
+		g_error_free(error);
+		return false;
+	}
+	parsed = parse_config(label_str(&source->name), (struct str){ source->text, source->len },
+			      &error);
+	config_file_free(parsed);
+	if (parsed)
+		return true;
+	fprintf(stderr, "godwithitch: %s\n", error->message);
+	g_error_free(error);
+	source_clear(source);
+	return false;
+}
+
+/* All files of the command line are checked as one configuration. */
+int tool_check(char **paths, int count)
+{
+	GPtrArray *files = g_ptr_array_new_with_free_func((GDestroyNotify)accepted_file_free);
+	struct config *config;
+	GError *error = NULL;
+
+	for (int i = 0; i < count; i++) {
+		struct source source;
+		struct change *change;
+
+		if (!source_read(paths[i], &source)) {
+			g_ptr_array_unref(files);
+			return TOOL_REJECTED;
+		}
+		change = change_new((struct label){ 0 }, source.name, 0,
+				    (struct str){ source.text, source.len });
+		parse_change(change);
+		g_ptr_array_add(files, accepted_file_new(source.name, 1, change));
+		change_unref(change);
+		source_clear(&source);
+	}
+	config = config_build(files, 1, 1, &error);
+	if (!config) {
+		fprintf(stderr, "godwithitch: %s\n", error->message);
+		g_error_free(error);
+		return TOOL_REJECTED;
+	}
+	config_unref(config);
+	printf("%d file%s checked: good\n", count, count == 1 ? "" : "s");
+	return TOOL_DONE;
+}
+
+static struct reply fetch_file(const struct tool *tool, const struct label *name)
+{
+	char *path = g_strdup_printf("/v1/file?name=%.*s", STR_ARG(label_str(name)));
+	struct reply reply = fetch_any(tool, path);
+
+	g_free(path);
+	return reply;
+}
+
+static struct label new_id(void)
+{
+	unsigned char bytes[ID_BYTES];
+	char text[2 * ID_BYTES + 1];
+
+	if (getrandom(bytes, sizeof(bytes), 0) != sizeof(bytes))
+		abort();
+	for (size_t i = 0; i < sizeof(bytes); i++)
+		snprintf(text + 2 * i, 3, "%02x", bytes[i]);
+	return label_from(str_from_cstr(text));
+}
+
+/* Finds a change by its id in what came after the newest version that a node knew before. */
+static int64_t find_in_stream(const struct tool *tool, struct logclient *client, struct label id,
+			      int64_t after)
+{
+	int64_t found = 0;
+	int64_t from = after + 1;
+
+	do {
+		struct log_read read =
+			logclient_read(client, STREAM_CONFIG, from, (struct deadline){ 1 });
+
+		for (int i = 0; i < read.count; i++) {
+			from = read.records[i].offset + 1;
+			if (read.records[i].kind == LOG_CHANGE &&
+			    label_equal(&read.records[i].change->id, &id))
+				found = read.records[i].offset;
+		}
+		if (found == 0 && read.kind == READ_DONE && from > read.newest)
+			found = -1;
+		log_read_clear(&read);
+	} while (found == 0 && tool_wait_ms(tool, POLL_MS));
+	return found;
+}
+
+/* Appends the change; its offset, or 0 after telling why there is none. */
+static int64_t publish(const struct tool *tool, struct logclient *client,
+		       const struct log_record *record, int64_t newest)
+{
+	int64_t offset = 0;
+
+	do {
+		switch (logclient_append(client, STREAM_CONFIG, record,
+					 deadline_after(clock_now(), APPEND_WAIT_US), &offset)) {
+		case APPEND_DONE:
+			return offset;
+		case APPEND_LIMITED:
+			break;
+		case APPEND_REFUSED:
+			fprintf(stderr, "godwithitch: the log service did not take the change\n");
+			return 0;
+		case APPEND_UNKNOWN:
+			fprintf(stderr, "godwithitch: the log's answer was lost; "
+					"reading the stream for the change\n");
+			offset = find_in_stream(tool, client, record->change->id, newest);
+			if (offset > 0)
+				return offset;
+			fprintf(stderr, offset < 0 ? "godwithitch: the change is not in the log\n"
+						   : "godwithitch: the outcome is not known\n");
+			return 0;
+		}
+	} while (tool_wait_ms(tool, POLL_MS));
+	fprintf(stderr, "godwithitch: the log service is over its rate\n");
+	return 0;
+}
+
+/* Waits for a node's judgement of the change; NULL if none comes in time. */
+static struct json_doc *wait_judgement(const struct tool *tool, const struct label *id)
+{
+	char *path = g_strdup_printf("/v1/change?id=%.*s", STR_ARG(label_str(id)));
+	struct json_doc *doc = NULL;
+
+	do {
+		struct reply reply = fetch_any(tool, path);
+
+		doc = reply_json(&reply);
+		reply_clear(&reply);
+	} while (!doc && tool_wait_ms(tool, POLL_MS));
+	g_free(path);
+	return doc;
+}
+
+struct totals {
+	int64_t asked;
+	int64_t holding;
+};
+
+static bool add_census(const struct tool *tool, struct str control, int64_t version,
+		       struct totals *totals)
+{
+	char path[64];
+	struct reply reply;
+	struct json_doc *doc;
+	bool good;
+
+	snprintf(path, sizeof(path), "/v1/census?version=%ld", version);
+	reply = fetch(control, "POST", path);
+	doc = reply_json(&reply);
+	reply_clear(&reply);
+	if (!doc)
+		return false;
+	snprintf(path, sizeof(path), "/v1/census?seq=%ld", json_number(doc->root, "seq"));
+	json_free(doc);
+	tool_wait_ms(tool, CENSUS_MS);
+	reply = fetch(control, "GET", path);
+	doc = reply_json(&reply);
+	reply_clear(&reply);
+	good = doc != NULL;
+	if (doc) {
+		totals->asked += json_number(doc->root, "asked");
+		totals->holding += json_number(doc->root, "holding");
+	}
+	json_free(doc);
+	return good;
+}
+
+/* Asks one node a data centre until all of its members hold the version. */
+static int report_force(const struct tool *tool, int64_t version)
+{
+	struct totals totals;
+	int silent;
+
+	do {
+		totals = (struct totals){ 0 };
+		silent = 0;
+		for (int i = 0; i < tool->control_count; i++)
+			silent += !add_census(tool, tool->controls[i], version, &totals);
+	} while ((silent || totals.holding < totals.asked) && tool_wait_ms(tool, POLL_MS));
+	printf("accepted at version %ld, in force on %ld of %ld nodes\n", version, totals.holding,
+	       totals.asked);
+	if (silent)
+		fprintf(stderr, "godwithitch: %d control address%s did not answer\n", silent,
+			silent == 1 ? "" : "es");
+	return silent || totals.holding < totals.asked ? TOOL_UNKNOWN : TOOL_DONE;
+}
+
+static int report_outcome(const struct tool *tool, const struct label *id)
+{
+	struct json_doc *doc = wait_judgement(tool, id);
+	int result = TOOL_REJECTED;
+
+	if (!doc) {
+		fprintf(stderr, "godwithitch: published, but no node has judged it yet\n");
+		return TOOL_UNKNOWN;
+	}
+	if (str_equal(json_text(doc->root, "judged"), STR("accepted")))
+		result = report_force(tool, json_number(doc->root, "version"));
+	else
+		fprintf(stderr, "godwithitch: rejected (%.*s): %.*s\n",
+			STR_ARG(json_text(doc->root, "judged")),
+			STR_ARG(json_text(doc->root, "why")));
+	json_free(doc);
+	return result;
+}
+
+static int64_t newest_version(const struct tool *tool)
+{
+	struct reply reply = fetch_any(tool, "/v1/status");
+	struct json_doc *doc = reply_json(&reply);
+	int64_t version = doc ? json_number(doc->root, "version") : -1;
+
+	json_free(doc);
+	reply_clear(&reply);
+	return version;
+}
+
+static int apply_source(const struct tool *tool, struct logclient *client,
+			const struct source *source)
+{
+	struct reply reply = fetch_file(tool, &source->name);
+	struct log_record record = { .kind = LOG_CHANGE };
+	int64_t newest = newest_version(tool);
+	int result = TOOL_UNKNOWN;
+
+	if (reply.status == 0 || newest < 0) {
+		fprintf(stderr, "godwithitch: no control address answers\n");
+		reply_clear(&reply);
+		return TOOL_UNKNOWN;
+	}
+	record.change = change_new(new_id(), source->name, reply.file_version,
+				   (struct str){ source->text, source->len });
+	reply_clear(&reply);
+	if (publish(tool, client, &record, newest) > 0)
+		result = report_outcome(tool, &record.change->id);
+	change_unref(record.change);
+	return result;
+}
+
+int tool_apply(const struct tool *tool, const char *path)
+{
+	struct logclient *client;
+	struct source source;
+	GError *error = NULL;
+	int result;
+
+	if (!source_read(path, &source))
+		return TOOL_REJECTED;
+	client = logclient_new(tool->log_url, tool->pool, &error);
+	if (!client) {
+		fprintf(stderr, "godwithitch: -l: %s\n", error->message);
+		g_error_free(error);
+		source_clear(&source);
+		return TOOL_USAGE;
+	}
+	result = apply_source(tool, client, &source);
+	logclient_free(client);
+	source_clear(&source);
+	return result;
+}
+
+static void print_lines(char sign, char **lines, guint from, guint to)
+{
+	for (guint i = from; i < to; i++)
+		printf("%c%s\n", sign, lines[i]);
+}
+
+/* Prints what lies between the common first and last lines. */
+static bool print_difference(char **old, char **new)
+{
+	guint old_end = g_strv_length(old);
+	guint new_end = g_strv_length(new);
+	guint start = 0;
+
+	while (start < old_end && start < new_end && strcmp(old[start], new[start]) == 0)
+		start++;
+	while (old_end > start && new_end > start &&
+	       strcmp(old[old_end - 1], new[new_end - 1]) == 0) {
+		old_end--;
+		new_end--;
+	}
+	if (start == old_end && start == new_end)
+		return false;
+	printf("@@ line %u @@\n", start + 1);
+	print_lines('-', old, start, old_end);
+	print_lines('+', new, start, new_end);
+	return true;
+}
+
+int tool_diff(const struct tool *tool, const char *path)
+{
+	enum { STATUS_OK = 200 };
+	struct source source;
+	struct reply reply;
+	char **old;
+	char **new;
+	bool differs;
+
+	if (!source_read(path, &source))
+		return TOOL_REJECTED;
+	reply = fetch_file(tool, &source.name);
+	if (reply.status == 0) {
+		fprintf(stderr, "godwithitch: no control address answers\n");
+		source_clear(&source);
+		return TOOL_UNKNOWN;
+	}
+	strbuf_add(&reply.body, (struct str){ "", 1 });
+	old = g_strsplit(reply.status == STATUS_OK ? reply.body.data : "", "\n", -1);
+	new = g_strsplit(source.text, "\n", -1);
+	differs = print_difference(old, new);
+	g_strfreev(old);
+	g_strfreev(new);
+	reply_clear(&reply);
+	source_clear(&source);
+	return differs ? TOOL_REJECTED : TOOL_DONE;
+}
--- /dev/null
+++ b/godwithitch/main.c
@@ -0,0 +1,145 @@
+/*
+ * godwithitch: the operators' tool.
+ */
+#include <apr_general.h>
+#include <argtable2.h>
+#include <curl/curl.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "godwithitch/tool.h"
+
+#define TOOL_VERSION "0.1.0"
+
+enum { WORDS_MAX = 64, TIMEOUT_DEFAULT_S = 30, TIMEOUT_MAX_S = 7 * 86400 };
+
+/** Where the nodes and the log are, from a file of JSON with comments. */
+struct tool_settings {
+	struct json_doc *doc; /* keeps the strings */
+};
+
+static int usage(void)
+{
+	fprintf(stderr,
+		"usage: godwithitch [-j] [-c host:port] [-f settings] [-l log-url] [-t seconds]\n"
+		"           apply file | check file ... | diff file | history | show [file] |\n"
+		"           status [host:port] | version | watch service\n");
+	return TOOL_USAGE;
+}
+
+static bool read_controls(const struct json_doc *doc, struct tool *tool, GError **error)
+{
+	struct json *list;
+
+	if (!json_take(doc, doc->root, STR("control"), JSON_OPTIONAL, JSON_ARRAY, &list, error))
+		return false;
+	for (guint i = 0; list && i < list->items->len; i++) {
+		const struct json *item = g_ptr_array_index(list->items, i);
+
+		if (!json_want_kind(doc, item, JSON_STRING, error))
+			return false;
+		if (tool->control_count == CONTROLS_MAX)
+			return json_fail(doc, item, CONFIG_ERROR_TYPE, error,
+					 "expected at most %d addresses", CONTROLS_MAX);
+		tool->controls[tool->control_count++] = item->string;
+	}
+	return true;
+}
+
+/* The command line goes before the file. */
+static bool read_settings(const char *path, struct tool *tool, struct tool_settings *settings,
+			  GError **error)
+{
+	char *text;
+	gsize len;
+	struct str url = STR("");
+
+	if (!g_file_get_contents(path, &text, &len, error))
+		return false;
+	settings->doc = json_parse(str_from_cstr(path), (struct str){ text, len }, error);
+	g_free(text);
+	if (!settings->doc ||
+	    !json_want_kind(settings->doc, settings->doc->root, JSON_OBJECT, error) ||
+	    (tool->control_count == 0 && !read_controls(settings->doc, tool, error)) ||
+	    !json_take_str(settings->doc, settings->doc->root, STR("log"), JSON_OPTIONAL, &url,
+			   error))
+		return false;
+	json_get(settings->doc->root, STR("control"));
+	if (tool->log_url.len == 0)
+		tool->log_url = url;
+	return json_all_used(settings->doc, settings->doc->root, error);
+}
+
+static int need(bool there, const char *what)
+{
+	if (there)
+		return TOOL_DONE;
+	fprintf(stderr, "godwithitch: %s is needed\n", what);
+	return TOOL_USAGE;
+}
+
+/* The commands; @p words holds what follows the command's name. */
+static int run(const struct tool *tool, const char *command, char **words, int count)
+{
+	if (strcmp(command, "version") == 0 && count == 0) {
+		printf("godwithitch " TOOL_VERSION "\n");
+		return TOOL_DONE;
+	}
+	if (strcmp(command, "check") == 0 && count > 0)
+		return tool_check(words, count);
+	if (need(tool->control_count > 0, "a control address (-c or -f)") != TOOL_DONE)
+		return TOOL_USAGE;
+	if (strcmp(command, "apply") == 0 && count == 1) {
+		if (need(tool->log_url.len > 0, "the log's URL (-l or -f)") != TOOL_DONE)
+			return TOOL_USAGE;
+		return tool_apply(tool, words[0]);
+	}
+	if (strcmp(command, "diff") == 0 && count == 1)
+		return tool_diff(tool, words[0]);
+	if (strcmp(command, "history") == 0 && count == 0)
+		return tool_history(tool);
+	if (strcmp(command, "show") == 0 && count <= 1)
+		return tool_show(tool, count ? words[0] : NULL);
+	if (strcmp(command, "status") == 0 && count <= 1)
+		return tool_status(tool, count ? words[0] : NULL);
+	if (strcmp(command, "watch") == 0 && count == 1)
+		return tool_watch(tool, words[0]);
+	return usage();
+}
+
+int main(int argc, char **argv)
+{
+	struct arg_lit *json = arg_lit0("j", "json", "print answers as JSON");
+	struct arg_str *control = arg_strn("c", NULL, "HOST:PORT", 0, CONTROLS_MAX, "control");
+	struct arg_file *file = arg_file0("f", NULL, "FILE", "settings");
+	struct arg_str *log_url = arg_str0("l", NULL, "URL", "log");
+	struct arg_int *timeout = arg_int0("t", NULL, "SECONDS", "time limit");
+	struct arg_str *words = arg_strn(NULL, NULL, "WORD", 1, WORDS_MAX, "command");
+	struct arg_end *end = arg_end(4);
+	void *table[] = { json, control, file, log_url, timeout, words, end };
+	struct tool_settings settings = { NULL };
+	struct tool tool = { 0 };
+	GError *error = NULL;
+	int seconds = TIMEOUT_DEFAULT_S;
+
+	if (arg_parse(argc, argv, table) != 0)
+		return usage();
+	apr_initialize();
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	apr_pool_create(&tool.pool, NULL);
+	for (int i = 0; i < control->count; i++)
+		tool.controls[tool.control_count++] = str_from_cstr(control->sval[i]);
+	if (log_url->count)
+		tool.log_url = str_from_cstr(log_url->sval[0]);
+	if (file->count && !read_settings(file->filename[0], &tool, &settings, &error)) {
+		fprintf(stderr, "godwithitch: %s\n", error->message);
+		return TOOL_USAGE;
+	}
+	if (timeout->count)
+		seconds = timeout->ival[0];
+	if (seconds < 1 || seconds > TIMEOUT_MAX_S)
+		return usage();
+	tool.json = json->count > 0;
+	tool.deadline = deadline_after(clock_now(), seconds * US_PER_S);
+	return run(&tool, words->sval[0], (char **)(void *)(words->sval + 1), words->count - 1);
+}
--- /dev/null
+++ b/godwithitch/tool.h
@@ -0,0 +1,66 @@
+/**
+ * @file
+ * Shared declarations of the operators' tool.
+ */
+#ifndef GODWITHITCH_TOOL_H
+#define GODWITHITCH_TOOL_H
+
+#include <apr_pools.h>
+#include <glib.h>
+#include <stdbool.h>
+
+#include "base/clock.h"
+#include "base/str.h"
+#include "operator/json.h"
+
+/** Exit codes, as godwithitch(1) documents them. */
+enum tool_exit {
+	TOOL_DONE = 0,
+	TOOL_REJECTED = 1, /**< rejected, conflict, or taken back */
+	TOOL_USAGE = 2,	   /**< wrong usage or settings */
+	TOOL_UNKNOWN = 3,  /**< unreachable, or the outcome is not known */
+};
+
+enum { CONTROLS_MAX = 64 };
+
+struct tool {
+	apr_pool_t *pool;
+	struct str controls[CONTROLS_MAX]; /**< addresses of control endpoints */
+	int control_count;
+	struct str log_url;
+	struct deadline deadline; /**< of the whole command */
+	bool json;
+};
+
+/** An answer of a control endpoint; free with reply_clear(). */
+struct reply {
+	long status; /**< 0: no answer */
+	struct strbuf body;
+	int64_t file_version;
+};
+
+/* fetch.c */
+struct reply fetch(struct str control, const char *method, const char *path);
+/** Asks the control endpoints in turn until one answers. */
+struct reply fetch_any(const struct tool *tool, const char *path);
+void reply_clear(struct reply *reply);
+/** Parses an answer; NULL if it is no JSON. */
+struct json_doc *reply_json(const struct reply *reply);
+int64_t json_number(const struct json *object, const char *key);
+struct str json_text(const struct json *object, const char *key);
+bool json_truth(const struct json *object, const char *key);
+/** Waits; false once the command's deadline has passed. */
+bool tool_wait_ms(const struct tool *tool, int ms);
+
+/* apply.c */
+int tool_check(char **files, int count);
+int tool_apply(const struct tool *tool, const char *path);
+int tool_diff(const struct tool *tool, const char *path);
+
+/* show.c */
+int tool_history(const struct tool *tool);
+int tool_show(const struct tool *tool, const char *file);
+int tool_status(const struct tool *tool, const char *node);
+int tool_watch(const struct tool *tool, const char *service);
+
+#endif
--- /dev/null
+++ b/godwithitchd/bridge.c
@@ -0,0 +1,216 @@
+/*
+ * Core's events and actions: the tick, messages, the log, and the target's announcements.
+ */
+#include <errno.h>
+#include <sys/timerfd.h>
+#include <unistd.h>
+
+#include "base/logger.h"
+#include "godwithitchd/daemon.h"
+#include "operator/parse.h"
+
+#define TICK_US	       (100 * US_PER_MS)
+#define APPEND_WAIT_US (2 * US_PER_S)
+
+/** A read of the log for a worker. */
+struct read_job {
+	enum log_stream stream;
+	int64_t from;
+	struct deadline wait_until;
+};
+
+/** An append for a worker. */
+struct append_job {
+	uint64_t tag;
+	struct log_record record;
+};
+
+void bridge_event(struct daemon *daemon, const struct event *event)
+{
+	struct actions actions = actions_new();
+
+	node_handle(daemon->node, event, clock_now(), &actions);
+	bridge_carry_out(daemon, &actions);
+}
+
+static void post_read(struct daemon *daemon, const struct action *action)
+{
+	struct read_job *job = g_new0(struct read_job, 1);
+
+	job->stream = action->read.stream;
+	job->from = action->read.from;
+	job->wait_until = action->read.wait_until;
+	if (!workers_post(daemon->workers, (struct work){ WORK_READ_LOG, job }))
+		g_free(job);
+}
+
+static void post_append(struct daemon *daemon, struct action *action)
+{
+	struct append_job *job = g_new0(struct append_job, 1);
+
+	job->tag = action->append.tag;
+	job->record = action->append.record;
+	/* The job owns the record now. */
+	action->append.record = (struct log_record){ .kind = LOG_BAD };
+	if (workers_post(daemon->workers, (struct work){ WORK_APPEND, job }))
+		return;
+	log_record_clear(&job->record);
+	g_free(job);
+}
+
+static void carry_out(struct daemon *daemon, struct action *action)
+{
+	switch (action->kind) {
+	case ACTION_SEND:
+		peers_send(daemon->peers, action->send.to, action->send.message);
+		return;
+	case ACTION_READ_LOG:
+		post_read(daemon, action);
+		return;
+	case ACTION_APPEND:
+		post_append(daemon, action);
+		return;
+	case ACTION_NOTE:
+		logger_event(action->note.event, "%s", action->note.text);
+		return;
+	}
+	g_assert_not_reached();
+}
+
+void bridge_carry_out(struct daemon *daemon, struct actions *actions)
+{
+	for (guint i = 0; i < actions->list->len; i++)
+		carry_out(daemon, &g_array_index(actions->list, struct action, i));
+	actions_clear(actions);
+}
+
+bool bridge_start_ticking(struct daemon *daemon, GError **error)
+{
+	struct itimerspec every = { { 0, TICK_US * 1000 }, { 0, TICK_US * 1000 } };
+	int fd = timerfd_create(CLOCK_MONOTONIC, TFD_CLOEXEC | TFD_NONBLOCK);
+
+	if (fd < 0 || timerfd_settime(fd, 0, &every, NULL) != 0) {
+		g_set_error(error, G_FILE_ERROR, g_file_error_from_errno(errno), "timer: %s",
+			    g_strerror(errno));
+		return false;
+	}
+	daemon->tick_watch = (struct watch){ fd, { WORK_TICK, daemon } };
+	return workers_watch(daemon->workers, &daemon->tick_watch, WATCH_READ);
+}
+
+static void check_announcement(struct daemon *daemon, struct instant now)
+{
+	struct event event = { .kind = EVENT_TARGET_DOWN };
+	bool lapsed;
+
+	lock_acquire(&daemon->lock);
+	lapsed = deadline_passed(daemon->announced_until, now);
+	if (lapsed)
+		daemon->announced_until = (struct deadline){ 0 };
+	lock_release(&daemon->lock);
+	if (!lapsed)
+		return;
+	logger_event(NOTE_TARGET_LAPSED, "reason=\"not renewed in time\"");
+	bridge_event(daemon, &event);
+}
+
+void bridge_tick(struct daemon *daemon)
+{
+	struct event event = { .kind = EVENT_TICK };
+	struct instant now = clock_now();
+	uint64_t expirations;
+
+	if (read(daemon->tick_watch.fd, &expirations, sizeof(expirations)) < 0)
+		expirations = 0;
+	check_announcement(daemon, now);
+	bridge_event(daemon, &event);
+	serve_turns(daemon);
+	if (daemon->second_at.at_us == 0 || deadline_passed(daemon->second_at, now)) {
+		daemon->second_at = deadline_after(now, US_PER_S);
+		peers_tick(daemon->peers, now);
+	}
+	workers_rearm(daemon->workers, &daemon->tick_watch, WATCH_READ);
+}
+
+void bridge_read_log(struct daemon *daemon, void *data)
+{
+	struct read_job *job = data;
+	struct log_read read =
+		logclient_read(daemon->logclient, job->stream, job->from, job->wait_until);
+	struct event event = { .kind = EVENT_LOG_FAILED };
+
+	if (read.kind == READ_DONE) {
+		for (int i = 0; i < read.count; i++)
+			parse_record(&read.records[i]);
+		event.kind = EVENT_LOG_BATCH;
+		event.batch.stream = job->stream;
+		event.batch.records = read.records;
+		event.batch.count = read.count;
+		event.batch.newest = read.newest;
+	} else {
+		event.failed.stream = job->stream;
+		event.failed.failure = read.failure;
+	}
+	if (!g_atomic_int_get(&daemon->stopping) || read.kind == READ_DONE)
+		bridge_event(daemon, &event);
+	log_read_clear(&read);
+	g_free(job);
+}
+
+void bridge_append(struct daemon *daemon, void *data)
+{
+	struct append_job *job = data;
+	struct event event = { .kind = EVENT_APPEND_FAILED, .append.tag = job->tag };
+	int64_t offset = 0;
+	struct deadline deadline = deadline_after(clock_now(), APPEND_WAIT_US);
+
+	if (logclient_append(daemon->logclient, STREAM_SYSTEM, &job->record, deadline, &offset) ==
+	    APPEND_DONE)
+		event.kind = EVENT_APPENDED;
+	bridge_event(daemon, &event);
+	log_record_clear(&job->record);
+	g_free(job);
+}
+
+static void on_up(struct daemon *daemon, const struct announcement *announcement)
+{
+	struct event event = { .kind = EVENT_TARGET_UP };
+	bool first;
+
+	lock_acquire(&daemon->lock);
+	first = daemon->announced_until.at_us == 0;
+	daemon->announced_until = announcement->until;
+	lock_release(&daemon->lock);
+	if (first)
+		logger_event(NOTE_TARGET_ANNOUNCED, "service=%.*s version=%.*s slots=%d port=%u",
+			     STR_ARG(label_str(&announcement->service)),
+			     STR_ARG(label_str(&announcement->version)), announcement->slots,
+			     announcement->port);
+	target_set_address(daemon->target, daemon->settings.announce.ipv4, announcement->port);
+	event.target.service = announcement->service;
+	event.target.version = announcement->version;
+	event.target.slots = announcement->slots;
+	bridge_event(daemon, &event);
+}
+
+void bridge_on_announcement(void *context, const struct announcement *announcement)
+{
+	struct daemon *daemon = context;
+	struct event event = { .kind = EVENT_TARGET_DOWN };
+
+	switch (announcement->kind) {
+	case ANNOUNCE_UP:
+		on_up(daemon, announcement);
+		return;
+	case ANNOUNCE_LEAVING:
+		logger_event(NOTE_TARGET_LEAVING, "reason=\"it drains\"");
+		event.kind = EVENT_TARGET_LEAVING;
+		break;
+	case ANNOUNCE_DOWN:
+		lock_acquire(&daemon->lock);
+		daemon->announced_until = (struct deadline){ 0 };
+		lock_release(&daemon->lock);
+		break;
+	}
+	bridge_event(daemon, &event);
+}
--- /dev/null
+++ b/godwithitchd/calls.c
@@ -0,0 +1,669 @@
+/*
+ * Calls that entered here: route, choice of a target, attempts, and the answer on its way back.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include "base/logger.h"
+#include "base/rng.h"
+#include "godwithitchd/daemon.h"
+
+enum {
+	ATTEMPTS_MAX = 4,
+	WINDOW_STEP = STREAM_WINDOW / 4, /* bytes taken before the sender is told */
+	STATUS_NOT_FOUND = 404,
+	STATUS_UNAVAILABLE = 503,
+	STATUS_TIMEOUT = 504,
+	STATUS_SERVER_ERROR = 500,
+	STATUS_TOO_MANY = 429,
+	PUMP_BYTES = 32 << 10,
+};
+
+/** A call from its entry to its answer. */
+struct call {
+	gint refs;
+	struct daemon *daemon;
+	struct caller_call *caller;
+	struct config *config;
+	const struct route *route;
+	struct call_facts facts;
+	struct label tenant;
+	struct deadline deadline;
+	int64_t started_us;
+	int attempts;
+	int status;	  /* what the caller got, for the counters */
+	bool body_used;	  /* bytes of a streamed body were sent: no repeat */
+	struct lock lock; /* LOCK_CALLS */
+	apr_pool_t *pool;
+	struct attempt *current; /* one reference */
+	bool gone;
+};
+
+/** One try of a call at one target. */
+struct attempt {
+	struct stream_owner owner; /* first: the link knows it by this */
+	struct call *call;
+	uint64_t target;
+	struct stream stream; /* to another node */
+	struct serve *serve;  /* at this node's own target */
+	gint over;
+	bool has_head;
+	int status;
+	size_t taken; /* bytes the caller took since the last window frame */
+	/* Upload to another node; under call->lock. */
+	struct body_sum sent;
+	int64_t credit;
+	bool pumping;
+	bool pump_again;
+	bool upload_ended;
+};
+
+static void call_unref(struct call *call)
+{
+	if (!g_atomic_int_dec_and_test(&call->refs))
+		return;
+	caller_call_unref(call->caller);
+	config_unref(call->config);
+	lock_destroy(&call->lock);
+	apr_pool_destroy(call->pool);
+	g_free(call);
+}
+
+struct attempt *attempt_ref(struct attempt *attempt)
+{
+	g_atomic_int_inc(&attempt->owner.refs);
+	return attempt;
+}
+
+void attempt_unref(struct attempt *attempt)
+{
+	if (!attempt || !g_atomic_int_dec_and_test(&attempt->owner.refs))
+		return;
+	serve_unref(attempt->serve);
+	link_unref(attempt->stream.link);
+	call_unref(attempt->call);
+	g_free(attempt);
+}
+
+/* Ends an attempt once; false if it is over already. */
+static bool end_attempt(struct attempt *attempt)
+{
+	return g_atomic_int_compare_and_exchange(&attempt->over, 0, 1);
+}
+
+static void note_outcome(struct attempt *attempt, enum call_outcome outcome)
+{
+	struct call *call = attempt->call;
+	struct actions actions = actions_new();
+
+	node_call_ended(call->daemon->node, call->route->service, attempt->target, outcome,
+			clock_now(), &actions);
+	bridge_carry_out(call->daemon, &actions);
+}
+
+static void answer(struct call *call, int status, enum verdict verdict, struct str reason)
+{
+	struct response_head head = { .status = status };
+	struct strbuf body = { 0 };
+
+	call->status = status;
+	head.fields[0] = (struct field){ STR("Godwithitch-Verdict"), verdict_name(verdict) };
+	head.fields[1] = (struct field){ STR("Content-Type"), STR("text/plain") };
+	head.field_count = 2;
+	strbuf_addf(&body, "%.*s: %.*s\n", STR_ARG(verdict_name(verdict)), STR_ARG(reason));
+	caller_answer(call->caller, &head, strbuf_str(&body));
+	strbuf_clear(&body);
+}
+
+static struct str tenant_text(const struct route *route, const struct caller_call *caller)
+{
+	struct str tenant = STR("");
+
+	if (route->tenant_header.len)
+		tenant = caller_field(caller, route->tenant_header);
+	for (size_t i = 0; i < tenant.len; i++)
+		if (!g_ascii_isalnum(tenant.data[i]) && !strchr("-_.", tenant.data[i]))
+			return STR("other");
+	return tenant.len ? tenant : STR("none");
+}
+
+static uint64_t fingerprint(const struct route *route, const struct caller_call *caller,
+			    struct str key)
+{
+	uint64_t hash = str_hash(label_str(&route->name), 0);
+
+	if (key.len)
+		return str_hash(key, hash);
+	/* A body that is not held whole gives no fingerprint. */
+	if (caller_upload(caller))
+		return 0;
+	hash = str_hash(caller_method(caller), hash);
+	hash = str_hash(caller_target(caller), hash);
+	return str_hash(caller_body(caller), hash);
+}
+
+/* A caller that is itself a target in a chain of calls passes its own deadline on. */
+static struct deadline make_deadline(const struct route *route, const struct caller_call *caller,
+				     struct instant now)
+{
+	int64_t left_us = route->timeout_us;
+	int64_t asked_ms;
+
+	if (str_to_int64(caller_field(caller, STR("Godwithitch-Deadline-Ms")), &asked_ms) &&
+	    asked_ms >= 0 && asked_ms < left_us / US_PER_MS)
+		left_us = asked_ms * US_PER_MS;
+	/* Passed already: one microsecond stands for it, since 0 would be no deadline. */
+	return deadline_after(now, left_us > 0 ? left_us : 1);
+}
+
+static uint64_t make_point(struct daemon *daemon, struct str key)
+{
+	uint64_t point;
+
+	if (key.len)
+		return rng_mix(str_hash(key, 1));
+	lock_acquire(&daemon->lock);
+	point = daemon->next_point++;
+	lock_release(&daemon->lock);
+	return rng_mix(point);
+}
+
+static struct call *call_new(struct daemon *daemon, struct caller_call *caller)
+{
+	struct call *call = g_new0(struct call, 1);
+
+	call->refs = 1;
+	call->daemon = daemon;
+	call->caller = caller_call_ref(caller);
+	call->config = node_config(daemon->node);
+	call->started_us = clock_now().mono_us;
+	apr_pool_create(&call->pool, NULL);
+	lock_init(&call->lock, LOCK_CALLS, call->pool);
+	return call;
+}
+
+static struct attempt *attempt_new(struct call *call, uint64_t target)
+{
+	struct attempt *attempt = g_new0(struct attempt, 1);
+
+	attempt->owner.refs = 1;
+	attempt->owner.kind = OWNER_ATTEMPT;
+	g_atomic_int_inc(&call->refs);
+	attempt->call = call;
+	attempt->target = target;
+	attempt->credit = STREAM_WINDOW;
+	return attempt;
+}
+
+/* Makes an attempt the call's current one; false if the caller has gone meanwhile. */
+static bool set_current(struct call *call, struct attempt *attempt)
+{
+	struct attempt *old;
+	bool gone;
+
+	lock_acquire(&call->lock);
+	old = call->current;
+	call->current = attempt_ref(attempt);
+	gone = call->gone;
+	lock_release(&call->lock);
+	attempt_unref(old);
+	return !gone;
+}
+
+static void make_head(struct call *call, struct request_head *head, struct instant now)
+{
+	const struct field *fields = caller_fields(call->caller, &head->field_count);
+
+	for (int i = 0; i < head->field_count; i++)
+		head->fields[i] = fields[i];
+	head->method = caller_method(call->caller);
+	head->target = caller_target(call->caller);
+	head->route = call->route->name;
+	head->tenant = call->tenant;
+	head->class = call->route->class;
+	head->idempotent = call->route->repeat == REPEAT_IDEMPOTENT;
+	head->concurrency_percent = call->route->concurrency_percent;
+	head->left_us = deadline_left_us(call->deadline, now);
+	head->body_length = caller_body_length(call->caller);
+	head->fingerprint = call->facts.fingerprint;
+}
+
+enum start_result { START_BEGUN, START_NO_LINK };
+
+static enum start_result start_remote(struct call *call, struct attempt *attempt,
+				      const struct request_head *head)
+{
+	struct str body = caller_body(call->caller);
+	bool whole = !caller_upload(call->caller);
+
+	/* With nothing to send the request still has an end. */
+	if (!peers_call(call->daemon->peers, attempt->target, &attempt->owner, head,
+			whole ? &body : NULL, &attempt->stream))
+		return START_NO_LINK;
+	return START_BEGUN;
+}
+
+static void start_local(struct call *call, struct attempt *attempt, const struct request_head *head)
+{
+	bool has_body = caller_upload(call->caller) || caller_body(call->caller).len;
+
+	attempt->serve = serve_new_local(call->daemon, attempt, head, has_body);
+	serve_admit_local(attempt->serve);
+}
+
+static void pump_upload(struct attempt *attempt);
+
+static enum start_result start_attempt(struct call *call, uint64_t target, struct instant now)
+{
+	struct attempt *attempt = attempt_new(call, target);
+	struct request_head *head = g_new0(struct request_head, 1);
+	enum start_result result = START_BEGUN;
+
+	make_head(call, head, now);
+	call->attempts++;
+	if (!set_current(call, attempt)) {
+		if (end_attempt(attempt))
+			note_outcome(attempt, CALL_REFUSED);
+	} else if (target == peers_self(call->daemon->peers)) {
+		start_local(call, attempt, head);
+	} else {
+		result = start_remote(call, attempt, head);
+		if (result == START_BEGUN && caller_upload(call->caller))
+			pump_upload(attempt);
+	}
+	if (result == START_NO_LINK && end_attempt(attempt))
+		note_outcome(attempt, CALL_BROKEN);
+	attempt_unref(attempt);
+	g_free(head);
+	return result;
+}
+
+static void avoid(struct call *call, uint64_t target)
+{
+	if (call->facts.avoid_count < CHOICE_AVOID_MAX)
+		call->facts.avoid[call->facts.avoid_count++] = target;
+}
+
+/* Starts the next attempt, or answers why there is none. Every way here is NOT_RUN. */
+static void try_target(struct call *call)
+{
+	while (call->attempts < ATTEMPTS_MAX) {
+		struct instant now = clock_now();
+		struct choice choice;
+
+		if (deadline_passed(call->deadline, now)) {
+			answer(call, STATUS_TIMEOUT, VERDICT_NOT_RUN, STR("the deadline passed"));
+			return;
+		}
+		choice = node_choose(call->daemon->node, call->config, &call->facts, now);
+		switch (choice.kind) {
+		case CHOICE_TARGET:
+			if (start_attempt(call, choice.target, now) == START_BEGUN)
+				return;
+			avoid(call, choice.target);
+			break;
+		case CHOICE_NO_TARGET:
+			answer(call, STATUS_UNAVAILABLE, VERDICT_NOT_RUN,
+			       STR("no target of the service takes work"));
+			return;
+		case CHOICE_QUARANTINED:
+			answer(call, STATUS_TOO_MANY, VERDICT_NOT_RUN,
+			       STR("the request crashed targets before"));
+			return;
+		case CHOICE_NOT_CURRENT:
+			answer(call, STATUS_UNAVAILABLE, VERDICT_NOT_RUN,
+			       STR("the node is not current yet"));
+			return;
+		}
+	}
+	answer(call, STATUS_UNAVAILABLE, VERDICT_NOT_RUN, STR("no target could be reached"));
+}
+
+static void on_ready(struct daemon *daemon, struct caller_call *caller)
+{
+	struct call *call = call_new(daemon, caller);
+	struct str key = caller_field(caller, STR("Idempotency-Key"));
+	struct instant now = clock_now();
+
+	caller_set_data(caller, call);
+	if (g_atomic_int_get(&daemon->stopping)) {
+		answer(call, STATUS_UNAVAILABLE, VERDICT_NOT_RUN, STR("the node is stopping"));
+		return;
+	}
+	call->route = config_match(call->config, caller_field(caller, STR("Host")),
+				   caller_method(caller), caller_target(caller));
+	if (!call->route) {
+		bool current = node_is_current(daemon->node);
+
+		answer(call, current ? STATUS_NOT_FOUND : STATUS_UNAVAILABLE, VERDICT_NOT_RUN,
+		       current ? STR("no route matches") : STR("the node is not current yet"));
+		return;
+	}
+	call->tenant = label_from(tenant_text(call->route, caller));
+	call->deadline = make_deadline(call->route, caller, now);
+	call->facts.route = call->route;
+	call->facts.point = make_point(daemon, key);
+	call->facts.fingerprint = fingerprint(call->route, caller, key);
+	node_note_call(daemon->node, call->route->service);
+	try_target(call);
+}
+
+/* Whether a failed attempt may be followed by another one. */
+static bool may_retry(struct call *call, enum verdict verdict)
+{
+	bool idempotent = call->route->repeat == REPEAT_IDEMPOTENT;
+	bool gone;
+
+	lock_acquire(&call->lock);
+	gone = call->gone;
+	lock_release(&call->lock);
+	return !gone && !call->body_used && call->attempts < ATTEMPTS_MAX &&
+	       verdict_allows_retry(verdict, idempotent) &&
+	       !deadline_passed(call->deadline, clock_now()) &&
+	       node_take_retry(call->daemon->node, call->route->service);
+}
+
+static void fail_attempt(struct attempt *attempt, enum verdict verdict, struct str reason)
+{
+	struct call *call = attempt->call;
+
+	if (attempt->has_head) {
+		logger_event(NOTE_CALL_CUT, "route=%.*s member=%lx",
+			     STR_ARG(label_str(&call->route->name)), attempt->target);
+		caller_finish(call->caller, PIPE_FAILED);
+		return;
+	}
+	avoid(call, attempt->target);
+	if (may_retry(call, verdict))
+		try_target(call);
+	else
+		answer(call, STATUS_UNAVAILABLE, verdict, reason);
+}
+
+void attempt_refused(struct attempt *attempt, const struct refusal *refusal)
+{
+	if (!end_attempt(attempt))
+		return;
+	note_outcome(attempt, refusal->verdict == VERDICT_NOT_RUN ? CALL_REFUSED : CALL_BROKEN);
+	fail_attempt(attempt, refusal->verdict, refusal->reason);
+}
+
+void attempt_lost(struct attempt *attempt, enum verdict verdict)
+{
+	if (!end_attempt(attempt))
+		return;
+	note_outcome(attempt, CALL_BROKEN);
+	fail_attempt(attempt, verdict, STR("the connection to the target was lost"));
+}
+
+void attempt_head(struct attempt *attempt, const struct response_head *head)
+{
+	struct response_head *full;
+
+	if (g_atomic_int_get(&attempt->over))
+		return;
+	full = g_memdup2(head, sizeof(*head));
+	if (full->field_count == FIELDS_MAX)
+		full->field_count--;
+	full->fields[full->field_count++] =
+		(struct field){ STR("Godwithitch-Verdict"), verdict_name(VERDICT_RAN) };
+	attempt->has_head = true;
+	attempt->status = head->status;
+	attempt->call->status = head->status;
+	caller_head(attempt->call->caller, full);
+	g_free(full);
+}
+
+bool attempt_body_wait(struct attempt *attempt, struct str bytes, struct deadline deadline)
+{
+	return !g_atomic_int_get(&attempt->over) &&
+	       caller_give_wait(attempt->call->caller, bytes, deadline);
+}
+
+static enum call_outcome outcome_of(int status)
+{
+	if (status == STATUS_UNAVAILABLE || status == STATUS_TOO_MANY)
+		return CALL_REFUSED;
+	return status >= STATUS_SERVER_ERROR ? CALL_FAILED : CALL_ANSWERED;
+}
+
+void attempt_end(struct attempt *attempt)
+{
+	if (!end_attempt(attempt))
+		return;
+	note_outcome(attempt, outcome_of(attempt->status));
+	caller_finish(attempt->call->caller, PIPE_DONE);
+}
+
+size_t attempt_take_body(struct attempt *attempt, char *into, size_t cap, enum pipe_end *end,
+			 struct deadline deadline)
+{
+	struct call *call = attempt->call;
+	size_t n = pipe_take_wait(caller_upload(call->caller), into, cap, end, deadline);
+
+	call->body_used |= n > 0;
+	caller_upload_taken(call->caller);
+	return n;
+}
+
+/* One step of an upload: what the credit allows goes into @p frames; false if nothing is left
+ * to do now. */
+static bool pump_step(struct attempt *attempt, struct strbuf *frames)
+{
+	struct call *call = attempt->call;
+	size_t cap = MIN(PUMP_BYTES, (size_t)MAX(attempt->credit, 0));
+	char *chunk;
+	enum pipe_end end = PIPE_OPEN;
+	size_t n;
+
+	if (cap == 0 || attempt->upload_ended)
+		return false;
+	chunk = g_malloc(cap);
+	n = pipe_take(caller_upload(call->caller), chunk, cap, &end);
+	if (n) {
+		wire_put_data(frames, attempt->stream.id, &attempt->sent, (struct str){ chunk, n });
+		attempt->credit -= (int64_t)n;
+		call->body_used = true;
+	}
+	if (end == PIPE_DONE) {
+		wire_put_end(frames, attempt->stream.id, &attempt->sent);
+		attempt->upload_ended = true;
+	}
+	g_free(chunk);
+	return n > 0 && end == PIPE_OPEN;
+}
+
+/* Whoever comes while another pumps leaves the rest to it. */
+static bool begin_pump(struct attempt *attempt)
+{
+	bool mine;
+
+	lock_acquire(&attempt->call->lock);
+	mine = !attempt->pumping;
+	attempt->pumping = true;
+	attempt->pump_again = !mine;
+	lock_release(&attempt->call->lock);
+	return mine;
+}
+
+static bool end_pump(struct attempt *attempt)
+{
+	bool again;
+
+	lock_acquire(&attempt->call->lock);
+	again = attempt->pump_again;
+	attempt->pump_again = false;
+	attempt->pumping = again;
+	lock_release(&attempt->call->lock);
+	return !again;
+}
+
+static void pump_upload(struct attempt *attempt)
+{
+	struct strbuf frames = { 0 };
+
+	if (!attempt->stream.link || !begin_pump(attempt))
+		return;
+	do {
+		bool more = true;
+
+		while (more && !g_atomic_int_get(&attempt->over)) {
+			lock_acquire(&attempt->call->lock);
+			more = pump_step(attempt, &frames);
+			lock_release(&attempt->call->lock);
+			if (frames.len)
+				stream_send(attempt->stream, &frames);
+			caller_upload_taken(attempt->call->caller);
+		}
+	} while (!end_pump(attempt));
+	strbuf_clear(&frames);
+}
+
+static void on_window(struct attempt *attempt, uint64_t taken)
+{
+	lock_acquire(&attempt->call->lock);
+	attempt->credit += (int64_t)MIN(taken, STREAM_WINDOW);
+	lock_release(&attempt->call->lock);
+	pump_upload(attempt);
+}
+
+void calls_on_peer(struct attempt *attempt, struct peer_event *event)
+{
+	switch (event->kind) {
+	case PEER_RESPONSE:
+		attempt_head(attempt, event->response);
+		return;
+	case PEER_REFUSED:
+		attempt_refused(attempt, event->refusal);
+		return;
+	case PEER_DATA:
+		if (!g_atomic_int_get(&attempt->over))
+			caller_give(attempt->call->caller, event->bytes);
+		return;
+	case PEER_END:
+		attempt_end(attempt);
+		stream_close(attempt->stream);
+		return;
+	case PEER_WINDOW:
+		on_window(attempt, event->taken);
+		return;
+	case PEER_LOST:
+		attempt_lost(attempt, attempt->has_head ? VERDICT_RAN : event->verdict);
+		return;
+	case PEER_RELEASED:
+		attempt_unref(attempt);
+		return;
+	case PEER_MESSAGE:
+	case PEER_REQUEST:
+	case PEER_ADMIT:
+	case PEER_RUN:
+		return;
+	}
+	g_assert_not_reached();
+}
+
+/* The call's current attempt with a reference, or NULL. */
+static struct attempt *current_attempt(struct call *call)
+{
+	struct attempt *attempt;
+
+	lock_acquire(&call->lock);
+	attempt = call->current ? attempt_ref(call->current) : NULL;
+	lock_release(&call->lock);
+	return attempt;
+}
+
+/* Credit goes back to the sender in steps, not for each block. */
+static void on_drained(struct call *call, size_t bytes)
+{
+	struct attempt *attempt = current_attempt(call);
+	struct strbuf frame = { 0 };
+	struct strbuf taken = { 0 };
+
+	if (!attempt)
+		return;
+	attempt->taken += bytes;
+	if (attempt->stream.link && attempt->taken >= WINDOW_STEP) {
+		wire_put_u64(&taken, attempt->taken);
+		wire_put(&frame, FRAME_WINDOW, attempt->stream.id, strbuf_str(&taken));
+		attempt->taken = 0;
+		stream_send(attempt->stream, &frame);
+		strbuf_clear(&frame);
+		strbuf_clear(&taken);
+	}
+	attempt_unref(attempt);
+}
+
+static void cancel(struct attempt *attempt)
+{
+	if (!end_attempt(attempt))
+		return;
+	/* The caller gave up, which says nothing of the target. */
+	note_outcome(attempt, CALL_REFUSED);
+	if (attempt->serve)
+		serve_cancel(attempt->serve);
+	else if (attempt->stream.link)
+		stream_cancel(attempt->stream);
+}
+
+static void count_call(struct call *call)
+{
+	char labels[128];
+
+	g_snprintf(labels, sizeof(labels), "tenant=\"%.*s\",class=\"%.*s\"",
+		   STR_ARG(label_str(&call->tenant)),
+		   STR_ARG(traffic_class_name(call->route->class)));
+	metrics_observe(call->daemon->metrics, STR("godwithitch_call_seconds"),
+			str_from_cstr(labels), clock_now().mono_us - call->started_us);
+	g_snprintf(labels, sizeof(labels), "tenant=\"%.*s\",status=\"%d\"",
+		   STR_ARG(label_str(&call->tenant)), call->status);
+	metrics_add(call->daemon->metrics, STR("godwithitch_calls_total"), str_from_cstr(labels),
+		    1);
+	if (call->attempts > 1)
+		metrics_add(call->daemon->metrics, STR("godwithitch_retries_total"), STR(""),
+			    call->attempts - 1);
+}
+
+static void on_gone(struct call *call)
+{
+	struct attempt *attempt;
+
+	lock_acquire(&call->lock);
+	call->gone = true;
+	attempt = call->current;
+	call->current = NULL;
+	lock_release(&call->lock);
+	if (call->route)
+		count_call(call);
+	if (attempt)
+		cancel(attempt);
+	attempt_unref(attempt);
+	call_unref(call);
+}
+
+void calls_on_caller(void *context, const struct caller_event *event)
+{
+	struct daemon *daemon = context;
+	struct call *call = caller_data(event->call);
+	struct attempt *attempt;
+
+	switch (event->kind) {
+	case CALLER_READY:
+		on_ready(daemon, event->call);
+		return;
+	case CALLER_DRAINED:
+		on_drained(call, event->bytes);
+		return;
+	case CALLER_UPLOADED:
+		attempt = current_attempt(call);
+		if (attempt)
+			pump_upload(attempt);
+		attempt_unref(attempt);
+		return;
+	case CALLER_GONE:
+		if (call)
+			on_gone(call);
+		return;
+	}
+	g_assert_not_reached();
+}
--- /dev/null
+++ b/godwithitchd/main.c
@@ -0,0 +1,284 @@
+/*
+ * godwithitchd: one node of the fleet. Options, then setup, then the wait for signals.
+ */
+#include <apr_general.h>
+#include <argtable2.h>
+#include <curl/curl.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <unistd.h>
+
+#include "base/logger.h"
+#include "godwithitchd/daemon.h"
+#include "operator/parse.h"
+
+#define STOP_CHECK_MS 50
+
+enum { EXIT_USAGE = 2, QUEUE_MAX = 4096 };
+
+static void on_work(void *context, const struct work *work, int ready)
+{
+	struct daemon *daemon = context;
+
+	(void)ready;
+	switch (work->kind) {
+	case WORK_TICK:
+		bridge_tick(daemon);
+		return;
+	case WORK_PEER_LISTEN:
+		peers_on_listen(daemon->peers);
+		return;
+	case WORK_PEER_DATAGRAM:
+		peers_on_datagram(daemon->peers);
+		return;
+	case WORK_LINK_READ:
+		peers_on_link_read(daemon->peers, work->data);
+		return;
+	case WORK_LINK_WRITE:
+		peers_on_link_write(daemon->peers, work->data);
+		return;
+	case WORK_SERVE:
+		serve_run(work->data);
+		return;
+	case WORK_READ_LOG:
+		bridge_read_log(daemon, work->data);
+		return;
+	case WORK_APPEND:
+		bridge_append(daemon, work->data);
+		return;
+	}
+	g_assert_not_reached();
+}
+
+static void on_peer(void *context, struct peer_event *event)
+{
+	struct daemon *daemon = context;
+	struct event message = { .kind = EVENT_MESSAGE };
+	struct serve *serve;
+
+	if (event->kind == PEER_MESSAGE) {
+		parse_message(event->message.message);
+		message.message.from = event->message.from;
+		message.message.message = event->message.message;
+		bridge_event(daemon, &message);
+	} else if (event->kind == PEER_REQUEST) {
+		serve = serve_new_remote(daemon, event);
+		event->request.owner = (struct stream_owner *)serve;
+	} else if (event->owner->kind == OWNER_ATTEMPT) {
+		calls_on_peer((struct attempt *)event->owner, event);
+	} else {
+		serve_on_peer((struct serve *)event->owner, event);
+	}
+}
+
+static void on_control(void *context, struct actions *actions)
+{
+	struct actions taken = *actions;
+
+	*actions = actions_new();
+	bridge_carry_out(context, &taken);
+}
+
+static bool make_parts(struct daemon *daemon, GError **error)
+{
+	const struct settings *settings = &daemon->settings;
+	struct workers_options workers = { .threads = (int)settings->workers,
+					   .queue_max = QUEUE_MAX,
+					   .handle = on_work,
+					   .context = daemon };
+	struct peers_options peers = { .self = member_id(settings->address.ipv4,
+							 settings->address.port),
+				       .range_count = settings->fleet_count,
+				       .metrics = daemon->metrics,
+				       .handle = on_peer,
+				       .context = daemon };
+	struct node_options node = { .data_centre = settings->data_centre,
+				     .seeds = (uint64_t *)(void *)settings->seeds->data,
+				     .seed_count = (int)settings->seeds->len,
+				     .log_retention_us = settings->log_retention_s * US_PER_S };
+
+	for (int i = 0; i < settings->fleet_count; i++)
+		peers.ranges[i] = settings->fleet[i];
+	daemon->workers = workers_new(&workers, daemon->pool, error);
+	if (!daemon->workers)
+		return false;
+	peers.workers = daemon->workers;
+	daemon->peers = peers_new(&peers, daemon->pool, error);
+	if (!daemon->peers)
+		return false;
+	node.id = peers_self(daemon->peers);
+	node.seed = (uint64_t)clock_now().wall_us;
+	daemon->node = node_new(&node, clock_now(), error);
+	daemon->logclient = logclient_new(settings->log_url, daemon->pool, error);
+	return daemon->node && daemon->logclient;
+}
+
+static bool open_endpoints(struct daemon *daemon, GError **error)
+{
+	const struct settings *settings = &daemon->settings;
+	struct caller_options caller = { .ipv4 = settings->callers.ipv4,
+					 .port = settings->callers.port,
+					 .connections = (int)settings->connections,
+					 .connections_per_address =
+						 (int)settings->connections_per_address,
+					 .idle_s = (int)settings->idle_s,
+					 .body_max = settings->body_max_bytes,
+					 .handle = calls_on_caller,
+					 .context = daemon };
+	struct control_options control = { .ipv4 = settings->control.ipv4,
+					   .port = settings->control.port,
+					   .node = daemon->node,
+					   .metrics = daemon->metrics,
+					   .handle = on_control,
+					   .context = daemon };
+	struct announce_options announce = { .ipv4 = settings->announce.ipv4,
+					     .port = settings->announce.port,
+					     .handle = bridge_on_announcement,
+					     .context = daemon };
+
+	daemon->control = control_new(&control, error);
+	if (!daemon->control)
+		return false;
+	daemon->announce = announce_new(&announce, error);
+	if (!daemon->announce)
+		return false;
+	daemon->caller = caller_new(&caller, daemon->pool, error);
+	return daemon->caller != NULL;
+}
+
+static struct daemon *daemon_new(const struct settings *settings, GError **error)
+{
+	struct daemon *daemon = g_new0(struct daemon, 1);
+
+	daemon->settings = *settings;
+	apr_pool_create(&daemon->pool, NULL);
+	lock_init(&daemon->lock, LOCK_CALLS, daemon->pool);
+	daemon->metrics = metrics_new(daemon->pool);
+	daemon->target = target_new(daemon->pool);
+	daemon->running = g_ptr_array_new();
+	daemon->next_point = (uint64_t)clock_now().wall_us;
+	if (!make_parts(daemon, error) || !bridge_start_ticking(daemon, error))
+		return NULL;
+	peers_start(daemon->peers);
+	workers_start(daemon->workers);
+	return open_endpoints(daemon, error) ? daemon : NULL;
+}
+
+static void print_address(char *out, size_t cap, uint32_t ip, uint16_t port)
+{
+	snprintf(out, cap, "%u.%u.%u.%u:%u", ip >> 24, ip >> 16 & 255, ip >> 8 & 255, ip & 255,
+		 port);
+}
+
+static void note_start(const struct daemon *daemon)
+{
+	const struct settings *settings = &daemon->settings;
+	uint64_t self = peers_self(daemon->peers);
+	char text[4][32];
+
+	print_address(text[0], sizeof(text[0]), member_ipv4(self), member_port(self));
+	print_address(text[1], sizeof(text[1]), settings->callers.ipv4,
+		      caller_port(daemon->caller));
+	print_address(text[2], sizeof(text[2]), settings->control.ipv4,
+		      control_port(daemon->control));
+	print_address(text[3], sizeof(text[3]), settings->announce.ipv4,
+		      announce_port(daemon->announce));
+	logger_event(NOTE_DAEMON_STARTED, "address=%s callers=%s control=%s announce=%s", text[0],
+		     text[1], text[2], text[3]);
+}
+
+/* What a graceful stop waits for. */
+static int unfinished(struct daemon *daemon)
+{
+	return caller_active(daemon->caller) + g_atomic_int_get(&daemon->serving) +
+	       (peers_unsent(daemon->peers) > 0);
+}
+
+/* Waits until nothing is in flight; a second signal or the stop deadline ends the wait. */
+static void drain(struct daemon *daemon, const sigset_t *signals)
+{
+	struct timespec step = { 0, STOP_CHECK_MS * 1000000L };
+	struct deadline stop_at =
+		deadline_after(clock_now(), daemon->settings.stop_within_s * US_PER_S);
+	struct event stop = { .kind = EVENT_STOP };
+
+	logger_event(NOTE_DAEMON_STOPPING, "in_flight=%d", unfinished(daemon));
+	bridge_event(daemon, &stop);
+	g_atomic_int_set(&daemon->stopping, 1);
+	caller_quiesce(daemon->caller);
+	while (unfinished(daemon)) {
+		int number = sigtimedwait(signals, NULL, &step);
+
+		if (number == SIGTERM || number == SIGINT || deadline_passed(stop_at, clock_now()))
+			break;
+	}
+	if (unfinished(daemon))
+		logger_event(NOTE_STOP_CUT_REQUEST, "in_flight=%d", unfinished(daemon));
+}
+
+static void wait_for_stop(const sigset_t *signals)
+{
+	int number = 0;
+
+	while (number != SIGTERM && number != SIGINT) {
+		if (sigwait(signals, &number) != 0)
+			return;
+		if (number == SIGHUP)
+			logger_reopen();
+	}
+}
+
+static int run(const struct settings *settings)
+{
+	struct daemon *daemon;
+	GError *error = NULL;
+	sigset_t signals;
+
+	sigemptyset(&signals);
+	sigaddset(&signals, SIGTERM);
+	sigaddset(&signals, SIGINT);
+	sigaddset(&signals, SIGHUP);
+	pthread_sigmask(SIG_BLOCK, &signals, NULL);
+	signal(SIGPIPE, SIG_IGN);
+	daemon = daemon_new(settings, &error);
+	if (!daemon) {
+		fprintf(stderr, "godwithitchd: %s\n", error->message);
+		return EXIT_FAILURE;
+	}
+	note_start(daemon);
+	wait_for_stop(&signals);
+	drain(daemon, &signals);
+	logclient_stop(daemon->logclient);
+	logger_event(NOTE_DAEMON_STOPPED, "pid=%d", (int)getpid());
+	/* Nothing is kept on this VM, so that the end of the process is the whole cleaning up. */
+	_exit(EXIT_SUCCESS);
+}
+
+int main(int argc, char **argv)
+{
+	struct arg_file *file = arg_file1("f", NULL, "FILE", "settings");
+	struct arg_lit *check = arg_lit0("n", NULL, "check the settings and exit");
+	struct arg_end *end = arg_end(4);
+	void *table[] = { file, check, end };
+	struct settings settings;
+	GError *error = NULL;
+
+	if (arg_parse(argc, argv, table) != 0) {
+		fprintf(stderr, "usage: godwithitchd [-n] -f settings.json\n");
+		return EXIT_USAGE;
+	}
+	if (!settings_read(file->filename[0], &settings, &error)) {
+		fprintf(stderr, "godwithitchd: %s\n", error->message);
+		return EXIT_USAGE;
+	}
+	if (check->count)
+		return EXIT_SUCCESS;
+	if (!logger_open(settings.log_file)) {
+		fprintf(stderr, "godwithitchd: %s: can't be opened\n", settings.log_file);
+		return EXIT_FAILURE;
+	}
+	apr_initialize();
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	return run(&settings);
+}
--- /dev/null
+++ b/godwithitchd/settings.c
@@ -0,0 +1,207 @@
+#include "godwithitchd/settings.h"
+
+#include <arpa/inet.h>
+#include <string.h>
+
+#include "operator/json.h"
+
+enum {
+	WORKERS_DEFAULT = 32,
+	CONNECTIONS_DEFAULT = 2000,
+	PER_ADDRESS_DEFAULT = 500,
+	IDLE_DEFAULT_S = 60,
+	STOP_DEFAULT_S = 600,
+	RETENTION_DEFAULT_S = 3600,
+};
+
+#define BODY_DEFAULT_BYTES (4LL << 30)
+
+struct reader {
+	const struct json_doc *doc;
+	struct settings *settings;
+	GError **error;
+};
+
+static bool parse_ipv4(struct str text, uint32_t *ipv4)
+{
+	char *cstr = str_to_cstr(text);
+	struct in_addr address;
+	bool good = inet_pton(AF_INET, cstr, &address) == 1;
+
+	g_free(cstr);
+	if (good)
+		*ipv4 = ntohl(address.s_addr);
+	return good;
+}
+
+static bool parse_endpoint(struct str text, struct endpoint *endpoint)
+{
+	struct str port_text;
+	struct str ip = str_split(text, ':', &port_text);
+	int64_t port;
+
+	if (!parse_ipv4(ip, &endpoint->ipv4) || !str_to_int64(port_text, &port) || port < 0 ||
+	    port > UINT16_MAX)
+		return false;
+	endpoint->port = (uint16_t)port;
+	return true;
+}
+
+static bool take_endpoint(struct reader *r, struct str key, struct endpoint *endpoint)
+{
+	struct str text = STR("");
+
+	if (!json_take_str(r->doc, r->doc->root, key, JSON_REQUIRED, &text, r->error))
+		return false;
+	if (parse_endpoint(text, endpoint))
+		return true;
+	return json_fail(r->doc, json_get(r->doc->root, key), CONFIG_ERROR_TYPE, r->error,
+			 "\"%.*s\": expected an address such as \"10.0.0.1:7000\"", STR_ARG(text));
+}
+
+static bool take_seeds(struct reader *r)
+{
+	struct json *seeds;
+
+	if (!json_take(r->doc, r->doc->root, STR("seeds"), JSON_OPTIONAL, JSON_ARRAY, &seeds,
+		       r->error))
+		return false;
+	for (guint i = 0; seeds && i < seeds->items->len; i++) {
+		const struct json *seed = g_ptr_array_index(seeds->items, i);
+		struct endpoint endpoint;
+		uint64_t id;
+
+		if (!json_want_kind(r->doc, seed, JSON_STRING, r->error))
+			return false;
+		if (!parse_endpoint(seed->string, &endpoint) || endpoint.port == 0)
+			return json_fail(r->doc, seed, CONFIG_ERROR_TYPE, r->error,
+					 "\"%.*s\": expected an address such as \"10.0.0.1:7000\"",
+					 STR_ARG(seed->string));
+		id = member_id(endpoint.ipv4, endpoint.port);
+		g_array_append_val(r->settings->seeds, id);
+	}
+	return true;
+}
+
+static bool parse_range(struct str text, struct address_range *range)
+{
+	struct str bits_text;
+	struct str ip = str_split(text, '/', &bits_text);
+	int64_t bits;
+
+	if (!parse_ipv4(ip, &range->network) || !str_to_int64(bits_text, &bits) || bits < 0 ||
+	    bits > 32)
+		return false;
+	range->prefix_bits = (int)bits;
+	return true;
+}
+
+static bool take_fleet(struct reader *r)
+{
+	struct json *fleet;
+
+	if (!json_take(r->doc, r->doc->root, STR("fleet"), JSON_REQUIRED, JSON_ARRAY, &fleet,
+		       r->error))
+		return false;
+	if (fleet->items->len == 0 || fleet->items->len > RANGES_MAX)
+		return json_fail(r->doc, fleet, CONFIG_ERROR_TYPE, r->error,
+				 "expected 1 to %d ranges", RANGES_MAX);
+	for (guint i = 0; i < fleet->items->len; i++) {
+		const struct json *item = g_ptr_array_index(fleet->items, i);
+
+		if (!json_want_kind(r->doc, item, JSON_STRING, r->error))
+			return false;
+		if (!parse_range(item->string, &r->settings->fleet[i]))
+			return json_fail(r->doc, item, CONFIG_ERROR_TYPE, r->error,
+					 "\"%.*s\": expected a range such as \"10.0.0.0/8\"",
+					 STR_ARG(item->string));
+		r->settings->fleet_count++;
+	}
+	return true;
+}
+
+static bool take_number(struct reader *r, struct str key, int64_t min, int64_t max,
+			int64_t fallback, int64_t *out)
+{
+	*out = fallback;
+	return json_take_int(r->doc, r->doc->root, key, JSON_OPTIONAL, min, max, out, r->error);
+}
+
+static bool take_numbers(struct reader *r)
+{
+	struct settings *s = r->settings;
+
+	return take_number(r, STR("log_retention_s"), 10, 30LL * 86400, RETENTION_DEFAULT_S,
+			   &s->log_retention_s) &&
+	       take_number(r, STR("stop_within_s"), 1, 86400, STOP_DEFAULT_S, &s->stop_within_s) &&
+	       take_number(r, STR("workers"), 4, 1024, WORKERS_DEFAULT, &s->workers) &&
+	       take_number(r, STR("connections"), 1, 100000, CONNECTIONS_DEFAULT,
+			   &s->connections) &&
+	       take_number(r, STR("connections_per_address"), 1, 100000, PER_ADDRESS_DEFAULT,
+			   &s->connections_per_address) &&
+	       take_number(r, STR("idle_s"), 1, 3600, IDLE_DEFAULT_S, &s->idle_s) &&
+	       take_number(r, STR("body_max_bytes"), 0, 1LL << 40, BODY_DEFAULT_BYTES,
+			   &s->body_max_bytes);
+}
+
+static bool take_texts(struct reader *r)
+{
+	struct str url = STR("");
+	struct str log_file = STR("-");
+
+	if (!json_take_label(r->doc, r->doc->root, STR("data_centre"), JSON_REQUIRED,
+			     &r->settings->data_centre, r->error) ||
+	    !json_take_str(r->doc, r->doc->root, STR("log"), JSON_REQUIRED, &url, r->error) ||
+	    !json_take_str(r->doc, r->doc->root, STR("log_file"), JSON_OPTIONAL, &log_file,
+			   r->error))
+		return false;
+	if (!str_has_prefix(url, STR("http://")))
+		return json_fail(r->doc, json_get(r->doc->root, STR("log")), CONFIG_ERROR_TYPE,
+				 r->error, "\"%.*s\": expected a URL that starts with http://",
+				 STR_ARG(url));
+	r->settings->log_url = str_dup(url);
+	r->settings->log_file = str_to_cstr(log_file);
+	return true;
+}
+
+static bool take_all(struct reader *r)
+{
+	return json_want_kind(r->doc, r->doc->root, JSON_OBJECT, r->error) &&
+	       take_endpoint(r, STR("address"), &r->settings->address) &&
+	       take_endpoint(r, STR("callers"), &r->settings->callers) &&
+	       take_endpoint(r, STR("control"), &r->settings->control) &&
+	       take_endpoint(r, STR("announce"), &r->settings->announce) && take_texts(r) &&
+	       take_seeds(r) && take_fleet(r) && take_numbers(r) &&
+	       json_all_used(r->doc, r->doc->root, r->error);
+}
+
+bool settings_read(const char *path, struct settings *settings, GError **error)
+{
+	struct reader reader = { .settings = settings, .error = error };
+	struct json_doc *doc;
+	char *text;
+	gsize len;
+	bool good;
+
+	*settings = (struct settings){ 0 };
+	if (!g_file_get_contents(path, &text, &len, error))
+		return false;
+	settings->seeds = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	doc = json_parse(str_from_cstr(path), (struct str){ text, len }, error);
+	reader.doc = doc;
+	good = doc && take_all(&reader);
+	json_free(doc);
+	g_free(text);
+	if (!good)
+		settings_clear(settings);
+	return good;
+}
+
+void settings_clear(struct settings *settings)
+{
+	if (settings->seeds)
+		g_array_unref(settings->seeds);
+	g_free((char *)settings->log_url.data);
+	g_free(settings->log_file);
+	*settings = (struct settings){ 0 };
+}
--- a/operator/json.h
+++ b/operator/json.h
@@ -30,8 +30,8 @@
 	int line;
 	struct json *parent;
 	struct str key; /**< in an object */
-	int index; /**< in an array */
-	bool used; /**< somebody asked for it */
+	int index;	/**< in an array */
+	bool used;	/**< somebody asked for it */
 	union {
 		bool boolean;
 		int64_t integer;
--- a/operator/parse.c
+++ b/operator/parse.c
@@ -54,8 +54,7 @@
 	struct json *methods;
 
 	route->methods = METHOD_ANY;
-	if (!json_take(p->doc, item, STR("methods"), JSON_OPTIONAL, JSON_ARRAY, &methods,
-		       p->error))
+	if (!json_take(p->doc, item, STR("methods"), JSON_OPTIONAL, JSON_ARRAY, &methods, p->error))
 		return false;
 	if (!methods)
 		return true;
@@ -181,8 +180,8 @@
 	    !json_all_used(p->doc, item, p->error))
 		return false;
 	if (move.start_at_us >= move.finish_at_us)
-		return json_fail(p->doc, json_get(item, STR("finish")), CONFIG_ERROR_TIME,
-				 p->error, "expected a time after the start");
+		return json_fail(p->doc, json_get(item, STR("finish")), CONFIG_ERROR_TIME, p->error,
+				 "expected a time after the start");
 	if (p->file->moves->len >= MOVES_PER_FILE)
 		return json_fail(p->doc, item, CONFIG_ERROR_TYPE, p->error,
 				 "expected at most %d moves in a file", MOVES_PER_FILE);
--- /dev/null
+++ b/operator/report.c
@@ -0,0 +1,238 @@
+#include "operator/report.h"
+
+enum { HISTORY_MAX = 100 };
+
+static void add_key(struct strbuf *out, const char *key)
+{
+	if (out->len && out->data[out->len - 1] != '{')
+		strbuf_add(out, STR(","));
+	strbuf_addf(out, "\"%s\":", key);
+}
+
+static void add_text(struct strbuf *out, const char *key, struct str value)
+{
+	add_key(out, key);
+	strbuf_add_json(out, value);
+}
+
+static void add_label(struct strbuf *out, const char *key, const struct label *label)
+{
+	add_text(out, key, label_str(label));
+}
+
+static void add_number(struct strbuf *out, const char *key, int64_t value)
+{
+	add_key(out, key);
+	strbuf_addf(out, "%ld", value);
+}
+
+static void add_bool(struct strbuf *out, const char *key, bool value)
+{
+	add_key(out, key);
+	strbuf_add(out, value ? STR("true") : STR("false"));
+}
+
+static void add_time(struct strbuf *out, const char *key, int64_t wall_us)
+{
+	add_key(out, key);
+	if (wall_us == 0) {
+		strbuf_add(out, STR("null"));
+		return;
+	}
+	strbuf_add(out, STR("\""));
+	clock_format_utc(out, wall_us);
+	strbuf_add(out, STR("\""));
+}
+
+static void add_address(struct strbuf *out, const char *key, uint64_t id)
+{
+	uint32_t ip = member_ipv4(id);
+
+	add_key(out, key);
+	strbuf_addf(out, "\"%u.%u.%u.%u:%u\"", ip >> 24, ip >> 16 & 255, ip >> 8 & 255, ip & 255,
+		    member_port(id));
+}
+
+static void next_item(struct strbuf *out)
+{
+	if (out->len && out->data[out->len - 1] != '[')
+		strbuf_add(out, STR(","));
+}
+
+static void add_target(struct node *node, struct strbuf *out)
+{
+	struct member self = members_self(node_members(node));
+	struct admit_counts counts = admit_count(node_admit(node));
+
+	add_key(out, "target");
+	strbuf_add(out, STR("{"));
+	add_label(out, "service", &self.service);
+	add_label(out, "version", &self.version);
+	add_number(out, "slots", self.slots);
+	add_number(out, "slots_used_at_most", counts.slots);
+	add_number(out, "running", counts.running);
+	add_number(out, "queued", counts.queued);
+	strbuf_add(out, STR("}"));
+}
+
+static void add_switches_off(const struct config *config, struct strbuf *out)
+{
+	add_key(out, "switched_off");
+	strbuf_add(out, STR("["));
+	for (guint i = 0; i < config->switches->len; i++) {
+		const struct auto_switch *one =
+			&g_array_index(config->switches, struct auto_switch, i);
+
+		if (!one->off)
+			continue;
+		next_item(out);
+		strbuf_add(out, STR("{"));
+		add_text(out, "service", one->service.len ? label_str(&one->service) : STR("all"));
+		add_text(out, "move", auto_kind_name(one->kind));
+		strbuf_add(out, STR("}"));
+	}
+	strbuf_add(out, STR("]"));
+}
+
+void report_status(struct node *node, struct instant now, struct strbuf *out)
+{
+	struct member self = members_self(node_members(node));
+	struct member_counts counts = members_count(node_members(node));
+	struct config *config = node_config(node);
+
+	strbuf_add(out, STR("{"));
+	add_address(out, "node", self.id);
+	add_label(out, "data_centre", &self.data_centre);
+	add_text(out, "state", member_state_name(self.state));
+	add_bool(out, "current", node_is_current(node));
+	add_number(out, "version", config->version);
+	add_number(out, "accepted", config->accepted);
+	add_number(out, "members", counts.total);
+	add_number(out, "live", counts.live);
+	add_number(out, "dead", counts.dead);
+	add_target(node, out);
+	add_switches_off(config, out);
+	add_key(out, "moves");
+	report_moves(node, now, out);
+	strbuf_add(out, STR("}"));
+	config_unref(config);
+}
+
+void report_members(struct node *node, struct strbuf *out)
+{
+	GArray *records = members_list(node_members(node));
+
+	strbuf_add(out, STR("["));
+	for (guint i = 0; i < records->len; i++) {
+		const struct member *record = &g_array_index(records, struct member, i);
+
+		next_item(out);
+		strbuf_add(out, STR("{"));
+		add_address(out, "node", record->id);
+		add_text(out, "state", member_state_name(record->state));
+		add_label(out, "data_centre", &record->data_centre);
+		add_label(out, "service", &record->service);
+		add_label(out, "version", &record->version);
+		add_number(out, "slots", record->slots);
+		add_number(out, "incarnation", (int64_t)record->incarnation);
+		strbuf_add(out, STR("}"));
+	}
+	strbuf_add(out, STR("]"));
+	g_array_unref(records);
+}
+
+static void add_move(struct node *node, const struct move_report *report, struct strbuf *out)
+{
+	next_item(out);
+	strbuf_add(out, STR("{"));
+	add_number(out, "id", (int64_t)report->spec.id);
+	add_label(out, "service", &report->spec.service);
+	add_label(out, "from", &report->spec.from);
+	add_label(out, "to", &report->spec.to);
+	add_time(out, "start", report->spec.start_at_us);
+	add_time(out, "finish", report->spec.finish_at_us);
+	add_text(out, "phase", move_phase_name(report->phase));
+	add_number(out, "step", report->state.step);
+	add_number(out, "steps", MOVE_STEPS);
+	add_number(out, "share_per_10000", moves_share(node_moves(node), report->spec.id));
+	add_time(out, "done_at", report->state.done_at_us);
+	add_time(out, "taken_back_at", report->state.withdrawn_at_us);
+	add_text(out, "why", str_from_cstr(report->why));
+	add_bool(out, "late", report->late);
+	strbuf_add(out, STR("}"));
+}
+
+void report_moves(struct node *node, struct instant now, struct strbuf *out)
+{
+	struct config *config = node_config(node);
+	GArray *reports = moves_report(node_moves(node), config, now);
+
+	strbuf_add(out, STR("["));
+	for (guint i = 0; i < reports->len; i++)
+		add_move(node, &g_array_index(reports, struct move_report, i), out);
+	strbuf_add(out, STR("]"));
+	g_array_unref(reports);
+	config_unref(config);
+}
+
+static void add_judgement(const struct judgement *judgement, struct strbuf *out)
+{
+	add_number(out, "version", judgement->offset);
+	add_text(out, "judged", judgement_name(judgement->kind));
+	add_number(out, "file_version", judgement->current);
+	add_text(out, "why", str_from_cstr(judgement->reason));
+}
+
+void report_judgement(const struct judgement *judgement, struct strbuf *out)
+{
+	strbuf_add(out, STR("{"));
+	add_judgement(judgement, out);
+	strbuf_add(out, STR("}"));
+}
+
+void report_history(struct node *node, struct strbuf *out)
+{
+	struct judgement *judgements = g_new0(struct judgement, HISTORY_MAX);
+	struct label *files = g_new0(struct label, HISTORY_MAX);
+	int count = history_judgements(node_history(node), judgements, files, HISTORY_MAX);
+
+	strbuf_add(out, STR("["));
+	for (int i = 0; i < count; i++) {
+		next_item(out);
+		strbuf_add(out, STR("{"));
+		add_label(out, "file", &files[i]);
+		add_judgement(&judgements[i], out);
+		strbuf_add(out, STR("}"));
+	}
+	strbuf_add(out, STR("]"));
+	g_free(judgements);
+	g_free(files);
+}
+
+void report_files(struct node *node, struct strbuf *out)
+{
+	struct config *config = node_config(node);
+
+	strbuf_add(out, STR("["));
+	for (guint i = 0; i < config->files->len; i++) {
+		const struct accepted_file *file = g_ptr_array_index(config->files, i);
+
+		next_item(out);
+		strbuf_add(out, STR("{"));
+		add_label(out, "file", &file->name);
+		add_number(out, "version", file->version);
+		add_number(out, "bytes", (int64_t)file->change->content.len);
+		strbuf_add(out, STR("}"));
+	}
+	strbuf_add(out, STR("]"));
+	config_unref(config);
+}
+
+void report_census(const struct census *census, struct strbuf *out)
+{
+	strbuf_add(out, STR("{"));
+	add_number(out, "asked", census->asked);
+	add_number(out, "answered", census->answered);
+	add_number(out, "holding", census->holding);
+	strbuf_add(out, STR("}"));
+}
--- /dev/null
+++ b/peer/link.c
@@ -0,0 +1,773 @@
+#include "peer/link.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <xxhash.h>
+
+#include "base/logger.h"
+
+#define HEARTBEAT_US (1 * US_PER_S)
+#define SILENT_US    (3 * US_PER_S)
+#define IDLE_US	     (60 * US_PER_S)
+
+enum {
+	READ_BYTES = 64 << 10,
+	READS_AT_ONCE = 8,
+	RUNS_AT_ONCE = 64, /* calls taken from one batch of frames */
+};
+
+static void entry_free(gpointer data)
+{
+	g_free(data);
+}
+
+struct link *link_new(struct peers *peers, int fd, bool outgoing, enum link_state state)
+{
+	struct link *link = g_new0(struct link, 1);
+	int one = 1;
+
+	link->refs = 1;
+	link->peers = peers;
+	link->outgoing = outgoing;
+	link->state = state;
+	link->fd = fd;
+	link->write_fd = dup(fd);
+	link->read_watch = (struct watch){ fd, { WORK_LINK_READ, link } };
+	link->write_watch = (struct watch){ link->write_fd, { WORK_LINK_WRITE, link } };
+	link->streams = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, entry_free);
+	link->next_stream = 1;
+	link->received_at_us = clock_now().mono_us;
+	link->used_at_us = link->received_at_us;
+	apr_pool_create(&link->pool, NULL);
+	lock_init(&link->lock, LOCK_LINK, link->pool);
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	return link;
+}
+
+struct link *link_ref(struct link *link)
+{
+	g_atomic_int_inc(&link->refs);
+	return link;
+}
+
+void link_unref(struct link *link)
+{
+	if (!link || !g_atomic_int_dec_and_test(&link->refs))
+		return;
+	close(link->fd);
+	close(link->write_fd);
+	g_hash_table_destroy(link->streams);
+	strbuf_clear(&link->in);
+	strbuf_clear(&link->out);
+	apr_pool_destroy(link->pool);
+	g_free(link);
+}
+
+struct link *link_connect(struct peers *peers, uint64_t to, struct instant now)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET,
+				       .sin_port = htons(member_port(to)),
+				       .sin_addr.s_addr = htonl(member_ipv4(to)) };
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	struct link *link;
+
+	if (fd < 0)
+		return NULL;
+	link = link_new(peers, fd, true, LINK_CONNECTING);
+	link->peer = to;
+	link->received_at_us = now.mono_us;
+	if (connect(fd, (struct sockaddr *)&address, sizeof(address)) != 0 &&
+	    errno != EINPROGRESS) {
+		link_unref(link);
+		return NULL;
+	}
+	wire_put(&link->out, FRAME_HELLO, peers_self(peers), STR(""));
+	link->queued = link->out.len;
+	return link;
+}
+
+static void start_reading(struct link *link)
+{
+	lock_acquire(&link->lock);
+	link->reading = ARM_ARMED;
+	lock_release(&link->lock);
+	link_ref(link);
+	workers_watch(peers_workers(link->peers), &link->read_watch, WATCH_READ);
+}
+
+void link_start(struct link *link)
+{
+	if (!link->outgoing) {
+		start_reading(link);
+		return;
+	}
+	lock_acquire(&link->lock);
+	link->write_arming = ARM_ARMED;
+	lock_release(&link->lock);
+	link_ref(link);
+	workers_watch(peers_workers(link->peers), &link->write_watch, WATCH_WRITE);
+}
+
+static void let_go(struct link *link, struct watch *watch)
+{
+	workers_unwatch(peers_workers(link->peers), watch);
+	link_unref(link);
+}
+
+/* A worker is through with a watch: it waits again, stays idle, or goes with the link. */
+static void end_handling(struct link *link, struct watch *watch, enum arming *arming, bool rearm,
+			 int interest)
+{
+	bool closed;
+
+	lock_acquire(&link->lock);
+	closed = link->state == LINK_CLOSED;
+	*arming = closed ? ARM_NONE : rearm ? ARM_ARMED : ARM_IDLE;
+	lock_release(&link->lock);
+	if (closed)
+		let_go(link, watch);
+	else if (rearm)
+		workers_rearm(peers_workers(link->peers), watch, interest);
+}
+
+static void begin_handling(struct link *link, enum arming *arming)
+{
+	lock_acquire(&link->lock);
+	*arming = ARM_HANDLING;
+	lock_release(&link->lock);
+}
+
+/* Waits for room in the socket, unless somebody does already. */
+static void arm_write(struct link *link)
+{
+	enum arming was;
+
+	lock_acquire(&link->lock);
+	was = link->write_arming;
+	if (link->state != LINK_CLOSED && (was == ARM_IDLE || was == ARM_NONE))
+		link->write_arming = ARM_ARMED;
+	else
+		was = ARM_ARMED;
+	lock_release(&link->lock);
+	if (was == ARM_IDLE) {
+		workers_rearm(peers_workers(link->peers), &link->write_watch, WATCH_WRITE);
+	} else if (was == ARM_NONE) {
+		link_ref(link);
+		workers_watch(peers_workers(link->peers), &link->write_watch, WATCH_WRITE);
+	}
+}
+
+/* Hands to the socket what it takes. Returns false if the socket failed. */
+static bool send_some(struct link *link, const struct strbuf *bytes, size_t *sent)
+{
+	*sent = 0;
+	while (*sent < bytes->len) {
+		ssize_t n = send(link->fd, bytes->data + *sent, bytes->len - *sent,
+				 MSG_NOSIGNAL | MSG_DONTWAIT);
+
+		if (n < 0 && errno == EINTR)
+			continue;
+		if (n < 0)
+			return errno == EAGAIN || errno == EWOULDBLOCK;
+		*sent += (size_t)n;
+	}
+	return true;
+}
+
+/* Takes the output to write it without the lock; false if there is none or nobody may. */
+static bool take_output(struct link *link, struct strbuf *bytes)
+{
+	if (link->state != LINK_OPEN || link->out.len == 0) {
+		link->writing = false;
+		return false;
+	}
+	*bytes = link->out;
+	link->out = (struct strbuf){ 0 };
+	return true;
+}
+
+/* Puts what was not written in front of what came meanwhile. */
+static void put_back(struct link *link, struct strbuf *bytes, size_t sent)
+{
+	strbuf_consume(bytes, sent);
+	strbuf_add(bytes, strbuf_str(&link->out));
+	strbuf_clear(&link->out);
+	link->out = *bytes;
+	*bytes = (struct strbuf){ 0 };
+}
+
+/* Writes until the output is empty; true if the socket is full first. link->writing is set by
+ * the caller and stays set while the socket is full. */
+static bool write_output(struct link *link)
+{
+	struct strbuf bytes = { 0 };
+	bool good = true;
+	bool full = false;
+
+	lock_acquire(&link->lock);
+	while (good && !full && take_output(link, &bytes)) {
+		size_t sent;
+
+		lock_release(&link->lock);
+		good = send_some(link, &bytes, &sent);
+		lock_acquire(&link->lock);
+		full = sent < bytes.len;
+		link->written += sent;
+		if (full)
+			put_back(link, &bytes, sent);
+		strbuf_clear(&bytes);
+	}
+	lock_release(&link->lock);
+	if (!good)
+		link_close(link);
+	return good && full;
+}
+
+void link_write(struct link *link, struct str frames)
+{
+	bool write_now;
+
+	lock_acquire(&link->lock);
+	if (link->state == LINK_CLOSED) {
+		lock_release(&link->lock);
+		return;
+	}
+	strbuf_add(&link->out, frames);
+	link->queued += frames.len;
+	/* Whoever writes already will take these along. */
+	write_now = link->state == LINK_OPEN && !link->writing;
+	if (write_now)
+		link->writing = true;
+	lock_release(&link->lock);
+	if (write_now && write_output(link))
+		arm_write(link);
+}
+
+static void put_request(struct strbuf *frames, uint64_t id, const struct request_head *head,
+			const struct str *body, size_t *head_len)
+{
+	struct body_sum sum = { 0 };
+
+	wire_put_request(frames, id, head);
+	*head_len = frames->len;
+	if (!body)
+		return;
+	wire_put_data(frames, id, &sum, *body);
+	wire_put_end(frames, id, &sum);
+}
+
+/* Makes the entry that later frames of the stream are for. LOCK_LINK is held. */
+static void add_entry(struct link *link, uint64_t id, struct stream_owner *owner,
+		      uint64_t request_end)
+{
+	struct stream_entry *entry = g_new0(struct stream_entry, 1);
+
+	entry->id = id;
+	entry->owner = owner;
+	entry->request_end = request_end;
+	g_hash_table_insert(link->streams, &entry->id, entry);
+	link->used_at_us = clock_now().mono_us;
+}
+
+bool link_open(struct link *link, struct stream_owner *owner, const struct request_head *head,
+	       const struct str *body, struct stream *stream)
+{
+	struct strbuf frames = { 0 };
+	size_t head_len;
+	uint64_t id;
+	bool open;
+
+	lock_acquire(&link->lock);
+	id = link->next_stream++;
+	lock_release(&link->lock);
+	put_request(&frames, id, head, body, &head_len);
+	lock_acquire(&link->lock);
+	open = link->state != LINK_CLOSED;
+	if (open) {
+		g_atomic_int_inc(&owner->refs);
+		add_entry(link, id, owner, link->queued + head_len);
+		*stream = (struct stream){ link_ref(link), id };
+		/* A link that was idle is heard again from now on. */
+		if (g_hash_table_size(link->streams) == 1)
+			link->received_at_us = clock_now().mono_us;
+	}
+	lock_release(&link->lock);
+	if (open)
+		link_write(link, strbuf_str(&frames));
+	strbuf_clear(&frames);
+	return open;
+}
+
+void link_writable(struct link *link)
+{
+	int problem = 0;
+	socklen_t len = sizeof(problem);
+	bool connecting;
+
+	begin_handling(link, &link->write_arming);
+	lock_acquire(&link->lock);
+	connecting = link->state == LINK_CONNECTING;
+	lock_release(&link->lock);
+	if (connecting)
+		getsockopt(link->fd, SOL_SOCKET, SO_ERROR, &problem, &len);
+	if (problem) {
+		link_close(link);
+	} else if (connecting) {
+		lock_acquire(&link->lock);
+		if (link->state == LINK_CONNECTING)
+			link->state = LINK_OPEN;
+		link->writing = true;
+		lock_release(&link->lock);
+		start_reading(link);
+	}
+	end_handling(link, &link->write_watch, &link->write_arming, write_output(link),
+		     WATCH_WRITE);
+}
+
+/* Whether the other side can have understood the request's head. */
+static enum verdict lost_verdict(const struct link *link, const struct stream_entry *entry)
+{
+	return link->written >= entry->request_end ? VERDICT_MAY_HAVE_RUN : VERDICT_NOT_RUN;
+}
+
+static void release_owner(struct link *link, struct stream_owner *owner)
+{
+	struct peer_event event = { .kind = PEER_RELEASED, .owner = owner };
+
+	peers_deliver(link->peers, &event);
+}
+
+static void lose_streams(struct link *link, GHashTable *streams)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, streams);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct stream_entry *entry = value;
+		struct peer_event lost = { .kind = PEER_LOST, .owner = entry->owner };
+
+		lost.verdict = lost_verdict(link, entry);
+		peers_deliver(link->peers, &lost);
+		release_owner(link, entry->owner);
+	}
+	g_hash_table_destroy(streams);
+}
+
+void link_close(struct link *link)
+{
+	GHashTable *streams = NULL;
+	bool write_idle = false;
+
+	lock_acquire(&link->lock);
+	if (link->state != LINK_CLOSED) {
+		link->state = LINK_CLOSED;
+		streams = link->streams;
+		link->streams =
+			g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, entry_free);
+		write_idle = link->write_arming == ARM_IDLE;
+		if (write_idle)
+			link->write_arming = ARM_NONE;
+	}
+	lock_release(&link->lock);
+	if (!streams)
+		return;
+	/* Armed watches fire now, and their workers let go of them. */
+	shutdown(link->fd, SHUT_RDWR);
+	lose_streams(link, streams);
+	peers_forget(link->peers, link);
+	if (write_idle)
+		let_go(link, &link->write_watch);
+}
+
+/* The owner of a stream with a reference, and whether the bytes fit; NULL if it is closed. */
+static struct stream_owner *find_owner(struct link *link, uint64_t id)
+{
+	struct stream_owner *owner = NULL;
+	const struct stream_entry *entry;
+
+	lock_acquire(&link->lock);
+	entry = g_hash_table_lookup(link->streams, &id);
+	if (entry) {
+		owner = entry->owner;
+		g_atomic_int_inc(&owner->refs);
+	}
+	lock_release(&link->lock);
+	return owner;
+}
+
+/* Removes a stream's entry and gives its reference of the owner; NULL if it is gone already. */
+static struct stream_owner *take_owner(struct link *link, uint64_t id)
+{
+	struct stream_owner *owner = NULL;
+	const struct stream_entry *entry;
+
+	lock_acquire(&link->lock);
+	entry = g_hash_table_lookup(link->streams, &id);
+	if (entry) {
+		owner = entry->owner;
+		g_hash_table_remove(link->streams, &id);
+		link->used_at_us = clock_now().mono_us;
+	}
+	lock_release(&link->lock);
+	return owner;
+}
+
+void stream_close(struct stream stream)
+{
+	struct stream_owner *owner = take_owner(stream.link, stream.id);
+
+	if (owner)
+		release_owner(stream.link, owner);
+}
+
+void stream_send(struct stream stream, struct strbuf *frames)
+{
+	link_write(stream.link, strbuf_str(frames));
+	frames->len = 0;
+}
+
+void stream_cancel(struct stream stream)
+{
+	struct strbuf frame = { 0 };
+	struct stream_owner *owner = take_owner(stream.link, stream.id);
+
+	if (!owner)
+		return;
+	wire_put(&frame, FRAME_CANCEL, stream.id, STR(""));
+	link_write(stream.link, strbuf_str(&frame));
+	strbuf_clear(&frame);
+	release_owner(stream.link, owner);
+}
+
+static void deliver(struct link *link, struct peer_event *event)
+{
+	peers_deliver(link->peers, event);
+	release_owner(link, event->owner);
+}
+
+/* Calls taken from one batch of frames, to be run when the link is armed again. */
+struct runs {
+	struct stream_owner *owners[RUNS_AT_ONCE];
+	int count;
+};
+
+static void refuse_unread(struct link *link, uint64_t stream)
+{
+	struct refusal refusal = { VERDICT_NOT_RUN, STR("the node takes no calls") };
+	struct strbuf frame = { 0 };
+
+	wire_put_refusal(&frame, stream, &refusal);
+	link_write(link, strbuf_str(&frame));
+	strbuf_clear(&frame);
+}
+
+static bool take_request(struct link *link, const struct frame *frame, struct runs *runs)
+{
+	struct peer_event event = { .kind = PEER_REQUEST };
+	struct request_head head = { 0 };
+	struct decoded *keep = NULL;
+
+	if (link->outgoing || !wire_get_request(frame->payload, &head, &keep))
+		return false;
+	event.request.link = link;
+	event.request.stream = frame->stream;
+	event.request.from = link->peer;
+	event.request.head = &head;
+	peers_deliver(link->peers, &event);
+	decoded_free(keep);
+	if (!event.request.owner) {
+		refuse_unread(link, frame->stream);
+		return true;
+	}
+	event.owner = event.request.owner;
+	lock_acquire(&link->lock);
+	g_atomic_int_inc(&event.owner->refs);
+	add_entry(link, frame->stream, event.owner, 0);
+	lock_release(&link->lock);
+	event.kind = PEER_ADMIT;
+	event.run = false;
+	peers_deliver(link->peers, &event);
+	if (event.run && runs->count < RUNS_AT_ONCE)
+		runs->owners[runs->count++] = event.owner;
+	else if (event.run)
+		workers_post(peers_workers(link->peers), (struct work){ WORK_SERVE, event.owner });
+	else
+		release_owner(link, event.owner);
+	return true;
+}
+
+static bool take_response(struct link *link, const struct frame *frame)
+{
+	struct peer_event event = { .kind = PEER_RESPONSE };
+	struct response_head head = { 0 };
+	struct decoded *keep = NULL;
+
+	if (!wire_get_response(frame->payload, &head, &keep))
+		return false;
+	event.owner = find_owner(link, frame->stream);
+	event.response = &head;
+	if (event.owner)
+		deliver(link, &event);
+	decoded_free(keep);
+	return true;
+}
+
+static bool take_refusal(struct link *link, const struct frame *frame)
+{
+	struct peer_event event = { .kind = PEER_REFUSED };
+	struct refusal refusal = { 0 };
+	struct decoded *keep = NULL;
+
+	if (!wire_get_refusal(frame->payload, &refusal, &keep))
+		return false;
+	event.owner = take_owner(link, frame->stream);
+	event.refusal = &refusal;
+	if (event.owner)
+		deliver(link, &event);
+	decoded_free(keep);
+	return true;
+}
+
+/* Counts bytes of a body; false if they do not follow what came before. */
+static bool count_data(struct link *link, uint64_t id, uint64_t offset, struct str bytes)
+{
+	struct stream_entry *entry;
+	bool fits = true;
+
+	lock_acquire(&link->lock);
+	entry = g_hash_table_lookup(link->streams, &id);
+	if (entry) {
+		fits = entry->received.length == offset;
+		body_sum_add(&entry->received, bytes);
+	}
+	lock_release(&link->lock);
+	return fits;
+}
+
+static bool take_data(struct link *link, const struct frame *frame)
+{
+	struct peer_event event = { .kind = PEER_DATA };
+	struct str bytes = frame->payload;
+	uint64_t offset;
+
+	if (!wire_take_u64(&bytes, &offset) || !count_data(link, frame->stream, offset, bytes))
+		return false;
+	event.owner = find_owner(link, frame->stream);
+	event.bytes = bytes;
+	if (event.owner)
+		deliver(link, &event);
+	return true;
+}
+
+static bool sum_matches(struct link *link, uint64_t id, const struct body_sum *sum)
+{
+	const struct stream_entry *entry;
+	bool matches = true;
+
+	lock_acquire(&link->lock);
+	entry = g_hash_table_lookup(link->streams, &id);
+	if (entry)
+		matches = entry->received.length == sum->length &&
+			  entry->received.checksum == sum->checksum;
+	lock_release(&link->lock);
+	return matches;
+}
+
+static bool take_end(struct link *link, const struct frame *frame)
+{
+	struct peer_event event = { .kind = PEER_END };
+	struct str payload = frame->payload;
+	struct body_sum sum;
+
+	if (!wire_take_u64(&payload, &sum.length) || !wire_take_u64(&payload, &sum.checksum) ||
+	    !sum_matches(link, frame->stream, &sum))
+		return false;
+	event.owner = find_owner(link, frame->stream);
+	if (event.owner)
+		deliver(link, &event);
+	return true;
+}
+
+static bool take_window(struct link *link, const struct frame *frame)
+{
+	struct peer_event event = { .kind = PEER_WINDOW };
+	struct str payload = frame->payload;
+
+	if (!wire_take_u64(&payload, &event.taken))
+		return false;
+	event.owner = find_owner(link, frame->stream);
+	if (event.owner)
+		deliver(link, &event);
+	return true;
+}
+
+static void take_cancel(struct link *link, const struct frame *frame)
+{
+	struct peer_event event = { .kind = PEER_LOST, .verdict = VERDICT_MAY_HAVE_RUN };
+
+	event.owner = take_owner(link, frame->stream);
+	if (event.owner)
+		deliver(link, &event);
+}
+
+static bool take_hello(struct link *link, const struct frame *frame)
+{
+	struct sockaddr_in address = { 0 };
+	socklen_t len = sizeof(address);
+
+	getpeername(link->fd, (struct sockaddr *)&address, &len);
+	/* A node speaks for its own address only. */
+	if (link->outgoing || member_ipv4(frame->stream) != ntohl(address.sin_addr.s_addr))
+		return false;
+	link->peer = frame->stream;
+	return true;
+}
+
+static void answer_ping(struct link *link)
+{
+	struct strbuf frame = { 0 };
+
+	wire_put(&frame, FRAME_PONG, 0, STR(""));
+	link_write(link, strbuf_str(&frame));
+	strbuf_clear(&frame);
+}
+
+static bool take_frame(struct link *link, const struct frame *frame, struct runs *runs)
+{
+	if (!link->outgoing && link->peer == 0 && frame->kind != FRAME_HELLO)
+		return false;
+	switch (frame->kind) {
+	case FRAME_HELLO:
+		return take_hello(link, frame);
+	case FRAME_MESSAGE:
+		return peers_take_message(link->peers, link->peer, frame->payload);
+	case FRAME_REQUEST:
+		return take_request(link, frame, runs);
+	case FRAME_RESPONSE:
+		return take_response(link, frame);
+	case FRAME_REFUSED:
+		return take_refusal(link, frame);
+	case FRAME_DATA:
+		return take_data(link, frame);
+	case FRAME_END:
+		return take_end(link, frame);
+	case FRAME_CANCEL:
+		take_cancel(link, frame);
+		return true;
+	case FRAME_WINDOW:
+		return take_window(link, frame);
+	case FRAME_PING:
+		answer_ping(link);
+		return true;
+	case FRAME_PONG:
+		return true;
+	case FRAME_KINDS:
+		break;
+	}
+	return false;
+}
+
+/* Handles the whole frames that have come; false if one is bad. */
+static bool take_frames(struct link *link, struct runs *runs)
+{
+	struct str left = strbuf_str(&link->in);
+	enum wire_result result;
+	struct frame frame;
+	size_t used;
+
+	while ((result = wire_take(left, &frame, &used)) == WIRE_FRAME) {
+		if (!take_frame(link, &frame, runs)) {
+			result = WIRE_BAD;
+			break;
+		}
+		left = str_sub(left, used, left.len);
+	}
+	strbuf_consume(&link->in, link->in.len - left.len);
+	if (result == WIRE_BAD)
+		logger_event(NOTE_FRAME_BAD, "member=%lx kind=%d", link->peer, (int)frame.kind);
+	return result != WIRE_BAD;
+}
+
+/* Reads what the socket holds, up to a bound; false at its end. */
+static bool receive(struct link *link)
+{
+	for (int i = 0; i < READS_AT_ONCE; i++) {
+		ssize_t n;
+
+		strbuf_reserve(&link->in, READ_BYTES);
+		n = recv(link->fd, link->in.data + link->in.len, READ_BYTES, MSG_DONTWAIT);
+		if (n < 0 && errno == EINTR)
+			continue;
+		if (n < 0)
+			return errno == EAGAIN || errno == EWOULDBLOCK;
+		if (n == 0)
+			return false;
+		link->in.len += (size_t)n;
+		if (n < READ_BYTES)
+			return true;
+	}
+	return true;
+}
+
+static void run_taken(struct link *link, const struct runs *runs)
+{
+	struct peer_event event = { .kind = PEER_RUN };
+
+	for (int i = 1; i < runs->count; i++)
+		workers_post(peers_workers(link->peers),
+			     (struct work){ WORK_SERVE, runs->owners[i] });
+	if (runs->count == 0)
+		return;
+	event.owner = runs->owners[0];
+	peers_deliver(link->peers, &event);
+}
+
+void link_read(struct link *link)
+{
+	struct runs runs = { .count = 0 };
+	bool good;
+
+	begin_handling(link, &link->reading);
+	good = receive(link);
+	lock_acquire(&link->lock);
+	link->received_at_us = clock_now().mono_us;
+	lock_release(&link->lock);
+	good = take_frames(link, &runs) && good;
+	if (!good)
+		link_close(link);
+	/* The first call runs on this worker: one hand-off less. */
+	link_ref(link);
+	end_handling(link, &link->read_watch, &link->reading, true, WATCH_READ);
+	run_taken(link, &runs);
+	link_unref(link);
+}
+
+void link_tick(struct link *link, struct instant now)
+{
+	struct strbuf frame = { 0 };
+	int64_t silent_us;
+	int64_t unused_us;
+	guint streams;
+
+	lock_acquire(&link->lock);
+	silent_us = now.mono_us - link->received_at_us;
+	unused_us = now.mono_us - link->used_at_us;
+	streams = g_hash_table_size(link->streams);
+	lock_release(&link->lock);
+	if (streams && silent_us >= SILENT_US) {
+		logger_event(NOTE_LINK_SILENT, "member=%lx streams=%u", link->peer, streams);
+		link_close(link);
+	} else if (streams && silent_us >= HEARTBEAT_US) {
+		wire_put(&frame, FRAME_PING, 0, STR(""));
+		link_write(link, strbuf_str(&frame));
+		strbuf_clear(&frame);
+	} else if (streams == 0 && unused_us >= IDLE_US &&
+		   (link->outgoing || silent_us >= 3 * IDLE_US)) {
+		link_close(link);
+	}
+}
--- /dev/null
+++ b/peer/peers.c
@@ -0,0 +1,402 @@
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "base/logger.h"
+#include "peer/codec.h"
+#include "peer/link.h"
+
+#define REUSE_IDLE_US (10 * US_PER_S)
+
+enum {
+	LISTEN_BACKLOG = 512,
+	DATAGRAMS_AT_ONCE = 32,
+	DATAGRAM_BUFFER = 64 << 10,
+	ACCEPTS_AT_ONCE = 16,
+	PORT_TRIES = 32,
+};
+
+struct peers {
+	struct peers_options options;
+	apr_pool_t *pool;
+	int listen_fd;
+	int datagram_fd;
+	struct watch listen_watch;
+	struct watch datagram_watch;
+	struct lock lock;    /* LOCK_LINKS */
+	GHashTable *by_peer; /* member id -> struct link that this node opened */
+	GPtrArray *all;	     /* struct link, one reference each */
+};
+
+static int bind_socket(int type, uint64_t self)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET,
+				       .sin_port = htons(member_port(self)),
+				       .sin_addr.s_addr = htonl(member_ipv4(self)) };
+	int fd = socket(AF_INET, type | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	int one = 1;
+
+	if (fd < 0)
+		return -1;
+	if (type == SOCK_STREAM)
+		setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	if (bind(fd, (struct sockaddr *)&address, sizeof(address)) == 0)
+		return fd;
+	close(fd);
+	return -1;
+}
+
+static uint16_t bound_port(int fd)
+{
+	struct sockaddr_in address = { 0 };
+	socklen_t len = sizeof(address);
+
+	getsockname(fd, (struct sockaddr *)&address, &len);
+	return ntohs(address.sin_port);
+}
+
+/* Both sockets have one port; where the kernel chooses it, the other may be taken. */
+static bool bind_both(struct peers *peers)
+{
+	uint32_t ipv4 = member_ipv4(peers->options.self);
+	int tries = member_port(peers->options.self) ? 1 : PORT_TRIES;
+
+	for (; tries > 0; tries--) {
+		uint16_t port;
+
+		peers->listen_fd = bind_socket(SOCK_STREAM, peers->options.self);
+		if (peers->listen_fd < 0)
+			return false;
+		port = bound_port(peers->listen_fd);
+		peers->datagram_fd = bind_socket(SOCK_DGRAM, member_id(ipv4, port));
+		if (peers->datagram_fd >= 0) {
+			peers->options.self = member_id(ipv4, port);
+			return true;
+		}
+		close(peers->listen_fd);
+		peers->listen_fd = -1;
+	}
+	return false;
+}
+
+static bool open_sockets(struct peers *peers, GError **error)
+{
+	if (bind_both(peers) && listen(peers->listen_fd, LISTEN_BACKLOG) == 0)
+		return true;
+	g_set_error(error, G_FILE_ERROR, g_file_error_from_errno(errno),
+		    "the address for other nodes: %s", g_strerror(errno));
+	return false;
+}
+
+struct peers *peers_new(const struct peers_options *options, apr_pool_t *pool, GError **error)
+{
+	struct peers *peers = g_new0(struct peers, 1);
+
+	peers->options = *options;
+	peers->listen_fd = -1;
+	peers->datagram_fd = -1;
+	apr_pool_create(&peers->pool, pool);
+	lock_init(&peers->lock, LOCK_LINKS, peers->pool);
+	peers->by_peer = g_hash_table_new(g_int64_hash, g_int64_equal);
+	peers->all = g_ptr_array_new();
+	if (open_sockets(peers, error))
+		return peers;
+	peers_free(peers);
+	return NULL;
+}
+
+void peers_free(struct peers *peers)
+{
+	if (!peers)
+		return;
+	for (guint i = 0; i < peers->all->len; i++)
+		link_unref(g_ptr_array_index(peers->all, i));
+	if (peers->listen_fd >= 0)
+		close(peers->listen_fd);
+	if (peers->datagram_fd >= 0)
+		close(peers->datagram_fd);
+	g_hash_table_destroy(peers->by_peer);
+	g_ptr_array_unref(peers->all);
+	apr_pool_destroy(peers->pool);
+	g_free(peers);
+}
+
+void peers_start(struct peers *peers)
+{
+	peers->listen_watch = (struct watch){ peers->listen_fd, { WORK_PEER_LISTEN, peers } };
+	peers->datagram_watch = (struct watch){ peers->datagram_fd, { WORK_PEER_DATAGRAM, peers } };
+	workers_watch(peers->options.workers, &peers->listen_watch, WATCH_READ);
+	workers_watch(peers->options.workers, &peers->datagram_watch, WATCH_READ);
+}
+
+struct workers *peers_workers(struct peers *peers)
+{
+	return peers->options.workers;
+}
+
+uint64_t peers_self(const struct peers *peers)
+{
+	return peers->options.self;
+}
+
+void peers_deliver(struct peers *peers, struct peer_event *event)
+{
+	peers->options.handle(peers->options.context, event);
+}
+
+bool peers_allows(const struct peers *peers, uint32_t ipv4)
+{
+	for (int i = 0; i < peers->options.range_count; i++) {
+		const struct address_range *range = &peers->options.ranges[i];
+		uint32_t mask = range->prefix_bits ? ~0U << (32 - range->prefix_bits) : 0;
+
+		if ((ipv4 & mask) == (range->network & mask))
+			return true;
+	}
+	return false;
+}
+
+static void count_bytes(struct peers *peers, struct str name, enum message_kind kind, size_t bytes)
+{
+	char labels[64];
+
+	g_snprintf(labels, sizeof(labels), "kind=\"%.*s\"", STR_ARG(message_kind_name(kind)));
+	metrics_add(peers->options.metrics, name, str_from_cstr(labels), (int64_t)bytes);
+}
+
+bool peers_take_message(struct peers *peers, uint64_t from, struct str payload)
+{
+	struct peer_event event = { .kind = PEER_MESSAGE };
+	struct message *message = codec_decode(payload);
+
+	if (!message)
+		return false;
+	count_bytes(peers, STR("godwithitch_control_received_bytes"), message->kind,
+		    payload.len + FRAME_HEADER_BYTES);
+	event.message.from = from;
+	event.message.message = message;
+	peers_deliver(peers, &event);
+	message_unref(message);
+	return true;
+}
+
+static void take_datagram(struct peers *peers, struct str bytes, const struct sockaddr_in *source)
+{
+	uint32_t ipv4 = ntohl(source->sin_addr.s_addr);
+	struct frame frame = { 0 };
+	size_t used = 0;
+
+	if (!peers_allows(peers, ipv4)) {
+		logger_event(NOTE_PEER_REFUSED, "ipv4=%x", ipv4);
+		return;
+	}
+	if (wire_take(bytes, &frame, &used) != WIRE_FRAME || used != bytes.len ||
+	    frame.kind != FRAME_MESSAGE || member_ipv4(frame.stream) != ipv4 ||
+	    !peers_take_message(peers, frame.stream, frame.payload))
+		logger_event(NOTE_FRAME_BAD, "ipv4=%x bytes=%zu", ipv4, bytes.len);
+}
+
+void peers_on_datagram(struct peers *peers)
+{
+	char *buffer = g_malloc(DATAGRAM_BUFFER);
+
+	for (int i = 0; i < DATAGRAMS_AT_ONCE; i++) {
+		struct sockaddr_in source = { 0 };
+		socklen_t len = sizeof(source);
+		ssize_t n = recvfrom(peers->datagram_fd, buffer, DATAGRAM_BUFFER, MSG_DONTWAIT,
+				     (struct sockaddr *)&source, &len);
+
+		if (n < 0)
+			break;
+		take_datagram(peers, (struct str){ buffer, (size_t)n }, &source);
+	}
+	g_free(buffer);
+	workers_rearm(peers->options.workers, &peers->datagram_watch, WATCH_READ);
+}
+
+static void add_link(struct peers *peers, struct link *link)
+{
+	lock_acquire(&peers->lock);
+	g_ptr_array_add(peers->all, link);
+	if (link->outgoing)
+		g_hash_table_insert(peers->by_peer, &link->peer, link);
+	lock_release(&peers->lock);
+}
+
+static void accept_one(struct peers *peers, int fd, const struct sockaddr_in *source)
+{
+	uint32_t ipv4 = ntohl(source->sin_addr.s_addr);
+	struct link *link;
+
+	if (!peers_allows(peers, ipv4)) {
+		logger_event(NOTE_PEER_REFUSED, "ipv4=%x", ipv4);
+		close(fd);
+		return;
+	}
+	link = link_new(peers, fd, false, LINK_OPEN);
+	add_link(peers, link);
+	link_start(link);
+}
+
+void peers_on_listen(struct peers *peers)
+{
+	for (int i = 0; i < ACCEPTS_AT_ONCE; i++) {
+		struct sockaddr_in source = { 0 };
+		socklen_t len = sizeof(source);
+		int fd = accept4(peers->listen_fd, (struct sockaddr *)&source, &len,
+				 SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+		if (fd < 0)
+			break;
+		accept_one(peers, fd, &source);
+	}
+	workers_rearm(peers->options.workers, &peers->listen_watch, WATCH_READ);
+}
+
+void peers_on_link_read(struct peers *peers, struct link *link)
+{
+	(void)peers;
+	link_read(link);
+}
+
+void peers_on_link_write(struct peers *peers, struct link *link)
+{
+	(void)peers;
+	link_writable(link);
+}
+
+void peers_forget(struct peers *peers, struct link *link)
+{
+	bool held;
+
+	lock_acquire(&peers->lock);
+	held = g_ptr_array_remove_fast(peers->all, link);
+	if (link->outgoing && g_hash_table_lookup(peers->by_peer, &link->peer) == link)
+		g_hash_table_remove(peers->by_peer, &link->peer);
+	lock_release(&peers->lock);
+	if (held)
+		link_unref(link);
+}
+
+/* Whether a link may have gone silent unnoticed: a new one is the cheaper way to find out. */
+static bool is_stale(struct link *link, struct instant now)
+{
+	bool stale;
+
+	lock_acquire(&link->lock);
+	stale = g_hash_table_size(link->streams) == 0 && link->state == LINK_OPEN &&
+		now.mono_us - link->received_at_us > REUSE_IDLE_US;
+	lock_release(&link->lock);
+	return stale;
+}
+
+/* The open link to a node with a reference, or a new one; NULL if there is no socket. */
+static struct link *get_link(struct peers *peers, uint64_t to)
+{
+	struct instant now = clock_now();
+	struct link *link;
+	struct link *stale = NULL;
+
+	lock_acquire(&peers->lock);
+	link = g_hash_table_lookup(peers->by_peer, &to);
+	if (link)
+		link_ref(link);
+	lock_release(&peers->lock);
+	if (link && is_stale(link, now)) {
+		stale = link;
+		link = NULL;
+	}
+	if (stale) {
+		link_close(stale);
+		link_unref(stale);
+	}
+	if (link)
+		return link;
+	link = link_connect(peers, to, now);
+	if (!link)
+		return NULL;
+	link_ref(link);
+	add_link(peers, link);
+	link_start(link);
+	return link;
+}
+
+static void send_datagram(struct peers *peers, uint64_t to, struct str bytes)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET,
+				       .sin_port = htons(member_port(to)),
+				       .sin_addr.s_addr = htonl(member_ipv4(to)) };
+
+	/* A lost datagram is repaired by the next digest, so its error tells nothing. */
+	(void)sendto(peers->datagram_fd, bytes.data, bytes.len, MSG_DONTWAIT,
+		     (struct sockaddr *)&address, sizeof(address));
+}
+
+void peers_send(struct peers *peers, uint64_t to, const struct message *message)
+{
+	struct strbuf payload = { 0 };
+	struct strbuf frame = { 0 };
+	struct link *link;
+
+	codec_encode(message, &payload);
+	wire_put(&frame, FRAME_MESSAGE, peers->options.self, strbuf_str(&payload));
+	count_bytes(peers, STR("godwithitch_control_sent_bytes"), message->kind, frame.len);
+	if (frame.len <= DATAGRAM_MAX) {
+		send_datagram(peers, to, strbuf_str(&frame));
+	} else {
+		link = get_link(peers, to);
+		if (link)
+			link_write(link, strbuf_str(&frame));
+		link_unref(link);
+	}
+	strbuf_clear(&payload);
+	strbuf_clear(&frame);
+}
+
+bool peers_call(struct peers *peers, uint64_t to, struct stream_owner *owner,
+		const struct request_head *head, const struct str *body, struct stream *stream)
+{
+	/* A link found closed just now is replaced once. */
+	for (int i = 0; i < 2; i++) {
+		struct link *link = get_link(peers, to);
+		bool open = link && link_open(link, owner, head, body, stream);
+
+		link_unref(link);
+		if (open)
+			return true;
+	}
+	return false;
+}
+
+void peers_tick(struct peers *peers, struct instant now)
+{
+	GPtrArray *links = g_ptr_array_new();
+
+	lock_acquire(&peers->lock);
+	for (guint i = 0; i < peers->all->len; i++)
+		g_ptr_array_add(links, link_ref(g_ptr_array_index(peers->all, i)));
+	lock_release(&peers->lock);
+	for (guint i = 0; i < links->len; i++) {
+		link_tick(g_ptr_array_index(links, i), now);
+		link_unref(g_ptr_array_index(links, i));
+	}
+	g_ptr_array_unref(links);
+}
+
+size_t peers_unsent(struct peers *peers)
+{
+	size_t unsent = 0;
+
+	lock_acquire(&peers->lock);
+	for (guint i = 0; i < peers->all->len; i++) {
+		struct link *link = g_ptr_array_index(peers->all, i);
+
+		lock_acquire(&link->lock);
+		unsent += link->out.len;
+		lock_release(&link->lock);
+	}
+	lock_release(&peers->lock);
+	return unsent;
+}
--- /dev/null
+++ b/target/announce.h
@@ -0,0 +1,43 @@
+/**
+ * @file
+ * The endpoint where the target on this VM announces itself. The contract is
+ * docs/TARGET-CONTRACT.md: PUT /announce?service=S&version=V&slots=N&port=P&ttl_ms=T   also renews
+ *   POST /leave                                                 drains
+ *   DELETE /announce                                            is gone
+ */
+#ifndef TARGET_ANNOUNCE_H
+#define TARGET_ANNOUNCE_H
+
+#include <apr_pools.h>
+#include <glib.h>
+
+#include "base/clock.h"
+#include "base/str.h"
+
+enum announce_kind { ANNOUNCE_UP, ANNOUNCE_LEAVING, ANNOUNCE_DOWN };
+
+struct announcement {
+	enum announce_kind kind;
+	struct label service; /**< ANNOUNCE_UP, like all below */
+	struct label version;
+	int slots;
+	uint16_t port;
+	struct deadline until; /**< it lapses unless renewed */
+};
+
+typedef void announce_handle_fn(void *context, const struct announcement *announcement);
+
+struct announce_options {
+	uint32_t ipv4;
+	uint16_t port;
+	announce_handle_fn *handle;
+	void *context;
+};
+
+struct announce;
+
+struct announce *announce_new(const struct announce_options *options, GError **error);
+void announce_free(struct announce *announce);
+uint16_t announce_port(const struct announce *announce);
+
+#endif
--- /dev/null
+++ b/target/call.c
@@ -0,0 +1,377 @@
+#include "target/call.h"
+
+#include <arpa/inet.h>
+#include <curl/curl.h>
+#include <netinet/in.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "base/lockorder.h"
+
+enum {
+	CONNECT_TIMEOUT_MS = 500,
+	STATUS_MIN = 100,
+	STATUS_SERVER_ERROR = 500,
+	STATUS_UNAVAILABLE = 503,
+	STATUS_TOO_MANY = 429,
+};
+
+struct target {
+	struct lock lock; /* LOCK_TARGET */
+	apr_pool_t *pool;
+	GPtrArray *idle; /* CURL; each keeps its connection open */
+	uint32_t ipv4;
+	uint16_t port;
+};
+
+/** One call under way. */
+struct call {
+	const struct target_call_options *options;
+	struct response_head head;
+	struct strbuf field_text;
+	size_t field_ends[FIELDS_MAX]; /* positions in field_text, since it may move */
+	size_t name_lens[FIELDS_MAX];
+	bool head_given;
+	bool gave_up;
+	int64_t started_us;
+	int64_t head_us;
+};
+
+struct target *target_new(apr_pool_t *pool)
+{
+	struct target *target = g_new0(struct target, 1);
+
+	apr_pool_create(&target->pool, pool);
+	lock_init(&target->lock, LOCK_TARGET, target->pool);
+	target->idle = g_ptr_array_new();
+	return target;
+}
+
+void target_free(struct target *target)
+{
+	if (!target)
+		return;
+	for (guint i = 0; i < target->idle->len; i++)
+		curl_easy_cleanup(g_ptr_array_index(target->idle, i));
+	g_ptr_array_unref(target->idle);
+	apr_pool_destroy(target->pool);
+	g_free(target);
+}
+
+void target_set_address(struct target *target, uint32_t ipv4, uint16_t port)
+{
+	lock_acquire(&target->lock);
+	target->ipv4 = ipv4;
+	target->port = port;
+	lock_release(&target->lock);
+}
+
+bool target_listens(struct target *target)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET };
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	bool listens;
+
+	lock_acquire(&target->lock);
+	address.sin_port = htons(target->port);
+	address.sin_addr.s_addr = htonl(target->ipv4);
+	lock_release(&target->lock);
+	/* On the same VM a connection is made or refused at once. */
+	listens = fd >= 0 && connect(fd, (struct sockaddr *)&address, sizeof(address)) == 0;
+	if (fd >= 0)
+		close(fd);
+	return listens;
+}
+
+static bool give(struct call *call, struct target_event *event)
+{
+	if (call->options->handle(call->options->context, event))
+		return true;
+	call->gave_up = true;
+	return false;
+}
+
+/* The fields' views are made once all of them are in place. */
+static void finish_fields(struct call *call)
+{
+	size_t at = 0;
+
+	for (int i = 0; i < call->head.field_count; i++) {
+		const char *text = call->field_text.data + at;
+		size_t name_len = call->name_lens[i];
+
+		call->head.fields[i].name = (struct str){ text, name_len };
+		call->head.fields[i].value =
+			(struct str){ text + name_len, call->field_ends[i] - at - name_len };
+		at = call->field_ends[i];
+	}
+}
+
+static bool give_head(struct call *call)
+{
+	struct target_event event = { .kind = TARGET_HEAD, .head = &call->head };
+
+	if (call->head_given)
+		return true;
+	call->head_given = true;
+	call->head_us = clock_now().mono_us;
+	finish_fields(call);
+	return give(call, &event);
+}
+
+static struct str trim(struct str s)
+{
+	while (s.len && strchr(" \t\r\n", s.data[0]))
+		s = str_sub(s, 1, s.len);
+	while (s.len && strchr(" \t\r\n", s.data[s.len - 1]))
+		s.len--;
+	return s;
+}
+
+/* Fields that speak of one connection only are not passed on. */
+static bool is_hop_field(struct str name)
+{
+	static const char *const names[] = { "connection", "keep-alive", "transfer-encoding", "te",
+					     "trailer",	   "upgrade",	 "proxy-connection" };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(names); i++)
+		if (str_equal_nocase(name, str_from_cstr(names[i])))
+			return true;
+	return false;
+}
+
+static void add_field(struct call *call, struct str line)
+{
+	struct str value;
+	struct str name = trim(str_split(line, ':', &value));
+	int index = call->head.field_count;
+
+	value = trim(value);
+	if (str_equal_nocase(name, STR("content-length")))
+		str_to_int64(value, &call->head.body_length);
+	if (name.len == 0 || index >= FIELDS_MAX || is_hop_field(name) ||
+	    str_equal_nocase(name, STR("content-length")))
+		return;
+	strbuf_add(&call->field_text, name);
+	strbuf_add(&call->field_text, value);
+	call->name_lens[index] = name.len;
+	call->field_ends[index] = call->field_text.len;
+	call->head.field_count++;
+}
+
+static void start_head(struct call *call, struct str line)
+{
+	struct str rest;
+	int64_t status = 0;
+
+	str_split(line, ' ', &rest);
+	str_to_int64(str_sub(trim(rest), 0, 3), &status);
+	call->head = (struct response_head){ .status = (int)status, .body_length = -1 };
+	call->field_text.len = 0;
+}
+
+/* One line of the head; an empty one ends it, unless it was an interim answer. */
+static size_t on_header(char *data, size_t size, size_t count, void *context)
+{
+	struct call *call = context;
+	struct str line = { data, size * count };
+
+	if (str_has_prefix(line, STR("HTTP/"))) {
+		start_head(call, line);
+	} else if (trim(line).len) {
+		add_field(call, line);
+	} else if (call->head.status >= 2 * STATUS_MIN && !give_head(call)) {
+		return 0;
+	}
+	return line.len;
+}
+
+static size_t on_body(char *data, size_t size, size_t count, void *context)
+{
+	struct call *call = context;
+	struct target_event event = { .kind = TARGET_BODY, .bytes = { data, size * count } };
+
+	return give(call, &event) ? size * count : 0;
+}
+
+static size_t on_read(char *into, size_t size, size_t count, void *context)
+{
+	struct call *call = context;
+	struct target_event event = { .kind = TARGET_WANTS_BODY,
+				      .wants = { into, size * count, 0 } };
+
+	return give(call, &event) ? event.wants.len : CURL_READFUNC_ABORT;
+}
+
+static int on_progress(void *context, curl_off_t a, curl_off_t b, curl_off_t c, curl_off_t d)
+{
+	struct call *call = context;
+	struct target_event event = { .kind = TARGET_CHECK };
+
+	(void)a;
+	(void)b;
+	(void)c;
+	(void)d;
+	return !give(call, &event);
+}
+
+static CURL *take_handle(struct target *target, char *url, size_t cap, struct str path)
+{
+	CURL *curl = NULL;
+	uint32_t ip;
+
+	lock_acquire(&target->lock);
+	if (target->idle->len)
+		curl = g_ptr_array_steal_index_fast(target->idle, target->idle->len - 1);
+	ip = target->ipv4;
+	g_snprintf(url, (gulong)cap, "http://%u.%u.%u.%u:%u%.*s", ip >> 24, ip >> 16 & 255,
+		   ip >> 8 & 255, ip & 255, target->port, STR_ARG(path));
+	lock_release(&target->lock);
+	return curl ? curl : curl_easy_init();
+}
+
+static void give_handle(struct target *target, CURL *curl)
+{
+	curl_easy_reset(curl);
+	lock_acquire(&target->lock);
+	g_ptr_array_add(target->idle, curl);
+	lock_release(&target->lock);
+}
+
+static struct curl_slist *make_fields(const struct request_head *head)
+{
+	struct curl_slist *list = curl_slist_append(NULL, "Expect:");
+	bool has_type = false;
+
+	for (int i = 0; i < head->field_count; i++) {
+		const struct field *field = &head->fields[i];
+		char *line;
+
+		if (is_hop_field(field->name) ||
+		    str_equal_nocase(field->name, STR("content-length")) ||
+		    str_equal_nocase(field->name, STR("expect")))
+			continue;
+		has_type |= str_equal_nocase(field->name, STR("content-type"));
+		line = g_strdup_printf(field->value.len ? "%.*s: %.*s" : "%.*s;%.*s",
+				       STR_ARG(field->name), STR_ARG(field->value));
+		list = curl_slist_append(list, line);
+		g_free(line);
+	}
+	return has_type ? list : curl_slist_append(list, "Content-Type:");
+}
+
+static void set_method(CURL *curl, const struct request_head *head, bool has_body, char *method)
+{
+	if (str_equal(head->method, STR("HEAD"))) {
+		curl_easy_setopt(curl, CURLOPT_NOBODY, 1L);
+	} else if (has_body) {
+		curl_easy_setopt(curl, CURLOPT_UPLOAD, 1L);
+		if (head->body_length >= 0)
+			curl_easy_setopt(curl, CURLOPT_INFILESIZE_LARGE,
+					 (curl_off_t)head->body_length);
+		curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, method);
+	} else {
+		curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, method);
+	}
+}
+
+static void set_callbacks(CURL *curl, struct call *call)
+{
+	curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, on_header);
+	curl_easy_setopt(curl, CURLOPT_HEADERDATA, call);
+	curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, on_body);
+	curl_easy_setopt(curl, CURLOPT_WRITEDATA, call);
+	curl_easy_setopt(curl, CURLOPT_READFUNCTION, on_read);
+	curl_easy_setopt(curl, CURLOPT_READDATA, call);
+	curl_easy_setopt(curl, CURLOPT_NOPROGRESS, 0L);
+	curl_easy_setopt(curl, CURLOPT_XFERINFOFUNCTION, on_progress);
+	curl_easy_setopt(curl, CURLOPT_XFERINFODATA, call);
+}
+
+static void set_limits(CURL *curl, const struct target_call_options *options)
+{
+	int64_t left_us = deadline_left_us(options->deadline, clock_now());
+
+	curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(curl, CURLOPT_TCP_NODELAY, 1L);
+	curl_easy_setopt(curl, CURLOPT_PATH_AS_IS, 1L);
+	curl_easy_setopt(curl, CURLOPT_CONNECTTIMEOUT_MS, (long)CONNECT_TIMEOUT_MS);
+	if (left_us != INT64_MAX)
+		curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, (long)(left_us / US_PER_MS) + 1);
+	/* curl sends a request again when a reused connection ends without an answer; that may
+	 * be its second run, so that only idempotent requests reuse connections. */
+	if (!options->head->idempotent)
+		curl_easy_setopt(curl, CURLOPT_FRESH_CONNECT, 1L);
+}
+
+/* What a failed exchange says of the target. */
+static struct target_result failed_result(const struct call *call, CURLcode code, long sent)
+{
+	struct target_result result = { .outcome = TARGET_CRASHED,
+					.verdict = VERDICT_MAY_HAVE_RUN,
+					.reason = curl_easy_strerror(code) };
+
+	if (call->gave_up) {
+		/* The caller is gone, which says nothing of the target. */
+		result.outcome = TARGET_SHED;
+	} else if (code == CURLE_COULDNT_CONNECT || (sent == 0 && !call->head_given)) {
+		result.outcome = TARGET_UNREACHED;
+		result.verdict = VERDICT_NOT_RUN;
+	} else if (code == CURLE_OPERATION_TIMEDOUT) {
+		result.outcome = TARGET_FAILED;
+	}
+	if (call->head_given)
+		result.verdict = VERDICT_RAN;
+	return result;
+}
+
+static enum target_outcome outcome_of(int status)
+{
+	if (status == STATUS_UNAVAILABLE || status == STATUS_TOO_MANY)
+		return TARGET_SHED;
+	return status >= STATUS_SERVER_ERROR ? TARGET_FAILED : TARGET_ANSWERED;
+}
+
+static struct target_result make_result(const struct call *call, CURL *curl, CURLcode code)
+{
+	struct target_result result = { .verdict = VERDICT_RAN, .whole = true };
+	long sent = 0;
+
+	curl_easy_getinfo(curl, CURLINFO_REQUEST_SIZE, &sent);
+	if (code == CURLE_OK)
+		result.outcome = outcome_of(call->head.status);
+	else
+		result = failed_result(call, code, sent);
+	result.service_us =
+		(call->head_us ? call->head_us : clock_now().mono_us) - call->started_us;
+	return result;
+}
+
+struct target_result target_call(struct target *target, const struct target_call_options *options)
+{
+	struct call call = { .options = options, .started_us = clock_now().mono_us };
+	size_t url_cap = options->head->target.len + 64;
+	char *url = g_malloc(url_cap);
+	char *method = str_to_cstr(options->head->method);
+	CURL *curl = take_handle(target, url, url_cap, options->head->target);
+	struct curl_slist *fields = make_fields(options->head);
+	struct target_result result;
+	CURLcode code;
+
+	curl_easy_setopt(curl, CURLOPT_URL, url);
+	curl_easy_setopt(curl, CURLOPT_HTTPHEADER, fields);
+	set_method(curl, options->head, options->has_body, method);
+	set_callbacks(curl, &call);
+	set_limits(curl, options);
+	code = curl_easy_perform(curl);
+	result = make_result(&call, curl, code);
+	if (code == CURLE_OK && !give_head(&call))
+		result.whole = false;
+	give_handle(target, curl);
+	curl_slist_free_all(fields);
+	strbuf_clear(&call.field_text);
+	g_free(method);
+	g_free(url);
+	return result;
+}
