--- a/Makefile
+++ b/Makefile
@@ -20,9 +20,10 @@
 daemon = $(OUT)/bin/godwithitchd
 tool = $(OUT)/bin/godwithitch
 helpers = $(regress_helpers:%=$(OUT)/bin/%)
+tools = $(regress_tools:%=$(OUT)/test/%)
 tests = $(regress_tests:%=$(OUT)/test/%)
 
-programs: $(daemon) $(tool) $(helpers)
+programs: $(daemon) $(tool) $(helpers) $(tools)
 
 $(OUT)/%.o: %.c
 	@mkdir -p $(@D)
@@ -50,10 +51,14 @@
 
 lib: $(lib)
 
+# Added latency of a call, side by side with the call straight to the target.
+bench: programs
+	$(OUT)/test/bench
+
 clean:
 	rm -rf build build-*
 
 -include $(shell find $(OUT) -name '*.d' 2>/dev/null)
 
-.PHONY: all programs lib clean
+.PHONY: all programs lib clean bench
 .SECONDARY:
--- /dev/null
+++ b/regress/lib/http.c
@@ -0,0 +1,138 @@
+#include "regress/lib/http.h"
+
+#include <curl/curl.h>
+#include <glib.h>
+#include <string.h>
+
+#include "base/clock.h"
+
+enum { TIMEOUT_DEFAULT_MS = 10000 };
+
+struct http_client {
+	CURL *curl;
+};
+
+struct transfer {
+	struct http_options *options;
+	struct http_reply *reply;
+	int64_t uploaded;
+};
+
+struct http_client *http_new(void)
+{
+	struct http_client *client = g_new0(struct http_client, 1);
+
+	client->curl = curl_easy_init();
+	return client;
+}
+
+void http_free(struct http_client *client)
+{
+	curl_easy_cleanup(client->curl);
+	g_free(client);
+}
+
+static size_t on_body(char *data, size_t size, size_t count, void *context)
+{
+	struct transfer *transfer = context;
+
+	transfer->options->discarded += (int64_t)(size * count);
+	if (!transfer->options->discard)
+		strbuf_add(&transfer->reply->body, (struct str){ data, size * count });
+	return size * count;
+}
+
+static void keep_field(char *data, size_t len, const char *name, char *out, size_t cap)
+{
+	size_t name_len = strlen(name);
+
+	if (len <= name_len || g_ascii_strncasecmp(data, name, name_len) != 0)
+		return;
+	g_snprintf(out, (gulong)cap, "%.*s", (int)(len - name_len), data + name_len);
+	g_strstrip(out);
+}
+
+static size_t on_header(char *data, size_t size, size_t count, void *context)
+{
+	struct transfer *transfer = context;
+	struct http_reply *reply = transfer->reply;
+
+	keep_field(data, size * count, "Godwithitch-Verdict:", reply->verdict,
+		   sizeof(reply->verdict));
+	keep_field(data, size * count, "Target-Version:", reply->version, sizeof(reply->version));
+	return size * count;
+}
+
+static size_t on_upload(char *into, size_t size, size_t count, void *context)
+{
+	struct transfer *transfer = context;
+	int64_t left = transfer->options->upload_bytes - transfer->uploaded;
+	size_t n = (size_t)left < size * count ? (size_t)left : size * count;
+
+	memset(into, 'u', n);
+	transfer->uploaded += (int64_t)n;
+	return n;
+}
+
+static void set_body(CURL *curl, struct http_options *options, struct transfer *transfer)
+{
+	if (options->upload_bytes) {
+		curl_easy_setopt(curl, CURLOPT_UPLOAD, 1L);
+		curl_easy_setopt(curl, CURLOPT_INFILESIZE_LARGE,
+				 (curl_off_t)options->upload_bytes);
+		curl_easy_setopt(curl, CURLOPT_READFUNCTION, on_upload);
+		curl_easy_setopt(curl, CURLOPT_READDATA, transfer);
+	} else if (options->body.len) {
+		curl_easy_setopt(curl, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)options->body.len);
+		curl_easy_setopt(curl, CURLOPT_POSTFIELDS, options->body.data);
+	}
+	if (options->method)
+		curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, options->method);
+}
+
+struct http_reply http_do(struct http_client *client, const char *url,
+			  struct http_options *options)
+{
+	struct http_reply reply = { 0 };
+	struct transfer transfer = { .options = options, .reply = &reply };
+	struct curl_slist *fields = curl_slist_append(NULL, "Expect:");
+	CURL *curl = client->curl;
+	int64_t start_us = clock_now().mono_us;
+	CURLcode code;
+
+	for (int i = 0; i < 6 && options->headers[i]; i++)
+		fields = curl_slist_append(fields, options->headers[i]);
+	curl_easy_reset(curl);
+	curl_easy_setopt(curl, CURLOPT_URL, url);
+	curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(curl, CURLOPT_TCP_NODELAY, 1L);
+	curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS,
+			 options->timeout_ms ? options->timeout_ms : (long)TIMEOUT_DEFAULT_MS);
+	curl_easy_setopt(curl, CURLOPT_HTTPHEADER, fields);
+	curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, on_body);
+	curl_easy_setopt(curl, CURLOPT_WRITEDATA, &transfer);
+	curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, on_header);
+	curl_easy_setopt(curl, CURLOPT_HEADERDATA, &transfer);
+	set_body(curl, options, &transfer);
+	code = curl_easy_perform(curl);
+	curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &reply.status);
+	reply.whole = code == CURLE_OK;
+	reply.took_us = clock_now().mono_us - start_us;
+	curl_slist_free_all(fields);
+	return reply;
+}
+
+void http_clear(struct http_reply *reply)
+{
+	strbuf_clear(&reply->body);
+}
+
+struct http_reply http_get(const char *url)
+{
+	struct http_client *client = http_new();
+	struct http_options options = { 0 };
+	struct http_reply reply = http_do(client, url, &options);
+
+	http_free(client);
+	return reply;
+}
