Admission and evidence under test: three faults found and mended

Change: a queue bound a class with an assured part a tenant, wait expected by round robin, refill only when all turns are used; evidence pooled over routes, the old version's rate of this second, chance taken off small counts.

--- a/Makefile
+++ b/Makefile
@@ -51,6 +51,25 @@
 
 lib: $(lib)
 
+check: programs $(tests)
+	@GODWITHITCH_BIN=$(OUT)/bin sh regress/run $(OUT)/test $(regress_tests)
+
+# Formatter, linter and manual pages; all of them must have nothing to say.
+sources = $(shell git ls-files '*.c')
+headers = $(shell git ls-files '*.h')
+pages = $(shell git ls-files '*.1' '*.5' '*.8')
+tidied = $(sources:%.c=$(OUT)/tidy/%.ok)
+
+lint: $(tidied)
+	clang-format --dry-run -Werror $(sources) $(headers)
+	$(if $(pages),mandoc -T lint -W warning $(pages))
+	@echo lint clean
+
+$(OUT)/tidy/%.ok: %.c
+	@mkdir -p $(@D)
+	@clang-tidy --quiet $< -- $(filter-out -Werror,$(CFLAGS)) >$@.out 2>/dev/null || { cat $@.out; false; }
+	@touch $@
+
 # Added latency of a call, side by side with the call straight to the target.
 bench: programs
 	$(OUT)/test/bench
@@ -60,5 +79,5 @@
 
 -include $(shell find $(OUT) -name '*.d' 2>/dev/null)
 
-.PHONY: all programs lib clean bench
+.PHONY: all programs lib check lint clean bench
 .SECONDARY:
--- a/core/admit.c
+++ b/core/admit.c
@@ -152,16 +152,6 @@
 	route_get(admit, &ticket->route)->running++;
 }
 
-/* What waits before a new ticket: its own class and those above. */
-static int64_t expected_wait_us(const struct admit *admit, const struct ticket *ticket)
-{
-	int ahead = 0;
-
-	for (int i = 0; i <= (int)ticket->class; i++)
-		ahead += admit->classes[i].queued;
-	return (int64_t)((double)(ahead + 1) * admit->service_us / admit->slots);
-}
-
 static struct tenant_queue *tenant_get(struct admit *admit, const struct ticket *ticket)
 {
 	GHashTable *tenants = admit->tenants[ticket->class];
@@ -183,6 +173,33 @@
 	return tenant;
 }
 
+/* What waits before a new ticket: the classes above, and of its own class what the round robin
+ * serves before it. */
+static int64_t expected_wait_us(const struct admit *admit, const struct ticket *ticket,
+				const struct tenant_queue *tenant)
+{
+	const struct class_queue *class = &admit->classes[ticket->class];
+	int own = (int)tenant->tickets.length + 1;
+	int tenants = MAX((int)class->active.length, 1);
+	int ahead = MIN(class->queued, own * tenants);
+
+	for (int i = 0; i < (int)ticket->class; i++)
+		ahead += admit->classes[i].queued;
+	return (int64_t)((double)(ahead + 1) * admit->service_us / admit->slots);
+}
+
+/* Each class has its own bound. A tenant with little in it still gets in when others fill it. */
+static bool is_full(const struct admit *admit, const struct ticket *ticket,
+		    const struct tenant_queue *tenant)
+{
+	const struct class_queue *class = &admit->classes[ticket->class];
+	int bound = admit->slots * QUEUE_PER_SLOT;
+	int tenants = (int)class->active.length + 1;
+	int assured = MAX(bound / (2 * tenants), 1);
+
+	return class->queued >= bound && (int)tenant->tickets.length >= assured;
+}
+
 static void enqueue(struct admit *admit, struct ticket *ticket)
 {
 	struct class_queue *class = &admit->classes[ticket->class];
@@ -198,6 +215,7 @@
 static enum admit_result offer(struct admit *admit, struct ticket *ticket, struct instant now)
 {
 	int64_t left_us = deadline_left_us(ticket->deadline, now);
+	const struct tenant_queue *tenant;
 
 	if (admit->slots == 0 || admit->closed)
 		return ADMIT_CLOSED;
@@ -207,9 +225,10 @@
 		start(admit, ticket);
 		return ADMIT_RUN;
 	}
-	if (admit->queued >= admit->slots * QUEUE_PER_SLOT)
+	tenant = tenant_get(admit, ticket);
+	if (is_full(admit, ticket, tenant))
 		return ADMIT_FULL;
-	if (expected_wait_us(admit, ticket) > left_us)
+	if (expected_wait_us(admit, ticket, tenant) > left_us)
 		return ADMIT_LATE;
 	ticket->queued_at_us = now.mono_us;
 	enqueue(admit, ticket);
@@ -313,8 +332,12 @@
 	return (struct admit_turn){ TURN_NONE, NULL };
 }
 
+/* A new round starts once no class that waits has turns left. */
 static void refill_turns(struct admit *admit)
 {
+	for (int i = 0; i < CLASS_COUNT; i++)
+		if (admit->classes[i].queued && admit->classes[i].turns > 0)
+			return;
 	for (int i = 0; i < CLASS_COUNT; i++)
 		admit->classes[i].turns = class_weight[i];
 }
@@ -323,12 +346,13 @@
 {
 	struct admit_turn turn = { TURN_NONE, NULL };
 
-	/* Classes that used up their turns wait for the lower ones, so that none starves. */
+	refill_turns(admit);
+	/* First those with turns left; then any, if what goes before it can't run now. */
 	for (int pass = 0; pass < 2; pass++) {
 		for (int i = 0; i < CLASS_COUNT; i++) {
 			struct class_queue *class = &admit->classes[i];
 
-			if (class->queued == 0 || (pass == 0 && class->turns <= 0))
+			if (class->queued == 0 || (pass == 0) != (class->turns > 0))
 				continue;
 			turn = next_of_class(admit, class, now);
 			if (turn.kind == TURN_NONE)
@@ -336,7 +360,6 @@
 			class->turns -= turn.kind == TURN_RUN;
 			return turn;
 		}
-		refill_turns(admit);
 	}
 	return turn;
 }
--- a/core/evidence.c
+++ b/core/evidence.c
@@ -41,19 +41,25 @@
 	double sum[TEST_COUNT];
 };
 
+/** The running tests of one route, or of the version over all its routes. */
+struct tests {
+	double sum[TEST_COUNT];
+	struct target_share shares[SHARES_MAX];
+	int share_count;
+};
+
 struct route_evidence {
 	struct label route;
 	struct faded base;
 	struct faded recent;
-	double sum[TEST_COUNT];
-	struct target_share shares[SHARES_MAX];
-	int share_count;
+	struct faded second; /* of this second only */
+	struct tests tests;
 	GArray *fresh; /* struct evidence_window of the new version, this second */
-	bool old_seen; /* the old version had calls this second */
 };
 
 struct evidence {
 	GPtrArray *routes;
+	struct tests whole; /* each route against its own past, added up: many small signs count */
 	uint64_t calls;
 };
 
@@ -123,7 +129,7 @@
 
 	switch (side) {
 	case EVIDENCE_OLD:
-		route->old_seen |= window->calls > 0;
+		faded_add(&route->second, window);
 		faded_add(&route->base, window);
 		faded_add(&route->recent, window);
 		return;
@@ -135,7 +141,14 @@
 	g_assert_not_reached();
 }
 
-/* The old version's failure rate: the worse of its long and its short memory. */
+/* What of a count is more than chance: a single failure among few calls shows no shared fault. */
+static double surely(double count)
+{
+	return fmax(0, count - sqrt(count) - 0.5);
+}
+
+/* The old version's failure rate: the worst of its long memory, its short one and this second,
+ * so that a fault that has just begun for both is expected of the new one as well. */
 static double base_rate(const struct route_evidence *route)
 {
 	double rate = 0.005;
@@ -143,7 +156,9 @@
 	if (route->base.calls >= BASE_MIN_CALLS)
 		rate = (route->base.failures + 0.5) / (route->base.calls + 1);
 	if (route->recent.calls >= RECENT_MIN_CALLS)
-		rate = fmax(rate, route->recent.failures / route->recent.calls);
+		rate = fmax(rate, surely(route->recent.failures) / route->recent.calls);
+	if (route->second.calls >= RECENT_MIN_CALLS)
+		rate = fmax(rate, surely(route->second.failures) / route->second.calls);
 	return rate;
 }
 
@@ -180,7 +195,7 @@
 static double failure_llr(const struct route_evidence *route, const struct evidence_window *window,
 			  double least)
 {
-	double p0 = fmin(0.6, 1.5 * base_rate(route) + 0.01);
+	double p0 = fmin(0.7, 1.3 * base_rate(route) + 0.006);
 	double p1 = fmin(0.95, fmax(least, 2 * p0 + 0.02));
 	double failures = window->failures + window->crashes;
 
@@ -203,7 +218,7 @@
 		above += i >= bucket ? window->latency[i] : 0;
 	}
 	/* When the old version is slow right now as well, that much is expected of the new one. */
-	shared = share_above(&route->recent, bucket);
+	shared = fmax(share_above(&route->recent, bucket), share_above(&route->second, bucket));
 	p0 = fmin(0.9, fmax(p0, 1.2 * shared));
 	p1 = fmin(0.98, fmax(p1, p0 + 0.08));
 	return llr(above, n, p0, p1);
@@ -227,20 +242,20 @@
 	g_assert_not_reached();
 }
 
-static struct target_share *share_get(struct route_evidence *route, uint64_t target)
+static struct target_share *share_get(struct tests *tests, uint64_t target)
 {
 	struct target_share *share;
 
-	for (int i = 0; i < route->share_count; i++)
-		if (route->shares[i].target == target)
-			return &route->shares[i];
+	for (int i = 0; i < tests->share_count; i++)
+		if (tests->shares[i].target == target)
+			return &tests->shares[i];
 	/* With more targets than places the least share is given up. */
-	share = &route->shares[0];
-	if (route->share_count < SHARES_MAX)
-		share = &route->shares[route->share_count++];
-	for (int i = 1; i < route->share_count && route->share_count == SHARES_MAX; i++)
-		if (route->shares[i].sum[TEST_FAIL_SOME] < share->sum[TEST_FAIL_SOME])
-			share = &route->shares[i];
+	share = &tests->shares[0];
+	if (tests->share_count < SHARES_MAX)
+		share = &tests->shares[tests->share_count++];
+	for (int i = 1; i < tests->share_count && tests->share_count == SHARES_MAX; i++)
+		if (tests->shares[i].sum[TEST_FAIL_SOME] < share->sum[TEST_FAIL_SOME])
+			share = &tests->shares[i];
 	*share = (struct target_share){ .target = target };
 	return share;
 }
@@ -250,27 +265,37 @@
 	return route->recent.calls >= RECENT_MIN_CALLS ? THRESHOLD : THRESHOLD_UNPAIRED;
 }
 
-static void reset_test(struct route_evidence *route, int kind)
+static void reset_test(struct tests *tests, int kind)
+{
+	tests->sum[kind] = 0;
+	for (int i = 0; i < tests->share_count; i++)
+		tests->shares[i].sum[kind] = 0;
+}
+
+/* Adds one step to a running sum, as far as one target may bring it. */
+static void add_step(struct tests *tests, struct target_share *share, int kind, double step,
+		     double cap)
 {
-	route->sum[kind] = 0;
-	for (int i = 0; i < route->share_count; i++)
-		route->shares[i].sum[kind] = 0;
+	if (share->sum[kind] + step > cap)
+		step = fmax(0, cap - share->sum[kind]);
+	share->sum[kind] = fmax(0, share->sum[kind] + step);
+	tests->sum[kind] += step;
+	if (tests->sum[kind] <= 0)
+		reset_test(tests, kind);
 }
 
-static void judge_window(struct route_evidence *route, const struct evidence_window *window)
+static void judge_window(struct evidence *evidence, struct route_evidence *route,
+			 const struct evidence_window *window)
 {
-	struct target_share *share = share_get(route, window->target);
+	struct target_share *own = share_get(&route->tests, window->target);
+	struct target_share *whole = share_get(&evidence->whole, window->target);
 	double cap = window->targets > 1 ? TARGET_PART * threshold_of(route) : INFINITY;
 
 	for (int kind = 0; kind < TEST_COUNT; kind++) {
 		double step = test_llr(route, window, kind);
 
-		if (share->sum[kind] + step > cap)
-			step = fmax(0, cap - share->sum[kind]);
-		share->sum[kind] = fmax(0, share->sum[kind] + step);
-		route->sum[kind] += step;
-		if (route->sum[kind] <= 0)
-			reset_test(route, kind);
+		add_step(&route->tests, own, kind, step, cap);
+		add_step(&evidence->whole, whole, kind, step, cap);
 	}
 }
 
@@ -280,36 +305,54 @@
 								: EVIDENCE_LATENCY;
 }
 
-static enum evidence_finding judge_route(struct route_evidence *route)
+static enum evidence_finding find(const struct tests *tests, double threshold)
 {
 	enum evidence_finding finding = EVIDENCE_NONE;
 
-	for (guint i = 0; i < route->fresh->len; i++)
-		judge_window(route, &g_array_index(route->fresh, struct evidence_window, i));
 	for (int kind = TEST_COUNT; kind-- > 0;)
-		if (route->sum[kind] >= threshold_of(route))
+		if (tests->sum[kind] >= threshold)
 			finding = finding_of(kind);
+	return finding;
+}
+
+static void judge_route(struct evidence *evidence, struct route_evidence *route)
+{
+	for (guint i = 0; i < route->fresh->len; i++)
+		judge_window(evidence, route,
+			     &g_array_index(route->fresh, struct evidence_window, i));
 	g_array_set_size(route->fresh, 0);
+}
+
+static void fade_route(struct route_evidence *route)
+{
 	faded_fade(&route->recent, RECENT_FADE);
 	/* The long memory stands still without calls, to compare with after the move. */
-	if (route->old_seen)
+	if (route->second.calls > 0)
 		faded_fade(&route->base, BASE_FADE);
-	route->old_seen = false;
-	return finding;
+	route->second = (struct faded){ 0 };
 }
 
 enum evidence_finding evidence_close(struct evidence *evidence, struct label *route)
 {
 	enum evidence_finding worst = EVIDENCE_NONE;
+	double threshold = THRESHOLD_UNPAIRED;
 
 	for (guint i = 0; i < evidence->routes->len; i++) {
 		struct route_evidence *one = g_ptr_array_index(evidence->routes, i);
-		enum evidence_finding finding = judge_route(one);
-
-		if (finding == EVIDENCE_NONE || worst == EVIDENCE_FAILURES)
-			continue;
-		worst = finding;
-		*route = one->route;
+		enum evidence_finding finding;
+
+		judge_route(evidence, one);
+		finding = find(&one->tests, threshold_of(one));
+		threshold = fmin(threshold, threshold_of(one));
+		if (finding != EVIDENCE_NONE && worst != EVIDENCE_FAILURES) {
+			worst = finding;
+			*route = one->route;
+		}
+		fade_route(one);
+	}
+	if (worst == EVIDENCE_NONE) {
+		worst = find(&evidence->whole, threshold);
+		*route = (struct label){ 0 };
 	}
 	return worst;
 }
@@ -324,14 +367,21 @@
 	evidence->calls = 0;
 }
 
+static bool is_doubtful(const struct tests *tests)
+{
+	for (int kind = 0; kind < TEST_COUNT; kind++)
+		if (tests->sum[kind] >= THRESHOLD / 2)
+			return true;
+	return false;
+}
+
 bool evidence_is_doubtful(const struct evidence *evidence)
 {
 	for (guint i = 0; i < evidence->routes->len; i++) {
 		const struct route_evidence *route = g_ptr_array_index(evidence->routes, i);
 
-		for (int kind = 0; kind < TEST_COUNT; kind++)
-			if (route->sum[kind] >= THRESHOLD / 2)
-				return true;
+		if (is_doubtful(&route->tests))
+			return true;
 	}
-	return false;
+	return is_doubtful(&evidence->whole);
 }
--- a/core/evidence.h
+++ b/core/evidence.h
@@ -39,7 +39,8 @@
 /** Collects a window; evidence_close() judges all that came since the last time. */
 void evidence_add(struct evidence *evidence, enum evidence_side side,
 		  const struct evidence_window *window);
-/** Judges the windows of the second that ends; *route tells which route shows it. */
+/** Judges the windows of the second that ends; *route tells which route shows it, empty if only
+ *  all together do. */
 enum evidence_finding evidence_close(struct evidence *evidence, struct label *route);
 /** Calls to the new version since the last evidence_reset_calls(). */
 uint64_t evidence_calls(const struct evidence *evidence);
--- /dev/null
+++ b/regress/core/move_test.c
@@ -0,0 +1,262 @@
+/* Moves: the lattice, the schedule, and what the sequential tests find. */
+#include "regress/lib/check.h"
+
+#include <apr_general.h>
+#include <math.h>
+#include <string.h>
+
+#include "base/rng.h"
+#include "core/move.h"
+
+static apr_pool_t *pool;
+
+static struct move_state random_state(struct rng *rng)
+{
+	struct move_state state = { .id = 7, .step = (uint8_t)rng_below(rng, 9) };
+
+	if (rng_below(rng, 3) == 0)
+		state.done_at_us = 1 + (int64_t)rng_below(rng, 5);
+	if (rng_below(rng, 3) == 0) {
+		state.withdrawn_at_us = 1 + (int64_t)rng_below(rng, 3);
+		state.reason = 1 + (enum withdraw_reason)rng_below(rng, 2);
+		state.route = rng_below(rng, 2) ? LABEL("a") : LABEL("b");
+	}
+	return state;
+}
+
+static bool same(const struct move_state *a, const struct move_state *b)
+{
+	return a->step == b->step && a->done_at_us == b->done_at_us &&
+	       a->withdrawn_at_us == b->withdrawn_at_us && a->reason == b->reason &&
+	       label_equal(&a->route, &b->route);
+}
+
+static struct move_state join(struct move_state a, struct move_state b)
+{
+	move_state_join(&a, &b);
+	return a;
+}
+
+static void test_join_is_a_semilattice(void **state)
+{
+	struct rng rng = { 11 };
+
+	(void)state;
+	for (int i = 0; i < 20000; i++) {
+		struct move_state a = random_state(&rng);
+		struct move_state b = random_state(&rng);
+		struct move_state c = random_state(&rng);
+		struct move_state ab = join(a, b);
+		struct move_state ba = join(b, a);
+		struct move_state left = join(join(a, b), c);
+		struct move_state right = join(a, join(b, c));
+		struct move_state aa = join(a, a);
+
+		assert_true(same(&ab, &ba));
+		assert_true(same(&left, &right));
+		assert_true(same(&aa, &a));
+		if (a.withdrawn_at_us)
+			assert_true(left.withdrawn_at_us != 0);
+	}
+}
+
+/* One version's share of calls that fail or are slow, for the sequential tests. */
+struct behaviour {
+	const char *name;
+	double fails;
+	double slow;
+	bool one_route; /* of ten */
+	bool bad;
+	double limit_calls; /* a bad one must be found within so many calls, on average */
+};
+
+static const struct behaviour behaviours[] = {
+	{ "good", 0, 1, false, false, 0 },
+	{ "fails 5%", 0.05, 1, false, true, 600 },
+	{ "fails 20%", 0.2, 1, false, true, 120 },
+	{ "fails 100%", 1, 1, false, true, 20 },
+	{ "twice as slow", 0, 2, false, true, 200 },
+	{ "five times as slow", 0, 5, false, true, 80 },
+	{ "fails 20% on one route of ten", 0.2, 1, true, true, 1200 },
+};
+
+static const char *const routes[] = { "r0", "r1", "r2", "r3", "r4", "r5", "r6", "r7", "r8", "r9" };
+
+static void add_call(struct evidence_window *window, struct rng *rng, double fails, double slow)
+{
+	double spread = 0.5 + rng_unit(rng);
+
+	window->calls++;
+	if (rng_unit(rng) < fails)
+		window->failures++;
+	else
+		window->latency[hist_bucket((int64_t)(2000 * spread * slow))]++;
+}
+
+/* One second: a hundred calls of the old version and ten of the new, over ten routes. */
+static void one_second(struct evidence *evidence, const struct behaviour *behaviour,
+		       struct rng *rng)
+{
+	for (int r = 0; r < 10; r++) {
+		struct evidence_window old = { .route = label_from(str_from_cstr(routes[r])),
+					       .target = 1,
+					       .targets = 4 };
+		struct evidence_window new = { .route = old.route, .targets = 2 };
+		bool bad = !behaviour->one_route || r == 3;
+
+		for (int i = 0; i < 10; i++)
+			add_call(&old, rng, 0.002, 1);
+		new.target = 10 + rng_below(rng, 2);
+		add_call(&new, rng, 0.002 + (bad ? behaviour->fails : 0),
+			 bad ? behaviour->slow : 1);
+		evidence_add(evidence, EVIDENCE_OLD, &old);
+		evidence_add(evidence, EVIDENCE_NEW, &new);
+	}
+}
+
+/* Calls of the new version until it is condemned; -1 if it is not within @p seconds. */
+static int calls_until_condemned(const struct behaviour *behaviour, uint64_t seed, int seconds)
+{
+	struct evidence *evidence = evidence_new();
+	struct rng rng = { seed };
+	struct label route;
+	int calls = -1;
+
+	/* The old version is known before the move starts. */
+	for (int s = 0; s < 10; s++) {
+		for (int r = 0; r < 10; r++) {
+			struct evidence_window old = { .route =
+							       label_from(str_from_cstr(routes[r])),
+						       .target = 1 };
+
+			for (int i = 0; i < 10; i++)
+				add_call(&old, &rng, 0.002, 1);
+			evidence_add(evidence, EVIDENCE_OLD, &old);
+		}
+		evidence_close(evidence, &route);
+	}
+	for (int s = 0; s < seconds && calls < 0; s++) {
+		one_second(evidence, behaviour, &rng);
+		if (evidence_close(evidence, &route) != EVIDENCE_NONE)
+			calls = (s + 1) * 10;
+	}
+	evidence_free(evidence);
+	return calls;
+}
+
+static void test_sequential_tests(void **state)
+{
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(behaviours); i++) {
+		const struct behaviour *behaviour = &behaviours[i];
+		int condemned = 0;
+		double calls = 0;
+
+		for (uint64_t seed = 1; seed <= 200; seed++) {
+			int n = calls_until_condemned(behaviour, seed, 600);
+
+			condemned += n >= 0;
+			calls += n > 0 ? n : 0;
+		}
+		print_message("%s: condemned %d of 200, after %.0f calls on average\n",
+			      behaviour->name, condemned, condemned ? calls / condemned : 0);
+		if (behaviour->bad) {
+			assert_int_equal(condemned, 200);
+			assert_true(calls / 200 <= behaviour->limit_calls);
+		} else {
+			assert_true(condemned <= 1);
+		}
+	}
+}
+
+/* A fault that hits both versions alike condemns nobody. */
+static void test_shared_fault(void **state)
+{
+	int condemned = 0;
+
+	(void)state;
+	for (uint64_t seed = 1; seed <= 200; seed++) {
+		struct evidence *evidence = evidence_new();
+		struct rng rng = { seed };
+		struct label route;
+		bool found = false;
+
+		for (int s = 0; s < 60; s++) {
+			bool fault = s >= 20 && s < 30;
+			struct evidence_window old = { .route = LABEL("r"), .target = 1 };
+			struct evidence_window new = { .route = LABEL("r"), .targets = 2 };
+
+			for (int i = 0; i < 100; i++)
+				add_call(&old, &rng, fault ? 0.4 : 0.002, fault ? 3 : 1);
+			new.target = 10 + rng_below(&rng, 2);
+			for (int i = 0; i < 10; i++)
+				add_call(&new, &rng, fault ? 0.4 : 0.002, fault ? 3 : 1);
+			evidence_add(evidence, EVIDENCE_OLD, &old);
+			evidence_add(evidence, EVIDENCE_NEW, &new);
+			found |= evidence_close(evidence, &route) != EVIDENCE_NONE;
+		}
+		condemned += found;
+		evidence_free(evidence);
+	}
+	assert_true(condemned <= 1);
+}
+
+/* One broken target among several is no bad version; two are. */
+static void test_one_broken_target(void **state)
+{
+	(void)state;
+	for (int broken = 1; broken <= 2; broken++) {
+		struct evidence *evidence = evidence_new();
+		struct rng rng = { 5 };
+		struct label route;
+		bool found = false;
+
+		for (int s = 0; s < 60; s++) {
+			struct evidence_window old = { .route = LABEL("r"), .target = 1 };
+
+			for (int i = 0; i < 100; i++)
+				add_call(&old, &rng, 0.002, 1);
+			evidence_add(evidence, EVIDENCE_OLD, &old);
+			for (int t = 0; t < 4; t++) {
+				struct evidence_window new = { .route = LABEL("r"),
+							       .target = 10 + t,
+							       .targets = 4 };
+
+				for (int i = 0; i < 10; i++)
+					add_call(&new, &rng, t < broken ? 1 : 0, 1);
+				evidence_add(evidence, EVIDENCE_NEW, &new);
+			}
+			found |= evidence_close(evidence, &route) != EVIDENCE_NONE;
+		}
+		assert_int_equal(found, broken == 2);
+		evidence_free(evidence);
+	}
+}
+
+static void test_shares_add_up_at_each_step(void **state)
+{
+	int last = -1;
+
+	(void)state;
+	for (int step = 0; step <= MOVE_STEPS; step++) {
+		assert_true(move_step_share(step) > last);
+		last = move_step_share(step);
+	}
+	assert_int_equal(move_step_share(1), 100);
+	assert_int_equal(last, 10000);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_join_is_a_semilattice),
+		cmocka_unit_test(test_sequential_tests),
+		cmocka_unit_test(test_shared_fault),
+		cmocka_unit_test(test_one_broken_target),
+		cmocka_unit_test(test_shares_add_up_at_each_step),
+	};
+
+	apr_initialize();
+	apr_pool_create(&pool, NULL);
+	return cmocka_run_group_tests_name("core/move", tests, NULL, NULL);
+}
--- /dev/null
+++ b/regress/lib/check.h
@@ -0,0 +1,27 @@
+/**
+ * @file
+ * What every test includes.
+ */
+#ifndef REGRESS_CHECK_H
+#define REGRESS_CHECK_H
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include "base/clock.h"
+#include "base/str.h"
+
+#define LABEL(literal) label_from(STR(literal))
+
+/** A moment @p s seconds after an arbitrary start. */
+static inline struct instant at_s(double s)
+{
+	return (struct instant){ 1000 * US_PER_S + (int64_t)(s * 1e6),
+				 1796000000LL * US_PER_S + (int64_t)(s * 1e6) };
+}
+
+#endif
