--- a/base/logger.c
+++ b/base/logger.c
@@ -68,34 +68,42 @@
 	log_path = NULL;
 }
 
-static const char *event_name(enum log_event event)
+struct event_entry {
+	enum log_event event;
+	const char *name;
+	enum log_level level;
+};
+
+static const struct event_entry catalogue[] = {
+#define LOG_EVENT_ENTRY(number, name, level) { number, #name, level },
+	LOG_EVENTS(LOG_EVENT_ENTRY)
+#undef LOG_EVENT_ENTRY
+};
+
+static const struct event_entry *find_entry(enum log_event event)
 {
-	switch (event) {
-#define LOG_EVENT_NAME(number, name, level)                                                        \
-	case NOTE_##name:                                                                          \
-		return #name;
-		LOG_EVENTS(LOG_EVENT_NAME)
-#undef LOG_EVENT_NAME
-	}
+	for (size_t i = 0; i < G_N_ELEMENTS(catalogue); i++)
+		if (catalogue[i].event == event)
+			return &catalogue[i];
 	g_assert_not_reached();
 }
 
-static const char *event_level(enum log_event event)
+static const char *level_name(enum log_level level)
 {
-	static const char *const names[] = { "info", "warn", "error" };
-
-	switch (event) {
-#define LOG_EVENT_LEVEL(number, name, level)                                                       \
-	case NOTE_##name:                                                                          \
-		return names[level];
-		LOG_EVENTS(LOG_EVENT_LEVEL)
-#undef LOG_EVENT_LEVEL
+	switch (level) {
+	case LOG_LEVEL_INFO:
+		return "info";
+	case LOG_LEVEL_WARN:
+		return "warn";
+	case LOG_LEVEL_ERROR:
+		return "error";
 	}
 	g_assert_not_reached();
 }
 
 void logger_event(enum log_event event, const char *format, ...)
 {
+	const struct event_entry *entry = find_entry(event);
 	struct strbuf line = { 0 };
 	va_list args;
 	char *fields = NULL;
@@ -106,7 +114,7 @@
 	g_vasprintf(&fields, format, args);
 	va_end(args);
 	clock_format_utc(&line, clock_now().wall_us);
-	strbuf_addf(&line, " %s %d %s %s\n", event_level(event), (int)event, event_name(event),
+	strbuf_addf(&line, " %s %d %s %s\n", level_name(entry->level), (int)event, entry->name,
 		    fields);
 	g_free(fields);
 	pthread_mutex_lock(&log_mutex);
--- a/peer/link.h
+++ b/peer/link.h
@@ -65,6 +65,19 @@
 /** Closes the link and tells the owners of all its streams. */
 void link_close(struct link *link);
 void link_read(struct link *link);
+
+/* Between link.c and frames.c */
+void link_begin_handling(struct link *link, enum arming *arming);
+/** A worker is through with a watch: it waits again, stays idle, or goes with the link. */
+void link_end_handling(struct link *link, struct watch *watch, enum arming *arming, bool rearm,
+		       int interest);
+/** Makes the entry that later frames of the stream are for. LOCK_LINK is held. */
+void link_add_entry(struct link *link, uint64_t id, struct stream_owner *owner,
+		    uint64_t request_end);
+/** Removes a stream's entry and gives its reference of the owner; NULL if it is gone already. */
+struct stream_owner *link_take_owner(struct link *link, uint64_t id);
+void link_release_owner(struct link *link, struct stream_owner *owner);
+
 void link_writable(struct link *link);
 void link_tick(struct link *link, struct instant now);
 
--- a/peer/peers.c
+++ b/peer/peers.c
@@ -267,6 +267,25 @@
 	link_writable(link);
 }
 
+struct link *link_ref(struct link *link)
+{
+	g_atomic_int_inc(&link->refs);
+	return link;
+}
+
+void link_unref(struct link *link)
+{
+	if (!link || !g_atomic_int_dec_and_test(&link->refs))
+		return;
+	close(link->fd);
+	close(link->write_fd);
+	g_hash_table_destroy(link->streams);
+	strbuf_clear(&link->in);
+	strbuf_clear(&link->out);
+	apr_pool_destroy(link->pool);
+	g_free(link);
+}
+
 void peers_forget(struct peers *peers, struct link *link)
 {
 	bool held;
