--- a/core/move.c
+++ b/core/move.c
@@ -432,6 +432,18 @@
 	return wanted;
 }
 
+int64_t moves_step_us(struct moves *moves, struct label service, int64_t fallback)
+{
+	const struct move *move;
+	int64_t us;
+
+	lock_acquire(&moves->lock);
+	move = find_service(moves, &service);
+	us = move ? step_interval_us(&move->spec) : fallback;
+	lock_release(&moves->lock);
+	return us;
+}
+
 int moves_share(struct moves *moves, uint64_t id)
 {
 	const struct move *move;
--- a/core/move.h
+++ b/core/move.h
@@ -103,6 +103,8 @@
 /** The move that a version of a service takes part in, if its evidence is wanted now. */
 bool moves_wants_evidence(struct moves *moves, struct label service, struct label version,
 			  uint64_t *id);
+/** Time between two steps of a service's move; @p fallback without one. */
+int64_t moves_step_us(struct moves *moves, struct label service, int64_t fallback);
 /** Share of the service's traffic that the move has opened, hundredths of a per cent. */
 int moves_share(struct moves *moves, uint64_t id);
 
--- a/core/node.c
+++ b/core/node.c
@@ -206,8 +206,7 @@
 	moves_round(node, now, out);
 }
 
-static void on_target_up(struct node *node, const struct event *event, struct instant now,
-			 struct actions *out)
+static void on_target_up(struct node *node, const struct event *event, struct actions *out)
 {
 	struct member self = members_self(node->members);
 	bool same = self.slots == event->target.slots &&
@@ -219,7 +218,7 @@
 		return;
 	if (self.slots == 0) {
 		lock_acquire(&node->spread.lock);
-		node->target_cold_until = deadline_after(now, 5 * US_PER_S);
+		node->target_cold_until = (struct deadline){ 0 };
 		lock_release(&node->spread.lock);
 	}
 	self.service = event->target.service;
@@ -289,7 +288,7 @@
 		log_on_append(node, event->append.tag, event->kind == EVENT_APPENDED, now, out);
 		return;
 	case EVENT_TARGET_UP:
-		on_target_up(node, event, now, out);
+		on_target_up(node, event, out);
 		return;
 	case EVENT_TARGET_DOWN:
 		on_target_down(node, out);
--- a/core/node_calls.c
+++ b/core/node_calls.c
@@ -6,6 +6,7 @@
 #define BUDGET_PER_CALL 0.1
 #define BUDGET_START	10.0
 #define BUDGET_MAX	50.0
+#define COLD_US		(12 * US_PER_S)
 
 static uint64_t choose_target(struct node *node, const struct call_facts *facts,
 			      struct label version, struct rng *rng, struct instant now)
@@ -101,15 +102,26 @@
 	lock_release(&node->spread.lock);
 }
 
-void node_target_ended(struct node *node, struct label route, enum target_outcome outcome,
-		       int64_t service_us, struct instant now)
+/* A target is cold from its first call on, not from its start: without calls nothing warms up.
+ * In a short move the first step alone must do. */
+static bool is_cold(struct node *node, struct instant now)
 {
+	struct member self = members_self(node->members);
+	int64_t cold_us = MIN(COLD_US, moves_step_us(node->moves, self.service, COLD_US));
 	bool cold;
 
 	lock_acquire(&node->spread.lock);
+	if (node->target_cold_until.at_us == 0)
+		node->target_cold_until = deadline_after(now, cold_us);
 	cold = !deadline_passed(node->target_cold_until, now);
 	lock_release(&node->spread.lock);
-	tally_add(node->tally, route, outcome, service_us, cold);
+	return cold;
+}
+
+void node_target_ended(struct node *node, struct label route, enum target_outcome outcome,
+		       int64_t service_us, struct instant now)
+{
+	tally_add(node->tally, route, outcome, service_us, is_cold(node, now));
 }
 
 static void tell_poison(struct node *node, const struct poison_mark *mark, struct actions *out)
--- a/core/node_parts.h
+++ b/core/node_parts.h
@@ -152,7 +152,7 @@
 	struct tally *tally;
 	struct poison *poison;
 	struct spread_state spread;
-	struct deadline target_cold_until; /* under spread.lock */
+	struct deadline target_cold_until; /* under spread.lock; unset before its first call */
 };
 
 /** A generator split off from the node's own. Takes LOCK_SPREAD. */
