A done move that looks bad is compared with the old version again first

Change: the coordinator opens a recheck, a max in the move's lattice; for 10 s entries send 5% back, and the verdict comes from calls of the same seconds, with an upper bound for the old version's few calls. Tried first: a doubled threshold without comparison; it took the same good ones back.

--- a/core/evidence.c
+++ b/core/evidence.c
@@ -5,8 +5,6 @@
 
 /* Log-likelihood at which a version is condemned: chance reaches it about once in e^12 calls. */
 #define THRESHOLD 12.0
-/* Without calls of the old version in the same seconds a shared fault can't be told apart. */
-#define THRESHOLD_UNPAIRED 24.0
 /* What one target alone may add: one broken target is no bad version. */
 #define TARGET_PART 0.6
 /* The old version's counts fade by this factor a second. */
@@ -48,18 +46,32 @@
 	int share_count;
 };
 
+/** The old version over all routes, for routes with few calls of their own. */
+struct overall {
+	double calls;
+	double failures;
+	double answered;
+	double above[TEST_COUNT]; /* calls slower than the quantile that a latency test uses */
+};
+
 struct route_evidence {
 	struct label route;
 	struct faded base;
 	struct faded recent;
 	struct faded second; /* of this second only */
 	struct tests tests;
+	struct tests unpaired;
 	GArray *fresh; /* struct evidence_window of the new version, this second */
 };
 
 struct evidence {
 	GPtrArray *routes;
 	struct tests whole; /* each route against its own past, added up: many small signs count */
+	struct tests unpaired; /* the same while the old version has no calls */
+	struct overall recent;
+	struct overall second;
+	struct overall paired; /* since the old version last began to get calls */
+	bool old_in_use;
 	uint64_t calls;
 };
 
@@ -122,6 +134,50 @@
 		faded->latency[i] *= factor;
 }
 
+/* First bucket above quantile q of the old version; -1 if too little is known. */
+static int slow_bucket(const struct faded *faded, double q)
+{
+	double seen = 0;
+
+	if (faded->answered < BASE_MIN_CALLS)
+		return -1;
+	for (int i = 0; i < HIST_BUCKETS; i++) {
+		seen += faded->latency[i];
+		if (seen >= q * faded->answered)
+			return i + 1;
+	}
+	return -1;
+}
+
+static double quantile_of(enum test_kind kind)
+{
+	return kind == TEST_SLOW_TAIL ? 0.9 : 0.5;
+}
+
+static void overall_add(struct overall *overall, const struct route_evidence *route,
+			const struct evidence_window *window)
+{
+	overall->calls += window->calls;
+	overall->failures += window->failures + window->crashes;
+	for (int i = 0; i < HIST_BUCKETS; i++)
+		overall->answered += window->latency[i];
+	for (int kind = TEST_SLOW_TAIL; kind <= TEST_SLOW_HALF; kind++) {
+		int bucket = slow_bucket(&route->base, quantile_of(kind));
+
+		for (int i = bucket; bucket >= 0 && i < HIST_BUCKETS; i++)
+			overall->above[kind] += window->latency[i];
+	}
+}
+
+static void overall_fade(struct overall *overall, double factor)
+{
+	overall->calls *= factor;
+	overall->failures *= factor;
+	overall->answered *= factor;
+	for (int kind = 0; kind < TEST_COUNT; kind++)
+		overall->above[kind] *= factor;
+}
+
 void evidence_add(struct evidence *evidence, enum evidence_side side,
 		  const struct evidence_window *window)
 {
@@ -129,9 +185,12 @@
 
 	switch (side) {
 	case EVIDENCE_OLD:
-		faded_add(&route->second, window);
+		overall_add(&evidence->recent, route, window);
+		overall_add(&evidence->second, route, window);
+		overall_add(&evidence->paired, route, window);
 		faded_add(&route->base, window);
 		faded_add(&route->recent, window);
+		faded_add(&route->second, window);
 		return;
 	case EVIDENCE_NEW:
 		evidence->calls += window->calls;
@@ -147,34 +206,30 @@
 	return fmax(0, count - sqrt(count) - 0.5);
 }
 
+/* An upper bound of a rate: a version that has only begun to get calls has the benefit of doubt. */
+static double at_most(double count, double n)
+{
+	return n > 0 ? fmin(1, (count + 1.5 * sqrt(count + 1)) / n) : 1;
+}
+
+static double sure_rate(double failures, double calls)
+{
+	return calls >= RECENT_MIN_CALLS ? surely(failures) / calls : 0;
+}
+
 /* The old version's failure rate: the worst of its long memory, its short one and this second,
  * so that a fault that has just begun for both is expected of the new one as well. */
-static double base_rate(const struct route_evidence *route)
+static double base_rate(const struct evidence *evidence, const struct route_evidence *route)
 {
 	double rate = 0.005;
 
 	if (route->base.calls >= BASE_MIN_CALLS)
 		rate = (route->base.failures + 0.5) / (route->base.calls + 1);
-	if (route->recent.calls >= RECENT_MIN_CALLS)
-		rate = fmax(rate, surely(route->recent.failures) / route->recent.calls);
-	if (route->second.calls >= RECENT_MIN_CALLS)
-		rate = fmax(rate, surely(route->second.failures) / route->second.calls);
-	return rate;
-}
-
-/* First bucket above quantile q of the old version; -1 if too little is known. */
-static int slow_bucket(const struct faded *faded, double q)
-{
-	double seen = 0;
-
-	if (faded->answered < BASE_MIN_CALLS)
-		return -1;
-	for (int i = 0; i < HIST_BUCKETS; i++) {
-		seen += faded->latency[i];
-		if (seen >= q * faded->answered)
-			return i + 1;
-	}
-	return -1;
+	rate = fmax(rate, sure_rate(route->recent.failures, route->recent.calls));
+	rate = fmax(rate, sure_rate(route->second.failures, route->second.calls));
+	rate = fmax(rate, sure_rate(evidence->recent.failures, evidence->recent.calls));
+	rate = fmax(rate, at_most(evidence->paired.failures, evidence->paired.calls));
+	return fmax(rate, sure_rate(evidence->second.failures, evidence->second.calls));
 }
 
 static double share_above(const struct faded *faded, int bucket)
@@ -186,16 +241,33 @@
 	return faded->answered >= RECENT_MIN_CALLS ? above / faded->answered : 0;
 }
 
+static double overall_above(const struct overall *overall, enum test_kind kind)
+{
+	return overall->answered >= RECENT_MIN_CALLS ? overall->above[kind] / overall->answered : 0;
+}
+
+/* How much of the old version's calls is slow right now: that is expected of the new one too. */
+static double shared_slowness(const struct evidence *evidence, const struct route_evidence *route,
+			      int bucket, enum test_kind kind)
+{
+	double share =
+		fmax(share_above(&route->recent, bucket), share_above(&route->second, bucket));
+
+	share = fmax(share, overall_above(&evidence->recent, kind));
+	share = fmax(share, at_most(evidence->paired.above[kind], evidence->paired.answered));
+	return fmax(share, overall_above(&evidence->second, kind));
+}
+
 /* Log-likelihood of hits among n for rate p1 against p0. */
 static double llr(double hits, double n, double p0, double p1)
 {
 	return hits * log(p1 / p0) + (n - hits) * log((1 - p1) / (1 - p0));
 }
 
-static double failure_llr(const struct route_evidence *route, const struct evidence_window *window,
-			  double least)
+static double failure_llr(const struct evidence *evidence, const struct route_evidence *route,
+			  const struct evidence_window *window, double least)
 {
-	double p0 = fmin(0.7, 1.3 * base_rate(route) + 0.006);
+	double p0 = fmin(0.7, 1.3 * base_rate(evidence, route) + 0.006);
 	double p1 = fmin(0.95, fmax(least, 2 * p0 + 0.02));
 	double failures = window->failures + window->crashes;
 
@@ -203,13 +275,13 @@
 }
 
 /* Tests the share of calls beyond a quantile of the old version. */
-static double latency_llr(const struct route_evidence *route, const struct evidence_window *window,
-			  double q, double p0, double p1)
+static double latency_llr(const struct evidence *evidence, const struct route_evidence *route,
+			  const struct evidence_window *window, enum test_kind kind, double p0,
+			  double p1)
 {
-	int bucket = slow_bucket(&route->base, q);
+	int bucket = slow_bucket(&route->base, quantile_of(kind));
 	double above = 0;
 	double n = 0;
-	double shared;
 
 	if (bucket < 0)
 		return 0;
@@ -217,25 +289,23 @@
 		n += window->latency[i];
 		above += i >= bucket ? window->latency[i] : 0;
 	}
-	/* When the old version is slow right now as well, that much is expected of the new one. */
-	shared = fmax(share_above(&route->recent, bucket), share_above(&route->second, bucket));
-	p0 = fmin(0.9, fmax(p0, 1.2 * shared));
+	p0 = fmin(0.9, fmax(p0, 1.2 * shared_slowness(evidence, route, bucket, kind)));
 	p1 = fmin(0.98, fmax(p1, p0 + 0.08));
 	return llr(above, n, p0, p1);
 }
 
-static double test_llr(const struct route_evidence *route, const struct evidence_window *window,
-		       enum test_kind kind)
+static double test_llr(const struct evidence *evidence, const struct route_evidence *route,
+		       const struct evidence_window *window, enum test_kind kind)
 {
 	switch (kind) {
 	case TEST_FAIL_SOME:
-		return failure_llr(route, window, 0.04);
+		return failure_llr(evidence, route, window, 0.04);
 	case TEST_FAIL_MANY:
-		return failure_llr(route, window, 0.5);
+		return failure_llr(evidence, route, window, 0.5);
 	case TEST_SLOW_TAIL:
-		return latency_llr(route, window, 0.9, 0.2, 0.45);
+		return latency_llr(evidence, route, window, kind, 0.2, 0.45);
 	case TEST_SLOW_HALF:
-		return latency_llr(route, window, 0.5, 0.58, 0.78);
+		return latency_llr(evidence, route, window, kind, 0.58, 0.78);
 	case TEST_COUNT:
 		break;
 	}
@@ -260,11 +330,6 @@
 	return share;
 }
 
-static double threshold_of(const struct route_evidence *route)
-{
-	return route->recent.calls >= RECENT_MIN_CALLS ? THRESHOLD : THRESHOLD_UNPAIRED;
-}
-
 static void reset_test(struct tests *tests, int kind)
 {
 	tests->sum[kind] = 0;
@@ -284,18 +349,27 @@
 		reset_test(tests, kind);
 }
 
+/* Whether the old version has calls to compare with right now. */
+static bool is_paired(const struct evidence *evidence)
+{
+	return evidence->old_in_use && evidence->paired.calls > 0;
+}
+
 static void judge_window(struct evidence *evidence, struct route_evidence *route,
 			 const struct evidence_window *window)
 {
-	struct target_share *own = share_get(&route->tests, window->target);
-	struct target_share *whole = share_get(&evidence->whole, window->target);
-	double cap = window->targets > 1 ? TARGET_PART * threshold_of(route) : INFINITY;
+	bool paired = is_paired(evidence);
+	struct tests *of_route = paired ? &route->tests : &route->unpaired;
+	struct tests *of_all = paired ? &evidence->whole : &evidence->unpaired;
+	struct target_share *own = share_get(of_route, window->target);
+	struct target_share *whole = share_get(of_all, window->target);
+	double cap = window->targets > 1 ? TARGET_PART * THRESHOLD : INFINITY;
 
 	for (int kind = 0; kind < TEST_COUNT; kind++) {
-		double step = test_llr(route, window, kind);
+		double step = test_llr(evidence, route, window, kind);
 
-		add_step(&route->tests, own, kind, step, cap);
-		add_step(&evidence->whole, whole, kind, step, cap);
+		add_step(of_route, own, kind, step, cap);
+		add_step(of_all, whole, kind, step, cap);
 	}
 }
 
@@ -305,12 +379,12 @@
 								: EVIDENCE_LATENCY;
 }
 
-static enum evidence_finding find(const struct tests *tests, double threshold)
+static enum evidence_finding find(const struct tests *tests)
 {
 	enum evidence_finding finding = EVIDENCE_NONE;
 
 	for (int kind = TEST_COUNT; kind-- > 0;)
-		if (tests->sum[kind] >= threshold)
+		if (tests->sum[kind] >= THRESHOLD)
 			finding = finding_of(kind);
 	return finding;
 }
@@ -332,31 +406,62 @@
 	route->second = (struct faded){ 0 };
 }
 
-enum evidence_finding evidence_close(struct evidence *evidence, struct label *route)
+/* The worst finding with calls to compare, over all routes and each. */
+static enum evidence_finding find_paired(const struct evidence *evidence, struct label *route)
 {
-	enum evidence_finding worst = EVIDENCE_NONE;
-	double threshold = THRESHOLD_UNPAIRED;
+	enum evidence_finding worst = find(&evidence->whole);
 
+	*route = (struct label){ 0 };
 	for (guint i = 0; i < evidence->routes->len; i++) {
-		struct route_evidence *one = g_ptr_array_index(evidence->routes, i);
-		enum evidence_finding finding;
-
-		judge_route(evidence, one);
-		finding = find(&one->tests, threshold_of(one));
-		threshold = fmin(threshold, threshold_of(one));
-		if (finding != EVIDENCE_NONE && worst != EVIDENCE_FAILURES) {
-			worst = finding;
-			*route = one->route;
-		}
-		fade_route(one);
-	}
-	if (worst == EVIDENCE_NONE) {
-		worst = find(&evidence->whole, threshold);
-		*route = (struct label){ 0 };
+		const struct route_evidence *one = g_ptr_array_index(evidence->routes, i);
+		enum evidence_finding finding = find(&one->tests);
+
+		if (finding == EVIDENCE_NONE || worst == EVIDENCE_FAILURES)
+			continue;
+		worst = finding;
+		*route = one->route;
 	}
 	return worst;
 }
 
+/* Whether something shows without calls to compare; it starts afresh then. */
+static bool take_unpaired(struct evidence *evidence)
+{
+	bool found = find(&evidence->unpaired) != EVIDENCE_NONE;
+
+	for (guint i = 0; i < evidence->routes->len; i++) {
+		struct route_evidence *one = g_ptr_array_index(evidence->routes, i);
+
+		found |= find(&one->unpaired) != EVIDENCE_NONE;
+		if (is_paired(evidence))
+			one->unpaired = (struct tests){ 0 };
+	}
+	if (is_paired(evidence))
+		evidence->unpaired = (struct tests){ 0 };
+	return found;
+}
+
+enum evidence_finding evidence_close(struct evidence *evidence, bool old_in_use,
+				     struct label *route)
+{
+	enum evidence_finding finding;
+
+	if (old_in_use && !evidence->old_in_use)
+		evidence->paired = evidence->second;
+	evidence->old_in_use = old_in_use;
+
+	for (guint i = 0; i < evidence->routes->len; i++)
+		judge_route(evidence, g_ptr_array_index(evidence->routes, i));
+	finding = find_paired(evidence, route);
+	if (finding == EVIDENCE_NONE && take_unpaired(evidence))
+		finding = EVIDENCE_UNPAIRED;
+	for (guint i = 0; i < evidence->routes->len; i++)
+		fade_route(g_ptr_array_index(evidence->routes, i));
+	overall_fade(&evidence->recent, RECENT_FADE);
+	evidence->second = (struct overall){ 0 };
+	return finding;
+}
+
 uint64_t evidence_calls(const struct evidence *evidence)
 {
 	return evidence->calls;
--- a/core/evidence.h
+++ b/core/evidence.h
@@ -30,6 +30,7 @@
 	EVIDENCE_NONE,
 	EVIDENCE_FAILURES, /**< the new version fails more */
 	EVIDENCE_LATENCY,  /**< the new version is slower */
+	EVIDENCE_UNPAIRED, /**< worse than the old one was, which has no calls to compare now */
 };
 
 struct evidence;
@@ -39,9 +40,11 @@
 /** Collects a window; evidence_close() judges all that came since the last time. */
 void evidence_add(struct evidence *evidence, enum evidence_side side,
 		  const struct evidence_window *window);
-/** Judges the windows of the second that ends; *route tells which route shows it, empty if only
+/** Judges the windows of the second that ends; @p old_in_use tells whether the old version gets
+ *  calls to compare with; *route tells which route shows it, empty if only
  *  all together do. */
-enum evidence_finding evidence_close(struct evidence *evidence, struct label *route);
+enum evidence_finding evidence_close(struct evidence *evidence, bool old_in_use,
+				     struct label *route);
 /** Calls to the new version since the last evidence_reset_calls(). */
 uint64_t evidence_calls(const struct evidence *evidence);
 void evidence_reset_calls(struct evidence *evidence);
--- a/core/move.c
+++ b/core/move.c
@@ -10,10 +10,12 @@
 #define CONTAIN_THRESHOLD    9.0
 #define CONTAIN_US	     (10 * US_PER_S)
 /* An old version that fails this often as well shows a fault that both share. */
+#define RECHECK_US	(10 * US_PER_S)
 #define CONTAIN_OLD_MAX 0.2
 
 enum {
 	SHARE_WHOLE = 10000, /* hundredths of a per cent */
+	SHARE_RECHECK = 500, /* back to the old version, to compare with */
 	STEP_MIN_CALLS = 20, /* to the new version before the next step */
 	UNKNOWN_STATES_MAX = 4096,
 };
@@ -89,6 +91,10 @@
 		into->done_at_us = from->done_at_us;
 		changed = true;
 	}
+	if (from->recheck_at_us > into->recheck_at_us) {
+		into->recheck_at_us = from->recheck_at_us;
+		changed = true;
+	}
 	if (withdrawal_first(from, into)) {
 		into->withdrawn_at_us = from->withdrawn_at_us;
 		into->reason = from->reason;
@@ -172,6 +178,7 @@
 	uint64_t hash = rng_mix(state->id * 16 + state->step);
 
 	hash = rng_mix(hash ^ (uint64_t)state->done_at_us);
+	hash = rng_mix(hash ^ (uint64_t)state->recheck_at_us);
 	return rng_mix(hash ^ (uint64_t)state->withdrawn_at_us * 4 ^ state->reason);
 }
 
@@ -291,17 +298,24 @@
 	return states;
 }
 
+static bool is_rechecked(const struct move *move, struct instant now)
+{
+	return move->state.recheck_at_us && now.wall_us < move->state.recheck_at_us + RECHECK_US;
+}
+
 /* Share of the old version that has gone over to the new one, hundredths of a per cent. */
-static int moved_share(const struct move *move)
+static int moved_share(const struct move *move, struct instant now)
 {
 	if (move->state.withdrawn_at_us || move->contained_until.at_us)
 		return 0;
-	return move->state.done_at_us ? SHARE_WHOLE : move_step_share(move->state.step);
+	if (move->state.done_at_us)
+		return is_rechecked(move, now) ? SHARE_WHOLE - SHARE_RECHECK : SHARE_WHOLE;
+	return move_step_share(move->state.step);
 }
 
 /* Declared shares with the move applied; hundredths of a per cent of the whole. */
 static int effective_share(const struct service *service, const struct move *move,
-			   const struct version *version)
+			   const struct version *version, struct instant now)
 {
 	int share = version->share_percent * 100;
 	int from_share = 0;
@@ -319,19 +333,19 @@
 	if (label_equal(&version->name, &move->spec.from)) {
 		int kept = move->state.withdrawn_at_us ? from_share : share;
 
-		return kept - share * moved_share(move) / SHARE_WHOLE;
+		return kept - share * moved_share(move, now) / SHARE_WHOLE;
 	}
 	if (!label_equal(&version->name, &move->spec.to))
 		return share;
 	/* A withdrawn version gets nothing, whatever share the file declares for it. */
 	if (move->state.withdrawn_at_us)
 		return 0;
-	return share + from_share * moved_share(move) / SHARE_WHOLE;
+	return share + from_share * moved_share(move, now) / SHARE_WHOLE;
 }
 
 /* The move's new version comes first, so that a growing share only adds callers to it. */
 static bool choose_by_point(const struct service *service, const struct move *move, int point,
-			    struct label *version)
+			    struct instant now, struct label *version)
 {
 	const struct version *last = NULL;
 
@@ -340,7 +354,7 @@
 			const struct version *one =
 				&g_array_index(service->versions, struct version, i);
 			bool is_new = move && label_equal(&one->name, &move->spec.to);
-			int share = effective_share(service, move, one);
+			int share = effective_share(service, move, one, now);
 
 			if (is_new != (pass == 0) || share == 0)
 				continue;
@@ -370,7 +384,7 @@
 	move = find_service(moves, &service);
 	if (move && deadline_passed(move->contained_until, now))
 		move->contained_until = (struct deadline){ 0 };
-	found = choose_by_point(declared, move, (int)(point % SHARE_WHOLE), version);
+	found = choose_by_point(declared, move, (int)(point % SHARE_WHOLE), now, version);
 	lock_release(&moves->lock);
 	return found;
 }
@@ -444,14 +458,14 @@
 	return us;
 }
 
-int moves_share(struct moves *moves, uint64_t id)
+int moves_share(struct moves *moves, uint64_t id, struct instant now)
 {
 	const struct move *move;
 	int share;
 
 	lock_acquire(&moves->lock);
 	move = find(moves, id);
-	share = move ? moved_share(move) : 0;
+	share = move ? moved_share(move, now) : 0;
 	lock_release(&moves->lock);
 	return share;
 }
@@ -502,6 +516,7 @@
 {
 	switch (finding) {
 	case EVIDENCE_NONE:
+	case EVIDENCE_UNPAIRED:
 		return WITHDRAW_NONE;
 	case EVIDENCE_FAILURES:
 		return WITHDRAW_FAILURES;
@@ -511,20 +526,42 @@
 	g_assert_not_reached();
 }
 
-static bool withdraw(struct move *move, const struct move_surroundings *around, struct instant now)
+/* Whether the old version gets calls that the new one can be compared with. */
+static bool old_has_share(const struct move *move, struct instant now)
+{
+	if (move->state.done_at_us)
+		return is_rechecked(move, now);
+	return move->state.step < MOVE_STEPS;
+}
+
+/* Closes the second's evidence and withdraws the move, or has a done one compared again. */
+static enum move_change_kind judge(struct move *move, const struct move_surroundings *around,
+				   struct instant now)
 {
 	struct label route = { 0 };
 	enum evidence_finding finding;
 
 	if (!move->evidence)
-		return false;
-	finding = evidence_close(move->evidence, &route);
-	if (finding == EVIDENCE_NONE || !around->may_withdraw || move->state.step == 0)
-		return false;
-	move->state.withdrawn_at_us = now.wall_us;
-	move->state.reason = reason_of(finding);
-	move->state.route = route;
-	return true;
+		return MOVE_CHANGE_NONE;
+	finding = evidence_close(move->evidence, old_has_share(move, now), &route);
+	if (!around->may_withdraw || move->state.step == 0)
+		return MOVE_CHANGE_NONE;
+	switch (finding) {
+	case EVIDENCE_NONE:
+		return MOVE_CHANGE_NONE;
+	case EVIDENCE_UNPAIRED:
+		if (!move->state.done_at_us || around->old_targets == 0 || is_rechecked(move, now))
+			return MOVE_CHANGE_NONE;
+		move->state.recheck_at_us = now.wall_us;
+		return MOVE_CHANGE_RECHECK;
+	case EVIDENCE_FAILURES:
+	case EVIDENCE_LATENCY:
+		move->state.withdrawn_at_us = now.wall_us;
+		move->state.reason = reason_of(finding);
+		move->state.route = route;
+		return MOVE_CHANGE_WITHDRAW;
+	}
+	g_assert_not_reached();
 }
 
 /*
@@ -581,9 +618,8 @@
 	if (move && move->state.withdrawn_at_us == 0) {
 		if (move->step_seen_at_us == 0)
 			move->step_seen_at_us = now.wall_us;
-		if (withdraw(move, around, now))
-			change.kind = MOVE_CHANGE_WITHDRAW;
-		else
+		change.kind = judge(move, around, now);
+		if (change.kind == MOVE_CHANGE_NONE)
 			change.kind = advance(move, around, now);
 		if (move->step_seen_at_us == 0)
 			move->step_seen_at_us = now.wall_us;
--- a/core/move.h
+++ b/core/move.h
@@ -29,7 +29,9 @@
 	int64_t withdrawn_at_us; /**< wall clock; 0: not withdrawn; the earliest wins, and is final
 				  */
 	enum withdraw_reason reason;
-	struct label route; /**< that showed the reason */
+	struct label route;    /**< that showed the reason */
+	int64_t recheck_at_us; /**< wall clock; from then on the old version gets a few calls for a
+				    while, to compare a done one with; the latest wins */
 };
 
 /** Joins @p from into @p into; true if that changed it. Both are of one move. */
@@ -66,7 +68,8 @@
 	MOVE_CHANGE_NONE,
 	MOVE_CHANGE_STEP,
 	MOVE_CHANGE_DONE,
-	MOVE_CHANGE_WITHDRAW
+	MOVE_CHANGE_RECHECK,
+	MOVE_CHANGE_WITHDRAW,
 };
 
 struct move_change {
@@ -106,7 +109,7 @@
 /** Time between two steps of a service's move; @p fallback without one. */
 int64_t moves_step_us(struct moves *moves, struct label service, int64_t fallback);
 /** Share of the service's traffic that the move has opened, hundredths of a per cent. */
-int moves_share(struct moves *moves, uint64_t id);
+int moves_share(struct moves *moves, uint64_t id, struct instant now);
 
 /** Takes a window for a move that this node coordinates. */
 void moves_add_evidence(struct moves *moves, uint64_t id, struct label version,
@@ -117,6 +120,7 @@
 	bool may_advance;
 	bool may_withdraw;
 	int new_targets; /**< live targets of the new version */
+	int old_targets; /**< and of the old one */
 };
 
 /** The ids of the configuration's moves; the caller frees the array. */
--- a/core/node_moves.c
+++ b/core/node_moves.c
@@ -100,6 +100,10 @@
 		actions_note(out, NOTE_MOVE_DONE, "move=%lu service=%.*s to=%.*s", spec->id,
 			     STR_ARG(service), STR_ARG(to));
 		return;
+	case MOVE_CHANGE_RECHECK:
+		actions_note(out, NOTE_MOVE_RECHECKED, "move=%lu service=%.*s to=%.*s", spec->id,
+			     STR_ARG(service), STR_ARG(to));
+		return;
 	case MOVE_CHANGE_WITHDRAW:
 		actions_note(out, NOTE_MOVE_WITHDRAWN,
 			     "move=%lu service=%.*s to=%.*s why=\"%.*s\" route=%.*s", spec->id,
@@ -126,6 +130,7 @@
 	around.may_advance = config_auto_allowed(config, spec.service, AUTO_ADVANCE);
 	around.may_withdraw = config_auto_allowed(config, spec.service, AUTO_WITHDRAW);
 	around.new_targets = members_version_targets(node->members, spec.service, spec.to);
+	around.old_targets = members_version_targets(node->members, spec.service, spec.from);
 	change = moves_coordinate(node->moves, id, &around, now);
 	if (change.kind == MOVE_CHANGE_NONE)
 		return;
--- a/operator/report.c
+++ b/operator/report.c
@@ -141,7 +141,8 @@
 	g_array_unref(records);
 }
 
-static void add_move(struct node *node, const struct move_report *report, struct strbuf *out)
+static void add_move(struct node *node, const struct move_report *report, struct instant now,
+		     struct strbuf *out)
 {
 	next_item(out);
 	strbuf_add(out, STR("{"));
@@ -154,7 +155,7 @@
 	add_text(out, "phase", move_phase_name(report->phase));
 	add_number(out, "step", report->state.step);
 	add_number(out, "steps", MOVE_STEPS);
-	add_number(out, "share_per_10000", moves_share(node_moves(node), report->spec.id));
+	add_number(out, "share_per_10000", moves_share(node_moves(node), report->spec.id, now));
 	add_time(out, "done_at", report->state.done_at_us);
 	add_time(out, "taken_back_at", report->state.withdrawn_at_us);
 	add_text(out, "why", str_from_cstr(report->why));
@@ -169,7 +170,7 @@
 
 	strbuf_add(out, STR("["));
 	for (guint i = 0; i < reports->len; i++)
-		add_move(node, &g_array_index(reports, struct move_report, i), out);
+		add_move(node, &g_array_index(reports, struct move_report, i), now, out);
 	strbuf_add(out, STR("]"));
 	g_array_unref(reports);
 	config_unref(config);
--- a/peer/pack.c
+++ b/peer/pack.c
@@ -45,13 +45,14 @@
 
 void pack_state(msgpack_packer *out, const struct move_state *state)
 {
-	msgpack_pack_array(out, 6);
+	msgpack_pack_array(out, 7);
 	msgpack_pack_uint64(out, state->id);
 	msgpack_pack_int(out, state->step);
 	msgpack_pack_int64(out, state->done_at_us);
 	msgpack_pack_int64(out, state->withdrawn_at_us);
 	msgpack_pack_int(out, state->reason);
 	pack_label(out, &state->route);
+	msgpack_pack_int64(out, state->recheck_at_us);
 }
 
 static void pack_file(msgpack_packer *out, const struct accepted_file *file)
@@ -210,6 +211,7 @@
 	state->withdrawn_at_us = unpack_i64(&inner);
 	state->reason = unpack_int(&inner, WITHDRAW_LATENCY);
 	state->route = unpack_label(&inner);
+	state->recheck_at_us = unpack_i64(&inner);
 	in->bad |= inner.bad;
 }
 
--- a/regress/core/fleet_test.c
+++ b/regress/core/fleet_test.c
@@ -8,8 +8,8 @@
 #include "regress/lib/movesim.h"
 #include "regress/lib/sim.h"
 
-#define GOOD                                                                                    \
-	"{\"services\": {\"s\": {\"versions\": {\"v1\": {\"share\": 100}}}},"                    \
+#define GOOD                                                                                       \
+	"{\"services\": {\"s\": {\"versions\": {\"v1\": {\"share\": 100}}}},"                      \
 	"\"routes\": [{\"name\": \"r\", \"path\": \"/\", \"service\": \"s\"}]}"
 #define OTHER "{\"services\": {\"t\": {\"versions\": {\"v1\": {\"share\": 100}}}}}"
 
@@ -173,7 +173,7 @@
 static const struct row {
 	const char *what;
 	fault_fn *fault;
-	int within_s; /* until all hold the version */
+	int within_s;	      /* until all hold the version */
 	int members_within_s; /* until all see all members */
 } rows[] = {
 	{ "updates cross, are doubled and lost", crossed_and_doubled, 8, 60 },
@@ -243,8 +243,9 @@
 
 static struct sim *small_sim(uint64_t seed)
 {
-	struct sim_options options = { .nodes = 9, .data_centres = 3, .seed = seed,
-				       .preload = true };
+	struct sim_options options = {
+		.nodes = 9, .data_centres = 3, .seed = seed, .preload = true
+	};
 	struct sim *sim = sim_new(&options);
 
 	sim_run(sim, 10 * US_PER_S);
@@ -346,8 +347,8 @@
 	  true },
 	{ "withdraw off for all", "\"switches\": {\"all\": {\"withdraw\": \"off\"}},", 1, true,
 	  false },
-	{ "withdraw off for the service", "\"switches\": {\"s\": {\"withdraw\": \"off\"}},", 1, true,
-	  false },
+	{ "withdraw off for the service", "\"switches\": {\"s\": {\"withdraw\": \"off\"}},", 1,
+	  true, false },
 	{ "off for all wins over on for the service",
 	  "\"switches\": {\"all\": {\"advance\": \"off\"}, \"s\": {\"advance\": \"on\"}},", 0,
 	  false, true },
@@ -386,8 +387,8 @@
 
 		if (!result.on_time || result.withdrawn)
 			fail_msg("good version, %s: step %d, done %d after %.0f s, withdrawn %d",
-				 movesim_fault_name(fault), result.step, result.done,
-				 result.done_s, result.withdrawn);
+				 movesim_fault_name(fault), result.step, result.done, result.done_s,
+				 result.withdrawn);
 		assert_string_equal(result.violation, "");
 		bad.fail_share = 0.5;
 		result = movesim_run(&bad);
--- a/regress/core/move_test.c
+++ b/regress/core/move_test.c
@@ -16,6 +16,7 @@
 
 	if (rng_below(rng, 3) == 0)
 		state.done_at_us = 1 + (int64_t)rng_below(rng, 5);
+	state.recheck_at_us = (int64_t)rng_below(rng, 3);
 	if (rng_below(rng, 3) == 0) {
 		state.withdrawn_at_us = 1 + (int64_t)rng_below(rng, 3);
 		state.reason = 1 + (enum withdraw_reason)rng_below(rng, 2);
@@ -28,7 +29,7 @@
 {
 	return a->step == b->step && a->done_at_us == b->done_at_us &&
 	       a->withdrawn_at_us == b->withdrawn_at_us && a->reason == b->reason &&
-	       label_equal(&a->route, &b->route);
+	       a->recheck_at_us == b->recheck_at_us && label_equal(&a->route, &b->route);
 }
 
 static struct move_state join(struct move_state a, struct move_state b)
@@ -133,11 +134,11 @@
 				add_call(&old, &rng, 0.002, 1);
 			evidence_add(evidence, EVIDENCE_OLD, &old);
 		}
-		evidence_close(evidence, &route);
+		evidence_close(evidence, true, &route);
 	}
 	for (int s = 0; s < seconds && calls < 0; s++) {
 		one_second(evidence, behaviour, &rng);
-		if (evidence_close(evidence, &route) != EVIDENCE_NONE)
+		if (evidence_close(evidence, true, &route) != EVIDENCE_NONE)
 			calls = (s + 1) * 10;
 	}
 	evidence_free(evidence);
@@ -193,7 +194,7 @@
 				add_call(&new, &rng, fault ? 0.4 : 0.002, fault ? 3 : 1);
 			evidence_add(evidence, EVIDENCE_OLD, &old);
 			evidence_add(evidence, EVIDENCE_NEW, &new);
-			found |= evidence_close(evidence, &route) != EVIDENCE_NONE;
+			found |= evidence_close(evidence, true, &route) != EVIDENCE_NONE;
 		}
 		condemned += found;
 		evidence_free(evidence);
@@ -226,7 +227,7 @@
 					add_call(&new, &rng, t < broken ? 1 : 0, 1);
 				evidence_add(evidence, EVIDENCE_NEW, &new);
 			}
-			found |= evidence_close(evidence, &route) != EVIDENCE_NONE;
+			found |= evidence_close(evidence, true, &route) != EVIDENCE_NONE;
 		}
 		assert_int_equal(found, broken == 2);
 		evidence_free(evidence);
--- a/regress/lib/movesim.c
+++ b/regress/lib/movesim.c
@@ -9,21 +9,21 @@
 
 const char *movesim_fault_name(enum movesim_fault fault)
 {
-	static const char *const names[] = { "no fault",	"cold start",
-					     "shared fault",	"log out",
-					     "old node dies",	"a new target dies",
-					     "messages lost" };
+	static const char *const names[] = { "no fault",	  "cold start",
+					     "shared fault",	  "shared fault after done",
+					     "log out",		  "old node dies",
+					     "a new target dies", "messages lost" };
 
 	return names[fault];
 }
 
-static void make_file(const struct movesim_options *options, struct instant now,
-		      struct strbuf *out)
+static void make_file(const struct movesim_options *options, struct instant now, struct strbuf *out)
 {
 	int64_t start_us = now.wall_us + LEAD_S * US_PER_S;
 
-	strbuf_addf(out, "{%s\"services\": {\"s\": {\"versions\": {\"v1\": {\"share\": 100},"
-			 "\"v2\": {}}}}, \"routes\": [",
+	strbuf_addf(out,
+		    "{%s\"services\": {\"s\": {\"versions\": {\"v1\": {\"share\": 100},"
+		    "\"v2\": {}}}}, \"routes\": [",
 		    options->switches ? options->switches : "");
 	for (int i = 0; i < ROUTES; i++)
 		strbuf_addf(out, "%s{\"name\": \"r%d\", \"path\": \"/r%d\", \"service\": \"s\"}",
@@ -53,19 +53,20 @@
 		if (options->one_route)
 			target->bad_route = label_from(STR("r3"));
 		if (options->fault == FAULT_COLD)
-			target->cold_until_us =
-				sim_elapsed_us(sim) + (LEAD_S + 10) * US_PER_S;
+			target->cold_until_us = sim_elapsed_us(sim) + (LEAD_S + 10) * US_PER_S;
 	}
 }
 
 /* Switches the fault on and off as the move goes on. */
 static void play_fault(struct sim *sim, const struct movesim_options *options, int second)
 {
-	int at = options->move_s / 3;
+	int at =
+		options->fault == FAULT_AFTER_DONE ? options->move_s * 9 / 10 : options->move_s / 3;
 	double share = second >= at && second < at + 5 ? 0.33 : 0;
 
 	switch (options->fault) {
 	case FAULT_SHARED:
+	case FAULT_AFTER_DONE:
 		for (int i = 0; i < NODES; i++)
 			sim_node(sim, i)->target.fault_share = share;
 		return;
@@ -128,8 +129,7 @@
 	GArray *reports = moves_report(node_moves(sim_node(sim, 0)->node), config, sim_now(sim));
 
 	if (reports->len) {
-		const struct move_report *report =
-			&g_array_index(reports, struct move_report, 0);
+		const struct move_report *report = &g_array_index(reports, struct move_report, 0);
 		const struct move_state *state = &report->state;
 
 		result->step = state->step;
@@ -146,10 +146,9 @@
 
 struct movesim_result movesim_run(const struct movesim_options *options)
 {
-	struct sim_options sim_options = { .nodes = NODES,
-					   .data_centres = DATA_CENTRES,
-					   .seed = options->seed,
-					   .preload = true };
+	struct sim_options sim_options = {
+		.nodes = NODES, .data_centres = DATA_CENTRES, .seed = options->seed, .preload = true
+	};
 	struct movesim_result result = { 0 };
 	struct sim *sim = sim_new(&sim_options);
 	struct strbuf file = { 0 };
--- a/regress/measure.c
+++ b/regress/measure.c
@@ -177,8 +177,8 @@
 						   .move_s = 300 };
 		struct movesim_result result = movesim_run(&options);
 		double share = 100.0 * result.calls_new_bad / result.calls;
-		double at = kind->fail_share > 0 || kind->slow_factor > 1 ? result.withdrawn_s :
-									    result.done_s;
+		double at = kind->fail_share > 0 || kind->slow_factor > 1 ? result.withdrawn_s
+									  : result.done_s;
 
 		on_time += result.on_time && !result.withdrawn;
 		withdrawn += result.withdrawn;
