--- a/base/pipe.c
+++ b/base/pipe.c
@@ -57,8 +57,9 @@
 
 	if (pipe->abandoned || pipe->end != PIPE_OPEN)
 		return false;
-	if (pipe->taken == pipe->held.len) {
-		pipe->held.len = 0;
+	/* What the reader has goes before the buffer would grow for it. */
+	if (pipe->taken >= pipe->held.len / 2) {
+		strbuf_consume(&pipe->held, pipe->taken);
 		pipe->taken = 0;
 	}
 	strbuf_add(&pipe->held, bytes);
--- a/caller/http.c
+++ b/caller/http.c
@@ -170,6 +170,15 @@
 	return target;
 }
 
+static int count_fields(const struct caller_call *call, struct str name)
+{
+	int count = 0;
+
+	for (int i = 0; i < call->field_count; i++)
+		count += str_equal_nocase(call->fields[i].name, name);
+	return count;
+}
+
 static void read_body_length(struct caller_call *call)
 {
 	struct str length = caller_field(call, STR("Content-Length"));
@@ -179,6 +188,11 @@
 		call->body_length = -1;
 	else if (length.len && !str_to_int64(length, &call->body_length))
 		call->answered_early = MHD_HTTP_BAD_REQUEST;
+	/* Two lengths could end the request at two places. */
+	if (count_fields(call, STR("Content-Length")) +
+		    count_fields(call, STR("Transfer-Encoding")) >
+	    1)
+		call->answered_early = MHD_HTTP_BAD_REQUEST;
 	if (call->body_length > call->caller->options.body_max)
 		call->answered_early = MHD_HTTP_CONTENT_TOO_LARGE;
 }
--- a/core/member.c
+++ b/core/member.c
@@ -11,6 +11,7 @@
 #define EJECT_BROKEN_STEP  4.0
 #define EJECT_THRESHOLD	   9.0
 #define EJECT_US	   (10 * US_PER_S)
+#define CLOSED_US	   (1 * US_PER_S)
 #define SLOW_START_US	   (10 * US_PER_S)
 
 /** A member with what this node adds of its own. */
@@ -714,6 +715,7 @@
 	case CALL_FAILED:
 		return EJECT_FAILURE_STEP;
 	case CALL_REFUSED:
+	case CALL_CLOSED:
 		return 0;
 	case CALL_BROKEN:
 		return EJECT_BROKEN_STEP;
@@ -737,6 +739,9 @@
 			peer->evidence = 0;
 		eject = may_eject && peer->evidence >= EJECT_THRESHOLD;
 	}
+	/* Its own word, which no switch concerns; the membership tells soon for how long. */
+	if (peer && outcome == CALL_CLOSED)
+		peer->contained_until = deadline_after(now, CLOSED_US);
 	if (eject) {
 		peer->contained_until = deadline_after(now, EJECT_US);
 		peer->evidence = 0;
--- a/core/member.h
+++ b/core/member.h
@@ -124,9 +124,11 @@
 
 enum call_outcome {
 	CALL_ANSWERED, /**< the target answered, and not with a fault of its own */
-	CALL_FAILED,   /**< the target answered with a fault */
-	CALL_REFUSED,  /**< shed, draining or queue full: says nothing of the target's health */
-	CALL_BROKEN,   /**< no answer: the connection failed or fell silent */
+	CALL_FAILED,
+	/**< the target answered with a fault */ CALL_CLOSED, /**< its node says that it takes no
+								 work for now */
+	CALL_REFUSED, /**< shed, draining or queue full: says nothing of the target's health */
+	CALL_BROKEN,  /**< no answer: the connection failed or fell silent */
 };
 
 /**
--- a/core/message.h
+++ b/core/message.h
@@ -87,8 +87,11 @@
 		} records;
 		struct snapshot_part snapshot;
 		uint64_t *buckets; /**< MEMBERS_ASK: MEMBER_BUCKETS hashes, owned */
-		GArray *members;   /**< MEMBERS: struct member, owned */
-		GArray *states;	   /**< MOVES: struct move_state, owned */
+		struct {
+			GArray *members;  /**< MEMBERS: struct member, owned */
+			bool members_end; /**< the last one of an answer to MEMBERS_ASK */
+		};
+		GArray *states; /**< MOVES: struct move_state, owned */
 		struct {
 			uint64_t move;
 			struct label version;
--- a/core/node.c
+++ b/core/node.c
@@ -156,6 +156,8 @@
 		return;
 	case MESSAGE_MEMBERS:
 		fleet_on_members(node, message->members, now, out);
+		if (message->members_end)
+			config_members_known(node);
 		return;
 	case MESSAGE_MOVES:
 		moves_on_states(node, message->states, true, out);
--- a/core/node_config.c
+++ b/core/node_config.c
@@ -4,7 +4,8 @@
  */
 #include "core/node_parts.h"
 
-#define BOOT_ASK_US (500 * US_PER_MS)
+#define BOOT_ASK_US    (500 * US_PER_MS)
+#define MEMBERS_ASK_US (1 * US_PER_S) /* then another peer is asked */
 
 /* Tells who and what is newest; true if a pull from there starts now. */
 static bool begin_pull(struct node *node, uint64_t from, int64_t newest, struct instant now)
@@ -65,25 +66,35 @@
 	lock_release(&node->spread.lock);
 }
 
-static void ask_members_once(struct node *node, uint64_t from, struct actions *out)
+static void ask_members(struct node *node, uint64_t from, struct instant now, struct actions *out)
 {
+	struct boot_state *boot = &node->spread.boot;
 	bool ask;
 
 	lock_acquire(&node->spread.lock);
-	ask = !node->spread.boot.members_asked;
-	node->spread.boot.members_asked = true;
+	ask = !boot->members_known &&
+	      (boot->members_ask_at.at_us == 0 || deadline_passed(boot->members_ask_at, now));
+	if (ask)
+		boot->members_ask_at = deadline_after(now, MEMBERS_ASK_US);
 	lock_release(&node->spread.lock);
 	if (ask)
 		fleet_ask_members(node, from, true, out);
 }
 
+void config_members_known(struct node *node)
+{
+	lock_acquire(&node->spread.lock);
+	node->spread.boot.members_known = true;
+	lock_release(&node->spread.lock);
+}
+
 void config_on_digest(struct node *node, uint64_t from, const struct digest *digest,
 		      struct instant now, struct actions *out)
 {
 	join_snapshot_marks(node, digest);
 	if (digest->current && !node_is_current(node)) {
 		hear_current(node, from, digest);
-		ask_members_once(node, from, out);
+		ask_members(node, from, now, out);
 	}
 	pull_from(node, from, digest->version, now, out);
 }
@@ -103,7 +114,6 @@
 		pull->from = 0;
 		pull->not_before = deadline_after(now, after_us);
 	}
-	node->spread.boot.members_asked = false;
 	lock_release(&node->spread.lock);
 }
 
@@ -395,7 +405,7 @@
 	const struct boot_state *boot = &node->spread.boot;
 	int wanted = MIN(BOOT_SAMPLE, node->options.seed_count);
 
-	if (boot->heard == 0 || have < boot->newest_heard)
+	if (boot->heard == 0 || have < boot->newest_heard || !boot->members_known)
 		return false;
 	return boot->heard >= wanted || deadline_passed(boot->log_at, now);
 }
--- a/core/node_fleet.c
+++ b/core/node_fleet.c
@@ -214,6 +214,7 @@
 		answer->members = g_array_new(FALSE, FALSE, sizeof(struct member));
 		g_array_append_vals(answer->members, &g_array_index(records, struct member, i),
 				    count);
+		answer->members_end = i + count == records->len;
 		actions_send(out, from, answer);
 	}
 	g_array_unref(records);
--- a/core/node_parts.h
+++ b/core/node_parts.h
@@ -73,8 +73,9 @@
 	uint64_t heard_from[BOOT_SAMPLE];
 	int64_t newest_heard;
 	struct deadline ask_at;
-	struct deadline log_at; /* when it turns to the log */
-	bool members_asked;
+	struct deadline log_at;		/* when it turns to the log */
+	struct deadline members_ask_at; /* when they are asked for (again) */
+	bool members_known;
 };
 
 struct log_state {
@@ -197,6 +198,8 @@
 		      const struct snapshot_part *part, struct actions *out);
 void config_changed(struct node *node);
 GPtrArray *config_snapshot_parts(struct node *node, struct instant now);
+/** The answer of a peer to the question for all members is complete. */
+void config_members_known(struct node *node);
 void config_now_current(struct node *node, struct actions *out);
 
 /* node_log.c */
--- a/godwithitchd/bridge.c
+++ b/godwithitchd/bridge.c
@@ -98,6 +98,21 @@
 	return workers_watch(daemon->workers, &daemon->tick_watch, WATCH_READ);
 }
 
+void bridge_target_gone(struct daemon *daemon)
+{
+	struct event event = { .kind = EVENT_TARGET_DOWN };
+	bool announced;
+
+	lock_acquire(&daemon->lock);
+	announced = daemon->announced_until.at_us != 0;
+	daemon->announced_until = (struct deadline){ 0 };
+	lock_release(&daemon->lock);
+	if (!announced)
+		return;
+	logger_event(NOTE_TARGET_LAPSED, "reason=\"it does not listen\"");
+	bridge_event(daemon, &event);
+}
+
 static void check_announcement(struct daemon *daemon, struct instant now)
 {
 	struct event event = { .kind = EVENT_TARGET_DOWN };
--- a/godwithitchd/calls.c
+++ b/godwithitchd/calls.c
@@ -32,6 +32,7 @@
 	int64_t started_us;
 	int attempts;
 	int status;	  /* what the caller got, for the counters */
+	int unsure;	  /* attempts that may have run */
 	bool body_used;	  /* bytes of a streamed body were sent: no repeat */
 	struct lock lock; /* LOCK_CALLS */
 	apr_pool_t *pool;
@@ -357,7 +358,8 @@
 	lock_acquire(&call->lock);
 	gone = call->gone;
 	lock_release(&call->lock);
-	return !gone && !call->body_used && call->attempts < ATTEMPTS_MAX &&
+	/* A request that breaks two targets is not taken to a third. */
+	return !gone && !call->body_used && call->attempts < ATTEMPTS_MAX && call->unsure < 2 &&
 	       verdict_allows_retry(verdict, idempotent) &&
 	       !deadline_passed(call->deadline, clock_now()) &&
 	       node_take_retry(call->daemon->node, call->route->service);
@@ -374,17 +376,31 @@
 		return;
 	}
 	avoid(call, attempt->target);
+	call->unsure += verdict == VERDICT_MAY_HAVE_RUN;
 	if (may_retry(call, verdict))
 		try_target(call);
 	else
 		answer(call, STATUS_UNAVAILABLE, verdict, reason);
 }
 
+static enum call_outcome refused_outcome(enum refusal_kind kind)
+{
+	switch (kind) {
+	case REFUSAL_BUSY:
+		return CALL_REFUSED;
+	case REFUSAL_CLOSED:
+		return CALL_CLOSED;
+	case REFUSAL_BROKEN:
+		return CALL_BROKEN;
+	}
+	g_assert_not_reached();
+}
+
 void attempt_refused(struct attempt *attempt, const struct refusal *refusal)
 {
 	if (!end_attempt(attempt))
 		return;
-	note_outcome(attempt, refusal->verdict == VERDICT_NOT_RUN ? CALL_REFUSED : CALL_BROKEN);
+	note_outcome(attempt, refused_outcome(refusal->kind));
 	fail_attempt(attempt, refusal->verdict, refusal->reason);
 }
 
--- a/godwithitchd/daemon.h
+++ b/godwithitchd/daemon.h
@@ -50,6 +50,8 @@
 void bridge_tick(struct daemon *daemon);
 void bridge_read_log(struct daemon *daemon, void *job);
 void bridge_append(struct daemon *daemon, void *job);
+/** The target does not listen any more. */
+void bridge_target_gone(struct daemon *daemon);
 void bridge_on_announcement(void *context, const struct announcement *announcement);
 
 /* The two kinds of owners behind a stream. */
--- a/godwithitchd/serve.c
+++ b/godwithitchd/serve.c
@@ -144,9 +144,10 @@
 	serve->sink.attempt = NULL;
 }
 
-static void refuse(struct serve *serve, enum verdict verdict, struct str reason)
+static void refuse(struct serve *serve, enum refusal_kind kind, enum verdict verdict,
+		   struct str reason)
 {
-	struct refusal refusal = { verdict, reason };
+	struct refusal refusal = { kind, verdict, reason };
 
 	switch (serve->sink.kind) {
 	case SINK_LOCAL:
@@ -179,7 +180,8 @@
 	case ADMIT_FULL:
 	case ADMIT_LATE:
 	case ADMIT_CLOSED:
-		refuse(serve, VERDICT_NOT_RUN, admit_result_name(result));
+		refuse(serve, result == ADMIT_CLOSED ? REFUSAL_CLOSED : REFUSAL_BUSY,
+		       VERDICT_NOT_RUN, admit_result_name(result));
 		serve_unref(serve);
 		return false;
 	}
@@ -194,7 +196,7 @@
 	if (workers_post(serve->daemon->workers, (struct work){ WORK_SERVE, serve }))
 		return;
 	admit_done(node_admit(serve->daemon->node), &serve->ticket, SLOT_SERVED, 0);
-	refuse(serve, VERDICT_NOT_RUN, STR("the node is busy"));
+	refuse(serve, REFUSAL_BUSY, VERDICT_NOT_RUN, STR("the node is busy"));
 	serve_unref(serve);
 }
 
@@ -426,7 +428,8 @@
 static void finish(struct serve *serve, const struct target_result *result)
 {
 	if (!serve->has_head) {
-		refuse(serve, result->verdict,
+		refuse(serve, result->outcome == TARGET_UNREACHED ? REFUSAL_CLOSED : REFUSAL_BROKEN,
+		       result->verdict,
 		       str_from_cstr(result->reason ? result->reason : "no answer"));
 		return;
 	}
@@ -448,12 +451,17 @@
 static void count_outcome(struct serve *serve, const struct target_result *result)
 {
 	enum target_outcome outcome = result->outcome;
-
 	/* A connection that broke while the target still listens is a failed call, no crash. */
-	if (outcome == TARGET_CRASHED && target_listens(serve->daemon->target))
+	bool broken = outcome == TARGET_CRASHED || outcome == TARGET_UNREACHED;
+	bool gone = broken && !target_listens(serve->daemon->target);
+
+	if (outcome == TARGET_CRASHED && !gone)
 		outcome = TARGET_FAILED;
 	if (outcome == TARGET_CRASHED)
 		note_crash(serve);
+	/* Its announcement would lapse only later; until it announces itself again it is down. */
+	if (gone)
+		bridge_target_gone(serve->daemon);
 	node_target_ended(serve->daemon->node, serve->head.route, outcome, result->service_us,
 			  clock_now());
 }
@@ -492,7 +500,7 @@
 			return turn.ticket->owner;
 		case TURN_LATE:
 			serve = turn.ticket->owner;
-			refuse(serve, VERDICT_NOT_RUN, STR("no slot in time"));
+			refuse(serve, REFUSAL_BUSY, VERDICT_NOT_RUN, STR("no slot in time"));
 			serve_unref(serve);
 			break;
 		}
--- a/peer/codec.c
+++ b/peer/codec.c
@@ -130,8 +130,9 @@
 		pack_buckets(out, message->buckets);
 		return;
 	case MESSAGE_MEMBERS:
-		msgpack_pack_array(out, 1);
+		msgpack_pack_array(out, 2);
 		pack_members(out, message->members);
+		msgpack_pack_int(out, message->members_end);
 		return;
 	case MESSAGE_MOVES:
 		pack_states(out, message->states);
@@ -292,6 +293,7 @@
 		return;
 	case MESSAGE_MEMBERS:
 		message->members = unpack_members(in);
+		message->members_end = unpack_int(in, 1) != 0;
 		return;
 	case MESSAGE_MOVES:
 		message->states = unpack_states(in);
--- a/peer/frames.c
+++ b/peer/frames.c
@@ -45,7 +45,8 @@
 
 static void refuse_unread(struct link *link, uint64_t stream)
 {
-	struct refusal refusal = { VERDICT_NOT_RUN, STR("the node takes no calls") };
+	struct refusal refusal = { REFUSAL_CLOSED, VERDICT_NOT_RUN,
+				   STR("the node takes no calls") };
 	struct strbuf frame = { 0 };
 
 	wire_put_refusal(&frame, stream, &refusal);
--- a/peer/wire.c
+++ b/peer/wire.c
@@ -144,7 +144,8 @@
 	msgpack_packer packer;
 
 	msgpack_packer_init(&packer, out, write_buf);
-	msgpack_pack_array(&packer, 2);
+	msgpack_pack_array(&packer, 3);
+	msgpack_pack_int(&packer, refusal->kind);
 	msgpack_pack_int(&packer, refusal->verdict);
 	pack_str(&packer, refusal->reason);
 	close_frame(out, start);
@@ -253,6 +254,7 @@
 	struct unpack in = { .bad = true };
 
 	if (decode(payload, &in, keep)) {
+		refusal->kind = (enum refusal_kind)unpack_int(&in, REFUSAL_BROKEN);
 		refusal->verdict = (enum verdict)unpack_int(&in, VERDICT_RAN);
 		refusal->reason = unpack_str(&in);
 	}
--- a/peer/wire.h
+++ b/peer/wire.h
@@ -85,7 +85,15 @@
 	struct field fields[FIELDS_MAX];
 };
 
+/** Why a target's node did not give an answer. */
+enum refusal_kind {
+	REFUSAL_BUSY,	/**< no slot in time: another target may have one */
+	REFUSAL_CLOSED, /**< the target takes no work for now */
+	REFUSAL_BROKEN, /**< the exchange with the target broke */
+};
+
 struct refusal {
+	enum refusal_kind kind;
 	enum verdict verdict;
 	struct str reason;
 };
--- a/regress/lib/check.h
+++ b/regress/lib/check.h
@@ -5,6 +5,7 @@
 #ifndef REGRESS_CHECK_H
 #define REGRESS_CHECK_H
 
+#include <glib.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
--- a/regress/lib/http.c
+++ b/regress/lib/http.c
@@ -2,6 +2,7 @@
 
 #include <curl/curl.h>
 #include <glib.h>
+#include <poll.h>
 #include <string.h>
 
 #include "base/clock.h"
@@ -32,11 +33,29 @@
 	g_free(client);
 }
 
+/* The target's stand-in gives byte i as i * 31 modulo 251. */
+static void check_pattern(struct http_options *options, const char *data, size_t len)
+{
+	unsigned expected = (unsigned)(options->discarded % 251 * 31 % 251);
+
+	for (size_t i = 0; i < len; i++) {
+		options->wrong += (unsigned char)data[i] != expected;
+		expected += 31;
+		if (expected >= 251)
+			expected -= 251;
+	}
+}
+
 static size_t on_body(char *data, size_t size, size_t count, void *context)
 {
 	struct transfer *transfer = context;
 
+	if (transfer->options->check_pattern)
+		check_pattern(transfer->options, data, size * count);
 	transfer->options->discarded += (int64_t)(size * count);
+	if (transfer->options->slow_after_bytes &&
+	    transfer->options->discarded > transfer->options->slow_after_bytes)
+		poll(NULL, 0, 5);
 	if (!transfer->options->discard)
 		strbuf_add(&transfer->reply->body, (struct str){ data, size * count });
 	return size * count;
