--- a/Makefile
+++ b/Makefile
@@ -51,6 +51,10 @@
 
 lib: $(lib)
 
+# A short show of the whole on loopback.
+demo: programs
+	@GODWITHITCH_BIN=$(OUT)/bin $(OUT)/test/demo
+
 check: programs $(tests)
 	@GODWITHITCH_BIN=$(OUT)/bin sh regress/run $(OUT)/test $(regress_tests)
 
@@ -79,5 +83,5 @@
 
 -include $(shell find $(OUT) -name '*.d' 2>/dev/null)
 
-.PHONY: all programs lib check lint clean bench
+.PHONY: all programs lib demo check lint clean bench
 .SECONDARY:
