At most once by key through the log

Cause: a route could say at-most-once, but nothing kept a resend from running twice. Change: 64 partitions, each a stream with a home by rendezvous; claims in batches within four appends a second a partition, read back, the first in the log's order holds; outcomes recorded, truly unrun claims released; no worker waits for a claim. Found on the way: a local call with a small body crashed the node (no pipe to read from), now tested; a lost ask was answered 'held' from an old read.

--- a/Makefile
+++ b/Makefile
@@ -51,6 +51,13 @@
 
 lib: $(lib)
 
+# The tests under the sanitizers, each in a build of its own.
+asan:
+	$(MAKE) OUT=build-asan SAN="-fsanitize=address,undefined -fno-sanitize-recover=undefined" OPT="-O1 -g" check
+
+tsan:
+	$(MAKE) OUT=build-tsan SAN=-fsanitize=thread OPT="-O1 -g" check
+
 # A short show of the whole on loopback.
 demo: programs
 	@GODWITHITCH_BIN=$(OUT)/bin $(OUT)/test/demo
@@ -83,5 +90,5 @@
 
 -include $(shell find $(OUT) -name '*.d' 2>/dev/null)
 
-.PHONY: all programs lib demo check lint clean bench
+.PHONY: all programs lib asan tsan demo check lint clean bench
 .SECONDARY:
--- a/caller/http.h
+++ b/caller/http.h
@@ -69,8 +69,8 @@
 void *caller_data(const struct caller_call *call);
 
 /**
- * Gives the answer's head. The body follows through caller_give(), then caller_finish(). The head of
- * a small body of known length waits for the body's end, to go out with it in one piece.
+ * Gives the answer's head. The body follows through caller_give(), then caller_finish(). The head
+ * of a small body of known length waits for the body's end, to go out with it in one piece.
  */
 void caller_head(struct caller_call *call, const struct response_head *head);
 /** Gives bytes of the answer's body. */
--- a/core/event.c
+++ b/core/event.c
@@ -12,6 +12,7 @@
 		log_record_clear(&action->append.record);
 		return;
 	case ACTION_READ_LOG:
+	case ACTION_CLAIMED:
 	case ACTION_NOTE:
 		return;
 	}
@@ -39,17 +40,27 @@
 	g_array_append_val(actions->list, action);
 }
 
-void actions_read(struct actions *actions, enum log_stream stream, int64_t from,
+void actions_read(struct actions *actions, enum log_stream stream, int partition, int64_t from,
 		  struct deadline wait_until)
 {
-	struct action action = { .kind = ACTION_READ_LOG, .read = { stream, from, wait_until } };
+	struct action action = { .kind = ACTION_READ_LOG,
+				 .read = { stream, partition, from, wait_until } };
 
 	g_array_append_val(actions->list, action);
 }
 
-void actions_append(struct actions *actions, uint64_t tag, struct log_record record)
+void actions_append(struct actions *actions, enum log_stream stream, int partition, uint64_t tag,
+		    struct log_record record)
 {
-	struct action action = { .kind = ACTION_APPEND, .append = { tag, record } };
+	struct action action = { .kind = ACTION_APPEND,
+				 .append = { stream, partition, tag, record } };
+
+	g_array_append_val(actions->list, action);
+}
+
+void actions_claimed(struct actions *actions, uint64_t seq, enum claim_result result, int status)
+{
+	struct action action = { .kind = ACTION_CLAIMED, .claimed = { seq, result, status } };
 
 	g_array_append_val(actions->list, action);
 }
--- a/core/event.h
+++ b/core/event.h
@@ -38,17 +38,22 @@
 		} message;
 		struct {
 			enum log_stream stream;
+			int partition; /**< of STREAM_KEYS, here and below */
 			struct log_record *records;
 			int count;
 			int64_t newest; /**< last offset of the stream at that time */
 		} batch;
 		struct {
 			enum log_stream stream;
+			int partition;
 			enum log_failure failure;
 		} failed;
 		struct {
+			enum log_stream stream;
+			int partition;
 			uint64_t tag;
-		} append; /**< EVENT_APPENDED, EVENT_APPEND_FAILED */
+			int64_t offset; /**< EVENT_APPENDED */
+		} append;		/**< EVENT_APPENDED, EVENT_APPEND_FAILED */
 		struct {
 			struct label service;
 			struct label version;
@@ -59,9 +64,10 @@
 
 enum action_kind {
 	ACTION_SEND,
-	ACTION_READ_LOG, /**< long poll; answered by EVENT_LOG_BATCH or EVENT_LOG_FAILED */
-	ACTION_APPEND,	 /**< to the system's stream */
-	ACTION_NOTE,	 /**< for the log */
+	ACTION_READ_LOG,
+	/**< long poll; answered by EVENT_LOG_BATCH or EVENT_LOG_FAILED */ ACTION_APPEND,
+	ACTION_CLAIMED, /**< the answer to node_claim_start() */
+	ACTION_NOTE,	/**< for the log */
 };
 
 enum { NOTE_MAX_BYTES = 200 };
@@ -76,10 +82,18 @@
 		} send;
 		struct {
 			enum log_stream stream;
+			int partition;
 			int64_t from;
 			struct deadline wait_until; /**< how long the log may hold the answer */
 		} read;
 		struct {
+			uint64_t seq;
+			enum claim_result result;
+			int status;
+		} claimed;
+		struct {
+			enum log_stream stream;
+			int partition;
 			uint64_t tag;
 			struct log_record record; /**< owned; its offset is not set */
 		} append;
@@ -99,9 +113,11 @@
 void actions_clear(struct actions *actions);
 /** Takes over one reference of @p message. */
 void actions_send(struct actions *actions, uint64_t to, struct message *message);
-void actions_read(struct actions *actions, enum log_stream stream, int64_t from,
+void actions_read(struct actions *actions, enum log_stream stream, int partition, int64_t from,
 		  struct deadline wait_until);
-void actions_append(struct actions *actions, uint64_t tag, struct log_record record);
+void actions_append(struct actions *actions, enum log_stream stream, int partition, uint64_t tag,
+		    struct log_record record);
+void actions_claimed(struct actions *actions, uint64_t seq, enum claim_result result, int status);
 void actions_note(struct actions *actions, enum log_event event, const char *format, ...)
 	__attribute__((format(printf, 3, 4)));
 
--- a/core/message.c
+++ b/core/message.c
@@ -33,6 +33,12 @@
 		return STR("census_ask");
 	case MESSAGE_CENSUS:
 		return STR("census");
+	case MESSAGE_CLAIM_ASK:
+		return STR("claim_ask");
+	case MESSAGE_CLAIM_ANSWER:
+		return STR("claim_answer");
+	case MESSAGE_CLAIM_END:
+		return STR("claim_end");
 	case MESSAGE_KINDS:
 		break;
 	}
@@ -103,6 +109,9 @@
 	case MESSAGE_POISON:
 	case MESSAGE_CENSUS_ASK:
 	case MESSAGE_CENSUS:
+	case MESSAGE_CLAIM_ASK:
+	case MESSAGE_CLAIM_ANSWER:
+	case MESSAGE_CLAIM_END:
 		return;
 	case MESSAGE_KINDS:
 		break;
@@ -127,6 +136,9 @@
 	case LOG_SNAPSHOT:
 		snapshot_part_clear(&record->snapshot);
 		return;
+	case LOG_CLAIMS:
+		g_array_unref(record->notes);
+		return;
 	case LOG_MOVE:
 	case LOG_BAD:
 		return;
--- a/core/message.h
+++ b/core/message.h
@@ -8,6 +8,7 @@
 
 #include <glib.h>
 
+#include "core/claim.h"
 #include "core/evidence.h"
 #include "core/history.h"
 #include "core/member.h"
@@ -50,6 +51,9 @@
 	MESSAGE_POISON,
 	MESSAGE_CENSUS_ASK,
 	MESSAGE_CENSUS,
+	MESSAGE_CLAIM_ASK,
+	MESSAGE_CLAIM_ANSWER,
+	MESSAGE_CLAIM_END,
 	MESSAGE_KINDS,
 };
 
@@ -103,6 +107,18 @@
 			uint64_t seq;
 			int64_t version;
 		} census; /**< CENSUS_ASK (seq only), CENSUS */
+		struct {
+			uint64_t seq;
+			struct claim_key key;
+			uint64_t claim;
+			int64_t left_us; /**< until the asker gives up */
+		} claim_ask;
+		struct {
+			uint64_t seq;
+			enum claim_result result;
+			int status;
+		} claim_answer;
+		struct claim_note claim_end;
 	};
 };
 
@@ -115,9 +131,10 @@
 enum log_stream {
 	STREAM_CONFIG, /**< changes that operators publish */
 	STREAM_SYSTEM, /**< the system's own: snapshots and states of moves */
+	STREAM_KEYS,   /**< claims of idempotency keys, in CLAIM_PARTITIONS partitions */
 };
 
-enum log_record_kind { LOG_CHANGE, LOG_SNAPSHOT, LOG_MOVE, LOG_BAD };
+enum log_record_kind { LOG_CHANGE, LOG_SNAPSHOT, LOG_MOVE, LOG_CLAIMS, LOG_BAD };
 
 /** A record of the log. The tag says which member holds. */
 struct log_record {
@@ -127,6 +144,7 @@
 		struct change *change;	       /**< LOG_CHANGE, owned */
 		struct snapshot_part snapshot; /**< LOG_SNAPSHOT */
 		struct move_state move;	       /**< LOG_MOVE */
+		GArray *notes;		       /**< LOG_CLAIMS: struct claim_note, owned */
 	};
 };
 
--- a/core/node.c
+++ b/core/node.c
@@ -71,6 +71,7 @@
 	node->admit = admit_new(node->pool);
 	node->tally = tally_new(node->pool);
 	node->poison = poison_new(node->pool);
+	node->claims = claims_new(node->pool);
 	spread_init(node, now);
 	return node;
 }
@@ -92,6 +93,7 @@
 	assembly_clear(&node->spread.from_peer);
 	assembly_clear(&node->spread.from_log);
 	lock_destroy(&node->spread.lock);
+	claims_free(node->claims);
 	poison_free(node->poison);
 	tally_free(node->tally);
 	admit_free(node->admit);
@@ -177,6 +179,16 @@
 	case MESSAGE_CENSUS:
 		calls_on_census(node, message->census.seq, message->census.version);
 		return;
+	case MESSAGE_CLAIM_ASK:
+		claims_on_ask(node, from, message, now, out);
+		return;
+	case MESSAGE_CLAIM_ANSWER:
+		claims_on_answer(node, message->claim_answer.seq, message->claim_answer.result,
+				 message->claim_answer.status, out);
+		return;
+	case MESSAGE_CLAIM_END:
+		claims_on_end(node, &message->claim_end, now, out);
+		return;
 	case MESSAGE_KINDS:
 		break;
 	}
@@ -201,6 +213,7 @@
 	fleet_tick(node, now, out);
 	config_tick(node, now, out);
 	log_tick(node, now, out);
+	claims_tick(node, now, out);
 	if (!take_turn(node, &node->spread.round_at, ROUND_US, now))
 		return;
 	fleet_round(node, now, out);
@@ -269,6 +282,20 @@
 	fleet_update_self(node, &self, 0, out);
 }
 
+static void on_append(struct node *node, const struct event *event, struct instant now,
+		      struct actions *out)
+{
+	bool done = event->kind == EVENT_APPENDED;
+
+	if (event->append.stream != STREAM_KEYS) {
+		log_on_append(node, event->append.tag, done, now, out);
+		return;
+	}
+	claims_appended(node->claims, event->append.partition, event->append.tag,
+			done ? event->append.offset : 0, now);
+	claims_drive(node, event->append.partition, now, out);
+}
+
 void node_handle(struct node *node, const struct event *event, struct instant now,
 		 struct actions *out)
 {
@@ -280,14 +307,21 @@
 		on_message(node, event, now, out);
 		return;
 	case EVENT_LOG_BATCH:
-		log_on_batch(node, event, now, out);
+		if (event->batch.stream == STREAM_KEYS)
+			claims_on_batch(node, event, now, out);
+		else
+			log_on_batch(node, event, now, out);
 		return;
 	case EVENT_LOG_FAILED:
-		log_on_failed(node, event, now, out);
+		if (event->failed.stream == STREAM_KEYS)
+			claims_read_failed(node->claims, event->failed.partition,
+					   event->failed.failure == LOG_FAILURE_GONE, now);
+		else
+			log_on_failed(node, event, now, out);
 		return;
 	case EVENT_APPENDED:
 	case EVENT_APPEND_FAILED:
-		log_on_append(node, event->append.tag, event->kind == EVENT_APPENDED, now, out);
+		on_append(node, event, now, out);
 		return;
 	case EVENT_TARGET_UP:
 		on_target_up(node, event, out);
--- a/core/node.h
+++ b/core/node.h
@@ -86,6 +86,18 @@
 void node_target_crashed(struct node *node, const uint64_t *fingerprints, int count,
 			 struct label route, struct instant now, struct actions *out);
 
+/* At-most-once */
+
+/**
+ * Asks for an idempotency key; the answer comes as ACTION_CLAIMED with the number that is
+ * returned, by @p until at the latest. *claim goes into node_claim_end().
+ */
+uint64_t node_claim_start(struct node *node, struct claim_key key, struct deadline until,
+			  struct instant now, uint64_t *claim, struct actions *out);
+/** Tells how a granted claim ended: CLAIM_RAN or CLAIM_RELEASE. Without it the key stays held. */
+void node_claim_end(struct node *node, const struct claim_note *note, struct instant now,
+		    struct actions *out);
+
 /* Census: how many members hold a version. */
 
 struct census {
--- a/core/node_log.c
+++ b/core/node_log.c
@@ -52,7 +52,7 @@
 	current = node->spread.boot.phase == BOOT_CURRENT;
 	lock_release(&node->spread.lock);
 	if (read)
-		actions_read(out, stream, from,
+		actions_read(out, stream, 0, from,
 			     current ? deadline_after(now, LOG_WAIT_US) : (struct deadline){ 1 });
 }
 
@@ -73,7 +73,7 @@
 				      deadline_passed(spread->log.retry_at, now)))
 			continue;
 		unsaved->tag = ++spread->tag;
-		actions_append(out, unsaved->tag,
+		actions_append(out, STREAM_SYSTEM, 0, unsaved->tag,
 			       (struct log_record){ .kind = LOG_MOVE, .move = unsaved->state });
 	}
 	lock_release(&spread->lock);
@@ -155,7 +155,7 @@
 		part->states = NULL;
 		node->spread.snapshot_tag = ++node->spread.tag;
 		node->spread.snapshot_pending_version = record.snapshot.version;
-		actions_append(out, node->spread.snapshot_tag, record);
+		actions_append(out, STREAM_SYSTEM, 0, node->spread.snapshot_tag, record);
 	}
 	node->spread.snapshot_not_before = deadline_after(now, SNAPSHOT_AGAIN_US);
 	lock_release(&node->spread.lock);
@@ -242,6 +242,7 @@
 			take_state(node, &record->move, out);
 			break;
 		case LOG_CHANGE:
+		case LOG_CLAIMS:
 		case LOG_BAD:
 			break;
 		}
@@ -280,6 +281,8 @@
 	case STREAM_SYSTEM:
 		take_system(node, event, out);
 		break;
+	case STREAM_KEYS:
+		return;
 	}
 	end_of_stream(node, event->batch.stream, event->batch.newest, out);
 	read_log(node, now, out);
--- a/core/node_parts.h
+++ b/core/node_parts.h
@@ -79,7 +79,7 @@
 };
 
 struct log_state {
-	bool reading[2]; /* by enum log_stream */
+	bool reading[2]; /* STREAM_CONFIG and STREAM_SYSTEM */
 	int64_t system_next;
 	int64_t retry_us; /* grows while the log is out */
 	struct deadline retry_at;
@@ -152,6 +152,7 @@
 	struct admit *admit;
 	struct tally *tally;
 	struct poison *poison;
+	struct claims *claims;
 	struct spread_state spread;
 	struct deadline target_cold_until; /* under spread.lock; unset before its first call */
 };
@@ -221,6 +222,18 @@
 		     struct instant now, struct actions *out);
 struct message *moves_message(struct node *node);
 
+/* node_claims.c */
+void claims_on_ask(struct node *node, uint64_t from, const struct message *message,
+		   struct instant now, struct actions *out);
+void claims_on_answer(struct node *node, uint64_t seq, enum claim_result result, int status,
+		      struct actions *out);
+void claims_on_end(struct node *node, const struct claim_note *note, struct instant now,
+		   struct actions *out);
+void claims_on_batch(struct node *node, const struct event *event, struct instant now,
+		     struct actions *out);
+void claims_drive(struct node *node, int partition, struct instant now, struct actions *out);
+void claims_tick(struct node *node, struct instant now, struct actions *out);
+
 /* node_calls.c */
 void calls_on_poison(struct node *node, const struct poison_mark *mark, struct instant now,
 		     struct actions *out);
--- a/godwithitch/apply.c
+++ b/godwithitch/apply.c
@@ -116,7 +116,7 @@
 
 	do {
 		struct log_read read =
-			logclient_read(client, STREAM_CONFIG, from, (struct deadline){ 1 });
+			logclient_read(client, STREAM_CONFIG, 0, from, (struct deadline){ 1 });
 
 		for (int i = 0; i < read.count; i++) {
 			from = read.records[i].offset + 1;
@@ -138,7 +138,7 @@
 	int64_t offset = 0;
 
 	do {
-		switch (logclient_append(client, STREAM_CONFIG, record,
+		switch (logclient_append(client, STREAM_CONFIG, 0, record,
 					 deadline_after(clock_now(), APPEND_WAIT_US), &offset)) {
 		case APPEND_DONE:
 			return offset;
--- a/godwithitchd/bridge.c
+++ b/godwithitchd/bridge.c
@@ -15,12 +15,15 @@
 /** A read of the log for a worker. */
 struct read_job {
 	enum log_stream stream;
+	int partition;
 	int64_t from;
 	struct deadline wait_until;
 };
 
 /** An append for a worker. */
 struct append_job {
+	enum log_stream stream;
+	int partition;
 	uint64_t tag;
 	struct log_record record;
 };
@@ -38,6 +41,7 @@
 	struct read_job *job = g_new0(struct read_job, 1);
 
 	job->stream = action->read.stream;
+	job->partition = action->read.partition;
 	job->from = action->read.from;
 	job->wait_until = action->read.wait_until;
 	if (!workers_post(daemon->workers, (struct work){ WORK_READ_LOG, job }))
@@ -48,6 +52,8 @@
 {
 	struct append_job *job = g_new0(struct append_job, 1);
 
+	job->stream = action->append.stream;
+	job->partition = action->append.partition;
 	job->tag = action->append.tag;
 	job->record = action->append.record;
 	/* The job owns the record now. */
@@ -70,6 +76,10 @@
 	case ACTION_APPEND:
 		post_append(daemon, action);
 		return;
+	case ACTION_CLAIMED:
+		calls_on_claimed(daemon, action->claimed.seq, action->claimed.result,
+				 action->claimed.status);
+		return;
 	case ACTION_NOTE:
 		logger_event(action->note.event, "%s", action->note.text);
 		return;
@@ -150,8 +160,8 @@
 void bridge_read_log(struct daemon *daemon, void *data)
 {
 	struct read_job *job = data;
-	struct log_read read =
-		logclient_read(daemon->logclient, job->stream, job->from, job->wait_until);
+	struct log_read read = logclient_read(daemon->logclient, job->stream, job->partition,
+					      job->from, job->wait_until);
 	struct event event = { .kind = EVENT_LOG_FAILED };
 
 	if (read.kind == READ_DONE) {
@@ -159,11 +169,13 @@
 			parse_record(&read.records[i]);
 		event.kind = EVENT_LOG_BATCH;
 		event.batch.stream = job->stream;
+		event.batch.partition = job->partition;
 		event.batch.records = read.records;
 		event.batch.count = read.count;
 		event.batch.newest = read.newest;
 	} else {
 		event.failed.stream = job->stream;
+		event.failed.partition = job->partition;
 		event.failed.failure = read.failure;
 	}
 	if (!g_atomic_int_get(&daemon->stopping) || read.kind == READ_DONE)
@@ -175,13 +187,15 @@
 void bridge_append(struct daemon *daemon, void *data)
 {
 	struct append_job *job = data;
-	struct event event = { .kind = EVENT_APPEND_FAILED, .append.tag = job->tag };
+	struct event event = { .kind = EVENT_APPEND_FAILED,
+			       .append = { job->stream, job->partition, job->tag, 0 } };
 	int64_t offset = 0;
 	struct deadline deadline = deadline_after(clock_now(), APPEND_WAIT_US);
 
-	if (logclient_append(daemon->logclient, STREAM_SYSTEM, &job->record, deadline, &offset) ==
-	    APPEND_DONE)
+	if (logclient_append(daemon->logclient, job->stream, job->partition, &job->record, deadline,
+			     &offset) == APPEND_DONE)
 		event.kind = EVENT_APPENDED;
+	event.append.offset = offset;
 	bridge_event(daemon, &event);
 	log_record_clear(&job->record);
 	g_free(job);
--- a/godwithitchd/calls.c
+++ b/godwithitchd/calls.c
@@ -11,7 +11,9 @@
 enum {
 	ATTEMPTS_MAX = 4,
 	WINDOW_STEP = STREAM_WINDOW / 4, /* bytes taken before the sender is told */
+	STATUS_BAD_REQUEST = 400,
 	STATUS_NOT_FOUND = 404,
+	STATUS_CONFLICT = 409,
 	STATUS_UNAVAILABLE = 503,
 	STATUS_TIMEOUT = 504,
 	STATUS_SERVER_ERROR = 500,
@@ -38,6 +40,8 @@
 	apr_pool_t *pool;
 	struct attempt *current; /* one reference */
 	bool gone;
+	struct claim_key key; /* of a route with REPEAT_AT_MOST_ONCE */
+	uint64_t claim;	      /* granted; 0: none */
 };
 
 /** One try of a call at one target. */
@@ -50,7 +54,8 @@
 	gint over;
 	bool has_head;
 	int status;
-	size_t taken; /* bytes the caller took since the last window frame */
+	size_t taken;	/* bytes the caller took since the last window frame */
+	size_t body_at; /* of a small body, what the own target has */
 	/* Upload to another node; under call->lock. */
 	struct body_sum sent;
 	int64_t credit;
@@ -102,12 +107,15 @@
 	bridge_carry_out(call->daemon, &actions);
 }
 
+static void end_claim(struct call *call, enum verdict verdict, int status);
+
 static void answer(struct call *call, int status, enum verdict verdict, struct str reason)
 {
 	struct response_head head = { .status = status };
 	struct strbuf body = { 0 };
 
 	call->status = status;
+	end_claim(call, verdict, status);
 	head.fields[0] = (struct field){ STR("Godwithitch-Verdict"), verdict_name(verdict) };
 	head.fields[1] = (struct field){ STR("Content-Type"), STR("text/plain") };
 	head.field_count = 2;
@@ -116,6 +124,22 @@
 	strbuf_clear(&body);
 }
 
+/* Records how a claimed call ended. What may have run keeps its key for good. */
+static void end_claim(struct call *call, enum verdict verdict, int status)
+{
+	struct claim_note note = { call->key, call->claim, CLAIM_RAN, status };
+	struct actions actions;
+
+	if (!call->claim || verdict == VERDICT_MAY_HAVE_RUN)
+		return;
+	if (verdict == VERDICT_NOT_RUN)
+		note.kind = CLAIM_RELEASE;
+	call->claim = 0;
+	actions = actions_new();
+	node_claim_end(call->daemon->node, &note, clock_now(), &actions);
+	bridge_carry_out(call->daemon, &actions);
+}
+
 static struct str tenant_text(const struct route *route, const struct caller_call *caller)
 {
 	struct str tenant = STR("");
@@ -320,6 +344,83 @@
 	answer(call, STATUS_UNAVAILABLE, VERDICT_NOT_RUN, STR("no target could be reached"));
 }
 
+/* Claims the key first; calls_on_claimed() goes on. No worker waits meanwhile. */
+static void start_claim(struct call *call, struct str key, struct instant now)
+{
+	struct daemon *daemon = call->daemon;
+	struct actions actions = actions_new();
+	uint64_t *seq = g_new0(uint64_t, 1);
+
+	if (key.len == 0) {
+		answer(call, STATUS_BAD_REQUEST, VERDICT_NOT_RUN,
+		       STR("the route needs the field Idempotency-Key"));
+		actions_clear(&actions);
+		g_free(seq);
+		return;
+	}
+	call->key = claim_key_of(call->route->name, key);
+	g_atomic_int_inc(&call->refs);
+	/* The answer may come on another worker at once: it finds the call or waits for the lock.
+	 */
+	lock_acquire(&daemon->lock);
+	*seq = node_claim_start(daemon->node, call->key, call->deadline, now, &call->claim,
+				&actions);
+	g_hash_table_insert(daemon->claiming, seq, call);
+	lock_release(&daemon->lock);
+	bridge_carry_out(daemon, &actions);
+}
+
+static struct call *take_claiming(struct daemon *daemon, uint64_t seq)
+{
+	struct call *call;
+
+	lock_acquire(&daemon->lock);
+	call = g_hash_table_lookup(daemon->claiming, &seq);
+	if (call)
+		g_hash_table_remove(daemon->claiming, &seq);
+	lock_release(&daemon->lock);
+	return call;
+}
+
+/* The recorded outcome; its body is not kept. */
+static void replay(struct call *call, int status)
+{
+	struct response_head head = { .status = status, .field_count = 2 };
+
+	call->status = status;
+	head.fields[0] = (struct field){ STR("Godwithitch-Verdict"), verdict_name(VERDICT_RAN) };
+	head.fields[1] = (struct field){ STR("Godwithitch-Replayed"), STR("true") };
+	caller_answer(call->caller, &head, STR(""));
+}
+
+void calls_on_claimed(struct daemon *daemon, uint64_t seq, enum claim_result result, int status)
+{
+	struct call *call = take_claiming(daemon, seq);
+
+	if (!call)
+		return;
+	if (result != CLAIM_GRANTED)
+		call->claim = 0;
+	switch (result) {
+	case CLAIM_GRANTED:
+		try_target(call);
+		break;
+	case CLAIM_HELD:
+		answer(call, STATUS_CONFLICT, VERDICT_MAY_HAVE_RUN,
+		       STR("a request with this key was taken before, and its outcome is not "
+			   "known"));
+		break;
+	case CLAIM_REPLAYED:
+		replay(call, status);
+		break;
+	case CLAIM_TIMEOUT:
+		answer(call, STATUS_UNAVAILABLE, VERDICT_NOT_RUN,
+		       STR("the key could not be claimed in time"));
+		break;
+	}
+	call_unref(call);
+}
+
 static void on_ready(struct daemon *daemon, struct caller_call *caller)
 {
 	struct call *call = call_new(daemon, caller);
@@ -346,7 +447,10 @@
 	call->facts.point = make_point(daemon, key);
 	call->facts.fingerprint = fingerprint(call->route, caller, key);
 	node_note_call(daemon->node, call->route->service);
-	try_target(call);
+	if (call->route->repeat == REPEAT_AT_MOST_ONCE)
+		start_claim(call, key, now);
+	else
+		try_target(call);
 }
 
 /* Whether a failed attempt may be followed by another one. */
@@ -426,6 +530,7 @@
 	attempt->has_head = true;
 	attempt->status = head->status;
 	attempt->call->status = head->status;
+	end_claim(attempt->call, VERDICT_RAN, head->status);
 	caller_head(attempt->call->caller, full);
 	g_free(full);
 }
@@ -451,12 +556,28 @@
 	caller_finish(attempt->call->caller, PIPE_DONE);
 }
 
+/* A small body is held whole; each attempt reads it from its start. */
+static size_t take_small_body(struct attempt *attempt, char *into, size_t cap, enum pipe_end *end)
+{
+	struct str left = caller_body(attempt->call->caller);
+
+	left = str_sub(left, attempt->body_at, cap);
+	if (left.len)
+		memcpy(into, left.data, left.len);
+	attempt->body_at += left.len;
+	*end = PIPE_DONE;
+	return left.len;
+}
+
 size_t attempt_take_body(struct attempt *attempt, char *into, size_t cap, enum pipe_end *end,
 			 struct deadline deadline)
 {
 	struct call *call = attempt->call;
-	size_t n = pipe_take_wait(caller_upload(call->caller), into, cap, end, deadline);
+	size_t n;
 
+	if (!caller_upload(call->caller))
+		return take_small_body(attempt, into, cap, end);
+	n = pipe_take_wait(caller_upload(call->caller), into, cap, end, deadline);
 	call->body_used |= n > 0;
 	caller_upload_taken(call->caller);
 	return n;
--- a/godwithitchd/daemon.h
+++ b/godwithitchd/daemon.h
@@ -38,6 +38,7 @@
 	GPtrArray *running; /* struct serve, for the marks of a crash */
 	struct deadline crash_noted_until;
 	uint64_t next_point;
+	GHashTable *claiming; /* number of a claim -> struct call, one reference */
 };
 
 /* bridge.c: core's events and actions */
@@ -63,6 +64,8 @@
 /* calls.c: calls that entered here */
 
 void calls_on_caller(void *context, const struct caller_event *event);
+/** The answer to a claim of an idempotency key. */
+void calls_on_claimed(struct daemon *daemon, uint64_t seq, enum claim_result result, int status);
 void calls_on_peer(struct attempt *attempt, struct peer_event *event);
 struct attempt *attempt_ref(struct attempt *attempt);
 void attempt_unref(struct attempt *attempt);
--- a/godwithitchd/main.c
+++ b/godwithitchd/main.c
@@ -157,6 +157,7 @@
 	daemon->metrics = metrics_new(daemon->pool);
 	daemon->target = target_new(daemon->pool);
 	daemon->running = g_ptr_array_new();
+	daemon->claiming = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
 	daemon->next_point = (uint64_t)clock_now().wall_us;
 	if (!make_parts(daemon, error) || !bridge_start_ticking(daemon, error))
 		return NULL;
--- a/godwithitchd/serve.c
+++ b/godwithitchd/serve.c
@@ -11,6 +11,8 @@
 	FLUSH_BYTES = 16 << 10, /* an answer up to this goes out in one piece */
 	WINDOW_STEP = STREAM_WINDOW / 4,
 	FINGERPRINTS_MAX = 256,
+	STATUS_UNAVAILABLE = 503,
+	STATUS_TOO_MANY = 429,
 };
 
 /** Where the answer goes. */
@@ -43,6 +45,7 @@
 	apr_thread_cond_t *changed;
 	int64_t credit;
 	bool has_head;
+	bool shed; /* the target answered that it did not run it */
 };
 
 static struct str keep(struct serve *serve, struct str s)
@@ -283,8 +286,22 @@
 	return true;
 }
 
+/* A target that sheds may say that it ran nothing of the request. */
+static bool says_not_run(const struct response_head *head)
+{
+	if (head->status != STATUS_UNAVAILABLE && head->status != STATUS_TOO_MANY)
+		return false;
+	for (int i = 0; i < head->field_count; i++)
+		if (str_equal_nocase(head->fields[i].name, STR("Godwithitch-Not-Run")))
+			return true;
+	return false;
+}
+
 static bool give_head(struct serve *serve, const struct response_head *head)
 {
+	serve->shed = says_not_run(head);
+	if (serve->shed)
+		return false;
 	serve->has_head = true;
 	switch (serve->sink.kind) {
 	case SINK_LOCAL:
@@ -427,6 +444,10 @@
 
 static void finish(struct serve *serve, const struct target_result *result)
 {
+	if (serve->shed) {
+		refuse(serve, REFUSAL_BUSY, VERDICT_NOT_RUN, STR("the target sheds load"));
+		return;
+	}
 	if (!serve->has_head) {
 		refuse(serve, result->outcome == TARGET_UNREACHED ? REFUSAL_CLOSED : REFUSAL_BROKEN,
 		       result->verdict,
@@ -482,7 +503,8 @@
 	count_outcome(serve, &result);
 	set_running(serve, false);
 	admit_done(node_admit(daemon->node), &serve->ticket,
-		   result.outcome == TARGET_SHED && result.whole ? SLOT_SHED : SLOT_SERVED,
+		   serve->shed || (result.outcome == TARGET_SHED && result.whole) ? SLOT_SHED
+										  : SLOT_SERVED,
 		   result.service_us);
 }
 
--- a/operator/parse.c
+++ b/operator/parse.c
@@ -304,6 +304,7 @@
 		parse_files(record->snapshot.files);
 		return;
 	case LOG_MOVE:
+	case LOG_CLAIMS:
 	case LOG_BAD:
 		return;
 	}
--- a/peer/codec.c
+++ b/peer/codec.c
@@ -153,6 +153,24 @@
 		msgpack_pack_uint64(out, message->census.seq);
 		msgpack_pack_int64(out, message->census.version);
 		return;
+	case MESSAGE_CLAIM_ASK:
+		msgpack_pack_array(out, 5);
+		msgpack_pack_uint64(out, message->claim_ask.seq);
+		msgpack_pack_uint64(out, message->claim_ask.key.high);
+		msgpack_pack_uint64(out, message->claim_ask.key.low);
+		msgpack_pack_uint64(out, message->claim_ask.claim);
+		msgpack_pack_int64(out, message->claim_ask.left_us);
+		return;
+	case MESSAGE_CLAIM_ANSWER:
+		msgpack_pack_array(out, 3);
+		msgpack_pack_uint64(out, message->claim_answer.seq);
+		msgpack_pack_int(out, message->claim_answer.result);
+		msgpack_pack_int(out, message->claim_answer.status);
+		return;
+	case MESSAGE_CLAIM_END:
+		msgpack_pack_array(out, 1);
+		pack_note(out, &message->claim_end);
+		return;
 	case MESSAGE_KINDS:
 		break;
 	}
@@ -314,6 +332,21 @@
 		message->census.seq = unpack_u64(in);
 		message->census.version = unpack_i64(in);
 		return;
+	case MESSAGE_CLAIM_ASK:
+		message->claim_ask.seq = unpack_u64(in);
+		message->claim_ask.key.high = unpack_u64(in);
+		message->claim_ask.key.low = unpack_u64(in);
+		message->claim_ask.claim = unpack_u64(in);
+		message->claim_ask.left_us = unpack_i64(in);
+		return;
+	case MESSAGE_CLAIM_ANSWER:
+		message->claim_answer.seq = unpack_u64(in);
+		message->claim_answer.result = unpack_int(in, CLAIM_TIMEOUT);
+		message->claim_answer.status = unpack_int(in, 999);
+		return;
+	case MESSAGE_CLAIM_END:
+		unpack_note(in, &message->claim_end);
+		return;
 	case MESSAGE_KINDS:
 		break;
 	}
--- a/peer/pack.c
+++ b/peer/pack.c
@@ -55,6 +55,16 @@
 	msgpack_pack_int64(out, state->recheck_at_us);
 }
 
+void pack_note(msgpack_packer *out, const struct claim_note *note)
+{
+	msgpack_pack_array(out, 5);
+	msgpack_pack_uint64(out, note->key.high);
+	msgpack_pack_uint64(out, note->key.low);
+	msgpack_pack_uint64(out, note->claim);
+	msgpack_pack_int(out, note->kind);
+	msgpack_pack_int(out, note->status);
+}
+
 static void pack_file(msgpack_packer *out, const struct accepted_file *file)
 {
 	msgpack_pack_array(out, 4);
@@ -215,6 +225,18 @@
 	in->bad |= inner.bad;
 }
 
+void unpack_note(struct unpack *in, struct claim_note *note)
+{
+	struct unpack inner = unpack_inner(in);
+
+	note->key.high = unpack_u64(&inner);
+	note->key.low = unpack_u64(&inner);
+	note->claim = unpack_u64(&inner);
+	note->kind = unpack_int(&inner, CLAIM_RELEASE);
+	note->status = unpack_int(&inner, 999);
+	in->bad |= inner.bad;
+}
+
 static void unpack_file(struct unpack *in, GPtrArray *files)
 {
 	struct unpack inner = unpack_inner(in);
--- a/peer/pack.h
+++ b/peer/pack.h
@@ -15,6 +15,7 @@
 void pack_members(msgpack_packer *out, const GArray *members);
 void pack_change(msgpack_packer *out, const struct change *change);
 void pack_state(msgpack_packer *out, const struct move_state *state);
+void pack_note(msgpack_packer *out, const struct claim_note *note);
 void pack_snapshot(msgpack_packer *out, const struct snapshot_part *part);
 
 /** A cursor over the items of an array; any misfit sets .bad and yields zeroes from there on. */
@@ -39,6 +40,7 @@
 /** Returns NULL if it is bad. */
 struct change *unpack_change(struct unpack *in);
 void unpack_state(struct unpack *in, struct move_state *state);
+void unpack_note(struct unpack *in, struct claim_note *note);
 void unpack_snapshot(struct unpack *in, struct snapshot_part *part);
 
 #endif
--- /dev/null
+++ b/regress/godwithitchd/keys_test.c
@@ -0,0 +1,200 @@
+/* Keyed calls with resends at several nodes under faults: each key runs at most once, and what was
+ * refused as not run did not run. */
+#include "regress/lib/check.h"
+
+#include <curl/curl.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/rng.h"
+#include "regress/lib/fleet.h"
+
+#define FILE_GOOD                                                                                  \
+	"{\"services\": {\"registre\": {\"versions\": {\"v1\": {\"share\": 100}}}},"               \
+	"\"routes\": [{\"name\": \"invoices\", \"path\": \"/\", \"service\": \"registre\","        \
+	"\"repeat\": \"at-most-once\", \"deadline_ms\": 4000}]}"
+
+enum { NODES = 5, TARGETS = 3, THREADS = 8, KEYS_A_THREAD = 150, SENDS = 3 };
+
+static struct fleet *fleet;
+
+/** What the callers were told of a key. */
+struct told {
+	bool ran;
+	bool may_have_run;
+	bool replayed;
+	int not_run;
+};
+
+struct sender {
+	GThread *thread;
+	int number;
+	struct told told[KEYS_A_THREAD];
+};
+
+static void note(struct told *told, const struct http_reply *reply)
+{
+	if (strcmp(reply->verdict, "ran") == 0)
+		told->ran = true;
+	else if (strcmp(reply->verdict, "not-run") == 0)
+		told->not_run++;
+	else
+		told->may_have_run = true;
+}
+
+static void send_once(struct http_client *client, struct sender *sender, int key, int node)
+{
+	struct http_options options = { .method = "POST",
+					.body = STR("invoice"),
+					.timeout_ms = 10000 };
+	struct http_reply reply;
+	char field[64];
+	char *url = g_strdup_printf("http://%s/invoices", fleet->nodes[node].callers);
+
+	g_snprintf(field, sizeof(field), "Idempotency-Key: k-%d-%d-", sender->number, key);
+	options.headers[0] = field;
+	reply = http_do(client, url, &options);
+	/* A node that was killed gives no answer: nothing is known then. */
+	if (reply.status == 0)
+		sender->told[key].may_have_run = true;
+	else
+		note(&sender->told[key], &reply);
+	http_clear(&reply);
+	g_free(url);
+}
+
+static gpointer sender_main(gpointer data)
+{
+	struct sender *sender = data;
+	struct http_client *client = http_new();
+	struct rng rng = { (uint64_t)sender->number + 1 };
+
+	for (int key = 0; key < KEYS_A_THREAD; key++)
+		for (int send = 0; send < SENDS; send++)
+			send_once(client, sender, key, (int)rng_below(&rng, NODES - 1));
+	http_free(client);
+	return NULL;
+}
+
+static void read_counts(GHashTable *runs)
+{
+	for (int i = 0; i < TARGETS; i++) {
+		char *url = g_strdup_printf("http://127.0.0.1:%d/admin/counts",
+					    fleet->nodes[i].target_port);
+		struct http_reply reply = http_get(url);
+		char **lines;
+
+		strbuf_add(&reply.body, (struct str){ "", 1 });
+		lines = g_strsplit(reply.body.data, "\n", -1);
+		for (int j = 0; lines[j]; j++) {
+			char **words = g_strsplit(lines[j], " ", 2);
+			int count;
+
+			if (words[0] && words[1]) {
+				count = GPOINTER_TO_INT(g_hash_table_lookup(runs, words[0]));
+				g_hash_table_insert(runs, g_strdup(words[0]),
+						    GINT_TO_POINTER(count + atoi(words[1])));
+			}
+			g_strfreev(words);
+		}
+		g_strfreev(lines);
+		http_clear(&reply);
+		g_free(url);
+	}
+}
+
+/* What happens meanwhile: the log loses answers, is out, is slow; a node dies, one is paused. */
+static void play_faults(void)
+{
+	wait_ms(400);
+	fleet_log_fault(fleet, "lose_answers=10");
+	wait_ms(600);
+	fleet_log_fault(fleet, "out=1");
+	wait_ms(1000);
+	fleet_log_fault(fleet, "out=0&slow_ms=100");
+	process_signal(&fleet->nodes[NODES - 1].daemon, SIGSTOP);
+	wait_ms(1500);
+	fleet_log_fault(fleet, "slow_ms=0");
+	process_signal(&fleet->nodes[NODES - 1].daemon, SIGCONT);
+	wait_ms(500);
+	process_kill(&fleet->nodes[NODES - 2].daemon);
+	wait_ms(1000);
+}
+
+struct totals {
+	int keys;
+	int ran;
+	int runs;
+	int doubles;
+	int false_not_run;
+	int replies_not_run;
+};
+
+static void add_key(struct totals *totals, const struct told *told, int runs)
+{
+	totals->keys++;
+	totals->ran += told->ran;
+	totals->runs += runs;
+	totals->doubles += runs > 1;
+	totals->replies_not_run += told->not_run;
+	/* Told only "not run", each time, and yet it ran. */
+	totals->false_not_run += runs > 0 && !told->ran && !told->may_have_run;
+}
+
+static void test_each_key_runs_at_most_once(void **state)
+{
+	struct sender senders[THREADS] = { 0 };
+	GHashTable *runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	struct totals totals = { 0 };
+	int lost = 0;
+
+	(void)state;
+	fleet = fleet_new(0);
+	for (int i = 0; i < NODES; i++)
+		fleet_add_node(fleet, i % 2 ? "fes-b" : "fes-a");
+	for (int i = 0; i < TARGETS; i++)
+		fleet_add_target(fleet, i, "-s registre -v v1");
+	assert_true(fleet_wait_live(fleet, NODES, 15000));
+	assert_int_equal(fleet_apply(fleet, "one.json", FILE_GOOD, NULL), 0);
+	wait_ms(1000);
+	for (int i = 0; i < THREADS; i++) {
+		senders[i].number = i;
+		senders[i].thread = g_thread_new("sender", sender_main, &senders[i]);
+	}
+	play_faults();
+	for (int i = 0; i < THREADS; i++)
+		g_thread_join(senders[i].thread);
+	read_counts(runs);
+	for (int i = 0; i < THREADS; i++) {
+		for (int key = 0; key < KEYS_A_THREAD; key++) {
+			const struct told *told = &senders[i].told[key];
+			char name[32];
+			int count;
+
+			g_snprintf(name, sizeof(name), "k-%d-%d-", i, key);
+			count = GPOINTER_TO_INT(g_hash_table_lookup(runs, name));
+			add_key(&totals, told, count);
+			lost += told->ran && count == 0;
+		}
+	}
+	print_message("%d keys, %d runs, %d told ran, %d answers not-run, %d doubles, "
+		      "%d not-run that ran\n",
+		      totals.keys, totals.runs, totals.ran, totals.replies_not_run, totals.doubles,
+		      totals.false_not_run);
+	assert_int_equal(totals.doubles, 0);
+	assert_int_equal(totals.false_not_run, 0);
+	assert_int_equal(lost, 0);
+	assert_true(totals.runs * 10 > totals.keys * 8);
+	g_hash_table_destroy(runs);
+	fleet_free(fleet);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = { cmocka_unit_test(test_each_key_runs_at_most_once) };
+
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	return cmocka_run_group_tests_name("godwithitchd/keys", tests, NULL, NULL);
+}
--- a/regress/godwithitchd/path_test.c
+++ b/regress/godwithitchd/path_test.c
@@ -120,6 +120,21 @@
 				    1000));
 }
 
+/* A small body reaches the target from either node. */
+static void test_a_small_body_arrives(void **state)
+{
+	(void)state;
+	fleet = start("-s registre -v v1");
+	for (int node = 0; node < 2; node++) {
+		struct http_options options = { .method = "POST", .body = STR("ab") };
+		struct http_reply reply = call(node, "/sum", &options);
+
+		strbuf_add(&reply.body, (struct str){ "", 1 });
+		assert_string_equal(reply.body.data, "2 c21\n");
+		http_clear(&reply);
+	}
+}
+
 static void test_a_call_without_a_route_is_not_run(void **state)
 {
 	struct http_options options = { 0 };
@@ -561,6 +576,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test_teardown(test_calls, stop_fleet),
 		cmocka_unit_test_teardown(test_a_call_without_a_route_is_not_run, stop_fleet),
+		cmocka_unit_test_teardown(test_a_small_body_arrives, stop_fleet),
 		cmocka_unit_test_teardown(test_a_large_file_passes_whole, stop_fleet),
 		cmocka_unit_test_teardown(test_a_large_body_goes_up_whole, stop_fleet),
 		cmocka_unit_test_teardown(test_a_cut_body_is_cut_visibly, stop_fleet),
--- a/regress/lib/sim.c
+++ b/regress/lib/sim.c
@@ -12,7 +12,12 @@
 #define TICK_US	   (100 * US_PER_MS)
 #define LOG_LAG_US (3 * US_PER_MS)
 
-enum { DATA_CENTRES_MAX = 16, SERVICE_US = 2000, HEADER_BYTES = 24 };
+enum {
+	STREAMS = 2 + CLAIM_PARTITIONS,
+	DATA_CENTRES_MAX = 16,
+	SERVICE_US = 2000,
+	HEADER_BYTES = 24
+};
 
 enum pending_kind { PENDING_TICK, PENDING_MESSAGE, PENDING_LOG_ANSWER, PENDING_APPENDED };
 
@@ -28,12 +33,14 @@
 			struct message *message;
 		} message;
 		struct {
-			enum log_stream stream;
+			int stream;
 			int64_t from;
 			uint64_t waiter;
 		} answer;
 		struct {
+			int stream;
 			uint64_t tag;
+			int64_t offset;
 			bool done;
 		} appended;
 	};
@@ -43,7 +50,7 @@
 	uint64_t number;
 	int node;
 	int64_t life;
-	enum log_stream stream;
+	int stream;
 	int64_t from;
 };
 
@@ -53,11 +60,11 @@
 	struct rng rng;
 	int64_t now_us; /* since START_US */
 	uint64_t seq;
-	GPtrArray *heap; /* struct pending */
-	GArray *log[2];	 /* struct log_record, by enum log_stream */
-	int64_t oldest[2];
-	GArray *written_at[2]; /* int64_t */
-	GArray *waiters;       /* struct waiter */
+	GPtrArray *heap;      /* struct pending */
+	GArray *log[STREAMS]; /* struct log_record, by stream_index() */
+	int64_t oldest[STREAMS];
+	GArray *written_at[STREAMS]; /* int64_t */
+	GArray *waiters;	     /* struct waiter */
 	bool log_out;
 	int lose_answers;
 	struct sim_log_stats stats;
@@ -71,6 +78,11 @@
 	return (struct instant){ START_US + sim->now_us, WALL_US + sim->now_us };
 }
 
+void *sim_context(const struct sim *sim)
+{
+	return sim->options.context;
+}
+
 int64_t sim_elapsed_us(const struct sim *sim)
 {
 	return sim->now_us;
@@ -213,12 +225,24 @@
 	}
 }
 
-static int64_t newest(const struct sim *sim, enum log_stream stream)
+/* The fake log's own number of a stream. */
+static int stream_index(enum log_stream stream, int partition)
+{
+	return stream == STREAM_KEYS ? 2 + partition : (int)stream;
+}
+
+static void stream_of(int index, enum log_stream *stream, int *partition)
+{
+	*stream = index < 2 ? (enum log_stream)index : STREAM_KEYS;
+	*partition = index < 2 ? 0 : index - 2;
+}
+
+static int64_t newest(const struct sim *sim, int stream)
 {
 	return sim->oldest[stream] + (int64_t)sim->log[stream]->len - 1;
 }
 
-static void answer_read(struct sim *sim, int node, enum log_stream stream, int64_t from)
+static void answer_read(struct sim *sim, int node, int stream, int64_t from)
 {
 	struct pending *pending = push(sim, sim->now_us + LOG_LAG_US, PENDING_LOG_ANSWER, node);
 
@@ -226,7 +250,7 @@
 	pending->answer.from = from;
 }
 
-static void wake_waiters(struct sim *sim, enum log_stream stream)
+static void wake_waiters(struct sim *sim, int stream)
 {
 	for (guint i = sim->waiters->len; i-- > 0;) {
 		struct waiter waiter = g_array_index(sim->waiters, struct waiter, i);
@@ -239,20 +263,21 @@
 	}
 }
 
-static int64_t append_record(struct sim *sim, enum log_stream stream, struct log_record record)
+static int64_t append_record(struct sim *sim, int stream, struct log_record record)
 {
 	record.offset = newest(sim, stream) + 1;
 	g_array_append_val(sim->log[stream], record);
 	g_array_append_val(sim->written_at[stream], sim->now_us);
 	sim->stats.appends++;
-	sim->stats.system_records += stream == STREAM_SYSTEM;
+	sim->stats.system_records += stream == (int)STREAM_SYSTEM;
 	wake_waiters(sim, stream);
 	return record.offset;
 }
 
 static void read_action(struct sim *sim, int node, const struct action *action)
 {
-	struct waiter waiter = { ++sim->seq, node, sim->nodes[node].started_us, action->read.stream,
+	struct waiter waiter = { ++sim->seq, node, sim->nodes[node].started_us,
+				 stream_index(action->read.stream, action->read.partition),
 				 action->read.from };
 	int64_t wait_us = action->read.wait_until.at_us - START_US - sim->now_us;
 	struct pending *timeout;
@@ -274,9 +299,11 @@
 	struct pending *pending = push(sim, sim->now_us + LOG_LAG_US, PENDING_APPENDED, node);
 
 	pending->appended.tag = action->append.tag;
+	pending->appended.stream = stream_index(action->append.stream, action->append.partition);
 	if (sim->log_out)
 		return;
-	append_record(sim, STREAM_SYSTEM, action->append.record);
+	pending->appended.offset =
+		append_record(sim, pending->appended.stream, action->append.record);
 	action->append.record = (struct log_record){ .kind = LOG_BAD };
 	pending->appended.done = sim->lose_answers == 0;
 	sim->lose_answers -= sim->lose_answers > 0;
@@ -300,6 +327,11 @@
 		case ACTION_APPEND:
 			append_action(sim, node, action);
 			break;
+		case ACTION_CLAIMED:
+			if (sim->options.on_claimed)
+				sim->options.on_claimed(sim, node, action->claimed.seq,
+							action->claimed.result);
+			break;
 		case ACTION_NOTE:
 			break;
 		}
@@ -332,6 +364,11 @@
 	config_unref(config);
 }
 
+void sim_carry_out(struct sim *sim, int node, struct actions *actions)
+{
+	carry_out(sim, node, actions);
+}
+
 static void handle(struct sim *sim, int index, const struct event *event)
 {
 	struct actions actions = actions_new();
@@ -356,19 +393,19 @@
 
 static void give_log(struct sim *sim, const struct pending *pending)
 {
-	enum log_stream stream = pending->answer.stream;
+	int stream = pending->answer.stream;
 	int64_t from = pending->answer.from ? pending->answer.from : sim->oldest[stream];
 	struct event event = { .kind = EVENT_LOG_FAILED };
 
 	if (!take_waiter(sim, pending->answer.waiter))
 		return;
-	event.failed.stream = stream;
+	stream_of(stream, &event.failed.stream, &event.failed.partition);
 	event.failed.failure = LOG_FAILURE_OUT;
 	if (!sim->log_out && from < sim->oldest[stream]) {
 		event.failed.failure = LOG_FAILURE_GONE;
 	} else if (!sim->log_out) {
 		event.kind = EVENT_LOG_BATCH;
-		event.batch.stream = stream;
+		stream_of(stream, &event.batch.stream, &event.batch.partition);
 		event.batch.newest = newest(sim, stream);
 		event.batch.count = (int)MAX(0, event.batch.newest - from + 1);
 		event.batch.records = event.batch.count
@@ -394,7 +431,9 @@
 		break;
 	case PENDING_APPENDED:
 		event.kind = pending->appended.done ? EVENT_APPENDED : EVENT_APPEND_FAILED;
+		stream_of(pending->appended.stream, &event.append.stream, &event.append.partition);
 		event.append.tag = pending->appended.tag;
+		event.append.offset = pending->appended.offset;
 		break;
 	case PENDING_LOG_ANSWER:
 		give_log(sim, pending);
@@ -541,13 +580,13 @@
 void sim_log_out(struct sim *sim, bool out)
 {
 	sim->log_out = out;
-	wake_waiters(sim, STREAM_CONFIG);
-	wake_waiters(sim, STREAM_SYSTEM);
+	for (int stream = 0; stream < STREAMS; stream++)
+		wake_waiters(sim, stream);
 }
 
 void sim_log_lapse(struct sim *sim, int64_t keep_us)
 {
-	for (int stream = 0; stream < 2; stream++) {
+	for (int stream = 0; stream < STREAMS; stream++) {
 		while (sim->log[stream]->len &&
 		       g_array_index(sim->written_at[stream], int64_t, 0) < sim->now_us - keep_us) {
 			log_record_clear(&g_array_index(sim->log[stream], struct log_record, 0));
@@ -652,7 +691,7 @@
 	sim->rng.state = options->seed;
 	sim->heap = g_ptr_array_new();
 	sim->waiters = g_array_new(FALSE, FALSE, sizeof(struct waiter));
-	for (int stream = 0; stream < 2; stream++) {
+	for (int stream = 0; stream < STREAMS; stream++) {
 		sim->log[stream] = g_array_new(FALSE, TRUE, sizeof(struct log_record));
 		sim->written_at[stream] = g_array_new(FALSE, FALSE, sizeof(int64_t));
 		sim->oldest[stream] = 1;
@@ -674,7 +713,7 @@
 		node_free(sim->nodes[i].node);
 	for (guint i = 0; i < sim->heap->len; i++)
 		pending_free(sim->heap->pdata[i]);
-	for (int stream = 0; stream < 2; stream++) {
+	for (int stream = 0; stream < STREAMS; stream++) {
 		for (guint i = 0; i < sim->log[stream]->len; i++)
 			log_record_clear(&g_array_index(sim->log[stream], struct log_record, i));
 		g_array_unref(sim->log[stream]);
--- a/regress/lib/sim.h
+++ b/regress/lib/sim.h
@@ -10,6 +10,11 @@
 #include "base/rng.h"
 #include "core/node.h"
 
+struct sim;
+
+/** An answer to a claim came on a node. */
+typedef void sim_claimed_fn(struct sim *sim, int node, uint64_t seq, enum claim_result result);
+
 struct sim_options {
 	int nodes;
 	int data_centres;
@@ -22,6 +27,8 @@
 	bool preload;	      /**< nodes start with the whole membership, as after a long run */
 	int readers;
 	int64_t log_retention_us;
+	sim_claimed_fn *on_claimed;
+	void *context; /**< the test's own, see sim_context() */
 };
 
 /** A target of a simulated node, and how it behaves. */
@@ -51,7 +58,9 @@
 	bool frozen;
 };
 
-struct sim;
+void *sim_context(const struct sim *sim);
+/** Carries out what a test had a node decide. */
+void sim_carry_out(struct sim *sim, int node, struct actions *actions);
 
 struct sim *sim_new(const struct sim_options *options);
 void sim_free(struct sim *sim);
--- a/regress/peer/codec_test.c
+++ b/regress/peer/codec_test.c
@@ -154,6 +154,15 @@
 	case MESSAGE_CENSUS:
 		message->census.seq = rng_next(rng);
 		break;
+	case MESSAGE_CLAIM_ASK:
+		message->claim_ask.key.low = rng_next(rng);
+		break;
+	case MESSAGE_CLAIM_ANSWER:
+		message->claim_answer.status = 200;
+		break;
+	case MESSAGE_CLAIM_END:
+		message->claim_end.claim = rng_next(rng);
+		break;
 	case MESSAGE_KINDS:
 		break;
 	}
