--- /dev/null
+++ b/regress/capacity.c
@@ -0,0 +1,338 @@
+/*
+ * Measures the slopes behind docs/CAPACITY.md and prints what they give at the stated size.
+ *   capacity [-s FOLDER]   also draws the plots there
+ */
+#include <apr_general.h>
+#include <curl/curl.h>
+#include <glib.h>
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "peer/codec.h"
+#include "regress/lib/fleet.h"
+#include "regress/lib/spread.h"
+
+enum { SIZES = 4, TARGET_SIZE = 5800, CALLS = 3000 };
+
+static const int sizes[SIZES] = { 64, 128, 256, 1024 };
+
+/** A straight line through measured points. */
+struct line {
+	double base;
+	double slope;
+	double residual; /**< largest distance of a point */
+};
+
+static struct line fit(const double *x, const double *y, int n)
+{
+	struct line line = { 0 };
+	double sx = 0;
+	double sy = 0;
+	double sxx = 0;
+	double sxy = 0;
+
+	for (int i = 0; i < n; i++) {
+		sx += x[i];
+		sy += y[i];
+		sxx += x[i] * x[i];
+		sxy += x[i] * y[i];
+	}
+	line.slope = (n * sxy - sx * sy) / (n * sxx - sx * sx);
+	line.base = (sy - line.slope * sx) / n;
+	for (int i = 0; i < n; i++)
+		line.residual = fmax(line.residual, fabs(y[i] - line.base - line.slope * x[i]));
+	return line;
+}
+
+static void print_line(const char *what, const char *unit, const double *x, const double *y, int n,
+		       const char *axis, double at)
+{
+	struct line line = fit(x, y, n);
+
+	printf("%-34s", what);
+	for (int i = 0; i < n; i++)
+		printf(" %8.3g", y[i]);
+	printf("  | %.3g + %.3g * %s, residual %.2g | at %d: %.3g %s\n", line.base, line.slope,
+	       axis, line.residual, TARGET_SIZE, line.base + line.slope * at, unit);
+}
+
+static void draw(const char *folder, const char *name, const char *title, const double *y)
+{
+	char *path = g_strdup_printf("%s/%s.svg", folder, name);
+	FILE *file = fopen(path, "w");
+	double top = 0;
+
+	for (int i = 0; i < SIZES; i++)
+		top = fmax(top, y[i]);
+	fprintf(file,
+		"<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"480\" height=\"300\" "
+		"font-family=\"sans-serif\" font-size=\"12\">\n"
+		"<rect width=\"480\" height=\"300\" fill=\"white\"/>\n"
+		"<text x=\"20\" y=\"20\">%s</text>\n"
+		"<path d=\"M60 40V250H460\" fill=\"none\" stroke=\"black\"/>\n<polyline "
+		"fill=\"none\" "
+		"stroke=\"#2060a0\" points=\"",
+		title);
+	for (int i = 0; i < SIZES; i++)
+		fprintf(file, "%.0f,%.0f ", 60 + (log2(sizes[i]) - 6) * 90,
+			250 - y[i] / (top * 1.1) * 200);
+	fprintf(file, "\"/>\n");
+	for (int i = 0; i < SIZES; i++)
+		fprintf(file,
+			"<circle cx=\"%.0f\" cy=\"%.0f\" r=\"4\" fill=\"#2060a0\"/>"
+			"<text x=\"%.0f\" y=\"268\">%d</text><text x=\"%.0f\" "
+			"y=\"%.0f\">%.3g</text>\n",
+			60 + (log2(sizes[i]) - 6) * 90, 250 - y[i] / (top * 1.1) * 200,
+			50 + (log2(sizes[i]) - 6) * 90, sizes[i], 66 + (log2(sizes[i]) - 6) * 90,
+			244 - y[i] / (top * 1.1) * 200, y[i]);
+	fprintf(file, "<text x=\"230\" y=\"290\">nodes</text>\n</svg>\n");
+	fclose(file);
+	g_free(path);
+}
+
+static void spread(const char *folder)
+{
+	double n[SIZES];
+	double log_n[SIZES];
+	double y[7][SIZES];
+
+	for (int i = 0; i < SIZES; i++) {
+		struct spread_figures figures = spread_measure(sizes[i]);
+
+		n[i] = sizes[i];
+		log_n[i] = log2(sizes[i]);
+		y[0][i] = figures.worst_ms;
+		y[1][i] = figures.rest_bytes;
+		y[2][i] = figures.change_bytes;
+		y[3][i] = figures.rest_cpu * 100;
+		y[4][i] = figures.change_cpu * 100;
+		y[5][i] = figures.memory_kb;
+		y[6][i] = figures.log_reads;
+	}
+	printf("distribution, by nodes                   64      128      256     1024\n");
+	print_line("convergence, worst of 5", "ms", log_n, y[0], SIZES, "log2 n",
+		   log2(TARGET_SIZE));
+	print_line("control at rest", "B/s", n, y[1], SIZES, "n", TARGET_SIZE);
+	print_line("control at 4,300 changes a day", "B/s", n, y[2], SIZES, "n", TARGET_SIZE);
+	print_line("processor at rest", "% of a core", n, y[3], SIZES, "n", TARGET_SIZE);
+	print_line("processor at 4,300 changes a day", "% of a core", n, y[4], SIZES, "n",
+		   TARGET_SIZE);
+	print_line("memory of core", "KB", n, y[5], SIZES, "n", TARGET_SIZE);
+	print_line("log reads of the fleet a minute", "", n, y[6], SIZES, "n", TARGET_SIZE);
+	if (folder) {
+		draw(folder, "convergence", "ms until the last node holds a change, worst of 5",
+		     y[0]);
+		draw(folder, "control-bytes",
+		     "control bytes a node a second at 4,300 changes a day", y[2]);
+	}
+}
+
+static double process_cpu_us(const struct process *process)
+{
+	char path[64];
+	char *text = NULL;
+	unsigned long user = 0;
+	unsigned long system = 0;
+
+	g_snprintf(path, sizeof(path), "/proc/%d/stat", process->pid);
+	if (g_file_get_contents(path, &text, NULL, NULL))
+		sscanf(strrchr(text, ')') + 2,
+		       "%*c %*d %*d %*d %*d %*d %*u %*u %*u %*u %*u %lu %lu", &user, &system);
+	g_free(text);
+	return (double)(user + system) * 1e6 / (double)sysconf(_SC_CLK_TCK);
+}
+
+static long resident_kb(const struct process *process)
+{
+	char path[64];
+	char *text = NULL;
+	long kb = 0;
+
+	g_snprintf(path, sizeof(path), "/proc/%d/status", process->pid);
+	if (g_file_get_contents(path, &text, NULL, NULL) && strstr(text, "VmRSS:"))
+		kb = atol(strstr(text, "VmRSS:") + 6);
+	g_free(text);
+	return kb;
+}
+
+static void call_many(int node, const char *path)
+{
+	struct http_client *client = http_new();
+	char *url;
+
+	for (int i = 0; i < CALLS; i++) {
+		struct http_options options = { 0 };
+		struct http_reply reply;
+
+		(void)node;
+		url = g_strdup(path);
+		reply = http_do(client, url, &options);
+		http_clear(&reply);
+		g_free(url);
+	}
+	http_free(client);
+}
+
+/* Processor time of a call in its entry node and in its target's node, from whole processes. */
+static void calls(void)
+{
+	struct fleet *fleet = fleet_new(0);
+	double entry;
+	double serve;
+	char url[96];
+
+	fleet_add_node(fleet, "fes-a");
+	fleet_add_node(fleet, "fes-a");
+	fleet_add_target(fleet, 1, "-s registre -v v1 -n 64 -l 0");
+	fleet_wait_live(fleet, 2, 10000);
+	fleet_wait_text(fleet, 0, "/v1/members", "registre", 10000);
+	fleet_apply(fleet, "capacity.json",
+		    "{\"services\": {\"registre\": {\"versions\": {\"v1\": {\"share\": 100}}}},"
+		    "\"routes\": [{\"name\": \"r\", \"path\": \"/\", \"service\": \"registre\","
+		    "\"repeat\": \"idempotent\"}]}",
+		    NULL);
+	g_snprintf(url, sizeof(url), "http://%s/x", fleet->nodes[0].callers);
+	call_many(0, url);
+	entry = process_cpu_us(&fleet->nodes[0].daemon);
+	serve = process_cpu_us(&fleet->nodes[1].daemon);
+	call_many(0, url);
+	entry = process_cpu_us(&fleet->nodes[0].daemon) - entry;
+	serve = process_cpu_us(&fleet->nodes[1].daemon) - serve;
+	printf("\ncalls, %d in a row from one node to another\n", CALLS);
+	printf("processor of a call at its entry node     %.0f us\n", entry / CALLS);
+	printf("processor of a call at its target's node  %.0f us\n", serve / CALLS);
+	printf("resident memory of the two daemons        %ld and %ld KB\n",
+	       resident_kb(&fleet->nodes[0].daemon), resident_kb(&fleet->nodes[1].daemon));
+	entry = process_cpu_us(&fleet->nodes[0].daemon);
+	wait_ms(5000);
+	printf("processor of an idle daemon               %.3f %% of a core\n",
+	       (process_cpu_us(&fleet->nodes[0].daemon) - entry) / 5e6 * 100);
+	fleet_free(fleet);
+}
+
+static double cpu_us(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &ts);
+	return (double)ts.tv_sec * 1e6 + (double)ts.tv_nsec / 1e3;
+}
+
+static size_t encoded(const struct message *message)
+{
+	struct strbuf out = { 0 };
+	size_t len;
+
+	codec_encode(message, &out);
+	len = out.len;
+	strbuf_clear(&out);
+	return len;
+}
+
+/* A coordinator's second: windows of a service's targets, closed once. */
+static void coordinator(void)
+{
+	static const int targets[] = { 10, 20, 40 };
+	double x[3];
+	double y[3];
+
+	for (int k = 0; k < 3; k++) {
+		struct evidence *evidence = evidence_new();
+		struct evidence_window window = { .route = label_from(STR("records")),
+						  .calls = 57,
+						  .targets = 10 };
+		struct label route;
+		double start = cpu_us();
+
+		window.latency[20] = 57;
+		for (int s = 0; s < 1000; s++) {
+			for (int t = 0; t < targets[k]; t++) {
+				window.target = (uint64_t)t;
+				evidence_add(evidence, t % 2 ? EVIDENCE_OLD : EVIDENCE_NEW,
+					     &window);
+			}
+			evidence_close(evidence, true, &route);
+		}
+		x[k] = targets[k];
+		y[k] = (cpu_us() - start) / 1000;
+		evidence_free(evidence);
+	}
+	printf("\ncoordinator, by targets of the service   10       20       40\n");
+	print_line("processor of a second's evidence", "us at 21.5 targets", x, y, 3, "targets",
+		   21.5);
+}
+
+static void message_sizes(void)
+{
+	struct message *evidence = message_new(MESSAGE_EVIDENCE);
+	struct evidence_window window = { .route = label_from(STR("records")), .calls = 57 };
+	struct message *ping = message_new(MESSAGE_PING);
+	struct message *advert = message_new(MESSAGE_ADVERT);
+
+	for (int i = 0; i < 12; i++)
+		window.latency[20 + i] = 5;
+	evidence->evidence.version = label_from(STR("v2"));
+	evidence->evidence.windows = g_array_new(FALSE, FALSE, sizeof(window));
+	g_array_append_val(evidence->evidence.windows, window);
+	ping->probe.members = g_array_new(FALSE, FALSE, sizeof(struct member));
+	ping->probe.digest.members_hash = UINT64_MAX;
+	ping->probe.digest.moves_hash = UINT64_MAX;
+	advert->version = 1 << 20;
+	printf("\nbytes of a message without its 24 of header: evidence of a route %zu, ping %zu, "
+	       "advert %zu\n",
+	       encoded(evidence), encoded(ping), encoded(advert));
+	message_unref(evidence);
+	message_unref(ping);
+	message_unref(advert);
+}
+
+/* Keys: appends to the log by keyed calls a second, over nine nodes. */
+static void keys(void)
+{
+	static const int rates[] = { 100, 400, 1600 };
+
+	printf("\nkeyed calls a second                    100      400     1600\n%-34s",
+	       "appends a second");
+	for (int k = 0; k < 3; k++) {
+		struct sim_options options = {
+			.nodes = 9, .data_centres = 3, .seed = 4, .preload = true
+		};
+		struct sim *sim = sim_new(&options);
+		int64_t before;
+
+		sim_run(sim, 10 * US_PER_S);
+		before = sim_log_stats(sim).appends;
+		for (int i = 0; i < rates[k] * 10; i++) {
+			struct actions actions = actions_new();
+			struct instant now = sim_now(sim);
+			struct claim_key key = { rng_next(sim_rng(sim)), (uint64_t)i };
+			uint64_t claim;
+
+			node_claim_start(sim_node(sim, i % 9)->node, key,
+					 deadline_after(now, 5 * US_PER_S), now, &claim, &actions);
+			sim_carry_out(sim, i % 9, &actions);
+			sim_run(sim, US_PER_S / rates[k]);
+		}
+		printf(" %8.0f", (double)(sim_log_stats(sim).appends - before) / 10);
+		sim_free(sim);
+	}
+	printf("\n");
+}
+
+int main(int argc, char **argv)
+{
+	const char *folder = argc == 3 && strcmp(argv[1], "-s") == 0 ? argv[2] : NULL;
+
+	apr_initialize();
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	spread(folder);
+	calls();
+	coordinator();
+	message_sizes();
+	keys();
+	return 0;
+}
--- a/regress/logservice.c
+++ b/regress/logservice.c
@@ -161,6 +161,7 @@
 	GString *answer = g_string_new(NULL);
 	enum MHD_Result result;
 	struct stream *stream;
+	bool is_out;
 	bool gone;
 
 	g_mutex_lock(&mutex);
@@ -174,10 +175,9 @@
 	gone = from < stream->oldest;
 	if (!gone)
 		pack_records(answer, stream, from, max);
-	if (out)
-		gone = false;
+	is_out = out;
 	g_mutex_unlock(&mutex);
-	if (out)
+	if (is_out)
 		result = reply(connection, MHD_HTTP_SERVICE_UNAVAILABLE, "", 0);
 	else if (gone)
 		result = reply(connection, MHD_HTTP_GONE, "", 0);
@@ -211,13 +211,20 @@
 static enum MHD_Result dispatch(struct MHD_Connection *connection, const char *url,
 				const char *method, GString *body)
 {
+	int64_t wait_us;
+	bool is_out;
+
 	if (strcmp(url, "/fault") == 0)
 		return on_fault(connection);
 	if (strcmp(url, "/stats") == 0)
 		return on_stats(connection);
-	if (slow_ms)
-		g_usleep((gulong)slow_ms * 1000);
-	if (out)
+	g_mutex_lock(&mutex);
+	wait_us = slow_ms * 1000;
+	is_out = out;
+	g_mutex_unlock(&mutex);
+	if (wait_us)
+		g_usleep((gulong)wait_us);
+	if (is_out)
 		return reply(connection, MHD_HTTP_SERVICE_UNAVAILABLE, "", 0);
 	if (strncmp(url, "/streams/", 9) != 0)
 		return reply(connection, MHD_HTTP_NOT_FOUND, "", 0);
