--- a/core/claim.c
+++ b/core/claim.c
@@ -34,13 +34,14 @@
 struct partition {
 	GHashTable *keys; /* struct held_key */
 	int64_t next;	  /* offset to read from; 0: the oldest kept */
-	bool reading;	bool loaded; /* read to its end at least once */
-	uint64_t reads; /* begun so far */
+	bool reading;
+	bool loaded;	 /* read to its end at least once */
+	uint64_t reads;	 /* begun so far */
 	int64_t written; /* newest offset that this node appended */
-	GArray *asks;	/* struct ask */
-	GArray *ends;	/* struct claim_note, outcomes to append */
-	GArray *sent;	/* struct claim_note, in the append under way */
-	uint64_t batch; /* under way; 0: none */
+	GArray *asks;	 /* struct ask */
+	GArray *ends;	 /* struct claim_note, outcomes to append */
+	GArray *sent;	 /* struct claim_note, in the append under way */
+	uint64_t batch;	 /* under way; 0: none */
 	double tokens;
 	int64_t tokens_at_us;
 	struct deadline not_before;
@@ -136,11 +137,9 @@
 void claims_ask(struct claims *claims, uint64_t from, uint64_t seq, struct claim_key key,
 		uint64_t claim, struct deadline deadline)
 {
-	struct ask ask = { .from = from,
-			   .seq = seq,
-			   .key = key,
-			   .claim = claim,
-			   .deadline = deadline };
+	struct ask ask = {
+		.from = from, .seq = seq, .key = key, .claim = claim, .deadline = deadline
+	};
 	struct partition *partition;
 	bool known = false;
 
--- a/core/node_config.c
+++ b/core/node_config.c
@@ -191,7 +191,7 @@
 	struct message *message;
 	int count;
 
-	if (!fleet_may_serve(node)) {
+	if (!fleet_may_serve(node, &node->spread.pulls_served, PULLS_PER_ROUND)) {
 		struct rng rng = node_rng(node);
 
 		message = message_new(MESSAGE_RETRY);
--- a/core/node_fleet.c
+++ b/core/node_fleet.c
@@ -167,13 +167,13 @@
 	}
 }
 
-bool fleet_may_serve(struct node *node)
+bool fleet_may_serve(struct node *node, int *served, int max)
 {
 	bool may;
 
 	lock_acquire(&node->spread.lock);
-	may = node->spread.served < SERVED_PER_ROUND;
-	node->spread.served += may;
+	may = *served < max;
+	*served += may;
 	lock_release(&node->spread.lock);
 	return may;
 }
@@ -202,7 +202,7 @@
 {
 	GArray *records;
 
-	if (!fleet_may_serve(node)) {
+	if (!fleet_may_serve(node, &node->spread.syncs_served, SYNCS_PER_ROUND)) {
 		send_retry(node, from, out);
 		return;
 	}
@@ -414,7 +414,8 @@
 	int count = members_sweep(node->members, now, dead, SWEEP_MAX);
 
 	lock_acquire(&node->spread.lock);
-	node->spread.served = 0;
+	node->spread.pulls_served = 0;
+	node->spread.syncs_served = 0;
 	node->spread.record_tokens = MIN(node->spread.record_tokens + RECORDS_PER_S, RECORDS_BURST);
 	lock_release(&node->spread.lock);
 	for (int i = 0; i < count; i++) {
--- a/core/node_parts.h
+++ b/core/node_parts.h
@@ -29,7 +29,8 @@
 	RELAYS = 3,		  /* peers asked to probe for us */
 	UPDATES_PER_MESSAGE = 12, /* member records that ride on a datagram */
 	RECORDS_PER_SYNC = 100,	  /* member records in one message of a sync */
-	SERVED_PER_ROUND = 40,	  /* pulls and syncs answered in a second */
+	SYNCS_PER_ROUND = 40,	  /* answers with all members, in a second */
+	PULLS_PER_ROUND = 400,	  /* answers with records; a herd beyond it comes back later */
 	BOOT_SAMPLE = 3,	  /* current peers heard before a joining node trusts what it has */
 	SNAPSHOT_PART_BYTES = 32 << 10,
 	SNAPSHOT_EVERY = 256, /* records between snapshots */
@@ -125,7 +126,8 @@
 	struct deadline sync_at;
 	struct deadline moves_sync_at;
 	struct deadline dead_ping_at;
-	int served; /* pulls and syncs in this round */
+	int pulls_served; /* in this round */
+	int syncs_served;
 	uint32_t seq;
 	uint64_t tag;
 	struct {
@@ -177,7 +179,8 @@
 		      struct actions *out);
 void fleet_update_self(struct node *node, const struct member *self, uint64_t refute,
 		       struct actions *out);
-bool fleet_may_serve(struct node *node);
+/** Takes one of a round's answers; false if @p max of them are given. */
+bool fleet_may_serve(struct node *node, int *served, int max);
 
 /* node_config.c */
 void config_on_digest(struct node *node, uint64_t from, const struct digest *digest,
--- a/regress/lib/spread.c
+++ b/regress/lib/spread.c
@@ -4,7 +4,7 @@
 #include <stdio.h>
 #include <time.h>
 
-#define SETTLE_US  (90 * US_PER_S)
+#define SETTLE_US  (240 * US_PER_S)
 #define REST_US	   (20 * US_PER_S)
 #define CHANGES_US (60 * US_PER_S)
 
