--- a/core/admit.c
+++ b/core/admit.c
@@ -1,15 +1,19 @@
 #include "core/admit.h"
 
+#include <math.h>
+
 #include "base/lockorder.h"
 
+/* Memory of what a tenant has used: long against a call, short against a quarrel. */
+#define USE_HALF_US (500 * US_PER_MS)
+
 enum {
 	QUEUE_PER_SLOT = 8, /* waiting calls for each slot */
 	TENANTS_MAX = 256,  /* past it tenants share one queue by hash */
 	ROUTES_MAX = 256,
 	BULK_SLOT_PERCENT = 50,
 	FIRST_SERVICE_US = 2000, /* expected before anything was measured */
-	QUANTUM_US = 1000,
-	GROW_AFTER = 32, /* served calls before one more slot is tried again */
+	GROW_AFTER = 32,	 /* served calls before one more slot is tried again */
 };
 
 /* Turns that a class gets before a lower one has its own. */
@@ -18,11 +22,13 @@
 struct tenant_queue {
 	struct label tenant;
 	GQueue tickets;
-	int64_t deficit_us;
+	int running;
+	double used_us; /* of the target's time, lately */
+	int64_t used_at_us;
 };
 
 struct class_queue {
-	GQueue active; /* struct tenant_queue with tickets, in turn */
+	GQueue active; /* struct tenant_queue with tickets */
 	int queued;
 	int turns; /* left in this round */
 };
@@ -145,8 +151,9 @@
 	return route_get(admit, &ticket->route)->running < route_limit(admit, ticket);
 }
 
-static void start(struct admit *admit, const struct ticket *ticket)
+static void start(struct admit *admit, struct tenant_queue *tenant, const struct ticket *ticket)
 {
+	tenant->running++;
 	admit->running++;
 	admit->bulk_running += ticket->class == CLASS_BULK;
 	route_get(admit, &ticket->route)->running++;
@@ -194,8 +201,8 @@
 {
 	const struct class_queue *class = &admit->classes[ticket->class];
 	int bound = admit->slots * QUEUE_PER_SLOT;
-	int tenants = (int)class->active.length + 1;
-	int assured = MAX(bound / (2 * tenants), 1);
+	int tenants = (int)class->active.length + (tenant->tickets.length == 0);
+	int assured = MAX(bound / tenants, 1);
 
 	return class->queued >= bound && (int)tenant->tickets.length >= assured;
 }
@@ -212,20 +219,35 @@
 	admit->queued++;
 }
 
+/* What a tenant has used lately; it halves in USE_HALF_US. */
+static double recent_use(const struct tenant_queue *tenant, struct instant now)
+{
+	double halvings = (double)(now.mono_us - tenant->used_at_us) / USE_HALF_US;
+
+	return tenant->used_us * exp2(-halvings);
+}
+
+static void add_use(struct tenant_queue *tenant, double us, struct instant now)
+{
+	tenant->used_us = recent_use(tenant, now) + us;
+	tenant->used_at_us = now.mono_us;
+}
+
 static enum admit_result offer(struct admit *admit, struct ticket *ticket, struct instant now)
 {
 	int64_t left_us = deadline_left_us(ticket->deadline, now);
-	const struct tenant_queue *tenant;
+	struct tenant_queue *tenant;
 
 	if (admit->slots == 0 || admit->closed)
 		return ADMIT_CLOSED;
 	if (left_us == 0)
 		return ADMIT_LATE;
+	tenant = tenant_get(admit, ticket);
 	if (admit->queued == 0 && may_run(admit, ticket)) {
-		start(admit, ticket);
+		add_use(tenant, route_get(admit, &ticket->route)->service_us, now);
+		start(admit, tenant, ticket);
 		return ADMIT_RUN;
 	}
-	tenant = tenant_get(admit, ticket);
 	if (is_full(admit, ticket, tenant))
 		return ADMIT_FULL;
 	if (expected_wait_us(admit, ticket, tenant) > left_us)
@@ -272,6 +294,7 @@
 	lock_acquire(&admit->lock);
 	route = route_get(admit, &ticket->route);
 	route->running--;
+	tenant_get(admit, ticket)->running--;
 	admit->running--;
 	admit->bulk_running -= ticket->class == CLASS_BULK;
 	if (use == SLOT_SERVED) {
@@ -290,10 +313,8 @@
 
 	class->queued--;
 	admit->queued--;
-	if (g_queue_is_empty(&tenant->tickets)) {
+	if (g_queue_is_empty(&tenant->tickets))
 		g_queue_remove(&class->active, tenant);
-		tenant->deficit_us = 0;
-	}
 	return ticket;
 }
 
@@ -302,34 +323,64 @@
 	return deadline_passed(ticket->deadline, now);
 }
 
-/* Deficit round robin: a tenant whose deficit covers its next call has its turn. */
-static struct admit_turn next_of_class(struct admit *admit, struct class_queue *class,
+/* Fewer calls running go first, then less use lately: a tenant that has only just come may not
+ * take all slots because it has used nothing yet. */
+static bool goes_before(const struct tenant_queue *a, const struct tenant_queue *b,
+			struct instant now)
+{
+	if (a->running != b->running)
+		return a->running < b->running;
+	return recent_use(a, now) < recent_use(b, now);
+}
+
+/*
+ * The tenant whose turn it is, so that rivals get the same time of the target and one with few
+ * calls does not wait behind one with many. A head whose route is at its limit lets others go.
+ */
+static struct tenant_queue *next_tenant(struct admit *admit, struct class_queue *class,
+					struct instant now)
+{
+	struct tenant_queue *first = NULL;
+
+	for (GList *at = class->active.head; at; at = at->next) {
+		struct tenant_queue *tenant = at->data;
+
+		if (!may_run(admit, g_queue_peek_head(&tenant->tickets)))
+			continue;
+		if (!first || goes_before(tenant, first, now))
+			first = tenant;
+	}
+	return first;
+}
+
+/* A tenant whose first call can't run in time any more; without slots that is any. */
+static struct tenant_queue *first_late(struct admit *admit, struct class_queue *class,
 				       struct instant now)
 {
-	/* A blocked head (its route is at its limit) passes its turn on; two rounds suffice. */
-	guint tries = 2 * g_queue_get_length(&class->active) + 1;
-
-	while (tries-- > 0 && !g_queue_is_empty(&class->active)) {
-		struct tenant_queue *tenant = g_queue_peek_head(&class->active);
-		struct ticket *head = g_queue_peek_head(&tenant->tickets);
-		int64_t cost_us = (int64_t)route_get(admit, &head->route)->service_us;
-
-		/* Without slots the target is gone, and what waits for it can't run here. */
-		if (is_late(head, now) || admit->slots == 0)
-			return (struct admit_turn){ TURN_LATE, take_head(admit, class, tenant) };
-		if (may_run(admit, head) && tenant->deficit_us >= 0) {
-			tenant->deficit_us -= cost_us;
-			start(admit, head);
-			return (struct admit_turn){ TURN_RUN, take_head(admit, class, tenant) };
-		}
-		if (tenant->deficit_us < 0) {
-			/* One quantum a round; a long call waits out several of them. */
-			tenant->deficit_us += QUANTUM_US > cost_us ? QUANTUM_US : cost_us;
-			tries++;
-		}
-		g_queue_push_tail(&class->active, g_queue_pop_head(&class->active));
+	for (GList *at = class->active.head; at; at = at->next) {
+		struct tenant_queue *tenant = at->data;
+
+		if (admit->slots == 0 || is_late(g_queue_peek_head(&tenant->tickets), now))
+			return tenant;
 	}
-	return (struct admit_turn){ TURN_NONE, NULL };
+	return NULL;
+}
+
+static struct admit_turn next_of_class(struct admit *admit, struct class_queue *class,
+				       struct instant now)
+{
+	struct tenant_queue *tenant = first_late(admit, class, now);
+	struct ticket *head;
+
+	if (tenant)
+		return (struct admit_turn){ TURN_LATE, take_head(admit, class, tenant) };
+	tenant = next_tenant(admit, class, now);
+	if (!tenant)
+		return (struct admit_turn){ TURN_NONE, NULL };
+	head = take_head(admit, class, tenant);
+	add_use(tenant, route_get(admit, &head->route)->service_us, now);
+	start(admit, tenant, head);
+	return (struct admit_turn){ TURN_RUN, head };
 }
 
 /* A new round starts once no class that waits has turns left. */
--- a/core/admit.h
+++ b/core/admit.h
@@ -1,7 +1,8 @@
 /**
  * @file
  * Admission at the node's own target: a bounded number of calls run, a short queue waits, in order
- * of class and fair between tenants (deficit round robin over the expected service time).
+ * of class and fair between tenants: who has fewest calls running goes first, then who has used
+ * least of the target's time lately.
  */
 #ifndef CORE_ADMIT_H
 #define CORE_ADMIT_H
--- a/regress/bench.c
+++ b/regress/bench.c
@@ -3,21 +3,25 @@
  * side by side: the ways take turns, call by call, so that the machine's noise hits them alike.
  *   bench [-n CALLS] [-t THREADS]
  */
+#include <arpa/inet.h>
 #include <curl/curl.h>
 #include <glib.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "base/clock.h"
 #include "regress/lib/fleet.h"
 
-enum { WAYS = 3, CALLS_DEFAULT = 4000, THREADS_DEFAULT = 4, WARM_CALLS = 200 };
+enum { WAYS = 4, FLOOR_HOPS = 3, CALLS_DEFAULT = 4000, THREADS_DEFAULT = 4, WARM_CALLS = 200 };
 
 static const char *const way_names[WAYS] = { "straight to the target", "through one node",
-					     "through two nodes" };
+					     "through two nodes", "floor: a byte over 3 hops" };
 
-static char *urls[WAYS];
+static char *urls[WAYS - 1];
 static int calls = CALLS_DEFAULT;
 
 struct caller {
@@ -26,6 +30,79 @@
 	int failed;
 };
 
+/* The floor: what the same number of hand-offs between threads over TCP costs without any work. */
+struct hop {
+	int in;
+	int out; /* -1: the last one, which echoes */
+};
+
+static gpointer hop_main(gpointer data)
+{
+	struct hop hop = *(struct hop *)data;
+	char byte;
+
+	g_free(data);
+	while (read(hop.in, &byte, 1) == 1) {
+		if (hop.out >= 0 && (write(hop.out, &byte, 1) != 1 || read(hop.out, &byte, 1) != 1))
+			break;
+		if (write(hop.in, &byte, 1) != 1)
+			break;
+	}
+	return NULL;
+}
+
+/* A connected pair of TCP sockets on loopback. */
+static void tcp_pair(int fds[2])
+{
+	struct sockaddr_in address = { .sin_family = AF_INET,
+				       .sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
+	socklen_t len = sizeof(address);
+	int listener = socket(AF_INET, SOCK_STREAM, 0);
+	int one = 1;
+
+	if (bind(listener, (struct sockaddr *)&address, len) != 0 || listen(listener, 1) != 0)
+		abort();
+	getsockname(listener, (struct sockaddr *)&address, &len);
+	fds[0] = socket(AF_INET, SOCK_STREAM, 0);
+	if (connect(fds[0], (struct sockaddr *)&address, len) != 0)
+		abort();
+	fds[1] = accept(listener, NULL, NULL);
+	close(listener);
+	for (int i = 0; i < 2; i++)
+		setsockopt(fds[i], IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+}
+
+/* Starts a chain of hops; the socket that leads into it. */
+static int start_chain(void)
+{
+	int pair[2];
+	int next = -1;
+
+	for (int i = 0; i < FLOOR_HOPS; i++) {
+		struct hop *hop = g_new0(struct hop, 1);
+
+		tcp_pair(pair);
+		hop->in = pair[1];
+		hop->out = next;
+		next = pair[0];
+		g_thread_unref(g_thread_new("hop", hop_main, hop));
+	}
+	return next;
+}
+
+static void one_byte(struct caller *caller, int chain, bool keep)
+{
+	int64_t start_us = clock_now().mono_us;
+	int64_t took_us;
+	char byte = 'x';
+
+	if (write(chain, &byte, 1) != 1 || read(chain, &byte, 1) != 1)
+		caller->failed++;
+	took_us = clock_now().mono_us - start_us;
+	if (keep)
+		g_array_append_val(caller->took[WAYS - 1], took_us);
+}
+
 static void one_call(struct http_client *client, struct caller *caller, int way, bool keep)
 {
 	struct http_options options = { 0 };
@@ -42,14 +119,17 @@
 {
 	struct caller *caller = data;
 	struct http_client *clients[WAYS];
+	int chain = start_chain();
 
 	for (int way = 0; way < WAYS; way++) {
 		clients[way] = http_new();
 		caller->took[way] = g_array_new(FALSE, FALSE, sizeof(int64_t));
 	}
-	for (int i = 0; i < calls + WARM_CALLS; i++)
-		for (int way = 0; way < WAYS; way++)
+	for (int i = 0; i < calls + WARM_CALLS; i++) {
+		for (int way = 0; way < WAYS - 1; way++)
 			one_call(clients[way], caller, way, i >= WARM_CALLS);
+		one_byte(caller, chain, i >= WARM_CALLS);
+	}
 	for (int way = 0; way < WAYS; way++)
 		http_free(clients[way]);
 	return NULL;
