--- a/core/admit.c
+++ b/core/admit.c
@@ -345,7 +345,7 @@
 	for (GList *at = class->active.head; at; at = at->next) {
 		struct tenant_queue *tenant = at->data;
 
-		if (!may_run(admit, g_queue_peek_head(&tenant->tickets)))
+		if (!tenant || !may_run(admit, g_queue_peek_head(&tenant->tickets)))
 			continue;
 		if (!first || goes_before(tenant, first, now))
 			first = tenant;
--- a/peer/codec.c
+++ b/peer/codec.c
@@ -102,6 +102,24 @@
 	msgpack_pack_int64(out, mark->expires_at_us);
 }
 
+static void pack_claim_ask(msgpack_packer *out, const struct message *message)
+{
+	msgpack_pack_array(out, 5);
+	msgpack_pack_uint64(out, message->claim_ask.seq);
+	msgpack_pack_uint64(out, message->claim_ask.key.high);
+	msgpack_pack_uint64(out, message->claim_ask.key.low);
+	msgpack_pack_uint64(out, message->claim_ask.claim);
+	msgpack_pack_int64(out, message->claim_ask.left_us);
+}
+
+static void pack_claim_answer(msgpack_packer *out, const struct message *message)
+{
+	msgpack_pack_array(out, 3);
+	msgpack_pack_uint64(out, message->claim_answer.seq);
+	msgpack_pack_int(out, message->claim_answer.result);
+	msgpack_pack_int(out, message->claim_answer.status);
+}
+
 static void pack_body(msgpack_packer *out, const struct message *message)
 {
 	switch (message->kind) {
@@ -154,18 +172,10 @@
 		msgpack_pack_int64(out, message->census.version);
 		return;
 	case MESSAGE_CLAIM_ASK:
-		msgpack_pack_array(out, 5);
-		msgpack_pack_uint64(out, message->claim_ask.seq);
-		msgpack_pack_uint64(out, message->claim_ask.key.high);
-		msgpack_pack_uint64(out, message->claim_ask.key.low);
-		msgpack_pack_uint64(out, message->claim_ask.claim);
-		msgpack_pack_int64(out, message->claim_ask.left_us);
+		pack_claim_ask(out, message);
 		return;
 	case MESSAGE_CLAIM_ANSWER:
-		msgpack_pack_array(out, 3);
-		msgpack_pack_uint64(out, message->claim_answer.seq);
-		msgpack_pack_int(out, message->claim_answer.result);
-		msgpack_pack_int(out, message->claim_answer.status);
+		pack_claim_answer(out, message);
 		return;
 	case MESSAGE_CLAIM_END:
 		msgpack_pack_array(out, 1);
--- a/regress/godwithitchd/path_test.c
+++ b/regress/godwithitchd/path_test.c
@@ -473,85 +473,85 @@
 	return fd;
 }
 
+static const struct nonsense_row {
+	const char *what;
+	bool datagram;
+	bool callers; /* to the callers' port, or to that for nodes */
+	struct str bytes;
+} nonsense_rows[] = {
+	{ "text to the nodes' port", false, false, { "hello, is anybody there?\n", 25 } },
+	{ "a length beyond the limit",
+	  false,
+	  false,
+	  { "\xff\xff\xff\xff\x00\x00\x00\x00"
+	    "aaaaaaaabbbbbbbb",
+	    24 } },
+	{ "a frame kind that does not exist",
+	  false,
+	  false,
+	  { "\x00\x00\x00\x00\x63\x00\x00\x00"
+	    "aaaaaaaabbbbbbbb",
+	    24 } },
+	{ "a request before the hello",
+	  false,
+	  false,
+	  { "\x00\x00\x00\x01\x02\x00\x00\x00"
+	    "aaaaaaaabbbbbbbb\x90",
+	    25 } },
+	{ "a hello for another address",
+	  false,
+	  false,
+	  { "\x00\x00\x00\x00\x00\x00\x00\x00"
+	    "\x00\x00\x0a\x00\x00\x01\x00\x50"
+	    "bbbbbbbb",
+	    24 } },
+	{ "an empty datagram", true, false, { "", 0 } },
+	{ "a datagram of text", true, false, { "nonsense", 8 } },
+	{ "a datagram with a broken message",
+	  true,
+	  false,
+	  { "\x00\x00\x00\x03\x01\x00\x00\x00"
+	    "\x00\x00\x7f\x00\x00\x01\x00\x50"
+	    "\x00\x00\x00\x00\x00\x00\x00\x00"
+	    "\xc1\xc1\xc1",
+	    27 } },
+	{ "no HTTP", false, true, { "\x16\x03\x01nonsense\r\n\r\n", 14 } },
+	{ "a bad length",
+	  false,
+	  true,
+	  { "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: -4\r\n\r\n", 50 } },
+	{ "two lengths",
+	  false,
+	  true,
+	  { "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", 69 } },
+};
+
 /* Bytes that are no frames, messages or requests end their connection and nothing else. */
 static void test_nonsense_harms_nobody(void **state)
 {
-	static const struct row {
-		const char *what;
-		bool datagram;
-		bool callers; /* to the callers' port, or to that for nodes */
-		struct str bytes;
-	} rows[] = {
-		{ "text to the nodes' port", false, false, { "hello, is anybody there?\n", 25 } },
-		{ "a length beyond the limit",
-		  false,
-		  false,
-		  { "\xff\xff\xff\xff\x00\x00\x00\x00"
-		    "aaaaaaaabbbbbbbb",
-		    24 } },
-		{ "a frame kind that does not exist",
-		  false,
-		  false,
-		  { "\x00\x00\x00\x00\x63\x00\x00\x00"
-		    "aaaaaaaabbbbbbbb",
-		    24 } },
-		{ "a request before the hello",
-		  false,
-		  false,
-		  { "\x00\x00\x00\x01\x02\x00\x00\x00"
-		    "aaaaaaaabbbbbbbb\x90",
-		    25 } },
-		{ "a hello for another address",
-		  false,
-		  false,
-		  { "\x00\x00\x00\x00\x00\x00\x00\x00"
-		    "\x00\x00\x0a\x00\x00\x01\x00\x50"
-		    "bbbbbbbb",
-		    24 } },
-		{ "an empty datagram", true, false, { "", 0 } },
-		{ "a datagram of text", true, false, { "nonsense", 8 } },
-		{ "a datagram with a broken message",
-		  true,
-		  false,
-		  { "\x00\x00\x00\x03\x01\x00\x00\x00"
-		    "\x00\x00\x7f\x00\x00\x01\x00\x50"
-		    "\x00\x00\x00\x00\x00\x00\x00\x00"
-		    "\xc1\xc1\xc1",
-		    27 } },
-		{ "no HTTP", false, true, { "\x16\x03\x01nonsense\r\n\r\n", 14 } },
-		{ "a bad length",
-		  false,
-		  true,
-		  { "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: -4\r\n\r\n", 50 } },
-		{ "two lengths",
-		  false,
-		  true,
-		  { "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
-		    69 } },
-	};
-
 	(void)state;
 	fleet = start("-s registre -v v1");
-	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
-		const char *address =
-			rows[i].callers ? fleet->nodes[0].callers : fleet->nodes[0].address;
-		int fd = connect_to(address, rows[i].datagram ? SOCK_DGRAM : SOCK_STREAM);
+	for (size_t i = 0; i < G_N_ELEMENTS(nonsense_rows); i++) {
+		const char *address = nonsense_rows[i].callers ? fleet->nodes[0].callers
+							       : fleet->nodes[0].address;
+		int fd = connect_to(address, nonsense_rows[i].datagram ? SOCK_DGRAM : SOCK_STREAM);
 		char answer[256];
 		struct timeval limit = { 2, 0 };
 
 		setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
-		assert_true(send(fd, rows[i].bytes.data, rows[i].bytes.len, MSG_NOSIGNAL) >= 0);
-		if (!rows[i].datagram) {
+		assert_true(send(fd, nonsense_rows[i].bytes.data, nonsense_rows[i].bytes.len,
+				 MSG_NOSIGNAL) >= 0);
+		if (!nonsense_rows[i].datagram) {
 			ssize_t n = recv(fd, answer, sizeof(answer) - 1, 0);
 
 			/* HTTP gets an answer of 4xx; the other port just closes. */
 			answer[n > 0 ? n : 0] = '\0';
-			if (rows[i].callers && n > 0 && !strstr(answer, " 40"))
-				fail_msg("%s: %s", rows[i].what, answer);
+			if (nonsense_rows[i].callers && n > 0 && !strstr(answer, " 40"))
+				fail_msg("%s: %s", nonsense_rows[i].what, answer);
 		}
 		close(fd);
 		if (status_of(0, "/records") != 200)
-			fail_msg("%s: the node no longer serves", rows[i].what);
+			fail_msg("%s: the node no longer serves", nonsense_rows[i].what);
 	}
 }
 
