--- a/regress/godwithitchd/keys_test.c
+++ b/regress/godwithitchd/keys_test.c
@@ -78,33 +78,6 @@
 	return NULL;
 }
 
-static void read_counts(GHashTable *runs)
-{
-	for (int i = 0; i < TARGETS; i++) {
-		char *url = g_strdup_printf("http://127.0.0.1:%d/admin/counts",
-					    fleet->nodes[i].target_port);
-		struct http_reply reply = http_get(url);
-		char **lines;
-
-		strbuf_add(&reply.body, (struct str){ "", 1 });
-		lines = g_strsplit(reply.body.data, "\n", -1);
-		for (int j = 0; lines[j]; j++) {
-			char **words = g_strsplit(lines[j], " ", 2);
-			int count;
-
-			if (words[0] && words[1]) {
-				count = GPOINTER_TO_INT(g_hash_table_lookup(runs, words[0]));
-				g_hash_table_insert(runs, g_strdup(words[0]),
-						    GINT_TO_POINTER(count + atoi(words[1])));
-			}
-			g_strfreev(words);
-		}
-		g_strfreev(lines);
-		http_clear(&reply);
-		g_free(url);
-	}
-}
-
 /* What happens meanwhile: the log loses answers, is out, is slow; a node dies, one is paused. */
 static void play_faults(void)
 {
@@ -146,7 +119,7 @@
 static void test_each_key_runs_at_most_once(void **state)
 {
 	struct sender senders[THREADS] = { 0 };
-	GHashTable *runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	GHashTable *runs;
 	struct totals totals = { 0 };
 	int lost = 0;
 
@@ -166,7 +139,7 @@
 	play_faults();
 	for (int i = 0; i < THREADS; i++)
 		g_thread_join(senders[i].thread);
-	read_counts(runs);
+	runs = fleet_runs(fleet);
 	for (int i = 0; i < THREADS; i++) {
 		for (int key = 0; key < KEYS_A_THREAD; key++) {
 			const struct told *told = &senders[i].told[key];
--- /dev/null
+++ b/regress/godwithitchd/limits_test.c
@@ -0,0 +1,258 @@
+/* Limits: what is too large, too slow or too much harms nobody else; a stop has an end. */
+#include "regress/lib/check.h"
+
+#include <arpa/inet.h>
+#include <curl/curl.h>
+#include <netinet/in.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "regress/lib/fleet.h"
+
+#define FILE_GOOD                                                                                  \
+	"{\"services\": {\"s\": {\"versions\": {\"v1\": {\"share\": 100}}}},"                      \
+	"\"routes\": [{\"name\": \"r\", \"path\": \"/\", \"service\": \"s\","                      \
+	"\"repeat\": \"idempotent\", \"deadline_ms\": 60000}]}"
+
+static struct fleet *fleet;
+
+static void start(const char *extra)
+{
+	fleet = fleet_new(0);
+	g_strlcpy(fleet->extra, extra, sizeof(fleet->extra));
+	fleet_add_node(fleet, "fes-a");
+	fleet_add_target(fleet, 0, "-s s -v v1");
+	assert_true(fleet_wait_live(fleet, 1, 10000));
+	assert_true(fleet_wait_text(fleet, 0, "/v1/members", "\"s\"", 5000));
+	assert_int_equal(fleet_apply(fleet, "one.json", FILE_GOOD, NULL), 0);
+}
+
+static int stop_fleet(void **state)
+{
+	(void)state;
+	fleet_free(fleet);
+	return 0;
+}
+
+static int connect_callers(void)
+{
+	struct sockaddr_in to = { .sin_family = AF_INET,
+				  .sin_port = htons(
+					  (uint16_t)atoi(strchr(fleet->nodes[0].callers, ':') + 1)),
+				  .sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	struct timeval limit = { 5, 0 };
+
+	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+	assert_int_equal(connect(fd, (struct sockaddr *)&to, sizeof(to)), 0);
+	return fd;
+}
+
+/* What comes back on a connection until it is closed; -1 if it stays open for five seconds. */
+static ssize_t read_all(int fd, char *out, size_t cap)
+{
+	size_t len = 0;
+	ssize_t n;
+
+	while ((n = recv(fd, out + len, cap - 1 - len, 0)) > 0)
+		len += (size_t)n;
+	out[len] = '\0';
+	return n < 0 ? -1 : (ssize_t)len;
+}
+
+static bool serves(void)
+{
+	char url[64];
+	struct http_reply reply;
+
+	g_snprintf(url, sizeof(url), "http://%s/x", fleet->nodes[0].callers);
+	reply = http_get(url);
+	http_clear(&reply);
+	return reply.status == 200;
+}
+
+static void test_a_large_head_is_refused(void **state)
+{
+	char *head = g_strnfill(40000, 'a');
+	char *request;
+	char answer[1024];
+	int fd;
+
+	(void)state;
+	start("");
+	request = g_strdup_printf(
+		"GET /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\nBig: %s\r\n\r\n", head);
+	fd = connect_callers();
+	assert_true(send(fd, request, strlen(request), MSG_NOSIGNAL) > 0);
+	read_all(fd, answer, sizeof(answer));
+	assert_null(strstr(answer, " 200 "));
+	close(fd);
+	assert_true(serves());
+	g_free(request);
+	g_free(head);
+}
+
+static void test_many_header_fields_are_refused(void **state)
+{
+	struct strbuf request = { 0 };
+	char answer[1024];
+	int fd;
+
+	(void)state;
+	start("");
+	strbuf_addf(&request, "GET /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n");
+	for (int i = 0; i < 200; i++)
+		strbuf_addf(&request, "F%d: x\r\n", i);
+	strbuf_addf(&request, "\r\n");
+	fd = connect_callers();
+	assert_true(send(fd, request.data, request.len, MSG_NOSIGNAL) > 0);
+	read_all(fd, answer, sizeof(answer));
+	assert_non_null(strstr(answer, " 431 "));
+	assert_non_null(strstr(answer, "not-run"));
+	close(fd);
+	assert_true(serves());
+	strbuf_clear(&request);
+}
+
+/* A caller that sends half a request and no more is closed after idle_s. */
+static void test_a_slow_sender_is_closed(void **state)
+{
+	char answer[256];
+	int64_t before_us;
+	int fd;
+
+	(void)state;
+	start("\"idle_s\": 1,");
+	fd = connect_callers();
+	assert_true(send(fd, "GET /x HT", 9, MSG_NOSIGNAL) == 9);
+	before_us = clock_now().mono_us;
+	assert_true(read_all(fd, answer, sizeof(answer)) >= 0);
+	assert_true(clock_now().mono_us - before_us < 4 * US_PER_S);
+	close(fd);
+	assert_true(serves());
+}
+
+static void test_connections_of_one_address_are_bounded(void **state)
+{
+	enum { LIMIT = 5, TRIED = 12 };
+	int fds[TRIED];
+	int open = 0;
+
+	(void)state;
+	start("\"connections_per_address\": 5,");
+	for (int i = 0; i < TRIED; i++)
+		fds[i] = connect_callers();
+	wait_ms(300);
+	for (int i = 0; i < TRIED; i++) {
+		char byte;
+		ssize_t n = recv(fds[i], &byte, 1, MSG_DONTWAIT);
+
+		/* Refused ones were closed. */
+		open += n < 0;
+	}
+	assert_int_equal(open, LIMIT);
+	for (int i = 0; i < TRIED; i++)
+		close(fds[i]);
+	wait_ms(300);
+	assert_true(serves());
+}
+
+static int64_t cpu_ticks(void)
+{
+	char path[64];
+	char *text = NULL;
+	unsigned long user = 0;
+	unsigned long system = 0;
+
+	g_snprintf(path, sizeof(path), "/proc/%d/stat", fleet->nodes[0].daemon.pid);
+	if (g_file_get_contents(path, &text, NULL, NULL))
+		sscanf(strrchr(text, ')') + 2,
+		       "%*c %*d %*d %*d %*d %*d %*u %*u %*u %*u %*u %lu %lu", &user, &system);
+	g_free(text);
+	return (int64_t)(user + system);
+}
+
+/* No thread spins while it waits: at rest a node takes less than 2.3% of a core. */
+static void test_no_thread_spins(void **state)
+{
+	int64_t before;
+	double share;
+
+	(void)state;
+	start("");
+	wait_ms(1000);
+	before = cpu_ticks();
+	wait_ms(4000);
+	share = (double)(cpu_ticks() - before) / (double)sysconf(_SC_CLK_TCK) / 4;
+	print_message("%.2f%% of a core at rest\n", share * 100);
+	assert_true(share < 0.023);
+}
+
+static gpointer hang_main(gpointer data)
+{
+	char url[64];
+	struct http_client *client = http_new();
+	struct http_options options = { .timeout_ms = 30000 };
+	struct http_reply reply;
+
+	(void)data;
+	g_snprintf(url, sizeof(url), "http://%s/hang", fleet->nodes[0].callers);
+	reply = http_do(client, url, &options);
+	http_clear(&reply);
+	http_free(client);
+	return NULL;
+}
+
+static bool log_holds(const char *text)
+{
+	char *log = NULL;
+	bool holds;
+
+	assert_true(g_file_get_contents(fleet->nodes[0].log_path, &log, NULL, NULL));
+	holds = strstr(log, text) != NULL;
+	g_free(log);
+	return holds;
+}
+
+/* A request that never ends does not keep a stop from ending: a second signal, or the deadline. */
+static void test_a_stop_has_an_end(void **state)
+{
+	(void)state;
+	for (int second_signal = 0; second_signal < 2; second_signal++) {
+		GThread *thread;
+
+		start("\"stop_within_s\": 2,");
+		thread = g_thread_new("hang", hang_main, NULL);
+		wait_ms(500);
+		process_signal(&fleet->nodes[0].daemon, SIGTERM);
+		assert_int_equal(process_wait(&fleet->nodes[0].daemon, 700), -1);
+		if (second_signal)
+			process_signal(&fleet->nodes[0].daemon, SIGTERM);
+		assert_int_equal(process_wait(&fleet->nodes[0].daemon, second_signal ? 1000 : 3000),
+				 0);
+		assert_true(log_holds("104 STOP_CUT_REQUEST"));
+		g_thread_join(thread);
+		if (!second_signal)
+			fleet_free(fleet);
+	}
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_teardown(test_a_large_head_is_refused, stop_fleet),
+		cmocka_unit_test_teardown(test_many_header_fields_are_refused, stop_fleet),
+		cmocka_unit_test_teardown(test_a_slow_sender_is_closed, stop_fleet),
+		cmocka_unit_test_teardown(test_connections_of_one_address_are_bounded, stop_fleet),
+		cmocka_unit_test_teardown(test_no_thread_spins, stop_fleet),
+		cmocka_unit_test_teardown(test_a_stop_has_an_end, stop_fleet),
+	};
+
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	cmocka_set_test_filter(getenv("TEST_ONLY"));
+	return cmocka_run_group_tests_name("godwithitchd/limits", tests, NULL, NULL);
+}
--- a/regress/lib/fleet.c
+++ b/regress/lib/fleet.c
@@ -380,3 +380,39 @@
 	g_free(url);
 	return sum;
 }
+
+static void add_runs(GHashTable *runs, const char *line)
+{
+	char **words = g_strsplit(line, " ", 2);
+	int count;
+
+	if (words[0] && words[1]) {
+		count = GPOINTER_TO_INT(g_hash_table_lookup(runs, words[0])) + atoi(words[1]);
+		g_hash_table_insert(runs, g_strdup(words[0]), GINT_TO_POINTER(count));
+	}
+	g_strfreev(words);
+}
+
+GHashTable *fleet_runs(struct fleet *fleet)
+{
+	GHashTable *runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+
+	for (int i = 0; i < fleet->count; i++) {
+		struct http_reply reply;
+		char url[64];
+		char **lines;
+
+		if (!fleet->nodes[i].target.pid)
+			continue;
+		g_snprintf(url, sizeof(url), "http://127.0.0.1:%d/admin/counts",
+			   fleet->nodes[i].target_port);
+		reply = http_get(url);
+		strbuf_add(&reply.body, (struct str){ "", 1 });
+		lines = g_strsplit(reply.body.data, "\n", -1);
+		for (int j = 0; lines[j]; j++)
+			add_runs(runs, lines[j]);
+		g_strfreev(lines);
+		http_clear(&reply);
+	}
+	return runs;
+}
--- a/regress/lib/fleet.h
+++ b/regress/lib/fleet.h
@@ -6,6 +6,7 @@
 #ifndef REGRESS_FLEET_H
 #define REGRESS_FLEET_H
 
+#include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
 #include <sys/types.h>
@@ -71,6 +72,8 @@
 void fleet_log_fault(struct fleet *fleet, const char *query);
 /** Reads a counter, summed over labels, from a node's metrics. */
 int64_t fleet_metric(struct fleet *fleet, int node, const char *name);
+/** Runs by idempotency key at the live targets: name -> count; the caller destroys the table. */
+GHashTable *fleet_runs(struct fleet *fleet);
 void wait_ms(int ms);
 
 #endif
--- a/regress/load.c
+++ b/regress/load.c
@@ -262,28 +262,18 @@
 	report(&rivals[1], 10);
 }
 
-/* Runs by key at the targets: the most that any key had. */
+/* The most runs that any key had. */
 static int most_runs(void)
 {
+	GHashTable *runs = fleet_runs(fleet);
+	GHashTableIter iter;
+	gpointer count;
 	int most = 0;
 
-	for (int i = 0; i < TARGETS; i++) {
-		char *url = g_strdup_printf("http://127.0.0.1:%d/admin/counts",
-					    fleet->nodes[i].target_port);
-		struct http_reply reply = http_get(url);
-		char **lines;
-
-		strbuf_add(&reply.body, (struct str){ "", 1 });
-		lines = g_strsplit(reply.body.data, "\n", -1);
-		for (int j = 0; lines[j]; j++) {
-			const char *blank = strchr(lines[j], ' ');
-
-			most = MAX(most, blank ? atoi(blank) : 0);
-		}
-		g_strfreev(lines);
-		http_clear(&reply);
-		g_free(url);
-	}
+	g_hash_table_iter_init(&iter, runs);
+	while (g_hash_table_iter_next(&iter, NULL, &count))
+		most = MAX(most, GPOINTER_TO_INT(count));
+	g_hash_table_destroy(runs);
 	return most;
 }
 
