--- a/core/member.c
+++ b/core/member.c
@@ -1,46 +1,8 @@
-#include "core/member.h"
+#include "core/member_table.h"
 
 #include <string.h>
 
-#include "base/lockorder.h"
-
-/* Evidence against one target by this node's own calls, in log-likelihood units (a CUSUM of
- * "half of its calls fail" against "one in twenty fails"). */
-#define EJECT_FAILURE_STEP 2.303
-#define EJECT_SUCCESS_STEP 0.642
-#define EJECT_BROKEN_STEP  4.0
-#define EJECT_THRESHOLD	   9.0
-#define EJECT_US	   (10 * US_PER_S)
-#define CLOSED_US	   (1 * US_PER_S)
-#define SLOW_START_US	   (10 * US_PER_S)
-
-/** A member with what this node adds of its own. */
-struct peer {
-	struct member record;
-	uint32_t all_index;
-	uint32_t live_index;	   /* in members.live, UINT32_MAX if not there */
-	uint32_t local_index;	   /* in members.local, likewise */
-	struct deadline dead_at;   /* of a suspect */
-	struct deadline forget_at; /* of a dead one */
-	struct deadline warm_at;   /* slow start until then */
-	struct deadline contained_until;
-	int in_flight;
-	double evidence;
-};
-
-struct members {
-	struct lock lock;
-	struct members_options options;
-	uint64_t self;
-	GHashTable *by_id;	/* uint64_t in the peer -> struct peer */
-	GHashTable *by_service; /* struct label -> GPtrArray of struct peer */
-	GPtrArray *all;
-	GPtrArray *live;
-	GPtrArray *local;
-	GArray *round; /* uint64_t, members still to probe */
-	uint64_t hash;
-	uint64_t bucket[MEMBER_BUCKETS];
-};
+#define SLOW_START_US (10 * US_PER_S)
 
 struct str member_state_name(enum member_state state)
 {
@@ -134,7 +96,7 @@
 	g_free(members);
 }
 
-static struct peer *find(struct members *members, uint64_t id)
+struct peer *members_find(struct members *members, uint64_t id)
 {
 	return g_hash_table_lookup(members->by_id, &id);
 }
@@ -282,7 +244,7 @@
 	struct peer *peer;
 
 	lock_acquire(&members->lock);
-	peer = find(members, record->id);
+	peer = members_find(members, record->id);
 	if (!peer) {
 		put(members, add(members, record->id), record, now);
 		result = MERGE_NEWER;
@@ -304,7 +266,7 @@
 	struct peer *peer;
 
 	lock_acquire(&members->lock);
-	peer = find(members, members->self);
+	peer = members_find(members, members->self);
 	record.id = members->self;
 	record.incarnation = peer->record.incarnation + 1;
 	if (refute >= record.incarnation)
@@ -320,7 +282,7 @@
 	const struct peer *peer;
 
 	lock_acquire(&members->lock);
-	peer = find(members, id);
+	peer = members_find(members, id);
 	if (peer)
 		*out = peer->record;
 	lock_release(&members->lock);
@@ -351,7 +313,7 @@
 	bool suspected;
 
 	lock_acquire(&members->lock);
-	peer = find(members, id);
+	peer = members_find(members, id);
 	suspected = peer && id != members->self && peer->record.state != MEMBER_SUSPECT &&
 		    peer->record.state != MEMBER_DEAD;
 	if (suspected) {
@@ -451,7 +413,7 @@
 	return records;
 }
 
-static bool holds(const uint64_t *ids, int count, uint64_t id)
+bool members_holds(const uint64_t *ids, int count, uint64_t id)
 {
 	for (int i = 0; i < count; i++)
 		if (ids[i] == id)
@@ -470,7 +432,7 @@
 	for (int draws = max * 3; draws > 0 && count < max && list->len; draws--) {
 		const struct peer *peer = g_ptr_array_index(list, (guint)rng_below(rng, list->len));
 
-		if (peer->record.id != members->self && !holds(out, count, peer->record.id))
+		if (peer->record.id != members->self && !members_holds(out, count, peer->record.id))
 			out[count++] = peer->record.id;
 	}
 	lock_release(&members->lock);
@@ -525,7 +487,7 @@
 
 		id = g_array_index(members->round, uint64_t, members->round->len - 1);
 		g_array_set_size(members->round, members->round->len - 1);
-		peer = find(members, id);
+		peer = members_find(members, id);
 		if (!peer || peer->record.state == MEMBER_DEAD)
 			id = 0;
 	}
@@ -622,147 +584,3 @@
 	lock_release(&members->lock);
 	return count;
 }
-
-static bool takes_work(const struct peer *peer, const struct choice_options *options,
-		       struct instant now)
-{
-	return peer->record.state == MEMBER_ALIVE && peer->record.slots > 0 &&
-	       label_equal(&peer->record.version, &options->version) &&
-	       !holds(options->avoid, options->avoid_count, peer->record.id) &&
-	       (peer->contained_until.at_us == 0 || deadline_passed(peer->contained_until, now));
-}
-
-/* Calls in flight over slots; a cold target counts as if it had a quarter of its slots. */
-static double load_of(const struct peer *peer, struct instant now)
-{
-	double slots = peer->record.slots;
-
-	if (peer->warm_at.at_us && !deadline_passed(peer->warm_at, now))
-		slots /= 4;
-	return (peer->in_flight + 1) / slots;
-}
-
-struct candidates {
-	struct peer *near[2]; /* two random ones of this data centre */
-	struct peer *far[2];  /* two random ones of the others */
-	int near_seen;
-	int far_seen;
-};
-
-/* Keeps a uniform sample of two. */
-static void sample(struct peer **kept, int *seen, struct peer *peer, struct rng *rng)
-{
-	int at = *seen < 2 ? *seen : (int)rng_below(rng, (uint64_t)*seen + 1);
-
-	(*seen)++;
-	if (at < 2)
-		kept[at] = peer;
-}
-
-static struct peer *less_loaded(struct peer **two, int seen, struct instant now)
-{
-	if (seen == 0)
-		return NULL;
-	if (seen == 1 || load_of(two[0], now) <= load_of(two[1], now))
-		return two[0];
-	return two[1];
-}
-
-static struct peer *choose(struct candidates *found, struct instant now)
-{
-	struct peer *near = less_loaded(found->near, found->near_seen, now);
-	struct peer *far = less_loaded(found->far, found->far_seen, now);
-
-	if (!near || !far)
-		return near ? near : far;
-	/* Spill to another data centre once the near target's slots are all taken. */
-	if (load_of(near, now) > 1.0 && load_of(far, now) < load_of(near, now))
-		return far;
-	return near;
-}
-
-uint64_t members_choose(struct members *members, const struct choice_options *options,
-			struct rng *rng, struct instant now)
-{
-	struct candidates found = { 0 };
-	struct peer *chosen;
-	const GPtrArray *list;
-
-	lock_acquire(&members->lock);
-	list = g_hash_table_lookup(members->by_service, &options->service);
-	for (guint i = 0; list && i < list->len; i++) {
-		struct peer *peer = g_ptr_array_index(list, i);
-
-		if (!takes_work(peer, options, now))
-			continue;
-		if (label_equal(&peer->record.data_centre, &members->options.self.data_centre))
-			sample(found.near, &found.near_seen, peer, rng);
-		else
-			sample(found.far, &found.far_seen, peer, rng);
-	}
-	chosen = choose(&found, now);
-	if (chosen)
-		chosen->in_flight++;
-	lock_release(&members->lock);
-	return chosen ? chosen->record.id : 0;
-}
-
-static double evidence_step(enum call_outcome outcome)
-{
-	switch (outcome) {
-	case CALL_ANSWERED:
-		return -EJECT_SUCCESS_STEP;
-	case CALL_FAILED:
-		return EJECT_FAILURE_STEP;
-	case CALL_REFUSED:
-	case CALL_CLOSED:
-		return 0;
-	case CALL_BROKEN:
-		return EJECT_BROKEN_STEP;
-	}
-	g_assert_not_reached();
-}
-
-bool members_call_ended(struct members *members, uint64_t id, enum call_outcome outcome,
-			bool may_eject, struct instant now)
-{
-	struct peer *peer;
-	bool eject = false;
-
-	lock_acquire(&members->lock);
-	peer = find(members, id);
-	if (peer) {
-		if (peer->in_flight > 0)
-			peer->in_flight--;
-		peer->evidence += evidence_step(outcome);
-		if (peer->evidence < 0)
-			peer->evidence = 0;
-		eject = may_eject && peer->evidence >= EJECT_THRESHOLD;
-	}
-	/* Its own word, which no switch concerns; the membership tells soon for how long. */
-	if (peer && outcome == CALL_CLOSED)
-		peer->contained_until = deadline_after(now, CLOSED_US);
-	if (eject) {
-		peer->contained_until = deadline_after(now, EJECT_US);
-		peer->evidence = 0;
-	}
-	lock_release(&members->lock);
-	return eject;
-}
-
-int members_version_targets(struct members *members, struct label service, struct label version)
-{
-	const GPtrArray *list;
-	int count = 0;
-
-	lock_acquire(&members->lock);
-	list = g_hash_table_lookup(members->by_service, &service);
-	for (guint i = 0; list && i < list->len; i++) {
-		const struct peer *peer = g_ptr_array_index(list, i);
-
-		count += peer->record.state == MEMBER_ALIVE && peer->record.slots > 0 &&
-			 label_equal(&peer->record.version, &version);
-	}
-	lock_release(&members->lock);
-	return count;
-}
--- a/godwithitch/main.c
+++ b/godwithitch/main.c
@@ -107,39 +107,67 @@
 	return usage();
 }
 
-int main(int argc, char **argv)
+/** The command line, as parsed. */
+struct command_line {
+	struct arg_lit *json;
+	struct arg_str *control;
+	struct arg_file *file;
+	struct arg_str *log_url;
+	struct arg_int *timeout;
+	struct arg_str *words;
+	struct arg_end *end;
+};
+
+static int run_line(struct tool *tool, const struct command_line *line,
+		    struct tool_settings *settings)
 {
-	struct arg_lit *json = arg_lit0("j", "json", "print answers as JSON");
-	struct arg_str *control = arg_strn("c", NULL, "HOST:PORT", 0, CONTROLS_MAX, "control");
-	struct arg_file *file = arg_file0("f", NULL, "FILE", "settings");
-	struct arg_str *log_url = arg_str0("l", NULL, "URL", "log");
-	struct arg_int *timeout = arg_int0("t", NULL, "SECONDS", "time limit");
-	struct arg_str *words = arg_strn(NULL, NULL, "WORD", 1, WORDS_MAX, "command");
-	struct arg_end *end = arg_end(4);
-	void *table[] = { json, control, file, log_url, timeout, words, end };
-	struct tool_settings settings = { NULL };
-	struct tool tool = { 0 };
+	int seconds = line->timeout->count ? line->timeout->ival[0] : TIMEOUT_DEFAULT_S;
 	GError *error = NULL;
-	int seconds = TIMEOUT_DEFAULT_S;
 
-	if (arg_parse(argc, argv, table) != 0)
-		return usage();
-	apr_initialize();
-	curl_global_init(CURL_GLOBAL_DEFAULT);
-	apr_pool_create(&tool.pool, NULL);
-	for (int i = 0; i < control->count; i++)
-		tool.controls[tool.control_count++] = str_from_cstr(control->sval[i]);
-	if (log_url->count)
-		tool.log_url = str_from_cstr(log_url->sval[0]);
-	if (file->count && !read_settings(file->filename[0], &tool, &settings, &error)) {
+	for (int i = 0; i < line->control->count; i++)
+		tool->controls[tool->control_count++] = str_from_cstr(line->control->sval[i]);
+	if (line->log_url->count)
+		tool->log_url = str_from_cstr(line->log_url->sval[0]);
+	if (line->file->count && !read_settings(line->file->filename[0], tool, settings, &error)) {
 		fprintf(stderr, "godwithitch: %s\n", error->message);
+		g_error_free(error);
 		return TOOL_USAGE;
 	}
-	if (timeout->count)
-		seconds = timeout->ival[0];
 	if (seconds < 1 || seconds > TIMEOUT_MAX_S)
 		return usage();
-	tool.json = json->count > 0;
-	tool.deadline = deadline_after(clock_now(), seconds * US_PER_S);
-	return run(&tool, words->sval[0], (char **)(void *)(words->sval + 1), words->count - 1);
+	tool->json = line->json->count > 0;
+	tool->deadline = deadline_after(clock_now(), seconds * US_PER_S);
+	return run(tool, line->words->sval[0], (char **)(void *)(line->words->sval + 1),
+		   line->words->count - 1);
+}
+
+int main(int argc, char **argv)
+{
+	struct command_line line = {
+		.json = arg_lit0("j", "json", "print answers as JSON"),
+		.control = arg_strn("c", NULL, "HOST:PORT", 0, CONTROLS_MAX, "control"),
+		.file = arg_file0("f", NULL, "FILE", "settings"),
+		.log_url = arg_str0("l", NULL, "URL", "log"),
+		.timeout = arg_int0("t", NULL, "SECONDS", "time limit"),
+		.words = arg_strn(NULL, NULL, "WORD", 1, WORDS_MAX, "command"),
+		.end = arg_end(4),
+	};
+	void *table[] = { line.json,	line.control, line.file, line.log_url,
+			  line.timeout, line.words,   line.end };
+	struct tool_settings settings = { NULL };
+	struct tool tool = { 0 };
+	int status;
+
+	apr_initialize();
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	apr_pool_create(&tool.pool, NULL);
+	if (arg_parse(argc, argv, table) == 0)
+		status = run_line(&tool, &line, &settings);
+	else
+		status = usage();
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	json_free(settings.doc);
+	apr_pool_destroy(tool.pool);
+	curl_global_cleanup();
+	return status;
 }
--- /dev/null
+++ b/godwithitchd/attempt.c
@@ -0,0 +1,287 @@
+/*
+ * One try of a call at one target: what its answer, refusal or loss leads to, and the way of the
+ * request's body.
+ */
+#include <string.h>
+
+#include "base/logger.h"
+#include "godwithitchd/calls.h"
+
+enum { PUMP_BYTES = 32 << 10 };
+
+struct attempt *attempt_ref(struct attempt *attempt)
+{
+	g_atomic_int_inc(&attempt->owner.refs);
+	return attempt;
+}
+
+void attempt_unref(struct attempt *attempt)
+{
+	if (!attempt || !g_atomic_int_dec_and_test(&attempt->owner.refs))
+		return;
+	serve_unref(attempt->serve);
+	link_unref(attempt->stream.link);
+	call_unref(attempt->call);
+	g_free(attempt);
+}
+
+bool attempt_finish(struct attempt *attempt)
+{
+	return g_atomic_int_compare_and_exchange(&attempt->over, 0, 1);
+}
+
+void attempt_note(struct attempt *attempt, enum call_outcome outcome)
+{
+	struct call *call = attempt->call;
+	struct actions actions = actions_new();
+
+	node_call_ended(call->daemon->node, call->route->service, attempt->target, outcome,
+			clock_now(), &actions);
+	bridge_carry_out(call->daemon, &actions);
+}
+
+/* Whether a failed attempt may be followed by another one. */
+static bool may_retry(struct call *call, enum verdict verdict)
+{
+	bool idempotent = call->route->repeat == REPEAT_IDEMPOTENT;
+	bool gone;
+
+	lock_acquire(&call->lock);
+	gone = call->gone;
+	lock_release(&call->lock);
+	/* A request that breaks two targets is not taken to a third. */
+	return !gone && !call->body_used && call->attempts < ATTEMPTS_MAX && call->unsure < 2 &&
+	       verdict_allows_retry(verdict, idempotent) &&
+	       !deadline_passed(call->deadline, clock_now()) &&
+	       node_take_retry(call->daemon->node, call->route->service);
+}
+
+static void fail_attempt(struct attempt *attempt, enum verdict verdict, struct str reason)
+{
+	struct call *call = attempt->call;
+
+	if (attempt->has_head) {
+		logger_event(NOTE_CALL_CUT, "route=%.*s member=%lx",
+			     STR_ARG(label_str(&call->route->name)), attempt->target);
+		caller_finish(call->caller, PIPE_FAILED);
+		return;
+	}
+	call_avoid(call, attempt->target);
+	call->unsure += verdict == VERDICT_MAY_HAVE_RUN;
+	if (may_retry(call, verdict))
+		call_try_target(call);
+	else
+		call_answer(call, STATUS_UNAVAILABLE, verdict, reason);
+}
+
+static enum call_outcome refused_outcome(enum refusal_kind kind)
+{
+	switch (kind) {
+	case REFUSAL_BUSY:
+		return CALL_REFUSED;
+	case REFUSAL_CLOSED:
+		return CALL_CLOSED;
+	case REFUSAL_BROKEN:
+		return CALL_BROKEN;
+	}
+	g_assert_not_reached();
+}
+
+void attempt_refused(struct attempt *attempt, const struct refusal *refusal)
+{
+	if (!attempt_finish(attempt))
+		return;
+	attempt_note(attempt, refused_outcome(refusal->kind));
+	fail_attempt(attempt, refusal->verdict, refusal->reason);
+}
+
+void attempt_lost(struct attempt *attempt, enum verdict verdict)
+{
+	if (!attempt_finish(attempt))
+		return;
+	attempt_note(attempt, CALL_BROKEN);
+	fail_attempt(attempt, verdict, STR("the connection to the target was lost"));
+}
+
+void attempt_head(struct attempt *attempt, const struct response_head *head)
+{
+	struct response_head *full;
+
+	if (g_atomic_int_get(&attempt->over))
+		return;
+	full = g_memdup2(head, sizeof(*head));
+	if (full->field_count == FIELDS_MAX)
+		full->field_count--;
+	full->fields[full->field_count++] =
+		(struct field){ STR("Godwithitch-Verdict"), verdict_name(VERDICT_RAN) };
+	attempt->has_head = true;
+	attempt->status = head->status;
+	attempt->call->status = head->status;
+	call_end_claim(attempt->call, VERDICT_RAN, head->status);
+	caller_head(attempt->call->caller, full);
+	g_free(full);
+}
+
+bool attempt_body_wait(struct attempt *attempt, struct str bytes, struct deadline deadline)
+{
+	return !g_atomic_int_get(&attempt->over) &&
+	       caller_give_wait(attempt->call->caller, bytes, deadline);
+}
+
+static enum call_outcome outcome_of(int status)
+{
+	if (status == STATUS_UNAVAILABLE || status == STATUS_TOO_MANY)
+		return CALL_REFUSED;
+	return status >= STATUS_SERVER_ERROR ? CALL_FAILED : CALL_ANSWERED;
+}
+
+void attempt_end(struct attempt *attempt)
+{
+	if (!attempt_finish(attempt))
+		return;
+	attempt_note(attempt, outcome_of(attempt->status));
+	caller_finish(attempt->call->caller, PIPE_DONE);
+}
+
+/* A small body is held whole; each attempt reads it from its start. */
+static size_t take_small_body(struct attempt *attempt, char *into, size_t cap, enum pipe_end *end)
+{
+	struct str left = caller_body(attempt->call->caller);
+
+	left = str_sub(left, attempt->body_at, cap);
+	if (left.len)
+		memcpy(into, left.data, left.len);
+	attempt->body_at += left.len;
+	*end = PIPE_DONE;
+	return left.len;
+}
+
+size_t attempt_take_body(struct attempt *attempt, char *into, size_t cap, enum pipe_end *end,
+			 struct deadline deadline)
+{
+	struct call *call = attempt->call;
+	size_t n;
+
+	if (!caller_upload(call->caller))
+		return take_small_body(attempt, into, cap, end);
+	n = pipe_take_wait(caller_upload(call->caller), into, cap, end, deadline);
+	call->body_used |= n > 0;
+	caller_upload_taken(call->caller);
+	return n;
+}
+
+/* One step of an upload: what the credit allows goes into @p frames; false if nothing is left
+ * to do now. */
+static bool pump_step(struct attempt *attempt, struct strbuf *frames)
+{
+	struct call *call = attempt->call;
+	size_t cap = MIN(PUMP_BYTES, (size_t)MAX(attempt->credit, 0));
+	char *chunk;
+	enum pipe_end end = PIPE_OPEN;
+	size_t n;
+
+	if (cap == 0 || attempt->upload_ended)
+		return false;
+	chunk = g_malloc(cap);
+	n = pipe_take(caller_upload(call->caller), chunk, cap, &end);
+	if (n) {
+		wire_put_data(frames, attempt->stream.id, &attempt->sent, (struct str){ chunk, n });
+		attempt->credit -= (int64_t)n;
+		call->body_used = true;
+	}
+	if (end == PIPE_DONE) {
+		wire_put_end(frames, attempt->stream.id, &attempt->sent);
+		attempt->upload_ended = true;
+	}
+	g_free(chunk);
+	return n > 0 && end == PIPE_OPEN;
+}
+
+/* Whoever comes while another pumps leaves the rest to it. */
+static bool begin_pump(struct attempt *attempt)
+{
+	bool mine;
+
+	lock_acquire(&attempt->call->lock);
+	mine = !attempt->pumping;
+	attempt->pumping = true;
+	attempt->pump_again = !mine;
+	lock_release(&attempt->call->lock);
+	return mine;
+}
+
+static bool end_pump(struct attempt *attempt)
+{
+	bool again;
+
+	lock_acquire(&attempt->call->lock);
+	again = attempt->pump_again;
+	attempt->pump_again = false;
+	attempt->pumping = again;
+	lock_release(&attempt->call->lock);
+	return !again;
+}
+
+void attempt_pump(struct attempt *attempt)
+{
+	struct strbuf frames = { 0 };
+
+	if (!attempt->stream.link || !begin_pump(attempt))
+		return;
+	do {
+		bool more = true;
+
+		while (more && !g_atomic_int_get(&attempt->over)) {
+			lock_acquire(&attempt->call->lock);
+			more = pump_step(attempt, &frames);
+			lock_release(&attempt->call->lock);
+			if (frames.len)
+				stream_send(attempt->stream, &frames);
+			caller_upload_taken(attempt->call->caller);
+		}
+	} while (!end_pump(attempt));
+	strbuf_clear(&frames);
+}
+
+static void on_window(struct attempt *attempt, uint64_t taken)
+{
+	lock_acquire(&attempt->call->lock);
+	attempt->credit += (int64_t)MIN(taken, STREAM_WINDOW);
+	lock_release(&attempt->call->lock);
+	attempt_pump(attempt);
+}
+
+void calls_on_peer(struct attempt *attempt, struct peer_event *event)
+{
+	switch (event->kind) {
+	case PEER_RESPONSE:
+		attempt_head(attempt, event->response);
+		return;
+	case PEER_REFUSED:
+		attempt_refused(attempt, event->refusal);
+		return;
+	case PEER_DATA:
+		if (!g_atomic_int_get(&attempt->over))
+			caller_give(attempt->call->caller, event->bytes);
+		return;
+	case PEER_END:
+		attempt_end(attempt);
+		stream_close(attempt->stream);
+		return;
+	case PEER_WINDOW:
+		on_window(attempt, event->taken);
+		return;
+	case PEER_LOST:
+		attempt_lost(attempt, attempt->has_head ? VERDICT_RAN : event->verdict);
+		return;
+	case PEER_RELEASED:
+		attempt_unref(attempt);
+		return;
+	case PEER_MESSAGE:
+	case PEER_REQUEST:
+	case PEER_ADMIT:
+	case PEER_RUN:
+		return;
+	}
+	g_assert_not_reached();
+}
--- a/godwithitchd/calls.c
+++ b/godwithitchd/calls.c
@@ -4,67 +4,12 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "base/logger.h"
 #include "base/rng.h"
-#include "godwithitchd/daemon.h"
-
-enum {
-	ATTEMPTS_MAX = 4,
-	WINDOW_STEP = STREAM_WINDOW / 4, /* bytes taken before the sender is told */
-	STATUS_BAD_REQUEST = 400,
-	STATUS_NOT_FOUND = 404,
-	STATUS_CONFLICT = 409,
-	STATUS_UNAVAILABLE = 503,
-	STATUS_TIMEOUT = 504,
-	STATUS_SERVER_ERROR = 500,
-	STATUS_TOO_MANY = 429,
-	PUMP_BYTES = 32 << 10,
-};
-
-/** A call from its entry to its answer. */
-struct call {
-	gint refs;
-	struct daemon *daemon;
-	struct caller_call *caller;
-	struct config *config;
-	const struct route *route;
-	struct call_facts facts;
-	struct label tenant;
-	struct deadline deadline;
-	int64_t started_us;
-	int attempts;
-	int status;	  /* what the caller got, for the counters */
-	int unsure;	  /* attempts that may have run */
-	bool body_used;	  /* bytes of a streamed body were sent: no repeat */
-	struct lock lock; /* LOCK_CALLS */
-	apr_pool_t *pool;
-	struct attempt *current; /* one reference */
-	bool gone;
-	struct claim_key key; /* of a route with REPEAT_AT_MOST_ONCE */
-	uint64_t claim;	      /* granted; 0: none */
-};
+#include "godwithitchd/calls.h"
 
-/** One try of a call at one target. */
-struct attempt {
-	struct stream_owner owner; /* first: the link knows it by this */
-	struct call *call;
-	uint64_t target;
-	struct stream stream; /* to another node */
-	struct serve *serve;  /* at this node's own target */
-	gint over;
-	bool has_head;
-	int status;
-	size_t taken;	/* bytes the caller took since the last window frame */
-	size_t body_at; /* of a small body, what the own target has */
-	/* Upload to another node; under call->lock. */
-	struct body_sum sent;
-	int64_t credit;
-	bool pumping;
-	bool pump_again;
-	bool upload_ended;
-};
-
-static void call_unref(struct call *call)
+enum { WINDOW_STEP = STREAM_WINDOW / 4 /* bytes taken before the sender is told */ };
+
+void call_unref(struct call *call)
 {
 	if (!g_atomic_int_dec_and_test(&call->refs))
 		return;
@@ -75,47 +20,13 @@
 	g_free(call);
 }
 
-struct attempt *attempt_ref(struct attempt *attempt)
-{
-	g_atomic_int_inc(&attempt->owner.refs);
-	return attempt;
-}
-
-void attempt_unref(struct attempt *attempt)
-{
-	if (!attempt || !g_atomic_int_dec_and_test(&attempt->owner.refs))
-		return;
-	serve_unref(attempt->serve);
-	link_unref(attempt->stream.link);
-	call_unref(attempt->call);
-	g_free(attempt);
-}
-
-/* Ends an attempt once; false if it is over already. */
-static bool end_attempt(struct attempt *attempt)
-{
-	return g_atomic_int_compare_and_exchange(&attempt->over, 0, 1);
-}
-
-static void note_outcome(struct attempt *attempt, enum call_outcome outcome)
-{
-	struct call *call = attempt->call;
-	struct actions actions = actions_new();
-
-	node_call_ended(call->daemon->node, call->route->service, attempt->target, outcome,
-			clock_now(), &actions);
-	bridge_carry_out(call->daemon, &actions);
-}
-
-static void end_claim(struct call *call, enum verdict verdict, int status);
-
-static void answer(struct call *call, int status, enum verdict verdict, struct str reason)
+void call_answer(struct call *call, int status, enum verdict verdict, struct str reason)
 {
 	struct response_head head = { .status = status };
 	struct strbuf body = { 0 };
 
 	call->status = status;
-	end_claim(call, verdict, status);
+	call_end_claim(call, verdict, status);
 	head.fields[0] = (struct field){ STR("Godwithitch-Verdict"), verdict_name(verdict) };
 	head.fields[1] = (struct field){ STR("Content-Type"), STR("text/plain") };
 	head.field_count = 2;
@@ -124,8 +35,7 @@
 	strbuf_clear(&body);
 }
 
-/* Records how a claimed call ended. What may have run keeps its key for good. */
-static void end_claim(struct call *call, enum verdict verdict, int status)
+void call_end_claim(struct call *call, enum verdict verdict, int status)
 {
 	struct claim_note note = { call->key, call->claim, CLAIM_RAN, status };
 	struct actions actions;
@@ -276,8 +186,6 @@
 	serve_admit_local(attempt->serve);
 }
 
-static void pump_upload(struct attempt *attempt);
-
 static enum start_result start_attempt(struct call *call, uint64_t target, struct instant now)
 {
 	struct attempt *attempt = attempt_new(call, target);
@@ -287,37 +195,37 @@
 	make_head(call, head, now);
 	call->attempts++;
 	if (!set_current(call, attempt)) {
-		if (end_attempt(attempt))
-			note_outcome(attempt, CALL_REFUSED);
+		if (attempt_finish(attempt))
+			attempt_note(attempt, CALL_REFUSED);
 	} else if (target == peers_self(call->daemon->peers)) {
 		start_local(call, attempt, head);
 	} else {
 		result = start_remote(call, attempt, head);
 		if (result == START_BEGUN && caller_upload(call->caller))
-			pump_upload(attempt);
+			attempt_pump(attempt);
 	}
-	if (result == START_NO_LINK && end_attempt(attempt))
-		note_outcome(attempt, CALL_BROKEN);
+	if (result == START_NO_LINK && attempt_finish(attempt))
+		attempt_note(attempt, CALL_BROKEN);
 	attempt_unref(attempt);
 	g_free(head);
 	return result;
 }
 
-static void avoid(struct call *call, uint64_t target)
+void call_avoid(struct call *call, uint64_t target)
 {
 	if (call->facts.avoid_count < CHOICE_AVOID_MAX)
 		call->facts.avoid[call->facts.avoid_count++] = target;
 }
 
-/* Starts the next attempt, or answers why there is none. Every way here is NOT_RUN. */
-static void try_target(struct call *call)
+void call_try_target(struct call *call)
 {
 	while (call->attempts < ATTEMPTS_MAX) {
 		struct instant now = clock_now();
 		struct choice choice;
 
 		if (deadline_passed(call->deadline, now)) {
-			answer(call, STATUS_TIMEOUT, VERDICT_NOT_RUN, STR("the deadline passed"));
+			call_answer(call, STATUS_TIMEOUT, VERDICT_NOT_RUN,
+				    STR("the deadline passed"));
 			return;
 		}
 		choice = node_choose(call->daemon->node, call->config, &call->facts, now);
@@ -325,23 +233,23 @@
 		case CHOICE_TARGET:
 			if (start_attempt(call, choice.target, now) == START_BEGUN)
 				return;
-			avoid(call, choice.target);
+			call_avoid(call, choice.target);
 			break;
 		case CHOICE_NO_TARGET:
-			answer(call, STATUS_UNAVAILABLE, VERDICT_NOT_RUN,
-			       STR("no target of the service takes work"));
+			call_answer(call, STATUS_UNAVAILABLE, VERDICT_NOT_RUN,
+				    STR("no target of the service takes work"));
 			return;
 		case CHOICE_QUARANTINED:
-			answer(call, STATUS_TOO_MANY, VERDICT_NOT_RUN,
-			       STR("the request crashed targets before"));
+			call_answer(call, STATUS_TOO_MANY, VERDICT_NOT_RUN,
+				    STR("the request crashed targets before"));
 			return;
 		case CHOICE_NOT_CURRENT:
-			answer(call, STATUS_UNAVAILABLE, VERDICT_NOT_RUN,
-			       STR("the node is not current yet"));
+			call_answer(call, STATUS_UNAVAILABLE, VERDICT_NOT_RUN,
+				    STR("the node is not current yet"));
 			return;
 		}
 	}
-	answer(call, STATUS_UNAVAILABLE, VERDICT_NOT_RUN, STR("no target could be reached"));
+	call_answer(call, STATUS_UNAVAILABLE, VERDICT_NOT_RUN, STR("no target could be reached"));
 }
 
 /* Claims the key first; calls_on_claimed() goes on. No worker waits meanwhile. */
@@ -352,8 +260,8 @@
 	uint64_t *seq = g_new0(uint64_t, 1);
 
 	if (key.len == 0) {
-		answer(call, STATUS_BAD_REQUEST, VERDICT_NOT_RUN,
-		       STR("the route needs the field Idempotency-Key"));
+		call_answer(call, STATUS_BAD_REQUEST, VERDICT_NOT_RUN,
+			    STR("the route needs the field Idempotency-Key"));
 		actions_clear(&actions);
 		g_free(seq);
 		return;
@@ -403,19 +311,19 @@
 		call->claim = 0;
 	switch (result) {
 	case CLAIM_GRANTED:
-		try_target(call);
+		call_try_target(call);
 		break;
 	case CLAIM_HELD:
-		answer(call, STATUS_CONFLICT, VERDICT_MAY_HAVE_RUN,
-		       STR("a request with this key was taken before, and its outcome is not "
-			   "known"));
+		call_answer(call, STATUS_CONFLICT, VERDICT_MAY_HAVE_RUN,
+			    STR("a request with this key was taken before, and its outcome is not "
+				"known"));
 		break;
 	case CLAIM_REPLAYED:
 		replay(call, status);
 		break;
 	case CLAIM_TIMEOUT:
-		answer(call, STATUS_UNAVAILABLE, VERDICT_NOT_RUN,
-		       STR("the key could not be claimed in time"));
+		call_answer(call, STATUS_UNAVAILABLE, VERDICT_NOT_RUN,
+			    STR("the key could not be claimed in time"));
 		break;
 	}
 	call_unref(call);
@@ -429,7 +337,7 @@
 
 	caller_set_data(caller, call);
 	if (g_atomic_int_get(&daemon->stopping)) {
-		answer(call, STATUS_UNAVAILABLE, VERDICT_NOT_RUN, STR("the node is stopping"));
+		call_answer(call, STATUS_UNAVAILABLE, VERDICT_NOT_RUN, STR("the node is stopping"));
 		return;
 	}
 	call->route = config_match(call->config, caller_field(caller, STR("Host")),
@@ -437,8 +345,8 @@
 	if (!call->route) {
 		bool current = node_is_current(daemon->node);
 
-		answer(call, current ? STATUS_NOT_FOUND : STATUS_UNAVAILABLE, VERDICT_NOT_RUN,
-		       current ? STR("no route matches") : STR("the node is not current yet"));
+		call_answer(call, current ? STATUS_NOT_FOUND : STATUS_UNAVAILABLE, VERDICT_NOT_RUN,
+			    current ? STR("no route matches") : STR("the node is not current yet"));
 		return;
 	}
 	call->tenant = label_from(tenant_text(call->route, caller));
@@ -450,253 +358,7 @@
 	if (call->route->repeat == REPEAT_AT_MOST_ONCE)
 		start_claim(call, key, now);
 	else
-		try_target(call);
-}
-
-/* Whether a failed attempt may be followed by another one. */
-static bool may_retry(struct call *call, enum verdict verdict)
-{
-	bool idempotent = call->route->repeat == REPEAT_IDEMPOTENT;
-	bool gone;
-
-	lock_acquire(&call->lock);
-	gone = call->gone;
-	lock_release(&call->lock);
-	/* A request that breaks two targets is not taken to a third. */
-	return !gone && !call->body_used && call->attempts < ATTEMPTS_MAX && call->unsure < 2 &&
-	       verdict_allows_retry(verdict, idempotent) &&
-	       !deadline_passed(call->deadline, clock_now()) &&
-	       node_take_retry(call->daemon->node, call->route->service);
-}
-
-static void fail_attempt(struct attempt *attempt, enum verdict verdict, struct str reason)
-{
-	struct call *call = attempt->call;
-
-	if (attempt->has_head) {
-		logger_event(NOTE_CALL_CUT, "route=%.*s member=%lx",
-			     STR_ARG(label_str(&call->route->name)), attempt->target);
-		caller_finish(call->caller, PIPE_FAILED);
-		return;
-	}
-	avoid(call, attempt->target);
-	call->unsure += verdict == VERDICT_MAY_HAVE_RUN;
-	if (may_retry(call, verdict))
-		try_target(call);
-	else
-		answer(call, STATUS_UNAVAILABLE, verdict, reason);
-}
-
-static enum call_outcome refused_outcome(enum refusal_kind kind)
-{
-	switch (kind) {
-	case REFUSAL_BUSY:
-		return CALL_REFUSED;
-	case REFUSAL_CLOSED:
-		return CALL_CLOSED;
-	case REFUSAL_BROKEN:
-		return CALL_BROKEN;
-	}
-	g_assert_not_reached();
-}
-
-void attempt_refused(struct attempt *attempt, const struct refusal *refusal)
-{
-	if (!end_attempt(attempt))
-		return;
-	note_outcome(attempt, refused_outcome(refusal->kind));
-	fail_attempt(attempt, refusal->verdict, refusal->reason);
-}
-
-void attempt_lost(struct attempt *attempt, enum verdict verdict)
-{
-	if (!end_attempt(attempt))
-		return;
-	note_outcome(attempt, CALL_BROKEN);
-	fail_attempt(attempt, verdict, STR("the connection to the target was lost"));
-}
-
-void attempt_head(struct attempt *attempt, const struct response_head *head)
-{
-	struct response_head *full;
-
-	if (g_atomic_int_get(&attempt->over))
-		return;
-	full = g_memdup2(head, sizeof(*head));
-	if (full->field_count == FIELDS_MAX)
-		full->field_count--;
-	full->fields[full->field_count++] =
-		(struct field){ STR("Godwithitch-Verdict"), verdict_name(VERDICT_RAN) };
-	attempt->has_head = true;
-	attempt->status = head->status;
-	attempt->call->status = head->status;
-	end_claim(attempt->call, VERDICT_RAN, head->status);
-	caller_head(attempt->call->caller, full);
-	g_free(full);
-}
-
-bool attempt_body_wait(struct attempt *attempt, struct str bytes, struct deadline deadline)
-{
-	return !g_atomic_int_get(&attempt->over) &&
-	       caller_give_wait(attempt->call->caller, bytes, deadline);
-}
-
-static enum call_outcome outcome_of(int status)
-{
-	if (status == STATUS_UNAVAILABLE || status == STATUS_TOO_MANY)
-		return CALL_REFUSED;
-	return status >= STATUS_SERVER_ERROR ? CALL_FAILED : CALL_ANSWERED;
-}
-
-void attempt_end(struct attempt *attempt)
-{
-	if (!end_attempt(attempt))
-		return;
-	note_outcome(attempt, outcome_of(attempt->status));
-	caller_finish(attempt->call->caller, PIPE_DONE);
-}
-
-/* A small body is held whole; each attempt reads it from its start. */
-static size_t take_small_body(struct attempt *attempt, char *into, size_t cap, enum pipe_end *end)
-{
-	struct str left = caller_body(attempt->call->caller);
-
-	left = str_sub(left, attempt->body_at, cap);
-	if (left.len)
-		memcpy(into, left.data, left.len);
-	attempt->body_at += left.len;
-	*end = PIPE_DONE;
-	return left.len;
-}
-
-size_t attempt_take_body(struct attempt *attempt, char *into, size_t cap, enum pipe_end *end,
-			 struct deadline deadline)
-{
-	struct call *call = attempt->call;
-	size_t n;
-
-	if (!caller_upload(call->caller))
-		return take_small_body(attempt, into, cap, end);
-	n = pipe_take_wait(caller_upload(call->caller), into, cap, end, deadline);
-	call->body_used |= n > 0;
-	caller_upload_taken(call->caller);
-	return n;
-}
-
-/* One step of an upload: what the credit allows goes into @p frames; false if nothing is left
- * to do now. */
-static bool pump_step(struct attempt *attempt, struct strbuf *frames)
-{
-	struct call *call = attempt->call;
-	size_t cap = MIN(PUMP_BYTES, (size_t)MAX(attempt->credit, 0));
-	char *chunk;
-	enum pipe_end end = PIPE_OPEN;
-	size_t n;
-
-	if (cap == 0 || attempt->upload_ended)
-		return false;
-	chunk = g_malloc(cap);
-	n = pipe_take(caller_upload(call->caller), chunk, cap, &end);
-	if (n) {
-		wire_put_data(frames, attempt->stream.id, &attempt->sent, (struct str){ chunk, n });
-		attempt->credit -= (int64_t)n;
-		call->body_used = true;
-	}
-	if (end == PIPE_DONE) {
-		wire_put_end(frames, attempt->stream.id, &attempt->sent);
-		attempt->upload_ended = true;
-	}
-	g_free(chunk);
-	return n > 0 && end == PIPE_OPEN;
-}
-
-/* Whoever comes while another pumps leaves the rest to it. */
-static bool begin_pump(struct attempt *attempt)
-{
-	bool mine;
-
-	lock_acquire(&attempt->call->lock);
-	mine = !attempt->pumping;
-	attempt->pumping = true;
-	attempt->pump_again = !mine;
-	lock_release(&attempt->call->lock);
-	return mine;
-}
-
-static bool end_pump(struct attempt *attempt)
-{
-	bool again;
-
-	lock_acquire(&attempt->call->lock);
-	again = attempt->pump_again;
-	attempt->pump_again = false;
-	attempt->pumping = again;
-	lock_release(&attempt->call->lock);
-	return !again;
-}
-
-static void pump_upload(struct attempt *attempt)
-{
-	struct strbuf frames = { 0 };
-
-	if (!attempt->stream.link || !begin_pump(attempt))
-		return;
-	do {
-		bool more = true;
-
-		while (more && !g_atomic_int_get(&attempt->over)) {
-			lock_acquire(&attempt->call->lock);
-			more = pump_step(attempt, &frames);
-			lock_release(&attempt->call->lock);
-			if (frames.len)
-				stream_send(attempt->stream, &frames);
-			caller_upload_taken(attempt->call->caller);
-		}
-	} while (!end_pump(attempt));
-	strbuf_clear(&frames);
-}
-
-static void on_window(struct attempt *attempt, uint64_t taken)
-{
-	lock_acquire(&attempt->call->lock);
-	attempt->credit += (int64_t)MIN(taken, STREAM_WINDOW);
-	lock_release(&attempt->call->lock);
-	pump_upload(attempt);
-}
-
-void calls_on_peer(struct attempt *attempt, struct peer_event *event)
-{
-	switch (event->kind) {
-	case PEER_RESPONSE:
-		attempt_head(attempt, event->response);
-		return;
-	case PEER_REFUSED:
-		attempt_refused(attempt, event->refusal);
-		return;
-	case PEER_DATA:
-		if (!g_atomic_int_get(&attempt->over))
-			caller_give(attempt->call->caller, event->bytes);
-		return;
-	case PEER_END:
-		attempt_end(attempt);
-		stream_close(attempt->stream);
-		return;
-	case PEER_WINDOW:
-		on_window(attempt, event->taken);
-		return;
-	case PEER_LOST:
-		attempt_lost(attempt, attempt->has_head ? VERDICT_RAN : event->verdict);
-		return;
-	case PEER_RELEASED:
-		attempt_unref(attempt);
-		return;
-	case PEER_MESSAGE:
-	case PEER_REQUEST:
-	case PEER_ADMIT:
-	case PEER_RUN:
-		return;
-	}
-	g_assert_not_reached();
+		call_try_target(call);
 }
 
 /* The call's current attempt with a reference, or NULL. */
@@ -733,10 +395,10 @@
 
 static void cancel(struct attempt *attempt)
 {
-	if (!end_attempt(attempt))
+	if (!attempt_finish(attempt))
 		return;
 	/* The caller gave up, which says nothing of the target. */
-	note_outcome(attempt, CALL_REFUSED);
+	attempt_note(attempt, CALL_REFUSED);
 	if (attempt->serve)
 		serve_cancel(attempt->serve);
 	else if (attempt->stream.link)
@@ -794,7 +456,7 @@
 	case CALLER_UPLOADED:
 		attempt = current_attempt(call);
 		if (attempt)
-			pump_upload(attempt);
+			attempt_pump(attempt);
 		attempt_unref(attempt);
 		return;
 	case CALLER_GONE:
--- /dev/null
+++ b/godwithitchd/calls.h
@@ -0,0 +1,85 @@
+/**
+ * @file
+ * A call that entered here and its attempts: what calls.c and attempt.c share.
+ */
+#ifndef GODWITHITCHD_CALLS_H
+#define GODWITHITCHD_CALLS_H
+
+#include "godwithitchd/daemon.h"
+
+enum {
+	ATTEMPTS_MAX = 4,
+	STATUS_BAD_REQUEST = 400,
+	STATUS_NOT_FOUND = 404,
+	STATUS_CONFLICT = 409,
+	STATUS_TOO_MANY = 429,
+	STATUS_SERVER_ERROR = 500,
+	STATUS_UNAVAILABLE = 503,
+	STATUS_TIMEOUT = 504,
+};
+
+/** A call from its entry to its answer. */
+struct call {
+	gint refs;
+	struct daemon *daemon;
+	struct caller_call *caller;
+	struct config *config;
+	const struct route *route;
+	struct call_facts facts;
+	struct label tenant;
+	struct deadline deadline;
+	int64_t started_us;
+	int attempts;
+	int status;	  /* what the caller got, for the counters */
+	int unsure;	  /* attempts that may have run */
+	bool body_used;	  /* bytes of a streamed body were sent: no repeat */
+	struct lock lock; /* LOCK_CALLS */
+	apr_pool_t *pool;
+	struct attempt *current; /* one reference */
+	bool gone;
+	struct claim_key key; /* of a route with REPEAT_AT_MOST_ONCE */
+	uint64_t claim;	      /* granted; 0: none */
+};
+
+/** One try of a call at one target. */
+struct attempt {
+	struct stream_owner owner; /* first: the link knows it by this */
+	struct call *call;
+	uint64_t target;
+	struct stream stream; /* to another node */
+	struct serve *serve;  /* at this node's own target */
+	gint over;
+	bool has_head;
+	int status;
+	size_t taken;	/* bytes the caller took since the last window frame */
+	size_t body_at; /* of a small body, what the own target has */
+	/* Upload to another node; under call->lock. */
+	struct body_sum sent;
+	int64_t credit;
+	bool pumping;
+	bool pump_again;
+	bool upload_ended;
+};
+
+/* calls.c */
+
+void call_unref(struct call *call);
+/** Starts the next attempt, or answers why there is none. Every way there is NOT_RUN. */
+void call_try_target(struct call *call);
+/** Gives an answer of the system's own. */
+void call_answer(struct call *call, int status, enum verdict verdict, struct str reason);
+/** Records how a claimed call ended. What may have run keeps its key for good. */
+void call_end_claim(struct call *call, enum verdict verdict, int status);
+/** The call's next attempts leave out this target. */
+void call_avoid(struct call *call, uint64_t target);
+
+/* attempt.c */
+
+/** Ends an attempt once; false if it is over already. */
+bool attempt_finish(struct attempt *attempt);
+/** Tells core how it ended. */
+void attempt_note(struct attempt *attempt, enum call_outcome outcome);
+/** Sends on what came of the request's body, as far as the credit goes. */
+void attempt_pump(struct attempt *attempt);
+
+#endif
--- a/godwithitchd/main.c
+++ b/godwithitchd/main.c
@@ -256,30 +256,42 @@
 	_exit(EXIT_SUCCESS);
 }
 
-int main(int argc, char **argv)
+/* Reads the settings, then runs with them; or only checks them. */
+static int start(const char *path, bool check_only)
 {
-	struct arg_file *file = arg_file1("f", NULL, "FILE", "settings");
-	struct arg_lit *check = arg_lit0("n", NULL, "check the settings and exit");
-	struct arg_end *end = arg_end(4);
-	void *table[] = { file, check, end };
 	struct settings settings;
 	GError *error = NULL;
+	int status = EXIT_SUCCESS;
 
-	if (arg_parse(argc, argv, table) != 0) {
-		fprintf(stderr, "usage: godwithitchd [-n] -f settings.json\n");
-		return EXIT_USAGE;
-	}
-	if (!settings_read(file->filename[0], &settings, &error)) {
+	if (!settings_read(path, &settings, &error)) {
 		fprintf(stderr, "godwithitchd: %s\n", error->message);
+		g_error_free(error);
 		return EXIT_USAGE;
 	}
-	if (check->count)
-		return EXIT_SUCCESS;
-	if (!logger_open(settings.log_file)) {
+	if (!check_only && !logger_open(settings.log_file)) {
 		fprintf(stderr, "godwithitchd: %s: can't be opened\n", settings.log_file);
-		return EXIT_FAILURE;
+		status = EXIT_FAILURE;
+	} else if (!check_only) {
+		apr_initialize();
+		curl_global_init(CURL_GLOBAL_DEFAULT);
+		status = run(&settings);
 	}
-	apr_initialize();
-	curl_global_init(CURL_GLOBAL_DEFAULT);
-	return run(&settings);
+	settings_clear(&settings);
+	return status;
+}
+
+int main(int argc, char **argv)
+{
+	struct arg_file *file = arg_file1("f", NULL, "FILE", "settings");
+	struct arg_lit *check = arg_lit0("n", NULL, "check the settings and exit");
+	struct arg_end *end = arg_end(4);
+	void *table[] = { file, check, end };
+	int status = EXIT_USAGE;
+
+	if (arg_parse(argc, argv, table) == 0)
+		status = start(file->filename[0], check->count > 0);
+	else
+		fprintf(stderr, "usage: godwithitchd [-n] -f settings.json\n");
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	return status;
 }
--- a/peer/codec.c
+++ b/peer/codec.c
@@ -363,9 +363,8 @@
 	g_assert_not_reached();
 }
 
-static struct message *decode_object(const msgpack_object *object)
+static struct message *decode_array(struct unpack in)
 {
-	struct unpack in = unpack_array(object);
 	int kind = unpack_int(&in, MESSAGE_KINDS - 1);
 	struct unpack body = unpack_inner(&in);
 	struct message *message;
@@ -384,13 +383,10 @@
 {
 	struct message *message = NULL;
 	msgpack_unpacked unpacked;
-	size_t used = 0;
+	struct unpack in;
 
-	msgpack_unpacked_init(&unpacked);
-	if (msgpack_unpack_next(&unpacked, bytes.data, bytes.len, &used) ==
-		    MSGPACK_UNPACK_SUCCESS &&
-	    used == bytes.len)
-		message = decode_object(&unpacked.data);
+	if (unpack_open(bytes, &unpacked, &in))
+		message = decode_array(in);
 	msgpack_unpacked_destroy(&unpacked);
 	return message;
 }
--- a/peer/pack.c
+++ b/peer/pack.c
@@ -92,6 +92,71 @@
 		pack_state(out, &g_array_index(part->states, struct move_state, i));
 }
 
+/* Takes a big-endian number of some bytes off the front. */
+static bool take_number(struct str *in, size_t bytes, uint64_t *number)
+{
+	if (in->len < bytes)
+		return false;
+	*number = 0;
+	for (size_t i = 0; i < bytes; i++)
+		*number = *number << 8 | (unsigned char)in->data[i];
+	*in = str_sub(*in, bytes, in->len);
+	return true;
+}
+
+/* Skips one object's head and, but for arrays, its body. The count is that of an array. */
+static bool skip_object(struct str *in, uint64_t *count)
+{
+	unsigned char tag = (unsigned char)in->data[0];
+	uint64_t len = 0;
+
+	*count = 0;
+	*in = str_sub(*in, 1, in->len);
+	if (tag <= 0x7f || tag >= 0xe0 || tag == 0xc2 || tag == 0xc3)
+		return true; /* small numbers, false, true */
+	if (tag >= 0x90 && tag <= 0x9f) {
+		*count = tag & 0x0f;
+		return true;
+	}
+	if (tag >= 0xcc && tag <= 0xd3) /* numbers of 1, 2, 4, 8 bytes */
+		return take_number(in, (size_t)1 << (tag & 3), &len);
+	if (tag == 0xdc || tag == 0xdd)
+		return take_number(in, tag == 0xdc ? 2 : 4, count);
+	/* What is left of what we pack: runs of bytes. */
+	if (tag < 0xc4 || tag > 0xc6 || !take_number(in, (size_t)1 << (tag - 0xc4), &len) ||
+	    len > in->len)
+		return false;
+	*in = str_sub(*in, len, in->len);
+	return true;
+}
+
+/* Whether each array's items can be there: an item takes a byte at least. */
+static bool counts_fit(struct str bytes)
+{
+	uint64_t pending = 1;
+
+	while (pending > 0) {
+		uint64_t count;
+
+		if (pending > bytes.len || !skip_object(&bytes, &count))
+			return false;
+		pending += count - 1;
+	}
+	return bytes.len == 0;
+}
+
+bool unpack_open(struct str bytes, msgpack_unpacked *unpacked, struct unpack *in)
+{
+	size_t used = 0;
+
+	*in = (struct unpack){ .bad = true };
+	msgpack_unpacked_init(unpacked);
+	if (counts_fit(bytes) &&
+	    msgpack_unpack_next(unpacked, bytes.data, bytes.len, &used) == MSGPACK_UNPACK_SUCCESS)
+		*in = unpack_array(&unpacked->data);
+	return !in->bad;
+}
+
 struct unpack unpack_array(const msgpack_object *object)
 {
 	if (object->type != MSGPACK_OBJECT_ARRAY || object->via.array.size > ITEMS_MAX)
--- a/peer/pack.h
+++ b/peer/pack.h
@@ -25,6 +25,12 @@
 	bool bad;
 };
 
+/**
+ * Opens packed bytes that hold one array and nothing else. The items borrow from *unpacked, which
+ * the caller destroys in any case. False if they are anything else; a count that the bytes can't
+ * hold is refused before memory is taken for it.
+ */
+bool unpack_open(struct str bytes, msgpack_unpacked *unpacked, struct unpack *in);
 struct unpack unpack_array(const msgpack_object *object);
 /** The next item as an array of its own. */
 struct unpack unpack_inner(struct unpack *in);
--- a/peer/wire.c
+++ b/peer/wire.c
@@ -179,16 +179,8 @@
 
 static bool decode(struct str payload, struct unpack *in, struct decoded **keep)
 {
-	size_t used = 0;
-
 	*keep = g_new0(struct decoded, 1);
-	msgpack_unpacked_init(&(*keep)->unpacked);
-	if (msgpack_unpack_next(&(*keep)->unpacked, payload.data, payload.len, &used) !=
-		    MSGPACK_UNPACK_SUCCESS ||
-	    used != payload.len)
-		return false;
-	*in = unpack_array(&(*keep)->unpacked.data);
-	return !in->bad;
+	return unpack_open(payload, &(*keep)->unpacked, in);
 }
 
 static bool finish(const struct unpack *in, struct decoded **keep)
--- a/regress/core/admit_test.c
+++ b/regress/core/admit_test.c
@@ -107,6 +107,15 @@
 	return bench;
 }
 
+/* Ends what runs and refuses what waits, so that nothing is left over. */
+static void bench_free(struct bench *bench)
+{
+	admit_set_slots(bench->admit, 0);
+	take_turns(bench);
+	advance(bench, 100 * US_PER_S);
+	admit_free(bench->admit);
+}
+
 /* Two rivals both over their half: ten times the calls bring no more throughput. */
 static void test_rivals_share_alike(void **state)
 {
@@ -125,7 +134,7 @@
 	print_message("heavy %d, light %d served\n", bench.served[0], bench.served[1]);
 	assert_true(abs(bench.served[0] - bench.served[1]) <=
 		    (bench.served[0] + bench.served[1]) / 40);
-	admit_free(bench.admit);
+	bench_free(&bench);
 }
 
 static void test_interactive_goes_before_bulk(void **state)
@@ -143,7 +152,7 @@
 	assert_true(bench.worst_wait_us[1] <= SERVICE_US);
 	assert_int_equal(bench.refused[1], 0);
 	assert_true(bench.served[0] > 1000);
-	admit_free(bench.admit);
+	bench_free(&bench);
 }
 
 static void test_background_is_not_starved(void **state)
@@ -160,7 +169,7 @@
 	print_message("interactive %d, background %d served\n", bench.served[0], bench.served[1]);
 	assert_true(bench.served[1] > 50);
 	assert_true(bench.served[0] > 50 * bench.served[1]);
-	admit_free(bench.admit);
+	bench_free(&bench);
 }
 
 static void test_a_call_that_would_be_late_is_refused_at_once(void **state)
@@ -177,7 +186,7 @@
 	assert_int_equal(admit_offer(bench.admit, ticket, now_of(&bench)), ADMIT_LATE);
 	ticket->deadline = deadline_after(now_of(&bench), 40000);
 	assert_int_equal(admit_offer(bench.admit, ticket, now_of(&bench)), ADMIT_QUEUED);
-	admit_free(bench.admit);
+	bench_free(&bench);
 }
 
 static void test_queue_is_bounded(void **state)
@@ -190,7 +199,7 @@
 	assert_int_equal(admit_count(bench.admit).running, SLOTS);
 	assert_int_equal(admit_count(bench.admit).queued, SLOTS * 8);
 	assert_int_equal(bench.refused[0], 1000 - SLOTS * 9);
-	admit_free(bench.admit);
+	bench_free(&bench);
 }
 
 static void test_fewer_slots_than_announced(void **state)
@@ -210,7 +219,7 @@
 	}
 	assert_int_equal(admit_count(bench.admit).slots, SLOTS);
 	g_free(ticket);
-	admit_free(bench.admit);
+	bench_free(&bench);
 }
 
 static void test_a_closed_target_takes_nothing_new_but_ends_its_queue(void **state)
@@ -226,7 +235,7 @@
 	for (int i = 0; i < 10; i++)
 		advance(&bench, 1000);
 	assert_int_equal(bench.served[0], SLOTS * 2);
-	admit_free(bench.admit);
+	bench_free(&bench);
 }
 
 static void test_a_target_that_is_gone_gives_its_queue_back(void **state)
@@ -239,7 +248,7 @@
 	admit_set_slots(bench.admit, 0);
 	take_turns(&bench);
 	assert_int_equal(bench.refused[0], SLOTS);
-	admit_free(bench.admit);
+	bench_free(&bench);
 }
 
 int main(void)
--- a/regress/peer/codec_test.c
+++ b/regress/peer/codec_test.c
@@ -267,6 +267,20 @@
 	log_record_clear(&record);
 }
 
+/* A few bytes that promise billions of items must not cost their memory. */
+static void test_false_counts_cost_nothing(void **state)
+{
+	static const struct str rows[] = {
+		{ "\xdd\xff\xff\xff\xff", 5 }, { "\x92\x00\xdd\x08\x00\x00\x00", 7 },
+		{ "\xdc\xff\xff\x00", 4 },     { "\xc6\xff\xff\xff\xff", 5 },
+		{ "\xdf\x7f\xff\xff\xff", 5 }, { "", 0 }
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++)
+		assert_null(codec_decode(rows[i]));
+}
+
 static void test_heads_come_back(void **state)
 {
 	struct request_head head = { .method = STR("POST"),
@@ -307,6 +321,7 @@
 		cmocka_unit_test(test_damaged_messages_harm_nobody),
 		cmocka_unit_test(test_records_come_back),
 		cmocka_unit_test(test_an_undecodable_change_is_rejected_alike),
+		cmocka_unit_test(test_false_counts_cost_nothing),
 		cmocka_unit_test(test_heads_come_back),
 	};
 
