--- a/base/counter.c
+++ b/base/counter.c
@@ -109,20 +109,6 @@
 	lock_release(&metrics->lock);
 }
 
-int64_t metrics_get(struct metrics *metrics, struct str name, struct str labels)
-{
-	struct series key = { .name = name, .labels = labels };
-	struct series *series;
-	int64_t value = 0;
-
-	lock_acquire(&metrics->lock);
-	series = g_hash_table_lookup(metrics->by_key, &key);
-	if (series && series->kind == SERIES_COUNTER)
-		value = series->value;
-	lock_release(&metrics->lock);
-	return value;
-}
-
 static gint series_compare(gconstpointer a, gconstpointer b)
 {
 	const struct series *x = a;
--- a/base/counter.h
+++ b/base/counter.h
@@ -22,7 +22,6 @@
 void metrics_add(struct metrics *metrics, struct str name, struct str labels, int64_t amount);
 /** Adds microseconds to a histogram, made on first use. Takes LOCK_COUNTERS. */
 void metrics_observe(struct metrics *metrics, struct str name, struct str labels, int64_t us);
-int64_t metrics_get(struct metrics *metrics, struct str name, struct str labels);
 void metrics_print(struct metrics *metrics, struct strbuf *out);
 
 #endif
--- a/base/hist.c
+++ b/base/hist.c
@@ -33,14 +33,6 @@
 	hist->sum_us += us > 0 ? us : 0;
 }
 
-void hist_merge(struct hist *into, const struct hist *from)
-{
-	for (int i = 0; i < HIST_BUCKETS; i++)
-		into->count[i] += from->count[i];
-	into->total += from->total;
-	into->sum_us += from->sum_us;
-}
-
 int64_t hist_quantile_us(const struct hist *hist, double q)
 {
 	uint64_t rank = (uint64_t)(q * (double)hist->total);
--- a/base/hist.h
+++ b/base/hist.h
@@ -19,7 +19,6 @@
 /** Upper bound of a bucket, microseconds. */
 int64_t hist_bound_us(int bucket);
 void hist_add(struct hist *hist, int64_t us);
-void hist_merge(struct hist *into, const struct hist *from);
 /** Upper bound of the bucket that holds quantile @p q (0..1); 0 if empty. */
 int64_t hist_quantile_us(const struct hist *hist, double q);
 
--- a/base/pipe.c
+++ b/base/pipe.c
@@ -31,12 +31,6 @@
 	return pipe;
 }
 
-struct pipe *pipe_ref(struct pipe *pipe)
-{
-	g_atomic_int_inc(&pipe->refs);
-	return pipe;
-}
-
 void pipe_unref(struct pipe *pipe)
 {
 	if (!pipe || !g_atomic_int_dec_and_test(&pipe->refs))
--- a/base/pipe.h
+++ b/base/pipe.h
@@ -21,7 +21,6 @@
 
 /** @p limit bounds the bytes held. */
 struct pipe *pipe_new(size_t limit, apr_pool_t *pool);
-struct pipe *pipe_ref(struct pipe *pipe);
 void pipe_unref(struct pipe *pipe);
 
 /** Appends all of @p bytes, past the limit if need be; true if a reader was waiting. */
--- a/base/workers.c
+++ b/base/workers.c
@@ -110,7 +110,7 @@
 		apr_thread_create(&workers->threads[i], NULL, worker_main, workers, workers->pool);
 }
 
-void workers_free(struct workers *workers)
+void workers_stop(struct workers *workers)
 {
 	uint64_t one = 1;
 	apr_status_t status;
@@ -120,6 +120,10 @@
 	for (int i = 0; i < workers->options.threads; i++)
 		if (workers->threads[i])
 			apr_thread_join(&status, workers->threads[i]);
+}
+
+void workers_free(struct workers *workers)
+{
 	close(workers->epoll_fd);
 	close(workers->wake_fd);
 	close(workers->stop_fd);
--- a/base/workers.h
+++ b/base/workers.h
@@ -47,7 +47,9 @@
 			    GError **error);
 /** Starts the threads. */
 void workers_start(struct workers *workers);
-/** Ends and joins all threads, frees the pool. Work that is still queued is dropped. */
+/** Ends and joins all threads. Work that is still queued is dropped. */
+void workers_stop(struct workers *workers);
+/** After workers_stop(). */
 void workers_free(struct workers *workers);
 
 /** Queues work for the next idle worker. False if the queue is full. Takes LOCK_WORKERS. */
--- a/core/move.h
+++ b/core/move.h
@@ -70,6 +70,7 @@
 	MOVE_CHANGE_DONE,
 	MOVE_CHANGE_RECHECK,
 	MOVE_CHANGE_WITHDRAW,
+	MOVE_CHANGE_HELD, /**< a step is due, but advance is off; told once, nothing changed */
 };
 
 struct move_change {
--- a/core/move_coordinate.c
+++ b/core/move_coordinate.c
@@ -82,13 +82,24 @@
 	       now.wall_us - move->step_seen_at_us >= move_interval_us(&move->spec) / 4;
 }
 
+/* A step that is due while advance is off is told once. */
+static enum move_change_kind hold(struct move *move, int next, struct instant now)
+{
+	if (move->held_told || now.wall_us < move_step_at_us(&move->spec, next))
+		return MOVE_CHANGE_NONE;
+	move->held_told = true;
+	return MOVE_CHANGE_HELD;
+}
+
 static enum move_change_kind advance(struct move *move, const struct move_surroundings *around,
 				     struct instant now)
 {
 	int next = move->state.step + 1;
 
-	if (!around->may_advance || move->state.done_at_us || around->new_targets == 0)
+	if (move->state.done_at_us || around->new_targets == 0)
 		return MOVE_CHANGE_NONE;
+	if (!around->may_advance)
+		return hold(move, next, now);
 	if (!evidence_is_good(move, now) || !dwelt_enough(move, now) ||
 	    now.wall_us < move_step_at_us(&move->spec, next))
 		return MOVE_CHANGE_NONE;
--- a/core/node_config.c
+++ b/core/node_config.c
@@ -233,7 +233,7 @@
 	g_assert_not_reached();
 }
 
-void config_changed(struct node *node)
+static void config_changed(struct node *node)
 {
 	struct config *config = node_config(node);
 
--- a/core/node_log.c
+++ b/core/node_log.c
@@ -244,6 +244,8 @@
 		case LOG_CHANGE:
 		case LOG_CLAIMS:
 		case LOG_BAD:
+			actions_note(out, NOTE_PLATFORM_RECORD_BAD, "stream=system offset=%ld",
+				     record->offset);
 			break;
 		}
 	}
--- a/core/node_moves.c
+++ b/core/node_moves.c
@@ -6,7 +6,7 @@
 
 enum { COORDINATORS = 2 };
 
-struct message *moves_message(struct node *node)
+static struct message *moves_message(struct node *node)
 {
 	struct message *message = message_new(MESSAGE_MOVES);
 
@@ -104,6 +104,10 @@
 		actions_note(out, NOTE_MOVE_RECHECKED, "move=%lu service=%.*s to=%.*s", spec->id,
 			     STR_ARG(service), STR_ARG(to));
 		return;
+	case MOVE_CHANGE_HELD:
+		actions_note(out, NOTE_MOVE_HELD, "move=%lu service=%.*s to=%.*s", spec->id,
+			     STR_ARG(service), STR_ARG(to));
+		return;
 	case MOVE_CHANGE_WITHDRAW:
 		actions_note(out, NOTE_MOVE_WITHDRAWN,
 			     "move=%lu service=%.*s to=%.*s why=\"%.*s\" route=%.*s", spec->id,
@@ -135,6 +139,8 @@
 	if (change.kind == MOVE_CHANGE_NONE)
 		return;
 	note_change(&change, out);
+	if (change.kind == MOVE_CHANGE_HELD)
+		return;
 	log_save_state(node, &change.state);
 	tell_state(node, &change.state, out);
 }
--- a/core/node_parts.h
+++ b/core/node_parts.h
@@ -200,7 +200,6 @@
 			 struct actions *out);
 bool config_take_part(struct node *node, struct assembly *assembly,
 		      const struct snapshot_part *part, struct actions *out);
-void config_changed(struct node *node);
 GPtrArray *config_snapshot_parts(struct node *node, struct instant now);
 /** The answer of a peer to the question for all members is complete. */
 void config_members_known(struct node *node);
@@ -223,7 +222,6 @@
 void moves_on_evidence(struct node *node, const struct message *message);
 void moves_on_digest(struct node *node, uint64_t from, const struct digest *digest,
 		     struct instant now, struct actions *out);
-struct message *moves_message(struct node *node);
 
 /* node_claims.c */
 void claims_on_ask(struct node *node, uint64_t from, const struct message *message,
--- a/godwithitchd/main.c
+++ b/godwithitchd/main.c
@@ -189,6 +189,27 @@
 		     text[1], text[2], text[3]);
 }
 
+/* In the reverse order of the start. */
+static void daemon_free(struct daemon *daemon)
+{
+	caller_free(daemon->caller);
+	announce_free(daemon->announce);
+	control_free(daemon->control);
+	workers_stop(daemon->workers);
+	peers_free(daemon->peers);
+	workers_free(daemon->workers);
+	close(daemon->tick_watch.fd);
+	logclient_free(daemon->logclient);
+	target_free(daemon->target);
+	node_free(daemon->node);
+	metrics_free(daemon->metrics);
+	g_hash_table_destroy(daemon->claiming);
+	g_ptr_array_unref(daemon->running);
+	lock_destroy(&daemon->lock);
+	apr_pool_destroy(daemon->pool);
+	g_free(daemon);
+}
+
 /* What a graceful stop waits for. */
 static int unfinished(struct daemon *daemon)
 {
@@ -196,8 +217,9 @@
 	       (peers_unsent(daemon->peers) > 0);
 }
 
-/* Waits until nothing is in flight; a second signal or the stop deadline ends the wait. */
-static void drain(struct daemon *daemon, const sigset_t *signals)
+/* Waits until nothing is in flight; false if a second signal or the stop deadline ended the wait.
+ */
+static bool drain(struct daemon *daemon, const sigset_t *signals)
 {
 	struct timespec step = { 0, STOP_CHECK_MS * 1000000L };
 	struct deadline stop_at =
@@ -214,8 +236,10 @@
 		if (number == SIGTERM || number == SIGINT || deadline_passed(stop_at, clock_now()))
 			break;
 	}
-	if (unfinished(daemon))
-		logger_event(NOTE_STOP_CUT_REQUEST, "in_flight=%d", unfinished(daemon));
+	if (!unfinished(daemon))
+		return true;
+	logger_event(NOTE_STOP_CUT_REQUEST, "in_flight=%d", unfinished(daemon));
+	return false;
 }
 
 static void wait_for_stop(const sigset_t *signals)
@@ -235,6 +259,7 @@
 	struct daemon *daemon;
 	GError *error = NULL;
 	sigset_t signals;
+	bool whole;
 
 	sigemptyset(&signals);
 	sigaddset(&signals, SIGTERM);
@@ -249,11 +274,15 @@
 	}
 	note_start(daemon);
 	wait_for_stop(&signals);
-	drain(daemon, &signals);
+	whole = drain(daemon, &signals);
 	logclient_stop(daemon->logclient);
 	logger_event(NOTE_DAEMON_STOPPED, "pid=%d", (int)getpid());
-	/* Nothing is kept on this VM, so that the end of the process is the whole cleaning up. */
-	_exit(EXIT_SUCCESS);
+	/* Workers may be in calls that were cut; they end with the process. */
+	if (!whole)
+		_exit(EXIT_SUCCESS);
+	daemon_free(daemon);
+	logger_close();
+	return EXIT_SUCCESS;
 }
 
 /* Reads the settings, then runs with them; or only checks them. */
--- a/operator/json.c
+++ b/operator/json.c
@@ -377,18 +377,6 @@
 	return true;
 }
 
-bool json_take_bool(const struct json_doc *doc, const struct json *object, struct str key,
-		    bool *out, GError **error)
-{
-	struct json *value;
-
-	if (!json_take(doc, object, key, JSON_OPTIONAL, JSON_BOOL, &value, error))
-		return false;
-	if (value)
-		*out = value->boolean;
-	return true;
-}
-
 bool json_all_used(const struct json_doc *doc, const struct json *object, GError **error)
 {
 	for (guint i = 0; i < object->items->len; i++) {
--- a/operator/json.h
+++ b/operator/json.h
@@ -69,8 +69,6 @@
 		     enum json_need need, struct label *out, GError **error);
 bool json_take_int(const struct json_doc *doc, const struct json *object, struct str key,
 		   enum json_need need, int64_t min, int64_t max, int64_t *out, GError **error);
-bool json_take_bool(const struct json_doc *doc, const struct json *object, struct str key,
-		    bool *out, GError **error);
 /** An array or object member; *out is NULL if it is not there. */
 bool json_take(const struct json_doc *doc, const struct json *object, struct str key,
 	       enum json_need need, enum json_kind kind, struct json **out, GError **error);
--- a/peer/link.c
+++ b/peer/link.c
@@ -401,6 +401,24 @@
 	link_release_owner(stream.link, owner);
 }
 
+void link_abandon(struct link *link)
+{
+	bool reading;
+	bool writing;
+
+	link_close(link);
+	lock_acquire(&link->lock);
+	reading = link->reading != ARM_NONE;
+	writing = link->write_arming != ARM_NONE;
+	link->reading = ARM_NONE;
+	link->write_arming = ARM_NONE;
+	lock_release(&link->lock);
+	if (reading)
+		link_unref(link);
+	if (writing)
+		link_unref(link);
+}
+
 void link_tick(struct link *link, struct instant now)
 {
 	struct strbuf frame = { 0 };
--- a/peer/link.h
+++ b/peer/link.h
@@ -79,13 +79,14 @@
 void link_release_owner(struct link *link, struct stream_owner *owner);
 
 void link_writable(struct link *link);
+/** Without workers any more: closes, and drops the references of its watches. */
+void link_abandon(struct link *link);
 void link_tick(struct link *link, struct instant now);
 
 /* peers.c */
 void peers_deliver(struct peers *peers, struct peer_event *event);
 void peers_forget(struct peers *peers, struct link *link);
 struct workers *peers_workers(struct peers *peers);
-bool peers_allows(const struct peers *peers, uint32_t ipv4);
 /** Decodes and delivers; false if it is no message. */
 bool peers_take_message(struct peers *peers, uint64_t from, struct str payload);
 
--- a/peer/pack.c
+++ b/peer/pack.c
@@ -92,6 +92,13 @@
 		pack_state(out, &g_array_index(part->states, struct move_state, i));
 }
 
+static struct unpack unpack_array(const msgpack_object *object)
+{
+	if (object->type != MSGPACK_OBJECT_ARRAY || object->via.array.size > ITEMS_MAX)
+		return (struct unpack){ .bad = true };
+	return (struct unpack){ .items = object->via.array.ptr, .left = object->via.array.size };
+}
+
 /* Takes a big-endian number of some bytes off the front. */
 static bool take_number(struct str *in, size_t bytes, uint64_t *number)
 {
@@ -157,13 +164,6 @@
 	return !in->bad;
 }
 
-struct unpack unpack_array(const msgpack_object *object)
-{
-	if (object->type != MSGPACK_OBJECT_ARRAY || object->via.array.size > ITEMS_MAX)
-		return (struct unpack){ .bad = true };
-	return (struct unpack){ .items = object->via.array.ptr, .left = object->via.array.size };
-}
-
 static const msgpack_object *next(struct unpack *in, msgpack_object_type type)
 {
 	const msgpack_object *object;
--- a/peer/pack.h
+++ b/peer/pack.h
@@ -31,7 +31,6 @@
  * hold is refused before memory is taken for it.
  */
 bool unpack_open(struct str bytes, msgpack_unpacked *unpacked, struct unpack *in);
-struct unpack unpack_array(const msgpack_object *object);
 /** The next item as an array of its own. */
 struct unpack unpack_inner(struct unpack *in);
 uint64_t unpack_u64(struct unpack *in);
--- a/peer/peers.c
+++ b/peer/peers.c
@@ -111,8 +111,12 @@
 {
 	if (!peers)
 		return;
-	for (guint i = 0; i < peers->all->len; i++)
-		link_unref(g_ptr_array_index(peers->all, i));
+	while (peers->all->len) {
+		struct link *link = link_ref(g_ptr_array_index(peers->all, 0));
+
+		link_abandon(link);
+		link_unref(link);
+	}
 	if (peers->listen_fd >= 0)
 		close(peers->listen_fd);
 	if (peers->datagram_fd >= 0)
@@ -146,7 +150,7 @@
 	peers->options.handle(peers->options.context, event);
 }
 
-bool peers_allows(const struct peers *peers, uint32_t ipv4)
+static bool peers_allows(const struct peers *peers, uint32_t ipv4)
 {
 	for (int i = 0; i < peers->options.range_count; i++) {
 		const struct address_range *range = &peers->options.ranges[i];
--- a/peer/peers.h
+++ b/peer/peers.h
@@ -86,6 +86,7 @@
 
 /** Listens on the node's own address. Returns NULL and sets @p error if it can't. */
 struct peers *peers_new(const struct peers_options *options, apr_pool_t *pool, GError **error);
+/** After the workers have ended. */
 void peers_free(struct peers *peers);
 /** This node's member id. */
 uint64_t peers_self(const struct peers *peers);
--- a/regress/core/fleet_test.c
+++ b/regress/core/fleet_test.c
@@ -322,6 +322,76 @@
 	sim_free(sim);
 }
 
+/* With the switch off this node's own evidence contains nobody. */
+static void test_eject_switch(void **state)
+{
+	struct sim *sim = small_sim(6);
+	struct label version;
+	int failed = 0;
+
+	(void)state;
+	for (int i = 0; i < 9; i++)
+		sim_target_up(sim, i, "s", "v1", 9);
+	sim_publish(sim, "a", "one", 0, GOOD);
+	sim_publish(sim, "b", "two", 0, "{\"switches\": {\"s\": {\"eject\": \"off\"}}}");
+	sim_run(sim, 5 * US_PER_S);
+	sim_kill(sim, 3);
+	for (int i = 0; i < 1000; i++)
+		failed += sim_call(sim, 0, "r", (uint64_t)i, &version) != SIM_CALL_GOOD;
+	/* A third of the targets of its data centre is dead, and goes on being chosen. */
+	assert_true(failed > 100);
+	sim_free(sim);
+}
+
+static enum choice_kind choose_marked(struct sim *sim, int entry, uint64_t fingerprint)
+{
+	struct config *config = node_config(sim_node(sim, entry)->node);
+	struct call_facts facts = { .fingerprint = fingerprint };
+	enum choice_kind kind;
+
+	facts.route = config_find_route(config, LABEL("r"));
+	kind = node_choose(sim_node(sim, entry)->node, config, &facts, sim_now(sim)).kind;
+	config_unref(config);
+	return kind;
+}
+
+static void crash_with(struct sim *sim, int index, uint64_t fingerprint)
+{
+	struct actions actions = actions_new();
+
+	node_target_crashed(sim_node(sim, index)->node, &fingerprint, 1, LABEL("r"), sim_now(sim),
+			    &actions);
+	sim_carry_out(sim, index, &actions);
+	sim_run(sim, 2 * US_PER_S);
+}
+
+/* Two crashes quarantine a request on all nodes, for ten minutes; not with the switch off. */
+static void test_quarantine_and_its_switch(void **state)
+{
+	(void)state;
+	for (int off = 0; off < 2; off++) {
+		struct sim *sim = small_sim(6);
+
+		for (int i = 0; i < 9; i++)
+			sim_target_up(sim, i, "s", "v1", 9);
+		sim_publish(sim, "a", "one", 0, GOOD);
+		if (off)
+			sim_publish(sim, "b", "two", 0,
+				    "{\"switches\": {\"all\": {\"quarantine\": \"off\"}}}");
+		sim_run(sim, 5 * US_PER_S);
+		crash_with(sim, 2, 77);
+		assert_int_equal(choose_marked(sim, 5, 77), CHOICE_TARGET);
+		crash_with(sim, 4, 77);
+		for (int i = 0; i < 9; i++)
+			assert_int_equal(choose_marked(sim, i, 77),
+					 off ? CHOICE_TARGET : CHOICE_QUARANTINED);
+		assert_int_equal(choose_marked(sim, 0, 78), CHOICE_TARGET);
+		sim_run(sim, 601 * US_PER_S);
+		assert_int_equal(choose_marked(sim, 0, 77), CHOICE_TARGET);
+		sim_free(sim);
+	}
+}
+
 static void test_route_without_targets_says_not_run(void **state)
 {
 	struct sim *sim = small_sim(9);
@@ -407,6 +477,8 @@
 		cmocka_unit_test(test_same_seed_same_actions),
 		cmocka_unit_test(test_leaving_target_gets_no_new_work),
 		cmocka_unit_test(test_dead_target_is_contained_at_once),
+		cmocka_unit_test(test_eject_switch),
+		cmocka_unit_test(test_quarantine_and_its_switch),
 		cmocka_unit_test(test_route_without_targets_says_not_run),
 		cmocka_unit_test(test_switches),
 		cmocka_unit_test(test_moves),
