--- a/operator/control.c
+++ b/operator/control.c
@@ -1,13 +1,11 @@
 #include "operator/control.h"
 
-#include <arpa/inet.h>
-#include <microhttpd.h>
-#include <netinet/in.h>
 #include <string.h>
 
+#include "base/endpoint.h"
 #include "operator/report.h"
 
-enum { CONNECTIONS_MAX = 64, IDLE_S = 30 };
+enum { CONNECTIONS_MAX = 64 };
 
 struct control {
 	struct control_options options;
@@ -66,11 +64,6 @@
 	return RESOURCE_NONE;
 }
 
-static struct str argument(struct MHD_Connection *connection, const char *name)
-{
-	return str_from_cstr(MHD_lookup_connection_value(connection, MHD_GET_ARGUMENT_KIND, name));
-}
-
 static void fail(struct answer *answer, unsigned int status, const char *text)
 {
 	answer->status = status;
@@ -170,16 +163,16 @@
 		report_files(node, &answer->body);
 		return;
 	case RESOURCE_FILE:
-		answer_file(control, argument(connection, "name"), answer);
+		answer_file(control, endpoint_argument(connection, "name"), answer);
 		return;
 	case RESOURCE_CHANGE:
-		answer_change(control, argument(connection, "id"), answer);
+		answer_change(control, endpoint_argument(connection, "id"), answer);
 		return;
 	case RESOURCE_CENSUS_START:
-		start_census(control, argument(connection, "version"), answer);
+		start_census(control, endpoint_argument(connection, "version"), answer);
 		return;
 	case RESOURCE_CENSUS:
-		answer_census(control, argument(connection, "seq"), answer);
+		answer_census(control, endpoint_argument(connection, "seq"), answer);
 		return;
 	case RESOURCE_METRICS:
 		answer_metrics(control, answer);
@@ -217,19 +210,12 @@
 				  const char *method, const char *version, const char *data,
 				  size_t *data_size, void **state)
 {
-	static int seen;
 	struct answer answer = { .status = MHD_HTTP_OK, .type = "application/json" };
 
 	(void)version;
 	(void)data;
-	if (!*state) {
-		*state = &seen;
+	if (!endpoint_ready(data_size, state))
 		return MHD_YES;
-	}
-	if (*data_size) {
-		*data_size = 0;
-		return MHD_YES;
-	}
 	make_answer(context, connection, find_resource(method, url), &answer);
 	return send_answer(connection, &answer);
 }
@@ -237,20 +223,17 @@
 struct control *control_new(const struct control_options *options, GError **error)
 {
 	struct control *control = g_new0(struct control, 1);
-	struct sockaddr_in address = { .sin_family = AF_INET,
-				       .sin_port = htons(options->port),
-				       .sin_addr.s_addr = htonl(options->ipv4) };
+	struct endpoint_options endpoint = { .ipv4 = options->ipv4,
+					     .port = options->port,
+					     .purpose = "the control address",
+					     .connections = CONNECTIONS_MAX,
+					     .handle = on_request,
+					     .context = control };
 
 	control->options = *options;
-	control->daemon = MHD_start_daemon(
-		MHD_USE_EPOLL_INTERNAL_THREAD, options->port, NULL, NULL, on_request, control,
-		MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&address, MHD_OPTION_CONNECTION_LIMIT,
-		(unsigned int)CONNECTIONS_MAX, MHD_OPTION_CONNECTION_TIMEOUT, (unsigned int)IDLE_S,
-		MHD_OPTION_END);
+	control->daemon = endpoint_start(&endpoint, error);
 	if (control->daemon)
 		return control;
-	g_set_error(error, G_FILE_ERROR, G_FILE_ERROR_FAILED,
-		    "can't listen on the control address, port %u", options->port);
 	g_free(control);
 	return NULL;
 }
@@ -265,8 +248,5 @@
 
 uint16_t control_port(const struct control *control)
 {
-	const union MHD_DaemonInfo *info =
-		MHD_get_daemon_info(control->daemon, MHD_DAEMON_INFO_BIND_PORT);
-
-	return info ? info->port : 0;
+	return endpoint_port(control->daemon);
 }
--- a/peer/link.c
+++ b/peer/link.c
@@ -13,11 +13,6 @@
 #define SILENT_US    (3 * US_PER_S)
 #define IDLE_US	     (60 * US_PER_S)
 
-static void entry_free(gpointer data)
-{
-	g_free(data);
-}
-
 struct link *link_new(struct peers *peers, int fd, bool outgoing, enum link_state state)
 {
 	struct link *link = g_new0(struct link, 1);
@@ -31,7 +26,7 @@
 	link->write_fd = dup(fd);
 	link->read_watch = (struct watch){ fd, { WORK_LINK_READ, link } };
 	link->write_watch = (struct watch){ link->write_fd, { WORK_LINK_WRITE, link } };
-	link->streams = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, entry_free);
+	link->streams = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
 	link->next_stream = 1;
 	link->received_at_us = clock_now().mono_us;
 	link->used_at_us = link->received_at_us;
@@ -340,8 +335,7 @@
 	if (link->state != LINK_CLOSED) {
 		link->state = LINK_CLOSED;
 		streams = link->streams;
-		link->streams =
-			g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, entry_free);
+		link->streams = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
 		write_idle = link->write_arming == ARM_IDLE;
 		if (write_idle)
 			link->write_arming = ARM_NONE;
--- a/regress/godwithitchd/path_test.c
+++ b/regress/godwithitchd/path_test.c
@@ -515,15 +515,15 @@
 	    "\x00\x00\x00\x00\x00\x00\x00\x00"
 	    "\xc1\xc1\xc1",
 	    27 } },
-	{ "no HTTP", false, true, { "\x16\x03\x01nonsense\r\n\r\n", 14 } },
+	{ "no HTTP", false, true, { "\x16\x03\x01nonsense\r\n\r\n", 15 } },
 	{ "a bad length",
 	  false,
 	  true,
-	  { "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: -4\r\n\r\n", 50 } },
+	  { "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: -4\r\n\r\n", 49 } },
 	{ "two lengths",
 	  false,
 	  true,
-	  { "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", 69 } },
+	  { "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", 67 } },
 };
 
 /* Bytes that are no frames, messages or requests end their connection and nothing else. */
--- a/regress/measure.c
+++ b/regress/measure.c
@@ -3,8 +3,10 @@
  * everywhere, messages, control bytes, processor time and memory, against the size of the fleet.
  *   measure spread [SIZE ...]
  *   measure moves [SEEDS]
+ *   measure choice
  */
 #include <apr_general.h>
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -98,6 +100,153 @@
 	g_array_unref(met);
 }
 
+/* The choice of a target against plain random and round robin, on the same arrivals. */
+
+enum policy { POLICY_TWO_CHOICES, POLICY_RANDOM, POLICY_ROUND_ROBIN, POLICY_COUNT };
+
+enum {
+	ENTRIES = 6,
+	TARGETS = 12,
+	TARGET_SLOTS = 4,
+	SERVICE_US = 20000,
+	SLOW_TARGETS = 2, /* take twice as long */
+	ARRIVALS = 60000,
+};
+
+static const char *const policy_names[POLICY_COUNT] = { "two choices by load", "random",
+							"round robin" };
+
+/** A target's slots: when each is free. */
+struct servers {
+	int64_t free_at_us[TARGETS][TARGET_SLOTS];
+};
+
+/** A call under way, to be ended at its entry. */
+struct open_call {
+	int64_t end_us;
+	int entry;
+	uint64_t target;
+};
+
+static int64_t serve(struct servers *servers, int target, int64_t now_us, struct rng *rng)
+{
+	int64_t *slots = servers->free_at_us[target];
+	int64_t service = (int64_t)(SERVICE_US * (0.5 + rng_unit(rng)));
+	int best = 0;
+
+	for (int i = 1; i < TARGET_SLOTS; i++)
+		if (slots[i] < slots[best])
+			best = i;
+	if (target < SLOW_TARGETS)
+		service *= 2;
+	slots[best] = MAX(slots[best], now_us) + service;
+	return slots[best];
+}
+
+static struct members *entry_members(apr_pool_t *pool)
+{
+	struct members_options options = {
+		.self = { .id = 1, .incarnation = 1, .data_centre = label_from(STR("a")) }
+	};
+	struct members *members = members_new(&options, pool);
+
+	for (int i = 0; i < TARGETS; i++) {
+		struct member member = { .id = 100 + (uint64_t)i,
+					 .incarnation = 1,
+					 .state = MEMBER_ALIVE,
+					 .slots = TARGET_SLOTS,
+					 .data_centre = label_from(STR("a")),
+					 .service = label_from(STR("s")),
+					 .version = label_from(STR("v")) };
+
+		members_merge(members, &member, (struct instant){ 0, 0 });
+	}
+	return members;
+}
+
+static int pick(enum policy policy, struct members *members, int number, struct rng *rng,
+		int64_t now_us)
+{
+	struct choice_options options = { .service = label_from(STR("s")),
+					  .version = label_from(STR("v")) };
+	struct instant now = { now_us, now_us };
+
+	switch (policy) {
+	case POLICY_TWO_CHOICES:
+		return (int)(members_choose(members, &options, rng, now) - 100);
+	case POLICY_RANDOM:
+		return (int)rng_below(rng, TARGETS);
+	case POLICY_ROUND_ROBIN:
+		return number % TARGETS;
+	case POLICY_COUNT:
+		break;
+	}
+	return 0;
+}
+
+/* Tells the entries of the calls that have ended. */
+static void end_calls(GArray *open, struct members **members, int64_t now_us)
+{
+	for (guint i = open->len; i-- > 0;) {
+		struct open_call call = g_array_index(open, struct open_call, i);
+
+		if (call.end_us > now_us)
+			continue;
+		members_call_ended(members[call.entry], call.target, CALL_ANSWERED, false,
+				   (struct instant){ now_us, now_us });
+		g_array_remove_index_fast(open, i);
+	}
+}
+
+static void measure_policy(enum policy policy, double load, apr_pool_t *pool)
+{
+	struct members *members[ENTRIES];
+	struct servers *servers = g_new0(struct servers, 1);
+	GArray *open = g_array_new(FALSE, FALSE, sizeof(struct open_call));
+	GArray *took = g_array_new(FALSE, FALSE, sizeof(double));
+	struct rng rng = { 3 };
+	double rate = load * (TARGETS - SLOW_TARGETS / 2.0) * TARGET_SLOTS / SERVICE_US;
+	/* Past the slow start of targets that have just come. */
+	double now_us = 60e6;
+
+	for (int i = 0; i < ENTRIES; i++)
+		members[i] = entry_members(pool);
+	for (int i = 0; i < ARRIVALS; i++) {
+		int entry = (int)rng_below(&rng, ENTRIES);
+		struct open_call call = { .entry = entry };
+		int target;
+		double ms;
+
+		now_us += -log(1 - rng_unit(&rng)) / rate;
+		end_calls(open, members, (int64_t)now_us);
+		target = pick(policy, members[entry], i, &rng, (int64_t)now_us);
+		call.target = 100 + (uint64_t)target;
+		call.end_us = serve(servers, target, (int64_t)now_us, &rng);
+		ms = ((double)call.end_us - now_us) / 1000;
+		g_array_append_val(open, call);
+		g_array_append_val(took, ms);
+	}
+	printf("%-20s load %.1f  p50 %7.1f ms  p99 %8.1f ms\n", policy_names[policy], load,
+	       quantile(took, 0.5), quantile(took, 0.99));
+	for (int i = 0; i < ENTRIES; i++)
+		members_free(members[i]);
+	g_array_unref(open);
+	g_array_unref(took);
+	g_free(servers);
+}
+
+static void measure_choice(void)
+{
+	static const double loads[] = { 0.5, 0.7, 0.9 };
+	apr_pool_t *pool;
+
+	apr_pool_create(&pool, NULL);
+	for (size_t i = 0; i < G_N_ELEMENTS(loads); i++)
+		for (int policy = 0; policy < POLICY_COUNT; policy++)
+			measure_policy(policy, loads[i], pool);
+	apr_pool_destroy(pool);
+}
+
 int main(int argc, char **argv)
 {
 	static const int sizes[] = { 16, 64, 256, 1024 };
@@ -108,8 +257,12 @@
 			measure_kind(&kinds[i], argc > 2 ? atoi(argv[2]) : 200);
 		return 0;
 	}
+	if (argc == 2 && strcmp(argv[1], "choice") == 0) {
+		measure_choice();
+		return 0;
+	}
 	if (argc < 2 || strcmp(argv[1], "spread") != 0) {
-		fprintf(stderr, "usage: measure spread [size ...] | moves [seeds]\n");
+		fprintf(stderr, "usage: measure spread [size ...] | moves [seeds] | choice\n");
 		return 2;
 	}
 	printf("%6s %8s %10s %10s %10s %9s %9s %8s %10s\n", "nodes", "worst ms", "msgs/node",
--- a/target/announce.c
+++ b/target/announce.c
@@ -1,11 +1,11 @@
 #include "target/announce.h"
 
-#include <arpa/inet.h>
-#include <microhttpd.h>
-#include <netinet/in.h>
 #include <string.h>
 
+#include "base/endpoint.h"
+
 enum {
+	CONNECTIONS_MAX = 32,
 	SLOTS_MAX = 4096,
 	TTL_MIN_MS = 100,
 	TTL_MAX_MS = 60000,
@@ -28,15 +28,10 @@
 	return result;
 }
 
-static struct str argument(struct MHD_Connection *connection, const char *name)
-{
-	return str_from_cstr(MHD_lookup_connection_value(connection, MHD_GET_ARGUMENT_KIND, name));
-}
-
 static bool number(struct MHD_Connection *connection, const char *name, int64_t min, int64_t max,
 		   int64_t *value)
 {
-	struct str text = argument(connection, name);
+	struct str text = endpoint_argument(connection, name);
 
 	if (text.len == 0 && *value)
 		return true;
@@ -46,8 +41,8 @@
 /* Reads the arguments of an announcement; NULL if they are good, else what is wrong. */
 static const char *read_up(struct MHD_Connection *connection, struct announcement *up)
 {
-	struct str service = argument(connection, "service");
-	struct str version = argument(connection, "version");
+	struct str service = endpoint_argument(connection, "service");
+	struct str version = endpoint_argument(connection, "version");
 	int64_t slots = 0;
 	int64_t port = 0;
 	int64_t ttl_ms = TTL_DEFAULT_MS;
@@ -74,21 +69,14 @@
 				  const char *method, const char *version, const char *data,
 				  size_t *data_size, void **state)
 {
-	static int seen;
 	struct announce *announce = context;
 	struct announcement announcement = { .kind = ANNOUNCE_UP };
 	const char *problem = NULL;
 
 	(void)version;
 	(void)data;
-	if (!*state) {
-		*state = &seen;
-		return MHD_YES;
-	}
-	if (*data_size) {
-		*data_size = 0;
+	if (!endpoint_ready(data_size, state))
 		return MHD_YES;
-	}
 	if (strcmp(url, "/announce") == 0 && strcmp(method, "PUT") == 0)
 		problem = read_up(connection, &announcement);
 	else if (strcmp(url, "/announce") == 0 && strcmp(method, "DELETE") == 0)
@@ -106,19 +94,17 @@
 struct announce *announce_new(const struct announce_options *options, GError **error)
 {
 	struct announce *announce = g_new0(struct announce, 1);
-	struct sockaddr_in address = { .sin_family = AF_INET,
-				       .sin_port = htons(options->port),
-				       .sin_addr.s_addr = htonl(options->ipv4) };
+	struct endpoint_options endpoint = { .ipv4 = options->ipv4,
+					     .port = options->port,
+					     .purpose = "the address for announcements",
+					     .connections = CONNECTIONS_MAX,
+					     .handle = on_request,
+					     .context = announce };
 
 	announce->options = *options;
-	announce->daemon = MHD_start_daemon(
-		MHD_USE_EPOLL_INTERNAL_THREAD, options->port, NULL, NULL, on_request, announce,
-		MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&address, MHD_OPTION_CONNECTION_TIMEOUT,
-		30U, MHD_OPTION_CONNECTION_LIMIT, 32U, MHD_OPTION_END);
+	announce->daemon = endpoint_start(&endpoint, error);
 	if (announce->daemon)
 		return announce;
-	g_set_error(error, G_FILE_ERROR, G_FILE_ERROR_FAILED,
-		    "can't listen on the address for announcements, port %u", options->port);
 	g_free(announce);
 	return NULL;
 }
@@ -133,8 +119,5 @@
 
 uint16_t announce_port(const struct announce *announce)
 {
-	const union MHD_DaemonInfo *info =
-		MHD_get_daemon_info(announce->daemon, MHD_DAEMON_INFO_BIND_PORT);
-
-	return info ? info->port : 0;
+	return endpoint_port(announce->daemon);
 }
