A target's id is read under the table's lock

Cause: the thread sanitizer showed members_choose() reading the chosen member after its lock was given back; the record may be replaced or dropped by then. Ruled out: its other reports came from the stand-ins' locks, which it does not see.

--- a/core/member_choice.c
+++ b/core/member_choice.c
@@ -76,6 +76,7 @@
 	struct candidates found = { 0 };
 	struct peer *chosen;
 	const GPtrArray *list;
+	uint64_t id = 0;
 
 	lock_acquire(&members->lock);
 	list = g_hash_table_lookup(members->by_service, &options->service);
@@ -90,10 +91,12 @@
 			sample(found.far, &found.far_seen, peer, rng);
 	}
 	chosen = choose(&found, now);
-	if (chosen)
+	if (chosen) {
 		chosen->in_flight++;
+		id = chosen->record.id;
+	}
 	lock_release(&members->lock);
-	return chosen ? chosen->record.id : 0;
+	return id;
 }
 
 static double evidence_step(enum call_outcome outcome)
