--- a/caller/http.c
+++ b/caller/http.c
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include "base/lockorder.h"
+#include "caller/request.h"
 
 enum {
 	SMALL_BODY_BYTES = 64 << 10, /* bodies up to this are held whole, and can be sent again */
@@ -131,48 +132,6 @@
 	return MHD_YES;
 }
 
-struct query {
-	struct strbuf *out;
-	char separator;
-};
-
-/* MHD turns '+' into a blank, which no raw query holds otherwise. */
-static void add_raw(struct strbuf *out, const char *text)
-{
-	for (; *text; text++)
-		strbuf_add(out, (struct str){ *text == ' ' ? "+" : text, 1 });
-}
-
-/* MHD takes the query apart, so that it is put together again. */
-static enum MHD_Result on_argument(void *context, enum MHD_ValueKind kind, const char *name,
-				   const char *value)
-{
-	struct query *query = context;
-
-	(void)kind;
-	strbuf_add(query->out, (struct str){ &query->separator, 1 });
-	query->separator = '&';
-	add_raw(query->out, name);
-	if (value) {
-		strbuf_add(query->out, STR("="));
-		add_raw(query->out, value);
-	}
-	return MHD_YES;
-}
-
-static struct str make_target(struct MHD_Connection *connection, const char *url)
-{
-	struct strbuf out = { 0 };
-	struct query query = { &out, '?' };
-	struct str target;
-
-	strbuf_add(&out, str_from_cstr(url));
-	MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, on_argument, &query);
-	target = str_dup(strbuf_str(&out));
-	strbuf_clear(&out);
-	return target;
-}
-
 static int count_fields(const struct caller_call *call, struct str name)
 {
 	int count = 0;
@@ -214,7 +173,7 @@
 	lock_init(&call->lock, LOCK_CALLS, call->pool);
 	call->answer = pipe_new(ANSWER_LIMIT_BYTES, call->pool);
 	call->method = str_dup(str_from_cstr(method));
-	call->target = make_target(connection, url);
+	call->target = request_target(connection, url);
 	if (info && info->client_addr->sa_family == AF_INET)
 		call->ipv4 = ntohl(((const struct sockaddr_in *)(const void *)info->client_addr)
 					   ->sin_addr.s_addr);
--- a/peer/peers.c
+++ b/peer/peers.c
@@ -107,16 +107,28 @@
 	return NULL;
 }
 
+/* All links, with references of its own. */
+static GPtrArray *held_links(struct peers *peers)
+{
+	GPtrArray *links = g_ptr_array_new_with_free_func((GDestroyNotify)link_unref);
+
+	lock_acquire(&peers->lock);
+	for (guint i = 0; i < peers->all->len; i++)
+		g_ptr_array_add(links, link_ref(g_ptr_array_index(peers->all, i)));
+	lock_release(&peers->lock);
+	return links;
+}
+
 void peers_free(struct peers *peers)
 {
+	GPtrArray *links;
+
 	if (!peers)
 		return;
-	while (peers->all->len) {
-		struct link *link = link_ref(g_ptr_array_index(peers->all, 0));
-
-		link_abandon(link);
-		link_unref(link);
-	}
+	links = held_links(peers);
+	for (guint i = 0; i < links->len; i++)
+		link_abandon(g_ptr_array_index(links, i));
+	g_ptr_array_unref(links);
 	if (peers->listen_fd >= 0)
 		close(peers->listen_fd);
 	if (peers->datagram_fd >= 0)
@@ -395,16 +407,10 @@
 
 void peers_tick(struct peers *peers, struct instant now)
 {
-	GPtrArray *links = g_ptr_array_new();
+	GPtrArray *links = held_links(peers);
 
-	lock_acquire(&peers->lock);
-	for (guint i = 0; i < peers->all->len; i++)
-		g_ptr_array_add(links, link_ref(g_ptr_array_index(peers->all, i)));
-	lock_release(&peers->lock);
-	for (guint i = 0; i < links->len; i++) {
+	for (guint i = 0; i < links->len; i++)
 		link_tick(g_ptr_array_index(links, i), now);
-		link_unref(g_ptr_array_index(links, i));
-	}
 	g_ptr_array_unref(links);
 }
 
--- a/regress/lib/sim.c
+++ b/regress/lib/sim.c
@@ -1,78 +1,10 @@
-#include "regress/lib/sim.h"
+#include "regress/lib/sim_parts.h"
 
-#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include "operator/parse.h"
 #include "peer/codec.h"
 
-#define START_US   (1000 * US_PER_S)
-#define WALL_US	   (1796000000LL * US_PER_S)
-#define TICK_US	   (100 * US_PER_MS)
-#define LOG_LAG_US (3 * US_PER_MS)
-
-enum {
-	STREAMS = 2 + CLAIM_PARTITIONS,
-	DATA_CENTRES_MAX = 16,
-	SERVICE_US = 2000,
-	HEADER_BYTES = 24
-};
-
-enum pending_kind { PENDING_TICK, PENDING_MESSAGE, PENDING_LOG_ANSWER, PENDING_APPENDED };
-
-struct pending {
-	int64_t at_us;
-	uint64_t seq;
-	enum pending_kind kind;
-	int to;
-	int64_t life; /* of the node it is for: a restarted one must not get it */
-	union {
-		struct {
-			uint64_t from;
-			struct message *message;
-		} message;
-		struct {
-			int stream;
-			int64_t from;
-			uint64_t waiter;
-		} answer;
-		struct {
-			int stream;
-			uint64_t tag;
-			int64_t offset;
-			bool done;
-		} appended;
-	};
-};
-
-struct waiter {
-	uint64_t number;
-	int node;
-	int64_t life;
-	int stream;
-	int64_t from;
-};
-
-struct sim {
-	struct sim_options options;
-	struct sim_node *nodes;
-	struct rng rng;
-	int64_t now_us; /* since START_US */
-	uint64_t seq;
-	GPtrArray *heap;      /* struct pending */
-	GArray *log[STREAMS]; /* struct log_record, by stream_index() */
-	int64_t oldest[STREAMS];
-	GArray *written_at[STREAMS]; /* int64_t */
-	GArray *waiters;	     /* struct waiter */
-	bool log_out;
-	int lose_answers;
-	struct sim_log_stats stats;
-	bool cut[DATA_CENTRES_MAX][DATA_CENTRES_MAX];
-	char violation[256];
-	uint64_t trace;
-};
-
 struct instant sim_now(const struct sim *sim)
 {
 	return (struct instant){ START_US + sim->now_us, WALL_US + sim->now_us };
@@ -131,7 +63,7 @@
 	heap->pdata[b] = kept;
 }
 
-static struct pending *push(struct sim *sim, int64_t at_us, enum pending_kind kind, int to)
+struct pending *sim_push(struct sim *sim, int64_t at_us, enum pending_kind kind, int to)
 {
 	struct pending *pending = g_new0(struct pending, 1);
 	guint at = sim->heap->len;
@@ -182,7 +114,7 @@
 	return member_id(0x0a000000U + (uint32_t)index, 7000);
 }
 
-static int index_of(const struct sim *sim, uint64_t id)
+int sim_index_of(const struct sim *sim, uint64_t id)
 {
 	uint32_t index = member_ipv4(id) - 0x0a000000U;
 
@@ -198,7 +130,7 @@
 
 static void send_message(struct sim *sim, int from, uint64_t to_id, struct message *message)
 {
-	int to = index_of(sim, to_id);
+	int to = sim_index_of(sim, to_id);
 	size_t bytes = 0;
 	int copies = 1;
 
@@ -218,98 +150,14 @@
 	sim->nodes[to].received_bytes += bytes;
 	while (copies-- > 0) {
 		struct pending *pending =
-			push(sim, sim->now_us + delay_us(sim), PENDING_MESSAGE, to);
+			sim_push(sim, sim->now_us + delay_us(sim), PENDING_MESSAGE, to);
 
 		pending->message.from = sim->nodes[from].id;
 		pending->message.message = message_ref(message);
 	}
 }
 
-/* The fake log's own number of a stream. */
-static int stream_index(enum log_stream stream, int partition)
-{
-	return stream == STREAM_KEYS ? 2 + partition : (int)stream;
-}
-
-static void stream_of(int index, enum log_stream *stream, int *partition)
-{
-	*stream = index < 2 ? (enum log_stream)index : STREAM_KEYS;
-	*partition = index < 2 ? 0 : index - 2;
-}
-
-static int64_t newest(const struct sim *sim, int stream)
-{
-	return sim->oldest[stream] + (int64_t)sim->log[stream]->len - 1;
-}
-
-static void answer_read(struct sim *sim, int node, int stream, int64_t from)
-{
-	struct pending *pending = push(sim, sim->now_us + LOG_LAG_US, PENDING_LOG_ANSWER, node);
-
-	pending->answer.stream = stream;
-	pending->answer.from = from;
-}
-
-static void wake_waiters(struct sim *sim, int stream)
-{
-	for (guint i = sim->waiters->len; i-- > 0;) {
-		struct waiter waiter = g_array_index(sim->waiters, struct waiter, i);
-
-		if (waiter.stream != stream)
-			continue;
-		g_array_remove_index(sim->waiters, i);
-		if (sim->nodes[waiter.node].started_us == waiter.life)
-			answer_read(sim, waiter.node, stream, waiter.from);
-	}
-}
-
-static int64_t append_record(struct sim *sim, int stream, struct log_record record)
-{
-	record.offset = newest(sim, stream) + 1;
-	g_array_append_val(sim->log[stream], record);
-	g_array_append_val(sim->written_at[stream], sim->now_us);
-	sim->stats.appends++;
-	sim->stats.system_records += stream == (int)STREAM_SYSTEM;
-	wake_waiters(sim, stream);
-	return record.offset;
-}
-
-static void read_action(struct sim *sim, int node, const struct action *action)
-{
-	struct waiter waiter = { ++sim->seq, node, sim->nodes[node].started_us,
-				 stream_index(action->read.stream, action->read.partition),
-				 action->read.from };
-	int64_t wait_us = action->read.wait_until.at_us - START_US - sim->now_us;
-	struct pending *timeout;
-
-	sim->stats.reads++;
-	if (sim->log_out || newest(sim, waiter.stream) >= waiter.from || wait_us <= 0) {
-		answer_read(sim, node, waiter.stream, waiter.from);
-		return;
-	}
-	g_array_append_val(sim->waiters, waiter);
-	timeout = push(sim, sim->now_us + wait_us, PENDING_LOG_ANSWER, node);
-	timeout->answer.stream = waiter.stream;
-	timeout->answer.from = waiter.from;
-	timeout->answer.waiter = waiter.number;
-}
-
-static void append_action(struct sim *sim, int node, struct action *action)
-{
-	struct pending *pending = push(sim, sim->now_us + LOG_LAG_US, PENDING_APPENDED, node);
-
-	pending->appended.tag = action->append.tag;
-	pending->appended.stream = stream_index(action->append.stream, action->append.partition);
-	if (sim->log_out)
-		return;
-	pending->appended.offset =
-		append_record(sim, pending->appended.stream, action->append.record);
-	action->append.record = (struct log_record){ .kind = LOG_BAD };
-	pending->appended.done = sim->lose_answers == 0;
-	sim->lose_answers -= sim->lose_answers > 0;
-}
-
-static void carry_out(struct sim *sim, int node, struct actions *actions)
+void sim_carry_out(struct sim *sim, int node, struct actions *actions)
 {
 	for (guint i = 0; i < actions->list->len; i++) {
 		struct action *action = &g_array_index(actions->list, struct action, i);
@@ -322,10 +170,10 @@
 			send_message(sim, node, action->send.to, action->send.message);
 			break;
 		case ACTION_READ_LOG:
-			read_action(sim, node, action);
+			sim_read_action(sim, node, action);
 			break;
 		case ACTION_APPEND:
-			append_action(sim, node, action);
+			sim_append_action(sim, node, action);
 			break;
 		case ACTION_CLAIMED:
 			if (sim->options.on_claimed)
@@ -364,65 +212,22 @@
 	config_unref(config);
 }
 
-void sim_carry_out(struct sim *sim, int node, struct actions *actions)
-{
-	carry_out(sim, node, actions);
-}
-
-static void handle(struct sim *sim, int index, const struct event *event)
+void sim_handle(struct sim *sim, int index, const struct event *event)
 {
 	struct actions actions = actions_new();
 
 	node_handle(sim->nodes[index].node, event, sim_now(sim), &actions);
-	carry_out(sim, index, &actions);
+	sim_carry_out(sim, index, &actions);
 	check(sim, index);
 }
 
-static bool take_waiter(struct sim *sim, uint64_t number)
-{
-	if (number == 0)
-		return true;
-	for (guint i = 0; i < sim->waiters->len; i++) {
-		if (g_array_index(sim->waiters, struct waiter, i).number != number)
-			continue;
-		g_array_remove_index(sim->waiters, i);
-		return true;
-	}
-	return false;
-}
-
-static void give_log(struct sim *sim, const struct pending *pending)
-{
-	int stream = pending->answer.stream;
-	int64_t from = pending->answer.from ? pending->answer.from : sim->oldest[stream];
-	struct event event = { .kind = EVENT_LOG_FAILED };
-
-	if (!take_waiter(sim, pending->answer.waiter))
-		return;
-	stream_of(stream, &event.failed.stream, &event.failed.partition);
-	event.failed.failure = LOG_FAILURE_OUT;
-	if (!sim->log_out && from < sim->oldest[stream]) {
-		event.failed.failure = LOG_FAILURE_GONE;
-	} else if (!sim->log_out) {
-		event.kind = EVENT_LOG_BATCH;
-		stream_of(stream, &event.batch.stream, &event.batch.partition);
-		event.batch.newest = newest(sim, stream);
-		event.batch.count = (int)MAX(0, event.batch.newest - from + 1);
-		event.batch.records = event.batch.count
-					      ? &g_array_index(sim->log[stream], struct log_record,
-							       from - sim->oldest[stream])
-					      : NULL;
-	}
-	handle(sim, pending->to, &event);
-}
-
 static void handle_pending(struct sim *sim, const struct pending *pending)
 {
 	struct event event = { .kind = EVENT_TICK };
 
 	switch (pending->kind) {
 	case PENDING_TICK:
-		push(sim, sim->now_us + TICK_US, PENDING_TICK, pending->to);
+		sim_push(sim, sim->now_us + TICK_US, PENDING_TICK, pending->to);
 		break;
 	case PENDING_MESSAGE:
 		event.kind = EVENT_MESSAGE;
@@ -431,15 +236,16 @@
 		break;
 	case PENDING_APPENDED:
 		event.kind = pending->appended.done ? EVENT_APPENDED : EVENT_APPEND_FAILED;
-		stream_of(pending->appended.stream, &event.append.stream, &event.append.partition);
+		sim_stream_of(pending->appended.stream, &event.append.stream,
+			      &event.append.partition);
 		event.append.tag = pending->appended.tag;
 		event.append.offset = pending->appended.offset;
 		break;
 	case PENDING_LOG_ANSWER:
-		give_log(sim, pending);
+		sim_give_log(sim, pending);
 		return;
 	}
-	handle(sim, pending->to, &event);
+	sim_handle(sim, pending->to, &event);
 }
 
 static void step(struct sim *sim)
@@ -451,7 +257,7 @@
 	if (to->node && to->started_us == pending->life && to->frozen) {
 		/* It waits, like bytes in a socket. */
 		struct pending *later =
-			push(sim, sim->now_us + TICK_US, pending->kind, pending->to);
+			sim_push(sim, sim->now_us + TICK_US, pending->kind, pending->to);
 		uint64_t seq = later->seq;
 		int64_t at_us = later->at_us;
 
@@ -518,7 +324,7 @@
 	one->started_us = sim->now_us + 1;
 	one->version_seen = 0;
 	one->node = node_new(&options, sim_now(sim), NULL);
-	push(sim, sim->now_us + (int64_t)rng_below(&sim->rng, TICK_US), PENDING_TICK, index);
+	sim_push(sim, sim->now_us + (int64_t)rng_below(&sim->rng, TICK_US), PENDING_TICK, index);
 }
 
 void sim_kill(struct sim *sim, int index)
@@ -537,7 +343,7 @@
 {
 	struct event event = { .kind = EVENT_STOP };
 
-	handle(sim, index, &event);
+	sim_handle(sim, index, &event);
 }
 
 void sim_cut(struct sim *sim, int from, int to, bool cut)
@@ -563,101 +369,7 @@
 	event.target.service = one->target.service;
 	event.target.version = one->target.version;
 	event.target.slots = slots;
-	handle(sim, index, &event);
-}
-
-int64_t sim_publish(struct sim *sim, const char *id, const char *file, int64_t base,
-		    const char *content)
-{
-	struct log_record record = { .kind = LOG_CHANGE };
-
-	record.change = change_new(label_from(str_from_cstr(id)), label_from(str_from_cstr(file)),
-				   base, str_from_cstr(content));
-	parse_change(record.change);
-	return append_record(sim, STREAM_CONFIG, record);
-}
-
-void sim_log_out(struct sim *sim, bool out)
-{
-	sim->log_out = out;
-	for (int stream = 0; stream < STREAMS; stream++)
-		wake_waiters(sim, stream);
-}
-
-void sim_log_lapse(struct sim *sim, int64_t keep_us)
-{
-	for (int stream = 0; stream < STREAMS; stream++) {
-		while (sim->log[stream]->len &&
-		       g_array_index(sim->written_at[stream], int64_t, 0) < sim->now_us - keep_us) {
-			log_record_clear(&g_array_index(sim->log[stream], struct log_record, 0));
-			g_array_remove_index(sim->log[stream], 0);
-			g_array_remove_index(sim->written_at[stream], 0);
-			sim->oldest[stream]++;
-		}
-	}
-}
-
-void sim_log_lose_answers(struct sim *sim, int count)
-{
-	sim->lose_answers = count;
-}
-
-/* Service time is spread evenly around its mean, four times it while cold. */
-static int64_t service_us(struct sim *sim, const struct sim_target *target, bool bad)
-{
-	double us = SERVICE_US * (0.5 + rng_unit(&sim->rng));
-
-	if (bad)
-		us *= target->slow_factor;
-	if (sim->now_us < target->cold_until_us)
-		us *= 4;
-	return (int64_t)us;
-}
-
-static enum sim_call_result run_call(struct sim *sim, int index, struct label route)
-{
-	struct sim_node *one = &sim->nodes[index];
-	struct sim_target *target = &one->target;
-	bool bad = sim->now_us >= target->bad_from_us &&
-		   (target->bad_route.len == 0 || label_equal(&target->bad_route, &route));
-	double fails = target->fault_share + (bad ? target->fail_share : 0);
-	bool failed = rng_unit(&sim->rng) < fails;
-
-	node_target_ended(one->node, route, failed ? TARGET_FAILED : TARGET_ANSWERED,
-			  service_us(sim, target, bad), sim_now(sim));
-	return failed ? SIM_CALL_FAILED : SIM_CALL_GOOD;
-}
-
-enum sim_call_result sim_call(struct sim *sim, int index, const char *route, uint64_t point,
-			      struct label *version)
-{
-	struct sim_node *entry = &sim->nodes[index];
-	struct config *config = node_config(entry->node);
-	struct call_facts facts = { .point = point };
-	struct actions actions = actions_new();
-	enum sim_call_result result = SIM_CALL_NOT_RUN;
-	struct choice choice;
-	int target;
-
-	facts.route = config_find_route(config, label_from(str_from_cstr(route)));
-	if (facts.route) {
-		choice = node_choose(entry->node, config, &facts, sim_now(sim));
-		target = choice.kind == CHOICE_TARGET ? index_of(sim, choice.target) : -1;
-		if (target >= 0 && sim->nodes[target].node && !sim->nodes[target].frozen &&
-		    !sim->nodes[target].target.crashed) {
-			result = run_call(sim, target, facts.route->name);
-			*version = choice.version;
-		}
-		if (target >= 0)
-			node_call_ended(entry->node, facts.route->service, choice.target,
-					result == SIM_CALL_GOOD	    ? CALL_ANSWERED
-					: result == SIM_CALL_FAILED ? CALL_FAILED
-								    : CALL_BROKEN,
-					sim_now(sim), &actions);
-	}
-	carry_out(sim, index, &actions);
-	config_unref(config);
-	return result;
+	sim_handle(sim, index, &event);
 }
 
 static void preload(struct sim *sim)
--- /dev/null
+++ b/regress/lib/sim_calls.c
@@ -0,0 +1,62 @@
+/*
+ * Simulated targets and the calls to them.
+ */
+#include "regress/lib/sim_parts.h"
+
+/* Service time is spread evenly around its mean, four times it while cold. */
+static int64_t service_us(struct sim *sim, const struct sim_target *target, bool bad)
+{
+	double us = SERVICE_US * (0.5 + rng_unit(&sim->rng));
+
+	if (bad)
+		us *= target->slow_factor;
+	if (sim->now_us < target->cold_until_us)
+		us *= 4;
+	return (int64_t)us;
+}
+
+static enum sim_call_result run_call(struct sim *sim, int index, struct label route)
+{
+	struct sim_node *one = &sim->nodes[index];
+	struct sim_target *target = &one->target;
+	bool bad = sim->now_us >= target->bad_from_us &&
+		   (target->bad_route.len == 0 || label_equal(&target->bad_route, &route));
+	double fails = target->fault_share + (bad ? target->fail_share : 0);
+	bool failed = rng_unit(&sim->rng) < fails;
+
+	node_target_ended(one->node, route, failed ? TARGET_FAILED : TARGET_ANSWERED,
+			  service_us(sim, target, bad), sim_now(sim));
+	return failed ? SIM_CALL_FAILED : SIM_CALL_GOOD;
+}
+
+enum sim_call_result sim_call(struct sim *sim, int index, const char *route, uint64_t point,
+			      struct label *version)
+{
+	struct sim_node *entry = &sim->nodes[index];
+	struct config *config = node_config(entry->node);
+	struct call_facts facts = { .point = point };
+	struct actions actions = actions_new();
+	enum sim_call_result result = SIM_CALL_NOT_RUN;
+	struct choice choice;
+	int target;
+
+	facts.route = config_find_route(config, label_from(str_from_cstr(route)));
+	if (facts.route) {
+		choice = node_choose(entry->node, config, &facts, sim_now(sim));
+		target = choice.kind == CHOICE_TARGET ? sim_index_of(sim, choice.target) : -1;
+		if (target >= 0 && sim->nodes[target].node && !sim->nodes[target].frozen &&
+		    !sim->nodes[target].target.crashed) {
+			result = run_call(sim, target, facts.route->name);
+			*version = choice.version;
+		}
+		if (target >= 0)
+			node_call_ended(entry->node, facts.route->service, choice.target,
+					result == SIM_CALL_GOOD	    ? CALL_ANSWERED
+					: result == SIM_CALL_FAILED ? CALL_FAILED
+								    : CALL_BROKEN,
+					sim_now(sim), &actions);
+	}
+	sim_carry_out(sim, index, &actions);
+	config_unref(config);
+	return result;
+}
