--- a/base/lockorder.h
+++ b/base/lockorder.h
@@ -2,7 +2,7 @@
  * @file
  * The order of all locks, lowest rank first: a thread that holds a lock takes only higher ranks.
  * The order follows a request on its way: the tables of open calls and links come first, since
- * they look things up in core's tables; the leaves (pipes, counters, log) come last. Within core
+ * they look things up in core's tables; the leaves (pipes, counters) come last. Within core
  * the configuration comes before what is derived from it.
  */
 #ifndef BASE_LOCKORDER_H
@@ -14,22 +14,21 @@
 #include <stdbool.h>
 
 enum lock_rank {
-	LOCK_CALLS,    /**< open calls of the daemon */
-	LOCK_LINKS,    /**< table of links to other nodes */
-	LOCK_LINK,     /**< one link's streams and output */
-	LOCK_HISTORY,  /**< accepted configuration */
-	LOCK_MEMBERS,  /**< membership and what is known of each target */
-	LOCK_SPREAD,   /**< probes, pulls and pending updates */
-	LOCK_MOVES,    /**< state and evidence of the moves */
-	LOCK_ADMIT,    /**< slots and queue of the node's own target */
-	LOCK_CLAIMS,   /**< idempotency keys */
-	LOCK_POISON,   /**< fingerprints of requests that crash targets */
-	LOCK_TARGET,   /**< the announced target */
-	LOCK_PIPE,     /**< one body in transit */
-	LOCK_WORKERS,  /**< queue of posted work */
-	LOCK_COUNTERS, /**< tables of counters and histograms */
-	LOCK_LOG,      /**< the logger's output */
-	LOCK_RANKS,
+	LOCK_CALLS,   /**< open calls of the daemon */
+	LOCK_LINKS,   /**< table of links to other nodes */
+	LOCK_LINK,    /**< one link's streams and output */
+	LOCK_HISTORY, /**< accepted configuration */
+	LOCK_MEMBERS, /**< membership and what is known of each target */
+	LOCK_SPREAD,  /**< probes, pulls and pending updates */
+	LOCK_MOVES,   /**< state and evidence of the moves */
+	LOCK_ADMIT,   /**< slots and queue of the node's own target */
+	LOCK_CLAIMS,  /**< idempotency keys */
+	LOCK_POISON,  /**< fingerprints of requests that crash targets */
+	LOCK_TARGET,  /**< the announced target */
+	LOCK_PIPE,    /**< one body in transit */
+	LOCK_WORKERS, /**< queue of posted work */
+	LOCK_COUNTERS,
+	/**< tables of counters and histograms */ LOCK_RANKS,
 };
 
 /** A mutex with a rank. A build without NDEBUG asserts the order for each thread. */
--- a/base/logger.c
+++ b/base/logger.c
@@ -3,7 +3,6 @@
 #include <fcntl.h>
 #include <glib.h>
 #include <glib/gprintf.h>
-#include <pthread.h>
 #include <stdarg.h>
 #include <string.h>
 #include <unistd.h>
@@ -12,10 +11,9 @@
 #include "base/str.h"
 
 /*
- * The process's one log. Its lock is a leaf, so a plain mutex stands in for LOCK_LOG: the
- * logger works before APR is started.
+ * The process's one log. A line is one write to a descriptor that appends, so that no lock is held
+ * for it; a reopened file takes the descriptor's place in one step.
  */
-static pthread_mutex_t log_mutex = PTHREAD_MUTEX_INITIALIZER;
 static int log_fd = -1;
 static char *log_path;
 
@@ -49,15 +47,13 @@
 {
 	int fd;
 
-	if (!log_path)
+	if (!log_path || log_fd <= STDERR_FILENO)
 		return;
 	fd = open_path(log_path);
 	if (fd < 0)
 		return;
-	pthread_mutex_lock(&log_mutex);
-	close_fd();
-	log_fd = fd;
-	pthread_mutex_unlock(&log_mutex);
+	dup2(fd, log_fd);
+	close(fd);
 	logger_event(NOTE_LOG_REOPENED, "path=%s", log_path);
 }
 
@@ -117,10 +113,8 @@
 	strbuf_addf(&line, " %s %d %s %s\n", level_name(entry->level), (int)event, entry->name,
 		    fields);
 	g_free(fields);
-	pthread_mutex_lock(&log_mutex);
 	if (write(log_fd, line.data, line.len) < 0) {
 		/* Nowhere is left to report a log that can't be written. */
 	}
-	pthread_mutex_unlock(&log_mutex);
 	strbuf_clear(&line);
 }
--- a/base/logger.h
+++ b/base/logger.h
@@ -13,7 +13,7 @@
 void logger_reopen(void);
 void logger_close(void);
 
-/** Writes one event. @p format gives the fields, as in "offset=%ld". Takes LOCK_LOG. */
+/** Writes one event. @p format gives the fields, as in "offset=%ld". Takes no lock. */
 void logger_event(enum log_event event, const char *format, ...)
 	__attribute__((format(printf, 2, 3)));
 
--- a/regress/core/traces_test.c
+++ b/regress/core/traces_test.c
@@ -32,12 +32,12 @@
 static void test_a_wrong_outcome_is_noticed(void **state)
 {
 	const char *bin = getenv("GODWITHITCH_BIN");
-	char path[] = "/tmp/godwithitch-trace-XXXXXX";
+	char *path = NULL;
 	char *command;
 	FILE *file;
 
 	(void)state;
-	file = fdopen(mkstemp(path), "w");
+	file = fdopen(g_file_open_tmp("godwithitch-XXXXXX", &path, NULL), "w");
 	fprintf(file, "{\"at\":0,\"node\":{\"address\":\"10.0.0.1:7000\",\"data_centre\":\"a\"}}\n"
 		      "{\"at\":1,\"expect\":{\"version\":7}}\n");
 	fclose(file);
@@ -45,6 +45,7 @@
 				  path);
 	assert_int_equal(WEXITSTATUS(system(command)), 1);
 	remove(path);
+	g_free(path);
 	g_free(command);
 }
 
--- a/regress/godwithitchd/limits_test.c
+++ b/regress/godwithitchd/limits_test.c
@@ -241,6 +241,21 @@
 	}
 }
 
+/* After the file is moved away, SIGHUP has the log go on in a new one. */
+static void test_the_log_is_reopened(void **state)
+{
+	char *moved;
+
+	(void)state;
+	start("");
+	moved = g_strdup_printf("%s.1", fleet->nodes[0].log_path);
+	assert_int_equal(rename(fleet->nodes[0].log_path, moved), 0);
+	process_signal(&fleet->nodes[0].daemon, SIGHUP);
+	wait_ms(500);
+	assert_true(log_holds("103 LOG_REOPENED"));
+	g_free(moved);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -250,6 +265,7 @@
 		cmocka_unit_test_teardown(test_connections_of_one_address_are_bounded, stop_fleet),
 		cmocka_unit_test_teardown(test_no_thread_spins, stop_fleet),
 		cmocka_unit_test_teardown(test_a_stop_has_an_end, stop_fleet),
+		cmocka_unit_test_teardown(test_the_log_is_reopened, stop_fleet),
 	};
 
 	curl_global_init(CURL_GLOBAL_DEFAULT);
--- a/regress/godwithitchd/settings_test.c
+++ b/regress/godwithitchd/settings_test.c
@@ -57,12 +57,12 @@
 
 static void test_settings(void **state)
 {
-	char path[] = "/tmp/godwithitch-settings-XXXXXX";
+	char *path = NULL;
 	char errors[1024];
-	char args[128];
+	char args[256];
 
 	(void)state;
-	close(mkstemp(path));
+	close(g_file_open_tmp("godwithitch-XXXXXX", &path, NULL));
 	g_snprintf(args, sizeof(args), "-n -f %s", path);
 	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
 		int status;
@@ -74,6 +74,7 @@
 			fail_msg("%s: exit %d, %s", rows[i].what, status, errors);
 	}
 	unlink(path);
+	g_free(path);
 }
 
 static const struct exit_row {
--- a/regress/lib/fleet.c
+++ b/regress/lib/fleet.c
@@ -80,6 +80,7 @@
 {
 	struct fleet *fleet = g_new0(struct fleet, 1);
 	char *program;
+	char *made;
 	char keep[16];
 	char *argv[] = { NULL, "-k", keep, NULL };
 	int output;
@@ -87,9 +88,11 @@
 	signal(SIGPIPE, SIG_IGN);
 	find_programs(fleet);
 	fleet->log_keep_s = keep_s ? keep_s : 3600;
-	g_strlcpy(fleet->dir, "/tmp/godwithitch-XXXXXX", sizeof(fleet->dir));
-	if (!mkdtemp(fleet->dir))
+	made = g_dir_make_tmp("godwithitch-XXXXXX", NULL);
+	if (!made)
 		abort();
+	g_strlcpy(fleet->dir, made, sizeof(fleet->dir));
+	g_free(made);
 	program = g_strdup_printf("%s/logservice", fleet->bin);
 	argv[0] = program;
 	g_snprintf(keep, sizeof(keep), "%d", fleet->log_keep_s);
