--- a/base/workers.h
+++ b/base/workers.h
@@ -31,12 +31,10 @@
 	void *data;
 };
 
-typedef void workers_handle_fn(void *context, const struct work *work, int ready);
-
 struct workers_options {
 	int threads;
 	int queue_max; /**< posted work; past it workers_post() refuses */
-	workers_handle_fn *handle;
+	void (*handle)(void *context, const struct work *work, int ready);
 	void *context;
 };
 
--- a/caller/http.h
+++ b/caller/http.h
@@ -28,8 +28,6 @@
 	size_t bytes; /**< CALLER_DRAINED */
 };
 
-typedef void caller_handle_fn(void *context, const struct caller_event *event);
-
 struct caller_options {
 	uint32_t ipv4;
 	uint16_t port;	 /**< 0: from the kernel */
@@ -37,7 +35,7 @@
 	int connections_per_address;
 	int idle_s;	  /**< an idle connection is closed after this many seconds */
 	int64_t body_max; /**< bytes of a request's body */
-	caller_handle_fn *handle;
+	void (*handle)(void *context, const struct caller_event *event);
 	void *context;
 };
 
--- a/godwithitch/show.c
+++ b/godwithitch/show.c
@@ -19,10 +19,9 @@
 	return TOOL_DONE;
 }
 
-typedef void print_fn(const struct json *root);
-
 /* Fetches and prints one resource, as a table or as it came. */
-static int print_resource(const struct tool *tool, const char *path, print_fn *print)
+static int print_resource(const struct tool *tool, const char *path,
+			  void (*print)(const struct json *root))
 {
 	struct reply reply = fetch_any(tool, path);
 	struct json_doc *doc = reply_json(&reply);
--- a/operator/control.h
+++ b/operator/control.h
@@ -11,14 +11,13 @@
 
 struct control;
 
-typedef void control_handle_fn(void *context, struct actions *actions);
-
 struct control_options {
 	uint32_t ipv4;
 	uint16_t port;
 	struct node *node;
 	struct metrics *metrics;
-	control_handle_fn *handle; /**< carries out the actions of a census */
+	void (*handle)(void *context,
+		       struct actions *actions); /**< carries out the actions of a census */
 	void *context;
 };
 
--- a/operator/parse.c
+++ b/operator/parse.c
@@ -221,10 +221,8 @@
 	return true;
 }
 
-typedef bool parse_item_fn(struct parser *p, const struct json *item);
-
 static bool parse_section(struct parser *p, struct str key, enum json_kind kind,
-			  parse_item_fn *parse_item)
+			  bool (*parse_item)(struct parser *p, const struct json *item))
 {
 	struct json *section;
 
--- a/peer/peers.h
+++ b/peer/peers.h
@@ -64,8 +64,6 @@
 	};
 };
 
-typedef void peers_handle_fn(void *context, struct peer_event *event);
-
 /** A range of addresses that belong to the fleet. */
 struct address_range {
 	uint32_t network; /**< host byte order */
@@ -80,7 +78,7 @@
 	int range_count;
 	struct workers *workers;
 	struct metrics *metrics;
-	peers_handle_fn *handle;
+	void (*handle)(void *context, struct peer_event *event);
 	void *context;
 };
 
--- a/regress/core/claim_test.c
+++ b/regress/core/claim_test.c
@@ -73,8 +73,6 @@
 	sim_carry_out(sim, ask->node, &actions);
 }
 
-typedef void fault_fn(struct sim *sim, int step);
-
 static void no_fault(struct sim *sim, int step)
 {
 	(void)sim;
@@ -128,7 +126,7 @@
 
 static const struct row {
 	const char *what;
-	fault_fn *fault;
+	void (*fault)(struct sim *sim, int step);
 	bool all_granted; /* each key is granted to somebody in the end */
 } rows[] = {
 	{ "no fault", no_fault, true },
--- a/regress/core/fleet_test.c
+++ b/regress/core/fleet_test.c
@@ -17,7 +17,6 @@
 
 /* A row's fault acts on a fleet of 24 nodes that holds version 1; it returns the version that all
  * must then hold. */
-typedef int64_t fault_fn(struct sim *sim);
 
 static int64_t crossed_and_doubled(struct sim *sim)
 {
@@ -172,7 +171,7 @@
 
 static const struct row {
 	const char *what;
-	fault_fn *fault;
+	int64_t (*fault)(struct sim *sim);
 	int within_s;	      /* until all hold the version */
 	int members_within_s; /* until all see all members */
 } rows[] = {
--- a/regress/lib/sim.h
+++ b/regress/lib/sim.h
@@ -13,8 +13,6 @@
 struct sim;
 
 /** An answer to a claim came on a node. */
-typedef void sim_claimed_fn(struct sim *sim, int node, uint64_t seq, enum claim_result result);
-
 struct sim_options {
 	int nodes;
 	int data_centres;
@@ -27,7 +25,7 @@
 	bool preload;	      /**< nodes start with the whole membership, as after a long run */
 	int readers;
 	int64_t log_retention_us;
-	sim_claimed_fn *on_claimed;
+	void (*on_claimed)(struct sim *sim, int node, uint64_t seq, enum claim_result result);
 	void *context; /**< the test's own, see sim_context() */
 };
 
--- a/target/announce.h
+++ b/target/announce.h
@@ -25,12 +25,10 @@
 	struct deadline until; /**< it lapses unless renewed */
 };
 
-typedef void announce_handle_fn(void *context, const struct announcement *announcement);
-
 struct announce_options {
 	uint32_t ipv4;
 	uint16_t port;
-	announce_handle_fn *handle;
+	void (*handle)(void *context, const struct announcement *announcement);
 	void *context;
 };
 
--- a/target/call.h
+++ b/target/call.h
@@ -45,13 +45,11 @@
 };
 
 /** False gives the call up. */
-typedef bool target_handle_fn(void *context, struct target_event *event);
-
 struct target_call_options {
 	const struct request_head *head;
 	bool has_body;
 	struct deadline deadline;
-	target_handle_fn *handle;
+	bool (*handle)(void *context, struct target_event *event);
 	void *context;
 };
 
