--- a/regress/godwithitchd/path_test.c
+++ b/regress/godwithitchd/path_test.c
@@ -276,6 +276,37 @@
 	assert_int_equal(process_wait(&fleet->nodes[1].daemon, 10000), 0);
 }
 
+/* Nor what waits: a file half sent, two calls running and ten queued are all finished. */
+static void test_a_stop_ends_a_full_queue(void **state)
+{
+	enum { CALLS = 12 };
+	struct download calls[CALLS] = { 0 };
+	struct download file = { .options.slow_after_bytes = MIB };
+	int64_t before_us;
+
+	(void)state;
+	fleet = start("-s registre -v v1 -n 3 -l 300000");
+	start_download(&file, 0, "/bytes?n=20000000");
+	wait_ms(600);
+	for (int i = 0; i < CALLS; i++)
+		start_download(&calls[i], 0, "/records");
+	wait_ms(150);
+	before_us = clock_now().mono_us;
+	process_signal(&fleet->nodes[1].daemon, SIGTERM);
+	for (int i = 0; i < CALLS; i++) {
+		g_thread_join(calls[i].thread);
+		assert_int_equal(calls[i].reply.status, 200);
+		http_clear(&calls[i].reply);
+	}
+	/* They did wait: twelve calls of 0.3 s on the two slots that the file leaves. */
+	assert_true(clock_now().mono_us - before_us > US_PER_S);
+	g_thread_join(file.thread);
+	assert_true(file.reply.whole);
+	assert_int_equal(file.options.wrong, 0);
+	http_clear(&file.reply);
+	assert_int_equal(process_wait(&fleet->nodes[1].daemon, 10000), 0);
+}
+
 /* A write whose target dies with it is not sent again, and says so. */
 static void test_a_crash_is_not_repeated_for_a_write(void **state)
 {
@@ -591,6 +622,7 @@
 		cmocka_unit_test_teardown(test_a_large_body_goes_up_whole, stop_fleet),
 		cmocka_unit_test_teardown(test_a_cut_body_is_cut_visibly, stop_fleet),
 		cmocka_unit_test_teardown(test_a_stop_cuts_no_download, stop_fleet),
+		cmocka_unit_test_teardown(test_a_stop_ends_a_full_queue, stop_fleet),
 		cmocka_unit_test_teardown(test_a_crash_is_not_repeated_for_a_write, stop_fleet),
 		cmocka_unit_test_teardown(test_a_request_that_crashes_targets_is_refused,
 					  stop_fleet),
