--- a/caller/http.c
+++ b/caller/http.c
@@ -532,6 +532,11 @@
 	return released;
 }
 
+size_t caller_held(struct caller_call *call)
+{
+	return pipe_held(call->answer);
+}
+
 void caller_give(struct caller_call *call, struct str bytes)
 {
 	if (pipe_put(call->answer, bytes))
--- a/caller/http.h
+++ b/caller/http.h
@@ -71,6 +71,8 @@
  * of a small body of known length waits for the body's end, to go out with it in one piece.
  */
 void caller_head(struct caller_call *call, const struct response_head *head);
+/** Bytes of the answer that the caller has not taken yet. */
+size_t caller_held(struct caller_call *call);
 /** Gives bytes of the answer's body. */
 void caller_give(struct caller_call *call, struct str bytes);
 /** The same, but waits for room first. False if the caller is gone or @p deadline passed. */
--- a/godwithitchd/attempt.c
+++ b/godwithitchd/attempt.c
@@ -251,6 +251,21 @@
 	attempt_pump(attempt);
 }
 
+/* A sender keeps to its window; one that does not is cut off before it takes the memory. */
+static void take_data(struct attempt *attempt, struct str bytes)
+{
+	struct caller_call *caller = attempt->call->caller;
+
+	if (g_atomic_int_get(&attempt->over))
+		return;
+	if (caller_held(caller) + bytes.len <= 2 * STREAM_WINDOW) {
+		caller_give(caller, bytes);
+		return;
+	}
+	stream_cancel(attempt->stream);
+	attempt_lost(attempt, VERDICT_RAN);
+}
+
 void calls_on_peer(struct attempt *attempt, struct peer_event *event)
 {
 	switch (event->kind) {
@@ -261,8 +276,7 @@
 		attempt_refused(attempt, event->refusal);
 		return;
 	case PEER_DATA:
-		if (!g_atomic_int_get(&attempt->over))
-			caller_give(attempt->call->caller, event->bytes);
+		take_data(attempt, event->bytes);
 		return;
 	case PEER_END:
 		attempt_end(attempt);
--- a/godwithitchd/serve.c
+++ b/godwithitchd/serve.c
@@ -221,6 +221,17 @@
 	lock_release(&serve->lock);
 }
 
+/* A sender keeps to its window; one that does not is cut off before it takes the memory. */
+static void take_data(struct serve *serve, struct str bytes)
+{
+	if (pipe_held(serve->body) + bytes.len <= 2 * STREAM_WINDOW) {
+		pipe_put(serve->body, bytes);
+		return;
+	}
+	serve_cancel(serve);
+	stream_cancel(serve->sink.stream);
+}
+
 void serve_on_peer(struct serve *serve, struct peer_event *event)
 {
 	switch (event->kind) {
@@ -231,7 +242,7 @@
 		serve_run(serve);
 		return;
 	case PEER_DATA:
-		pipe_put(serve->body, event->bytes);
+		take_data(serve, event->bytes);
 		return;
 	case PEER_END:
 		pipe_finish(serve->body, PIPE_DONE);
