--- a/peer/codec.c
+++ b/peer/codec.c
@@ -287,6 +287,29 @@
 	in->bad |= list.bad;
 }
 
+static void unpack_buckets(struct unpack *in, struct message *message)
+{
+	message->buckets = g_new0(uint64_t, MEMBER_BUCKETS);
+	for (int i = 0; i < MEMBER_BUCKETS; i++)
+		message->buckets[i] = unpack_u64(in);
+}
+
+static void unpack_poison(struct unpack *in, struct poison_mark *mark)
+{
+	mark->fingerprint = unpack_u64(in);
+	mark->crash = unpack_u64(in);
+	mark->expires_at_us = unpack_i64(in);
+}
+
+static void unpack_claim_ask(struct unpack *in, struct message *message)
+{
+	message->claim_ask.seq = unpack_u64(in);
+	message->claim_ask.key.high = unpack_u64(in);
+	message->claim_ask.key.low = unpack_u64(in);
+	message->claim_ask.claim = unpack_u64(in);
+	message->claim_ask.left_us = unpack_i64(in);
+}
+
 static void unpack_body(struct unpack *in, struct message *message)
 {
 	switch (message->kind) {
@@ -309,9 +332,7 @@
 		unpack_snapshot(in, &message->snapshot);
 		return;
 	case MESSAGE_MEMBERS_ASK:
-		message->buckets = g_new0(uint64_t, MEMBER_BUCKETS);
-		for (int i = 0; i < MEMBER_BUCKETS; i++)
-			message->buckets[i] = unpack_u64(in);
+		unpack_buckets(in, message);
 		return;
 	case MESSAGE_MEMBERS:
 		message->members = unpack_members(in);
@@ -327,9 +348,7 @@
 		message->retry_after_us = unpack_i64(in);
 		return;
 	case MESSAGE_POISON:
-		message->poison.fingerprint = unpack_u64(in);
-		message->poison.crash = unpack_u64(in);
-		message->poison.expires_at_us = unpack_i64(in);
+		unpack_poison(in, &message->poison);
 		return;
 	case MESSAGE_CENSUS_ASK:
 	case MESSAGE_CENSUS:
@@ -337,11 +356,7 @@
 		message->census.version = unpack_i64(in);
 		return;
 	case MESSAGE_CLAIM_ASK:
-		message->claim_ask.seq = unpack_u64(in);
-		message->claim_ask.key.high = unpack_u64(in);
-		message->claim_ask.key.low = unpack_u64(in);
-		message->claim_ask.claim = unpack_u64(in);
-		message->claim_ask.left_us = unpack_i64(in);
+		unpack_claim_ask(in, message);
 		return;
 	case MESSAGE_CLAIM_ANSWER:
 		message->claim_answer.seq = unpack_u64(in);
