--- a/regress/core/fleet_test.c
+++ b/regress/core/fleet_test.c
@@ -418,30 +418,43 @@
 	  false, true },
 };
 
+static void run_switch(const struct switch_row *row, enum movesim_fault fault)
+{
+	struct movesim_options options = { .seed = 3,
+					   .fault = fault,
+					   .fail_share = row->fail_share,
+					   .calls_per_s = 200,
+					   .move_s = 60,
+					   .switches = row->switches };
+	struct movesim_result result = movesim_run(&options);
+
+	if (!row->may_advance && (result.step != 0 || result.done))
+		fail_msg("%s, %s: it moved to step %d", row->what, movesim_fault_name(fault),
+			 result.step);
+	if (!row->may_withdraw && result.withdrawn)
+		fail_msg("%s, %s: it was withdrawn", row->what, movesim_fault_name(fault));
+	/* What is not switched off still happens, so that the test can fail. */
+	if (row->may_advance && result.step == 0)
+		fail_msg("%s, %s: it did not move", row->what, movesim_fault_name(fault));
+	assert_string_equal(result.violation, "");
+}
+
+/* Off means off, also over a restart of all nodes, a partition and an outage of the log. */
 static void test_switches(void **state)
 {
+	static const enum movesim_fault faults[] = { FAULT_NONE, FAULT_RESTART, FAULT_PARTITION,
+						     FAULT_LOG_OUT };
+
 	(void)state;
-	for (size_t i = 0; i < G_N_ELEMENTS(switch_rows); i++) {
-		const struct switch_row *row = &switch_rows[i];
-		struct movesim_options options = { .seed = 3,
-						   .fail_share = row->fail_share,
-						   .calls_per_s = 200,
-						   .move_s = 60,
-						   .switches = row->switches };
-		struct movesim_result result = movesim_run(&options);
-
-		if (!row->may_advance && (result.step != 0 || result.done))
-			fail_msg("%s: it moved to step %d", row->what, result.step);
-		if (!row->may_withdraw && result.withdrawn)
-			fail_msg("%s: it was withdrawn", row->what);
-		assert_string_equal(result.violation, "");
-	}
+	for (size_t i = 0; i < G_N_ELEMENTS(switch_rows); i++)
+		for (size_t j = 0; j < G_N_ELEMENTS(faults); j++)
+			run_switch(&switch_rows[i], faults[j]);
 }
 
 static void test_moves(void **state)
 {
 	(void)state;
-	for (int fault = 0; fault < FAULT_COUNT; fault++) {
+	for (int fault = 0; fault <= FAULT_PARTITION; fault++) {
 		struct movesim_options good = { .seed = 100 + (uint64_t)fault,
 						.fault = fault,
 						.calls_per_s = 200,
--- a/regress/lib/movesim.c
+++ b/regress/lib/movesim.c
@@ -12,7 +12,8 @@
 	static const char *const names[] = { "no fault",	  "cold start",
 					     "shared fault",	  "shared fault after done",
 					     "log out",		  "old node dies",
-					     "a new target dies", "messages lost" };
+					     "a new target dies", "messages lost",
+					     "all restart",	  "partition" };
 
 	return names[fault];
 }
@@ -57,6 +58,24 @@
 	}
 }
 
+static void restart_all(struct sim *sim)
+{
+	for (int i = 0; i < NODES; i++)
+		sim_kill(sim, i);
+	for (int i = 0; i < NODES; i++) {
+		sim_start(sim, i);
+		sim_target_up(sim, i, "s", i >= OLD_TARGETS ? "v2" : "v1", 9);
+	}
+}
+
+static void set_partition(struct sim *sim, bool cut)
+{
+	for (int dc = 1; dc < DATA_CENTRES; dc++) {
+		sim_cut(sim, 0, dc, cut);
+		sim_cut(sim, dc, 0, cut);
+	}
+}
+
 /* Switches the fault on and off as the move goes on. */
 static void play_fault(struct sim *sim, const struct movesim_options *options, int second)
 {
@@ -84,9 +103,15 @@
 	case FAULT_LOSS:
 		sim_set_loss(sim, 0.1);
 		return;
+	case FAULT_RESTART:
+		if (second == at)
+			restart_all(sim);
+		return;
+	case FAULT_PARTITION:
+		set_partition(sim, second >= at && second < at + 30);
+		return;
 	case FAULT_NONE:
 	case FAULT_COLD:
-	case FAULT_COUNT:
 		return;
 	}
 }
--- a/regress/lib/movesim.h
+++ b/regress/lib/movesim.h
@@ -19,6 +19,9 @@
 	FAULT_NEW_TARGET_DIES, /**< one of the new targets dies */
 	FAULT_LOSS,	       /**< a tenth of all messages is lost */
 	FAULT_COUNT,
+	/* For tests of their own, beyond those that seeds take in turn. */
+	FAULT_RESTART = FAULT_COUNT, /**< all nodes die and start again */
+	FAULT_PARTITION, /**< a data centre is apart from the others for half a minute */
 };
 
 const char *movesim_fault_name(enum movesim_fault fault);
