--- /dev/null
+++ b/regress/lib/two.c
@@ -0,0 +1,66 @@
+#include "regress/lib/check.h"
+
+#include "regress/lib/two.h"
+
+struct fleet *fleet;
+
+/* Two nodes in two data centres; the second has a target. */
+struct fleet *two_start(const char *target_args)
+{
+	struct fleet *made = fleet_new(0);
+
+	fleet_add_node(made, "fes-a");
+	fleet_add_node(made, "fes-b");
+	fleet_add_target(made, 1, target_args);
+	assert_true(fleet_wait_live(made, 2, 10000));
+	assert_true(fleet_wait_text(made, 0, "/v1/members", "registre", 10000));
+	assert_int_equal(fleet_apply(made, "one.json", FILE_GOOD, NULL), 0);
+	return made;
+}
+
+int two_stop(void **state)
+{
+	(void)state;
+	if (fleet)
+		fleet_free(fleet);
+	fleet = NULL;
+	return 0;
+}
+
+struct http_reply two_call(int node, const char *path, struct http_options *options)
+{
+	struct http_client *client = http_new();
+	char *url = g_strdup_printf("http://%s%s", fleet->nodes[node].callers, path);
+	struct http_reply reply = http_do(client, url, options);
+
+	g_free(url);
+	http_free(client);
+	return reply;
+}
+
+long two_status(int node, const char *path)
+{
+	struct http_options options = { 0 };
+	struct http_reply reply = two_call(node, path, &options);
+
+	http_clear(&reply);
+	return reply.status;
+}
+
+static gpointer download_main(gpointer data)
+{
+	struct download *download = data;
+
+	download->reply = two_call(download->node, download->path, &download->options);
+	return NULL;
+}
+
+void start_download(struct download *download, int node, const char *path)
+{
+	download->node = node;
+	download->path = path;
+	download->options.discard = true;
+	download->options.check_pattern = true;
+	download->options.timeout_ms = 60000;
+	download->thread = g_thread_new("download", download_main, download);
+}
