--- a/regress/lib/sim.c
+++ b/regress/lib/sim.c
@@ -187,13 +187,30 @@
 	actions_clear(actions);
 }
 
-static void violate(struct sim *sim, int node, const char *what)
+void sim_violate(struct sim *sim, int node, const char *what)
 {
 	if (sim->violation[0] == '\0')
 		g_snprintf(sim->violation, sizeof(sim->violation), "at %ld us, node %d: %s",
 			   sim->now_us, node, what);
 }
 
+/* A move's state only grows: no step is taken back, and a withdrawal is final. */
+static void check_moves(struct sim *sim, int index)
+{
+	struct sim_node *one = &sim->nodes[index];
+	GArray *states = moves_states(node_moves(one->node));
+
+	for (guint i = 0; i < states->len; i++) {
+		const struct move_state *state = &g_array_index(states, struct move_state, i);
+		struct move_state joined = *state;
+
+		if (state->id == one->move_seen.id && move_state_join(&joined, &one->move_seen))
+			sim_violate(sim, index, "a move's state went back");
+		one->move_seen = *state;
+	}
+	g_array_unref(states);
+}
+
 /* What must hold after each event of a node. */
 static void check(struct sim *sim, int index)
 {
@@ -201,15 +218,16 @@
 	struct config *config = node_config(one->node);
 
 	if (config->version < one->version_seen)
-		violate(sim, index, "it went back to an older version");
+		sim_violate(sim, index, "it went back to an older version");
 	one->version_seen = config->version;
 	for (guint i = 0; i < config->routes->len; i++) {
 		const struct route *route = g_ptr_array_index(config->routes, i);
 
 		if (!config_find_service(config, route->service))
-			violate(sim, index, "a route names a service that the node lacks");
+			sim_violate(sim, index, "a route names a service that the node lacks");
 	}
 	config_unref(config);
+	check_moves(sim, index);
 }
 
 void sim_handle(struct sim *sim, int index, const struct event *event)
@@ -323,6 +341,7 @@
 	options.seed_count = 4;
 	one->started_us = sim->now_us + 1;
 	one->version_seen = 0;
+	one->move_seen = (struct move_state){ 0 };
 	one->node = node_new(&options, sim_now(sim), NULL);
 	sim_push(sim, sim->now_us + (int64_t)rng_below(&sim->rng, TICK_US), PENDING_TICK, index);
 }
--- a/regress/lib/sim.h
+++ b/regress/lib/sim.h
@@ -53,6 +53,7 @@
 	uint64_t received_bytes;
 	uint64_t messages;
 	struct sim_target target;
+	struct move_state move_seen; /**< of the newest move it held, for the invariant */
 	bool frozen;
 };
 
--- a/regress/lib/sim_calls.c
+++ b/regress/lib/sim_calls.c
@@ -29,6 +29,23 @@
 	return failed ? SIM_CALL_FAILED : SIM_CALL_GOOD;
 }
 
+/* A node that knows of a withdrawal sends nothing there any more. */
+static void check_choice(struct sim *sim, int index, const struct choice *choice)
+{
+	struct moves *moves = node_moves(sim->nodes[index].node);
+	GArray *states = moves_states(moves);
+
+	for (guint i = 0; i < states->len; i++) {
+		const struct move_state *state = &g_array_index(states, struct move_state, i);
+		struct move_spec spec;
+
+		if (state->withdrawn_at_us && moves_spec(moves, state->id, &spec) &&
+		    label_equal(&spec.to, &choice->version))
+			sim_violate(sim, index, "a withdrawn version was chosen");
+	}
+	g_array_unref(states);
+}
+
 enum sim_call_result sim_call(struct sim *sim, int index, const char *route, uint64_t point,
 			      struct label *version)
 {
@@ -43,6 +60,8 @@
 	facts.route = config_find_route(config, label_from(str_from_cstr(route)));
 	if (facts.route) {
 		choice = node_choose(entry->node, config, &facts, sim_now(sim));
+		if (choice.kind == CHOICE_TARGET)
+			check_choice(sim, index, &choice);
 		target = choice.kind == CHOICE_TARGET ? sim_index_of(sim, choice.target) : -1;
 		if (target >= 0 && sim->nodes[target].node && !sim->nodes[target].frozen &&
 		    !sim->nodes[target].target.crashed) {
--- a/regress/lib/sim_parts.h
+++ b/regress/lib/sim_parts.h
@@ -76,6 +76,7 @@
 /* sim.c */
 struct pending *sim_push(struct sim *sim, int64_t at_us, enum pending_kind kind, int to);
 void sim_handle(struct sim *sim, int index, const struct event *event);
+void sim_violate(struct sim *sim, int node, const char *what);
 int sim_index_of(const struct sim *sim, uint64_t id);
 
 /* sim_log.c */
