Workers are kept for links and the log, however many slots a target has

Cause: calls to a target block their worker; 16 slots on 16 workers left none for the links, and a change was not seen in force (the new test failed so). Change: a target gets at most the workers less twelve; appends and short reads of the log take four at once, the excess is backed off by core.

--- a/godwithitchd/bridge.c
+++ b/godwithitchd/bridge.c
@@ -12,6 +12,12 @@
 #define TICK_US	       (100 * US_PER_MS)
 #define APPEND_WAIT_US (2 * US_PER_S)
 
+enum {
+	WORKERS_KEPT = 12, /* for links, the tick and the log, however many slots a target has */
+	LOG_JOBS_MAX =
+		4, /* appends and short reads at once; a slow log must not take all workers */
+};
+
 /** A read of the log for a worker. */
 struct read_job {
 	enum log_stream stream;
@@ -36,21 +42,73 @@
 	bridge_carry_out(daemon, &actions);
 }
 
+/* Takes one of the places for work on the log; false if none is free. */
+static bool take_log_job(struct daemon *daemon)
+{
+	if (g_atomic_int_add(&daemon->log_jobs, 1) < LOG_JOBS_MAX)
+		return true;
+	g_atomic_int_add(&daemon->log_jobs, -1);
+	return false;
+}
+
+static void give_log_job(struct daemon *daemon)
+{
+	g_atomic_int_add(&daemon->log_jobs, -1);
+}
+
+/* Core backs off and asks again. */
+static void fail_read(struct daemon *daemon, const struct action *action)
+{
+	struct event event = { .kind = EVENT_LOG_FAILED };
+
+	event.failed.stream = action->read.stream;
+	event.failed.partition = action->read.partition;
+	event.failed.failure = LOG_FAILURE_LIMITED;
+	bridge_event(daemon, &event);
+}
+
+static void fail_append(struct daemon *daemon, const struct action *action)
+{
+	struct event event = { .kind = EVENT_APPEND_FAILED };
+
+	event.append.stream = action->append.stream;
+	event.append.partition = action->append.partition;
+	event.append.tag = action->append.tag;
+	bridge_event(daemon, &event);
+}
+
 static void post_read(struct daemon *daemon, const struct action *action)
 {
-	struct read_job *job = g_new0(struct read_job, 1);
+	struct read_job *job;
+
+	/* The one long poll for changes has its own place. */
+	if (action->read.stream == STREAM_KEYS && !take_log_job(daemon)) {
+		fail_read(daemon, action);
+		return;
+	}
+	job = g_new0(struct read_job, 1);
 
 	job->stream = action->read.stream;
 	job->partition = action->read.partition;
 	job->from = action->read.from;
 	job->wait_until = action->read.wait_until;
-	if (!workers_post(daemon->workers, (struct work){ WORK_READ_LOG, job }))
-		g_free(job);
+	if (workers_post(daemon->workers, (struct work){ WORK_READ_LOG, job }))
+		return;
+	g_free(job);
+	if (action->read.stream == STREAM_KEYS)
+		give_log_job(daemon);
+	fail_read(daemon, action);
 }
 
 static void post_append(struct daemon *daemon, struct action *action)
 {
-	struct append_job *job = g_new0(struct append_job, 1);
+	struct append_job *job;
+
+	if (!take_log_job(daemon)) {
+		fail_append(daemon, action);
+		return;
+	}
+	job = g_new0(struct append_job, 1);
 
 	job->stream = action->append.stream;
 	job->partition = action->append.partition;
@@ -62,6 +120,8 @@
 		return;
 	log_record_clear(&job->record);
 	g_free(job);
+	give_log_job(daemon);
+	fail_append(daemon, action);
 }
 
 static void carry_out(struct daemon *daemon, struct action *action)
@@ -164,6 +224,8 @@
 					      job->from, job->wait_until);
 	struct event event = { .kind = EVENT_LOG_FAILED };
 
+	if (job->stream == STREAM_KEYS)
+		give_log_job(daemon);
 	if (read.kind == READ_DONE) {
 		for (int i = 0; i < read.count; i++)
 			parse_record(&read.records[i]);
@@ -195,6 +257,7 @@
 	if (logclient_append(daemon->logclient, job->stream, job->partition, &job->record, deadline,
 			     &offset) == APPEND_DONE)
 		event.kind = EVENT_APPENDED;
+	give_log_job(daemon);
 	event.append.offset = offset;
 	bridge_event(daemon, &event);
 	log_record_clear(&job->record);
@@ -218,7 +281,7 @@
 	target_set_address(daemon->target, daemon->settings.announce.ipv4, announcement->port);
 	event.target.service = announcement->service;
 	event.target.version = announcement->version;
-	event.target.slots = announcement->slots;
+	event.target.slots = (int)MIN(announcement->slots, daemon->settings.workers - WORKERS_KEPT);
 	bridge_event(daemon, &event);
 }
 
--- a/godwithitchd/daemon.h
+++ b/godwithitchd/daemon.h
@@ -32,6 +32,7 @@
 	struct watch tick_watch;
 	struct deadline second_at; /* only the worker that has the tick */
 	gint stopping;
+	gint log_jobs;	  /* appends and short reads of the log under way */
 	gint serving;	  /* calls at the own target, queued ones included */
 	struct lock lock; /* LOCK_CALLS: all below */
 	struct deadline announced_until;
--- a/godwithitchd/settings.c
+++ b/godwithitchd/settings.c
@@ -6,6 +6,7 @@
 #include "operator/json.h"
 
 enum {
+	WORKERS_MIN = 16,
 	WORKERS_DEFAULT = 32,
 	CONNECTIONS_DEFAULT = 2000,
 	PER_ADDRESS_DEFAULT = 500,
@@ -134,7 +135,7 @@
 	return take_number(r, STR("log_retention_s"), 10, 30LL * 86400, RETENTION_DEFAULT_S,
 			   &s->log_retention_s) &&
 	       take_number(r, STR("stop_within_s"), 1, 86400, STOP_DEFAULT_S, &s->stop_within_s) &&
-	       take_number(r, STR("workers"), 4, 1024, WORKERS_DEFAULT, &s->workers) &&
+	       take_number(r, STR("workers"), WORKERS_MIN, 1024, WORKERS_DEFAULT, &s->workers) &&
 	       take_number(r, STR("connections"), 1, 100000, CONNECTIONS_DEFAULT,
 			   &s->connections) &&
 	       take_number(r, STR("connections_per_address"), 1, 100000, PER_ADDRESS_DEFAULT,
--- a/regress/godwithitchd/limits_test.c
+++ b/regress/godwithitchd/limits_test.c
@@ -241,6 +241,32 @@
 	}
 }
 
+/* Calls that hang at a target with more slots than the node has workers leave workers for the rest.
+ */
+static void test_hanging_calls_leave_workers(void **state)
+{
+	enum { HANGING = 40 };
+	GThread *threads[HANGING];
+
+	(void)state;
+	fleet = fleet_new(0);
+	g_strlcpy(fleet->extra, "\"workers\": 16, \"stop_within_s\": 1,", sizeof(fleet->extra));
+	/* The other node's answers come in over the workers of this one. */
+	fleet_add_node(fleet, "fes-a");
+	fleet_add_node(fleet, "fes-a");
+	fleet_add_target(fleet, 0, "-s s -v v1 -n 200");
+	assert_true(fleet_wait_live(fleet, 2, 10000));
+	assert_true(fleet_wait_text(fleet, 0, "/v1/members", "\"s\"", 5000));
+	assert_int_equal(fleet_apply(fleet, "one.json", FILE_GOOD, NULL), 0);
+	for (int i = 0; i < HANGING; i++)
+		threads[i] = g_thread_new("hang", hang_main, NULL);
+	wait_ms(1000);
+	assert_int_equal(fleet_apply(fleet, "two.json", "{}", NULL), 0);
+	process_kill(&fleet->nodes[0].daemon);
+	for (int i = 0; i < HANGING; i++)
+		g_thread_join(threads[i]);
+}
+
 /* After the file is moved away, SIGHUP has the log go on in a new one. */
 static void test_the_log_is_reopened(void **state)
 {
@@ -265,6 +291,7 @@
 		cmocka_unit_test_teardown(test_connections_of_one_address_are_bounded, stop_fleet),
 		cmocka_unit_test_teardown(test_no_thread_spins, stop_fleet),
 		cmocka_unit_test_teardown(test_a_stop_has_an_end, stop_fleet),
+		cmocka_unit_test_teardown(test_hanging_calls_leave_workers, stop_fleet),
 		cmocka_unit_test_teardown(test_the_log_is_reopened, stop_fleet),
 	};
 
--- a/regress/godwithitchd/settings_test.c
+++ b/regress/godwithitchd/settings_test.c
@@ -35,7 +35,7 @@
 	{ "a seed without a port", "{" ADDRESS "," REST "," FLEET ", \"seeds\": [\"127.0.0.1:0\"]}",
 	  "seeds[0]: \"127.0.0.1:0\"" },
 	{ "too few workers", "{" ADDRESS "," REST "," FLEET ", \"workers\": 1}",
-	  "workers: 1: expected a number from 4 to 1024" },
+	  "workers: 1: expected a number from 16 to 1024" },
 	{ "an unknown key", "{" ADDRESS "," REST "," FLEET ",\n\"wrkers\": 8}",
 	  ":2: wrkers: unknown key" },
 	{ "no JSON", "settings = 1", ":1: " },
