Fleets are told apart by their log

Cause: keys_test failed once beside a soak (it saw more than its five members): two fleets on one address range merged when the kernel gave a port of a dead node of one to a node of the other; the soak's logs held 108 records of a service that it does not have. The same can happen wherever an address changes hands. Change: hello and messages carry a tag of the log's URL, in the place of the authenticator; others are refused.

--- a/godwithitchd/main.c
+++ b/godwithitchd/main.c
@@ -98,6 +98,8 @@
 				     .seed_count = (int)settings->seeds->len,
 				     .log_retention_us = settings->log_retention_s * US_PER_S };
 
+	/* The nodes of a fleet share its log, so that its URL names the fleet. */
+	peers.fleet = str_hash(settings->log_url, 0);
 	for (int i = 0; i < settings->fleet_count; i++)
 		peers.ranges[i] = settings->fleet[i];
 	daemon->workers = workers_new(&workers, daemon->pool, error);
--- a/peer/frames.c
+++ b/peer/frames.c
@@ -209,8 +209,9 @@
 	socklen_t len = sizeof(address);
 
 	getpeername(link->fd, (struct sockaddr *)&address, &len);
-	/* A node speaks for its own address only. */
-	if (link->outgoing || member_ipv4(frame->stream) != ntohl(address.sin_addr.s_addr))
+	/* A node speaks for its own address only, and to its own fleet. */
+	if (link->outgoing || member_ipv4(frame->stream) != ntohl(address.sin_addr.s_addr) ||
+	    frame->fleet != peers_fleet(link->peers))
 		return false;
 	link->peer = frame->stream;
 	return true;
--- a/peer/link.c
+++ b/peer/link.c
@@ -54,7 +54,7 @@
 		link_unref(link);
 		return NULL;
 	}
-	wire_put(&link->out, FRAME_HELLO, peers_self(peers), STR(""));
+	wire_put_tagged(&link->out, FRAME_HELLO, peers_self(peers), peers_fleet(peers), STR(""));
 	link->queued = link->out.len;
 	return link;
 }
--- a/peer/link.h
+++ b/peer/link.h
@@ -87,6 +87,7 @@
 void peers_deliver(struct peers *peers, struct peer_event *event);
 void peers_forget(struct peers *peers, struct link *link);
 struct workers *peers_workers(struct peers *peers);
+uint64_t peers_fleet(const struct peers *peers);
 /** Decodes and delivers; false if it is no message. */
 bool peers_take_message(struct peers *peers, uint64_t from, struct str payload);
 
--- a/peer/peers.c
+++ b/peer/peers.c
@@ -152,6 +152,11 @@
 	return peers->options.workers;
 }
 
+uint64_t peers_fleet(const struct peers *peers)
+{
+	return peers->options.fleet;
+}
+
 uint64_t peers_self(const struct peers *peers)
 {
 	return peers->options.self;
@@ -203,14 +208,13 @@
 	uint32_t ipv4 = ntohl(source->sin_addr.s_addr);
 	struct frame frame = { 0 };
 	size_t used = 0;
+	bool whole = wire_take(bytes, &frame, &used) == WIRE_FRAME && used == bytes.len &&
+		     frame.kind == FRAME_MESSAGE && member_ipv4(frame.stream) == ipv4;
 
-	if (!peers_allows(peers, ipv4)) {
+	/* An address may have belonged to a node of another fleet before. */
+	if (!peers_allows(peers, ipv4) || (whole && frame.fleet != peers->options.fleet))
 		logger_event(NOTE_PEER_REFUSED, "ipv4=%x", ipv4);
-		return;
-	}
-	if (wire_take(bytes, &frame, &used) != WIRE_FRAME || used != bytes.len ||
-	    frame.kind != FRAME_MESSAGE || member_ipv4(frame.stream) != ipv4 ||
-	    !peers_take_message(peers, frame.stream, frame.payload))
+	else if (!whole || !peers_take_message(peers, frame.stream, frame.payload))
 		logger_event(NOTE_FRAME_BAD, "ipv4=%x bytes=%zu", ipv4, bytes.len);
 }
 
@@ -376,7 +380,8 @@
 	struct link *link;
 
 	codec_encode(message, &payload);
-	wire_put(&frame, FRAME_MESSAGE, peers->options.self, strbuf_str(&payload));
+	wire_put_tagged(&frame, FRAME_MESSAGE, peers->options.self, peers->options.fleet,
+			strbuf_str(&payload));
 	count_bytes(peers, STR("godwithitch_control_sent_bytes"), message->kind, frame.len);
 	if (frame.len <= DATAGRAM_MAX) {
 		send_datagram(peers, to, strbuf_str(&frame));
--- a/peer/peers.h
+++ b/peer/peers.h
@@ -73,7 +73,8 @@
 enum { RANGES_MAX = 16 };
 
 struct peers_options {
-	uint64_t self; /**< with port 0 the kernel chooses, see peers_self() */
+	uint64_t self;	/**< with port 0 the kernel chooses, see peers_self() */
+	uint64_t fleet; /**< tag; what comes with another one is refused */
 	struct address_range ranges[RANGES_MAX];
 	int range_count;
 	struct workers *workers;
--- a/peer/wire.c
+++ b/peer/wire.c
@@ -41,6 +41,15 @@
 	strbuf_add(out, payload);
 }
 
+void wire_put_tagged(struct strbuf *out, enum frame_kind kind, uint64_t stream, uint64_t fleet,
+		     struct str payload)
+{
+	size_t start = out->len;
+
+	wire_put(out, kind, stream, payload);
+	put_be(out->data + start + 16, fleet, 8);
+}
+
 enum wire_result wire_take(struct str bytes, struct frame *frame, size_t *used)
 {
 	uint64_t length;
@@ -54,6 +63,7 @@
 		return WIRE_MORE;
 	frame->kind = (enum frame_kind)bytes.data[4];
 	frame->stream = get_be(bytes.data + 8, 8);
+	frame->fleet = get_be(bytes.data + 16, 8);
 	frame->payload = str_sub(bytes, FRAME_HEADER_BYTES, length);
 	*used = FRAME_HEADER_BYTES + length;
 	return WIRE_FRAME;
--- a/peer/wire.h
+++ b/peer/wire.h
@@ -37,6 +37,7 @@
 struct frame {
 	enum frame_kind kind;
 	uint64_t stream;
+	uint64_t fleet; /**< tag of the sender's fleet: HELLO and MESSAGE only */
 	struct str payload;
 };
 
@@ -45,6 +46,10 @@
 
 /** Appends a frame. */
 void wire_put(struct strbuf *out, enum frame_kind kind, uint64_t stream, struct str payload);
+/** The same with the tag of the fleet, which stands in the authenticator's place until keys exist.
+ */
+void wire_put_tagged(struct strbuf *out, enum frame_kind kind, uint64_t stream, uint64_t fleet,
+		     struct str payload);
 /** Reads the first frame of @p bytes; *used tells how many bytes it took. The payload borrows. */
 enum wire_result wire_take(struct str bytes, struct frame *frame, size_t *used);
 
--- a/regress/godwithitchd/limits_test.c
+++ b/regress/godwithitchd/limits_test.c
@@ -267,6 +267,26 @@
 		g_thread_join(threads[i]);
 }
 
+/* A node of another fleet that knows our address does not become a member of ours. */
+static void test_fleets_do_not_merge(void **state)
+{
+	struct fleet *other;
+
+	(void)state;
+	start("");
+	other = fleet_new(0);
+	/* Its first node stands for ours: the next one has our address for a seed. */
+	other->count = 1;
+	g_strlcpy(other->nodes[0].address, fleet->nodes[0].address,
+		  sizeof(other->nodes[0].address));
+	fleet_add_node(other, "fes-a");
+	assert_true(fleet_wait_text(other, 1, "/v1/status", "\"current\":true", 10000));
+	wait_ms(1500);
+	assert_true(fleet_wait_text(fleet, 0, "/v1/status", "\"members\":1,", 100));
+	assert_true(fleet_wait_text(other, 1, "/v1/status", "\"members\":1,", 100));
+	fleet_free(other);
+}
+
 /* After the file is moved away, SIGHUP has the log go on in a new one. */
 static void test_the_log_is_reopened(void **state)
 {
@@ -292,6 +312,7 @@
 		cmocka_unit_test_teardown(test_no_thread_spins, stop_fleet),
 		cmocka_unit_test_teardown(test_a_stop_has_an_end, stop_fleet),
 		cmocka_unit_test_teardown(test_hanging_calls_leave_workers, stop_fleet),
+		cmocka_unit_test_teardown(test_fleets_do_not_merge, stop_fleet),
 		cmocka_unit_test_teardown(test_the_log_is_reopened, stop_fleet),
 	};
 
