The advert of a new version stands once

Cause: a read over the added code; the reader's path made the same advert that config_advertise() makes after a pull. Change: it calls that.

--- a/core/node_config.c
+++ b/core/node_config.c
@@ -258,7 +258,7 @@
 	return moved;
 }
 
-static void advertise(struct node *node, struct actions *out)
+void config_advertise(struct node *node, struct actions *out)
 {
 	struct message *message = message_new(MESSAGE_ADVERT);
 
@@ -291,7 +291,7 @@
 	uint64_t next = end_pull(node, from, &newest);
 
 	if (moved)
-		advertise(node, out);
+		config_advertise(node, out);
 	if (next && moved)
 		pull_from(node, next, newest, now, out);
 }
--- a/core/node_log.c
+++ b/core/node_log.c
@@ -207,12 +207,8 @@
 		records[count].change = record->change;
 		count++;
 	}
-	if (config_take_records(node, records, count, out)) {
-		struct message *advert = message_new(MESSAGE_ADVERT);
-
-		advert->version = history_version(node->history);
-		node_tell_some(node, advert, out);
-	}
+	if (config_take_records(node, records, count, out))
+		config_advertise(node, out);
 	g_free(records);
 }
 
--- a/core/node_parts.h
+++ b/core/node_parts.h
@@ -198,6 +198,8 @@
 /** Offers records in order; true if the version moved on. */
 bool config_take_records(struct node *node, const struct change_record *records, int count,
 			 struct actions *out);
+/** Tells some peers of the version held. */
+void config_advertise(struct node *node, struct actions *out);
 bool config_take_part(struct node *node, struct assembly *assembly,
 		      const struct snapshot_part *part, struct actions *out);
 GPtrArray *config_snapshot_parts(struct node *node, struct instant now);
