--- a/Makefile
+++ b/Makefile
@@ -51,6 +51,8 @@
 
 lib: $(lib)
 
+daemon: $(daemon)
+
 # The tests under the sanitizers, each in a build of its own. The thread sanitizer does not see the
 # stand-ins' locks, which are GLib's, so that they are taken from the plain build.
 asan:
@@ -102,5 +104,5 @@
 
 -include $(shell find $(OUT) -name '*.d' 2>/dev/null)
 
-.PHONY: all programs lib capacity measure asan tsan demo check lint clean bench
+.PHONY: all programs lib daemon capacity measure asan tsan demo check lint clean bench
 .SECONDARY:
--- a/base/endpoint.c
+++ b/base/endpoint.c
@@ -14,7 +14,8 @@
 		MHD_USE_EPOLL_INTERNAL_THREAD, options->port, NULL, NULL, options->handle,
 		options->context, MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&address,
 		MHD_OPTION_CONNECTION_LIMIT, options->connections, MHD_OPTION_CONNECTION_TIMEOUT,
-		(unsigned int)IDLE_S, MHD_OPTION_END);
+		(unsigned int)IDLE_S, MHD_OPTION_NOTIFY_COMPLETED, options->completed,
+		options->context, MHD_OPTION_END);
 
 	if (!daemon)
 		g_set_error(error, G_FILE_ERROR, G_FILE_ERROR_FAILED, "can't listen on %s, port %u",
--- a/base/endpoint.h
+++ b/base/endpoint.h
@@ -17,6 +17,7 @@
 	const char *purpose;	  /**< for the error, as in "the control address" */
 	unsigned int connections; /**< at once */
 	MHD_AccessHandlerCallback handle;
+	MHD_RequestCompletedCallback completed; /**< NULL if nothing is kept for a request */
 	void *context;
 };
 
--- a/base/lockorder.h
+++ b/base/lockorder.h
@@ -14,6 +14,7 @@
 #include <stdbool.h>
 
 enum lock_rank {
+	LOCK_CALLERS, /**< connections of callers that wait */
 	LOCK_CALLS,   /**< open calls of the daemon */
 	LOCK_LINKS,   /**< table of links to other nodes */
 	LOCK_LINK,    /**< one link's streams and output */
--- a/base/workers.h
+++ b/base/workers.h
@@ -24,6 +24,7 @@
 	WORK_SERVE, /**< a call that has a slot of the target */
 	WORK_READ_LOG,
 	WORK_APPEND,
+	WORK_DISCOVER,
 };
 
 struct work {
--- a/caller/http.c
+++ b/caller/http.c
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <microhttpd.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
@@ -25,7 +26,10 @@
 	struct MHD_Daemon *daemon;
 	apr_pool_t *pool;
 	gint active;
+	gint retired;
 	MHD_socket quiesced;
+	struct lock lock; /* LOCK_CALLERS */
+	GPtrArray *open;  /* struct caller_call, exchanges under way; under the lock */
 };
 
 struct caller_call {
@@ -44,6 +48,9 @@
 	struct pipe *answer;
 	void *data;
 	bool ready_told;
+	int fd;		    /* of the connection */
+	guint open_at;	    /* in caller->open */
+	bool left_told;	    /* under caller->lock */
 	int answered_early; /* a status that the entry itself gives; 0: none */
 
 	struct lock lock; /* LOCK_CALLS: all below */
@@ -181,10 +188,71 @@
 	read_body_length(call);
 	if (call->body_length < 0 || call->body_length > SMALL_BODY_BYTES)
 		call->upload = pipe_new(UPLOAD_LIMIT_BYTES, call->pool);
+	info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+	call->fd = info ? info->connect_fd : -1;
+	lock_acquire(&caller->lock);
+	call->open_at = caller->open->len;
+	g_ptr_array_add(caller->open, call);
+	lock_release(&caller->lock);
 	g_atomic_int_inc(&caller->active);
 	return call;
 }
 
+static void remove_open(struct caller *caller, struct caller_call *call)
+{
+	lock_acquire(&caller->lock);
+	g_ptr_array_remove_index_fast(caller->open, call->open_at);
+	if (call->open_at < caller->open->len)
+		((struct caller_call *)g_ptr_array_index(caller->open, call->open_at))->open_at =
+			call->open_at;
+	lock_release(&caller->lock);
+}
+
+/* A suspended connection is not watched by MHD. Its descriptor stays open while its call is in the
+ * table. Gives the calls with a reference each. */
+static GPtrArray *find_left(struct caller *caller)
+{
+	GPtrArray *left = g_ptr_array_new();
+	struct pollfd *fds;
+	guint count;
+
+	lock_acquire(&caller->lock);
+	count = caller->open->len;
+	fds = g_new0(struct pollfd, count + 1);
+	for (guint i = 0; i < count; i++) {
+		const struct caller_call *call = g_ptr_array_index(caller->open, i);
+
+		fds[i].fd = call->left_told ? -1 : call->fd;
+		fds[i].events = POLLRDHUP;
+	}
+	if (count == 0 || poll(fds, count, 0) <= 0)
+		count = 0;
+	for (guint i = 0; i < count; i++) {
+		struct caller_call *call = g_ptr_array_index(caller->open, i);
+
+		if (!(fds[i].revents & (POLLRDHUP | POLLHUP | POLLERR)))
+			continue;
+		call->left_told = true;
+		g_ptr_array_add(left, caller_call_ref(call));
+	}
+	lock_release(&caller->lock);
+	g_free(fds);
+	return left;
+}
+
+void caller_sweep(struct caller *caller)
+{
+	GPtrArray *left = find_left(caller);
+
+	for (guint i = 0; i < left->len; i++) {
+		struct caller_call *call = g_ptr_array_index(left, i);
+
+		tell(call, CALLER_LEFT, 0);
+		caller_call_unref(call);
+	}
+	g_ptr_array_unref(left);
+}
+
 /* The body of an answer: MHD asks for more of it. */
 static ssize_t on_answer(void *context, uint64_t at, char *into, size_t cap)
 {
@@ -262,6 +330,8 @@
 	if (!response)
 		response = make_streamed(call);
 	add_fields(response, &call->head);
+	if (g_atomic_int_get(&call->caller->retired))
+		MHD_add_response_header(response, MHD_HTTP_HEADER_CONNECTION, "close");
 	result = MHD_queue_response(call->connection, (unsigned int)call->head.status, response);
 	MHD_destroy_response(response);
 	call->queued = true;
@@ -357,6 +427,7 @@
 	if (!call)
 		return;
 	*state = NULL;
+	remove_open(caller, call);
 	pipe_abandon(call->answer);
 	if (call->upload)
 		pipe_finish(call->upload, PIPE_FAILED);
@@ -383,6 +454,8 @@
 	caller->options = *options;
 	caller->quiesced = MHD_INVALID_SOCKET;
 	apr_pool_create(&caller->pool, pool);
+	lock_init(&caller->lock, LOCK_CALLERS, caller->pool);
+	caller->open = g_ptr_array_new();
 	caller->daemon = MHD_start_daemon(
 		MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, options->port, NULL, NULL,
 		on_request, caller, MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&address,
@@ -401,6 +474,11 @@
 	return NULL;
 }
 
+void caller_retire(struct caller *caller)
+{
+	g_atomic_int_set(&caller->retired, 1);
+}
+
 void caller_quiesce(struct caller *caller)
 {
 	caller->quiesced = MHD_quiesce_daemon(caller->daemon);
@@ -413,6 +491,8 @@
 	MHD_stop_daemon(caller->daemon);
 	if (caller->quiesced != MHD_INVALID_SOCKET)
 		close(caller->quiesced);
+	g_ptr_array_unref(caller->open);
+	lock_destroy(&caller->lock);
 	apr_pool_destroy(caller->pool);
 	g_free(caller);
 }
--- a/caller/http.h
+++ b/caller/http.h
@@ -19,6 +19,7 @@
 	CALLER_READY,	 /**< the head is there, and the whole body if it is small */
 	CALLER_DRAINED,	 /**< the caller took bytes of the answer */
 	CALLER_UPLOADED, /**< bytes of a streamed body came, or its end */
+	CALLER_LEFT,	 /**< the caller closed its connection and waits for nothing more */
 	CALLER_GONE,	 /**< the exchange is over; drops the table's reference */
 };
 
@@ -40,12 +41,17 @@
 };
 
 struct caller *caller_new(const struct caller_options *options, apr_pool_t *pool, GError **error);
+/** From now on answers end their connections, so that callers go elsewhere. */
+void caller_retire(struct caller *caller);
 /** Stops listening; open exchanges go on. */
 void caller_quiesce(struct caller *caller);
 void caller_free(struct caller *caller);
 uint16_t caller_port(const struct caller *caller);
 /** Exchanges under way. */
 int caller_active(struct caller *caller);
+/** Looks for callers that closed their connection while they wait: each one is told once, as
+ *  CALLER_LEFT. Takes LOCK_CALLERS. */
+void caller_sweep(struct caller *caller);
 
 struct caller_call *caller_call_ref(struct caller_call *call);
 void caller_call_unref(struct caller_call *call);
--- a/core/config.c
+++ b/core/config.c
@@ -82,6 +82,14 @@
 	g_array_unref(service->versions);
 }
 
+static void route_clear(gpointer data)
+{
+	struct route *route = data;
+
+	if (route->parts)
+		g_array_unref(route->parts);
+}
+
 struct config_file *config_file_new(void)
 {
 	struct config_file *file = g_new0(struct config_file, 1);
@@ -89,6 +97,7 @@
 	file->services = g_array_new(FALSE, TRUE, sizeof(struct service));
 	g_array_set_clear_func(file->services, service_clear);
 	file->routes = g_array_new(FALSE, TRUE, sizeof(struct route));
+	g_array_set_clear_func(file->routes, route_clear);
 	file->moves = g_array_new(FALSE, TRUE, sizeof(struct move_spec));
 	file->switches = g_array_new(FALSE, TRUE, sizeof(struct auto_switch));
 	file->text = g_string_chunk_new(256);
@@ -201,7 +210,7 @@
 			    "the service is declared twice");
 	for (guint i = 0; i < service->versions->len; i++)
 		sum += g_array_index(service->versions, struct version, i).share_percent;
-	if (sum != 100)
+	if (sum != 100 && !service->any_version)
 		return fail(error, CONFIG_ERROR_SHARE, file, service->line, path,
 			    "shares add up to %d, expected 100", sum);
 	g_hash_table_insert(config->services, &service->name, service);
@@ -222,13 +231,22 @@
 	char path[64];
 
 	snprintf(path, sizeof(path), "routes.%.*s", STR_ARG(label_str(&route->name)));
-	if (config_find_route(config, route->name))
+	if (g_hash_table_contains(config->by_name, &route->name))
 		return fail(error, CONFIG_ERROR_NAME, file, route->line, path,
 			    "the route is declared twice");
 	if (!config_find_service(config, route->service))
 		return fail(error, CONFIG_ERROR_NAME, file, route->line, path,
 			    "no service \"%.*s\" is declared", STR_ARG(label_str(&route->service)));
+	for (guint i = 0; route->parts && i < route->parts->len; i++) {
+		struct label service = g_array_index(route->parts, struct route_part, i).service;
+
+		if (!config_find_service(config, service))
+			return fail(error, CONFIG_ERROR_NAME, file, route->line, path,
+				    "no service \"%.*s\" is declared",
+				    STR_ARG(label_str(&service)));
+	}
 	g_ptr_array_add(config->routes, route);
+	g_hash_table_insert(config->by_name, &route->name, route);
 	return true;
 }
 
@@ -241,6 +259,8 @@
 	if (!service)
 		return fail(error, CONFIG_ERROR_NAME, file, move->line, path,
 			    "no service \"%.*s\" is declared", STR_ARG(label_str(&move->service)));
+	if (service->any_version)
+		return true;
 	for (size_t i = 0; i < G_N_ELEMENTS(names); i++)
 		if (!has_version(service, *names[i]))
 			return fail(error, CONFIG_ERROR_NAME, file, move->line, path,
@@ -259,6 +279,9 @@
 	struct move_spec move = g_array_index(file->change->parsed->moves, struct move_spec, index);
 	char path[32];
 
+	/* An open-ended move of a service that is not declared (any more) waits for it. */
+	if (move.from.len == 0 && !config_find_service(config, move.service))
+		return true;
 	snprintf(path, sizeof(path), "moves[%u]", index);
 	if (!check_move_versions(config, file, &move, path, error))
 		return false;
@@ -371,6 +394,7 @@
 	g_ptr_array_sort(files, compare_files);
 	config->services = g_hash_table_new(label_hash, label_hash_equal);
 	config->routes = g_ptr_array_new();
+	config->by_name = g_hash_table_new(label_hash, label_hash_equal);
 	config->moves = g_array_new(FALSE, TRUE, sizeof(struct move_spec));
 	config->switches = g_array_new(FALSE, TRUE, sizeof(struct auto_switch));
 	if (!add_files(config, error)) {
@@ -393,6 +417,7 @@
 		return;
 	g_hash_table_destroy(config->services);
 	g_ptr_array_unref(config->routes);
+	g_hash_table_destroy(config->by_name);
 	g_array_unref(config->moves);
 	g_array_unref(config->switches);
 	g_ptr_array_unref(config->files);
@@ -417,13 +442,24 @@
 
 const struct route *config_find_route(const struct config *config, struct label name)
 {
-	for (guint i = 0; i < config->routes->len; i++) {
-		const struct route *route = g_ptr_array_index(config->routes, i);
+	return g_hash_table_lookup(config->by_name, &name);
+}
 
-		if (label_equal(&route->name, &name))
-			return route;
+struct label route_service(const struct route *route, uint64_t point)
+{
+	int64_t at;
+
+	if (!route->parts || route->weight_sum == 0)
+		return route->service;
+	at = (int64_t)(point % (uint64_t)route->weight_sum);
+	for (guint i = 0; i < route->parts->len; i++) {
+		const struct route_part *part = &g_array_index(route->parts, struct route_part, i);
+
+		at -= part->weight;
+		if (at < 0)
+			return part->service;
 	}
-	return NULL;
+	return route->service;
 }
 
 /* "/a" matches "/a" and "/a/b", not "/ab"; a prefix that ends in a slash matches what follows. */
--- a/core/config.h
+++ b/core/config.h
@@ -54,7 +54,10 @@
 
 struct service {
 	struct label name;
-	GArray *versions; /**< struct version */
+	GArray *versions;  /**< struct version */
+	bool any_version;  /**< none is declared: whatever targets announce takes part */
+	struct str health; /**< path of the targets' health check; empty: none */
+	int connections;   /**< that a target takes at once; 0: no bound */
 	int line;
 };
 
@@ -79,16 +82,26 @@
 	REPEAT_AT_MOST_ONCE, /**< the same, and its idempotency key is claimed first */
 };
 
+/** A share of a route's calls, in proportion to the weights of its other parts. */
+struct route_part {
+	struct label service;
+	int64_t weight;
+};
+
 struct route {
 	struct label name;
 	struct str host; /**< empty: any */
 	struct str path; /**< prefix, whole segments */
 	int methods;
-	struct label service;
+	struct label service; /**< of the first part, where there are several */
+	GArray *parts;	      /**< struct route_part; NULL: all calls go to .service */
+	int64_t weight_sum;   /**< of the parts */
 	enum traffic_class class;
 	struct str tenant_header; /**< empty: all callers are one tenant */
 	enum repeat_rule repeat;
 	int64_t timeout_us;	 /**< gives each call its deadline */
+	int64_t objective_us;	 /**< an answer within it is on time; 0: none is stated */
+	int attempts;		 /**< targets that one call may be sent to; 0: the default */
 	int concurrency_percent; /**< of a target's slots */
 	int line;
 };
@@ -96,7 +109,7 @@
 struct move_spec {
 	uint64_t id; /**< offset of the change that declared it, times MOVES_PER_FILE, plus index */
 	struct label service;
-	struct label from;
+	struct label from; /**< empty: every version but .to */
 	struct label to;
 	int64_t start_at_us;  /**< wall clock */
 	int64_t finish_at_us; /**< wall clock */
@@ -118,6 +131,7 @@
 	GArray *routes;	  /**< struct route */
 	GArray *moves;	  /**< struct move_spec; ids are 0 until accepted */
 	GArray *switches; /**< struct auto_switch */
+	int64_t serial;	  /**< grows with each edition of the file; 0: none is stated */
 	GStringChunk *text;
 };
 
@@ -126,13 +140,21 @@
 /** Keeps a copy of @p s as long as the file. */
 struct str config_file_keep(struct config_file *file, struct str s);
 
+/** Bases that are no version. */
+enum {
+	CHANGE_ANY_BASE = -2, /**< the change replaces the file whatever its version */
+	CHANGE_SUPERSEDED_BASE =
+		-3, /**< a later change to the file is known: only the offset counts */
+};
+
 /** One change that an operator published. Immutable and counted. */
 struct change {
 	gint refs;
 	struct label id; /**< unique, made by the tool */
 	struct label file;
-	int64_t base;		    /**< version of the file that the operator saw; 0: none */
-	struct str content;	    /**< owned; empty content removes the file */
+	int64_t base;	    /**< version of the file that the operator saw; 0: none; or one of
+				 the above */
+	struct str content; /**< owned; empty content removes the file */
 	struct config_file *parsed; /**< NULL if the content does not parse */
 	char *parse_error;	    /**< then says why */
 };
@@ -157,6 +179,7 @@
 	GPtrArray *files; /**< struct accepted_file, by name; removed files stay, without content */
 	GHashTable *services; /**< struct label -> struct service, borrowed from the files */
 	GPtrArray *routes;    /**< struct route, longest path first */
+	GHashTable *by_name;  /**< struct label -> struct route */
 	GArray *moves;	      /**< struct move_spec with ids */
 	GArray *switches;     /**< struct auto_switch */
 };
@@ -176,6 +199,8 @@
 const struct accepted_file *config_find_file(const struct config *config, struct label name);
 const struct service *config_find_service(const struct config *config, struct label name);
 const struct route *config_find_route(const struct config *config, struct label name);
+/** The service that a call on the route goes to; @p point places it in the shares of the parts. */
+struct label route_service(const struct route *route, uint64_t point);
 /** The first route that matches; the longest path goes first, then a stated host. */
 const struct route *config_match(const struct config *config, struct str host, struct str method,
 				 struct str path);
--- /dev/null
+++ b/core/dialect.c
@@ -0,0 +1,16 @@
+#include "core/dialect.h"
+
+enum { STATUS_UNAVAILABLE = 503 };
+
+#define NAME(literal)                                                                              \
+	{                                                                                          \
+		(literal), sizeof(literal) - 1                                                     \
+	}
+
+const struct dialect dialect_own = {
+	.deadline_ms = NAME("Godwithitch-Deadline-Ms"),
+	.not_run = NAME("Godwithitch-Not-Run"),
+	.verdict = NAME("Godwithitch-Verdict"),
+	.unsure_status = STATUS_UNAVAILABLE,
+	.late_status = STATUS_UNAVAILABLE,
+};
--- a/core/event.h
+++ b/core/event.h
@@ -22,6 +22,7 @@
 	EVENT_LOG_FAILED,     /**< likewise */
 	EVENT_APPENDED,	      /**< answer to ACTION_APPEND */
 	EVENT_APPEND_FAILED,  /**< likewise; it may have taken effect all the same */
+	EVENT_PEERS,	      /**< other nodes that may be there, from the platform's list */
 	EVENT_TARGET_UP,      /**< the target announced itself, or renewed */
 	EVENT_TARGET_DOWN,    /**< its announcement lapsed, or it said goodbye */
 	EVENT_TARGET_LEAVING, /**< it drains */
@@ -54,6 +55,10 @@
 			uint64_t tag;
 			int64_t offset; /**< EVENT_APPENDED */
 		} append;		/**< EVENT_APPENDED, EVENT_APPEND_FAILED */
+		struct {
+			const uint64_t *ids; /**< member ids */
+			int count;
+		} peers;
 		struct {
 			struct label service;
 			struct label version;
--- a/core/history.c
+++ b/core/history.c
@@ -33,6 +33,8 @@
 		return STR("duplicate");
 	case JUDGED_INVALID:
 		return STR("invalid");
+	case JUDGED_SUPERSEDED:
+		return STR("superseded");
 	case JUDGED_OUT_OF_ORDER:
 		return STR("out of order");
 	}
@@ -162,12 +164,24 @@
 	const struct accepted_file *old = config_find_file(config, change->file);
 
 	judgement->current = old ? old->version : 0;
+	if (change->base == CHANGE_SUPERSEDED_BASE) {
+		judgement->kind = JUDGED_SUPERSEDED;
+		return NULL;
+	}
+	if (old && change->parsed && old->change->parsed && change->parsed->serial &&
+	    change->parsed->serial <= old->change->parsed->serial) {
+		judgement->kind = JUDGED_CONFLICT;
+		g_snprintf(judgement->reason, sizeof(judgement->reason),
+			   "edition %ld is in force, the change brings %ld",
+			   old->change->parsed->serial, change->parsed->serial);
+		return NULL;
+	}
 	if (old && label_equal(&old->change->id, &change->id)) {
 		judgement->kind = JUDGED_DUPLICATE;
 		set_reason(judgement, "this change is in force already");
 		return NULL;
 	}
-	if (change->base != judgement->current) {
+	if (change->base != CHANGE_ANY_BASE && change->base != judgement->current) {
 		judgement->kind = JUDGED_CONFLICT;
 		g_snprintf(judgement->reason, sizeof(judgement->reason),
 			   "the file is at version %ld, the change was made for %ld",
--- a/core/history.h
+++ b/core/history.h
@@ -15,6 +15,7 @@
 	JUDGED_CONFLICT,     /**< the file's current version is not the change's base */
 	JUDGED_DUPLICATE,    /**< this very change is in force already */
 	JUDGED_INVALID,	     /**< it does not parse, or the whole does not check */
+	JUDGED_SUPERSEDED,   /**< a later change to the file is known already */
 	JUDGED_OUT_OF_ORDER, /**< not the next offset; nothing was judged */
 };
 
--- a/core/member.h
+++ b/core/member.h
@@ -108,9 +108,17 @@
 
 enum { CHOICE_AVOID_MAX = 4 };
 
+/** Which versions of a service are meant. The tag says how the name counts. */
+struct version_filter {
+	enum { VERSION_ANY, VERSION_IS, VERSION_IS_NOT } kind;
+	struct label name;
+};
+
+bool version_matches(const struct version_filter *filter, const struct label *version);
+
 struct choice_options {
 	struct label service;
-	struct label version;
+	struct version_filter version;
 	uint64_t avoid[CHOICE_AVOID_MAX]; /**< targets that this call has tried */
 	int avoid_count;
 };
@@ -138,6 +146,7 @@
 bool members_call_ended(struct members *members, uint64_t id, enum call_outcome outcome,
 			bool may_eject, struct instant now);
 /** Live targets of a version. */
-int members_version_targets(struct members *members, struct label service, struct label version);
+int members_version_targets(struct members *members, struct label service,
+			    const struct version_filter *version);
 
 #endif
--- a/core/member_choice.c
+++ b/core/member_choice.c
@@ -12,11 +12,24 @@
 #define EJECT_US	   (10 * US_PER_S)
 #define CLOSED_US	   (1 * US_PER_S)
 
+bool version_matches(const struct version_filter *filter, const struct label *version)
+{
+	switch (filter->kind) {
+	case VERSION_ANY:
+		return true;
+	case VERSION_IS:
+		return label_equal(&filter->name, version);
+	case VERSION_IS_NOT:
+		return !label_equal(&filter->name, version);
+	}
+	g_assert_not_reached();
+}
+
 static bool takes_work(const struct peer *peer, const struct choice_options *options,
 		       struct instant now)
 {
 	return peer->record.state == MEMBER_ALIVE && peer->record.slots > 0 &&
-	       label_equal(&peer->record.version, &options->version) &&
+	       version_matches(&options->version, &peer->record.version) &&
 	       !members_holds(options->avoid, options->avoid_count, peer->record.id) &&
 	       (peer->contained_until.at_us == 0 || deadline_passed(peer->contained_until, now));
 }
@@ -142,7 +155,8 @@
 	return eject;
 }
 
-int members_version_targets(struct members *members, struct label service, struct label version)
+int members_version_targets(struct members *members, struct label service,
+			    const struct version_filter *version)
 {
 	const GPtrArray *list;
 	int count = 0;
@@ -153,7 +167,7 @@
 		const struct peer *peer = g_ptr_array_index(list, i);
 
 		count += peer->record.state == MEMBER_ALIVE && peer->record.slots > 0 &&
-			 label_equal(&peer->record.version, &version);
+			 version_matches(version, &peer->record.version);
 	}
 	lock_release(&members->lock);
 	return count;
--- a/core/message.h
+++ b/core/message.h
@@ -134,6 +134,13 @@
 	STREAM_KEYS,   /**< claims of idempotency keys, in CLAIM_PARTITIONS partitions */
 };
 
+/** A move's state as it is kept, with what it is about. */
+struct saved_move {
+	struct move_state state;
+	struct label service;
+	struct label to;
+};
+
 enum log_record_kind { LOG_CHANGE, LOG_SNAPSHOT, LOG_MOVE, LOG_CLAIMS, LOG_BAD };
 
 /** A record of the log. The tag says which member holds. */
@@ -143,7 +150,7 @@
 	union {
 		struct change *change;	       /**< LOG_CHANGE, owned */
 		struct snapshot_part snapshot; /**< LOG_SNAPSHOT */
-		struct move_state move;	       /**< LOG_MOVE */
+		struct saved_move move;	       /**< LOG_MOVE */
 		GArray *notes;		       /**< LOG_CLAIMS: struct claim_note, owned */
 	};
 };
--- a/core/move.c
+++ b/core/move.c
@@ -90,6 +90,20 @@
 	return spec->start_at_us + (step - 1) * move_interval_us(spec);
 }
 
+struct version_filter move_old_versions(const struct move_spec *spec)
+{
+	if (spec->from.len)
+		return (struct version_filter){ VERSION_IS, spec->from };
+	return (struct version_filter){ VERSION_IS_NOT, spec->to };
+}
+
+bool move_is_old(const struct move_spec *spec, const struct label *version)
+{
+	struct version_filter old = move_old_versions(spec);
+
+	return version_matches(&old, version);
+}
+
 struct moves *moves_new(apr_pool_t *pool)
 {
 	struct moves *moves = g_new0(struct moves, 1);
@@ -274,7 +288,7 @@
 	lock_acquire(&moves->lock);
 	move = moves_find_service(moves, &service);
 	wanted = move && move->state.withdrawn_at_us == 0 &&
-		 (label_equal(&version, &move->spec.from) || label_equal(&version, &move->spec.to));
+		 (move_is_old(&move->spec, &version) || label_equal(&version, &move->spec.to));
 	if (wanted)
 		*id = move->spec.id;
 	lock_release(&moves->lock);
@@ -316,7 +330,7 @@
 		move->evidence = evidence_new();
 	if (move && label_equal(&version, &move->spec.to))
 		evidence_add(move->evidence, EVIDENCE_NEW, window);
-	else if (move && label_equal(&version, &move->spec.from))
+	else if (move && move_is_old(&move->spec, &version))
 		evidence_add(move->evidence, EVIDENCE_OLD, window);
 	lock_release(&moves->lock);
 }
--- a/core/move.h
+++ b/core/move.h
@@ -12,6 +12,7 @@
 #include "base/rng.h"
 #include "core/config.h"
 #include "core/evidence.h"
+#include "core/member.h"
 
 enum withdraw_reason {
 	WITHDRAW_NONE,
@@ -96,14 +97,17 @@
 
 /** Chooses the version for a call: @p point is its stable hash. False if the service has none. */
 bool moves_choose_version(struct moves *moves, const struct config *config, struct label service,
-			  uint64_t point, struct instant now, struct label *version);
+			  uint64_t point, struct instant now, struct version_filter *version);
 /** Notes the entry node's own view of a call: after a few failures that the old version does not
  *  show, the new one is contained here for a while, before the fleet agrees. */
 void moves_note_call(struct moves *moves, struct label service, struct label version, bool failed,
 		     struct instant now);
 /** The version that stands in when the chosen one has no target; false if there is none. */
-bool moves_fallback_version(struct moves *moves, struct label service, struct label version,
-			    struct label *fallback);
+bool moves_fallback_version(struct moves *moves, struct label service,
+			    const struct version_filter *version, struct version_filter *fallback);
+/** The versions that a move takes traffic from. */
+struct version_filter move_old_versions(const struct move_spec *spec);
+bool move_is_old(const struct move_spec *spec, const struct label *version);
 /** The move that a version of a service takes part in, if its evidence is wanted now. */
 bool moves_wants_evidence(struct moves *moves, struct label service, struct label version,
 			  uint64_t *id);
--- a/core/move_share.c
+++ b/core/move_share.c
@@ -85,12 +85,24 @@
 	return last != NULL;
 }
 
+/* Versions that nobody declared: all of them, but for what a move says of its new one. */
+static struct version_filter choose_undeclared(const struct move *move, int point,
+					       struct instant now)
+{
+	bool is_new;
+
+	if (!move)
+		return (struct version_filter){ VERSION_ANY };
+	is_new = point < move_moved_share(move, now);
+	return (struct version_filter){ is_new ? VERSION_IS : VERSION_IS_NOT, move->spec.to };
+}
+
 bool moves_choose_version(struct moves *moves, const struct config *config, struct label service,
-			  uint64_t point, struct instant now, struct label *version)
+			  uint64_t point, struct instant now, struct version_filter *version)
 {
 	const struct service *declared = config_find_service(config, service);
 	struct move *move;
-	bool found;
+	bool found = true;
 
 	if (!declared)
 		return false;
@@ -98,7 +110,12 @@
 	move = moves_find_service(moves, &service);
 	if (move && deadline_passed(move->contained_until, now))
 		move->contained_until = (struct deadline){ 0 };
-	found = choose_by_point(declared, move, (int)(point % SHARE_WHOLE), now, version);
+	version->kind = VERSION_IS;
+	if (declared->any_version)
+		*version = choose_undeclared(move, (int)(point % SHARE_WHOLE), now);
+	else
+		found = choose_by_point(declared, move, (int)(point % SHARE_WHOLE), now,
+					&version->name);
 	lock_release(&moves->lock);
 	return found;
 }
@@ -110,7 +127,7 @@
 
 	lock_acquire(&moves->lock);
 	move = moves_find_service(moves, &service);
-	if (move && label_equal(&version, &move->spec.from))
+	if (move && move_is_old(&move->spec, &version))
 		move->old_failing += 0.05 * ((failed ? 1.0 : 0.0) - move->old_failing);
 	else if (move && label_equal(&version, &move->spec.to))
 		move->own_evidence += failed ? CONTAIN_FAILURE_STEP : -CONTAIN_SUCCESS_STEP;
@@ -124,20 +141,20 @@
 	lock_release(&moves->lock);
 }
 
-bool moves_fallback_version(struct moves *moves, struct label service, struct label version,
-			    struct label *fallback)
+bool moves_fallback_version(struct moves *moves, struct label service,
+			    const struct version_filter *version, struct version_filter *fallback)
 {
 	const struct move *move;
 	bool found = false;
 
 	lock_acquire(&moves->lock);
 	move = moves_find_service(moves, &service);
-	if (move && label_equal(&version, &move->spec.to)) {
-		*fallback = move->spec.from;
+	if (move && version->kind == VERSION_IS && label_equal(&version->name, &move->spec.to)) {
+		*fallback = move_old_versions(&move->spec);
 		found = true;
-	} else if (move && label_equal(&version, &move->spec.from) &&
-		   move->state.withdrawn_at_us == 0 && move->state.step > 0) {
-		*fallback = move->spec.to;
+	} else if (move && version->kind != VERSION_ANY && move->state.withdrawn_at_us == 0 &&
+		   move->state.step > 0) {
+		*fallback = (struct version_filter){ VERSION_IS, move->spec.to };
 		found = true;
 	}
 	lock_release(&moves->lock);
--- a/core/node.c
+++ b/core/node.c
@@ -17,7 +17,7 @@
 	spread->rng.state = node->options.seed ^ rng_mix(node->options.id);
 	spread->updates = g_queue_new();
 	spread->record_tokens = RECORDS_BURST;
-	spread->unsaved = g_array_new(FALSE, TRUE, sizeof(struct unsaved_state));
+	spread->unsaved = g_array_new(FALSE, TRUE, sizeof(struct unsaved_move));
 	spread->budgets = g_hash_table_new_full(label_hash, label_hash_equal, NULL, g_free);
 	spread->log.retry_us = LOG_RETRY_MIN_US;
 	spread->log.system_next = 1;
@@ -323,6 +323,9 @@
 	case EVENT_APPEND_FAILED:
 		on_append(node, event, now, out);
 		return;
+	case EVENT_PEERS:
+		fleet_greet(node, event->peers.ids, event->peers.count, out);
+		return;
 	case EVENT_TARGET_UP:
 		on_target_up(node, event, out);
 		return;
@@ -354,6 +357,16 @@
 	return current;
 }
 
+bool node_is_ready(struct node *node)
+{
+	bool ready;
+
+	lock_acquire(&node->spread.lock);
+	ready = node->spread.boot.phase == BOOT_CURRENT && !node->spread.stopping;
+	lock_release(&node->spread.lock);
+	return ready && history_version(node->history) > 0;
+}
+
 struct history *node_history(struct node *node)
 {
 	return node->history;
--- a/core/node.h
+++ b/core/node.h
@@ -37,6 +37,8 @@
 struct config *node_config(struct node *node);
 /** True once the node holds the newest configuration that it could learn of. */
 bool node_is_current(struct node *node);
+/** True while callers should come here: it is current, holds a configuration and does not stop. */
+bool node_is_ready(struct node *node);
 struct history *node_history(struct node *node);
 struct members *node_members(struct node *node);
 struct moves *node_moves(struct node *node);
@@ -55,6 +57,9 @@
 	int avoid_count;
 };
 
+/** The service that takes the call: the same for all attempts. */
+struct label call_service(const struct call_facts *facts);
+
 enum choice_kind {
 	CHOICE_TARGET,
 	CHOICE_NO_TARGET,   /**< no target of the service takes work: not run */
--- a/core/node_calls.c
+++ b/core/node_calls.c
@@ -8,12 +8,19 @@
 #define BUDGET_MAX	50.0
 #define COLD_US		(12 * US_PER_S)
 
+struct label call_service(const struct call_facts *facts)
+{
+	/* Mixed again: the point itself places the call in the shares of the versions. */
+	return route_service(facts->route, rng_mix(facts->point + 1));
+}
+
 static uint64_t choose_target(struct node *node, const struct call_facts *facts,
-			      struct label version, struct rng *rng, struct instant now)
+			      const struct version_filter *version, struct rng *rng,
+			      struct instant now)
 {
 	struct choice_options options = {
-		.service = facts->route->service,
-		.version = version,
+		.service = call_service(facts),
+		.version = *version,
 		.avoid_count = facts->avoid_count,
 	};
 
@@ -26,8 +33,10 @@
 			  const struct call_facts *facts, struct instant now)
 {
 	struct choice choice = { .kind = CHOICE_NO_TARGET };
-	struct label service = facts->route->service;
+	struct label service = call_service(facts);
+	struct version_filter version;
 	struct rng rng = node_rng(node);
+	struct member record;
 
 	if (!node_is_current(node)) {
 		choice.kind = CHOICE_NOT_CURRENT;
@@ -38,14 +47,16 @@
 		choice.kind = CHOICE_QUARANTINED;
 		return choice;
 	}
-	if (!moves_choose_version(node->moves, config, service, facts->point, now, &choice.version))
+	if (!moves_choose_version(node->moves, config, service, facts->point, now, &version))
+		return choice;
+	choice.target = choose_target(node, facts, &version, &rng, now);
+	if (choice.target == 0 && moves_fallback_version(node->moves, service, &version, &version))
+		choice.target = choose_target(node, facts, &version, &rng, now);
+	if (choice.target == 0)
 		return choice;
-	choice.target = choose_target(node, facts, choice.version, &rng, now);
-	if (choice.target == 0 &&
-	    moves_fallback_version(node->moves, service, choice.version, &choice.version))
-		choice.target = choose_target(node, facts, choice.version, &rng, now);
-	if (choice.target)
-		choice.kind = CHOICE_TARGET;
+	choice.kind = CHOICE_TARGET;
+	if (members_get(node->members, choice.target, &record))
+		choice.version = record.version;
 	return choice;
 }
 
--- a/core/node_config.c
+++ b/core/node_config.c
@@ -227,6 +227,7 @@
 			     judgement->offset, STR_ARG(label_str(&change->file)),
 			     judgement->reason);
 		return;
+	case JUDGED_SUPERSEDED:
 	case JUDGED_OUT_OF_ORDER:
 		return;
 	}
--- a/core/node_fleet.c
+++ b/core/node_fleet.c
@@ -103,6 +103,21 @@
 	}
 }
 
+void fleet_greet(struct node *node, const uint64_t *ids, int count, struct actions *out)
+{
+	struct rng rng = node_rng(node);
+	int wanted = MIN(count, GREETED_MAX);
+
+	/* Each is taken with the same chance: those still wanted over those still to come. */
+	for (int i = 0; i < count && wanted; i++) {
+		if (rng_below(&rng, (uint64_t)(count - i)) >= (uint64_t)wanted)
+			continue;
+		wanted--;
+		if (ids[i] != node->options.id)
+			introduce(node, ids[i], out);
+	}
+}
+
 static void tell_updates(struct node *node, int peers, struct actions *out)
 {
 	struct message *message;
--- a/core/node_log.c
+++ b/core/node_log.c
@@ -30,8 +30,8 @@
 	case BOOT_CURRENT:
 		if (!spread->log.reader)
 			return false;
-		*stream = STREAM_CONFIG;
-		*from = have + 1;
+		*stream = spread->log.lapsed ? STREAM_SYSTEM : STREAM_CONFIG;
+		*from = spread->log.lapsed ? spread->log.system_next : have + 1;
 		break;
 	}
 	return due && !spread->log.reading[*stream];
@@ -65,8 +65,8 @@
 
 	lock_acquire(&spread->lock);
 	for (guint i = 0; i < spread->unsaved->len && under_way < APPENDS_AT_ONCE; i++) {
-		struct unsaved_state *unsaved =
-			&g_array_index(spread->unsaved, struct unsaved_state, i);
+		struct unsaved_move *unsaved =
+			&g_array_index(spread->unsaved, struct unsaved_move, i);
 
 		under_way++;
 		if (unsaved->tag || !(spread->log.retry_at.at_us == 0 ||
@@ -74,7 +74,7 @@
 			continue;
 		unsaved->tag = ++spread->tag;
 		actions_append(out, STREAM_SYSTEM, 0, unsaved->tag,
-			       (struct log_record){ .kind = LOG_MOVE, .move = unsaved->state });
+			       (struct log_record){ .kind = LOG_MOVE, .move = unsaved->move });
 	}
 	lock_release(&spread->lock);
 }
@@ -85,18 +85,18 @@
 	append_states(node, now, out);
 }
 
-void log_save_state(struct node *node, const struct move_state *state)
+void log_save_move(struct node *node, const struct saved_move *move)
 {
-	struct unsaved_state unsaved = { .state = *state };
+	struct unsaved_move unsaved = { .move = *move };
 	GArray *list = node->spread.unsaved;
 
 	lock_acquire(&node->spread.lock);
 	for (guint i = 0; i < list->len; i++) {
-		struct unsaved_state *old = &g_array_index(list, struct unsaved_state, i);
+		struct unsaved_move *old = &g_array_index(list, struct unsaved_move, i);
 
-		if (old->state.id != state->id || old->tag)
+		if (old->move.state.id != move->state.id || old->tag)
 			continue;
-		move_state_join(&old->state, state);
+		move_state_join(&old->move.state, &move->state);
 		lock_release(&node->spread.lock);
 		return;
 	}
@@ -235,7 +235,7 @@
 			config_take_part(node, &node->spread.from_log, &record->snapshot, out);
 			break;
 		case LOG_MOVE:
-			take_state(node, &record->move, out);
+			take_state(node, &record->move.state, out);
 			break;
 		case LOG_CHANGE:
 		case LOG_CLAIMS:
@@ -260,6 +260,8 @@
 		node->spread.boot.phase = BOOT_CONFIG;
 	else if (node->spread.boot.phase == BOOT_CONFIG && stream == STREAM_CONFIG)
 		current = have >= newest;
+	else if (stream == STREAM_SYSTEM && node->spread.log.system_next > newest)
+		node->spread.log.lapsed = false;
 	lock_release(&node->spread.lock);
 	if (current)
 		config_now_current(node, out);
@@ -318,6 +320,10 @@
 			spread->log.system_next = 0;
 		else if (spread->boot.phase == BOOT_CONFIG)
 			spread->boot.phase = BOOT_SYSTEM;
+		else if (spread->boot.phase == BOOT_CURRENT)
+			spread->log.lapsed = true;
+		if (event->failed.stream == STREAM_CONFIG)
+			spread->log.system_next = 0;
 		break;
 	}
 	lock_release(&spread->lock);
@@ -328,8 +334,8 @@
 static bool forget_saved(struct spread_state *spread, uint64_t tag, bool done)
 {
 	for (guint i = 0; i < spread->unsaved->len; i++) {
-		struct unsaved_state *unsaved =
-			&g_array_index(spread->unsaved, struct unsaved_state, i);
+		struct unsaved_move *unsaved =
+			&g_array_index(spread->unsaved, struct unsaved_move, i);
 
 		if (unsaved->tag != tag)
 			continue;
--- a/core/node_moves.c
+++ b/core/node_moves.c
@@ -65,15 +65,16 @@
 			  struct actions *out)
 {
 	struct message *message = message_new(MESSAGE_EVIDENCE);
+	struct version_filter own = { VERSION_IS, self->version };
 	uint64_t to[COORDINATORS];
 	int count =
 		members_first(node->members, SCOPE_SERVICE, self->service, move, to, COORDINATORS);
 
 	message->evidence.move = move;
 	message->evidence.version = self->version;
-	message->evidence.windows = tally_take(
-		node->tally, self->id,
-		(uint32_t)members_version_targets(node->members, self->service, self->version));
+	message->evidence.windows =
+		tally_take(node->tally, self->id,
+			   (uint32_t)members_version_targets(node->members, self->service, &own));
 	for (int i = 0; i < count && message->evidence.windows->len; i++) {
 		if (to[i] == self->id)
 			moves_on_evidence(node, message);
@@ -123,6 +124,8 @@
 		       struct instant now, struct actions *out)
 {
 	struct member self = members_self(node->members);
+	struct version_filter new_version = { .kind = VERSION_IS };
+	struct version_filter old_versions;
 	struct move_surroundings around;
 	struct move_change change;
 	struct move_spec spec;
@@ -133,15 +136,17 @@
 		return;
 	around.may_advance = config_auto_allowed(config, spec.service, AUTO_ADVANCE);
 	around.may_withdraw = config_auto_allowed(config, spec.service, AUTO_WITHDRAW);
-	around.new_targets = members_version_targets(node->members, spec.service, spec.to);
-	around.old_targets = members_version_targets(node->members, spec.service, spec.from);
+	new_version.name = spec.to;
+	old_versions = move_old_versions(&spec);
+	around.new_targets = members_version_targets(node->members, spec.service, &new_version);
+	around.old_targets = members_version_targets(node->members, spec.service, &old_versions);
 	change = moves_coordinate(node->moves, id, &around, now);
 	if (change.kind == MOVE_CHANGE_NONE)
 		return;
 	note_change(&change, out);
 	if (change.kind == MOVE_CHANGE_HELD)
 		return;
-	log_save_state(node, &change.state);
+	log_save_move(node, &(struct saved_move){ change.state, spec.service, spec.to });
 	tell_state(node, &change.state, out);
 }
 
--- a/core/node_parts.h
+++ b/core/node_parts.h
@@ -37,6 +37,7 @@
 	SNAPSHOT_PARTS_MAX = 4096,
 	UNSAVED_MAX = 256,
 	CENSUS_ENTRIES = 4,
+	GREETED_MAX = 20, /* nodes of a list that are told of this one; they tell the rest */
 };
 
 /** A member record that still has to be told to a few peers. */
@@ -86,6 +87,7 @@
 	struct deadline retry_at;
 	bool out;
 	bool reader;
+	bool lapsed; /* the wanted changes are gone: the system's stream has a snapshot */
 };
 
 /** Parts of a snapshot as they come in. */
@@ -99,8 +101,8 @@
 	GPtrArray *files;
 };
 
-struct unsaved_state {
-	struct move_state state;
+struct unsaved_move {
+	struct saved_move move;
 	uint64_t tag; /* of the append under way; 0: none */
 };
 
@@ -120,7 +122,7 @@
 	uint64_t snapshot_tag;	/* last part of the append under way */
 	int64_t snapshot_pending_version;
 	struct deadline snapshot_not_before;
-	GArray *unsaved; /* struct unsaved_state, states of moves not in the log yet */
+	GArray *unsaved; /* struct unsaved_move, states of moves not in the log yet */
 	struct deadline round_at;
 	struct deadline flush_at;
 	struct deadline sync_at;
@@ -168,6 +170,7 @@
 void fleet_round(struct node *node, struct instant now, struct actions *out);
 void fleet_tick(struct node *node, struct instant now, struct actions *out);
 void fleet_ping_seeds(struct node *node, int count, struct actions *out);
+void fleet_greet(struct node *node, const uint64_t *ids, int count, struct actions *out);
 void fleet_on_probe(struct node *node, uint64_t from, const struct message *message,
 		    struct instant now, struct actions *out);
 void fleet_on_ping_request(struct node *node, uint64_t from, const struct message *message,
@@ -216,7 +219,7 @@
 		   struct actions *out);
 void log_on_append(struct node *node, uint64_t tag, bool done, struct instant now,
 		   struct actions *out);
-void log_save_state(struct node *node, const struct move_state *state);
+void log_save_move(struct node *node, const struct saved_move *move);
 
 /* node_moves.c */
 void moves_round(struct node *node, struct instant now, struct actions *out);
--- a/godwithitchd/attempt.c
+++ b/godwithitchd/attempt.c
@@ -35,8 +35,8 @@
 	struct call *call = attempt->call;
 	struct actions actions = actions_new();
 
-	node_call_ended(call->daemon->node, call->route->service, attempt->target, outcome,
-			clock_now(), &actions);
+	node_call_ended(call->daemon->node, call->service, attempt->target, outcome, clock_now(),
+			&actions);
 	bridge_carry_out(call->daemon, &actions);
 }
 
@@ -50,10 +50,10 @@
 	gone = call->gone;
 	lock_release(&call->lock);
 	/* A request that breaks two targets is not taken to a third. */
-	return !gone && !call->body_used && call->attempts < ATTEMPTS_MAX && call->unsure < 2 &&
-	       verdict_allows_retry(verdict, idempotent) &&
+	return !gone && !call->body_used && call->attempts < call_attempts_max(call) &&
+	       call->unsure < 2 && verdict_allows_retry(verdict, idempotent) &&
 	       !deadline_passed(call->deadline, clock_now()) &&
-	       node_take_retry(call->daemon->node, call->route->service);
+	       node_take_retry(call->daemon->node, call->service);
 }
 
 static void fail_attempt(struct attempt *attempt, enum verdict verdict, struct str reason)
@@ -105,6 +105,7 @@
 
 void attempt_head(struct attempt *attempt, const struct response_head *head)
 {
+	struct str verdict_field = attempt->call->daemon->dialect->verdict;
 	struct response_head *full;
 
 	if (g_atomic_int_get(&attempt->over))
@@ -112,8 +113,9 @@
 	full = g_memdup2(head, sizeof(*head));
 	if (full->field_count == FIELDS_MAX)
 		full->field_count--;
-	full->fields[full->field_count++] =
-		(struct field){ STR("Godwithitch-Verdict"), verdict_name(VERDICT_RAN) };
+	if (verdict_field.len)
+		full->fields[full->field_count++] =
+			(struct field){ verdict_field, verdict_name(VERDICT_RAN) };
 	attempt->has_head = true;
 	attempt->status = head->status;
 	attempt->call->status = head->status;
--- a/godwithitchd/bridge.c
+++ b/godwithitchd/bridge.c
@@ -9,8 +9,9 @@
 #include "godwithitchd/daemon.h"
 #include "operator/parse.h"
 
-#define TICK_US	       (100 * US_PER_MS)
-#define APPEND_WAIT_US (2 * US_PER_S)
+#define TICK_US		  (100 * US_PER_MS)
+#define APPEND_WAIT_US	  (2 * US_PER_S)
+#define DISCOVER_RETRY_US (500 * US_PER_MS)
 
 enum {
 	WORKERS_KEPT = 12, /* for links, the tick and the log, however many slots a target has */
@@ -199,6 +200,49 @@
 	bridge_event(daemon, &event);
 }
 
+static void start_discovery(struct daemon *daemon, struct instant now)
+{
+	bool start;
+
+	lock_acquire(&daemon->lock);
+	start = !daemon->discovering && deadline_passed(daemon->discover_at, now);
+	daemon->discovering |= start;
+	lock_release(&daemon->lock);
+	if (start && !workers_post(daemon->workers, (struct work){ WORK_DISCOVER, daemon })) {
+		lock_acquire(&daemon->lock);
+		daemon->discovering = false;
+		lock_release(&daemon->lock);
+	}
+}
+
+static void greet_nodes(struct daemon *daemon, const GArray *members)
+{
+	struct event event = { .kind = EVENT_PEERS };
+
+	event.peers.ids = (const uint64_t *)(const void *)members->data;
+	event.peers.count = (int)members->len;
+	bridge_event(daemon, &event);
+}
+
+void bridge_discover(struct daemon *daemon)
+{
+	GArray *members = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	bool entered = daemon->entered ||
+		       logclient_enter(daemon->logclient, peers_self(daemon->peers), false);
+	bool read = logclient_nodes(daemon->logclient, members);
+
+	if (members->len)
+		greet_nodes(daemon, members);
+	lock_acquire(&daemon->lock);
+	daemon->entered = entered;
+	daemon->discovering = false;
+	daemon->discover_at = (struct deadline){ 0 };
+	if (!entered || !read)
+		daemon->discover_at = deadline_after(clock_now(), DISCOVER_RETRY_US);
+	lock_release(&daemon->lock);
+	g_array_unref(members);
+}
+
 void bridge_tick(struct daemon *daemon)
 {
 	struct event event = { .kind = EVENT_TICK };
@@ -210,6 +254,9 @@
 	check_announcement(daemon, now);
 	bridge_event(daemon, &event);
 	serve_turns(daemon);
+	if (daemon->caller)
+		caller_sweep(daemon->caller);
+	start_discovery(daemon, now);
 	if (daemon->second_at.at_us == 0 || deadline_passed(daemon->second_at, now)) {
 		daemon->second_at = deadline_after(now, US_PER_S);
 		peers_tick(daemon->peers, now);
@@ -267,6 +314,7 @@
 static void on_up(struct daemon *daemon, const struct announcement *announcement)
 {
 	struct event event = { .kind = EVENT_TARGET_UP };
+	uint32_t ipv4 = announcement->ipv4 ? announcement->ipv4 : daemon->settings.announce.ipv4;
 	bool first;
 
 	lock_acquire(&daemon->lock);
@@ -274,35 +322,95 @@
 	daemon->announced_until = announcement->until;
 	lock_release(&daemon->lock);
 	if (first)
-		logger_event(NOTE_TARGET_ANNOUNCED, "service=%.*s version=%.*s slots=%d port=%u",
+		logger_event(NOTE_TARGET_ANNOUNCED,
+			     "target=%.*s service=%.*s version=%.*s slots=%d port=%u",
+			     STR_ARG(label_str(&announcement->id)),
 			     STR_ARG(label_str(&announcement->service)),
 			     STR_ARG(label_str(&announcement->version)), announcement->slots,
 			     announcement->port);
-	target_set_address(daemon->target, daemon->settings.announce.ipv4, announcement->port);
+	target_set_address(daemon->target, ipv4, announcement->port, announcement->id);
 	event.target.service = announcement->service;
 	event.target.version = announcement->version;
 	event.target.slots = (int)MIN(announcement->slots, daemon->settings.workers - WORKERS_KEPT);
 	bridge_event(daemon, &event);
 }
 
+static void on_leaving(struct daemon *daemon, const struct announcement *announcement)
+{
+	struct event event = { .kind = EVENT_TARGET_LEAVING };
+
+	logger_event(NOTE_TARGET_LEAVING, "target=%.*s reason=\"it drains\"",
+		     STR_ARG(label_str(&announcement->id)));
+	bridge_event(daemon, &event);
+}
+
+static void on_goodbye(struct daemon *daemon, const struct announcement *announcement)
+{
+	struct event event = { .kind = EVENT_TARGET_DOWN };
+
+	lock_acquire(&daemon->lock);
+	daemon->announced_until = (struct deadline){ 0 };
+	lock_release(&daemon->lock);
+	logger_event(NOTE_TARGET_LEAVING, "target=%.*s reason=\"it said goodbye\"",
+		     STR_ARG(label_str(&announcement->id)));
+	bridge_event(daemon, &event);
+}
+
+static struct beat beat_of(const struct announcement *announcement)
+{
+	struct beat beat = { .id = announcement->id,
+			     .born_ms = announcement->born_ms,
+			     .sequence = announcement->sequence };
+
+	switch (announcement->kind) {
+	case ANNOUNCE_UP:
+		beat.kind = BEAT_READY;
+		return beat;
+	case ANNOUNCE_LEAVING:
+		beat.kind = BEAT_LEAVING;
+		return beat;
+	case ANNOUNCE_DOWN:
+		beat.kind = BEAT_GOODBYE;
+		return beat;
+	}
+	g_assert_not_reached();
+}
+
+/* Whether an announcement counts. Without ids each one does. */
+static bool take_beat(struct daemon *daemon, const struct announcement *announcement)
+{
+	struct beat beat = beat_of(announcement);
+	enum beat_result result = BEAT_TAKEN;
+
+	if (announcement->id.len == 0)
+		return true;
+	lock_acquire(&daemon->lock);
+	result = registration_take(&daemon->registration, &beat);
+	if (result == BEAT_REPLACED)
+		daemon->announced_until = (struct deadline){ 0 };
+	lock_release(&daemon->lock);
+	if (result == BEAT_STALE)
+		logger_event(NOTE_ANNOUNCEMENT_STALE, "target=%.*s born_ms=%ld sequence=%ld",
+			     STR_ARG(label_str(&beat.id)), beat.born_ms, beat.sequence);
+	return result != BEAT_STALE;
+}
+
 void bridge_on_announcement(void *context, const struct announcement *announcement)
 {
 	struct daemon *daemon = context;
-	struct event event = { .kind = EVENT_TARGET_DOWN };
 
+	if (!take_beat(daemon, announcement))
+		return;
 	switch (announcement->kind) {
 	case ANNOUNCE_UP:
 		on_up(daemon, announcement);
 		return;
 	case ANNOUNCE_LEAVING:
-		logger_event(NOTE_TARGET_LEAVING, "reason=\"it drains\"");
-		event.kind = EVENT_TARGET_LEAVING;
-		break;
+		on_leaving(daemon, announcement);
+		return;
 	case ANNOUNCE_DOWN:
-		lock_acquire(&daemon->lock);
-		daemon->announced_until = (struct deadline){ 0 };
-		lock_release(&daemon->lock);
-		break;
+		on_goodbye(daemon, announcement);
+		return;
 	}
-	bridge_event(daemon, &event);
+	g_assert_not_reached();
 }
--- a/godwithitchd/calls.c
+++ b/godwithitchd/calls.c
@@ -20,16 +20,36 @@
 	g_free(call);
 }
 
+static void add_field(struct response_head *head, struct str name, struct str value)
+{
+	if (name.len && value.len && head->field_count < FIELDS_MAX)
+		head->fields[head->field_count++] = (struct field){ name, value };
+}
+
+/* A refusal says when to come back; what may have run has another status than a refusal. */
+static int own_status(const struct call *call, int status, enum verdict verdict)
+{
+	const struct dialect *dialect = call->daemon->dialect;
+
+	if (verdict != VERDICT_MAY_HAVE_RUN)
+		return status;
+	return deadline_passed(call->deadline, clock_now()) ? dialect->late_status
+							    : dialect->unsure_status;
+}
+
 void call_answer(struct call *call, int status, enum verdict verdict, struct str reason)
 {
-	struct response_head head = { .status = status };
+	const struct dialect *dialect = call->daemon->dialect;
+	struct response_head head = { .status = own_status(call, status, verdict) };
 	struct strbuf body = { 0 };
 
-	call->status = status;
-	call_end_claim(call, verdict, status);
-	head.fields[0] = (struct field){ STR("Godwithitch-Verdict"), verdict_name(verdict) };
-	head.fields[1] = (struct field){ STR("Content-Type"), STR("text/plain") };
-	head.field_count = 2;
+	call->status = head.status;
+	call_end_claim(call, verdict, head.status);
+	add_field(&head, dialect->verdict, verdict_name(verdict));
+	if (dialect->request_id.len)
+		add_field(&head, dialect->request_id,
+			  caller_field(call->caller, dialect->request_id));
+	add_field(&head, STR("Content-Type"), STR("text/plain"));
 	strbuf_addf(&body, "%.*s: %.*s\n", STR_ARG(verdict_name(verdict)), STR_ARG(reason));
 	caller_answer(call->caller, &head, strbuf_str(&body));
 	strbuf_clear(&body);
@@ -78,14 +98,14 @@
 }
 
 /* A caller that is itself a target in a chain of calls passes its own deadline on. */
-static struct deadline make_deadline(const struct route *route, const struct caller_call *caller,
-				     struct instant now)
+static struct deadline make_deadline(const struct dialect *dialect, const struct route *route,
+				     const struct caller_call *caller, struct instant now)
 {
 	int64_t left_us = route->timeout_us;
 	int64_t asked_ms;
 
-	if (str_to_int64(caller_field(caller, STR("Godwithitch-Deadline-Ms")), &asked_ms) &&
-	    asked_ms >= 0 && asked_ms < left_us / US_PER_MS)
+	if (str_to_int64(caller_field(caller, dialect->deadline_ms), &asked_ms) && asked_ms >= 0 &&
+	    asked_ms < left_us / US_PER_MS)
 		left_us = asked_ms * US_PER_MS;
 	/* Passed already: one microsecond stands for it, since 0 would be no deadline. */
 	return deadline_after(now, left_us > 0 ? left_us : 1);
@@ -147,10 +167,17 @@
 
 static void make_head(struct call *call, struct request_head *head, struct instant now)
 {
-	const struct field *fields = caller_fields(call->caller, &head->field_count);
-
-	for (int i = 0; i < head->field_count; i++)
-		head->fields[i] = fields[i];
+	struct str caller_service = call->daemon->dialect->caller_service;
+	int count;
+	const struct field *fields = caller_fields(call->caller, &count);
+
+	for (int i = 0; i < count; i++)
+		if (!caller_service.len || !str_equal_nocase(fields[i].name, caller_service))
+			head->fields[head->field_count++] = fields[i];
+	if (caller_service.len && head->field_count < FIELDS_MAX)
+		head->fields[head->field_count++] =
+			(struct field){ caller_service,
+					label_str(&call->daemon->settings.service) };
 	head->method = caller_method(call->caller);
 	head->target = caller_target(call->caller);
 	head->route = call->route->name;
@@ -217,6 +244,11 @@
 		call->facts.avoid[call->facts.avoid_count++] = target;
 }
 
+int call_attempts_max(const struct call *call)
+{
+	return call->route->attempts ? call->route->attempts : ATTEMPTS_MAX;
+}
+
 void call_try_target(struct call *call)
 {
 	while (call->attempts < ATTEMPTS_MAX) {
@@ -350,11 +382,12 @@
 		return;
 	}
 	call->tenant = label_from(tenant_text(call->route, caller));
-	call->deadline = make_deadline(call->route, caller, now);
+	call->deadline = make_deadline(daemon->dialect, call->route, caller, now);
 	call->facts.route = call->route;
 	call->facts.point = make_point(daemon, key);
+	call->service = call_service(&call->facts);
 	call->facts.fingerprint = fingerprint(call->route, caller, key);
-	node_note_call(daemon->node, call->route->service);
+	node_note_call(daemon->node, call->service);
 	if (call->route->repeat == REPEAT_AT_MOST_ONCE)
 		start_claim(call, key, now);
 	else
@@ -393,7 +426,7 @@
 	attempt_unref(attempt);
 }
 
-static void cancel(struct attempt *attempt)
+static void cancel_attempt(struct attempt *attempt)
 {
 	if (!attempt_finish(attempt))
 		return;
@@ -435,11 +468,28 @@
 	if (call->route)
 		count_call(call);
 	if (attempt)
-		cancel(attempt);
+		cancel_attempt(attempt);
 	attempt_unref(attempt);
 	call_unref(call);
 }
 
+/* Ends the exchange with a caller that closed its connection: nothing more is started for it. */
+static void on_left(struct call *call)
+{
+	struct attempt *attempt;
+
+	lock_acquire(&call->lock);
+	call->gone = true;
+	attempt = call->current;
+	call->current = NULL;
+	lock_release(&call->lock);
+	if (attempt)
+		cancel_attempt(attempt);
+	attempt_unref(attempt);
+	call_answer(call, STATUS_UNAVAILABLE, VERDICT_MAY_HAVE_RUN, STR("the caller left"));
+	caller_finish(call->caller, PIPE_FAILED);
+}
+
 void calls_on_caller(void *context, const struct caller_event *event)
 {
 	struct daemon *daemon = context;
@@ -459,6 +509,10 @@
 			attempt_pump(attempt);
 		attempt_unref(attempt);
 		return;
+	case CALLER_LEFT:
+		if (call)
+			on_left(call);
+		return;
 	case CALLER_GONE:
 		if (call)
 			on_gone(call);
--- a/godwithitchd/calls.h
+++ b/godwithitchd/calls.h
@@ -25,6 +25,7 @@
 	struct caller_call *caller;
 	struct config *config;
 	const struct route *route;
+	struct label service; /* of the route's parts, chosen once */
 	struct call_facts facts;
 	struct label tenant;
 	struct deadline deadline;
@@ -70,6 +71,8 @@
 void call_answer(struct call *call, int status, enum verdict verdict, struct str reason);
 /** Records how a claimed call ended. What may have run keeps its key for good. */
 void call_end_claim(struct call *call, enum verdict verdict, int status);
+/** Targets that the call may be sent to. */
+int call_attempts_max(const struct call *call);
 /** The call's next attempts leave out this target. */
 void call_avoid(struct call *call, uint64_t target);
 
--- a/godwithitchd/daemon.h
+++ b/godwithitchd/daemon.h
@@ -10,15 +10,18 @@
 #include "base/workers.h"
 #include "caller/http.h"
 #include "core/node.h"
+#include "core/registration.h"
 #include "godwithitchd/settings.h"
 #include "operator/control.h"
 #include "peer/peers.h"
+#include "platform/heartbeat.h"
 #include "platform/logclient.h"
 #include "target/announce.h"
 #include "target/call.h"
 
 struct daemon {
 	struct settings settings;
+	const struct dialect *dialect; /* of callers and targets */
 	apr_pool_t *pool;
 	struct metrics *metrics;
 	struct workers *workers;
@@ -28,7 +31,8 @@
 	struct target *target;
 	struct caller *caller;
 	struct control *control;
-	struct announce *announce;
+	struct announce *announce;     /* INTERFACE_OWN */
+	struct heartbeats *heartbeats; /* INTERFACE_PLATFORM */
 	struct watch tick_watch;
 	struct deadline second_at; /* only the worker that has the tick */
 	gint stopping;
@@ -36,6 +40,10 @@
 	gint serving;	  /* calls at the own target, queued ones included */
 	struct lock lock; /* LOCK_CALLS: all below */
 	struct deadline announced_until;
+	struct registration registration; /* of the target on this VM */
+	struct deadline discover_at;	  /* 0: not before it is needed again */
+	bool discovering;
+	bool entered;	    /* this node stands in the platform's list */
 	GPtrArray *running; /* struct serve, for the marks of a crash */
 	struct deadline crash_noted_until;
 	uint64_t next_point;
@@ -52,6 +60,8 @@
 void bridge_tick(struct daemon *daemon);
 void bridge_read_log(struct daemon *daemon, void *job);
 void bridge_append(struct daemon *daemon, void *job);
+/** Enters this node in the platform's list of nodes and greets the others there. */
+void bridge_discover(struct daemon *daemon);
 /** The target does not listen any more. */
 void bridge_target_gone(struct daemon *daemon);
 void bridge_on_announcement(void *context, const struct announcement *announcement);
--- a/godwithitchd/main.c
+++ b/godwithitchd/main.c
@@ -12,8 +12,10 @@
 #include "base/logger.h"
 #include "godwithitchd/daemon.h"
 #include "operator/parse.h"
+#include "platform/dialect.h"
 
-#define STOP_CHECK_MS 50
+#define STOP_CHECK_MS  50
+#define STOP_MARGIN_US (200 * US_PER_MS) /* to end by oneself before one is killed */
 
 enum { EXIT_USAGE = 2, QUEUE_MAX = 4096 };
 
@@ -47,6 +49,9 @@
 	case WORK_APPEND:
 		bridge_append(daemon, work->data);
 		return;
+	case WORK_DISCOVER:
+		bridge_discover(daemon);
+		return;
 	}
 	g_assert_not_reached();
 }
@@ -112,10 +117,38 @@
 	node.id = peers_self(daemon->peers);
 	node.seed = (uint64_t)clock_now().wall_us;
 	daemon->node = node_new(&node, clock_now(), error);
-	daemon->logclient = logclient_new(settings->log_url, daemon->pool, error);
+	daemon->logclient = logclient_new(
+		settings->interface == INTERFACE_PLATFORM ? LOG_SERVICE_STORE : LOG_SERVICE_OWN,
+		settings->log_url, daemon->pool, error);
 	return daemon->node && daemon->logclient;
 }
 
+static bool open_announcements(struct daemon *daemon, GError **error)
+{
+	const struct settings *settings = &daemon->settings;
+	struct announce_options options = { .ipv4 = settings->announce.ipv4,
+					    .port = settings->announce.port,
+					    .ttl_us = settings->announce_ttl_us,
+					    .handle = bridge_on_announcement,
+					    .context = daemon };
+
+	switch (settings->interface) {
+	case INTERFACE_OWN:
+		daemon->announce = announce_new(&options, error);
+		return daemon->announce != NULL;
+	case INTERFACE_PLATFORM:
+		daemon->heartbeats = heartbeats_new(&options, error);
+		return daemon->heartbeats != NULL;
+	}
+	g_assert_not_reached();
+}
+
+static uint16_t announcements_port(const struct daemon *daemon)
+{
+	return daemon->announce ? announce_port(daemon->announce)
+				: heartbeats_port(daemon->heartbeats);
+}
+
 static bool open_endpoints(struct daemon *daemon, GError **error)
 {
 	const struct settings *settings = &daemon->settings;
@@ -134,16 +167,11 @@
 					   .metrics = daemon->metrics,
 					   .handle = on_control,
 					   .context = daemon };
-	struct announce_options announce = { .ipv4 = settings->announce.ipv4,
-					     .port = settings->announce.port,
-					     .handle = bridge_on_announcement,
-					     .context = daemon };
 
 	daemon->control = control_new(&control, error);
 	if (!daemon->control)
 		return false;
-	daemon->announce = announce_new(&announce, error);
-	if (!daemon->announce)
+	if (!open_announcements(daemon, error))
 		return false;
 	daemon->caller = caller_new(&caller, daemon->pool, error);
 	return daemon->caller != NULL;
@@ -157,7 +185,11 @@
 	apr_pool_create(&daemon->pool, NULL);
 	lock_init(&daemon->lock, LOCK_CALLS, daemon->pool);
 	daemon->metrics = metrics_new(daemon->pool);
-	daemon->target = target_new(daemon->pool);
+	daemon->dialect =
+		settings->interface == INTERFACE_PLATFORM ? &dialect_platform : &dialect_own;
+	daemon->target = target_new(daemon->dialect, daemon->pool);
+	if (settings->interface == INTERFACE_PLATFORM)
+		daemon->discover_at = deadline_after(clock_now(), 0);
 	daemon->running = g_ptr_array_new();
 	daemon->claiming = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
 	daemon->next_point = (uint64_t)clock_now().wall_us;
@@ -186,7 +218,7 @@
 	print_address(text[2], sizeof(text[2]), settings->control.ipv4,
 		      control_port(daemon->control));
 	print_address(text[3], sizeof(text[3]), settings->announce.ipv4,
-		      announce_port(daemon->announce));
+		      announcements_port(daemon));
 	logger_event(NOTE_DAEMON_STARTED, "address=%s callers=%s control=%s announce=%s", text[0],
 		     text[1], text[2], text[3]);
 }
@@ -196,6 +228,7 @@
 {
 	caller_free(daemon->caller);
 	announce_free(daemon->announce);
+	heartbeats_free(daemon->heartbeats);
 	control_free(daemon->control);
 	workers_stop(daemon->workers);
 	peers_free(daemon->peers);
@@ -224,17 +257,23 @@
 static bool drain(struct daemon *daemon, const sigset_t *signals)
 {
 	struct timespec step = { 0, STOP_CHECK_MS * 1000000L };
+	struct instant now = clock_now();
+	struct deadline notice_at = deadline_after(now, daemon->settings.stop_notice_us);
 	struct deadline stop_at =
-		deadline_after(clock_now(), daemon->settings.stop_within_s * US_PER_S);
+		deadline_after(now, daemon->settings.stop_within_us - STOP_MARGIN_US);
 	struct event stop = { .kind = EVENT_STOP };
+	int number = 0;
 
 	logger_event(NOTE_DAEMON_STOPPING, "in_flight=%d", unfinished(daemon));
 	bridge_event(daemon, &stop);
+	caller_retire(daemon->caller);
+	/* Callers that have not heard of the stop yet still find a node that serves them. */
+	while (number != SIGTERM && number != SIGINT && !deadline_passed(notice_at, clock_now()))
+		number = sigtimedwait(signals, NULL, &step);
 	g_atomic_int_set(&daemon->stopping, 1);
 	caller_quiesce(daemon->caller);
 	while (unfinished(daemon)) {
-		int number = sigtimedwait(signals, NULL, &step);
-
+		number = sigtimedwait(signals, NULL, &step);
 		if (number == SIGTERM || number == SIGINT || deadline_passed(stop_at, clock_now()))
 			break;
 	}
@@ -313,14 +352,16 @@
 
 int main(int argc, char **argv)
 {
-	struct arg_file *file = arg_file1("f", NULL, "FILE", "settings");
+	struct arg_file *file = arg_file0("f", NULL, "FILE", "settings");
 	struct arg_lit *check = arg_lit0("n", NULL, "check the settings and exit");
 	struct arg_end *end = arg_end(4);
 	void *table[] = { file, check, end };
+	bool good = arg_parse(argc, argv, table) == 0;
+	const char *path = file->count ? file->filename[0] : platform_settings_path();
 	int status = EXIT_USAGE;
 
-	if (arg_parse(argc, argv, table) == 0)
-		status = start(file->filename[0], check->count > 0);
+	if (good && path)
+		status = start(path, check->count > 0);
 	else
 		fprintf(stderr, "usage: godwithitchd [-n] -f settings.json\n");
 	arg_freetable(table, sizeof(table) / sizeof(table[0]));
--- a/godwithitchd/serve.c
+++ b/godwithitchd/serve.c
@@ -11,8 +11,6 @@
 	FLUSH_BYTES = 16 << 10, /* an answer up to this goes out in one piece */
 	WINDOW_STEP = STREAM_WINDOW / 4,
 	FINGERPRINTS_MAX = 256,
-	STATUS_UNAVAILABLE = 503,
-	STATUS_TOO_MANY = 429,
 };
 
 /** Where the answer goes. */
@@ -297,20 +295,20 @@
 	return true;
 }
 
-/* A target that sheds may say that it ran nothing of the request. */
-static bool says_not_run(const struct response_head *head)
+/* A target that sheds, or that is another one, may say that it ran nothing of the request. */
+static bool says_not_run(const struct dialect *dialect, const struct response_head *head)
 {
-	if (head->status != STATUS_UNAVAILABLE && head->status != STATUS_TOO_MANY)
-		return false;
+	if (dialect->misdirected_status && head->status == dialect->misdirected_status)
+		return true;
 	for (int i = 0; i < head->field_count; i++)
-		if (str_equal_nocase(head->fields[i].name, STR("Godwithitch-Not-Run")))
+		if (str_equal_nocase(head->fields[i].name, dialect->not_run))
 			return true;
 	return false;
 }
 
 static bool give_head(struct serve *serve, const struct response_head *head)
 {
-	serve->shed = says_not_run(head);
+	serve->shed = says_not_run(serve->daemon->dialect, head);
 	if (serve->shed)
 		return false;
 	serve->has_head = true;
@@ -485,7 +483,7 @@
 	enum target_outcome outcome = result->outcome;
 	/* A connection that broke while the target still listens is a failed call, no crash. */
 	bool broken = outcome == TARGET_CRASHED || outcome == TARGET_UNREACHED;
-	bool gone = broken && !target_listens(serve->daemon->target);
+	bool gone = result->misdirected || (broken && !target_listens(serve->daemon->target));
 
 	if (outcome == TARGET_CRASHED && !gone)
 		outcome = TARGET_FAILED;
--- a/godwithitchd/settings.c
+++ b/godwithitchd/settings.c
@@ -11,11 +11,17 @@
 	CONNECTIONS_DEFAULT = 2000,
 	PER_ADDRESS_DEFAULT = 500,
 	IDLE_DEFAULT_S = 60,
-	STOP_DEFAULT_S = 600,
 	RETENTION_DEFAULT_S = 3600,
 };
 
-#define BODY_DEFAULT_BYTES (4LL << 30)
+#define BODY_DEFAULT_BYTES	(4LL << 30)
+#define STOP_DEFAULT_US		(600 * US_PER_S)
+#define STOP_MAX_US		(86400 * US_PER_S)
+#define ANNOUNCE_TTL_MAX_US	(60 * US_PER_S)
+#define RETRY_RATIO_DEFAULT	0.1 /* the load that repeats may add when all goes wrong */
+#define RETRY_SLACK_DEFAULT	10
+#define RETRY_WINDOW_DEFAULT_US (10 * US_PER_S)
+#define RETRY_WINDOW_MAX_US	(3600 * US_PER_S)
 
 struct reader {
 	const struct json_doc *doc;
@@ -128,13 +134,76 @@
 	return json_take_int(r->doc, r->doc->root, key, JSON_OPTIONAL, min, max, out, r->error);
 }
 
+/* A number with or without a fraction. */
+static bool take_real(struct reader *r, struct str key, double max, double *out)
+{
+	const struct json *value = json_get(r->doc->root, key);
+
+	if (!value)
+		return true;
+	if (value->kind == JSON_INTEGER)
+		*out = (double)value->integer;
+	else if (value->kind == JSON_DOUBLE)
+		*out = value->number;
+	else
+		return json_want_kind(r->doc, value, JSON_DOUBLE, r->error);
+	if (*out >= 0 && *out <= max)
+		return true;
+	return json_fail(r->doc, value, CONFIG_ERROR_TYPE, r->error,
+			 "expected a number from 0 to %g", max);
+}
+
+static bool take_seconds(struct reader *r, struct str key, int64_t max_us, int64_t fallback_us,
+			 int64_t *us)
+{
+	double seconds = (double)fallback_us / US_PER_S;
+	bool good = take_real(r, key, (double)max_us / US_PER_S, &seconds);
+
+	*us = (int64_t)(seconds * US_PER_S);
+	return good;
+}
+
+static bool take_interface(struct reader *r)
+{
+	struct str name = STR("own");
+
+	if (!json_take_str(r->doc, r->doc->root, STR("interface"), JSON_OPTIONAL, &name, r->error))
+		return false;
+	if (str_equal(name, STR("own")))
+		r->settings->interface = INTERFACE_OWN;
+	else if (str_equal(name, STR("platform")))
+		r->settings->interface = INTERFACE_PLATFORM;
+	else
+		return json_fail(r->doc, json_get(r->doc->root, STR("interface")),
+				 CONFIG_ERROR_TYPE, r->error,
+				 "\"%.*s\": expected \"own\" or \"platform\"", STR_ARG(name));
+	return json_take_label(r->doc, r->doc->root, STR("service"), JSON_OPTIONAL,
+			       &r->settings->service, r->error);
+}
+
+static bool take_times(struct reader *r)
+{
+	struct settings *s = r->settings;
+
+	s->retry_ratio = RETRY_RATIO_DEFAULT;
+	return take_seconds(r, STR("stop_within_s"), STOP_MAX_US, STOP_DEFAULT_US,
+			    &s->stop_within_us) &&
+	       take_seconds(r, STR("stop_notice_s"), STOP_MAX_US, 0, &s->stop_notice_us) &&
+	       take_seconds(r, STR("announce_ttl_s"), ANNOUNCE_TTL_MAX_US, 0,
+			    &s->announce_ttl_us) &&
+	       take_seconds(r, STR("retry_window_s"), RETRY_WINDOW_MAX_US, RETRY_WINDOW_DEFAULT_US,
+			    &s->retry_window_us) &&
+	       take_real(r, STR("retry_ratio"), 1, &s->retry_ratio);
+}
+
 static bool take_numbers(struct reader *r)
 {
 	struct settings *s = r->settings;
 
 	return take_number(r, STR("log_retention_s"), 10, 30LL * 86400, RETENTION_DEFAULT_S,
 			   &s->log_retention_s) &&
-	       take_number(r, STR("stop_within_s"), 1, 86400, STOP_DEFAULT_S, &s->stop_within_s) &&
+	       take_number(r, STR("retry_slack"), 0, 100000, RETRY_SLACK_DEFAULT,
+			   &s->retry_slack) &&
 	       take_number(r, STR("workers"), WORKERS_MIN, 1024, WORKERS_DEFAULT, &s->workers) &&
 	       take_number(r, STR("connections"), 1, 100000, CONNECTIONS_DEFAULT,
 			   &s->connections) &&
@@ -172,8 +241,8 @@
 	       take_endpoint(r, STR("callers"), &r->settings->callers) &&
 	       take_endpoint(r, STR("control"), &r->settings->control) &&
 	       take_endpoint(r, STR("announce"), &r->settings->announce) && take_texts(r) &&
-	       take_seeds(r) && take_fleet(r) && take_numbers(r) &&
-	       json_all_used(r->doc, r->doc->root, r->error);
+	       take_interface(r) && take_seeds(r) && take_fleet(r) && take_numbers(r) &&
+	       take_times(r) && json_all_used(r->doc, r->doc->root, r->error);
 }
 
 bool settings_read(const char *path, struct settings *settings, GError **error)
--- a/godwithitchd/settings.h
+++ b/godwithitchd/settings.h
@@ -14,7 +14,15 @@
 	uint16_t port; /**< 0: from the kernel */
 };
 
+/** Whose interfaces to callers, targets and the log a node speaks. */
+enum interface_kind {
+	INTERFACE_OWN,	    /**< docs/CALLERS.md, docs/TARGET-CONTRACT.md, docs/LOG-CONTRACT.md */
+	INTERFACE_PLATFORM, /**< docs/PLATFORM.md */
+};
+
 struct settings {
+	enum interface_kind interface;
+	struct label service;	 /**< of this VM's target; empty: as announced */
 	struct endpoint address; /**< for other nodes, TCP and UDP */
 	struct endpoint callers;
 	struct endpoint control;
@@ -26,7 +34,12 @@
 	int fleet_count;
 	char *log_file; /**< owned; "-" is standard error */
 	int64_t log_retention_s;
-	int64_t stop_within_s; /**< a graceful stop cuts what is left after this */
+	int64_t stop_within_us;	 /**< a graceful stop cuts what is left after this */
+	int64_t stop_notice_us;	 /**< new work is still taken this long after the stop began */
+	int64_t announce_ttl_us; /**< an announcement that does not say so holds this long */
+	double retry_ratio;	 /**< repeats for each call of a service, over the whole fleet */
+	int64_t retry_slack;	 /**< and this many more, over the whole fleet, in a window */
+	int64_t retry_window_us;
 	int64_t workers;
 	int64_t connections;
 	int64_t connections_per_address;
--- a/operator/control.c
+++ b/operator/control.c
@@ -129,10 +129,10 @@
 
 static void answer_ready(struct control *control, struct answer *answer)
 {
-	if (node_is_current(control->options.node))
+	if (node_is_ready(control->options.node))
 		strbuf_add(&answer->body, STR("{\"ready\":true}"));
 	else
-		fail(answer, MHD_HTTP_SERVICE_UNAVAILABLE, "the node still joins\n");
+		fail(answer, MHD_HTTP_SERVICE_UNAVAILABLE, "the node joins or stops\n");
 }
 
 static void answer_metrics(struct control *control, struct answer *answer)
--- a/operator/parse.c
+++ b/operator/parse.c
@@ -6,6 +6,8 @@
 enum {
 	TIMEOUT_DEFAULT_MS = 10000,
 	TIMEOUT_MAX_MS = 3600 * 1000,
+	WEIGHT_MAX = 1000000,
+	ATTEMPTS_MAX = 64,
 };
 
 /* Where a part of the file is read to. */
@@ -34,19 +36,39 @@
 	return true;
 }
 
+/* The declared versions, or NULL for "any": whatever targets announce. */
+static bool take_versions(struct parser *p, const struct json *item, struct json **versions)
+{
+	const struct json *value = json_get(item, STR("versions"));
+
+	*versions = NULL;
+	if (value && value->kind == JSON_STRING && str_equal(value->string, STR("any")))
+		return true;
+	return json_take(p->doc, item, STR("versions"), JSON_REQUIRED, JSON_OBJECT, versions,
+			 p->error);
+}
+
 static bool parse_service(struct parser *p, const struct json *item)
 {
 	struct service service = { .name = label_from(item->key), .line = item->line };
+	struct str health = STR("");
+	int64_t connections = 0;
 	struct json *versions;
 
 	if (!json_check_name(p->doc, item, item->key, p->error) ||
 	    !json_want_kind(p->doc, item, JSON_OBJECT, p->error) ||
-	    !json_take(p->doc, item, STR("versions"), JSON_REQUIRED, JSON_OBJECT, &versions,
-		       p->error))
+	    !take_versions(p, item, &versions) ||
+	    !json_take_str(p->doc, item, STR("health"), JSON_OPTIONAL, &health, p->error) ||
+	    !json_take_int(p->doc, item, STR("connections"), JSON_OPTIONAL, 0, INT32_MAX,
+			   &connections, p->error))
 		return false;
+	service.any_version = versions == NULL;
+	service.health = config_file_keep(p->file, health);
+	service.connections = (int)connections;
 	service.versions = g_array_new(FALSE, TRUE, sizeof(struct version));
 	g_array_append_val(p->file->services, service);
-	return parse_versions(p, versions, &service) && json_all_used(p->doc, item, p->error);
+	return (!versions || parse_versions(p, versions, &service)) &&
+	       json_all_used(p->doc, item, p->error);
 }
 
 static bool parse_methods(struct parser *p, const struct json *item, struct route *route)
@@ -129,30 +151,81 @@
 	return true;
 }
 
-static bool parse_route(struct parser *p, const struct json *item)
+static bool parse_part(struct parser *p, const struct json *item, struct route *route)
 {
-	struct route route = { .line = item->line };
-	int64_t timeout_ms = TIMEOUT_DEFAULT_MS;
-	int64_t concurrency = 100;
+	struct route_part part = { 0 };
 
 	if (!json_want_kind(p->doc, item, JSON_OBJECT, p->error) ||
-	    !json_take_label(p->doc, item, STR("name"), JSON_REQUIRED, &route.name, p->error) ||
-	    !json_take_label(p->doc, item, STR("service"), JSON_REQUIRED, &route.service,
+	    !json_take_label(p->doc, item, STR("service"), JSON_REQUIRED, &part.service,
 			     p->error) ||
-	    !parse_match(p, item, &route) || !parse_class(p, item, &route) ||
-	    !parse_repeat(p, item, &route) ||
-	    !json_take_int(p->doc, item, STR("deadline_ms"), JSON_OPTIONAL, 1, TIMEOUT_MAX_MS,
+	    !json_take_int(p->doc, item, STR("weight"), JSON_REQUIRED, 0, WEIGHT_MAX, &part.weight,
+			   p->error) ||
+	    !json_all_used(p->doc, item, p->error))
+		return false;
+	route->weight_sum += part.weight;
+	g_array_append_val(route->parts, part);
+	return true;
+}
+
+/* Where a route's calls go: one service, or several parts with weights. */
+static bool parse_destination(struct parser *p, const struct json *item, struct route *route)
+{
+	struct json *parts;
+
+	if (!json_take(p->doc, item, STR("parts"), JSON_OPTIONAL, JSON_ARRAY, &parts, p->error))
+		return false;
+	if (!parts)
+		return json_take_label(p->doc, item, STR("service"), JSON_REQUIRED, &route->service,
+				       p->error);
+	route->parts = g_array_new(FALSE, TRUE, sizeof(struct route_part));
+	for (guint i = 0; i < parts->items->len; i++)
+		if (!parse_part(p, g_ptr_array_index(parts->items, i), route))
+			return false;
+	if (route->weight_sum == 0)
+		return json_fail(p->doc, parts, CONFIG_ERROR_SHARE, p->error,
+				 "expected a weight above 0");
+	route->service = g_array_index(route->parts, struct route_part, 0).service;
+	return true;
+}
+
+static bool parse_limits(struct parser *p, const struct json *item, struct route *route)
+{
+	int64_t timeout_ms = TIMEOUT_DEFAULT_MS;
+	int64_t objective_ms = 0;
+	int64_t concurrency = 100;
+	int64_t attempts = 0;
+
+	if (!json_take_int(p->doc, item, STR("deadline_ms"), JSON_OPTIONAL, 1, TIMEOUT_MAX_MS,
 			   &timeout_ms, p->error) ||
+	    !json_take_int(p->doc, item, STR("objective_ms"), JSON_OPTIONAL, 1, TIMEOUT_MAX_MS,
+			   &objective_ms, p->error) ||
+	    !json_take_int(p->doc, item, STR("attempts"), JSON_OPTIONAL, 1, ATTEMPTS_MAX, &attempts,
+			   p->error) ||
 	    !json_take_int(p->doc, item, STR("concurrency_percent"), JSON_OPTIONAL, 1, 100,
-			   &concurrency, p->error) ||
-	    !json_all_used(p->doc, item, p->error))
+			   &concurrency, p->error))
 		return false;
-	route.timeout_us = timeout_ms * US_PER_MS;
-	route.concurrency_percent = (int)concurrency;
-	g_array_append_val(p->file->routes, route);
+	route->timeout_us = timeout_ms * US_PER_MS;
+	route->objective_us = objective_ms * US_PER_MS;
+	route->attempts = (int)attempts;
+	route->concurrency_percent = (int)concurrency;
 	return true;
 }
 
+static bool parse_route(struct parser *p, const struct json *item)
+{
+	struct route route = { .line = item->line };
+	bool good =
+		json_want_kind(p->doc, item, JSON_OBJECT, p->error) &&
+		json_take_label(p->doc, item, STR("name"), JSON_REQUIRED, &route.name, p->error) &&
+		parse_destination(p, item, &route) && parse_match(p, item, &route) &&
+		parse_class(p, item, &route) && parse_repeat(p, item, &route) &&
+		parse_limits(p, item, &route) && json_all_used(p->doc, item, p->error);
+
+	/* The file owns the parts, of a bad route too. */
+	g_array_append_val(p->file->routes, route);
+	return good;
+}
+
 static bool parse_time(struct parser *p, const struct json *item, struct str key, int64_t *wall_us)
 {
 	struct str text = STR("");
@@ -173,7 +246,7 @@
 	if (!json_want_kind(p->doc, item, JSON_OBJECT, p->error) ||
 	    !json_take_label(p->doc, item, STR("service"), JSON_REQUIRED, &move.service,
 			     p->error) ||
-	    !json_take_label(p->doc, item, STR("from"), JSON_REQUIRED, &move.from, p->error) ||
+	    !json_take_label(p->doc, item, STR("from"), JSON_OPTIONAL, &move.from, p->error) ||
 	    !json_take_label(p->doc, item, STR("to"), JSON_REQUIRED, &move.to, p->error) ||
 	    !parse_time(p, item, STR("start"), &move.start_at_us) ||
 	    !parse_time(p, item, STR("finish"), &move.finish_at_us) ||
@@ -237,6 +310,8 @@
 static bool parse_root(struct parser *p)
 {
 	return json_want_kind(p->doc, p->doc->root, JSON_OBJECT, p->error) &&
+	       json_take_int(p->doc, p->doc->root, STR("serial"), JSON_OPTIONAL, 1, INT64_MAX,
+			     &p->file->serial, p->error) &&
 	       parse_section(p, STR("services"), JSON_OBJECT, parse_service) &&
 	       parse_section(p, STR("routes"), JSON_ARRAY, parse_route) &&
 	       parse_section(p, STR("moves"), JSON_ARRAY, parse_move) &&
--- a/regress/measure.c
+++ b/regress/measure.c
@@ -168,7 +168,7 @@
 		int64_t now_us)
 {
 	struct choice_options options = { .service = label_from(STR("s")),
-					  .version = label_from(STR("v")) };
+					  .version = { VERSION_IS, label_from(STR("v")) } };
 	struct instant now = { now_us, now_us };
 
 	switch (policy) {
--- a/regress/peer/codec_test.c
+++ b/regress/peer/codec_test.c
@@ -237,7 +237,7 @@
 		else if (record.kind == LOG_SNAPSHOT)
 			fill_snapshot(&rng, &record.snapshot);
 		else
-			record.move = random_state(&rng);
+			record.move.state = random_state(&rng);
 		record_encode(&record, &first);
 		record_decode(record.kind == LOG_CHANGE ? STREAM_CONFIG : STREAM_SYSTEM, 9,
 			      strbuf_str(&first), &back);
--- a/target/announce.c
+++ b/target/announce.c
@@ -39,13 +39,14 @@
 }
 
 /* Reads the arguments of an announcement; NULL if they are good, else what is wrong. */
-static const char *read_up(struct MHD_Connection *connection, struct announcement *up)
+static const char *read_up(struct MHD_Connection *connection, int64_t ttl_us,
+			   struct announcement *up)
 {
 	struct str service = endpoint_argument(connection, "service");
 	struct str version = endpoint_argument(connection, "version");
 	int64_t slots = 0;
 	int64_t port = 0;
-	int64_t ttl_ms = TTL_DEFAULT_MS;
+	int64_t ttl_ms = ttl_us ? ttl_us / US_PER_MS : TTL_DEFAULT_MS;
 
 	if (service.len == 0 || !label_fits(service))
 		return "service: expected a name\n";
@@ -78,7 +79,7 @@
 	if (!endpoint_ready(data_size, state))
 		return MHD_YES;
 	if (strcmp(url, "/announce") == 0 && strcmp(method, "PUT") == 0)
-		problem = read_up(connection, &announcement);
+		problem = read_up(connection, announce->options.ttl_us, &announcement);
 	else if (strcmp(url, "/announce") == 0 && strcmp(method, "DELETE") == 0)
 		announcement.kind = ANNOUNCE_DOWN;
 	else if (strcmp(url, "/leave") == 0 && strcmp(method, "POST") == 0)
--- /dev/null
+++ b/target/build/base/clock.d
@@ -0,0 +1,1 @@
+target/build/base/clock.o: base/clock.c base/clock.h base/str.h
--- /dev/null
+++ b/target/build/base/hist.d
@@ -0,0 +1,1 @@
+target/build/base/hist.o: base/hist.c base/hist.h
--- /dev/null
+++ b/target/build/base/rng.d
@@ -0,0 +1,1 @@
+target/build/base/rng.o: base/rng.c base/rng.h
--- /dev/null
+++ b/target/build/core/dialect.d
@@ -0,0 +1,2 @@
+target/build/core/dialect.o: core/dialect.c core/dialect.h base/str.h \
+ base/verdict.h
--- /dev/null
+++ b/target/build/core/registration.d
@@ -0,0 +1,2 @@
+target/build/core/registration.o: core/registration.c core/registration.h \
+ base/str.h
--- a/target/call.c
+++ b/target/call.c
@@ -11,18 +11,28 @@
 
 enum {
 	CONNECT_TIMEOUT_MS = 500,
+	CHECK_MS = 100, /* a caller that left is noticed within half a second, hops included */
 	STATUS_MIN = 100,
+	STATUS_REDIRECT = 300,
 	STATUS_SERVER_ERROR = 500,
 	STATUS_UNAVAILABLE = 503,
 	STATUS_TOO_MANY = 429,
 };
 
 struct target {
+	const struct dialect *dialect;
 	struct lock lock; /* LOCK_TARGET */
 	apr_pool_t *pool;
-	GPtrArray *idle; /* CURL; each keeps its connection open */
+	GPtrArray *idle; /* struct handle */
 	uint32_t ipv4;
 	uint16_t port;
+	struct label id;
+};
+
+/** A handle for one call at a time; it keeps its connections open. */
+struct handle {
+	CURL *curl;
+	CURLM *multi;
 };
 
 /** One call under way. */
@@ -32,19 +42,31 @@
 	struct strbuf field_text;
 	size_t field_ends[FIELDS_MAX]; /* positions in field_text, since it may move */
 	size_t name_lens[FIELDS_MAX];
+	const struct dialect *dialect;
 	bool head_given;
 	bool gave_up;
+	bool spoiled; /* what came is not the target's answer to this request */
 	int64_t started_us;
 	int64_t head_us;
 };
 
-struct target *target_new(apr_pool_t *pool)
+static void handle_free(gpointer data)
+{
+	struct handle *handle = data;
+
+	curl_easy_cleanup(handle->curl);
+	curl_multi_cleanup(handle->multi);
+	g_free(handle);
+}
+
+struct target *target_new(const struct dialect *dialect, apr_pool_t *pool)
 {
 	struct target *target = g_new0(struct target, 1);
 
+	target->dialect = dialect;
 	apr_pool_create(&target->pool, pool);
 	lock_init(&target->lock, LOCK_TARGET, target->pool);
-	target->idle = g_ptr_array_new();
+	target->idle = g_ptr_array_new_with_free_func(handle_free);
 	return target;
 }
 
@@ -52,16 +74,15 @@
 {
 	if (!target)
 		return;
-	for (guint i = 0; i < target->idle->len; i++)
-		curl_easy_cleanup(g_ptr_array_index(target->idle, i));
 	g_ptr_array_unref(target->idle);
 	apr_pool_destroy(target->pool);
 	g_free(target);
 }
 
-void target_set_address(struct target *target, uint32_t ipv4, uint16_t port)
+void target_set_address(struct target *target, uint32_t ipv4, uint16_t port, struct label id)
 {
 	lock_acquire(&target->lock);
+	target->id = id;
 	target->ipv4 = ipv4;
 	target->port = port;
 	lock_release(&target->lock);
@@ -108,15 +129,45 @@
 	}
 }
 
+static struct str field_value(const struct field *fields, int count, struct str name)
+{
+	for (int i = 0; name.len && i < count; i++)
+		if (str_equal_nocase(fields[i].name, name))
+			return fields[i].value;
+	return STR("");
+}
+
+/* Whether the head belongs to the request, and a success comes from the target itself. */
+static bool is_own_answer(const struct call *call)
+{
+	const struct response_head *head = &call->head;
+	const struct request_head *request = call->options->head;
+	struct str name = call->dialect->request_id;
+	struct str asked = field_value(request->fields, request->field_count, name);
+	struct str answered = field_value(head->fields, head->field_count, name);
+
+	if (asked.len && answered.len && !str_equal(asked, answered))
+		return false;
+	if (call->dialect->signature.len == 0 || head->status >= STATUS_REDIRECT)
+		return true;
+	/* Callers ask for bodies without an encoding. */
+	return field_value(head->fields, head->field_count, call->dialect->signature).len > 0 &&
+	       field_value(head->fields, head->field_count, STR("content-encoding")).len == 0;
+}
+
 static bool give_head(struct call *call)
 {
 	struct target_event event = { .kind = TARGET_HEAD, .head = &call->head };
 
 	if (call->head_given)
 		return true;
+	finish_fields(call);
+	if (!is_own_answer(call)) {
+		call->spoiled = true;
+		return false;
+	}
 	call->head_given = true;
 	call->head_us = clock_now().mono_us;
-	finish_fields(call);
 	return give(call, &event);
 }
 
@@ -204,66 +255,82 @@
 	return give(call, &event) ? event.wants.len : CURL_READFUNC_ABORT;
 }
 
-static int on_progress(void *context, curl_off_t a, curl_off_t b, curl_off_t c, curl_off_t d)
+static struct handle *handle_new(void)
 {
-	struct call *call = context;
-	struct target_event event = { .kind = TARGET_CHECK };
+	struct handle *handle = g_new0(struct handle, 1);
 
-	(void)a;
-	(void)b;
-	(void)c;
-	(void)d;
-	return !give(call, &event);
+	handle->curl = curl_easy_init();
+	handle->multi = curl_multi_init();
+	return handle;
 }
 
-static CURL *take_handle(struct target *target, char *url, size_t cap, struct str path)
+/* Gives the URL and the target that is expected there, as of one moment. */
+static struct handle *take_handle(struct target *target, char *url, size_t cap, struct str path,
+				  struct label *expected)
 {
-	CURL *curl = NULL;
+	struct handle *handle = NULL;
 	uint32_t ip;
 
 	lock_acquire(&target->lock);
 	if (target->idle->len)
-		curl = g_ptr_array_steal_index_fast(target->idle, target->idle->len - 1);
+		handle = g_ptr_array_steal_index_fast(target->idle, target->idle->len - 1);
 	ip = target->ipv4;
+	*expected = target->id;
 	g_snprintf(url, (gulong)cap, "http://%u.%u.%u.%u:%u%.*s", ip >> 24, ip >> 16 & 255,
 		   ip >> 8 & 255, ip & 255, target->port, STR_ARG(path));
 	lock_release(&target->lock);
-	return curl ? curl : curl_easy_init();
+	return handle ? handle : handle_new();
 }
 
-static void give_handle(struct target *target, CURL *curl)
+static void give_handle(struct target *target, struct handle *handle)
 {
-	curl_easy_reset(curl);
+	curl_easy_reset(handle->curl);
 	lock_acquire(&target->lock);
-	g_ptr_array_add(target->idle, curl);
+	g_ptr_array_add(target->idle, handle);
 	lock_release(&target->lock);
 }
 
-static struct curl_slist *make_fields(const struct request_head *head, struct deadline deadline)
+static struct curl_slist *add_line(struct curl_slist *list, struct str name, struct str value)
+{
+	char *line = g_strdup_printf(value.len ? "%.*s: %.*s" : "%.*s;%.*s", STR_ARG(name),
+				     STR_ARG(value));
+
+	list = curl_slist_append(list, line);
+	g_free(line);
+	return list;
+}
+
+/* Fields that are made anew for the target. */
+static bool is_own_field(const struct dialect *dialect, struct str name)
+{
+	return str_equal_nocase(name, dialect->deadline_ms) ||
+	       (dialect->expected_target.len && str_equal_nocase(name, dialect->expected_target)) ||
+	       str_equal_nocase(name, STR("content-length")) ||
+	       str_equal_nocase(name, STR("expect"));
+}
+
+static struct curl_slist *make_fields(const struct dialect *dialect,
+				      const struct request_head *head, struct deadline deadline,
+				      const struct label *expected)
 {
 	int64_t left_ms = deadline_left_us(deadline, clock_now()) / US_PER_MS;
-	char text[64];
+	char text[32];
 	struct curl_slist *list = curl_slist_append(NULL, "Expect:");
 	bool has_type = false;
 
 	for (int i = 0; i < head->field_count; i++) {
 		const struct field *field = &head->fields[i];
-		char *line;
 
-		if (is_hop_field(field->name) ||
-		    str_equal_nocase(field->name, STR("Godwithitch-Deadline-Ms")) ||
-		    str_equal_nocase(field->name, STR("content-length")) ||
-		    str_equal_nocase(field->name, STR("expect")))
+		if (is_hop_field(field->name) || is_own_field(dialect, field->name))
 			continue;
 		has_type |= str_equal_nocase(field->name, STR("content-type"));
-		line = g_strdup_printf(field->value.len ? "%.*s: %.*s" : "%.*s;%.*s",
-				       STR_ARG(field->name), STR_ARG(field->value));
-		list = curl_slist_append(list, line);
-		g_free(line);
+		list = add_line(list, field->name, field->value);
 	}
 	/* A target that calls on passes it on, so that the whole chain ends in time. */
-	g_snprintf(text, sizeof(text), "Godwithitch-Deadline-Ms: %ld", left_ms);
-	list = curl_slist_append(list, text);
+	g_snprintf(text, sizeof(text), "%ld", left_ms);
+	list = add_line(list, dialect->deadline_ms, str_from_cstr(text));
+	if (dialect->expected_target.len && expected->len)
+		list = add_line(list, dialect->expected_target, label_str(expected));
 	return has_type ? list : curl_slist_append(list, "Content-Type:");
 }
 
@@ -290,9 +357,6 @@
 	curl_easy_setopt(curl, CURLOPT_WRITEDATA, call);
 	curl_easy_setopt(curl, CURLOPT_READFUNCTION, on_read);
 	curl_easy_setopt(curl, CURLOPT_READDATA, call);
-	curl_easy_setopt(curl, CURLOPT_NOPROGRESS, 0L);
-	curl_easy_setopt(curl, CURLOPT_XFERINFOFUNCTION, on_progress);
-	curl_easy_setopt(curl, CURLOPT_XFERINFODATA, call);
 }
 
 static void set_limits(CURL *curl, const struct target_call_options *options)
@@ -318,7 +382,10 @@
 					.verdict = VERDICT_MAY_HAVE_RUN,
 					.reason = curl_easy_strerror(code) };
 
-	if (call->gave_up) {
+	if (call->spoiled) {
+		result.outcome = TARGET_FAILED;
+		result.reason = "the answer is not one to this request";
+	} else if (call->gave_up) {
 		/* The caller is gone, which says nothing of the target. */
 		result.outcome = TARGET_SHED;
 	} else if (code == CURLE_COULDNT_CONNECT || (sent == 0 && !call->head_given)) {
@@ -354,14 +421,59 @@
 	return result;
 }
 
+static bool is_wanted(struct call *call)
+{
+	struct target_event event = { .kind = TARGET_CHECK };
+
+	return give(call, &event);
+}
+
+/* How the finished transfer ended. */
+static CURLcode transfer_result(CURLM *multi)
+{
+	CURLcode code = CURLE_ABORTED_BY_CALLBACK;
+	CURLMsg *message;
+	int left = 0;
+
+	while ((message = curl_multi_info_read(multi, &left)) != NULL)
+		if (message->msg == CURLMSG_DONE)
+			code = message->data.result;
+	return code;
+}
+
+/* Runs the exchange, and breaks it off soon after the caller has left. */
+static CURLcode perform(struct handle *handle, struct call *call)
+{
+	CURLcode code = CURLE_ABORTED_BY_CALLBACK;
+	int running = 1;
+
+	curl_multi_add_handle(handle->multi, handle->curl);
+	while (running && is_wanted(call)) {
+		if (curl_multi_perform(handle->multi, &running) != CURLM_OK)
+			break;
+		if (running)
+			curl_multi_poll(handle->multi, NULL, 0, CHECK_MS, NULL);
+	}
+	if (!running)
+		code = transfer_result(handle->multi);
+	/* Closes the connection of a transfer that is not finished. */
+	curl_multi_remove_handle(handle->multi, handle->curl);
+	return code;
+}
+
 struct target_result target_call(struct target *target, const struct target_call_options *options)
 {
-	struct call call = { .options = options, .started_us = clock_now().mono_us };
+	struct call call = { .options = options,
+			     .dialect = target->dialect,
+			     .started_us = clock_now().mono_us };
 	size_t url_cap = options->head->target.len + 64;
 	char *url = g_malloc(url_cap);
 	char *method = str_to_cstr(options->head->method);
-	CURL *curl = take_handle(target, url, url_cap, options->head->target);
-	struct curl_slist *fields = make_fields(options->head, options->deadline);
+	struct label expected;
+	struct handle *handle = take_handle(target, url, url_cap, options->head->target, &expected);
+	CURL *curl = handle->curl;
+	struct curl_slist *fields =
+		make_fields(target->dialect, options->head, options->deadline, &expected);
 	struct target_result result;
 	CURLcode code;
 
@@ -370,11 +482,13 @@
 	set_method(curl, options->head, options->has_body, method);
 	set_callbacks(curl, &call);
 	set_limits(curl, options);
-	code = curl_easy_perform(curl);
+	code = perform(handle, &call);
 	result = make_result(&call, curl, code);
+	result.misdirected = target->dialect->misdirected_status &&
+			     call.head.status == target->dialect->misdirected_status;
 	if (code == CURLE_OK && !give_head(&call))
 		result.whole = false;
-	give_handle(target, curl);
+	give_handle(target, handle);
 	curl_slist_free_all(fields);
 	strbuf_clear(&call.field_text);
 	g_free(method);
--- a/target/call.h
+++ b/target/call.h
@@ -10,15 +10,16 @@
 #include <glib.h>
 
 #include "base/clock.h"
+#include "core/dialect.h"
 #include "core/tally.h"
 #include "peer/wire.h"
 
 struct target;
 
-struct target *target_new(apr_pool_t *pool);
+struct target *target_new(const struct dialect *dialect, apr_pool_t *pool);
 void target_free(struct target *target);
-/** Sets where the target listens, on this VM. Takes LOCK_TARGET. */
-void target_set_address(struct target *target, uint32_t ipv4, uint16_t port);
+/** Sets where the target listens, and which one is expected there. Takes LOCK_TARGET. */
+void target_set_address(struct target *target, uint32_t ipv4, uint16_t port, struct label id);
 
 /** Whether the target takes connections right now. */
 bool target_listens(struct target *target);
@@ -27,7 +28,7 @@
 	TARGET_HEAD, /**< the answer's head; comes once, before its body */
 	TARGET_BODY,
 	TARGET_WANTS_BODY, /**< fill up to .wants.cap bytes of the request's body */
-	TARGET_CHECK,	   /**< now and then: is the caller still there? */
+	TARGET_CHECK,	   /**< several times a second: is the caller still there? */
 };
 
 /** What a call to the target brings or wants. The tag says which member holds. */
@@ -58,6 +59,7 @@
 	enum target_outcome outcome;
 	enum verdict verdict;
 	bool whole;	    /**< the answer came to its end */
+	bool misdirected;   /**< another target has the address */
 	int64_t service_us; /**< until the answer's head */
 	const char *reason; /**< for people, if there is no whole answer */
 };
