--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 OUT = build
 PKGS = apr-1 apr-util-1 glib-2.0 msgpack libmicrohttpd libcurl yajl libxxhash
 CFLAGS = $(STD) $(WARN) $(OPT) $(SAN) -I. $(shell pkg-config --cflags $(PKGS))
-LDLIBS = $(shell pkg-config --libs $(PKGS)) -largtable2 -lm -lpthread
+LDLIBS = $(shell pkg-config --libs $(PKGS)) -largtable2 -lhttp_parser -lm -lpthread
 folders = base core caller target peer platform operator
 
 all: programs
@@ -27,7 +27,7 @@
 
 $(OUT)/%.o: %.c
 	@mkdir -p $(@D)
-	@echo CC $<; $(CC) $(CFLAGS) -MMD -c -o $@ $<
+	@echo CC $<; $(CC) $(CFLAGS) -MMD -MP -c -o $@ $<
 
 $(lib): $(lib_objs)
 	@rm -f $@
--- a/base/lockorder.h
+++ b/base/lockorder.h
@@ -14,20 +14,21 @@
 #include <stdbool.h>
 
 enum lock_rank {
-	LOCK_CALLERS, /**< connections of callers that wait */
-	LOCK_CALLS,   /**< open calls of the daemon */
-	LOCK_LINKS,   /**< table of links to other nodes */
-	LOCK_LINK,    /**< one link's streams and output */
-	LOCK_HISTORY, /**< accepted configuration */
-	LOCK_MEMBERS, /**< membership and what is known of each target */
-	LOCK_SPREAD,  /**< probes, pulls and pending updates */
-	LOCK_MOVES,   /**< state and evidence of the moves */
-	LOCK_ADMIT,   /**< slots and queue of the node's own target */
-	LOCK_CLAIMS,  /**< idempotency keys */
-	LOCK_POISON,  /**< fingerprints of requests that crash targets */
-	LOCK_TARGET,  /**< the announced target */
-	LOCK_PIPE,    /**< one body in transit */
-	LOCK_WORKERS, /**< queue of posted work */
+	LOCK_CALLERS,	 /**< table of callers' connections */
+	LOCK_CONNECTION, /**< one connection's requests and output */
+	LOCK_CALLS,	 /**< open calls of the daemon */
+	LOCK_LINKS,	 /**< table of links to other nodes */
+	LOCK_LINK,	 /**< one link's streams and output */
+	LOCK_HISTORY,	 /**< accepted configuration */
+	LOCK_MEMBERS,	 /**< membership and what is known of each target */
+	LOCK_SPREAD,	 /**< probes, pulls and pending updates */
+	LOCK_MOVES,	 /**< state and evidence of the moves */
+	LOCK_ADMIT,	 /**< slots and queue of the node's own target */
+	LOCK_CLAIMS,	 /**< idempotency keys */
+	LOCK_POISON,	 /**< fingerprints of requests that crash targets */
+	LOCK_TARGET,	 /**< the announced target */
+	LOCK_PIPE,	 /**< one body in transit */
+	LOCK_WORKERS,	 /**< queue of posted work */
 	LOCK_COUNTERS,
 	/**< tables of counters and histograms */ LOCK_RANKS,
 };
--- a/base/workers.h
+++ b/base/workers.h
@@ -17,6 +17,8 @@
 /** What a worker is asked to do. The program's one handler switches on it. */
 enum work_kind {
 	WORK_TICK, /**< the program's timer */
+	WORK_CALLER_LISTEN,
+	WORK_CALLER, /**< an event of a caller's connection */
 	WORK_PEER_LISTEN,
 	WORK_PEER_DATAGRAM,
 	WORK_LINK_READ,
--- a/caller/http.h
+++ b/caller/http.h
@@ -10,6 +10,7 @@
 #include <glib.h>
 
 #include "base/pipe.h"
+#include "base/workers.h"
 #include "peer/wire.h"
 
 struct caller;
@@ -19,8 +20,7 @@
 	CALLER_READY,	 /**< the head is there, and the whole body if it is small */
 	CALLER_DRAINED,	 /**< the caller took bytes of the answer */
 	CALLER_UPLOADED, /**< bytes of a streamed body came, or its end */
-	CALLER_LEFT,	 /**< the caller closed its connection and waits for nothing more */
-	CALLER_GONE,	 /**< the exchange is over; drops the table's reference */
+	CALLER_GONE, /**< the exchange is over, or the caller left; drops the table's reference */
 };
 
 struct caller_event {
@@ -34,8 +34,10 @@
 	uint16_t port;	 /**< 0: from the kernel */
 	int connections; /**< at once */
 	int connections_per_address;
-	int idle_s;	  /**< an idle connection is closed after this many seconds */
-	int64_t body_max; /**< bytes of a request's body */
+	int idle_s;		  /**< an idle connection is closed after this many seconds */
+	int64_t body_max;	  /**< bytes of a request's body */
+	struct str verdict_field; /**< of answers, see struct dialect; empty: none */
+	struct workers *workers;
 	void (*handle)(void *context, const struct caller_event *event);
 	void *context;
 };
@@ -43,15 +45,20 @@
 struct caller *caller_new(const struct caller_options *options, apr_pool_t *pool, GError **error);
 /** From now on answers end their connections, so that callers go elsewhere. */
 void caller_retire(struct caller *caller);
-/** Stops listening; open exchanges go on. */
+/** Stops listening and closes idle connections; open exchanges go on. */
 void caller_quiesce(struct caller *caller);
+/** After the workers have ended. */
 void caller_free(struct caller *caller);
 uint16_t caller_port(const struct caller *caller);
 /** Exchanges under way. */
 int caller_active(struct caller *caller);
-/** Looks for callers that closed their connection while they wait: each one is told once, as
- *  CALLER_LEFT. Takes LOCK_CALLERS. */
-void caller_sweep(struct caller *caller);
+/** Closes connections that were idle for too long. Once a second. */
+void caller_tick(struct caller *caller, struct instant now);
+
+/* For the pool's handler */
+struct connection;
+void caller_on_listen(struct caller *caller);
+void caller_on_connection(struct connection *connection);
 
 struct caller_call *caller_call_ref(struct caller_call *call);
 void caller_call_unref(struct caller_call *call);
--- a/godwithitchd/calls.c
+++ b/godwithitchd/calls.c
@@ -473,23 +473,6 @@
 	call_unref(call);
 }
 
-/* Ends the exchange with a caller that closed its connection: nothing more is started for it. */
-static void on_left(struct call *call)
-{
-	struct attempt *attempt;
-
-	lock_acquire(&call->lock);
-	call->gone = true;
-	attempt = call->current;
-	call->current = NULL;
-	lock_release(&call->lock);
-	if (attempt)
-		cancel_attempt(attempt);
-	attempt_unref(attempt);
-	call_answer(call, STATUS_UNAVAILABLE, VERDICT_MAY_HAVE_RUN, STR("the caller left"));
-	caller_finish(call->caller, PIPE_FAILED);
-}
-
 void calls_on_caller(void *context, const struct caller_event *event)
 {
 	struct daemon *daemon = context;
@@ -504,15 +487,11 @@
 		on_drained(call, event->bytes);
 		return;
 	case CALLER_UPLOADED:
-		attempt = current_attempt(call);
+		attempt = call ? current_attempt(call) : NULL;
 		if (attempt)
 			attempt_pump(attempt);
 		attempt_unref(attempt);
 		return;
-	case CALLER_LEFT:
-		if (call)
-			on_left(call);
-		return;
 	case CALLER_GONE:
 		if (call)
 			on_gone(call);
--- a/godwithitchd/main.c
+++ b/godwithitchd/main.c
@@ -28,6 +28,12 @@
 	case WORK_TICK:
 		bridge_tick(daemon);
 		return;
+	case WORK_CALLER_LISTEN:
+		caller_on_listen(work->data);
+		return;
+	case WORK_CALLER:
+		caller_on_connection(work->data);
+		return;
 	case WORK_PEER_LISTEN:
 		peers_on_listen(daemon->peers);
 		return;
@@ -159,6 +165,8 @@
 						 (int)settings->connections_per_address,
 					 .idle_s = (int)settings->idle_s,
 					 .body_max = settings->body_max_bytes,
+					 .verdict_field = daemon->dialect->verdict,
+					 .workers = daemon->workers,
 					 .handle = calls_on_caller,
 					 .context = daemon };
 	struct control_options control = { .ipv4 = settings->control.ipv4,
@@ -226,11 +234,11 @@
 /* In the reverse order of the start. */
 static void daemon_free(struct daemon *daemon)
 {
-	caller_free(daemon->caller);
 	announce_free(daemon->announce);
 	heartbeats_free(daemon->heartbeats);
 	control_free(daemon->control);
 	workers_stop(daemon->workers);
+	caller_free(daemon->caller);
 	peers_free(daemon->peers);
 	workers_free(daemon->workers);
 	close(daemon->tick_watch.fd);
