--- a/target/build/base/hist.d
+++ /dev/null
@@ -1,2 +0,0 @@
-target/build/base/hist.o: base/hist.c base/hist.h
-base/hist.h:
--- a/target/build/base/rng.d
+++ /dev/null
@@ -1,2 +0,0 @@
-target/build/base/rng.o: base/rng.c base/rng.h
-base/rng.h:
