--- a/core/admit.c
+++ b/core/admit.c
@@ -14,8 +14,17 @@
 	BULK_SLOT_PERCENT = 50,
 	FIRST_SERVICE_US = 2000, /* expected before anything was measured */
 	GROW_AFTER = 32,	 /* served calls before one more slot is tried again */
+	LEARNT_AFTER = 10,	 /* served calls until a smoothed time has its usual weight */
 };
 
+/* Times above the usual mean age of the calls that run from which on the target counts as slow: few
+ * calls run at once, so that their mean age varies. */
+#define AGE_OF_SLOW 2.0
+
+/* A call that came back is served late, if need be, while there is this much more time than it is
+ * expected to take. */
+#define LATE_MARGIN 1.3
+
 /* Turns that a class gets before a lower one has its own. */
 static const int class_weight[CLASS_COUNT] = { 64, 16, 4, 1 };
 
@@ -36,19 +45,25 @@
 struct route_use {
 	struct label name;
 	int running;
+	int served;	   /* up to LEARNT_AFTER */
 	double service_us; /* smoothed */
 };
 
 struct admit {
 	struct lock lock;
 	bool closed;
+	bool returns; /* what waits goes back, to be taken elsewhere */
 	int announced;
 	int slots;
 	int running;
 	int bulk_running;
 	int queued;
 	int served_since_shed;
+	int served;	       /* up to LEARNT_AFTER */
+	double started_sum_us; /* of the calls that run */
 	double service_us;
+	double service_square; /* smoothed square of the same */
+	GQueue late; /* struct ticket, can't be on time any more: in what is left */
 	struct class_queue classes[CLASS_COUNT];
 	GHashTable *tenants[CLASS_COUNT]; /* struct label -> struct tenant_queue */
 	GHashTable *routes;		  /* struct label -> struct route_use */
@@ -61,6 +76,8 @@
 		return STR("run");
 	case ADMIT_QUEUED:
 		return STR("queued");
+	case ADMIT_BUSY:
+		return STR("no free slot");
 	case ADMIT_FULL:
 		return STR("queue full");
 	case ADMIT_LATE:
@@ -77,6 +94,7 @@
 
 	lock_init(&admit->lock, LOCK_ADMIT, pool);
 	admit->service_us = FIRST_SERVICE_US;
+	g_queue_init(&admit->late);
 	admit->routes = g_hash_table_new_full(label_hash, label_hash_equal, NULL, g_free);
 	for (int i = 0; i < CLASS_COUNT; i++) {
 		admit->tenants[i] =
@@ -95,6 +113,7 @@
 		g_queue_clear(&admit->classes[i].active);
 		g_hash_table_destroy(admit->tenants[i]);
 	}
+	g_queue_clear(&admit->late);
 	g_hash_table_destroy(admit->routes);
 	lock_destroy(&admit->lock);
 	g_free(admit);
@@ -107,6 +126,7 @@
 		admit->slots = slots;
 	admit->announced = slots;
 	admit->closed = false;
+	admit->returns = false;
 	lock_release(&admit->lock);
 }
 
@@ -117,6 +137,14 @@
 	lock_release(&admit->lock);
 }
 
+void admit_return(struct admit *admit)
+{
+	lock_acquire(&admit->lock);
+	admit->closed = true;
+	admit->returns = true;
+	lock_release(&admit->lock);
+}
+
 static struct route_use *route_get(struct admit *admit, const struct label *name)
 {
 	struct route_use *route = g_hash_table_lookup(admit->routes, name);
@@ -151,8 +179,11 @@
 	return route_get(admit, &ticket->route)->running < route_limit(admit, ticket);
 }
 
-static void start(struct admit *admit, struct tenant_queue *tenant, const struct ticket *ticket)
+static void start(struct admit *admit, struct tenant_queue *tenant, struct ticket *ticket,
+		  struct instant now)
 {
+	ticket->started_at_us = now.mono_us;
+	admit->started_sum_us += (double)now.mono_us;
 	tenant->running++;
 	admit->running++;
 	admit->bulk_running += ticket->class == CLASS_BULK;
@@ -180,10 +211,31 @@
 	return tenant;
 }
 
+/* How much slower than usual the target seems now, by the calls that have not ended yet. */
+static double slowness(const struct admit *admit, struct instant now)
+{
+	double mean_age_us;
+	double usual_us;
+
+	if (admit->running == 0 || admit->served < LEARNT_AFTER)
+		return 1;
+	mean_age_us = (double)now.mono_us - admit->started_sum_us / admit->running;
+	/* Long calls are seen running more often than short ones. */
+	usual_us = admit->service_square / (2 * admit->service_us);
+	return MAX(mean_age_us / (usual_us * AGE_OF_SLOW), 1);
+}
+
+/* How long a call of the ticket's route takes once it has a slot. */
+static double expected_service_us(struct admit *admit, const struct ticket *ticket,
+				  struct instant now)
+{
+	return route_get(admit, &ticket->route)->service_us * slowness(admit, now);
+}
+
 /* What waits before a new ticket: the classes above, and of its own class what the round robin
  * serves before it. */
 static int64_t expected_wait_us(const struct admit *admit, const struct ticket *ticket,
-				const struct tenant_queue *tenant)
+				const struct tenant_queue *tenant, struct instant now)
 {
 	const struct class_queue *class = &admit->classes[ticket->class];
 	int own = (int)tenant->tickets.length + 1;
@@ -192,7 +244,8 @@
 
 	for (int i = 0; i < (int)ticket->class; i++)
 		ahead += admit->classes[i].queued;
-	return (int64_t)((double)(ahead + 1) * admit->service_us / admit->slots);
+	return (int64_t)((double)(ahead + 1) * admit->service_us * slowness(admit, now) /
+			 admit->slots);
 }
 
 /* Each class has its own bound. A tenant with little in it still gets in when others fill it. */
@@ -233,24 +286,54 @@
 	tenant->used_at_us = now.mono_us;
 }
 
-static enum admit_result offer(struct admit *admit, struct ticket *ticket, struct instant now)
+/* Whether an answer that comes so late is still worth a place in the queue. */
+static bool is_in_time(const struct ticket *ticket, int64_t expected_us, struct instant now)
 {
 	int64_t left_us = deadline_left_us(ticket->deadline, now);
+
+	if (ticket->objective.at_us == 0 ||
+	    expected_us <= deadline_left_us(ticket->objective, now))
+		return expected_us <= left_us;
+	return ticket->returned && (double)expected_us * LATE_MARGIN <= (double)left_us;
+}
+
+/* A slot that is free at once is worth little at a target that would answer late; an idle target
+ * takes one call all the same, so that its recovery shows. */
+static bool may_start(struct admit *admit, const struct ticket *ticket, int64_t service_us,
+		      struct instant now)
+{
+	if (admit->queued > 0 || !may_run(admit, ticket))
+		return false;
+	return !ticket->now_or_never || admit->running == 0 || ticket->objective.at_us == 0 ||
+	       service_us <= deadline_left_us(ticket->objective, now);
+}
+
+static enum admit_result offer(struct admit *admit, struct ticket *ticket, struct instant now)
+{
 	struct tenant_queue *tenant;
+	int64_t service_us;
+	int64_t wait_us = 0;
 
 	if (admit->slots == 0 || admit->closed)
 		return ADMIT_CLOSED;
-	if (left_us == 0)
+	if (deadline_left_us(ticket->deadline, now) == 0)
 		return ADMIT_LATE;
 	tenant = tenant_get(admit, ticket);
-	if (admit->queued == 0 && may_run(admit, ticket)) {
+	service_us = (int64_t)expected_service_us(admit, ticket, now);
+	if (may_start(admit, ticket, service_us, now)) {
 		add_use(tenant, route_get(admit, &ticket->route)->service_us, now);
-		start(admit, tenant, ticket);
+		start(admit, tenant, ticket, now);
 		return ADMIT_RUN;
 	}
+	if (admit->queued > 0 || !may_run(admit, ticket))
+		wait_us = expected_wait_us(admit, ticket, tenant, now);
+	ticket->expected_us = wait_us + service_us;
+	if (ticket->now_or_never)
+		return ADMIT_BUSY;
 	if (is_full(admit, ticket, tenant))
 		return ADMIT_FULL;
-	if (expected_wait_us(admit, ticket, tenant) > left_us)
+	/* Without an objective what the call itself takes is its own affair. */
+	if (!is_in_time(ticket, ticket->objective.at_us ? ticket->expected_us : wait_us, now))
 		return ADMIT_LATE;
 	ticket->queued_at_us = now.mono_us;
 	enqueue(admit, ticket);
@@ -282,10 +365,21 @@
 		admit->slots++;
 		admit->served_since_shed = 0;
 		return;
+	case SLOT_UNUSED:
+		return;
 	}
 	g_assert_not_reached();
 }
 
+/* The first calls weigh more, so that a guess is soon forgotten. */
+static void learn(double *smoothed, int *served, double weight, double value)
+{
+	if (*served < LEARNT_AFTER)
+		(*served)++;
+	weight = MAX(weight, 1.0 / (*served + 1));
+	*smoothed += weight * (value - *smoothed);
+}
+
 void admit_done(struct admit *admit, const struct ticket *ticket, enum slot_use use,
 		int64_t service_us)
 {
@@ -297,9 +391,12 @@
 	tenant_get(admit, ticket)->running--;
 	admit->running--;
 	admit->bulk_running -= ticket->class == CLASS_BULK;
+	admit->started_sum_us -= (double)ticket->started_at_us;
 	if (use == SLOT_SERVED) {
-		route->service_us += 0.1 * ((double)service_us - route->service_us);
-		admit->service_us += 0.05 * ((double)service_us - admit->service_us);
+		learn(&route->service_us, &route->served, 0.1, (double)service_us);
+		learn(&admit->service_us, &admit->served, 0.05, (double)service_us);
+		learn(&admit->service_square, &admit->served, 0.05,
+		      (double)service_us * (double)service_us);
 	}
 	if (admit->slots > 0)
 		adapt(admit, use);
@@ -323,6 +420,34 @@
 	return deadline_passed(ticket->deadline, now);
 }
 
+/* A late call whose answer could not come before its deadline either. */
+static bool is_hopeless(struct admit *admit, const struct ticket *ticket, struct instant now)
+{
+	return deadline_left_us(ticket->deadline, now) <
+	       (int64_t)route_get(admit, &ticket->route)->service_us;
+}
+
+/* What can't be on time any more makes way for what still can. */
+static void set_late_aside(struct admit *admit, struct class_queue *class, struct instant now)
+{
+	GList *next;
+
+	for (GList *at = class->active.head; at; at = next) {
+		struct tenant_queue *tenant = at->data;
+		struct ticket *head;
+
+		next = at->next;
+		while (tenant && (head = g_queue_peek_head(&tenant->tickets)) != NULL &&
+		       head->objective.at_us && !is_late(head, now) &&
+		       expected_service_us(admit, head, now) >
+			       (double)deadline_left_us(head->objective, now)) {
+			take_head(admit, class, tenant);
+			g_queue_push_tail(&admit->late, head);
+			admit->queued++;
+		}
+	}
+}
+
 /* Fewer calls running go first, then less use lately: a tenant that has only just come may not
  * take all slots because it has used nothing yet. */
 static bool goes_before(const struct tenant_queue *a, const struct tenant_queue *b,
@@ -360,7 +485,8 @@
 	for (GList *at = class->active.head; at; at = at->next) {
 		struct tenant_queue *tenant = at->data;
 
-		if (admit->slots == 0 || is_late(g_queue_peek_head(&tenant->tickets), now))
+		if (admit->slots == 0 || admit->returns ||
+		    is_late(g_queue_peek_head(&tenant->tickets), now))
 			return tenant;
 	}
 	return NULL;
@@ -379,7 +505,29 @@
 		return (struct admit_turn){ TURN_NONE, NULL };
 	head = take_head(admit, class, tenant);
 	add_use(tenant, route_get(admit, &head->route)->service_us, now);
-	start(admit, tenant, head);
+	start(admit, tenant, head, now);
+	return (struct admit_turn){ TURN_RUN, head };
+}
+
+/* The late ones, oldest first, in slots that nothing on time wants. */
+static struct admit_turn next_late(struct admit *admit, struct instant now)
+{
+	struct ticket *head = g_queue_peek_head(&admit->late);
+	struct tenant_queue *tenant;
+	bool hopeless;
+
+	if (!head)
+		return (struct admit_turn){ TURN_NONE, NULL };
+	hopeless = admit->slots == 0 || admit->returns || is_hopeless(admit, head, now);
+	if (!hopeless && !may_run(admit, head))
+		return (struct admit_turn){ TURN_NONE, NULL };
+	g_queue_pop_head(&admit->late);
+	admit->queued--;
+	if (hopeless)
+		return (struct admit_turn){ TURN_LATE, head };
+	tenant = tenant_get(admit, head);
+	add_use(tenant, route_get(admit, &head->route)->service_us, now);
+	start(admit, tenant, head, now);
 	return (struct admit_turn){ TURN_RUN, head };
 }
 
@@ -397,6 +545,8 @@
 {
 	struct admit_turn turn = { TURN_NONE, NULL };
 
+	for (int i = 0; i < CLASS_COUNT; i++)
+		set_late_aside(admit, &admit->classes[i], now);
 	refill_turns(admit);
 	/* First those with turns left; then any, if what goes before it can't run now. */
 	for (int pass = 0; pass < 2; pass++) {
@@ -412,7 +562,7 @@
 			return turn;
 		}
 	}
-	return turn;
+	return next_late(admit, now);
 }
 
 struct admit_turn admit_next(struct admit *admit, struct instant now)
--- a/core/admit.h
+++ b/core/admit.h
@@ -19,13 +19,19 @@
 	enum traffic_class class;
 	int concurrency_percent; /**< of the slots, for this route */
 	struct deadline deadline;
-	void *owner;	      /**< the caller's own */
-	int64_t queued_at_us; /**< monotonic; set by admit_offer() */
+	struct deadline objective; /**< an answer after it is late; 0: none is stated */
+	bool now_or_never;	   /**< it may not queue: another target may have a free slot */
+	bool returned;		   /**< it was refused before: rather late than refused again */
+	void *owner;		   /**< the caller's own */
+	int64_t queued_at_us;	   /**< monotonic; set by admit_offer() */
+	int64_t started_at_us;	   /**< monotonic; when it got its slot */
+	int64_t expected_us;	   /**< until its answer, as admit_offer() expects */
 };
 
 enum admit_result {
 	ADMIT_RUN,    /**< has a slot; end with admit_done() */
 	ADMIT_QUEUED, /**< comes back from admit_next() */
+	ADMIT_BUSY,   /**< has no slot at once, or none that is fast enough: not run */
 	ADMIT_FULL,   /**< the queue is full: not run */
 	ADMIT_LATE,   /**< can't meet its deadline: not run */
 	ADMIT_CLOSED, /**< the target is leaving or there is none: not run */
@@ -42,12 +48,15 @@
 void admit_set_slots(struct admit *admit, int slots);
 /** Takes no new call; what waits still has its turn. admit_set_slots() opens it again. */
 void admit_close(struct admit *admit);
+/** The same, and what waits comes back from admit_next() as late, to be taken elsewhere. */
+void admit_return(struct admit *admit);
 enum admit_result admit_offer(struct admit *admit, struct ticket *ticket, struct instant now);
 
 /** How a call that had a slot ended. */
 enum slot_use {
 	SLOT_SERVED,
 	SLOT_SHED, /**< the target had no room for it: fewer slots are used for a while */
+	SLOT_UNUSED, /**< it says nothing of the target's times */
 };
 
 /** Frees the ticket's slot. */
--- a/core/dialect.c
+++ b/core/dialect.c
@@ -1,6 +1,6 @@
 #include "core/dialect.h"
 
-enum { STATUS_UNAVAILABLE = 503 };
+enum { STATUS_UNAVAILABLE = 503, STATUS_TIMEOUT = 504 };
 
 #define NAME(literal)                                                                              \
 	{                                                                                          \
@@ -13,4 +13,5 @@
 	.verdict = NAME("Godwithitch-Verdict"),
 	.unsure_status = STATUS_UNAVAILABLE,
 	.late_status = STATUS_UNAVAILABLE,
+	.not_run_late_status = STATUS_TIMEOUT,
 };
--- a/core/dialect.h
+++ b/core/dialect.h
@@ -7,6 +7,8 @@
 #ifndef CORE_DIALECT_H
 #define CORE_DIALECT_H
 
+#include <stdbool.h>
+
 #include "base/str.h"
 #include "base/verdict.h"
 
@@ -24,6 +26,8 @@
 	int misdirected_status;	    /**< answer of a target that is not the expected one; 0: none */
 	int unsure_status;	    /**< for "may have run" */
 	int late_status;	    /**< for "may have run" once the deadline passed */
+	int not_run_late_status;    /**< for "not run" then */
+	bool fractional_times;	    /**< callers read fractions of seconds */
 };
 
 /** The product's own interface, docs/CALLERS.md and docs/TARGET-CONTRACT.md. */
--- a/core/member.h
+++ b/core/member.h
@@ -106,7 +106,7 @@
 
 /* What this node knows of a target from its own calls. */
 
-enum { CHOICE_AVOID_MAX = 4 };
+enum { CHOICE_AVOID_MAX = 12 };
 
 /** Which versions of a service are meant. The tag says how the name counts. */
 struct version_filter {
@@ -116,11 +116,16 @@
 
 bool version_matches(const struct version_filter *filter, const struct label *version);
 
+/** Data centres that a choice is made in; near is the own one. */
+enum choice_where { CHOOSE_ANYWHERE, CHOOSE_NEAR, CHOOSE_FAR };
+
 struct choice_options {
 	struct label service;
 	struct version_filter version;
 	uint64_t avoid[CHOICE_AVOID_MAX]; /**< targets that this call has tried */
 	int avoid_count;
+	enum choice_where where;
+	int most; /**< only that many targets, the same on all nodes; 0: all */
 };
 
 /**
@@ -130,6 +135,9 @@
 uint64_t members_choose(struct members *members, const struct choice_options *options,
 			struct rng *rng, struct instant now);
 
+/** Counts a call to a target that was not chosen for it now. */
+void members_call_begins(struct members *members, uint64_t id);
+
 enum call_outcome {
 	CALL_ANSWERED, /**< the target answered, and not with a fault of its own */
 	CALL_FAILED,
@@ -145,6 +153,14 @@
  */
 bool members_call_ended(struct members *members, uint64_t id, enum call_outcome outcome,
 			bool may_eject, struct instant now);
+/** Notes how long a target took for an answer; smoothed, it weighs in the choice. */
+void members_note_answer(struct members *members, uint64_t id, int64_t answer_us);
+/** Notes that a target's node refused a call that it expects to answer after @p expected_us. */
+void members_note_busy(struct members *members, uint64_t id, int64_t expected_us,
+		       struct instant now);
+/** The version of most live targets of a service, @p except left out; empty if there is none. */
+struct label members_main_version(struct members *members, struct label service,
+				  struct label except);
 /** Live targets of a version. */
 int members_version_targets(struct members *members, struct label service,
 			    const struct version_filter *version);
--- a/core/member_choice.c
+++ b/core/member_choice.c
@@ -34,6 +34,12 @@
 	       (peer->contained_until.at_us == 0 || deadline_passed(peer->contained_until, now));
 }
 
+/* What a moment ago was known of a target's free slots. */
+#define BUSY_KNOWN_US (60 * US_PER_MS)
+
+#define ANSWER_WEIGHT	0.2  /* of one more answer, in the smoothed time */
+#define ANSWER_GUESS_US 1000 /* before the first one: a new target is tried soon */
+
 /* Calls in flight over slots; a cold target counts as if it had a quarter of its slots. */
 static double load_of(const struct peer *peer, struct instant now)
 {
@@ -44,6 +50,16 @@
 	return (peer->in_flight + 1) / slots;
 }
 
+/* When an answer would come, by what this node has seen of the target. */
+static double cost_of(const struct peer *peer, struct instant now)
+{
+	double cost = MAX(peer->answer_us, ANSWER_GUESS_US) * load_of(peer, now);
+
+	if (peer->busy_until.at_us && !deadline_passed(peer->busy_until, now))
+		cost += (double)peer->busy_expected_us;
+	return cost;
+}
+
 struct candidates {
 	struct peer *near[2]; /* two random ones of this data centre */
 	struct peer *far[2];  /* two random ones of the others */
@@ -65,7 +81,7 @@
 {
 	if (seen == 0)
 		return NULL;
-	if (seen == 1 || load_of(two[0], now) <= load_of(two[1], now))
+	if (seen == 1 || cost_of(two[0], now) <= cost_of(two[1], now))
 		return two[0];
 	return two[1];
 }
@@ -83,6 +99,44 @@
 	return near;
 }
 
+static bool is_near(const struct members *members, const struct peer *peer)
+{
+	return label_equal(&peer->record.data_centre, &members->options.self.data_centre);
+}
+
+static bool is_wanted(const struct members *members, const struct peer *peer,
+		      const struct choice_options *options)
+{
+	switch (options->where) {
+	case CHOOSE_ANYWHERE:
+		return true;
+	case CHOOSE_NEAR:
+		return is_near(members, peer);
+	case CHOOSE_FAR:
+		return !is_near(members, peer);
+	}
+	g_assert_not_reached();
+}
+
+/* Whether a target is among the first few of its version: by a hash, so that all nodes agree. */
+static bool is_among_first(const GPtrArray *list, const struct peer *peer,
+			   const struct choice_options *options)
+{
+	uint64_t own = rng_mix(peer->record.id);
+	int before = 0;
+
+	if (options->most == 0)
+		return true;
+	for (guint i = 0; i < list->len && before < options->most; i++) {
+		const struct peer *other = g_ptr_array_index(list, i);
+
+		before += other->record.state == MEMBER_ALIVE && other->record.slots > 0 &&
+			  version_matches(&options->version, &other->record.version) &&
+			  rng_mix(other->record.id) < own;
+	}
+	return before < options->most;
+}
+
 uint64_t members_choose(struct members *members, const struct choice_options *options,
 			struct rng *rng, struct instant now)
 {
@@ -96,9 +150,10 @@
 	for (guint i = 0; list && i < list->len; i++) {
 		struct peer *peer = g_ptr_array_index(list, i);
 
-		if (!takes_work(peer, options, now))
+		if (!takes_work(peer, options, now) || !is_wanted(members, peer, options) ||
+		    !is_among_first(list, peer, options))
 			continue;
-		if (label_equal(&peer->record.data_centre, &members->options.self.data_centre))
+		if (is_near(members, peer))
 			sample(found.near, &found.near_seen, peer, rng);
 		else
 			sample(found.far, &found.far_seen, peer, rng);
@@ -112,6 +167,17 @@
 	return id;
 }
 
+void members_call_begins(struct members *members, uint64_t id)
+{
+	struct peer *peer;
+
+	lock_acquire(&members->lock);
+	peer = members_find(members, id);
+	if (peer)
+		peer->in_flight++;
+	lock_release(&members->lock);
+}
+
 static double evidence_step(enum call_outcome outcome)
 {
 	switch (outcome) {
@@ -155,20 +221,79 @@
 	return eject;
 }
 
-int members_version_targets(struct members *members, struct label service,
-			    const struct version_filter *version)
+void members_note_answer(struct members *members, uint64_t id, int64_t answer_us)
 {
-	const GPtrArray *list;
-	int count = 0;
+	struct peer *peer;
 
 	lock_acquire(&members->lock);
-	list = g_hash_table_lookup(members->by_service, &service);
+	peer = members_find(members, id);
+	if (peer && peer->answer_us > 0)
+		peer->answer_us += ANSWER_WEIGHT * ((double)answer_us - peer->answer_us);
+	else if (peer)
+		peer->answer_us = (double)answer_us;
+	lock_release(&members->lock);
+}
+
+void members_note_busy(struct members *members, uint64_t id, int64_t expected_us,
+		       struct instant now)
+{
+	struct peer *peer;
+
+	lock_acquire(&members->lock);
+	peer = members_find(members, id);
+	if (peer) {
+		peer->busy_until = deadline_after(now, BUSY_KNOWN_US);
+		peer->busy_expected_us = expected_us;
+	}
+	lock_release(&members->lock);
+}
+
+static int count_version(const GPtrArray *list, const struct version_filter *version)
+{
+	int count = 0;
+
 	for (guint i = 0; list && i < list->len; i++) {
 		const struct peer *peer = g_ptr_array_index(list, i);
 
 		count += peer->record.state == MEMBER_ALIVE && peer->record.slots > 0 &&
 			 version_matches(version, &peer->record.version);
 	}
+	return count;
+}
+
+struct label members_main_version(struct members *members, struct label service,
+				  struct label except)
+{
+	struct label found = { 0 };
+	const GPtrArray *list;
+	int most = 0;
+
+	lock_acquire(&members->lock);
+	list = g_hash_table_lookup(members->by_service, &service);
+	for (guint i = 0; list && i < list->len; i++) {
+		const struct peer *peer = g_ptr_array_index(list, i);
+		struct version_filter version = { VERSION_IS, peer->record.version };
+		int count = label_equal(&peer->record.version, &except) ||
+					    label_equal(&peer->record.version, &found)
+				    ? 0
+				    : count_version(list, &version);
+
+		if (count > most) {
+			most = count;
+			found = peer->record.version;
+		}
+	}
+	lock_release(&members->lock);
+	return found;
+}
+
+int members_version_targets(struct members *members, struct label service,
+			    const struct version_filter *version)
+{
+	int count;
+
+	lock_acquire(&members->lock);
+	count = count_version(g_hash_table_lookup(members->by_service, &service), version);
 	lock_release(&members->lock);
 	return count;
 }
--- a/core/move.c
+++ b/core/move.c
@@ -62,6 +62,11 @@
 		into->recheck_at_us = from->recheck_at_us;
 		changed = true;
 	}
+	if (from->from.len && (into->from.len == 0 || str_compare(label_str(&from->from),
+								   label_str(&into->from)) < 0)) {
+		into->from = from->from;
+		changed = true;
+	}
 	if (withdrawal_first(from, into)) {
 		into->withdrawn_at_us = from->withdrawn_at_us;
 		into->reason = from->reason;
@@ -90,20 +95,36 @@
 	return spec->start_at_us + (step - 1) * move_interval_us(spec);
 }
 
-struct version_filter move_old_versions(const struct move_spec *spec)
+struct version_filter move_old_versions(const struct move_spec *spec,
+					const struct move_state *state)
 {
 	if (spec->from.len)
 		return (struct version_filter){ VERSION_IS, spec->from };
+	if (state->from.len)
+		return (struct version_filter){ VERSION_IS, state->from };
 	return (struct version_filter){ VERSION_IS_NOT, spec->to };
 }
 
-bool move_is_old(const struct move_spec *spec, const struct label *version)
+bool move_is_old(const struct move *move, const struct label *version)
 {
-	struct version_filter old = move_old_versions(spec);
+	struct version_filter old = move_old_versions(&move->spec, &move->state);
 
 	return version_matches(&old, version);
 }
 
+struct version_filter moves_old_versions(struct moves *moves, uint64_t id)
+{
+	struct version_filter old = { .kind = VERSION_ANY };
+	const struct move *move;
+
+	lock_acquire(&moves->lock);
+	move = moves_find(moves, id);
+	if (move)
+		old = move_old_versions(&move->spec, &move->state);
+	lock_release(&moves->lock);
+	return old;
+}
+
 struct moves *moves_new(apr_pool_t *pool)
 {
 	struct moves *moves = g_new0(struct moves, 1);
@@ -160,6 +181,7 @@
 
 	hash = rng_mix(hash ^ (uint64_t)state->done_at_us);
 	hash = rng_mix(hash ^ (uint64_t)state->recheck_at_us);
+	hash = rng_mix(hash ^ str_hash(label_str(&state->from), 0));
 	return rng_mix(hash ^ (uint64_t)state->withdrawn_at_us * 4 ^ state->reason);
 }
 
@@ -187,6 +209,21 @@
 	g_hash_table_insert(moves->unknown, &kept->id, kept);
 }
 
+/* The version that a service was left with by the move before. */
+static struct label settled_version(const GPtrArray *old, const struct move_spec *spec)
+{
+	for (guint i = 0; i < old->len; i++) {
+		const struct move *before = g_ptr_array_index(old, i);
+
+		if (!label_equal(&before->spec.service, &spec->service))
+			continue;
+		if (before->state.done_at_us && before->state.withdrawn_at_us == 0)
+			return before->spec.to;
+		return before->spec.from.len ? before->spec.from : before->state.from;
+	}
+	return (struct label){ 0 };
+}
+
 static struct move *move_make(struct moves *moves, const struct move_spec *spec)
 {
 	struct move *move = g_new0(struct move, 1);
@@ -217,7 +254,12 @@
 			if (candidate->spec.id == spec->id)
 				move = g_ptr_array_remove_index_fast(old, j);
 		}
-		g_ptr_array_add(moves->moves, move ? move : move_make(moves, spec));
+		if (!move) {
+			move = move_make(moves, spec);
+			if (spec->from.len == 0 && move->state.from.len == 0)
+				move->state.from = settled_version(old, spec);
+		}
+		g_ptr_array_add(moves->moves, move);
 	}
 	for (guint i = 0; i < old->len; i++)
 		move_free(g_ptr_array_index(old, i));
@@ -288,7 +330,7 @@
 	lock_acquire(&moves->lock);
 	move = moves_find_service(moves, &service);
 	wanted = move && move->state.withdrawn_at_us == 0 &&
-		 (move_is_old(&move->spec, &version) || label_equal(&version, &move->spec.to));
+		 (move_is_old(move, &version) || label_equal(&version, &move->spec.to));
 	if (wanted)
 		*id = move->spec.id;
 	lock_release(&moves->lock);
@@ -330,7 +372,7 @@
 		move->evidence = evidence_new();
 	if (move && label_equal(&version, &move->spec.to))
 		evidence_add(move->evidence, EVIDENCE_NEW, window);
-	else if (move && move_is_old(&move->spec, &version))
+	else if (move && move_is_old(move, &version))
 		evidence_add(move->evidence, EVIDENCE_OLD, window);
 	lock_release(&moves->lock);
 }
--- a/core/move.h
+++ b/core/move.h
@@ -31,6 +31,8 @@
 				  */
 	enum withdraw_reason reason;
 	struct label route;    /**< that showed the reason */
+	struct label from;     /**< version to go back to, where the order names none; empty: not
+				    known yet */
 	int64_t recheck_at_us; /**< wall clock; from then on the old version gets a few calls for a
 				    while, to compare a done one with; the latest wins */
 };
@@ -105,9 +107,15 @@
 /** The version that stands in when the chosen one has no target; false if there is none. */
 bool moves_fallback_version(struct moves *moves, struct label service,
 			    const struct version_filter *version, struct version_filter *fallback);
+/** How many of a version's @p targets take part while its move has opened a share only: so few
+ *  that each of them is loaded as all will be. 0: all. */
+int moves_canaries(struct moves *moves, struct label service, const struct version_filter *version,
+		   int targets, struct instant now);
 /** The versions that a move takes traffic from. */
-struct version_filter move_old_versions(const struct move_spec *spec);
-bool move_is_old(const struct move_spec *spec, const struct label *version);
+struct version_filter move_old_versions(const struct move_spec *spec,
+					const struct move_state *state);
+/** The same of a move in the table. */
+struct version_filter moves_old_versions(struct moves *moves, uint64_t id);
 /** The move that a version of a service takes part in, if its evidence is wanted now. */
 bool moves_wants_evidence(struct moves *moves, struct label service, struct label version,
 			  uint64_t *id);
@@ -126,6 +134,7 @@
 	bool may_withdraw;
 	int new_targets; /**< live targets of the new version */
 	int old_targets; /**< and of the old one */
+	struct label main_version; /**< of most live targets but those of the new version */
 };
 
 /** The ids of the configuration's moves; the caller frees the array. */
--- a/core/move_coordinate.c
+++ b/core/move_coordinate.c
@@ -121,6 +121,8 @@
 	lock_acquire(&moves->lock);
 	move = moves_find(moves, id);
 	if (move && move->state.withdrawn_at_us == 0) {
+		if (move->spec.from.len == 0 && move->state.from.len == 0)
+			move->state.from = around->main_version;
 		if (move->step_seen_at_us == 0)
 			move->step_seen_at_us = now.wall_us;
 		change.kind = judge(move, around, now);
--- a/core/move_share.c
+++ b/core/move_share.c
@@ -89,12 +89,11 @@
 static struct version_filter choose_undeclared(const struct move *move, int point,
 					       struct instant now)
 {
-	bool is_new;
-
 	if (!move)
-		return (struct version_filter){ VERSION_ANY };
-	is_new = point < move_moved_share(move, now);
-	return (struct version_filter){ is_new ? VERSION_IS : VERSION_IS_NOT, move->spec.to };
+		return (struct version_filter){ .kind = VERSION_ANY };
+	if (point < move_moved_share(move, now))
+		return (struct version_filter){ VERSION_IS, move->spec.to };
+	return move_old_versions(&move->spec, &move->state);
 }
 
 bool moves_choose_version(struct moves *moves, const struct config *config, struct label service,
@@ -120,6 +119,22 @@
 	return found;
 }
 
+int moves_canaries(struct moves *moves, struct label service, const struct version_filter *version,
+		   int targets, struct instant now)
+{
+	const struct move *move;
+	int share = SHARE_WHOLE;
+
+	lock_acquire(&moves->lock);
+	move = moves_find_service(moves, &service);
+	if (move && version->kind == VERSION_IS && label_equal(&version->name, &move->spec.to))
+		share = move_moved_share(move, now);
+	lock_release(&moves->lock);
+	if (share >= SHARE_WHOLE || share == 0)
+		return 0;
+	return MAX((targets * share + SHARE_WHOLE / 2) / SHARE_WHOLE, 1);
+}
+
 void moves_note_call(struct moves *moves, struct label service, struct label version, bool failed,
 		     struct instant now)
 {
@@ -127,7 +142,7 @@
 
 	lock_acquire(&moves->lock);
 	move = moves_find_service(moves, &service);
-	if (move && move_is_old(&move->spec, &version))
+	if (move && move_is_old(move, &version))
 		move->old_failing += 0.05 * ((failed ? 1.0 : 0.0) - move->old_failing);
 	else if (move && label_equal(&version, &move->spec.to))
 		move->own_evidence += failed ? CONTAIN_FAILURE_STEP : -CONTAIN_SUCCESS_STEP;
@@ -150,7 +165,7 @@
 	lock_acquire(&moves->lock);
 	move = moves_find_service(moves, &service);
 	if (move && version->kind == VERSION_IS && label_equal(&version->name, &move->spec.to)) {
-		*fallback = move_old_versions(&move->spec);
+		*fallback = move_old_versions(&move->spec, &move->state);
 		found = true;
 	} else if (move && version->kind != VERSION_ANY && move->state.withdrawn_at_us == 0 &&
 		   move->state.step > 0) {
--- a/core/move_table.h
+++ b/core/move_table.h
@@ -38,6 +38,7 @@
 struct move *moves_find_service(struct moves *moves, const struct label *service);
 void moves_rehash(struct moves *moves);
 void move_step_changed(struct move *move);
+bool move_is_old(const struct move *move, const struct label *version);
 /** Time between two steps. */
 int64_t move_interval_us(const struct move_spec *spec);
 /** Whether a done move is compared with its old version right now. */
--- a/core/node.c
+++ b/core/node.c
@@ -72,6 +72,7 @@
 	node->tally = tally_new(node->pool);
 	node->poison = poison_new(node->pool);
 	node->claims = claims_new(node->pool);
+	node->traffic = traffic_new(node->pool);
 	spread_init(node, now);
 	return node;
 }
@@ -93,6 +94,7 @@
 	assembly_clear(&node->spread.from_peer);
 	assembly_clear(&node->spread.from_log);
 	lock_destroy(&node->spread.lock);
+	traffic_free(node->traffic);
 	claims_free(node->claims);
 	poison_free(node->poison);
 	tally_free(node->tally);
@@ -263,7 +265,7 @@
 {
 	struct member self = members_self(node->members);
 
-	admit_close(node->admit);
+	admit_return(node->admit);
 	if (self.slots == 0)
 		return;
 	self.slots = 0;
@@ -377,6 +379,11 @@
 	return node->members;
 }
 
+struct traffic *node_traffic(struct node *node)
+{
+	return node->traffic;
+}
+
 struct moves *node_moves(struct node *node)
 {
 	return node->moves;
--- a/core/node.h
+++ b/core/node.h
@@ -11,6 +11,7 @@
 #include "core/admit.h"
 #include "core/event.h"
 #include "core/tally.h"
+#include "core/traffic.h"
 
 /** Options of a node; a zero member takes its default where one is stated. */
 struct node_options {
@@ -55,6 +56,7 @@
 	uint64_t fingerprint;		  /**< of the request, for quarantine */
 	uint64_t avoid[CHOICE_AVOID_MAX]; /**< targets tried before */
 	int avoid_count;
+	enum choice_where where;
 };
 
 /** The service that takes the call: the same for all attempts. */
@@ -75,7 +77,12 @@
 
 struct choice node_choose(struct node *node, const struct config *config,
 			  const struct call_facts *facts, struct instant now);
+/** A target that was chosen before takes the call after all; end with node_call_ended(). */
+void node_call_begins(struct node *node, uint64_t target);
 /** Notes how an attempt ended, as the entry node saw it. */
+/** What this entry has seen of each route. */
+struct traffic *node_traffic(struct node *node);
+
 void node_call_ended(struct node *node, struct label service, uint64_t target,
 		     enum call_outcome outcome, struct instant now, struct actions *out);
 
--- a/core/node_calls.c
+++ b/core/node_calls.c
@@ -23,9 +23,14 @@
 		.version = *version,
 		.avoid_count = facts->avoid_count,
 	};
+	int targets = 0;
 
 	for (int i = 0; i < facts->avoid_count; i++)
 		options.avoid[i] = facts->avoid[i];
+	options.where = facts->where;
+	if (version->kind == VERSION_IS)
+		targets = members_version_targets(node->members, options.service, version);
+	options.most = moves_canaries(node->moves, options.service, version, targets, now);
 	return members_choose(node->members, &options, rng, now);
 }
 
@@ -60,6 +65,11 @@
 	return choice;
 }
 
+void node_call_begins(struct node *node, uint64_t target)
+{
+	members_call_begins(node->members, target);
+}
+
 void node_call_ended(struct node *node, struct label service, uint64_t target,
 		     enum call_outcome outcome, struct instant now, struct actions *out)
 {
--- a/core/node_moves.c
+++ b/core/node_moves.c
@@ -137,7 +137,8 @@
 	around.may_advance = config_auto_allowed(config, spec.service, AUTO_ADVANCE);
 	around.may_withdraw = config_auto_allowed(config, spec.service, AUTO_WITHDRAW);
 	new_version.name = spec.to;
-	old_versions = move_old_versions(&spec);
+	old_versions = moves_old_versions(node->moves, id);
+	around.main_version = members_main_version(node->members, spec.service, spec.to);
 	around.new_targets = members_version_targets(node->members, spec.service, &new_version);
 	around.old_targets = members_version_targets(node->members, spec.service, &old_versions);
 	change = moves_coordinate(node->moves, id, &around, now);
--- a/core/node_parts.h
+++ b/core/node_parts.h
@@ -157,6 +157,7 @@
 	struct tally *tally;
 	struct poison *poison;
 	struct claims *claims;
+	struct traffic *traffic;
 	struct spread_state spread;
 	struct deadline target_cold_until; /* under spread.lock; unset before its first call */
 };
--- a/godwithitchd/attempt.c
+++ b/godwithitchd/attempt.c
@@ -40,22 +40,45 @@
 	bridge_carry_out(call->daemon, &actions);
 }
 
-/* Whether a failed attempt may be followed by another one. */
-static bool may_retry(struct call *call, enum verdict verdict)
+static bool caller_is_gone(struct call *call)
 {
-	bool idempotent = call->route->repeat == REPEAT_IDEMPOTENT;
 	bool gone;
 
 	lock_acquire(&call->lock);
 	gone = call->gone;
 	lock_release(&call->lock);
+	return gone;
+}
+
+/* Whether a failed attempt may be followed by another one. */
+static bool may_retry(struct call *call, enum verdict verdict)
+{
+	bool idempotent = call->route->repeat == REPEAT_IDEMPOTENT;
+
 	/* A request that breaks two targets is not taken to a third. */
-	return !gone && !call->body_used && call->attempts < call_attempts_max(call) &&
+	return !caller_is_gone(call) && !call->body_used && call->attempts < call_attempts_max(call) &&
 	       call->unsure < 2 && verdict_allows_retry(verdict, idempotent) &&
 	       !deadline_passed(call->deadline, clock_now()) &&
 	       node_take_retry(call->daemon->node, call->service);
 }
 
+/* A node refused the call before its target saw it: this costs nothing of the budget. */
+static void offer_elsewhere(struct attempt *attempt, const struct refusal *refusal)
+{
+	struct call *call = attempt->call;
+	struct instant now = clock_now();
+
+	call_avoid(call, attempt->target);
+	placement_refused(&call->placement, attempt->target, refusal->expected_us);
+	if (refusal->expected_us)
+		members_note_busy(node_members(call->daemon->node), attempt->target,
+				  refusal->expected_us, now);
+	if (!caller_is_gone(call) && !call->body_used)
+		call_try_target(call);
+	else
+		call_answer(call, STATUS_UNAVAILABLE, VERDICT_NOT_RUN, refusal->reason);
+}
+
 static void fail_attempt(struct attempt *attempt, enum verdict verdict, struct str reason)
 {
 	struct call *call = attempt->call;
@@ -66,7 +89,9 @@
 		caller_finish(call->caller, PIPE_FAILED);
 		return;
 	}
+	call->attempts++;
 	call_avoid(call, attempt->target);
+	placement_refused(&call->placement, attempt->target, 0);
 	call->unsure += verdict == VERDICT_MAY_HAVE_RUN;
 	if (may_retry(call, verdict))
 		call_try_target(call);
@@ -92,7 +117,10 @@
 	if (!attempt_finish(attempt))
 		return;
 	attempt_note(attempt, refused_outcome(refusal->kind));
-	fail_attempt(attempt, refusal->verdict, refusal->reason);
+	if (refusal->verdict == VERDICT_NOT_RUN && !refusal->reached && !attempt->has_head)
+		offer_elsewhere(attempt, refusal);
+	else
+		fail_attempt(attempt, refusal->verdict, refusal->reason);
 }
 
 void attempt_lost(struct attempt *attempt, enum verdict verdict)
@@ -126,6 +154,7 @@
 
 bool attempt_body_wait(struct attempt *attempt, struct str bytes, struct deadline deadline)
 {
+	attempt->answer_bytes += bytes.len;
 	return !g_atomic_int_get(&attempt->over) &&
 	       caller_give_wait(attempt->call->caller, bytes, deadline);
 }
@@ -142,6 +171,10 @@
 	if (!attempt_finish(attempt))
 		return;
 	attempt_note(attempt, outcome_of(attempt->status));
+	members_note_answer(node_members(attempt->call->daemon->node), attempt->target,
+			    clock_now().mono_us - attempt->started_us);
+	traffic_note_answer(node_traffic(attempt->call->daemon->node),
+			    attempt->call->route->name, attempt->answer_bytes);
 	caller_finish(attempt->call->caller, PIPE_DONE);
 }
 
@@ -260,6 +293,7 @@
 
 	if (g_atomic_int_get(&attempt->over))
 		return;
+	attempt->answer_bytes += bytes.len;
 	if (caller_held(caller) + bytes.len <= 2 * STREAM_WINDOW) {
 		caller_give(caller, bytes);
 		return;
--- a/godwithitchd/bridge.c
+++ b/godwithitchd/bridge.c
@@ -315,6 +315,7 @@
 {
 	struct event event = { .kind = EVENT_TARGET_UP };
 	uint32_t ipv4 = announcement->ipv4 ? announcement->ipv4 : daemon->settings.announce.ipv4;
+	struct target_place place;
 	bool first;
 
 	lock_acquire(&daemon->lock);
@@ -328,7 +329,9 @@
 			     STR_ARG(label_str(&announcement->service)),
 			     STR_ARG(label_str(&announcement->version)), announcement->slots,
 			     announcement->port);
-	target_set_address(daemon->target, ipv4, announcement->port, announcement->id);
+	place = (struct target_place){ ipv4, announcement->port, announcement->id,
+				       announcement->service };
+	target_set_place(daemon->target, &place);
 	event.target.service = announcement->service;
 	event.target.version = announcement->version;
 	event.target.slots = (int)MIN(announcement->slots, daemon->settings.workers - WORKERS_KEPT);
--- a/godwithitchd/calls.c
+++ b/godwithitchd/calls.c
@@ -37,11 +37,54 @@
 							    : dialect->unsure_status;
 }
 
+static uint64_t make_point(struct daemon *daemon, struct str key)
+{
+	uint64_t point;
+
+	if (key.len)
+		return rng_mix(str_hash(key, 1));
+	lock_acquire(&daemon->lock);
+	point = daemon->next_point++;
+	lock_release(&daemon->lock);
+	return rng_mix(point);
+}
+
+static struct placement_facts placement_facts(const struct call *call, struct instant now)
+{
+	struct placement_facts facts = { .left_us = deadline_left_us(call->deadline, now) };
+
+	facts.on_time_us = call->objective.at_us ? deadline_left_us(call->objective, now)
+						 : facts.left_us;
+	if (call->route)
+		facts.answer_bytes =
+			traffic_answer_bytes(node_traffic(call->daemon->node), call->route->name);
+	return facts;
+}
+
+static bool is_refusal(int status)
+{
+	return status == STATUS_UNAVAILABLE || status == STATUS_TOO_MANY;
+}
+
+static void print_retry_after(const struct call *call, char *text, size_t cap)
+{
+	struct placement_facts facts = placement_facts(call, clock_now());
+	struct rng rng = { .state = make_point(call->daemon, STR("")) };
+	double seconds =
+		(double)placement_retry_after_us(&call->placement, &facts, &rng) / US_PER_S;
+
+	if (call->daemon->dialect->fractional_times)
+		g_snprintf(text, (gulong)cap, "%.3f", seconds);
+	else
+		g_snprintf(text, (gulong)cap, "%d", (int)seconds + 1);
+}
+
 void call_answer(struct call *call, int status, enum verdict verdict, struct str reason)
 {
 	const struct dialect *dialect = call->daemon->dialect;
 	struct response_head head = { .status = own_status(call, status, verdict) };
 	struct strbuf body = { 0 };
+	char retry[32];
 
 	call->status = head.status;
 	call_end_claim(call, verdict, head.status);
@@ -50,6 +93,10 @@
 		add_field(&head, dialect->request_id,
 			  caller_field(call->caller, dialect->request_id));
 	add_field(&head, STR("Content-Type"), STR("text/plain"));
+	if (verdict == VERDICT_NOT_RUN && is_refusal(head.status)) {
+		print_retry_after(call, retry, sizeof(retry));
+		add_field(&head, STR("Retry-After"), str_from_cstr(retry));
+	}
 	strbuf_addf(&body, "%.*s: %.*s\n", STR_ARG(verdict_name(verdict)), STR_ARG(reason));
 	caller_answer(call->caller, &head, strbuf_str(&body));
 	strbuf_clear(&body);
@@ -111,18 +158,6 @@
 	return deadline_after(now, left_us > 0 ? left_us : 1);
 }
 
-static uint64_t make_point(struct daemon *daemon, struct str key)
-{
-	uint64_t point;
-
-	if (key.len)
-		return rng_mix(str_hash(key, 1));
-	lock_acquire(&daemon->lock);
-	point = daemon->next_point++;
-	lock_release(&daemon->lock);
-	return rng_mix(point);
-}
-
 static struct call *call_new(struct daemon *daemon, struct caller_call *caller)
 {
 	struct call *call = g_new0(struct call, 1);
@@ -186,6 +221,11 @@
 	head->idempotent = call->route->repeat == REPEAT_IDEMPOTENT;
 	head->concurrency_percent = call->route->concurrency_percent;
 	head->left_us = deadline_left_us(call->deadline, now);
+	head->has_objective = call->objective.at_us != 0;
+	head->objective_us = call->objective.at_us - now.mono_us;
+	head->may_queue = call->placement.queueing;
+	head->returned = call->returned;
+	head->service = call->service;
 	head->body_length = caller_body_length(call->caller);
 	head->fingerprint = call->facts.fingerprint;
 }
@@ -220,7 +260,8 @@
 	enum start_result result = START_BEGUN;
 
 	make_head(call, head, now);
-	call->attempts++;
+	attempt->started_us = now.mono_us;
+	call->offers++;
 	if (!set_current(call, attempt)) {
 		if (attempt_finish(attempt))
 			attempt_note(attempt, CALL_REFUSED);
@@ -249,37 +290,74 @@
 	return call->route->attempts ? call->route->attempts : ATTEMPTS_MAX;
 }
 
+/* Chooses for the next offer. False if there is to be none: the call is answered. */
+static bool next_target(struct call *call, struct choice *choice, struct instant now)
+{
+	struct placement_facts facts = placement_facts(call, now);
+
+	*choice = (struct choice){ .kind = CHOICE_NO_TARGET };
+	switch (placement_next(&call->placement, &facts)) {
+	case PLACE_NEAR:
+		call->facts.where = CHOOSE_NEAR;
+		break;
+	case PLACE_FAR:
+		call->facts.where = CHOOSE_FAR;
+		break;
+	case PLACE_QUEUE:
+		choice->kind = CHOICE_TARGET;
+		choice->target = call->placement.best;
+		node_call_begins(call->daemon->node, choice->target);
+		return true;
+	case PLACE_REFUSE:
+		call_answer(call, STATUS_UNAVAILABLE, VERDICT_NOT_RUN,
+			    STR("no target of the service takes work"));
+		return false;
+	}
+	*choice = node_choose(call->daemon->node, call->config, &call->facts, now);
+	return true;
+}
+
+/* One step towards an attempt; true once it is begun or the call is answered. */
+static bool try_once(struct call *call, struct instant now)
+{
+	struct choice choice;
+
+	if (!next_target(call, &choice, now))
+		return true;
+	switch (choice.kind) {
+	case CHOICE_TARGET:
+		if (start_attempt(call, choice.target, now) == START_BEGUN)
+			return true;
+		call_avoid(call, choice.target);
+		placement_refused(&call->placement, choice.target, 0);
+		return false;
+	case CHOICE_NO_TARGET:
+		placement_none(&call->placement);
+		return false;
+	case CHOICE_QUARANTINED:
+		call_answer(call, STATUS_TOO_MANY, VERDICT_NOT_RUN,
+			    STR("the request crashed targets before"));
+		return true;
+	case CHOICE_NOT_CURRENT:
+		call_answer(call, STATUS_UNAVAILABLE, VERDICT_NOT_RUN,
+			    STR("the node is not current yet"));
+		return true;
+	}
+	g_assert_not_reached();
+}
+
 void call_try_target(struct call *call)
 {
-	while (call->attempts < ATTEMPTS_MAX) {
+	while (call->offers < OFFERS_MAX) {
 		struct instant now = clock_now();
-		struct choice choice;
 
 		if (deadline_passed(call->deadline, now)) {
-			call_answer(call, STATUS_TIMEOUT, VERDICT_NOT_RUN,
-				    STR("the deadline passed"));
+			call_answer(call, call->daemon->dialect->not_run_late_status,
+				    VERDICT_NOT_RUN, STR("the deadline passed"));
 			return;
 		}
-		choice = node_choose(call->daemon->node, call->config, &call->facts, now);
-		switch (choice.kind) {
-		case CHOICE_TARGET:
-			if (start_attempt(call, choice.target, now) == START_BEGUN)
-				return;
-			call_avoid(call, choice.target);
-			break;
-		case CHOICE_NO_TARGET:
-			call_answer(call, STATUS_UNAVAILABLE, VERDICT_NOT_RUN,
-				    STR("no target of the service takes work"));
-			return;
-		case CHOICE_QUARANTINED:
-			call_answer(call, STATUS_TOO_MANY, VERDICT_NOT_RUN,
-				    STR("the request crashed targets before"));
-			return;
-		case CHOICE_NOT_CURRENT:
-			call_answer(call, STATUS_UNAVAILABLE, VERDICT_NOT_RUN,
-				    STR("the node is not current yet"));
+		if (try_once(call, now))
 			return;
-		}
 	}
 	call_answer(call, STATUS_UNAVAILABLE, VERDICT_NOT_RUN, STR("no target could be reached"));
 }
@@ -361,6 +439,22 @@
 	call_unref(call);
 }
 
+/* An answer is due by the objective, counted from the first attempt of the request. */
+static void set_objective(struct call *call, struct instant now)
+{
+	int64_t asked_ms;
+	int64_t elapsed_us = 0;
+
+	if (call->route->objective_us == 0)
+		return;
+	if (str_to_int64(caller_field(call->caller, call->daemon->dialect->deadline_ms),
+			 &asked_ms))
+		elapsed_us = traffic_elapsed_us(node_traffic(call->daemon->node),
+						call->route->name, asked_ms * US_PER_MS);
+	call->returned = elapsed_us > 0;
+	call->objective = deadline_after(now, call->route->objective_us - elapsed_us);
+}
+
 static void on_ready(struct daemon *daemon, struct caller_call *caller)
 {
 	struct call *call = call_new(daemon, caller);
@@ -383,6 +477,7 @@
 	}
 	call->tenant = label_from(tenant_text(call->route, caller));
 	call->deadline = make_deadline(daemon->dialect, call->route, caller, now);
+	set_objective(call, now);
 	call->facts.route = call->route;
 	call->facts.point = make_point(daemon, key);
 	call->service = call_service(&call->facts);
@@ -451,9 +546,9 @@
 		   STR_ARG(label_str(&call->tenant)), call->status);
 	metrics_add(call->daemon->metrics, STR("godwithitch_calls_total"), str_from_cstr(labels),
 		    1);
-	if (call->attempts > 1)
+	if (call->attempts)
 		metrics_add(call->daemon->metrics, STR("godwithitch_retries_total"), STR(""),
-			    call->attempts - 1);
+			    call->attempts);
 }
 
 static void on_gone(struct call *call)
--- a/godwithitchd/calls.h
+++ b/godwithitchd/calls.h
@@ -5,10 +5,12 @@
 #ifndef GODWITHITCHD_CALLS_H
 #define GODWITHITCHD_CALLS_H
 
+#include "core/placement.h"
 #include "godwithitchd/daemon.h"
 
 enum {
 	ATTEMPTS_MAX = 4,
+	OFFERS_MAX = 16, /* of one call, whatever nodes answer */
 	STATUS_BAD_REQUEST = 400,
 	STATUS_NOT_FOUND = 404,
 	STATUS_CONFLICT = 409,
@@ -30,7 +32,11 @@
 	struct label tenant;
 	struct deadline deadline;
 	int64_t started_us;
-	int attempts;
+	struct deadline objective; /* an answer after it is late; 0: none is stated */
+	bool returned;		   /* its caller was refused before */
+	struct placement placement;
+	int offers;   /* to nodes */
+	int attempts; /* that reached a target */
 	int status;	  /* what the caller got, for the counters */
 	int unsure;	  /* attempts that may have run */
 	bool body_used;	  /* bytes of a streamed body were sent: no repeat */
@@ -50,8 +56,10 @@
 	struct stream stream; /* to another node */
 	struct serve *serve;  /* at this node's own target */
 	gint over;
+	int64_t started_us;
 	bool has_head;
 	int status;
+	size_t answer_bytes;
 	size_t taken;	/* bytes the caller took since the last window frame */
 	size_t body_at; /* of a small body, what the own target has */
 	/* Upload to another node; under call->lock. */
--- a/godwithitchd/serve.c
+++ b/godwithitchd/serve.c
@@ -43,7 +43,8 @@
 	apr_thread_cond_t *changed;
 	int64_t credit;
 	bool has_head;
-	bool shed; /* the target answered that it did not run it */
+	bool shed;    /* the target answered that it did not run it */
+	bool reached; /* the request was sent to the target */
 };
 
 static struct str keep(struct serve *serve, struct str s)
@@ -74,6 +75,7 @@
 static struct serve *serve_new(struct daemon *daemon, const struct request_head *head)
 {
 	struct serve *serve = g_new0(struct serve, 1);
+	struct instant now = clock_now();
 
 	serve->owner.refs = 1;
 	serve->owner.kind = OWNER_SERVE;
@@ -88,7 +90,11 @@
 	serve->ticket.class =
 		head->class < CLASS_COUNT ? (enum traffic_class)head->class : CLASS_BACKGROUND;
 	serve->ticket.concurrency_percent = head->concurrency_percent;
-	serve->ticket.deadline = deadline_after(clock_now(), head->left_us > 0 ? head->left_us : 1);
+	serve->ticket.deadline = deadline_after(now, head->left_us > 0 ? head->left_us : 1);
+	if (head->has_objective)
+		serve->ticket.objective = deadline_after(now, head->objective_us);
+	serve->ticket.now_or_never = !head->may_queue;
+	serve->ticket.returned = head->returned;
 	serve->ticket.owner = serve;
 	g_atomic_int_inc(&daemon->serving);
 	return serve;
@@ -148,7 +154,11 @@
 static void refuse(struct serve *serve, enum refusal_kind kind, enum verdict verdict,
 		   struct str reason)
 {
-	struct refusal refusal = { kind, verdict, reason };
+	struct refusal refusal = { .kind = kind, .verdict = verdict, .reason = reason };
+
+	/* Of calls that waited and had no turn the expectation is long over. */
+	refusal.expected_us = serve->ticket.queued_at_us ? 0 : serve->ticket.expected_us;
+	refusal.reached = serve->reached;
 
 	switch (serve->sink.kind) {
 	case SINK_LOCAL:
@@ -171,6 +181,11 @@
 	enum admit_result result;
 
 	serve_ref(serve);
+	if (!target_serves(serve->daemon->target, &serve->head.service)) {
+		refuse(serve, REFUSAL_CLOSED, VERDICT_NOT_RUN, STR("another service is here"));
+		serve_unref(serve);
+		return false;
+	}
 	result = admit_offer(node_admit(serve->daemon->node), &serve->ticket, clock_now());
 	switch (result) {
 	case ADMIT_RUN:
@@ -178,6 +193,7 @@
 		return true;
 	case ADMIT_QUEUED:
 		return false;
+	case ADMIT_BUSY:
 	case ADMIT_FULL:
 	case ADMIT_LATE:
 	case ADMIT_CLOSED:
@@ -196,7 +212,7 @@
 	serve_ref(serve);
 	if (workers_post(serve->daemon->workers, (struct work){ WORK_SERVE, serve }))
 		return;
-	admit_done(node_admit(serve->daemon->node), &serve->ticket, SLOT_SERVED, 0);
+	admit_done(node_admit(serve->daemon->node), &serve->ticket, SLOT_UNUSED, 0);
 	refuse(serve, REFUSAL_BUSY, VERDICT_NOT_RUN, STR("the node is busy"));
 	serve_unref(serve);
 }
@@ -454,6 +470,7 @@
 static void finish(struct serve *serve, const struct target_result *result)
 {
 	if (serve->shed) {
+		serve->ticket.expected_us = 0;
 		refuse(serve, REFUSAL_BUSY, VERDICT_NOT_RUN, STR("the target sheds load"));
 		return;
 	}
@@ -496,6 +513,16 @@
 			  clock_now());
 }
 
+static enum slot_use slot_use(const struct serve *serve, const struct target_result *result)
+{
+	if (result->misdirected || result->outcome == TARGET_UNREACHED)
+		return SLOT_UNUSED;
+	if (serve->shed || (result->outcome == TARGET_SHED && result->whole))
+		return SLOT_SHED;
+	/* How long the caller of a call that was given up would have waited is not known. */
+	return result->whole ? SLOT_SERVED : SLOT_UNUSED;
+}
+
 static void exchange(struct serve *serve)
 {
 	struct daemon *daemon = serve->daemon;
@@ -506,14 +533,19 @@
 					       .context = serve };
 	struct target_result result;
 
+	/* While it waited, another target may have come to this VM. */
+	if (!target_serves(daemon->target, &serve->head.service)) {
+		admit_done(node_admit(daemon->node), &serve->ticket, SLOT_UNUSED, 0);
+		refuse(serve, REFUSAL_CLOSED, VERDICT_NOT_RUN, STR("another service is here"));
+		return;
+	}
+	serve->reached = true;
 	set_running(serve, true);
 	result = target_call(daemon->target, &options);
 	finish(serve, &result);
 	count_outcome(serve, &result);
 	set_running(serve, false);
-	admit_done(node_admit(daemon->node), &serve->ticket,
-		   serve->shed || (result.outcome == TARGET_SHED && result.whole) ? SLOT_SHED
-										  : SLOT_SERVED,
+	admit_done(node_admit(daemon->node), &serve->ticket, slot_use(serve, &result),
 		   result.service_us);
 }
 
@@ -545,7 +577,7 @@
 	/* The worker that frees a slot runs what waits for it: no hand-off. */
 	while (serve) {
 		if (g_atomic_int_get(&serve->cancelled)) {
-			admit_done(node_admit(daemon->node), &serve->ticket, SLOT_SERVED, 0);
+			admit_done(node_admit(daemon->node), &serve->ticket, SLOT_UNUSED, 0);
 			release_attempt(serve);
 		} else {
 			exchange(serve);
--- a/peer/pack.c
+++ b/peer/pack.c
@@ -56,7 +56,7 @@
 
 void pack_state(msgpack_packer *out, const struct move_state *state)
 {
-	msgpack_pack_array(out, 7);
+	msgpack_pack_array(out, 8);
 	msgpack_pack_uint64(out, state->id);
 	msgpack_pack_int(out, state->step);
 	msgpack_pack_int64(out, state->done_at_us);
@@ -64,6 +64,7 @@
 	msgpack_pack_int(out, state->reason);
 	pack_label(out, &state->route);
 	msgpack_pack_int64(out, state->recheck_at_us);
+	pack_label(out, &state->from);
 }
 
 void pack_note(msgpack_packer *out, const struct claim_note *note)
@@ -298,6 +299,7 @@
 	state->reason = unpack_int(&inner, WITHDRAW_LATENCY);
 	state->route = unpack_label(&inner);
 	state->recheck_at_us = unpack_i64(&inner);
+	state->from = unpack_label(&inner);
 	in->bad |= inner.bad;
 }
 
--- a/peer/wire.c
+++ b/peer/wire.c
@@ -113,15 +113,20 @@
 	msgpack_packer packer;
 
 	pack_start(&packer, out);
-	msgpack_pack_array(&packer, 12);
+	msgpack_pack_array(&packer, 17);
 	pack_str(&packer, head->method);
 	pack_str(&packer, head->target);
 	pack_label(&packer, &head->route);
+	pack_label(&packer, &head->service);
 	pack_label(&packer, &head->tenant);
 	msgpack_pack_int(&packer, head->class);
 	msgpack_pack_int(&packer, head->idempotent);
 	msgpack_pack_int(&packer, head->concurrency_percent);
 	msgpack_pack_int64(&packer, head->left_us);
+	msgpack_pack_int64(&packer, head->objective_us);
+	msgpack_pack_int(&packer, head->has_objective);
+	msgpack_pack_int(&packer, head->may_queue);
+	msgpack_pack_int(&packer, head->returned);
 	msgpack_pack_int64(&packer, head->body_length);
 	msgpack_pack_uint64(&packer, head->fingerprint);
 	msgpack_pack_int(&packer, head->hops);
@@ -148,10 +153,12 @@
 	msgpack_packer packer;
 
 	pack_start(&packer, out);
-	msgpack_pack_array(&packer, 3);
+	msgpack_pack_array(&packer, 5);
 	msgpack_pack_int(&packer, refusal->kind);
 	msgpack_pack_int(&packer, refusal->verdict);
 	pack_str(&packer, refusal->reason);
+	msgpack_pack_int64(&packer, refusal->expected_us);
+	msgpack_pack_int(&packer, refusal->reached);
 	close_frame(out, start);
 }
 
@@ -220,11 +227,16 @@
 		head->method = unpack_str(&in);
 		head->target = unpack_str(&in);
 		head->route = unpack_label(&in);
+		head->service = unpack_label(&in);
 		head->tenant = unpack_label(&in);
 		head->class = unpack_int(&in, INT32_MAX);
 		head->idempotent = unpack_int(&in, 1) != 0;
 		head->concurrency_percent = unpack_int(&in, 100);
 		head->left_us = unpack_i64(&in);
+		head->objective_us = unpack_i64(&in);
+		head->has_objective = unpack_int(&in, 1) != 0;
+		head->may_queue = unpack_int(&in, 1) != 0;
+		head->returned = unpack_int(&in, 1) != 0;
 		head->body_length = unpack_i64(&in);
 		head->fingerprint = unpack_u64(&in);
 		head->hops = unpack_int(&in, INT16_MAX);
@@ -253,6 +265,8 @@
 		refusal->kind = (enum refusal_kind)unpack_int(&in, REFUSAL_BROKEN);
 		refusal->verdict = (enum verdict)unpack_int(&in, VERDICT_RAN);
 		refusal->reason = unpack_str(&in);
+		refusal->expected_us = unpack_i64(&in);
+		refusal->reached = unpack_int(&in, 1) != 0;
 	}
 	return finish(&in, keep);
 }
--- a/peer/wire.h
+++ b/peer/wire.h
@@ -70,11 +70,16 @@
 	struct str method;
 	struct str target; /**< path and query */
 	struct label route;
+	struct label service; /**< that the target has to be of */
 	struct label tenant;
 	int class;
 	bool idempotent;
 	int concurrency_percent;
 	int64_t left_us; /**< until its deadline, when it was sent: clocks differ between nodes */
+	int64_t objective_us; /**< until an answer is late, likewise; below 0: it is late already */
+	bool has_objective;
+	bool may_queue; /**< else it is refused unless it can run at once */
+	bool returned;	/**< it was refused before, and its caller came back */
 	int64_t body_length; /**< -1: not known */
 	uint64_t fingerprint;
 	int hops; /**< nodes that it went through */
@@ -101,6 +106,8 @@
 	enum refusal_kind kind;
 	enum verdict verdict;
 	struct str reason;
+	int64_t expected_us; /**< REFUSAL_BUSY: until its answer, had it queued; 0: not known */
+	bool reached;	     /**< the target itself has seen it, whether it ran it or not */
 };
 
 void wire_put_request(struct strbuf *out, uint64_t stream, const struct request_head *head);
--- a/regress/core/admit_test.c
+++ b/regress/core/admit_test.c
@@ -57,6 +57,7 @@
 		return;
 	case ADMIT_QUEUED:
 		return;
+	case ADMIT_BUSY:
 	case ADMIT_FULL:
 	case ADMIT_LATE:
 	case ADMIT_CLOSED:
--- a/target/call.c
+++ b/target/call.c
@@ -24,9 +24,7 @@
 	struct lock lock; /* LOCK_TARGET */
 	apr_pool_t *pool;
 	GPtrArray *idle; /* struct handle */
-	uint32_t ipv4;
-	uint16_t port;
-	struct label id;
+	struct target_place place;
 };
 
 /** A handle for one call at a time; it keeps its connections open. */
@@ -79,15 +77,23 @@
 	g_free(target);
 }
 
-void target_set_address(struct target *target, uint32_t ipv4, uint16_t port, struct label id)
+void target_set_place(struct target *target, const struct target_place *place)
 {
 	lock_acquire(&target->lock);
-	target->id = id;
-	target->ipv4 = ipv4;
-	target->port = port;
+	target->place = *place;
 	lock_release(&target->lock);
 }
 
+bool target_serves(struct target *target, const struct label *service)
+{
+	bool serves;
+
+	lock_acquire(&target->lock);
+	serves = service->len == 0 || label_equal(&target->place.service, service);
+	lock_release(&target->lock);
+	return serves;
+}
+
 bool target_listens(struct target *target)
 {
 	struct sockaddr_in address = { .sin_family = AF_INET };
@@ -95,8 +101,8 @@
 	bool listens;
 
 	lock_acquire(&target->lock);
-	address.sin_port = htons(target->port);
-	address.sin_addr.s_addr = htonl(target->ipv4);
+	address.sin_port = htons(target->place.port);
+	address.sin_addr.s_addr = htonl(target->place.ipv4);
 	lock_release(&target->lock);
 	/* On the same VM a connection is made or refused at once. */
 	listens = fd >= 0 && connect(fd, (struct sockaddr *)&address, sizeof(address)) == 0;
@@ -274,10 +280,10 @@
 	lock_acquire(&target->lock);
 	if (target->idle->len)
 		handle = g_ptr_array_steal_index_fast(target->idle, target->idle->len - 1);
-	ip = target->ipv4;
-	*expected = target->id;
+	ip = target->place.ipv4;
+	*expected = target->place.id;
 	g_snprintf(url, (gulong)cap, "http://%u.%u.%u.%u:%u%.*s", ip >> 24, ip >> 16 & 255,
-		   ip >> 8 & 255, ip & 255, target->port, STR_ARG(path));
+		   ip >> 8 & 255, ip & 255, target->place.port, STR_ARG(path));
 	lock_release(&target->lock);
 	return handle ? handle : handle_new();
 }
--- a/target/call.h
+++ b/target/call.h
@@ -18,8 +18,18 @@
 
 struct target *target_new(const struct dialect *dialect, apr_pool_t *pool);
 void target_free(struct target *target);
-/** Sets where the target listens, and which one is expected there. Takes LOCK_TARGET. */
-void target_set_address(struct target *target, uint32_t ipv4, uint16_t port, struct label id);
+/** Which target stands on this VM. */
+struct target_place {
+	uint32_t ipv4;
+	uint16_t port;
+	struct label id; /**< that is expected there; empty where targets have none */
+	struct label service;
+};
+
+/** Both take LOCK_TARGET. */
+void target_set_place(struct target *target, const struct target_place *place);
+/** Whether the target is of a service; an empty name stands for any. */
+bool target_serves(struct target *target, const struct label *service);
 
 /** Whether the target takes connections right now. */
 bool target_listens(struct target *target);
