--- a/core/move.h
+++ b/core/move.h
@@ -130,6 +130,7 @@
 
 /** What the coordinator knows besides the evidence. */
 struct move_surroundings {
+	bool second_ends; /**< the evidence of a second is complete */
 	bool may_advance;
 	bool may_withdraw;
 	int new_targets; /**< live targets of the new version */
@@ -141,7 +142,8 @@
 GArray *moves_ids(struct moves *moves);
 bool moves_spec(struct moves *moves, uint64_t id, struct move_spec *spec);
 
-/** Decides once a second for a move that this node coordinates. */
+/** Decides for a move that this node coordinates: several times a second whether its next step is
+ *  due, once a second by the evidence. */
 struct move_change moves_coordinate(struct moves *moves, uint64_t id,
 				    const struct move_surroundings *around, struct instant now);
 
--- a/core/move_coordinate.c
+++ b/core/move_coordinate.c
@@ -60,7 +60,7 @@
 
 /*
  * Evidence is good enough after some calls without doubt. Where few calls come, waiting for them
- * would make the move late, so that a fifth of an interval more has to do.
+ * would make the move late, so that an interval has to do.
  */
 static bool evidence_is_good(const struct move *move, struct instant now)
 {
@@ -72,7 +72,7 @@
 		return true;
 	if (move->evidence && evidence_calls(move->evidence) >= STEP_MIN_CALLS)
 		return true;
-	return dwell_us >= move_interval_us(&move->spec) * 6 / 5;
+	return dwell_us >= move_interval_us(&move->spec);
 }
 
 /* A move that was held or found no coordinator catches up, but not all at once. */
@@ -125,7 +125,8 @@
 			move->state.from = around->main_version;
 		if (move->step_seen_at_us == 0)
 			move->step_seen_at_us = now.wall_us;
-		change.kind = judge(move, around, now);
+		if (around->second_ends)
+			change.kind = judge(move, around, now);
 		if (change.kind == MOVE_CHANGE_NONE)
 			change.kind = advance(move, around, now);
 		if (move->step_seen_at_us == 0)
--- a/core/move_share.c
+++ b/core/move_share.c
@@ -9,6 +9,7 @@
 #define CONTAIN_SUCCESS_STEP 0.642
 #define CONTAIN_THRESHOLD    9.0
 #define CONTAIN_US	     (10 * US_PER_S)
+enum { CANARIES_MIN = 2 /* a single target that is broken condemns no version */ };
 /* An old version that fails this often as well shows a fault that both share. */
 #define CONTAIN_OLD_MAX 0.2
 
@@ -132,7 +133,7 @@
 	lock_release(&moves->lock);
 	if (share >= SHARE_WHOLE || share == 0)
 		return 0;
-	return MAX((targets * share + SHARE_WHOLE / 2) / SHARE_WHOLE, 1);
+	return MAX((targets * share + SHARE_WHOLE / 2) / SHARE_WHOLE, CANARIES_MIN);
 }
 
 void moves_note_call(struct moves *moves, struct label service, struct label version, bool failed,
--- a/core/node.c
+++ b/core/node.c
@@ -27,6 +27,7 @@
 	jitter_us = node->options.seed_count ? rng_below(&spread->rng, BOOT_JITTER_US) : 0;
 	spread->boot.log_at = deadline_after(
 		now, node->options.seed_count ? BOOT_LOG_US + (int64_t)jitter_us : 0);
+	spread->moves_at = deadline_after(now, MOVES_TICK_US);
 	spread->round_at = deadline_after(now, (int64_t)rng_below(&spread->rng, ROUND_US));
 	spread->flush_at = deadline_after(now, (int64_t)rng_below(&spread->rng, FLUSH_US));
 }
@@ -216,6 +217,8 @@
 	config_tick(node, now, out);
 	log_tick(node, now, out);
 	claims_tick(node, now, out);
+	if (take_turn(node, &node->spread.moves_at, MOVES_TICK_US, now))
+		moves_tick(node, now, out);
 	if (!take_turn(node, &node->spread.round_at, ROUND_US, now))
 		return;
 	fleet_round(node, now, out);
--- a/core/node_moves.c
+++ b/core/node_moves.c
@@ -121,7 +121,7 @@
 }
 
 static void coordinate(struct node *node, const struct config *config, uint64_t id,
-		       struct instant now, struct actions *out)
+		       bool second_ends, struct instant now, struct actions *out)
 {
 	struct member self = members_self(node->members);
 	struct version_filter new_version = { .kind = VERSION_IS };
@@ -134,6 +134,7 @@
 		return;
 	if (members_rank(node->members, SCOPE_SERVICE, spec.service, id) >= COORDINATORS)
 		return;
+	around.second_ends = second_ends;
 	around.may_advance = config_auto_allowed(config, spec.service, AUTO_ADVANCE);
 	around.may_withdraw = config_auto_allowed(config, spec.service, AUTO_WITHDRAW);
 	new_version.name = spec.to;
@@ -151,14 +152,37 @@
 	tell_state(node, &change.state, out);
 }
 
+static void coordinate_all(struct node *node, bool second_ends, struct instant now,
+			   struct actions *out)
+{
+	struct config *config = node_config(node);
+	GArray *ids = moves_ids(node->moves);
+
+	for (guint i = 0; i < ids->len; i++)
+		coordinate(node, config, g_array_index(ids, uint64_t, i), second_ends, now, out);
+	g_array_unref(ids);
+	config_unref(config);
+}
+
+static bool may_coordinate(struct node *node)
+{
+	struct member self = members_self(node->members);
+
+	return node_is_current(node) && self.state == MEMBER_ALIVE;
+}
+
+void moves_tick(struct node *node, struct instant now, struct actions *out)
+{
+	if (may_coordinate(node))
+		coordinate_all(node, false, now, out);
+}
+
 void moves_round(struct node *node, struct instant now, struct actions *out)
 {
 	struct member self = members_self(node->members);
-	struct config *config;
-	GArray *ids;
 	uint64_t move;
 
-	if (!node_is_current(node) || self.state != MEMBER_ALIVE)
+	if (!may_coordinate(node))
 		return;
 	if (self.slots > 0) {
 		if (moves_wants_evidence(node->moves, self.service, self.version, &move))
@@ -166,10 +190,5 @@
 		else
 			g_array_unref(tally_take(node->tally, self.id, 0));
 	}
-	config = node_config(node);
-	ids = moves_ids(node->moves);
-	for (guint i = 0; i < ids->len; i++)
-		coordinate(node, config, g_array_index(ids, uint64_t, i), now, out);
-	g_array_unref(ids);
-	config_unref(config);
+	coordinate_all(node, true, now, out);
 }
--- a/core/node_parts.h
+++ b/core/node_parts.h
@@ -10,6 +10,7 @@
 #include "core/poison.h"
 
 #define ROUND_US	 (1 * US_PER_S)	   /* probes, sweeps, coordination */
+#define MOVES_TICK_US	 (200 * US_PER_MS) /* steps of short moves are a second apart */
 #define FLUSH_US	 (200 * US_PER_MS) /* pending member records */
 #define ACK_US		 (400 * US_PER_MS) /* then others are asked to probe */
 #define PULL_US		 (1 * US_PER_S)	   /* then another peer is asked */
@@ -127,6 +128,7 @@
 	struct deadline flush_at;
 	struct deadline sync_at;
 	struct deadline moves_sync_at;
+	struct deadline moves_at;
 	struct deadline dead_ping_at;
 	int pulls_served; /* in this round */
 	int syncs_served;
@@ -224,6 +226,8 @@
 
 /* node_moves.c */
 void moves_round(struct node *node, struct instant now, struct actions *out);
+/** Opens steps that are due. */
+void moves_tick(struct node *node, struct instant now, struct actions *out);
 void moves_on_states(struct node *node, const GArray *states, bool tell, struct actions *out);
 void moves_on_evidence(struct node *node, const struct message *message);
 void moves_on_digest(struct node *node, uint64_t from, const struct digest *digest,
