--- a/base/lockorder.h
+++ b/base/lockorder.h
@@ -25,7 +25,7 @@
 	LOCK_MOVES,	 /**< state and evidence of the moves */
 	LOCK_ADMIT,	 /**< slots and queue of the node's own target */
 	LOCK_CLAIMS,	 /**< idempotency keys */
-	LOCK_TRAFFIC, /**< what was seen of each route */
+	LOCK_TRAFFIC,	 /**< what was seen of each route */
 	LOCK_POISON,	 /**< fingerprints of requests that crash targets */
 	LOCK_TARGET,	 /**< the announced target */
 	LOCK_PIPE,	 /**< one body in transit */
--- a/core/admit.c
+++ b/core/admit.c
@@ -63,7 +63,7 @@
 	double started_sum_us; /* of the calls that run */
 	double service_us;
 	double service_square; /* smoothed square of the same */
-	GQueue late; /* struct ticket, can't be on time any more: in what is left */
+	GQueue late;	       /* struct ticket, can't be on time any more: in what is left */
 	struct class_queue classes[CLASS_COUNT];
 	GHashTable *tenants[CLASS_COUNT]; /* struct label -> struct tenant_queue */
 	GHashTable *routes;		  /* struct label -> struct route_use */
@@ -286,13 +286,18 @@
 	tenant->used_at_us = now.mono_us;
 }
 
+/* Urgent calls are served late as well, in their turn: what waits for them is later still. */
+static bool makes_way(const struct ticket *ticket)
+{
+	return ticket->objective.at_us && ticket->class > CLASS_STANDARD;
+}
+
 /* Whether an answer that comes so late is still worth a place in the queue. */
 static bool is_in_time(const struct ticket *ticket, int64_t expected_us, struct instant now)
 {
 	int64_t left_us = deadline_left_us(ticket->deadline, now);
 
-	if (ticket->objective.at_us == 0 ||
-	    expected_us <= deadline_left_us(ticket->objective, now))
+	if (!makes_way(ticket) || expected_us <= deadline_left_us(ticket->objective, now))
 		return expected_us <= left_us;
 	return ticket->returned && (double)expected_us * LATE_MARGIN <= (double)left_us;
 }
@@ -438,7 +443,7 @@
 
 		next = at->next;
 		while (tenant && (head = g_queue_peek_head(&tenant->tickets)) != NULL &&
-		       head->objective.at_us && !is_late(head, now) &&
+		       makes_way(head) && !is_late(head, now) &&
 		       expected_service_us(admit, head, now) >
 			       (double)deadline_left_us(head->objective, now)) {
 			take_head(admit, class, tenant);
--- a/core/admit.h
+++ b/core/admit.h
@@ -55,7 +55,7 @@
 /** How a call that had a slot ended. */
 enum slot_use {
 	SLOT_SERVED,
-	SLOT_SHED, /**< the target had no room for it: fewer slots are used for a while */
+	SLOT_SHED,   /**< the target had no room for it: fewer slots are used for a while */
 	SLOT_UNUSED, /**< it says nothing of the target's times */
 };
 
--- a/core/member_table.h
+++ b/core/member_table.h
@@ -19,8 +19,8 @@
 	struct deadline warm_at;   /* slow start until then */
 	struct deadline contained_until;
 	int in_flight;
-	double answer_us;	     /* smoothed time until its answers; 0: none yet */
-	struct deadline busy_until;  /* it had no free slot a moment ago */
+	double answer_us;	    /* smoothed time until its answers; 0: none yet */
+	struct deadline busy_until; /* it had no free slot a moment ago */
 	int64_t busy_expected_us;
 	double evidence;
 };
--- a/core/move.c
+++ b/core/move.c
@@ -62,8 +62,8 @@
 		into->recheck_at_us = from->recheck_at_us;
 		changed = true;
 	}
-	if (from->from.len && (into->from.len == 0 || str_compare(label_str(&from->from),
-								   label_str(&into->from)) < 0)) {
+	if (from->from.len && (into->from.len == 0 ||
+			       str_compare(label_str(&from->from), label_str(&into->from)) < 0)) {
 		into->from = from->from;
 		changed = true;
 	}
--- a/core/move.h
+++ b/core/move.h
@@ -133,8 +133,8 @@
 	bool second_ends; /**< the evidence of a second is complete */
 	bool may_advance;
 	bool may_withdraw;
-	int new_targets; /**< live targets of the new version */
-	int old_targets; /**< and of the old one */
+	int new_targets;	   /**< live targets of the new version */
+	int old_targets;	   /**< and of the old one */
 	struct label main_version; /**< of most live targets but those of the new version */
 };
 
--- a/core/placement.c
+++ b/core/placement.c
@@ -20,8 +20,7 @@
 
 static bool near_is_on_time(const struct placement *placement, const struct placement_facts *facts)
 {
-	double share =
-		facts->answer_bytes >= LARGE_ANSWER_BYTES ? NEAR_SHARE_LARGE : NEAR_SHARE;
+	double share = facts->answer_bytes >= LARGE_ANSWER_BYTES ? NEAR_SHARE_LARGE : NEAR_SHARE;
 
 	return placement->best && placement->best_is_near && placement->best_expected_us &&
 	       (double)placement->best_expected_us <= share * (double)facts->on_time_us;
@@ -67,8 +66,7 @@
 		placement->best = 0;
 		return;
 	}
-	if (expected_us == 0 ||
-	    (placement->best && placement->best_expected_us <= expected_us))
+	if (expected_us == 0 || (placement->best && placement->best_expected_us <= expected_us))
 		return;
 	placement->best = target;
 	placement->best_expected_us = expected_us;
--- a/godwithitchd/attempt.c
+++ b/godwithitchd/attempt.c
@@ -40,6 +40,18 @@
 	bridge_carry_out(call->daemon, &actions);
 }
 
+void attempt_cancel(struct attempt *attempt)
+{
+	if (!attempt_finish(attempt))
+		return;
+	/* The caller gave up, which says nothing of the target. */
+	attempt_note(attempt, CALL_REFUSED);
+	if (attempt->serve)
+		serve_cancel(attempt->serve);
+	else if (attempt->stream.link)
+		stream_cancel(attempt->stream);
+}
+
 static bool caller_is_gone(struct call *call)
 {
 	bool gone;
@@ -56,8 +68,9 @@
 	bool idempotent = call->route->repeat == REPEAT_IDEMPOTENT;
 
 	/* A request that breaks two targets is not taken to a third. */
-	return !caller_is_gone(call) && !call->body_used && call->attempts < call_attempts_max(call) &&
-	       call->unsure < 2 && verdict_allows_retry(verdict, idempotent) &&
+	return !caller_is_gone(call) && !call->body_used &&
+	       call->attempts < call_attempts_max(call) && call->unsure < 2 &&
+	       verdict_allows_retry(verdict, idempotent) &&
 	       !deadline_passed(call->deadline, clock_now()) &&
 	       node_take_retry(call->daemon->node, call->service);
 }
@@ -173,8 +186,8 @@
 	attempt_note(attempt, outcome_of(attempt->status));
 	members_note_answer(node_members(attempt->call->daemon->node), attempt->target,
 			    clock_now().mono_us - attempt->started_us);
-	traffic_note_answer(node_traffic(attempt->call->daemon->node),
-			    attempt->call->route->name, attempt->answer_bytes);
+	traffic_note_answer(node_traffic(attempt->call->daemon->node), attempt->call->route->name,
+			    attempt->answer_bytes);
 	caller_finish(attempt->call->caller, PIPE_DONE);
 }
 
--- a/godwithitchd/bridge.c
+++ b/godwithitchd/bridge.c
@@ -254,10 +254,11 @@
 	check_announcement(daemon, now);
 	bridge_event(daemon, &event);
 	serve_turns(daemon);
+	peers_tick(daemon->peers, now);
+	calls_tick(daemon, now);
 	start_discovery(daemon, now);
 	if (daemon->second_at.at_us == 0 || deadline_passed(daemon->second_at, now)) {
 		daemon->second_at = deadline_after(now, US_PER_S);
-		peers_tick(daemon->peers, now);
 		if (daemon->caller)
 			caller_tick(daemon->caller, now);
 	}
--- a/godwithitchd/calls.c
+++ b/godwithitchd/calls.c
@@ -53,8 +53,8 @@
 {
 	struct placement_facts facts = { .left_us = deadline_left_us(call->deadline, now) };
 
-	facts.on_time_us = call->objective.at_us ? deadline_left_us(call->objective, now)
-						 : facts.left_us;
+	facts.on_time_us =
+		call->objective.at_us ? deadline_left_us(call->objective, now) : facts.left_us;
 	if (call->route)
 		facts.answer_bytes =
 			traffic_answer_bytes(node_traffic(call->daemon->node), call->route->name);
@@ -447,10 +447,9 @@
 
 	if (call->route->objective_us == 0)
 		return;
-	if (str_to_int64(caller_field(call->caller, call->daemon->dialect->deadline_ms),
-			 &asked_ms))
-		elapsed_us = traffic_elapsed_us(node_traffic(call->daemon->node),
-						call->route->name, asked_ms * US_PER_MS);
+	if (str_to_int64(caller_field(call->caller, call->daemon->dialect->deadline_ms), &asked_ms))
+		elapsed_us = traffic_elapsed_us(node_traffic(call->daemon->node), call->route->name,
+						asked_ms * US_PER_MS);
 	call->returned = elapsed_us > 0;
 	call->objective = deadline_after(now, call->route->objective_us - elapsed_us);
 }
@@ -483,6 +482,7 @@
 	call->service = call_service(&call->facts);
 	call->facts.fingerprint = fingerprint(call->route, caller, key);
 	node_note_call(daemon->node, call->service);
+	call_open_add(call);
 	if (call->route->repeat == REPEAT_AT_MOST_ONCE)
 		start_claim(call, key, now);
 	else
@@ -521,18 +521,6 @@
 	attempt_unref(attempt);
 }
 
-static void cancel_attempt(struct attempt *attempt)
-{
-	if (!attempt_finish(attempt))
-		return;
-	/* The caller gave up, which says nothing of the target. */
-	attempt_note(attempt, CALL_REFUSED);
-	if (attempt->serve)
-		serve_cancel(attempt->serve);
-	else if (attempt->stream.link)
-		stream_cancel(attempt->stream);
-}
-
 static void count_call(struct call *call)
 {
 	char labels[128];
@@ -560,10 +548,11 @@
 	attempt = call->current;
 	call->current = NULL;
 	lock_release(&call->lock);
+	call_open_remove(call);
 	if (call->route)
 		count_call(call);
 	if (attempt)
-		cancel_attempt(attempt);
+		attempt_cancel(attempt);
 	attempt_unref(attempt);
 	call_unref(call);
 }
--- a/godwithitchd/calls.h
+++ b/godwithitchd/calls.h
@@ -35,8 +35,8 @@
 	struct deadline objective; /* an answer after it is late; 0: none is stated */
 	bool returned;		   /* its caller was refused before */
 	struct placement placement;
-	int offers;   /* to nodes */
-	int attempts; /* that reached a target */
+	int offers;	  /* to nodes */
+	int attempts;	  /* that reached a target */
 	int status;	  /* what the caller got, for the counters */
 	int unsure;	  /* attempts that may have run */
 	bool body_used;	  /* bytes of a streamed body were sent: no repeat */
@@ -44,6 +44,7 @@
 	apr_pool_t *pool;
 	struct attempt *current; /* one reference */
 	bool gone;
+	guint open_at;	      /* in daemon->open, plus one; 0: not there. Under daemon->lock */
 	struct claim_key key; /* of a route with REPEAT_AT_MOST_ONCE */
 	uint64_t claim;	      /* granted; 0: none */
 };
@@ -84,10 +85,18 @@
 /** The call's next attempts leave out this target. */
 void call_avoid(struct call *call, uint64_t target);
 
+/* overdue.c */
+
+/** Watches over the call's deadline. */
+void call_open_add(struct call *call);
+void call_open_remove(struct call *call);
+
 /* attempt.c */
 
 /** Ends an attempt once; false if it is over already. */
 bool attempt_finish(struct attempt *attempt);
+/** The caller gave up, or its deadline passed: the target's node may stop. */
+void attempt_cancel(struct attempt *attempt);
 /** Tells core how it ended. */
 void attempt_note(struct attempt *attempt, enum call_outcome outcome);
 /** Sends on what came of the request's body, as far as the credit goes. */
--- a/godwithitchd/daemon.h
+++ b/godwithitchd/daemon.h
@@ -47,6 +47,7 @@
 	GPtrArray *running; /* struct serve, for the marks of a crash */
 	struct deadline crash_noted_until;
 	uint64_t next_point;
+	GPtrArray *open;      /* struct call, each with a deadline */
 	GHashTable *claiming; /* number of a claim -> struct call, one reference */
 };
 
@@ -77,6 +78,8 @@
 void calls_on_caller(void *context, const struct caller_event *event);
 /** The answer to a claim of an idempotency key. */
 void calls_on_claimed(struct daemon *daemon, uint64_t seq, enum claim_result result, int status);
+/** Answers calls whose deadline passed a moment ago: no word came of them. */
+void calls_tick(struct daemon *daemon, struct instant now);
 void calls_on_peer(struct attempt *attempt, struct peer_event *event);
 struct attempt *attempt_ref(struct attempt *attempt);
 void attempt_unref(struct attempt *attempt);
--- a/godwithitchd/main.c
+++ b/godwithitchd/main.c
@@ -199,6 +199,7 @@
 	if (settings->interface == INTERFACE_PLATFORM)
 		daemon->discover_at = deadline_after(clock_now(), 0);
 	daemon->running = g_ptr_array_new();
+	daemon->open = g_ptr_array_new();
 	daemon->claiming = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
 	daemon->next_point = (uint64_t)clock_now().wall_us;
 	if (!make_parts(daemon, error) || !bridge_start_ticking(daemon, error))
@@ -248,6 +249,7 @@
 	metrics_free(daemon->metrics);
 	g_hash_table_destroy(daemon->claiming);
 	g_ptr_array_unref(daemon->running);
+	g_ptr_array_unref(daemon->open);
 	lock_destroy(&daemon->lock);
 	apr_pool_destroy(daemon->pool);
 	g_free(daemon);
--- a/peer/frames.c
+++ b/peer/frames.c
@@ -45,8 +45,8 @@
 
 static void refuse_unread(struct link *link, uint64_t stream)
 {
-	struct refusal refusal = { REFUSAL_CLOSED, VERDICT_NOT_RUN,
-				   STR("the node takes no calls"), 0, false };
+	struct refusal refusal = { REFUSAL_CLOSED, VERDICT_NOT_RUN, STR("the node takes no calls"),
+				   0, false };
 	struct strbuf frame = { 0 };
 
 	wire_put_refusal(&frame, stream, &refusal);
--- a/peer/link.c
+++ b/peer/link.c
@@ -9,8 +9,8 @@
 
 #include "base/logger.h"
 
-#define HEARTBEAT_US (1 * US_PER_S)
-#define SILENT_US    (3 * US_PER_S)
+#define HEARTBEAT_US (200 * US_PER_MS)
+#define SILENT_US    (600 * US_PER_MS) /* leaves time to ask elsewhere */
 #define IDLE_US	     (60 * US_PER_S)
 
 struct link *link_new(struct peers *peers, int fd, bool outgoing, enum link_state state)
--- a/peer/peers.h
+++ b/peer/peers.h
@@ -118,7 +118,7 @@
 struct link *link_ref(struct link *link);
 void link_unref(struct link *link);
 
-/** Once a second: heartbeats on links with open streams, retires silent ones, closes idle ones. */
+/** Every 100 ms: heartbeats on links with open streams, retires silent ones, closes idle ones. */
 void peers_tick(struct peers *peers, struct instant now);
 /** Bytes that wait to be written on all links. */
 size_t peers_unsent(struct peers *peers);
--- a/peer/wire.h
+++ b/peer/wire.h
@@ -78,8 +78,8 @@
 	int64_t left_us; /**< until its deadline, when it was sent: clocks differ between nodes */
 	int64_t objective_us; /**< until an answer is late, likewise; below 0: it is late already */
 	bool has_objective;
-	bool may_queue; /**< else it is refused unless it can run at once */
-	bool returned;	/**< it was refused before, and its caller came back */
+	bool may_queue;	     /**< else it is refused unless it can run at once */
+	bool returned;	     /**< it was refused before, and its caller came back */
 	int64_t body_length; /**< -1: not known */
 	uint64_t fingerprint;
 	int hops; /**< nodes that it went through */
