--- a/core/move.c
+++ b/core/move.c
@@ -46,8 +46,23 @@
 	return str_compare(label_str(&a->route), label_str(&b->route)) < 0;
 }
 
+/* An open-ended move ends once: the earlier of two verdicts holds. */
+static void keep_first_verdict(struct move_state *state)
+{
+	if (state->from.len == 0 || state->done_at_us == 0 || state->withdrawn_at_us == 0)
+		return;
+	if (state->done_at_us <= state->withdrawn_at_us) {
+		state->withdrawn_at_us = 0;
+		state->reason = WITHDRAW_NONE;
+		state->route = (struct label){ 0 };
+	} else {
+		state->done_at_us = 0;
+	}
+}
+
 bool move_state_join(struct move_state *into, const struct move_state *from)
 {
+	struct move_state before = *into;
 	bool changed = false;
 
 	if (from->step > into->step) {
@@ -73,7 +88,9 @@
 		into->route = from->route;
 		changed = true;
 	}
-	return changed;
+	keep_first_verdict(into);
+	/* What a verdict that does not hold brought is no news. */
+	return changed && memcmp(&before, into, sizeof(before)) != 0;
 }
 
 int move_step_share(int step)
--- a/core/move_coordinate.c
+++ b/core/move_coordinate.c
@@ -39,6 +39,9 @@
 	finding = evidence_close(move->evidence, old_has_share(move, now), &route);
 	if (!around->may_withdraw || move->state.step == 0)
 		return MOVE_CHANGE_NONE;
+	/* The old targets of an open-ended move end once it is done: there is no way back. */
+	if (move->spec.from.len == 0 && move->state.done_at_us)
+		return MOVE_CHANGE_NONE;
 	switch (finding) {
 	case EVIDENCE_NONE:
 		return MOVE_CHANGE_NONE;
--- a/core/node_moves.c
+++ b/core/node_moves.c
@@ -148,7 +148,9 @@
 	note_change(&change, out);
 	if (change.kind == MOVE_CHANGE_HELD)
 		return;
-	log_save_move(node, &(struct saved_move){ change.state, spec.service, spec.to });
+	/* Between the first step and the end nobody who reads the log needs to know. */
+	if (change.kind != MOVE_CHANGE_STEP || change.state.step == 1 || spec.from.len)
+		log_save_move(node, &(struct saved_move){ change.state, spec.service, spec.to });
 	tell_state(node, &change.state, out);
 }
 
