--- a/core/admit.c
+++ b/core/admit.c
@@ -14,6 +14,7 @@
 	BULK_SLOT_PERCENT = 50,
 	FIRST_SERVICE_US = 2000, /* expected before anything was measured */
 	GROW_AFTER = 32,	 /* served calls before one more slot is tried again */
+	SLOTS_LEFT_PART = 4,	 /* of the slots, at least, come free for what is less urgent */
 	LEARNT_AFTER = 10,	 /* served calls until a smoothed time has its usual weight */
 };
 
@@ -21,6 +22,8 @@
  * calls run at once, so that their mean age varies. */
 #define AGE_OF_SLOW 2.0
 
+#define PROVEN_US (1 * US_PER_S) /* how long a number of calls served at once counts */
+
 /* A call that came back is served late, if need be, while there is this much more time than it is
  * expected to take. */
 #define LATE_MARGIN 1.3
@@ -56,9 +59,11 @@
 	int announced;
 	int slots;
 	int running;
-	int bulk_running;
+	int running_of[CLASS_COUNT];
 	int queued;
 	int served_since_shed;
+	int proven; /* calls that it served at once, lately */
+	int64_t proven_until_us;
 	int served;	       /* up to LEARNT_AFTER */
 	double started_sum_us; /* of the calls that run */
 	double service_us;
@@ -174,7 +179,7 @@
 
 	if (admit->running >= admit->slots)
 		return false;
-	if (ticket->class == CLASS_BULK && admit->bulk_running >= bulk_limit)
+	if (ticket->class == CLASS_BULK && admit->running_of[CLASS_BULK] >= bulk_limit)
 		return false;
 	return route_get(admit, &ticket->route)->running < route_limit(admit, ticket);
 }
@@ -183,10 +188,11 @@
 		  struct instant now)
 {
 	ticket->started_at_us = now.mono_us;
+	ticket->started_beside = admit->running + 1;
 	admit->started_sum_us += (double)now.mono_us;
 	tenant->running++;
 	admit->running++;
-	admit->bulk_running += ticket->class == CLASS_BULK;
+	admit->running_of[ticket->class]++;
 	route_get(admit, &ticket->route)->running++;
 }
 
@@ -241,11 +247,15 @@
 	int own = (int)tenant->tickets.length + 1;
 	int tenants = MAX((int)class->active.length, 1);
 	int ahead = MIN(class->queued, own * tenants);
+	int slots = admit->slots;
 
-	for (int i = 0; i < (int)ticket->class; i++)
+	/* What is more urgent keeps the slots that it has, and comes first when they are free. */
+	for (int i = 0; i < (int)ticket->class; i++) {
 		ahead += admit->classes[i].queued;
-	return (int64_t)((double)(ahead + 1) * admit->service_us * slowness(admit, now) /
-			 admit->slots);
+		slots -= admit->running_of[i];
+	}
+	slots = MAX(slots, (admit->slots + SLOTS_LEFT_PART - 1) / SLOTS_LEFT_PART);
+	return (int64_t)((double)(ahead + 1) * admit->service_us * slowness(admit, now) / slots);
 }
 
 /* Each class has its own bound. A tenant with little in it still gets in when others fill it. */
@@ -355,14 +365,24 @@
 	return result;
 }
 
-static void adapt(struct admit *admit, enum slot_use use)
+/* Notes how many calls the target served at once, a moment ago. */
+static void note_proven(struct admit *admit, const struct ticket *ticket, int64_t ended_at_us)
+{
+	if (ticket->started_beside < admit->proven && ended_at_us < admit->proven_until_us)
+		return;
+	admit->proven = ticket->started_beside;
+	admit->proven_until_us = ended_at_us + PROVEN_US;
+}
+
+static void adapt(struct admit *admit, const struct ticket *ticket, enum slot_use use)
 {
 	switch (use) {
 	case SLOT_SHED:
-		/* Its real slots are fewer than it announced. */
-		if (admit->slots > 1)
-			admit->slots--;
 		admit->served_since_shed = 0;
+		/* Its real slots are fewer than it announced, unless it served as many just now:
+		 * then it sheds whatever its load is. */
+		if (admit->slots > 1 && ticket->started_beside > admit->proven)
+			admit->slots--;
 		return;
 	case SLOT_SERVED:
 		if (++admit->served_since_shed < GROW_AFTER || admit->slots >= admit->announced)
@@ -395,7 +415,7 @@
 	route->running--;
 	tenant_get(admit, ticket)->running--;
 	admit->running--;
-	admit->bulk_running -= ticket->class == CLASS_BULK;
+	admit->running_of[ticket->class]--;
 	admit->started_sum_us -= (double)ticket->started_at_us;
 	if (use == SLOT_SERVED) {
 		learn(&route->service_us, &route->served, 0.1, (double)service_us);
@@ -403,8 +423,10 @@
 		learn(&admit->service_square, &admit->served, 0.05,
 		      (double)service_us * (double)service_us);
 	}
+	if (use == SLOT_SERVED)
+		note_proven(admit, ticket, ticket->started_at_us + service_us);
 	if (admit->slots > 0)
-		adapt(admit, use);
+		adapt(admit, ticket, use);
 	lock_release(&admit->lock);
 }
 
@@ -523,7 +545,9 @@
 
 	if (!head)
 		return (struct admit_turn){ TURN_NONE, NULL };
-	hopeless = admit->slots == 0 || admit->returns || is_hopeless(admit, head, now);
+	/* More than can have a turn soon are told now, while they can still go elsewhere. */
+	hopeless = admit->slots == 0 || admit->returns || is_hopeless(admit, head, now) ||
+		   (int)g_queue_get_length(&admit->late) > admit->slots;
 	if (!hopeless && !may_run(admit, head))
 		return (struct admit_turn){ TURN_NONE, NULL };
 	g_queue_pop_head(&admit->late);
@@ -581,7 +605,7 @@
 	return turn;
 }
 
-struct admit_counts admit_count(struct admit *admit)
+struct admit_counts admit_count(struct admit *admit, struct instant now)
 {
 	struct admit_counts counts;
 
@@ -589,6 +613,9 @@
 	counts.slots = admit->slots;
 	counts.running = admit->running;
 	counts.queued = admit->queued;
+	counts.late = (int)g_queue_get_length(&admit->late);
+	counts.service_us = (int64_t)admit->service_us;
+	counts.slowness = slowness(admit, now);
 	lock_release(&admit->lock);
 	return counts;
 }
--- a/core/admit.h
+++ b/core/admit.h
@@ -25,6 +25,7 @@
 	void *owner;		   /**< the caller's own */
 	int64_t queued_at_us;	   /**< monotonic; set by admit_offer() */
 	int64_t started_at_us;	   /**< monotonic; when it got its slot */
+	int started_beside;	   /**< calls that ran then, itself included */
 	int64_t expected_us;	   /**< until its answer, as admit_offer() expects */
 };
 
@@ -76,7 +77,10 @@
 	int slots; /**< in use of those announced, after adapting */
 	int running;
 	int queued;
+	int late;	    /**< of those queued */
+	int64_t service_us; /**< smoothed time of a call */
+	double slowness;    /**< times slower than usual that the target seems now; 1: not */
 };
-struct admit_counts admit_count(struct admit *admit);
+struct admit_counts admit_count(struct admit *admit, struct instant now);
 
 #endif
--- a/core/node_calls.c
+++ b/core/node_calls.c
@@ -4,9 +4,11 @@
 #include "core/node_parts.h"
 
 #define BUDGET_PER_CALL 0.1
-#define BUDGET_START	10.0
-#define BUDGET_MAX	50.0
-#define COLD_US		(12 * US_PER_S)
+/* Part of what is allowed that is used: nodes join and leave while they share it. */
+#define BUDGET_USED_PART 0.8
+#define BUDGET_START	 10.0
+#define BUDGET_MAX	 50.0
+#define COLD_US		 (12 * US_PER_S)
 
 struct label call_service(const struct call_facts *facts)
 {
@@ -86,7 +88,17 @@
 				outcome == CALL_FAILED || outcome == CALL_BROKEN, now);
 }
 
-static struct retry_budget *budget_get(struct node *node, struct label service)
+/* The most that a node's budget holds: its part of what all nodes share. */
+static double budget_most(struct node *node)
+{
+	int live = members_count(node->members).live;
+
+	if (node->options.retry_slack == 0)
+		return BUDGET_MAX;
+	return BUDGET_USED_PART * node->options.retry_slack / MAX(live, 1);
+}
+
+static struct retry_budget *budget_get(struct node *node, struct label service, double most)
 {
 	struct retry_budget *budget = g_hash_table_lookup(node->spread.budgets, &service);
 
@@ -94,18 +106,19 @@
 		return budget;
 	budget = g_new0(struct retry_budget, 1);
 	budget->service = service;
-	budget->tokens = BUDGET_START;
+	budget->tokens = MIN(BUDGET_START, most);
 	g_hash_table_insert(node->spread.budgets, &budget->service, budget);
 	return budget;
 }
 
 bool node_take_retry(struct node *node, struct label service)
 {
+	double most = budget_most(node);
 	struct retry_budget *budget;
 	bool taken;
 
 	lock_acquire(&node->spread.lock);
-	budget = budget_get(node, service);
+	budget = budget_get(node, service, most);
 	taken = budget->tokens >= 1;
 	if (taken)
 		budget->tokens -= 1;
@@ -115,11 +128,15 @@
 
 void node_note_call(struct node *node, struct label service)
 {
+	double most = budget_most(node);
+	double ratio = node->options.retry_ratio > 0 ? BUDGET_USED_PART * node->options.retry_ratio
+						     : BUDGET_PER_CALL;
 	struct retry_budget *budget;
 
 	lock_acquire(&node->spread.lock);
-	budget = budget_get(node, service);
-	budget->tokens = MIN(budget->tokens + BUDGET_PER_CALL, BUDGET_MAX);
+	budget = budget_get(node, service, most);
+	/* Fractions add up to a whole repeat also where a node's part is less than one. */
+	budget->tokens = MIN(budget->tokens + ratio, MAX(most, 1));
 	lock_release(&node->spread.lock);
 }
 
--- a/godwithitchd/bridge.c
+++ b/godwithitchd/bridge.c
@@ -243,6 +243,18 @@
 	g_array_unref(members);
 }
 
+static void note_load(struct daemon *daemon, struct instant now)
+{
+	struct admit_counts counts = admit_count(node_admit(daemon->node), now);
+
+	if (counts.queued == 0)
+		return;
+	logger_event(NOTE_TARGET_LOADED,
+		     "slots=%d running=%d queued=%d late=%d service_ms=%lld slowness=%.1f",
+		     counts.slots, counts.running, counts.queued, counts.late,
+		     counts.service_us / US_PER_MS, counts.slowness);
+}
+
 void bridge_tick(struct daemon *daemon)
 {
 	struct event event = { .kind = EVENT_TICK };
@@ -259,6 +271,7 @@
 	start_discovery(daemon, now);
 	if (daemon->second_at.at_us == 0 || deadline_passed(daemon->second_at, now)) {
 		daemon->second_at = deadline_after(now, US_PER_S);
+		note_load(daemon, now);
 		if (daemon->caller)
 			caller_tick(daemon->caller, now);
 	}
--- a/godwithitchd/main.c
+++ b/godwithitchd/main.c
@@ -107,7 +107,9 @@
 	struct node_options node = { .data_centre = settings->data_centre,
 				     .seeds = (uint64_t *)(void *)settings->seeds->data,
 				     .seed_count = (int)settings->seeds->len,
-				     .log_retention_us = settings->log_retention_s * US_PER_S };
+				     .log_retention_us = settings->log_retention_s * US_PER_S,
+				     .retry_ratio = settings->retry_ratio,
+				     .retry_slack = (int)settings->retry_slack };
 
 	/* The nodes of a fleet share its log, so that its URL names the fleet. */
 	peers.fleet = str_hash(settings->log_url, 0);
--- a/godwithitchd/settings.c
+++ b/godwithitchd/settings.c
@@ -14,14 +14,12 @@
 	RETENTION_DEFAULT_S = 3600,
 };
 
-#define BODY_DEFAULT_BYTES	(4LL << 30)
-#define STOP_DEFAULT_US		(600 * US_PER_S)
-#define STOP_MAX_US		(86400 * US_PER_S)
-#define ANNOUNCE_TTL_MAX_US	(60 * US_PER_S)
-#define RETRY_RATIO_DEFAULT	0.1 /* the load that repeats may add when all goes wrong */
-#define RETRY_SLACK_DEFAULT	10
-#define RETRY_WINDOW_DEFAULT_US (10 * US_PER_S)
-#define RETRY_WINDOW_MAX_US	(3600 * US_PER_S)
+#define BODY_DEFAULT_BYTES  (4LL << 30)
+#define STOP_DEFAULT_US	    (600 * US_PER_S)
+#define STOP_MAX_US	    (86400 * US_PER_S)
+#define ANNOUNCE_TTL_MAX_US (60 * US_PER_S)
+#define RETRY_RATIO_DEFAULT 0.1 /* the load that repeats may add when all goes wrong */
+#define RETRY_SLACK_DEFAULT 0
 
 struct reader {
 	const struct json_doc *doc;
@@ -191,8 +189,6 @@
 	       take_seconds(r, STR("stop_notice_s"), STOP_MAX_US, 0, &s->stop_notice_us) &&
 	       take_seconds(r, STR("announce_ttl_s"), ANNOUNCE_TTL_MAX_US, 0,
 			    &s->announce_ttl_us) &&
-	       take_seconds(r, STR("retry_window_s"), RETRY_WINDOW_MAX_US, RETRY_WINDOW_DEFAULT_US,
-			    &s->retry_window_us) &&
 	       take_real(r, STR("retry_ratio"), 1, &s->retry_ratio);
 }
 
--- a/godwithitchd/settings.h
+++ b/godwithitchd/settings.h
@@ -38,8 +38,7 @@
 	int64_t stop_notice_us;	 /**< new work is still taken this long after the stop began */
 	int64_t announce_ttl_us; /**< an announcement that does not say so holds this long */
 	double retry_ratio;	 /**< repeats for each call of a service, over the whole fleet */
-	int64_t retry_slack;	 /**< and this many more, over the whole fleet, in a window */
-	int64_t retry_window_us;
+	int64_t retry_slack; /**< and this many more at once, over the whole fleet; 0: 50 a node */
 	int64_t workers;
 	int64_t connections;
 	int64_t connections_per_address;
--- a/operator/report.c
+++ b/operator/report.c
@@ -62,7 +62,7 @@
 static void add_target(struct node *node, struct strbuf *out)
 {
 	struct member self = members_self(node_members(node));
-	struct admit_counts counts = admit_count(node_admit(node));
+	struct admit_counts counts = admit_count(node_admit(node), clock_now());
 
 	add_key(out, "target");
 	strbuf_add(out, STR("{"));
--- a/regress/core/admit_test.c
+++ b/regress/core/admit_test.c
@@ -197,8 +197,8 @@
 	(void)state;
 	for (int i = 0; i < 1000; i++)
 		arrive(&bench, 0, CLASS_STANDARD);
-	assert_int_equal(admit_count(bench.admit).running, SLOTS);
-	assert_int_equal(admit_count(bench.admit).queued, SLOTS * 8);
+	assert_int_equal(admit_count(bench.admit, now_of(&bench)).running, SLOTS);
+	assert_int_equal(admit_count(bench.admit, now_of(&bench)).queued, SLOTS * 8);
 	assert_int_equal(bench.refused[0], 1000 - SLOTS * 9);
 	bench_free(&bench);
 }
@@ -213,12 +213,12 @@
 		assert_int_equal(admit_offer(bench.admit, ticket, now_of(&bench)), ADMIT_RUN);
 		admit_done(bench.admit, ticket, SLOT_SHED, SERVICE_US);
 	}
-	assert_int_equal(admit_count(bench.admit).slots, SLOTS - 5);
+	assert_int_equal(admit_count(bench.admit, now_of(&bench)).slots, SLOTS - 5);
 	for (int i = 0; i < 1000; i++) {
 		assert_int_equal(admit_offer(bench.admit, ticket, now_of(&bench)), ADMIT_RUN);
 		admit_done(bench.admit, ticket, SLOT_SERVED, SERVICE_US);
 	}
-	assert_int_equal(admit_count(bench.admit).slots, SLOTS);
+	assert_int_equal(admit_count(bench.admit, now_of(&bench)).slots, SLOTS);
 	g_free(ticket);
 	bench_free(&bench);
 }
