--- a/core/node_config.c
+++ b/core/node_config.c
@@ -28,13 +28,38 @@
 	return begin;
 }
 
+/* Files are large and cross between data centres once: whoever reads the log there has them soon. */
+static bool waits_for_near(struct node *node, uint64_t from, int64_t newest, struct instant now)
+{
+	struct pull_state *pull = &node->spread.pull;
+	struct rng rng = node_rng(node);
+	struct member record;
+	uint64_t near;
+	bool waits;
+
+	if (!node_is_current(node) || !members_get(node->members, from, &record) ||
+	    label_equal(&record.data_centre, &node->options.data_centre) ||
+	    members_random(node->members, &rng, true, &near, 1) == 0)
+		return false;
+	lock_acquire(&node->spread.lock);
+	if (newest > pull->known_newest) {
+		pull->known_newest = newest;
+		pull->known_from = from;
+		if (pull->far_at.at_us == 0)
+			pull->far_at = deadline_after(now, FAR_PULL_US);
+	}
+	waits = pull->far_at.at_us && !deadline_passed(pull->far_at, now);
+	lock_release(&node->spread.lock);
+	return waits;
+}
+
 static void pull_from(struct node *node, uint64_t from, int64_t newest, struct instant now,
 		      struct actions *out)
 {
 	struct message *message;
 	int64_t have = history_version(node->history);
 
-	if (newest <= have || !begin_pull(node, from, newest, now))
+	if (newest <= have || waits_for_near(node, from, newest, now) || !begin_pull(node, from, newest, now))
 		return;
 	message = message_new(MESSAGE_PULL);
 	message->version = have;
@@ -277,6 +302,8 @@
 	lock_acquire(&node->spread.lock);
 	if (pull->from == from)
 		pull->from = 0;
+	if (pull->known_newest <= have)
+		pull->far_at = (struct deadline){ 0 };
 	if (pull->known_newest > have) {
 		next = pull->known_from;
 		*newest = pull->known_newest;
@@ -377,7 +404,11 @@
 	bool retry;
 
 	lock_acquire(&node->spread.lock);
-	retry = pull->known_newest > have && (pull->from == 0 || deadline_passed(pull->until, now));
+	if (pull->known_newest <= have)
+		pull->far_at = (struct deadline){ 0 };
+	retry = pull->known_newest > have &&
+		(pull->from == 0 || deadline_passed(pull->until, now)) &&
+		(pull->far_at.at_us == 0 || deadline_passed(pull->far_at, now));
 	newest = pull->known_newest;
 	lock_release(&node->spread.lock);
 	if (retry && members_random(node->members, &rng, false, &peer, 1) == 1)
--- a/core/node_parts.h
+++ b/core/node_parts.h
@@ -13,6 +13,7 @@
 #define MOVES_TICK_US	 (200 * US_PER_MS) /* steps of short moves are a second apart */
 #define FLUSH_US	 (200 * US_PER_MS) /* pending member records */
 #define ACK_US		 (400 * US_PER_MS) /* then others are asked to probe */
+#define FAR_PULL_US	 (500 * US_PER_MS) /* the own data centre hears of news by itself meanwhile */
 #define PULL_US		 (1 * US_PER_S)	   /* then another peer is asked */
 #define LOG_WAIT_US	 (20 * US_PER_S)
 #define LOG_RETRY_MIN_US (500 * US_PER_MS)
@@ -61,6 +62,7 @@
 	struct deadline not_before;
 	int64_t known_newest;
 	uint64_t known_from;
+	struct deadline far_at; /* until then a node of the own data centre may have it as well */
 };
 
 enum boot_phase {
--- a/core/placement.c
+++ b/core/placement.c
@@ -7,7 +7,7 @@
 enum {
 	NEAR_OFFERS_MAX = 3, /* each costs a round trip within a data centre */
 	FAR_OFFERS_MAX = 3,  /* or between two */
-	LARGE_ANSWER_BYTES = 16 << 10,
+	LARGE_ANSWER_BYTES = 3 << 10, /* what a request takes on its way itself */
 };
 
 /* Share of the time until the objective that a call may spend in its own data centre before others
