A new version's share goes to its targets in other data centres; unreadable documents change nothing

A document that can't be read was judged as the file's removal: found by the new test on the platform's stand-in, which failed before.

--- a/core/history.c
+++ b/core/history.c
@@ -140,7 +140,7 @@
 	GError *error = NULL;
 
 	judgement->kind = JUDGED_INVALID;
-	if (!change->parsed && change->content.len) {
+	if (!change->parsed && (change->content.len || change->parse_error)) {
 		set_reason(judgement, change->parse_error ? change->parse_error : "not parsed");
 		return NULL;
 	}
--- a/core/node_calls.c
+++ b/core/node_calls.c
@@ -56,8 +56,12 @@
 	}
 	if (!moves_choose_version(node->moves, config, service, facts->point, now, &version))
 		return choice;
+	if (members_version_targets(node->members, service, &version) == 0)
+		moves_fallback_version(node->moves, service, &version, &version);
 	choice.target = choose_target(node, facts, &version, &rng, now);
-	if (choice.target == 0 && moves_fallback_version(node->moves, service, &version, &version))
+	/* A version without a target here may have one in another data centre. */
+	if (choice.target == 0 && facts->where != CHOOSE_NEAR &&
+	    moves_fallback_version(node->moves, service, &version, &version))
 		choice.target = choose_target(node, facts, &version, &rng, now);
 	if (choice.target == 0)
 		return choice;
--- a/core/node_config.c
+++ b/core/node_config.c
@@ -28,7 +28,8 @@
 	return begin;
 }
 
-/* Files are large and cross between data centres once: whoever reads the log there has them soon. */
+/* Files are large and cross between data centres once: whoever reads the log there has them soon.
+ */
 static bool waits_for_near(struct node *node, uint64_t from, int64_t newest, struct instant now)
 {
 	struct pull_state *pull = &node->spread.pull;
@@ -59,7 +60,8 @@
 	struct message *message;
 	int64_t have = history_version(node->history);
 
-	if (newest <= have || waits_for_near(node, from, newest, now) || !begin_pull(node, from, newest, now))
+	if (newest <= have || waits_for_near(node, from, newest, now) ||
+	    !begin_pull(node, from, newest, now))
 		return;
 	message = message_new(MESSAGE_PULL);
 	message->version = have;
--- a/core/placement.c
+++ b/core/placement.c
@@ -5,8 +5,8 @@
 #include "base/clock.h"
 
 enum {
-	NEAR_OFFERS_MAX = 3, /* each costs a round trip within a data centre */
-	FAR_OFFERS_MAX = 3,  /* or between two */
+	NEAR_OFFERS_MAX = 3,	      /* each costs a round trip within a data centre */
+	FAR_OFFERS_MAX = 3,	      /* or between two */
 	LARGE_ANSWER_BYTES = 3 << 10, /* what a request takes on its way itself */
 };
 
--- /dev/null
+++ b/regress/core/choice_test.c
@@ -0,0 +1,161 @@
+/* The choice of a version and a target, over the data centres. */
+#include "regress/lib/check.h"
+
+#include <apr_general.h>
+
+#include "core/node.h"
+#include "operator/parse.h"
+
+#define CONFIG                                                                                     \
+	"{\"services\":{\"s\":{\"versions\":\"any\"}},\"routes\":[{\"name\":\"r\",\"path\":\"/\"," \
+	"\"service\":\"s\"}]}"
+#define ORDER                                                                                      \
+	"{\"moves\":[{\"service\":\"s\",\"to\":\"v2\",\"start\":\"2026-12-04T10:00:00Z\","         \
+	"\"finish\":\"2026-12-04T10:00:20Z\"}]}"
+
+enum { NEAR_OLD = 2, FAR_NEW = 3, MOVE_ID = 2 * MOVES_PER_FILE };
+
+static void handle(struct node *node, const struct event *event)
+{
+	struct actions actions = actions_new();
+
+	node_handle(node, event, at_s(1), &actions);
+	actions_clear(&actions);
+}
+
+static void give_changes(struct node *node)
+{
+	struct event event = { .kind = EVENT_LOG_BATCH };
+	struct log_record records[2] = { { .kind = LOG_CHANGE, .offset = 1 },
+					 { .kind = LOG_CHANGE, .offset = 2 } };
+
+	event.batch.stream = STREAM_SYSTEM;
+	handle(node, &event);
+	records[0].change = change_new(LABEL("1"), LABEL("config"), CHANGE_ANY_BASE, STR(CONFIG));
+	records[1].change = change_new(LABEL("2"), LABEL("order"), CHANGE_ANY_BASE, STR(ORDER));
+	event.batch.stream = STREAM_CONFIG;
+	event.batch.records = records;
+	event.batch.count = 2;
+	event.batch.newest = 2;
+	for (int i = 0; i < 2; i++)
+		parse_record(&records[i]);
+	handle(node, &event);
+	for (int i = 0; i < 2; i++)
+		log_record_clear(&records[i]);
+}
+
+static void give_member(struct node *node, uint64_t id, const char *data_centre,
+			const char *version)
+{
+	struct event event = { .kind = EVENT_MESSAGE };
+	struct member member = { .id = id,
+				 .incarnation = 1,
+				 .state = MEMBER_ALIVE,
+				 .slots = 4,
+				 .service = LABEL("s"),
+				 .data_centre = label_from(str_from_cstr(data_centre)),
+				 .version = label_from(str_from_cstr(version)) };
+
+	event.message.from = id;
+	event.message.message = message_new(MESSAGE_MEMBERS);
+	event.message.message->members = g_array_new(FALSE, FALSE, sizeof(member));
+	g_array_append_val(event.message.message->members, member);
+	handle(node, &event);
+	message_unref(event.message.message);
+}
+
+static void give_state(struct node *node, const struct move_state *state)
+{
+	struct event event = { .kind = EVENT_MESSAGE };
+
+	event.message.from = FAR_NEW;
+	event.message.message = message_new(MESSAGE_MOVES);
+	event.message.message->states = g_array_new(FALSE, FALSE, sizeof(*state));
+	g_array_append_vals(event.message.message->states, state, 1);
+	handle(node, &event);
+	message_unref(event.message.message);
+}
+
+static struct node *make_node(void)
+{
+	struct node_options options = { .id = 1, .data_centre = LABEL("a"), .seed = 5 };
+	struct event tick = { .kind = EVENT_TICK };
+	struct node *node = node_new(&options, at_s(0), NULL);
+
+	handle(node, &tick);
+	give_changes(node);
+	assert_true(node_is_current(node));
+	give_member(node, NEAR_OLD, "a", "v1");
+	give_member(node, FAR_NEW, "b", "v2");
+	return node;
+}
+
+static struct choice choose(struct node *node, enum choice_where where)
+{
+	struct config *config = node_config(node);
+	struct call_facts facts = { .route = config_find_route(config, LABEL("r")),
+				    .where = where };
+	struct choice choice = node_choose(node, config, &facts, at_s(1));
+
+	config_unref(config);
+	return choice;
+}
+
+/* A share of a version that has targets in another data centre only goes there, and is not lost to
+ * the old version next door. */
+static void test_a_new_version_elsewhere_gets_its_share(void **state)
+{
+	struct node *node = make_node();
+	struct move_state done = { .id = MOVE_ID, .step = MOVE_STEPS, .from = LABEL("v1") };
+	struct choice choice;
+
+	(void)state;
+	choice = choose(node, CHOOSE_NEAR);
+	assert_int_equal(choice.kind, CHOICE_TARGET);
+	assert_int_equal(choice.target, NEAR_OLD);
+	done.done_at_us = 1;
+	give_state(node, &done);
+	assert_int_equal(choose(node, CHOOSE_NEAR).kind, CHOICE_NO_TARGET);
+	choice = choose(node, CHOOSE_FAR);
+	assert_int_equal(choice.kind, CHOICE_TARGET);
+	assert_int_equal(choice.target, FAR_NEW);
+	node_free(node);
+}
+
+static void test_a_version_without_any_target_is_stood_in_for(void **state)
+{
+	struct node *node = make_node();
+	struct move_state done = { .id = MOVE_ID, .step = MOVE_STEPS, .from = LABEL("v1") };
+
+	(void)state;
+	done.done_at_us = 1;
+	give_state(node, &done);
+	give_member(node, FAR_NEW, "b", "v2");
+	struct event event = { .kind = EVENT_MESSAGE };
+	struct member gone = { .id = FAR_NEW,
+			       .incarnation = 2,
+			       .state = MEMBER_DEAD,
+			       .data_centre = LABEL("b"),
+			       .service = LABEL("s"),
+			       .version = LABEL("v2") };
+
+	event.message.from = NEAR_OLD;
+	event.message.message = message_new(MESSAGE_MEMBERS);
+	event.message.message->members = g_array_new(FALSE, FALSE, sizeof(gone));
+	g_array_append_val(event.message.message->members, gone);
+	handle(node, &event);
+	message_unref(event.message.message);
+	assert_int_equal(choose(node, CHOOSE_NEAR).target, NEAR_OLD);
+	node_free(node);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_a_new_version_elsewhere_gets_its_share),
+		cmocka_unit_test(test_a_version_without_any_target_is_stood_in_for),
+	};
+
+	apr_initialize();
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/regress/core/move_test.c
+++ b/regress/core/move_test.c
@@ -7,6 +7,7 @@
 
 #include "base/rng.h"
 #include "core/move.h"
+#include "operator/parse.h"
 
 static apr_pool_t *pool;
 
@@ -61,6 +62,112 @@
 	}
 }
 
+/* An open-ended move has one verdict, whichever way it comes: the earlier one. */
+static void test_an_open_ended_move_ends_once(void **state)
+{
+	struct rng rng = { 13 };
+
+	(void)state;
+	for (int i = 0; i < 20000; i++) {
+		struct move_state one[3];
+
+		for (int j = 0; j < 3; j++) {
+			one[j] = random_state(&rng);
+			one[j].from = LABEL("v1");
+			/* As each node has it: its own verdict alone. */
+			if (one[j].done_at_us && one[j].withdrawn_at_us)
+				one[j].done_at_us = 0;
+		}
+		struct move_state left = join(join(one[0], one[1]), one[2]);
+		struct move_state right = join(one[0], join(one[1], one[2]));
+
+		assert_true(same(&left, &right));
+		assert_true(left.done_at_us == 0 || left.withdrawn_at_us == 0);
+		for (int j = 0; j < 3; j++) {
+			int64_t ended_us = left.done_at_us + left.withdrawn_at_us;
+			int64_t own_us = one[j].done_at_us + one[j].withdrawn_at_us;
+
+			assert_true(own_us == 0 || ended_us <= own_us);
+		}
+	}
+}
+
+static struct config *open_ended_config(const char *to, int64_t version)
+{
+	char *order = g_strdup_printf("{\"moves\":[{\"service\":\"s\",\"to\":\"%s\","
+				      "\"start\":\"2026-12-04T10:00:00Z\","
+				      "\"finish\":\"2026-12-04T10:00:20Z\"}]}",
+				      to);
+	GPtrArray *files = g_ptr_array_new_with_free_func((GDestroyNotify)accepted_file_free);
+	const char *texts[] = { "{\"services\":{\"s\":{\"versions\":\"any\"}}}", order };
+	struct config *config;
+
+	for (int i = 0; i < 2; i++) {
+		struct change *change =
+			change_new(LABEL("id"), i ? LABEL("order") : LABEL("config"), 0,
+				   str_from_cstr(texts[i]));
+		struct accepted_file *file;
+		uint64_t id = (uint64_t)version * MOVES_PER_FILE;
+
+		parse_change(change);
+		assert_null(change->parse_error);
+		file = accepted_file_new(change->file, version, change);
+		if (i)
+			g_array_append_val(file->move_ids, id);
+		g_ptr_array_add(files, file);
+		change_unref(change);
+	}
+	config = config_build(files, version, version, NULL);
+	assert_non_null(config);
+	g_free(order);
+	return config;
+}
+
+/* After a version was taken back, the next order goes back to the one before it, not to "any but
+ * the newest", which would have the bad one in it. */
+static void test_the_next_order_knows_the_version_before(void **state)
+{
+	struct moves *moves = moves_new(pool);
+	struct config *first = open_ended_config("v2", 1);
+	struct config *second = open_ended_config("v3", 2);
+	struct move_state taken_back = { .id = MOVES_PER_FILE, .step = 2, .from = LABEL("v1") };
+	struct version_filter version = { .kind = VERSION_ANY };
+
+	(void)state;
+	moves_configure(moves, first);
+	taken_back.withdrawn_at_us = 5;
+	assert_true(moves_merge(moves, &taken_back));
+	moves_configure(moves, second);
+	assert_true(moves_choose_version(moves, second, LABEL("s"), 4000, at_s(0), &version));
+	assert_int_equal(version.kind, VERSION_IS);
+	assert_true(label_is(&version.name, STR("v1")));
+	config_unref(first);
+	config_unref(second);
+	moves_free(moves);
+}
+
+/* One target alone condemns no version, so that a first share goes to two. */
+static void test_a_first_share_goes_to_two_targets(void **state)
+{
+	struct moves *moves = moves_new(pool);
+	struct config *config = open_ended_config("v2", 1);
+	struct move_state begun = { .id = MOVES_PER_FILE, .step = 1 };
+	struct version_filter version = { VERSION_IS, LABEL("v2") };
+
+	(void)state;
+	moves_configure(moves, config);
+	moves_merge(moves, &begun);
+	assert_int_equal(moves_canaries(moves, LABEL("s"), &version, 10, at_s(0)), 2);
+	begun.step = 6;
+	moves_merge(moves, &begun);
+	assert_int_equal(moves_canaries(moves, LABEL("s"), &version, 10, at_s(0)), 3);
+	begun.step = MOVE_STEPS;
+	moves_merge(moves, &begun);
+	assert_int_equal(moves_canaries(moves, LABEL("s"), &version, 10, at_s(0)), 0);
+	config_unref(config);
+	moves_free(moves);
+}
+
 /* One version's share of calls that fail or are slow, for the sequential tests. */
 struct behaviour {
 	const char *name;
@@ -251,6 +358,9 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_join_is_a_semilattice),
+		cmocka_unit_test(test_an_open_ended_move_ends_once),
+		cmocka_unit_test(test_the_next_order_knows_the_version_before),
+		cmocka_unit_test(test_a_first_share_goes_to_two_targets),
 		cmocka_unit_test(test_sequential_tests),
 		cmocka_unit_test(test_shared_fault),
 		cmocka_unit_test(test_one_broken_target),
--- /dev/null
+++ b/regress/godwithitchd/platform_test.c
@@ -0,0 +1,403 @@
+/* The daemon on the platform's interfaces: store, heartbeats, requests, stops. */
+#include "regress/lib/check.h"
+
+#include <arpa/inet.h>
+#include <curl/curl.h>
+#include <microhttpd.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "regress/lib/fleet.h"
+
+#define SERVICE "books"
+#define HOST	"Host: shop.example"
+
+enum { NODES = 2, WAIT_MS = 8000, SLOW_MS = 300 };
+
+/* A target beside each node, in this process. */
+struct upstream {
+	struct MHD_Daemon *daemon;
+	char id[16];
+	int port;
+	int sequence;
+	gint runs;
+	gint runs_of_write;
+	gint gone_early; /* runs whose connection closed before the answer */
+	char caller_service[32];
+};
+
+static struct fleet *fleet;
+static struct upstream upstreams[NODES];
+
+static enum MHD_Result answer(struct MHD_Connection *connection, unsigned int status,
+			      const char *body, bool is_signed, bool has_run)
+{
+	const char *id = MHD_lookup_connection_value(connection, MHD_HEADER_KIND, "X-Request-Id");
+	struct MHD_Response *response =
+		MHD_create_response_from_buffer(strlen(body), (void *)body, MHD_RESPMEM_MUST_COPY);
+	enum MHD_Result result;
+
+	if (is_signed)
+		MHD_add_response_header(response, "X-Response-Signature", "s1");
+	if (!has_run)
+		MHD_add_response_header(response, "X-Not-Executed", "1");
+	if (id)
+		MHD_add_response_header(response, "X-Request-Id", id);
+	result = MHD_queue_response(connection, status, response);
+	MHD_destroy_response(response);
+	return result;
+}
+
+static enum MHD_Result on_request(void *context, struct MHD_Connection *connection, const char *url,
+				  const char *method, const char *version, const char *data,
+				  size_t *size, void **state)
+{
+	struct upstream *upstream = context;
+	const char *expected =
+		MHD_lookup_connection_value(connection, MHD_HEADER_KIND, "X-Expected-Instance");
+	const char *service =
+		MHD_lookup_connection_value(connection, MHD_HEADER_KIND, "X-Caller-Service");
+
+	(void)method;
+	(void)version;
+	(void)data;
+	if (!*state) {
+		*state = upstream;
+		return MHD_YES;
+	}
+	if (*size) {
+		*size = 0;
+		return MHD_YES;
+	}
+	if (expected && strcmp(expected, upstream->id) != 0)
+		return answer(connection, 421, "", false, true);
+	g_strlcpy(upstream->caller_service, service ? service : "",
+		  sizeof(upstream->caller_service));
+	if (strstr(url, "/shed"))
+		return answer(connection, 503, "", false, false);
+	g_atomic_int_inc(&upstream->runs);
+	if (strstr(url, "/write"))
+		g_atomic_int_inc(&upstream->runs_of_write);
+	if (strstr(url, "/slow"))
+		poll(NULL, 0, SLOW_MS);
+	if (strstr(url, "/unsigned"))
+		return answer(connection, 200, "forged", false, true);
+	return answer(connection, 200, url, true, true);
+}
+
+static struct http_reply post(const char *url, struct str body)
+{
+	struct http_client *client = http_new();
+	struct http_options options = { .method = "POST", .body = body, .timeout_ms = 2000 };
+	struct http_reply reply = http_do(client, url, &options);
+
+	http_free(client);
+	return reply;
+}
+
+static void beat(int index, const char *state)
+{
+	struct upstream *upstream = &upstreams[index];
+	char url[96];
+	char *body = g_strdup_printf(
+		"{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"version\":\"v1\","
+		"\"capacity\":4,\"state\":\"%s\",\"warmup_left_s\":0,\"sequence\":%d,\"born\":5}",
+		SERVICE, upstream->port, state, ++upstream->sequence);
+	struct http_reply reply;
+
+	g_snprintf(url, sizeof(url), "http://%s/instances/%s/heartbeat",
+		   fleet->nodes[index].announce, upstream->id);
+	reply = post(url, str_from_cstr(body));
+	assert_int_equal(reply.status, 200);
+	http_clear(&reply);
+	g_free(body);
+}
+
+static void append(const char *topic, const char *key, const char *value)
+{
+	struct strbuf record = { 0 };
+	char url[96];
+	size_t len = 1 + strlen(key) + strlen(value);
+	char head[5] = { (char)(len >> 24), (char)(len >> 16), (char)(len >> 8), (char)len,
+			 (char)strlen(key) };
+	struct http_reply reply;
+
+	strbuf_add(&record, (struct str){ head, sizeof(head) });
+	strbuf_add(&record, str_from_cstr(key));
+	strbuf_add(&record, str_from_cstr(value));
+	g_snprintf(url, sizeof(url), "http://127.0.0.1:%d/log-append?topic=%s&part=0",
+		   fleet->log_port, topic);
+	reply = post(url, strbuf_str(&record));
+	assert_int_equal(reply.status, 200);
+	http_clear(&reply);
+	strbuf_clear(&record);
+}
+
+static void publish(int version, const char *prefix)
+{
+	char *text = g_strdup_printf(
+		"{\"version\":%d,\"services\":[{\"name\":\"%s\",\"health_path\":\"/health\"}],"
+		"\"virtual_hosts\":[{\"host\":\"shop.example\",\"paths\":["
+		"{\"name\":\"read\",\"path_prefix\":\"%s\",\"kind\":\"safe\",\"timeout_s\":1,"
+		"\"service\":\"%s\",\"max_attempts\":2},"
+		"{\"name\":\"write\",\"path_prefix\":\"/write/"
+		"\",\"kind\":\"unsafe\",\"timeout_s\":1,"
+		"\"service\":\"%s\",\"max_attempts\":2}]}]}",
+		version, SERVICE, prefix, SERVICE, SERVICE);
+
+	append("keyed.op", "config", text);
+	g_free(text);
+}
+
+static struct http_reply call(int node, const char *path, const char *method)
+{
+	struct http_client *client = http_new();
+	struct http_options options = { .method = method,
+					.headers = { HOST, "X-Request-Id: r1",
+						     "X-Timeout-Ms: 3000" },
+					.timeout_ms = 5000 };
+	char url[128];
+	struct http_reply reply;
+
+	g_snprintf(url, sizeof(url), "http://%s%s", fleet->nodes[node].callers, path);
+	reply = http_do(client, url, &options);
+	http_free(client);
+	return reply;
+}
+
+static long status_of(int node, const char *path, const char *method)
+{
+	struct http_reply reply = call(node, path, method);
+	long status = reply.status;
+
+	http_clear(&reply);
+	return status;
+}
+
+/* Polls until a call gets a status; its last status. */
+static long wait_status(int node, const char *path, long wanted)
+{
+	long status = 0;
+
+	for (int i = 0; i < WAIT_MS / 50 && status != wanted; i++) {
+		status = status_of(node, path, "GET");
+		if (status != wanted)
+			wait_ms(50);
+	}
+	return status;
+}
+
+static int start_upstream(void **state)
+{
+	(void)state;
+	for (int i = 0; i < NODES; i++) {
+		struct sockaddr_in address = { .sin_family = AF_INET,
+					       .sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
+
+		g_snprintf(upstreams[i].id, sizeof(upstreams[i].id), "i-%d", i);
+		upstreams[i].daemon = MHD_start_daemon(
+			MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD, 0, NULL,
+			NULL, on_request, &upstreams[i], MHD_OPTION_SOCK_ADDR,
+			(struct sockaddr *)&address, MHD_OPTION_END);
+		upstreams[i].port =
+			MHD_get_daemon_info(upstreams[i].daemon, MHD_DAEMON_INFO_BIND_PORT)->port;
+	}
+	return 0;
+}
+
+static int set_up(void **state)
+{
+	start_upstream(state);
+	fleet = fleet_new_platform();
+	g_strlcpy(fleet->extra,
+		  "\"interface\": \"platform\", \"service\": \"" SERVICE "\", "
+		  "\"announce_ttl_s\": 60, \"stop_notice_s\": 0.5, \"stop_within_s\": 3,",
+		  sizeof(fleet->extra));
+	publish(3, "/a/");
+	for (int i = 0; i < NODES; i++) {
+		fleet_add_node(fleet, i ? "dc-b" : "dc-a");
+		beat(i, "ready");
+	}
+	for (int i = 0; i < NODES; i++)
+		if (wait_status(i, "/a/x", 200) != 200)
+			return 1;
+	return fleet_wait_live(fleet, NODES, WAIT_MS) ? 0 : 1;
+}
+
+static int tear_down(void **state)
+{
+	(void)state;
+	fleet_free(fleet);
+	for (int i = 0; i < NODES; i++)
+		MHD_stop_daemon(upstreams[i].daemon);
+	return 0;
+}
+
+static void test_answers_and_refusals(void **state)
+{
+	struct http_reply reply = call(0, "/a/x", "GET");
+
+	(void)state;
+	assert_int_equal(reply.status, 200);
+	assert_string_equal(upstreams[0].caller_service, SERVICE);
+	http_clear(&reply);
+	assert_int_equal(status_of(0, "/nowhere/x", "GET"), 404);
+	assert_int_equal(status_of(0, "/write/x", "POST"), 200);
+	/* All targets shed: nothing has run, and the caller is told so. */
+	assert_int_equal(status_of(0, "/a/shed", "GET"), 503);
+	/* A success without the target's signature is none; it may have run. */
+	assert_int_equal(status_of(0, "/a/unsigned", "GET"), 502);
+}
+
+static void test_another_target_at_the_address_does_not_run_it(void **state)
+{
+	(void)state;
+	g_strlcpy(upstreams[0].id, "i-new", sizeof(upstreams[0].id));
+	g_atomic_int_set(&upstreams[0].runs, 0);
+	/* The other node's target answers meanwhile. */
+	assert_int_equal(status_of(0, "/a/x", "GET"), 200);
+	assert_int_equal(g_atomic_int_get(&upstreams[0].runs), 0);
+	g_strlcpy(upstreams[0].id, "i-0", sizeof(upstreams[0].id));
+	beat(0, "ready");
+}
+
+static int open_connection(int node)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET,
+				       .sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	address.sin_port = htons((uint16_t)atoi(strchr(fleet->nodes[node].callers, ':') + 1));
+	assert_int_equal(connect(fd, (struct sockaddr *)&address, sizeof(address)), 0);
+	return fd;
+}
+
+static void send_text(int fd, const char *text)
+{
+	assert_int_equal(send(fd, text, strlen(text), MSG_NOSIGNAL), (ssize_t)strlen(text));
+}
+
+/* Requests sent behind one another run at the same time; their answers keep the order. */
+static void test_requests_behind_one_another(void **state)
+{
+	int64_t started_us = clock_now().mono_us;
+	char text[4096] = "";
+	size_t len = 0;
+	int fd = open_connection(0);
+
+	(void)state;
+	send_text(fd, "GET /a/slow/1 HTTP/1.1\r\n" HOST "\r\n\r\n"
+		      "GET /a/slow/2 HTTP/1.1\r\n" HOST "\r\n\r\n"
+		      "GET /a/3 HTTP/1.1\r\n" HOST "\r\nConnection: close\r\n\r\n");
+	for (;;) {
+		ssize_t n = recv(fd, text + len, sizeof(text) - 1 - len, 0);
+
+		if (n <= 0)
+			break;
+		len += (size_t)n;
+		text[len] = '\0';
+	}
+	close(fd);
+	assert_non_null(strstr(text, "/a/slow/1"));
+	assert_true(strstr(text, "/a/slow/1") < strstr(text, "/a/slow/2"));
+	assert_true(strstr(text, "/a/slow/2") < strstr(text, "/a/3"));
+	assert_true(clock_now().mono_us - started_us < (2 * SLOW_MS - 50) * US_PER_MS);
+}
+
+static void test_the_newest_configuration_is_in_force(void **state)
+{
+	(void)state;
+	publish(5, "/b/");
+	assert_int_equal(wait_status(0, "/b/x", 200), 200);
+	assert_int_equal(wait_status(1, "/b/x", 200), 200);
+	assert_int_equal(status_of(0, "/a/x", "GET"), 404);
+	/* Neither an older one nor one that can't be read changes anything. */
+	publish(4, "/c/");
+	append("keyed.op", "config", "{\"version\":9,");
+	wait_ms(500);
+	assert_int_equal(status_of(0, "/b/x", "GET"), 200);
+	assert_int_equal(status_of(0, "/c/x", "GET"), 404);
+	publish(10, "/a/");
+	assert_int_equal(wait_status(0, "/a/x", 200), 200);
+	assert_int_equal(wait_status(1, "/a/x", 200), 200);
+}
+
+/* While the readers hear nothing, changes are made and their history is dropped. */
+static void test_a_forgotten_history_is_read_as_newest(void **state)
+{
+	(void)state;
+	fleet_log_fault(fleet, "out=1");
+	wait_ms(200);
+	fleet_log_fault(fleet, "deaf=1&out=0");
+	publish(11, "/c/");
+	publish(12, "/d/");
+	fleet_log_fault(fleet, "forget=1&deaf=0");
+	assert_int_equal(wait_status(0, "/d/x", 200), 200);
+	assert_int_equal(wait_status(1, "/d/x", 200), 200);
+	publish(14, "/a/");
+	assert_int_equal(wait_status(0, "/a/x", 200), 200);
+	assert_int_equal(wait_status(1, "/a/x", 200), 200);
+}
+
+/* A node that starts while the store is out is found and told by the others. */
+static void test_a_restart_without_the_store(void **state)
+{
+	(void)state;
+	fleet_log_fault(fleet, "out=1");
+	process_kill(&fleet->nodes[1].daemon);
+	fleet_restart_node(fleet, 1);
+	beat(1, "ready");
+	assert_int_equal(wait_status(1, "/a/x", 200), 200);
+	fleet_log_fault(fleet, "out=0");
+}
+
+static void test_a_leaving_target_gets_nothing_new(void **state)
+{
+	(void)state;
+	beat(0, "draining");
+	g_atomic_int_set(&upstreams[0].runs, 0);
+	for (int i = 0; i < 20; i++)
+		assert_int_equal(status_of(0, "/a/x", "GET"), 200);
+	assert_int_equal(g_atomic_int_get(&upstreams[0].runs), 0);
+}
+
+static void test_a_stop_finishes_what_it_took(void **state)
+{
+	char text[512] = "";
+	int fd = open_connection(0);
+
+	(void)state;
+	send_text(fd, "GET /a/slow/1 HTTP/1.1\r\n" HOST "\r\n\r\n");
+	wait_ms(50);
+	process_signal(&fleet->nodes[0].daemon, SIGTERM);
+	wait_ms(50);
+	/* It is not ready, and still serves who has not heard of it. */
+	assert_int_equal(status_of(0, "/a/x", "GET"), 200);
+	assert_true(recv(fd, text, sizeof(text) - 1, 0) > 0);
+	assert_non_null(strstr(text, "200 OK"));
+	assert_non_null(strstr(text, "Connection: close"));
+	close(fd);
+	assert_int_equal(process_wait(&fleet->nodes[0].daemon, WAIT_MS), 0);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_answers_and_refusals),
+		cmocka_unit_test(test_another_target_at_the_address_does_not_run_it),
+		cmocka_unit_test(test_requests_behind_one_another),
+		cmocka_unit_test(test_the_newest_configuration_is_in_force),
+		cmocka_unit_test(test_a_forgotten_history_is_read_as_newest),
+		cmocka_unit_test(test_a_restart_without_the_store),
+		cmocka_unit_test(test_a_leaving_target_gets_nothing_new),
+		cmocka_unit_test(test_a_stop_finishes_what_it_took),
+	};
+
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	return cmocka_run_group_tests(tests, set_up, tear_down);
+}
--- a/regress/lib/fleet.c
+++ b/regress/lib/fleet.c
@@ -76,7 +76,7 @@
 	g_strlcpy(fleet->bin, bin ? bin : "build/bin", sizeof(fleet->bin));
 }
 
-struct fleet *fleet_new(int keep_s)
+static struct fleet *fleet_start(const char *log_program, int keep_s)
 {
 	struct fleet *fleet = g_new0(struct fleet, 1);
 	char *program;
@@ -93,7 +93,7 @@
 		abort();
 	g_strlcpy(fleet->dir, made, sizeof(fleet->dir));
 	g_free(made);
-	program = g_strdup_printf("%s/logservice", fleet->bin);
+	program = g_strdup_printf("%s/%s", fleet->bin, log_program);
 	argv[0] = program;
 	g_snprintf(keep, sizeof(keep), "%d", fleet->log_keep_s);
 	fleet->log = start(argv, &output, NULL);
@@ -102,6 +102,16 @@
 	return fleet;
 }
 
+struct fleet *fleet_new(int keep_s)
+{
+	return fleet_start("logservice", keep_s);
+}
+
+struct fleet *fleet_new_platform(void)
+{
+	return fleet_start("storeservice", 0);
+}
+
 void process_signal(struct process *process, int number)
 {
 	if (process->pid)
--- a/regress/lib/fleet.h
+++ b/regress/lib/fleet.h
@@ -46,6 +46,8 @@
 
 /** Starts the log's stand-in. @p keep_s: how long it keeps records; 0: an hour. */
 struct fleet *fleet_new(int keep_s);
+/** The same with the stand-in of the platform's store in the log's place. */
+struct fleet *fleet_new_platform(void);
 /** Ends all processes and removes the folder. */
 void fleet_free(struct fleet *fleet);
 /** Starts a node; its index. */
--- /dev/null
+++ b/regress/storeservice.c
@@ -0,0 +1,291 @@
+/*
+ * Stand-in of the platform's store, by the calls that docs/PLATFORM.md names, for topics of one
+ * partition, with faults that tests switch:
+ *   POST /fault?out=0|1&deaf=0|1&lose=N&forget=1
+ * deaf: reads fail, appends are taken; the next N appends take effect unanswered; forget drops the
+ * history, but not the newest record of each key.
+ * Prints "port N" when it listens; ends with its standard input.
+ */
+#include <arpa/inet.h>
+#include <glib.h>
+#include <microhttpd.h>
+#include <netinet/in.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "base/str.h"
+
+enum { BODY_MAX = 2 << 20, LENGTH_BYTES = 4 };
+
+struct topic {
+	GPtrArray *records; /* GBytes: key's length, key, value; NULL once forgotten */
+	int64_t first;	    /* offset of the oldest record that reads give */
+};
+
+static GMutex mutex;
+static GCond changed;
+static GHashTable *topics;
+static bool out;
+static bool deaf; /* reads fail, appends are taken */
+static int64_t lose;
+
+static struct topic *topic_get(const char *name)
+{
+	struct topic *topic = g_hash_table_lookup(topics, name);
+
+	if (topic)
+		return topic;
+	topic = g_new0(struct topic, 1);
+	topic->records = g_ptr_array_new_with_free_func((GDestroyNotify)g_bytes_unref);
+	g_hash_table_insert(topics, g_strdup(name), topic);
+	return topic;
+}
+
+static enum MHD_Result reply(struct MHD_Connection *connection, unsigned int status,
+			     const struct strbuf *body)
+{
+	struct MHD_Response *response = MHD_create_response_from_buffer(
+		body ? body->len : 0, body ? body->data : (void *)"", MHD_RESPMEM_MUST_COPY);
+	enum MHD_Result result = MHD_queue_response(connection, status, response);
+
+	MHD_destroy_response(response);
+	return result;
+}
+
+static const char *argument(struct MHD_Connection *connection, const char *name)
+{
+	return MHD_lookup_connection_value(connection, MHD_GET_ARGUMENT_KIND, name);
+}
+
+static int64_t number(struct MHD_Connection *connection, const char *name, int64_t fallback)
+{
+	const char *text = argument(connection, name);
+
+	return text ? atoll(text) : fallback;
+}
+
+static void put_number(struct strbuf *text, uint64_t value, int bytes)
+{
+	for (int i = bytes - 1; i >= 0; i--) {
+		char byte = (char)(value >> 8 * i);
+
+		strbuf_add(text, (struct str){ &byte, 1 });
+	}
+}
+
+/* Adds the records of an append's body; false if it is cut short. */
+static bool add_records(struct topic *topic, const GString *body)
+{
+	size_t at = 0;
+
+	while (at + LENGTH_BYTES <= body->len) {
+		size_t len = 0;
+
+		for (int i = 0; i < LENGTH_BYTES; i++)
+			len = len << 8 | (unsigned char)body->str[at + i];
+		at += LENGTH_BYTES;
+		if (at + len > body->len)
+			return false;
+		g_ptr_array_add(topic->records, g_bytes_new(body->str + at, len));
+		at += len;
+	}
+	return at == body->len;
+}
+
+static enum MHD_Result on_append(struct MHD_Connection *connection, const GString *body)
+{
+	struct strbuf text = { 0 };
+	struct topic *topic;
+	int64_t offset;
+	unsigned int status = MHD_HTTP_OK;
+	enum MHD_Result result;
+	bool lost;
+
+	g_mutex_lock(&mutex);
+	topic = topic_get(argument(connection, "topic"));
+	offset = topic->records->len;
+	if (number(connection, "at", offset) != offset)
+		status = MHD_HTTP_PRECONDITION_FAILED;
+	else if (!add_records(topic, body))
+		status = MHD_HTTP_BAD_REQUEST;
+	strbuf_addf(&text, "{\"offset\":%ld,\"end\":%u}", offset, topic->records->len);
+	lost = status == MHD_HTTP_OK && lose > 0;
+	lose -= lost;
+	g_cond_broadcast(&changed);
+	g_mutex_unlock(&mutex);
+	result = lost ? MHD_NO : reply(connection, status, &text);
+	strbuf_clear(&text);
+	return result;
+}
+
+static enum MHD_Result on_read(struct MHD_Connection *connection)
+{
+	int64_t until_us = g_get_monotonic_time() + number(connection, "wait_ms", 0) * 1000;
+	int64_t from = number(connection, "from", 0);
+	struct strbuf text = { 0 };
+	unsigned int status = MHD_HTTP_OK;
+	enum MHD_Result result;
+	struct topic *topic;
+
+	g_mutex_lock(&mutex);
+	topic = topic_get(argument(connection, "topic"));
+	while (!out && !deaf && (int64_t)topic->records->len <= from &&
+	       g_cond_wait_until(&changed, &mutex, until_us))
+		;
+	if (out || deaf)
+		status = MHD_HTTP_SERVICE_UNAVAILABLE;
+	else if (from < topic->first)
+		status = MHD_HTTP_GONE;
+	put_number(&text, topic->records->len, 8);
+	put_number(&text, (uint64_t)topic->first, 8);
+	for (int64_t i = from; status == MHD_HTTP_OK && i < (int64_t)topic->records->len; i++) {
+		gsize len;
+		const char *data = g_bytes_get_data(g_ptr_array_index(topic->records, i), &len);
+
+		put_number(&text, len, LENGTH_BYTES);
+		strbuf_add(&text, (struct str){ data, len });
+	}
+	g_mutex_unlock(&mutex);
+	result = reply(connection, status, status == MHD_HTTP_OK ? &text : NULL);
+	strbuf_clear(&text);
+	return result;
+}
+
+/* Adds an item unless a later record has the same key, or it has no value. */
+static void put_item(struct strbuf *text, GHashTable *seen, GBytes *record, int64_t offset)
+{
+	gsize len;
+	const char *data = g_bytes_get_data(record, &len);
+	size_t key_len = (unsigned char)data[0];
+	char *key = g_strndup(data + 1, key_len);
+	char *value;
+
+	if (!g_hash_table_add(seen, key) || len <= 1 + key_len)
+		return;
+	value = g_base64_encode((const guchar *)data + 1 + key_len, len - 1 - key_len);
+	strbuf_addf(text, "%s{\"key\":\"%s\",\"value\":\"%s\",\"offset\":%ld}",
+		    text->data[text->len - 1] == '[' ? "" : ",", key, value, offset);
+	g_free(value);
+}
+
+static enum MHD_Result on_newest(struct MHD_Connection *connection)
+{
+	GHashTable *seen = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	struct strbuf text = { 0 };
+	const struct topic *topic;
+	enum MHD_Result result;
+
+	g_mutex_lock(&mutex);
+	topic = topic_get(argument(connection, "topic"));
+	strbuf_add(&text, STR("{\"items\":["));
+	for (int64_t i = topic->records->len; i-- > 0;)
+		put_item(&text, seen, g_ptr_array_index(topic->records, i), i);
+	strbuf_addf(&text, "],\"more\":false,\"end\":%u}", topic->records->len);
+	g_mutex_unlock(&mutex);
+	result = reply(connection, MHD_HTTP_OK, &text);
+	g_hash_table_destroy(seen);
+	strbuf_clear(&text);
+	return result;
+}
+
+static void forget(gpointer key, gpointer value, gpointer context)
+{
+	struct topic *topic = value;
+
+	(void)key;
+	(void)context;
+	topic->first = topic->records->len;
+}
+
+static enum MHD_Result on_fault(struct MHD_Connection *connection)
+{
+	g_mutex_lock(&mutex);
+	out = number(connection, "out", out) != 0;
+	deaf = number(connection, "deaf", deaf) != 0;
+	lose = number(connection, "lose", lose);
+	if (number(connection, "forget", 0))
+		g_hash_table_foreach(topics, forget, NULL);
+	g_cond_broadcast(&changed);
+	g_mutex_unlock(&mutex);
+	return reply(connection, MHD_HTTP_OK, NULL);
+}
+
+static enum MHD_Result dispatch(struct MHD_Connection *connection, const char *url,
+				const GString *body)
+{
+	bool is_out;
+
+	if (strcmp(url, "/fault") == 0)
+		return on_fault(connection);
+	g_mutex_lock(&mutex);
+	is_out = out;
+	g_mutex_unlock(&mutex);
+	if (is_out)
+		return reply(connection, MHD_HTTP_SERVICE_UNAVAILABLE, NULL);
+	if (!argument(connection, "topic"))
+		return reply(connection, MHD_HTTP_NOT_FOUND, NULL);
+	if (strcmp(url, "/log-append") == 0)
+		return on_append(connection, body);
+	if (strcmp(url, "/log-read") == 0)
+		return on_read(connection);
+	if (strcmp(url, "/log-newest") == 0)
+		return on_newest(connection);
+	return reply(connection, MHD_HTTP_NOT_FOUND, NULL);
+}
+
+static enum MHD_Result on_request(void *context, struct MHD_Connection *connection, const char *url,
+				  const char *method, const char *version, const char *data,
+				  size_t *size, void **state)
+{
+	GString *body = *state;
+
+	(void)context;
+	(void)method;
+	(void)version;
+	if (!body) {
+		*state = g_string_new(NULL);
+		return MHD_YES;
+	}
+	if (*size) {
+		if (body->len + *size > BODY_MAX)
+			return MHD_NO;
+		g_string_append_len(body, data, (gssize)*size);
+		*size = 0;
+		return MHD_YES;
+	}
+	return dispatch(connection, url, body);
+}
+
+static void on_completed(void *context, struct MHD_Connection *connection, void **state,
+			 enum MHD_RequestTerminationCode code)
+{
+	(void)context;
+	(void)connection;
+	(void)code;
+	if (*state)
+		g_string_free(*state, TRUE);
+	*state = NULL;
+}
+
+int main(void)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET,
+				       .sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
+	struct MHD_Daemon *daemon;
+	char c;
+
+	topics = g_hash_table_new(g_str_hash, g_str_equal);
+	daemon = MHD_start_daemon(MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD,
+				  0, NULL, NULL, on_request, NULL, MHD_OPTION_SOCK_ADDR,
+				  (struct sockaddr *)&address, MHD_OPTION_NOTIFY_COMPLETED,
+				  on_completed, NULL, MHD_OPTION_END);
+	if (!daemon)
+		return 1;
+	printf("port %u\n", MHD_get_daemon_info(daemon, MHD_DAEMON_INFO_BIND_PORT)->port);
+	fflush(stdout);
+	while (read(STDIN_FILENO, &c, 1) > 0)
+		;
+	return 0;
+}
