--- a/core/evidence.c
+++ b/core/evidence.c
@@ -5,6 +5,8 @@
 
 /* Log-likelihood at which a version is condemned: chance reaches it about once in e^12 calls. */
 #define THRESHOLD 12.0
+/* Above it no further step opens: what looks bad is looked at longer while few calls meet it. */
+#define DOUBT (THRESHOLD / 4)
 /* What one target alone may add: one broken target is no bad version. */
 #define TARGET_PART 0.6
 /* The old version's counts fade by this factor a second. */
@@ -475,7 +477,7 @@
 static bool is_doubtful(const struct tests *tests)
 {
 	for (int kind = 0; kind < TEST_COUNT; kind++)
-		if (tests->sum[kind] >= THRESHOLD / 2)
+		if (tests->sum[kind] >= DOUBT)
 			return true;
 	return false;
 }
--- a/core/history.c
+++ b/core/history.c
@@ -260,6 +260,31 @@
 	return version;
 }
 
+/* Whether a later change replaces the whole file, so that this one has no effect any more. */
+static bool is_replaced(const GList *at)
+{
+	const struct kept *kept = at->data;
+
+	for (const GList *later = at->next; later; later = later->next) {
+		const struct kept *other = later->data;
+
+		if (other->change->base == CHANGE_ANY_BASE &&
+		    other->judgement.kind == JUDGED_ACCEPTED &&
+		    label_equal(&other->change->file, &kept->change->file))
+			return true;
+	}
+	return false;
+}
+
+static struct change *to_pass_on(const GList *at)
+{
+	const struct kept *kept = at->data;
+
+	if (!is_replaced(at))
+		return change_ref(kept->change);
+	return change_new(kept->change->id, kept->change->file, CHANGE_SUPERSEDED_BASE, STR(""));
+}
+
 int history_since(struct history *history, int64_t have, struct change_record *records)
 {
 	const struct kept *oldest;
@@ -277,7 +302,7 @@
 		if (kept->offset <= have)
 			continue;
 		records[count].offset = kept->offset;
-		records[count].change = change_ref(kept->change);
+		records[count].change = to_pass_on(at);
 		count++;
 	}
 	lock_release(&history->lock);
--- a/core/member_choice.c
+++ b/core/member_choice.c
@@ -9,7 +9,7 @@
 #define EJECT_SUCCESS_STEP 0.642
 #define EJECT_BROKEN_STEP  4.0
 #define EJECT_THRESHOLD	   9.0
-#define EJECT_US	   (3 * US_PER_S)
+#define EJECT_US	   (10 * US_PER_S)
 #define CLOSED_US	   (1 * US_PER_S)
 
 bool version_matches(const struct version_filter *filter, const struct label *version)
--- a/core/move_coordinate.c
+++ b/core/move_coordinate.c
@@ -82,7 +82,7 @@
 static bool dwelt_enough(const struct move *move, struct instant now)
 {
 	return move->state.step == 0 ||
-	       now.wall_us - move->step_seen_at_us >= move_interval_us(&move->spec) / 4;
+	       now.wall_us - move->step_seen_at_us >= move_interval_us(&move->spec) / 2;
 }
 
 /* A step that is due while advance is off is told once. */
--- a/core/move_share.c
+++ b/core/move_share.c
@@ -9,7 +9,7 @@
 #define CONTAIN_SUCCESS_STEP 0.642
 #define CONTAIN_THRESHOLD    9.0
 #define CONTAIN_US	     (10 * US_PER_S)
-enum { CANARIES_MIN = 2 /* a single target that is broken condemns no version */ };
+enum { CANARIES_MIN = 3 /* a single target that is broken condemns no version */ };
 /* An old version that fails this often as well shows a fault that both share. */
 #define CONTAIN_OLD_MAX 0.2
 
--- a/core/node_config.c
+++ b/core/node_config.c
@@ -314,14 +314,25 @@
 	return next;
 }
 
+/* Each edition costs its parsing: the next one is taken a moment later, with those after it. */
+static void gather(struct node *node, struct instant now)
+{
+	lock_acquire(&node->spread.lock);
+	node->spread.pull.not_before = deadline_after(now, GATHER_US);
+	lock_release(&node->spread.lock);
+}
+
 static void after_pull(struct node *node, uint64_t from, bool moved, struct instant now,
 		       struct actions *out)
 {
 	int64_t newest = 0;
 	uint64_t next = end_pull(node, from, &newest);
 
-	if (moved)
+	if (moved) {
 		config_advertise(node, out);
+		if (node_is_current(node))
+			gather(node, now);
+	}
 	if (next && moved)
 		pull_from(node, next, newest, now, out);
 }
@@ -408,12 +419,15 @@
 	lock_acquire(&node->spread.lock);
 	if (pull->known_newest <= have)
 		pull->far_at = (struct deadline){ 0 };
+	peer = pull->from == 0 ? pull->known_from : 0;
 	retry = pull->known_newest > have &&
 		(pull->from == 0 || deadline_passed(pull->until, now)) &&
+		(pull->not_before.at_us == 0 || deadline_passed(pull->not_before, now)) &&
 		(pull->far_at.at_us == 0 || deadline_passed(pull->far_at, now));
 	newest = pull->known_newest;
 	lock_release(&node->spread.lock);
-	if (retry && members_random(node->members, &rng, false, &peer, 1) == 1)
+	/* Who told of it has it; one that did not answer is left for another. */
+	if (retry && (peer || members_random(node->members, &rng, false, &peer, 1) == 1))
 		pull_from(node, peer, newest, now, out);
 }
 
--- a/core/node_log.c
+++ b/core/node_log.c
@@ -193,7 +193,8 @@
 			     history_version(node->history));
 }
 
-static void take_changes(struct node *node, const struct event *event, struct actions *out)
+static void take_changes(struct node *node, const struct event *event, struct instant now,
+			 struct actions *out)
 {
 	struct change_record *records = g_new0(struct change_record, event->batch.count + 1);
 	int count = 0;
@@ -207,8 +208,13 @@
 		records[count].change = record->change;
 		count++;
 	}
-	if (config_take_records(node, records, count, out))
+	if (config_take_records(node, records, count, out)) {
 		config_advertise(node, out);
+		lock_acquire(&node->spread.lock);
+		if (node->spread.boot.phase == BOOT_CURRENT)
+			node->spread.log.retry_at = deadline_after(now, GATHER_US);
+		lock_release(&node->spread.lock);
+	}
 	g_free(records);
 }
 
@@ -276,7 +282,7 @@
 	log_answered(node, out);
 	switch (event->batch.stream) {
 	case STREAM_CONFIG:
-		take_changes(node, event, out);
+		take_changes(node, event, now, out);
 		break;
 	case STREAM_SYSTEM:
 		take_system(node, event, out);
--- a/core/node_parts.h
+++ b/core/node_parts.h
@@ -14,6 +14,7 @@
 #define FLUSH_US	 (200 * US_PER_MS) /* pending member records */
 #define ACK_US		 (400 * US_PER_MS) /* then others are asked to probe */
 #define FAR_PULL_US	 (500 * US_PER_MS) /* the own data centre hears of news by itself meanwhile */
+#define GATHER_US	 (300 * US_PER_MS) /* changes in quick succession are taken together */
 #define PULL_US		 (1 * US_PER_S)	   /* then another peer is asked */
 #define LOG_WAIT_US	 (20 * US_PER_S)
 #define LOG_RETRY_MIN_US (500 * US_PER_MS)
--- a/regress/core/move_test.c
+++ b/regress/core/move_test.c
@@ -146,8 +146,8 @@
 	moves_free(moves);
 }
 
-/* One target alone condemns no version, so that a first share goes to two. */
-static void test_a_first_share_goes_to_two_targets(void **state)
+/* One target alone condemns no version, so that a first share goes to a few. */
+static void test_a_first_share_goes_to_three_targets(void **state)
 {
 	struct moves *moves = moves_new(pool);
 	struct config *config = open_ended_config("v2", 1);
@@ -157,10 +157,10 @@
 	(void)state;
 	moves_configure(moves, config);
 	moves_merge(moves, &begun);
-	assert_int_equal(moves_canaries(moves, LABEL("s"), &version, 10, at_s(0)), 2);
-	begun.step = 6;
-	moves_merge(moves, &begun);
 	assert_int_equal(moves_canaries(moves, LABEL("s"), &version, 10, at_s(0)), 3);
+	begun.step = 7;
+	moves_merge(moves, &begun);
+	assert_int_equal(moves_canaries(moves, LABEL("s"), &version, 10, at_s(0)), 6);
 	begun.step = MOVE_STEPS;
 	moves_merge(moves, &begun);
 	assert_int_equal(moves_canaries(moves, LABEL("s"), &version, 10, at_s(0)), 0);
@@ -360,7 +360,7 @@
 		cmocka_unit_test(test_join_is_a_semilattice),
 		cmocka_unit_test(test_an_open_ended_move_ends_once),
 		cmocka_unit_test(test_the_next_order_knows_the_version_before),
-		cmocka_unit_test(test_a_first_share_goes_to_two_targets),
+		cmocka_unit_test(test_a_first_share_goes_to_three_targets),
 		cmocka_unit_test(test_sequential_tests),
 		cmocka_unit_test(test_shared_fault),
 		cmocka_unit_test(test_one_broken_target),
