--- a/caller/http.c
+++ b/caller/http.c
@@ -191,7 +191,7 @@
 
 void caller_on_listen(struct caller *caller)
 {
-	struct sockaddr_in address;
+	struct sockaddr_in address = { 0 };
 	int fd = 0;
 	bool listening;
 
--- a/core/admit.c
+++ b/core/admit.c
@@ -299,7 +299,7 @@
 /* Urgent calls are served late as well, in their turn: what waits for them is later still. */
 static bool makes_way(const struct ticket *ticket)
 {
-	return ticket->objective.at_us && ticket->class > CLASS_INTERACTIVE;
+	return ticket->objective.at_us && ticket->class > CLASS_STANDARD;
 }
 
 /* Whether an answer that comes so late is still worth a place in the queue. */
--- a/core/move.c
+++ b/core/move.c
@@ -1,7 +1,5 @@
 #include "core/move_table.h"
 
-#include <string.h>
-
 enum { UNKNOWN_STATES_MAX = 4096 };
 
 struct str withdraw_reason_name(enum withdraw_reason reason)
@@ -46,6 +44,17 @@
 	return str_compare(label_str(&a->route), label_str(&b->route)) < 0;
 }
 
+static uint64_t state_hash(const struct move_state *state)
+{
+	uint64_t hash = rng_mix(state->id * 16 + state->step);
+
+	hash = rng_mix(hash ^ (uint64_t)state->done_at_us);
+	hash = rng_mix(hash ^ (uint64_t)state->recheck_at_us);
+	hash = rng_mix(hash ^ str_hash(label_str(&state->from), 0));
+	hash = rng_mix(hash ^ str_hash(label_str(&state->route), 0));
+	return rng_mix(hash ^ (uint64_t)state->withdrawn_at_us * 4 ^ state->reason);
+}
+
 /* An open-ended move ends once: the earlier of two verdicts holds. */
 static void keep_first_verdict(struct move_state *state)
 {
@@ -90,7 +99,7 @@
 	}
 	keep_first_verdict(into);
 	/* What a verdict that does not hold brought is no news. */
-	return changed && memcmp(&before, into, sizeof(before)) != 0;
+	return changed && state_hash(&before) != state_hash(into);
 }
 
 int move_step_share(int step)
@@ -192,16 +201,6 @@
 	return NULL;
 }
 
-static uint64_t state_hash(const struct move_state *state)
-{
-	uint64_t hash = rng_mix(state->id * 16 + state->step);
-
-	hash = rng_mix(hash ^ (uint64_t)state->done_at_us);
-	hash = rng_mix(hash ^ (uint64_t)state->recheck_at_us);
-	hash = rng_mix(hash ^ str_hash(label_str(&state->from), 0));
-	return rng_mix(hash ^ (uint64_t)state->withdrawn_at_us * 4 ^ state->reason);
-}
-
 void moves_rehash(struct moves *moves)
 {
 	moves->hash = 0;
