The log never holds anybody up; one line for each call that ends

CALL_ENDED tells a call's id, route, outcome, target, repeats, offers, configuration and why; CALL_RETRIED each repeat.

--- a/base/events.h
+++ b/base/events.h
@@ -14,6 +14,7 @@
 	X(101, DAEMON_STOPPING, LOG_LEVEL_INFO)                                                    \
 	X(102, DAEMON_STOPPED, LOG_LEVEL_INFO)                                                     \
 	X(103, LOG_REOPENED, LOG_LEVEL_INFO)                                                       \
+	X(105, LOG_DROPPED, LOG_LEVEL_WARN)                                                        \
 	X(104, STOP_CUT_REQUEST, LOG_LEVEL_WARN)                                                   \
 	X(200, CHANGE_ACCEPTED, LOG_LEVEL_INFO)                                                    \
 	X(201, CHANGE_REJECTED, LOG_LEVEL_WARN)                                                    \
@@ -43,7 +44,9 @@
 	X(700, FRAME_BAD, LOG_LEVEL_WARN)                                                          \
 	X(701, LINK_SILENT, LOG_LEVEL_WARN)                                                        \
 	X(702, PEER_REFUSED, LOG_LEVEL_WARN)                                                       \
-	X(800, CALL_CUT, LOG_LEVEL_WARN)
+	X(800, CALL_CUT, LOG_LEVEL_WARN)                                                           \
+	X(801, CALL_ENDED, LOG_LEVEL_INFO)                                                         \
+	X(802, CALL_RETRIED, LOG_LEVEL_INFO)
 
 enum log_event {
 #define LOG_EVENT_ENUM(number, name, level) NOTE_##name = (number),
--- a/base/lockorder.h
+++ b/base/lockorder.h
@@ -31,7 +31,8 @@
 	LOCK_PIPE,	 /**< one body in transit */
 	LOCK_WORKERS,	 /**< queue of posted work */
 	LOCK_COUNTERS,
-	/**< tables of counters and histograms */ LOCK_RANKS,
+	/**< tables of counters and histograms */ LOCK_LOG, /**< lines that wait to be written */
+	LOCK_RANKS,
 };
 
 /** A mutex with a rank. A build without NDEBUG asserts the order for each thread. */
--- a/base/logger.c
+++ b/base/logger.c
@@ -1,5 +1,6 @@
 #include "base/logger.h"
 
+#include <apr_thread_proc.h>
 #include <fcntl.h>
 #include <glib.h>
 #include <glib/gprintf.h>
@@ -8,62 +9,42 @@
 #include <unistd.h>
 
 #include "base/clock.h"
+#include "base/lockorder.h"
 #include "base/str.h"
 
+#define FLUSH_WAIT_US (200 * US_PER_MS) /* for the last lines at the end */
+
+enum {
+	RING_BYTES = 256 << 10,		  /* some 1,500 lines wait while the reader is slow */
+	RING_INFO_BYTES = RING_BYTES / 2, /* past it only warnings and errors are taken */
+};
+
 /*
- * The process's one log. A line is one write to a descriptor that appends, so that no lock is held
- * for it; a reopened file takes the descriptor's place in one step.
+ * The process's one log. Lines wait in a bounded buffer for one thread that writes them, so that
+ * nobody else ever waits for a full pipe; what does not fit is counted.
  */
-static int log_fd = -1;
-static char *log_path;
+static struct {
+	int fd;
+	char *path;
+	apr_pool_t *pool;
+	apr_thread_t *thread;
+	struct lock lock; /* LOCK_LOG: all below */
+	apr_thread_cond_t *changed;
+	struct strbuf waiting;
+	uint64_t dropped; /* since the last line that tells it */
+	bool writing;
+	bool ends;
+} the_log = { .fd = -1 };
 
 static int open_path(const char *path)
 {
 	if (strcmp(path, "-") == 0)
 		return STDERR_FILENO;
+	if (strcmp(path, "stdout") == 0)
+		return STDOUT_FILENO;
 	return open(path, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
 }
 
-static void close_fd(void)
-{
-	if (log_fd > STDERR_FILENO)
-		close(log_fd);
-	log_fd = -1;
-}
-
-bool logger_open(const char *path)
-{
-	int fd = open_path(path);
-
-	if (fd < 0)
-		return false;
-	g_free(log_path);
-	log_path = g_strdup(path);
-	log_fd = fd;
-	return true;
-}
-
-void logger_reopen(void)
-{
-	int fd;
-
-	if (!log_path || log_fd <= STDERR_FILENO)
-		return;
-	fd = open_path(log_path);
-	if (fd < 0)
-		return;
-	dup2(fd, log_fd);
-	close(fd);
-	logger_event(NOTE_LOG_REOPENED, "path=%s", log_path);
-}
-
-void logger_close(void)
-{
-	close_fd();
-	g_free(log_path);
-	log_path = NULL;
-}
-
 struct event_entry {
 	enum log_event event;
 	const char *name;
@@ -97,24 +78,155 @@
 	g_assert_not_reached();
 }
 
-void logger_event(enum log_event event, const char *format, ...)
+static void add_line(struct strbuf *out, enum log_event event, const char *fields)
 {
 	const struct event_entry *entry = find_entry(event);
+
+	clock_format_utc(out, clock_now().wall_us);
+	strbuf_addf(out, " %s %d %s %s\n", level_name(entry->level), (int)event, entry->name,
+		    fields);
+}
+
+/* Takes what waits, and tells of what was dropped; false at the end. */
+static bool take_waiting(struct strbuf *lines)
+{
+	char text[32];
+	bool more;
+
+	lock_acquire(&the_log.lock);
+	the_log.writing = false;
+	while (the_log.waiting.len == 0 && !the_log.ends)
+		lock_wait(&the_log.lock, the_log.changed, US_PER_S);
+	*lines = the_log.waiting;
+	the_log.waiting = (struct strbuf){ 0 };
+	if (the_log.dropped) {
+		g_snprintf(text, sizeof(text), "lines=%lu", the_log.dropped);
+		add_line(lines, NOTE_LOG_DROPPED, text);
+		the_log.dropped = 0;
+	}
+	more = lines->len > 0;
+	the_log.writing = more;
+	lock_release(&the_log.lock);
+	return more;
+}
+
+static void write_all(struct str bytes)
+{
+	while (bytes.len) {
+		ssize_t n = write(the_log.fd, bytes.data, bytes.len);
+
+		/* Nowhere is left to report a log that can't be written. */
+		if (n <= 0)
+			return;
+		bytes = str_sub(bytes, (size_t)n, bytes.len);
+	}
+}
+
+static void *APR_THREAD_FUNC writer_main(apr_thread_t *thread, void *data)
+{
+	struct strbuf lines = { 0 };
+
+	(void)thread;
+	(void)data;
+	while (take_waiting(&lines)) {
+		write_all(strbuf_str(&lines));
+		strbuf_clear(&lines);
+	}
+	return NULL;
+}
+
+bool logger_open(const char *path)
+{
+	int fd = open_path(path);
+
+	if (fd < 0)
+		return false;
+	the_log.fd = fd;
+	the_log.path = g_strdup(path);
+	the_log.ends = false;
+	apr_pool_create(&the_log.pool, NULL);
+	lock_init(&the_log.lock, LOCK_LOG, the_log.pool);
+	apr_thread_cond_create(&the_log.changed, the_log.pool);
+	return apr_thread_create(&the_log.thread, NULL, writer_main, NULL, the_log.pool) ==
+	       APR_SUCCESS;
+}
+
+void logger_reopen(void)
+{
+	int fd;
+
+	if (!the_log.path || the_log.fd <= STDERR_FILENO)
+		return;
+	fd = open_path(the_log.path);
+	if (fd < 0)
+		return;
+	dup2(fd, the_log.fd);
+	close(fd);
+	logger_event(NOTE_LOG_REOPENED, "path=%s", the_log.path);
+}
+
+/* Lets the writer finish; false if it is stuck at a reader that does not read. */
+static bool flush(void)
+{
+	struct deadline until = deadline_after(clock_now(), FLUSH_WAIT_US);
+	bool done = false;
+
+	lock_acquire(&the_log.lock);
+	the_log.ends = true;
+	apr_thread_cond_broadcast(the_log.changed);
+	lock_release(&the_log.lock);
+	while (!done && !deadline_passed(until, clock_now())) {
+		lock_acquire(&the_log.lock);
+		done = the_log.waiting.len == 0 && !the_log.writing;
+		if (!done)
+			lock_wait(&the_log.lock, the_log.changed, FLUSH_WAIT_US / 20);
+		lock_release(&the_log.lock);
+	}
+	return done;
+}
+
+void logger_close(void)
+{
+	apr_status_t status;
+
+	if (the_log.fd < 0)
+		return;
+	/* A writer that is stuck ends with the process. */
+	if (!flush())
+		return;
+	apr_thread_join(&status, the_log.thread);
+	if (the_log.fd > STDERR_FILENO)
+		close(the_log.fd);
+	the_log.fd = -1;
+	g_free(the_log.path);
+	the_log.path = NULL;
+	strbuf_clear(&the_log.waiting);
+	lock_destroy(&the_log.lock);
+	apr_pool_destroy(the_log.pool);
+}
+
+void logger_event(enum log_event event, const char *format, ...)
+{
+	size_t limit = find_entry(event)->level == LOG_LEVEL_INFO ? RING_INFO_BYTES : RING_BYTES;
 	struct strbuf line = { 0 };
-	va_list args;
 	char *fields = NULL;
+	va_list args;
 
-	if (log_fd < 0)
+	if (the_log.fd < 0)
 		return;
 	va_start(args, format);
 	g_vasprintf(&fields, format, args);
 	va_end(args);
-	clock_format_utc(&line, clock_now().wall_us);
-	strbuf_addf(&line, " %s %d %s %s\n", level_name(entry->level), (int)event, entry->name,
-		    fields);
+	add_line(&line, event, fields);
 	g_free(fields);
-	if (write(log_fd, line.data, line.len) < 0) {
-		/* Nowhere is left to report a log that can't be written. */
+	lock_acquire(&the_log.lock);
+	if (the_log.waiting.len + line.len > limit) {
+		the_log.dropped++;
+	} else {
+		if (the_log.waiting.len == 0)
+			apr_thread_cond_broadcast(the_log.changed);
+		strbuf_add(&the_log.waiting, strbuf_str(&line));
 	}
+	lock_release(&the_log.lock);
 	strbuf_clear(&line);
 }
--- a/base/logger.h
+++ b/base/logger.h
@@ -7,13 +7,16 @@
 
 #include "base/events.h"
 
-/** Opens the log; "-" is standard error. False if the file can't be opened. */
+/** Opens the log; "-" is standard error, "stdout" standard output. False if it can't be opened.
+ *  After apr_initialize(). */
 bool logger_open(const char *path);
 /** Opens the same path again, after it was moved away. */
 void logger_reopen(void);
+/** Writes what waits, for a moment at most. */
 void logger_close(void);
 
-/** Writes one event. @p format gives the fields, as in "offset=%ld". Takes no lock. */
+/** Notes one event. @p format gives the fields, as in "offset=%ld". Takes LOCK_LOG; never waits for
+ *  the log's reader. */
 void logger_event(enum log_event event, const char *format, ...)
 	__attribute__((format(printf, 2, 3)));
 
--- a/godwithitchd/attempt.c
+++ b/godwithitchd/attempt.c
@@ -106,9 +106,12 @@
 	call_avoid(call, attempt->target);
 	placement_refused(&call->placement, attempt->target, 0);
 	call->unsure += verdict == VERDICT_MAY_HAVE_RUN;
-	if (may_retry(call, verdict))
+	if (may_retry(call, verdict)) {
+		logger_event(NOTE_CALL_RETRIED, "route=%.*s target=%lx verdict=%.*s why=\"%.*s\"",
+			     STR_ARG(label_str(&call->route->name)), attempt->target,
+			     STR_ARG(verdict_name(verdict)), STR_ARG(reason));
 		call_try_target(call);
-	else
+	} else
 		call_answer(call, STATUS_UNAVAILABLE, verdict, reason);
 }
 
@@ -160,6 +163,7 @@
 	attempt->has_head = true;
 	attempt->status = head->status;
 	attempt->call->status = head->status;
+	attempt->call->verdict = VERDICT_RAN;
 	call_end_claim(attempt->call, VERDICT_RAN, head->status);
 	caller_head(attempt->call->caller, full);
 	g_free(full);
--- a/godwithitchd/calls.c
+++ b/godwithitchd/calls.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "base/logger.h"
 #include "base/rng.h"
 #include "godwithitchd/calls.h"
 
@@ -87,6 +88,8 @@
 	char retry[32];
 
 	call->status = head.status;
+	call->verdict = verdict;
+	g_snprintf(call->reason, sizeof(call->reason), "%.*s", STR_ARG(reason));
 	call_end_claim(call, verdict, head.status);
 	add_field(&head, dialect->verdict, verdict_name(verdict));
 	if (dialect->request_id.len)
@@ -261,6 +264,7 @@
 
 	make_head(call, head, now);
 	attempt->started_us = now.mono_us;
+	call->last_target = target;
 	call->offers++;
 	if (!set_current(call, attempt)) {
 		if (attempt_finish(attempt))
@@ -521,6 +525,22 @@
 	attempt_unref(attempt);
 }
 
+/* The line from which a complaint is followed up: what decided, and what came of it. */
+static void note_call(const struct call *call, int64_t took_us)
+{
+	struct str id = STR("");
+
+	if (call->daemon->dialect->request_id.len)
+		id = caller_field(call->caller, call->daemon->dialect->request_id);
+	logger_event(NOTE_CALL_ENDED,
+		     "id=%.*s route=%.*s status=%d verdict=%.*s target=%lx repeats=%d offers=%d "
+		     "version=%ld ms=%.1f returned=%d why=\"%s\"",
+		     STR_ARG(id), STR_ARG(label_str(&call->route->name)), call->status,
+		     STR_ARG(verdict_name(call->verdict)), call->last_target, call->attempts,
+		     call->offers, call->config->version, (double)took_us / US_PER_MS,
+		     call->returned, call->reason);
+}
+
 static void count_call(struct call *call)
 {
 	char labels[128];
@@ -549,8 +569,10 @@
 	call->current = NULL;
 	lock_release(&call->lock);
 	call_open_remove(call);
-	if (call->route)
+	if (call->route) {
 		count_call(call);
+		note_call(call, clock_now().mono_us - call->started_us);
+	}
 	if (attempt)
 		attempt_cancel(attempt);
 	attempt_unref(attempt);
--- a/godwithitchd/calls.h
+++ b/godwithitchd/calls.h
@@ -35,9 +35,12 @@
 	struct deadline objective; /* an answer after it is late; 0: none is stated */
 	bool returned;		   /* its caller was refused before */
 	struct placement placement;
-	int offers;	  /* to nodes */
-	int attempts;	  /* that reached a target */
-	int status;	  /* what the caller got, for the counters */
+	int offers;   /* to nodes */
+	int attempts; /* that reached a target */
+	int status;   /* what the caller got, for the counters */
+	enum verdict verdict;
+	uint64_t last_target;
+	char reason[64];  /* of an answer of the system's own */
 	int unsure;	  /* attempts that may have run */
 	bool body_used;	  /* bytes of a streamed body were sent: no repeat */
 	struct lock lock; /* LOCK_CALLS */
--- a/godwithitchd/main.c
+++ b/godwithitchd/main.c
@@ -331,8 +331,10 @@
 	logclient_stop(daemon->logclient);
 	logger_event(NOTE_DAEMON_STOPPED, "pid=%d", (int)getpid());
 	/* Workers may be in calls that were cut; they end with the process. */
-	if (!whole)
+	if (!whole) {
+		logger_close();
 		_exit(EXIT_SUCCESS);
+	}
 	daemon_free(daemon);
 	logger_close();
 	return EXIT_SUCCESS;
@@ -350,11 +352,11 @@
 		g_error_free(error);
 		return EXIT_USAGE;
 	}
+	apr_initialize();
 	if (!check_only && !logger_open(settings.log_file)) {
 		fprintf(stderr, "godwithitchd: %s: can't be opened\n", settings.log_file);
 		status = EXIT_FAILURE;
 	} else if (!check_only) {
-		apr_initialize();
 		curl_global_init(CURL_GLOBAL_DEFAULT);
 		status = run(&settings);
 	}
