--- a/godwithitchd/main.c
+++ b/godwithitchd/main.c
@@ -206,9 +206,12 @@
 	daemon->next_point = (uint64_t)clock_now().wall_us;
 	if (!make_parts(daemon, error) || !bridge_start_ticking(daemon, error))
 		return NULL;
+	/* Workers look at all parts from their first tick on. */
+	if (!open_endpoints(daemon, error))
+		return NULL;
 	peers_start(daemon->peers);
 	workers_start(daemon->workers);
-	return open_endpoints(daemon, error) ? daemon : NULL;
+	return daemon;
 }
 
 static void print_address(char *out, size_t cap, uint32_t ip, uint16_t port)
--- a/regress/core/load_test.c
+++ b/regress/core/load_test.c
@@ -11,6 +11,8 @@
 enum { SLOTS = 4 };
 
 static apr_pool_t *pool;
+static GPtrArray *tickets; /* of the test that runs */
+static GPtrArray *admits;
 
 static struct ticket *ticket_new(enum traffic_class class, double now_s, double objective_s,
 				 double deadline_s)
@@ -23,6 +25,7 @@
 	ticket->concurrency_percent = 100;
 	ticket->objective = deadline_after(at_s(now_s), (int64_t)(objective_s * 1e6));
 	ticket->deadline = deadline_after(at_s(now_s), (int64_t)(deadline_s * 1e6));
+	g_ptr_array_add(tickets, ticket);
 	return ticket;
 }
 
@@ -31,13 +34,13 @@
 {
 	struct admit *admit = admit_new(pool);
 
+	g_ptr_array_add(admits, admit);
 	admit_set_slots(admit, SLOTS);
 	for (int i = 0; i < 50; i++) {
 		struct ticket *ticket = ticket_new(CLASS_BACKGROUND, 0, 1, 2);
 
 		assert_int_equal(admit_offer(admit, ticket, at_s(0)), ADMIT_RUN);
 		admit_done(admit, ticket, SLOT_SERVED, 100 * US_PER_MS);
-		g_free(ticket);
 	}
 	return admit;
 }
@@ -166,21 +169,20 @@
 /* Serves one call in each slot at once; every @p shed_each'th of them is shed instead. */
 static void serve_round(struct admit *admit, double now_s, int round, int shed_each)
 {
-	struct ticket *tickets[SLOTS] = { NULL };
+	struct ticket *running[SLOTS] = { NULL };
 	int count = 0;
 
 	for (int i = 0; i < SLOTS; i++) {
 		struct ticket *ticket = ticket_new(CLASS_BACKGROUND, now_s, 1, 2);
 
 		if (admit_offer(admit, ticket, at_s(now_s)) == ADMIT_RUN)
-			tickets[count++] = ticket;
+			running[count++] = ticket;
 	}
 	for (int i = 0; i < count; i++) {
 		bool shed = shed_each && (i + round) % shed_each == 0;
 
-		admit_done(admit, tickets[i], shed ? SLOT_SHED : SLOT_SERVED,
+		admit_done(admit, running[i], shed ? SLOT_SHED : SLOT_SERVED,
 			   shed ? 1000 : 100 * US_PER_MS);
-		g_free(tickets[i]);
 	}
 }
 
@@ -272,6 +274,14 @@
 	traffic_free(traffic);
 }
 
+static int tear_down(void **state)
+{
+	(void)state;
+	g_ptr_array_unref(admits);
+	g_ptr_array_unref(tickets);
+	return 0;
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -290,5 +300,7 @@
 
 	apr_initialize();
 	apr_pool_create(&pool, NULL);
-	return cmocka_run_group_tests(tests, NULL, NULL);
+	tickets = g_ptr_array_new_with_free_func(g_free);
+	admits = g_ptr_array_new_with_free_func((GDestroyNotify)admit_free);
+	return cmocka_run_group_tests(tests, NULL, tear_down);
 }
