--- a/core/node_calls.c
+++ b/core/node_calls.c
@@ -36,6 +36,19 @@
 	return members_choose(node->members, &options, rng, now);
 }
 
+/* For a version without a target anywhere: what its move allows, or else whatever is there. Two
+ * verdicts that crossed leave some nodes with a version whose targets have ended. */
+static struct version_filter stand_in(struct node *node, const struct config *config,
+				      struct label service, struct version_filter version)
+{
+	const struct service *declared = config_find_service(config, service);
+
+	if (!moves_fallback_version(node->moves, service, &version, &version) &&
+	    declared->any_version)
+		version.kind = VERSION_ANY;
+	return version;
+}
+
 struct choice node_choose(struct node *node, const struct config *config,
 			  const struct call_facts *facts, struct instant now)
 {
@@ -57,7 +70,7 @@
 	if (!moves_choose_version(node->moves, config, service, facts->point, now, &version))
 		return choice;
 	if (members_version_targets(node->members, service, &version) == 0)
-		moves_fallback_version(node->moves, service, &version, &version);
+		version = stand_in(node, config, service, version);
 	choice.target = choose_target(node, facts, &version, &rng, now);
 	/* A version without a target here may have one in another data centre. */
 	if (choice.target == 0 && facts->where != CHOOSE_NEAR &&
--- a/regress/core/choice_test.c
+++ b/regress/core/choice_test.c
@@ -122,38 +122,57 @@
 	node_free(node);
 }
 
-static void test_a_version_without_any_target_is_stood_in_for(void **state)
+static void lose_member(struct node *node, uint64_t id, const char *data_centre)
 {
-	struct node *node = make_node();
-	struct move_state done = { .id = MOVE_ID, .step = MOVE_STEPS, .from = LABEL("v1") };
-
-	(void)state;
-	done.done_at_us = 1;
-	give_state(node, &done);
-	give_member(node, FAR_NEW, "b", "v2");
 	struct event event = { .kind = EVENT_MESSAGE };
-	struct member gone = { .id = FAR_NEW,
+	struct member gone = { .id = id,
 			       .incarnation = 2,
 			       .state = MEMBER_DEAD,
-			       .data_centre = LABEL("b"),
-			       .service = LABEL("s"),
-			       .version = LABEL("v2") };
+			       .data_centre = label_from(str_from_cstr(data_centre)),
+			       .service = LABEL("s") };
 
-	event.message.from = NEAR_OLD;
+	event.message.from = id;
 	event.message.message = message_new(MESSAGE_MEMBERS);
 	event.message.message->members = g_array_new(FALSE, FALSE, sizeof(gone));
 	g_array_append_val(event.message.message->members, gone);
 	handle(node, &event);
 	message_unref(event.message.message);
+}
+
+static void test_a_version_without_any_target_is_stood_in_for(void **state)
+{
+	struct node *node = make_node();
+	struct move_state done = { .id = MOVE_ID, .step = MOVE_STEPS, .from = LABEL("v1") };
+
+	(void)state;
+	done.done_at_us = 1;
+	give_state(node, &done);
+	lose_member(node, FAR_NEW, "b");
 	assert_int_equal(choose(node, CHOOSE_NEAR).target, NEAR_OLD);
 	node_free(node);
 }
 
+/* A node takes the version for withdrawn, but the move was done and its old targets ended. */
+static void test_a_crossed_verdict_refuses_nobody(void **state)
+{
+	struct node *node = make_node();
+	struct move_state withdrawn = { .id = MOVE_ID, .step = MOVE_STEPS, .from = LABEL("v1") };
+
+	(void)state;
+	withdrawn.withdrawn_at_us = 1;
+	give_state(node, &withdrawn);
+	assert_int_equal(choose(node, CHOOSE_FAR).kind, CHOICE_NO_TARGET);
+	lose_member(node, NEAR_OLD, "a");
+	assert_int_equal(choose(node, CHOOSE_FAR).target, FAR_NEW);
+	node_free(node);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_a_new_version_elsewhere_gets_its_share),
 		cmocka_unit_test(test_a_version_without_any_target_is_stood_in_for),
+		cmocka_unit_test(test_a_crossed_verdict_refuses_nobody),
 	};
 
 	apr_initialize();
