A shared outage ejects no target and hides no bad version

Every entry ejected target after target until none of a service was left for ten seconds, which failed the callers in turn; the old version's failures of the outage stayed in its long memory and excused the new version's own after it; and calls that the old version had no room for went to the version under trial.

Ruled out: a slow spread of the verdict (it was never reached), too few calls on the bad class (205 a second), the target's nodes telling the callers' connections of the target's own calls apart from those of clients (both come from the VM's address).

Change: only a target that stands out from its service is ejected, and half of them at most; newer counts of the old version cap what older ones excuse; while both versions fail no step opens and entries send the new version nothing, unless it fails less than the old one; no overflow to a version under trial; a route that the old version hardly served condemns nobody.

--- a/core/evidence.c
+++ b/core/evidence.c
@@ -12,9 +12,16 @@
 /* The old version's counts fade by this factor a second. */
 #define BASE_FADE 0.98
 /* Short memory of the old version, for faults that hit both. */
-#define RECENT_FADE	 0.7
+#define RECENT_FADE	 0.5 /* windows of the same second come a second apart at most */
 #define BASE_MIN_CALLS	 20.0
 #define RECENT_MIN_CALLS 5.0
+/* Failures that are expected of any version. */
+#define RATE_LEAST 0.005
+/* Where the old version fails this often, a fault is common to both and hides what the new one
+ * does by itself: an outage fails most calls, single lost answers a few per cent. */
+#define RATE_BLIND 0.15
+/* A new version that fails less than this part of the old one's rate has no part in the fault. */
+#define BLIND_PART 0.5
 
 /** One hypothesis test. */
 enum test_kind {
@@ -73,6 +80,9 @@
 	struct overall recent;
 	struct overall second;
 	struct overall paired; /* since the old version last began to get calls */
+	double new_calls;      /* of the new version, as short a memory as that of the old one */
+	double new_failures;
+	bool blind; /* both versions fail: what the new one does by itself does not show */
 	bool old_in_use;
 	uint64_t calls;
 };
@@ -196,6 +206,8 @@
 		return;
 	case EVIDENCE_NEW:
 		evidence->calls += window->calls;
+		evidence->new_calls += window->calls;
+		evidence->new_failures += window->failures + window->crashes;
 		g_array_append_vals(route->fresh, window, 1);
 		return;
 	}
@@ -214,6 +226,12 @@
 	return n > 0 ? fmin(1, (count + 1.5 * sqrt(count + 1)) / n) : 1;
 }
 
+/* What an older count says, unless newer calls show that it has become less since. */
+static double still(double older, double newer, double newer_n)
+{
+	return fmin(older, at_most(newer, newer_n));
+}
+
 static double sure_rate(double failures, double calls)
 {
 	return calls >= RECENT_MIN_CALLS ? surely(failures) / calls : 0;
@@ -223,14 +241,18 @@
  * so that a fault that has just begun for both is expected of the new one as well. */
 static double base_rate(const struct evidence *evidence, const struct route_evidence *route)
 {
-	double rate = 0.005;
+	const struct overall *recent = &evidence->recent;
+	double rate = at_most(route->base.failures, route->base.calls);
+	double paired = at_most(evidence->paired.failures, evidence->paired.calls);
 
 	if (route->base.calls >= BASE_MIN_CALLS)
 		rate = (route->base.failures + 0.5) / (route->base.calls + 1);
+	rate = still(rate, route->recent.failures, route->recent.calls);
+	rate = fmax(rate, RATE_LEAST);
 	rate = fmax(rate, sure_rate(route->recent.failures, route->recent.calls));
 	rate = fmax(rate, sure_rate(route->second.failures, route->second.calls));
-	rate = fmax(rate, sure_rate(evidence->recent.failures, evidence->recent.calls));
-	rate = fmax(rate, at_most(evidence->paired.failures, evidence->paired.calls));
+	rate = fmax(rate, sure_rate(recent->failures, recent->calls));
+	rate = fmax(rate, still(paired, recent->failures, recent->calls));
 	return fmax(rate, sure_rate(evidence->second.failures, evidence->second.calls));
 }
 
@@ -252,11 +274,13 @@
 static double shared_slowness(const struct evidence *evidence, const struct route_evidence *route,
 			      int bucket, enum test_kind kind)
 {
+	const struct overall *recent = &evidence->recent;
+	double paired = at_most(evidence->paired.above[kind], evidence->paired.answered);
 	double share =
 		fmax(share_above(&route->recent, bucket), share_above(&route->second, bucket));
 
-	share = fmax(share, overall_above(&evidence->recent, kind));
-	share = fmax(share, at_most(evidence->paired.above[kind], evidence->paired.answered));
+	share = fmax(share, overall_above(recent, kind));
+	share = fmax(share, still(paired, recent->above[kind], recent->answered));
 	return fmax(share, overall_above(&evidence->second, kind));
 }
 
@@ -443,6 +467,20 @@
 	return found;
 }
 
+/* A fault that both versions share leaves nothing to compare. Without calls it stays as it was. */
+static void judge_blindness(struct evidence *evidence)
+{
+	const struct overall *old = &evidence->recent;
+	double rate = sure_rate(old->failures, old->calls);
+
+	if (old->calls < RECENT_MIN_CALLS)
+		return;
+	if (rate < RATE_BLIND)
+		evidence->blind = false;
+	else if (evidence->new_calls >= RECENT_MIN_CALLS)
+		evidence->blind = evidence->new_failures >= BLIND_PART * rate * evidence->new_calls;
+}
+
 enum evidence_finding evidence_close(struct evidence *evidence, bool old_in_use,
 				     struct label *route)
 {
@@ -457,9 +495,12 @@
 	finding = find_paired(evidence, route);
 	if (finding == EVIDENCE_NONE && take_unpaired(evidence))
 		finding = EVIDENCE_UNPAIRED;
+	judge_blindness(evidence);
 	for (guint i = 0; i < evidence->routes->len; i++)
 		fade_route(g_ptr_array_index(evidence->routes, i));
 	overall_fade(&evidence->recent, RECENT_FADE);
+	evidence->new_calls *= RECENT_FADE;
+	evidence->new_failures *= RECENT_FADE;
 	evidence->second = (struct overall){ 0 };
 	return finding;
 }
@@ -484,6 +525,8 @@
 
 bool evidence_is_doubtful(const struct evidence *evidence)
 {
+	if (evidence->blind)
+		return true;
 	for (guint i = 0; i < evidence->routes->len; i++) {
 		const struct route_evidence *route = g_ptr_array_index(evidence->routes, i);
 
--- a/core/member_choice.c
+++ b/core/member_choice.c
@@ -10,7 +10,13 @@
 #define EJECT_BROKEN_STEP  4.0
 #define EJECT_THRESHOLD	   9.0
 #define EJECT_US	   (10 * US_PER_S)
-#define CLOSED_US	   (1 * US_PER_S)
+/* Part of a service's targets that may be ejected at once: the rest must carry the load. */
+#define EJECT_MOST 0.5
+/* A target is worse than its service if the others fail less than this part of what it does.
+ * Where all fail alike, load or a fault behind them is the cause, and fewer targets help nobody. */
+#define EJECT_OTHERS   0.5
+#define FAILING_WEIGHT 0.1 /* of one more call, in the smoothed failure rate */
+#define CLOSED_US      (1 * US_PER_S)
 
 bool version_matches(const struct version_filter *filter, const struct label *version)
 {
@@ -194,6 +200,46 @@
 	g_assert_not_reached();
 }
 
+static void note_failing(struct peer *peer, enum call_outcome outcome)
+{
+	switch (outcome) {
+	case CALL_ANSWERED:
+		peer->failing -= FAILING_WEIGHT * peer->failing;
+		return;
+	case CALL_FAILED:
+	case CALL_BROKEN:
+		peer->failing += FAILING_WEIGHT * (1 - peer->failing);
+		return;
+	case CALL_REFUSED:
+	case CALL_CLOSED:
+		return;
+	}
+	g_assert_not_reached();
+}
+
+/* Whether a target stands out from its service, and enough others are left without it. */
+static bool is_outlier(const struct members *members, const struct peer *peer, struct instant now)
+{
+	const GPtrArray *list = g_hash_table_lookup(members->by_service, &peer->record.service);
+	double failing = 0;
+	int live = 1;
+	int out = 1;
+
+	for (guint i = 0; list && i < list->len; i++) {
+		const struct peer *other = g_ptr_array_index(list, i);
+
+		if (other == peer || other->record.state != MEMBER_ALIVE ||
+		    other->record.slots == 0)
+			continue;
+		live++;
+		failing += other->failing;
+		out += other->contained_until.at_us &&
+		       !deadline_passed(other->contained_until, now);
+	}
+	return live > 1 && out <= EJECT_MOST * live &&
+	       failing / (live - 1) < EJECT_OTHERS * peer->failing;
+}
+
 bool members_call_ended(struct members *members, uint64_t id, enum call_outcome outcome,
 			bool may_eject, struct instant now)
 {
@@ -206,9 +252,10 @@
 		if (peer->in_flight > 0)
 			peer->in_flight--;
 		peer->evidence += evidence_step(outcome);
-		if (peer->evidence < 0)
-			peer->evidence = 0;
-		eject = may_eject && peer->evidence >= EJECT_THRESHOLD;
+		peer->evidence = CLAMP(peer->evidence, 0, EJECT_THRESHOLD);
+		note_failing(peer, outcome);
+		eject = may_eject && peer->evidence >= EJECT_THRESHOLD &&
+			is_outlier(members, peer, now);
 	}
 	/* Its own word, which no switch concerns; the membership tells soon for how long. */
 	if (peer && outcome == CALL_CLOSED)
--- a/core/member_table.h
+++ b/core/member_table.h
@@ -23,6 +23,7 @@
 	struct deadline busy_until; /* it had no free slot a moment ago */
 	int64_t busy_expected_us;
 	double evidence;
+	double failing; /* smoothed failure rate, by this node's calls */
 };
 
 struct members {
--- a/core/move.h
+++ b/core/move.h
@@ -107,6 +107,9 @@
 /** The version that stands in when the chosen one has no target; false if there is none. */
 bool moves_fallback_version(struct moves *moves, struct label service,
 			    const struct version_filter *version, struct version_filter *fallback);
+/** Whether a version is the one that a move brings in. */
+bool moves_is_new_version(struct moves *moves, struct label service,
+			  const struct version_filter *version);
 /** How many of a version's @p targets take part while its move has opened a share only: so few
  *  that each of them is loaded as all will be. 0: all. */
 int moves_canaries(struct moves *moves, struct label service, const struct version_filter *version,
--- a/core/move_share.c
+++ b/core/move_share.c
@@ -12,12 +12,25 @@
 enum { CANARIES_MIN = 3 /* a single target that is broken condemns no version */ };
 /* An old version that fails this often as well shows a fault that both share. */
 #define CONTAIN_OLD_MAX 0.2
+/* Weight of one more call in the smoothed failure rates; the new version has few calls. */
+#define OLD_FAILING_WEIGHT 0.05
+#define NEW_FAILING_WEIGHT 0.2
+/* A new version that fails less than this part of the old one's rate is no part of the fault. */
+#define SHARED_PART 0.5
 
 bool move_is_rechecked(const struct move *move, struct instant now)
 {
 	return move->state.recheck_at_us && now.wall_us < move->state.recheck_at_us + RECHECK_US;
 }
 
+/* Both versions fail, so that nothing can be told of the new one: it gets no calls meanwhile. One
+ * that fails less than the old one may be what mends the fault, and goes on. */
+static bool is_suspended(const struct move *move)
+{
+	return move->old_failing >= CONTAIN_OLD_MAX &&
+	       move->new_failing >= SHARED_PART * move->old_failing;
+}
+
 /* Share of the old version that has gone over to the new one, hundredths of a per cent. */
 int move_moved_share(const struct move *move, struct instant now)
 {
@@ -25,6 +38,8 @@
 		return 0;
 	if (move->state.done_at_us)
 		return move_is_rechecked(move, now) ? SHARE_WHOLE - SHARE_RECHECK : SHARE_WHOLE;
+	if (is_suspended(move))
+		return 0;
 	return move_step_share(move->state.step);
 }
 
@@ -120,6 +135,22 @@
 	return found;
 }
 
+static bool is_new_version(const struct move *move, const struct version_filter *version)
+{
+	return move && version->kind == VERSION_IS && label_equal(&version->name, &move->spec.to);
+}
+
+bool moves_is_new_version(struct moves *moves, struct label service,
+			  const struct version_filter *version)
+{
+	bool is_new;
+
+	lock_acquire(&moves->lock);
+	is_new = is_new_version(moves_find_service(moves, &service), version);
+	lock_release(&moves->lock);
+	return is_new;
+}
+
 int moves_canaries(struct moves *moves, struct label service, const struct version_filter *version,
 		   int targets, struct instant now)
 {
@@ -128,7 +159,7 @@
 
 	lock_acquire(&moves->lock);
 	move = moves_find_service(moves, &service);
-	if (move && version->kind == VERSION_IS && label_equal(&version->name, &move->spec.to))
+	if (is_new_version(move, version))
 		share = move_moved_share(move, now);
 	lock_release(&moves->lock);
 	if (share >= SHARE_WHOLE || share == 0)
@@ -139,14 +170,17 @@
 void moves_note_call(struct moves *moves, struct label service, struct label version, bool failed,
 		     struct instant now)
 {
+	double failure = failed ? 1 : 0;
 	struct move *move;
 
 	lock_acquire(&moves->lock);
 	move = moves_find_service(moves, &service);
-	if (move && move_is_old(move, &version))
-		move->old_failing += 0.05 * ((failed ? 1.0 : 0.0) - move->old_failing);
-	else if (move && label_equal(&version, &move->spec.to))
+	if (move && move_is_old(move, &version)) {
+		move->old_failing += OLD_FAILING_WEIGHT * (failure - move->old_failing);
+	} else if (move && label_equal(&version, &move->spec.to)) {
+		move->new_failing += NEW_FAILING_WEIGHT * (failure - move->new_failing);
 		move->own_evidence += failed ? CONTAIN_FAILURE_STEP : -CONTAIN_SUCCESS_STEP;
+	}
 	if (move && move->own_evidence < 0)
 		move->own_evidence = 0;
 	if (move && move->own_evidence >= CONTAIN_THRESHOLD) {
@@ -165,7 +199,7 @@
 
 	lock_acquire(&moves->lock);
 	move = moves_find_service(moves, &service);
-	if (move && version->kind == VERSION_IS && label_equal(&version->name, &move->spec.to)) {
+	if (is_new_version(move, version)) {
 		*fallback = move_old_versions(&move->spec, &move->state);
 		found = true;
 	} else if (move && version->kind != VERSION_ANY && move->state.withdrawn_at_us == 0 &&
--- a/core/move_table.h
+++ b/core/move_table.h
@@ -23,6 +23,7 @@
 	int64_t step_seen_at_us;   /* wall clock, when this node learned of the current step */
 	double own_evidence;	   /* against the new version, by this node's own calls */
 	double old_failing;	   /* smoothed failure rate of the old version, likewise */
+	double new_failing;	   /* and of the new one */
 	bool held_told;
 	struct deadline contained_until;
 };
--- a/core/node_calls.c
+++ b/core/node_calls.c
@@ -72,8 +72,10 @@
 	if (members_version_targets(node->members, service, &version) == 0)
 		version = stand_in(node, config, service, version);
 	choice.target = choose_target(node, facts, &version, &rng, now);
-	/* A version without a target here may have one in another data centre. */
+	/* A version without a target here may have one in another data centre. What the old version
+	 * has no room for is not left to one under trial. */
 	if (choice.target == 0 && facts->where != CHOOSE_NEAR &&
+	    moves_is_new_version(node->moves, service, &version) &&
 	    moves_fallback_version(node->moves, service, &version, &version))
 		choice.target = choose_target(node, facts, &version, &rng, now);
 	if (choice.target == 0)
--- a/regress/core/choice_test.c
+++ b/regress/core/choice_test.c
@@ -167,12 +167,98 @@
 	node_free(node);
 }
 
+/* A call that the old version's targets have no room for is refused: a version under trial gets its
+ * share, not what is left over. */
+static void test_a_version_under_trial_takes_no_overflow(void **state)
+{
+	struct node *node = make_node();
+	struct move_state begun = { .id = MOVE_ID, .step = 3, .from = LABEL("v1") };
+	struct config *config = node_config(node);
+	struct call_facts facts = { .route = config_find_route(config, LABEL("r")),
+				    .point = 9000,
+				    .avoid = { NEAR_OLD },
+				    .avoid_count = 1 };
+
+	(void)state;
+	give_state(node, &begun);
+	assert_int_equal(node_choose(node, config, &facts, at_s(1)).kind, CHOICE_NO_TARGET);
+	config_unref(config);
+	node_free(node);
+}
+
+enum { FIRST_OF_NINE = 10, OF_NINE = 9 };
+
+static struct node *make_nine(void)
+{
+	struct node *node = make_node();
+
+	lose_member(node, FAR_NEW, "b");
+	lose_member(node, NEAR_OLD, "a");
+	for (uint64_t i = 0; i < OF_NINE; i++)
+		give_member(node, FIRST_OF_NINE + i, "a", "v1");
+	return node;
+}
+
+/* Targets that a hundred calls go to. */
+static int targets_in_use(struct node *node)
+{
+	bool used[FIRST_OF_NINE + OF_NINE] = { false };
+	int count = 0;
+
+	for (int i = 0; i < 100; i++)
+		used[choose(node, CHOOSE_ANYWHERE).target] = true;
+	for (uint64_t i = FIRST_OF_NINE; i < FIRST_OF_NINE + OF_NINE; i++)
+		count += used[i];
+	return count;
+}
+
+static void end_calls(struct node *node, uint64_t target, int count, enum call_outcome outcome)
+{
+	struct actions actions = actions_new();
+
+	for (int i = 0; i < count; i++)
+		node_call_ended(node, LABEL("s"), target, outcome, at_s(1), &actions);
+	actions_clear(&actions);
+}
+
+/*
+ * The load of argyris-cat trouble-1, seed 1095237517527: a service that all targets call is out, so
+ * that all fail. Ejected one after the other, they served nobody for ten seconds, and what called
+ * them failed in turn.
+ */
+static void test_a_fault_of_all_targets_ejects_none(void **state)
+{
+	struct node *node = make_nine();
+
+	(void)state;
+	for (int round = 0; round < 20; round++)
+		for (uint64_t i = 0; i < OF_NINE; i++)
+			end_calls(node, FIRST_OF_NINE + i, 1, CALL_FAILED);
+	assert_int_equal(targets_in_use(node), OF_NINE);
+	node_free(node);
+}
+
+static void test_a_target_that_stands_out_is_ejected(void **state)
+{
+	struct node *node = make_nine();
+
+	(void)state;
+	end_calls(node, FIRST_OF_NINE, 10, CALL_FAILED);
+	assert_int_equal(targets_in_use(node), OF_NINE - 1);
+	end_calls(node, FIRST_OF_NINE + 1, 10, CALL_BROKEN);
+	assert_int_equal(targets_in_use(node), OF_NINE - 2);
+	node_free(node);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_a_new_version_elsewhere_gets_its_share),
 		cmocka_unit_test(test_a_version_without_any_target_is_stood_in_for),
 		cmocka_unit_test(test_a_crossed_verdict_refuses_nobody),
+		cmocka_unit_test(test_a_version_under_trial_takes_no_overflow),
+		cmocka_unit_test(test_a_fault_of_all_targets_ejects_none),
+		cmocka_unit_test(test_a_target_that_stands_out_is_ejected),
 	};
 
 	apr_initialize();
--- a/regress/core/move_test.c
+++ b/regress/core/move_test.c
@@ -309,6 +309,160 @@
 	assert_true(condemned <= 1);
 }
 
+/* One second of a route in which the old version serves 40 calls and the new one @p new_calls. */
+static void second_of(struct evidence *evidence, struct rng *rng, double old_fails,
+		      double new_fails, int new_calls)
+{
+	struct evidence_window old = { .route = LABEL("r"), .target = 1 };
+
+	for (int i = 0; i < 40; i++)
+		add_call(&old, rng, old_fails, 1);
+	evidence_add(evidence, EVIDENCE_OLD, &old);
+	for (int t = 0; t < 3 && new_calls; t++) {
+		struct evidence_window new = { .route = LABEL("r"),
+					       .target = 10 + (uint64_t)t,
+					       .targets = 3 };
+
+		for (int i = 0; i < new_calls / 3; i++)
+			add_call(&new, rng, new_fails, 1);
+		evidence_add(evidence, EVIDENCE_NEW, &new);
+	}
+}
+
+/* A move from v1 to v2 at its fifth step. */
+static struct moves *started_move(struct config **config)
+{
+	struct moves *moves = moves_new(pool);
+	struct move_state state = { .id = MOVES_PER_FILE, .step = 5, .from = LABEL("v1") };
+
+	*config = open_ended_config("v2", 1);
+	moves_configure(moves, *config);
+	moves_merge(moves, &state);
+	return moves;
+}
+
+/*
+ * The load of argyris-cat trouble-1, seed 878084651751: a service that both versions call is out
+ * for six seconds, and the new version fails a third of its calls by itself. Few calls meet it
+ * meanwhile. Once the outage is over, the old version's failures of then excuse nothing: it is
+ * taken back within five seconds of its 50th bad answer, one of them for the news to spread.
+ */
+static void test_an_outage_hides_a_bad_version_no_longer_than_it_lasts(void **state)
+{
+	(void)state;
+	for (uint64_t seed = 1; seed <= 100; seed++) {
+		struct evidence *evidence = evidence_new();
+		struct rng rng = { seed };
+		struct label route;
+		bool found = false;
+		double bad = 0;
+		int after = 0;
+
+		for (int s = 0; s < 10; s++) {
+			second_of(evidence, &rng, 0.002, 0, 0);
+			evidence_close(evidence, true, &route);
+		}
+		for (int s = 0; s < 6 && !found; s++) {
+			second_of(evidence, &rng, 0.7, 0.8, 6);
+			bad += 6 * 0.36;
+			found = evidence_close(evidence, true, &route) != EVIDENCE_NONE;
+			if (!found && s >= 1)
+				assert_true(evidence_is_doubtful(evidence));
+		}
+		for (; !found && after < 4; after += bad >= 50) {
+			second_of(evidence, &rng, 0.01, 0.36, 30);
+			bad += 30 * 0.36;
+			found = evidence_close(evidence, true, &route) != EVIDENCE_NONE;
+		}
+		assert_true(found);
+		evidence_free(evidence);
+	}
+}
+
+/* Calls on a route that the old version hardly served say nothing of the new one: they may fail
+ * whoever serves them. */
+static void test_a_route_without_comparison_condemns_nobody(void **state)
+{
+	struct evidence *evidence = evidence_new();
+	struct rng rng = { 1 };
+	struct label route;
+
+	(void)state;
+	for (int s = 0; s < 20; s++) {
+		second_of(evidence, &rng, 0.002, 0.002, 9);
+		for (int t = 0; t < 2 && s >= 10 && s < 13; t++) {
+			struct evidence_window rare = { .route = LABEL("rare"),
+							.target = 10 + (uint64_t)t,
+							.targets = 3,
+							.calls = 1,
+							.failures = 1 };
+
+			evidence_add(evidence, EVIDENCE_NEW, &rare);
+		}
+		assert_int_equal(evidence_close(evidence, true, &route), EVIDENCE_NONE);
+	}
+	evidence_free(evidence);
+}
+
+static int share_of_new(struct moves *moves, const struct config *config)
+{
+	struct version_filter version;
+	int calls = 0;
+
+	for (uint64_t point = 0; point < 10000; point++) {
+		moves_choose_version(moves, config, LABEL("s"), point, at_s(20), &version);
+		calls += version.kind == VERSION_IS && label_is(&version.name, STR("v2"));
+	}
+	return calls;
+}
+
+static void note_calls(struct moves *moves, const char *version, int count, bool failed)
+{
+	for (int i = 0; i < count; i++)
+		moves_note_call(moves, LABEL("s"), label_from(str_from_cstr(version)), failed,
+				at_s(20));
+}
+
+/* While both versions fail at this entry no call meets the new one; the move goes on once the
+ * outage is over. */
+static void test_an_outage_suspends_a_move_at_its_entry(void **state)
+{
+	struct config *config;
+	struct moves *moves = started_move(&config);
+
+	(void)state;
+	note_calls(moves, "v1", 60, true);
+	note_calls(moves, "v2", 6, true);
+	assert_int_equal(share_of_new(moves, config), 0);
+	note_calls(moves, "v1", 60, false);
+	assert_int_equal(share_of_new(moves, config), move_step_share(5));
+	moves_free(moves);
+	config_unref(config);
+}
+
+/* A version that is brought in because the old one fails gets its share. */
+static void test_a_version_that_mends_the_old_one_goes_on(void **state)
+{
+	struct evidence *evidence = evidence_new();
+	struct config *config;
+	struct moves *moves = started_move(&config);
+	struct rng rng = { 7 };
+	struct label route;
+
+	(void)state;
+	note_calls(moves, "v1", 60, true);
+	note_calls(moves, "v2", 6, false);
+	assert_int_equal(share_of_new(moves, config), move_step_share(5));
+	moves_free(moves);
+	config_unref(config);
+	for (int s = 0; s < 20; s++) {
+		second_of(evidence, &rng, 0.7, 0.01, 15);
+		assert_int_equal(evidence_close(evidence, true, &route), EVIDENCE_NONE);
+		assert_false(evidence_is_doubtful(evidence));
+	}
+	evidence_free(evidence);
+}
+
 /* One broken target among several is no bad version; two are. */
 static void test_one_broken_target(void **state)
 {
@@ -363,6 +517,10 @@
 		cmocka_unit_test(test_a_first_share_goes_to_three_targets),
 		cmocka_unit_test(test_sequential_tests),
 		cmocka_unit_test(test_shared_fault),
+		cmocka_unit_test(test_an_outage_hides_a_bad_version_no_longer_than_it_lasts),
+		cmocka_unit_test(test_a_route_without_comparison_condemns_nobody),
+		cmocka_unit_test(test_an_outage_suspends_a_move_at_its_entry),
+		cmocka_unit_test(test_a_version_that_mends_the_old_one_goes_on),
 		cmocka_unit_test(test_one_broken_target),
 		cmocka_unit_test(test_shares_add_up_at_each_step),
 	};
