Editions travel between nodes as what has changed in them

In a storm of an edition every 0.2 s the links stood full for seconds: nodes got editions up to 4 s late, calls on the same links were given up as silent.

--- a/core/config.c
+++ b/core/config.c
@@ -151,6 +151,11 @@
 	g_free(change);
 }
 
+struct change *change_superseded(struct label id, struct label file)
+{
+	return change_new(id, file, CHANGE_SUPERSEDED_BASE, STR(""));
+}
+
 struct accepted_file *accepted_file_new(struct label name, int64_t version, struct change *change)
 {
 	struct accepted_file *file = g_new0(struct accepted_file, 1);
--- a/core/config.h
+++ b/core/config.h
@@ -160,6 +160,8 @@
 };
 
 struct change *change_new(struct label id, struct label file, int64_t base, struct str content);
+/** Stands for a record that a later one replaces: only its offset counts. */
+struct change *change_superseded(struct label id, struct label file);
 struct change *change_ref(struct change *change);
 void change_unref(struct change *change);
 
--- a/core/history.c
+++ b/core/history.c
@@ -1,27 +1,10 @@
-#include "core/history.h"
+/*
+ * Judgement of the records in offset order.
+ */
+#include "core/history_table.h"
 
 #include <string.h>
 
-#include "base/lockorder.h"
-
-enum {
-	KEPT_RECORDS = 256,
-	KEPT_BYTES = 4 << 20,
-};
-
-struct kept {
-	int64_t offset;
-	struct change *change;
-	struct judgement judgement;
-};
-
-struct history {
-	struct lock lock;
-	struct config *config;
-	GQueue *kept; /* struct kept, oldest first, contiguous up to config->version */
-	size_t kept_bytes;
-};
-
 struct str judgement_name(enum judgement_kind kind)
 {
 	switch (kind) {
@@ -75,6 +58,7 @@
 		return;
 	config_unref(history->config);
 	g_queue_free_full(history->kept, kept_free);
+	delta_unref(history->last_delta.delta);
 	lock_destroy(&history->lock);
 	g_free(history);
 }
@@ -191,8 +175,8 @@
 	return judge_content(config, offset, change, judgement);
 }
 
-static void keep(struct history *history, int64_t offset, struct change *change,
-		 const struct judgement *judgement)
+void history_keep(struct history *history, int64_t offset, struct change *change,
+		  const struct judgement *judgement)
 {
 	struct kept *kept = g_new0(struct kept, 1);
 
@@ -235,7 +219,7 @@
 		next = config_at(history->config, offset);
 	config_unref(history->config);
 	history->config = next;
-	keep(history, offset, change, &judgement);
+	history_keep(history, offset, change, &judgement);
 	lock_release(&history->lock);
 	return judgement;
 }
@@ -260,55 +244,6 @@
 	return version;
 }
 
-/* Whether a later change replaces the whole file, so that this one has no effect any more. */
-static bool is_replaced(const GList *at)
-{
-	const struct kept *kept = at->data;
-
-	for (const GList *later = at->next; later; later = later->next) {
-		const struct kept *other = later->data;
-
-		if (other->change->base == CHANGE_ANY_BASE &&
-		    other->judgement.kind == JUDGED_ACCEPTED &&
-		    label_equal(&other->change->file, &kept->change->file))
-			return true;
-	}
-	return false;
-}
-
-static struct change *to_pass_on(const GList *at)
-{
-	const struct kept *kept = at->data;
-
-	if (!is_replaced(at))
-		return change_ref(kept->change);
-	return change_new(kept->change->id, kept->change->file, CHANGE_SUPERSEDED_BASE, STR(""));
-}
-
-int history_since(struct history *history, int64_t have, struct change_record *records)
-{
-	const struct kept *oldest;
-	int count = 0;
-
-	lock_acquire(&history->lock);
-	oldest = g_queue_peek_head(history->kept);
-	if (have < history->config->version && (!oldest || oldest->offset > have + 1)) {
-		lock_release(&history->lock);
-		return -1;
-	}
-	for (GList *at = history->kept->head; at && count < HISTORY_PULL_MAX; at = at->next) {
-		const struct kept *kept = at->data;
-
-		if (kept->offset <= have)
-			continue;
-		records[count].offset = kept->offset;
-		records[count].change = to_pass_on(at);
-		count++;
-	}
-	lock_release(&history->lock);
-	return count;
-}
-
 bool history_import(struct history *history, GPtrArray *files, int64_t version, int64_t accepted)
 {
 	struct config *next = config_build(files, version, accepted, NULL);
@@ -322,9 +257,13 @@
 
 		history->config = next;
 		next = old;
-		g_queue_free_full(history->kept, kept_free);
-		history->kept = g_queue_new();
-		history->kept_bytes = 0;
+		if (history_can_bridge(old, history->config)) {
+			history_bridge(history, old, history->config);
+		} else {
+			g_queue_free_full(history->kept, kept_free);
+			history->kept = g_queue_new();
+			history->kept_bytes = 0;
+		}
 		taken = true;
 	}
 	lock_release(&history->lock);
--- a/core/history.h
+++ b/core/history.h
@@ -9,6 +9,7 @@
 #include <apr_pools.h>
 
 #include "core/config.h"
+#include "core/delta.h"
 
 enum judgement_kind {
 	JUDGED_ACCEPTED,
@@ -32,8 +33,12 @@
 struct change_record {
 	int64_t offset;
 	struct change *change;
+	struct delta *delta; /**< owned; that of the file's content, for a peer that holds .base
+				of it; NULL: only the whole will do */
 };
 
+void change_record_clear(struct change_record *record);
+
 struct history;
 
 /** Starts at version 0 with an empty configuration. */
@@ -53,10 +58,17 @@
 enum { HISTORY_PULL_MAX = 32 };
 
 /**
- * Gives up to HISTORY_PULL_MAX records after @p have, each with a reference for the caller.
- * Returns -1 if they are no longer kept, so that a snapshot is needed. Takes LOCK_HISTORY.
+ * Gives up to HISTORY_PULL_MAX records after @p have, each for the caller to clear; large files
+ * come with what has changed in them since, unless @p whole. Returns -1 if they are no longer kept,
+ * so that a snapshot is needed. Takes LOCK_HISTORY.
+ */
+int history_since(struct history *history, int64_t have, bool whole, struct change_record *records);
+
+/**
+ * Puts the whole content in place of deltas. Returns how many records, from the first on, are whole
+ * then; a delta for an edition that is not kept here ends them. Takes LOCK_HISTORY.
  */
-int history_since(struct history *history, int64_t have, struct change_record *records);
+int history_complete(struct history *history, struct change_record *records, int count);
 
 /**
  * Takes a snapshot in place of all records up to its version, unless the table is as new.
--- a/core/message.c
+++ b/core/message.c
@@ -84,7 +84,7 @@
 		return;
 	case MESSAGE_RECORDS:
 		for (int i = 0; i < message->records.count; i++)
-			change_unref(message->records.records[i].change);
+			change_record_clear(&message->records.records[i]);
 		g_free(message->records.records);
 		return;
 	case MESSAGE_SNAPSHOT:
--- a/core/message.h
+++ b/core/message.h
@@ -83,7 +83,11 @@
 			uint32_t seq;
 			uint64_t subject;
 		} ping_request;
-		int64_t version; /**< ADVERT: newest held; PULL: newest held by the asker */
+		int64_t version; /**< ADVERT: newest held */
+		struct {
+			int64_t have; /**< newest held by the asker */
+			bool whole;   /**< it lacks the editions that deltas are for */
+		} pull;
 		struct {
 			int64_t newest; /**< that the sender holds */
 			int count;
--- a/core/node.c
+++ b/core/node.c
@@ -148,7 +148,7 @@
 		config_on_advert(node, from, message->version, now, out);
 		return;
 	case MESSAGE_PULL:
-		config_on_pull(node, from, message->version, out);
+		config_on_pull(node, from, message, out);
 		return;
 	case MESSAGE_RECORDS:
 		config_on_records(node, from, message, now, out);
--- a/core/node.h
+++ b/core/node.h
@@ -36,6 +36,10 @@
 void node_handle(struct node *node, const struct event *event, struct instant now,
 		 struct actions *out);
 
+/** Completes a message that came from a peer: what it tells as a change of something that this node
+ *  holds becomes whole, for the parser. */
+void node_complete(struct node *node, struct message *message);
+
 /** The configuration in force; the caller owns a reference. */
 struct config *node_config(struct node *node);
 /** True once the node holds the newest configuration that it could learn of. */
--- a/core/node_config.c
+++ b/core/node_config.c
@@ -64,7 +64,10 @@
 	    !begin_pull(node, from, newest, now))
 		return;
 	message = message_new(MESSAGE_PULL);
-	message->version = have;
+	message->pull.have = have;
+	lock_acquire(&node->spread.lock);
+	message->pull.whole = node->spread.pull.whole;
+	lock_release(&node->spread.lock);
 	actions_send(out, from, message);
 }
 
@@ -212,7 +215,8 @@
 	g_ptr_array_unref(parts);
 }
 
-void config_on_pull(struct node *node, uint64_t from, int64_t have, struct actions *out)
+void config_on_pull(struct node *node, uint64_t from, const struct message *pull,
+		    struct actions *out)
 {
 	struct change_record records[HISTORY_PULL_MAX];
 	struct message *message;
@@ -226,7 +230,7 @@
 		actions_send(out, from, message);
 		return;
 	}
-	count = history_since(node->history, have, records);
+	count = history_since(node->history, pull->pull.have, pull->pull.whole, records);
 	if (count < 0) {
 		send_snapshot(node, from, out);
 		return;
@@ -294,8 +298,25 @@
 	node_tell_some(node, message, out);
 }
 
+void node_complete(struct node *node, struct message *message)
+{
+	int whole;
+
+	if (message->kind != MESSAGE_RECORDS)
+		return;
+	whole = history_complete(node->history, message->records.records, message->records.count);
+	for (int i = whole; i < message->records.count; i++)
+		change_record_clear(&message->records.records[i]);
+	if (whole < message->records.count) {
+		lock_acquire(&node->spread.lock);
+		node->spread.pull.whole = true;
+		lock_release(&node->spread.lock);
+	}
+	message->records.count = whole;
+}
+
 /* Ends the pull from a peer and tells whether somebody is known to have more. */
-static uint64_t end_pull(struct node *node, uint64_t from, int64_t *newest)
+static uint64_t end_pull(struct node *node, uint64_t from, bool moved, int64_t *newest)
 {
 	struct pull_state *pull = &node->spread.pull;
 	int64_t have = history_version(node->history);
@@ -304,9 +325,11 @@
 	lock_acquire(&node->spread.lock);
 	if (pull->from == from)
 		pull->from = 0;
+	if (moved)
+		pull->whole = false;
 	if (pull->known_newest <= have)
 		pull->far_at = (struct deadline){ 0 };
-	if (pull->known_newest > have) {
+	if (pull->known_newest > have && (moved || pull->whole)) {
 		next = pull->known_from;
 		*newest = pull->known_newest;
 	}
@@ -326,14 +349,14 @@
 		       struct actions *out)
 {
 	int64_t newest = 0;
-	uint64_t next = end_pull(node, from, &newest);
+	uint64_t next = end_pull(node, from, moved, &newest);
 
 	if (moved) {
 		config_advertise(node, out);
 		if (node_is_current(node))
 			gather(node, now);
 	}
-	if (next && moved)
+	if (next)
 		pull_from(node, next, newest, now, out);
 }
 
--- a/core/node_parts.h
+++ b/core/node_parts.h
@@ -64,6 +64,7 @@
 	int64_t known_newest;
 	uint64_t known_from;
 	struct deadline far_at; /* until then a node of the own data centre may have it as well */
+	bool whole;		/* a delta was for an edition that is not held here */
 };
 
 enum boot_phase {
@@ -196,7 +197,8 @@
 		      struct instant now, struct actions *out);
 void config_on_advert(struct node *node, uint64_t from, int64_t version, struct instant now,
 		      struct actions *out);
-void config_on_pull(struct node *node, uint64_t from, int64_t have, struct actions *out);
+void config_on_pull(struct node *node, uint64_t from, const struct message *message,
+		    struct actions *out);
 void config_on_records(struct node *node, uint64_t from, const struct message *message,
 		       struct instant now, struct actions *out);
 void config_on_snapshot(struct node *node, uint64_t from, const struct snapshot_part *part,
--- a/godwithitchd/main.c
+++ b/godwithitchd/main.c
@@ -69,6 +69,7 @@
 	struct serve *serve;
 
 	if (event->kind == PEER_MESSAGE) {
+		node_complete(daemon->node, event->message.message);
 		parse_message(event->message.message);
 		message.message.from = event->message.from;
 		message.message.message = event->message.message;
--- a/peer/codec.c
+++ b/peer/codec.c
@@ -27,15 +27,26 @@
 	pack_members(out, probe->members);
 }
 
+/* Of a file that the asker has an edition of, only what has changed. */
+static void pack_record(msgpack_packer *out, const struct change_record *record)
+{
+	msgpack_pack_array(out, record->delta ? 3 : 2);
+	msgpack_pack_int64(out, record->offset);
+	if (record->delta) {
+		pack_change_head(out, record->change);
+		pack_delta(out, record->delta);
+	} else {
+		pack_change(out, record->change);
+	}
+}
+
 static void pack_records(msgpack_packer *out, const struct message *message)
 {
 	msgpack_pack_array(out, 2);
 	msgpack_pack_int64(out, message->records.newest);
 	msgpack_pack_array(out, (size_t)message->records.count);
 	for (int i = 0; i < message->records.count; i++) {
-		msgpack_pack_array(out, 2);
-		msgpack_pack_int64(out, message->records.records[i].offset);
-		pack_change(out, message->records.records[i].change);
+		pack_record(out, &message->records.records[i]);
 	}
 }
 
@@ -127,10 +138,14 @@
 		msgpack_pack_uint64(out, message->ping_request.subject);
 		return;
 	case MESSAGE_ADVERT:
-	case MESSAGE_PULL:
 		msgpack_pack_array(out, 1);
 		msgpack_pack_int64(out, message->version);
 		return;
+	case MESSAGE_PULL:
+		msgpack_pack_array(out, 2);
+		msgpack_pack_int64(out, message->pull.have);
+		msgpack_pack_int(out, message->pull.whole);
+		return;
 	case MESSAGE_RECORDS:
 		pack_records(out, message);
 		return;
@@ -227,12 +242,13 @@
 		struct unpack one = unpack_inner(&list);
 		int64_t offset = unpack_i64(&one);
 		struct change *change = unpack_change(&one);
+		struct delta *delta = one.left ? unpack_delta(&one) : NULL;
 
 		list.bad |= one.bad;
 		if (!change)
 			break;
-		message->records.records[message->records.count].offset = offset;
-		message->records.records[message->records.count++].change = change;
+		message->records.records[message->records.count++] =
+			(struct change_record){ offset, change, delta };
 	}
 	in->bad |= list.bad;
 }
@@ -322,9 +338,12 @@
 		message->ping_request.subject = unpack_u64(in);
 		return;
 	case MESSAGE_ADVERT:
-	case MESSAGE_PULL:
 		message->version = unpack_i64(in);
 		return;
+	case MESSAGE_PULL:
+		message->pull.have = unpack_i64(in);
+		message->pull.whole = unpack_int(in, 1);
+		return;
 	case MESSAGE_RECORDS:
 		unpack_records(in, message);
 		return;
--- a/peer/pack.c
+++ b/peer/pack.c
@@ -45,13 +45,49 @@
 		pack_member(out, &g_array_index(members, struct member, i));
 }
 
-void pack_change(msgpack_packer *out, const struct change *change)
+static void pack_change_with(msgpack_packer *out, const struct change *change, struct str content)
 {
 	msgpack_pack_array(out, 4);
 	pack_label(out, &change->id);
 	pack_label(out, &change->file);
 	msgpack_pack_int64(out, change->base);
-	pack_str(out, change->content);
+	pack_str(out, content);
+}
+
+void pack_change(msgpack_packer *out, const struct change *change)
+{
+	pack_change_with(out, change, change->content);
+}
+
+void pack_change_head(msgpack_packer *out, const struct change *change)
+{
+	pack_change_with(out, change, STR(""));
+}
+
+static void pack_piece(msgpack_packer *out, const struct piece *piece)
+{
+	switch (piece->kind) {
+	case PIECE_COPY:
+		msgpack_pack_array(out, 2);
+		msgpack_pack_uint64(out, piece->copy.at);
+		msgpack_pack_uint64(out, piece->copy.len);
+		return;
+	case PIECE_TEXT:
+		msgpack_pack_array(out, 1);
+		pack_str(out, piece->text);
+		return;
+	}
+	g_assert_not_reached();
+}
+
+void pack_delta(msgpack_packer *out, const struct delta *delta)
+{
+	msgpack_pack_array(out, 3);
+	msgpack_pack_int64(out, delta->base);
+	msgpack_pack_uint64(out, delta->hash);
+	msgpack_pack_array(out, delta->pieces->len);
+	for (guint i = 0; i < delta->pieces->len; i++)
+		pack_piece(out, &g_array_index(delta->pieces, struct piece, i));
 }
 
 void pack_state(msgpack_packer *out, const struct move_state *state)
@@ -288,6 +324,41 @@
 	return in->bad ? NULL : change_new(id, file, base, content);
 }
 
+static struct piece unpack_piece(struct unpack *in)
+{
+	struct unpack inner = unpack_inner(in);
+	struct piece piece = { .kind = inner.left == 1 ? PIECE_TEXT : PIECE_COPY };
+
+	switch (piece.kind) {
+	case PIECE_TEXT:
+		piece.text = str_dup(unpack_str(&inner));
+		break;
+	case PIECE_COPY:
+		piece.copy.at = unpack_u64(&inner);
+		piece.copy.len = unpack_u64(&inner);
+		break;
+	}
+	in->bad |= inner.bad;
+	return piece;
+}
+
+struct delta *unpack_delta(struct unpack *in)
+{
+	struct unpack inner = unpack_inner(in);
+	int64_t base = unpack_i64(&inner);
+	uint64_t hash = unpack_u64(&inner);
+	struct unpack list = unpack_inner(&inner);
+	GArray *pieces = delta_new_pieces();
+
+	while (list.left && !list.bad) {
+		struct piece piece = unpack_piece(&list);
+
+		g_array_append_val(pieces, piece);
+	}
+	in->bad |= inner.bad || list.bad;
+	return delta_new(base, hash, pieces);
+}
+
 void unpack_state(struct unpack *in, struct move_state *state)
 {
 	struct unpack inner = unpack_inner(in);
--- a/peer/pack.h
+++ b/peer/pack.h
@@ -17,6 +17,9 @@
 void pack_label(msgpack_packer *out, const struct label *label);
 void pack_members(msgpack_packer *out, const GArray *members);
 void pack_change(msgpack_packer *out, const struct change *change);
+/** Without its content, where a delta follows. */
+void pack_change_head(msgpack_packer *out, const struct change *change);
+void pack_delta(msgpack_packer *out, const struct delta *delta);
 void pack_state(msgpack_packer *out, const struct move_state *state);
 void pack_note(msgpack_packer *out, const struct claim_note *note);
 void pack_snapshot(msgpack_packer *out, const struct snapshot_part *part);
@@ -47,6 +50,8 @@
 GArray *unpack_members(struct unpack *in);
 /** Returns NULL if it is bad. */
 struct change *unpack_change(struct unpack *in);
+/** Never NULL. */
+struct delta *unpack_delta(struct unpack *in);
 void unpack_state(struct unpack *in, struct move_state *state);
 void unpack_note(struct unpack *in, struct claim_note *note);
 void unpack_snapshot(struct unpack *in, struct snapshot_part *part);
--- a/regress/peer/codec_test.c
+++ b/regress/peer/codec_test.c
@@ -69,6 +69,18 @@
 			  label_str(&text));
 }
 
+static struct delta *random_delta(struct rng *rng)
+{
+	GArray *pieces = delta_new_pieces();
+	struct label text = random_label(rng);
+	struct piece copy = { PIECE_COPY, { .copy = { rng_below(rng, 100), 5 } } };
+	struct piece own = { PIECE_TEXT, { .text = str_dup(label_str(&text)) } };
+
+	g_array_append_val(pieces, copy);
+	g_array_append_val(pieces, own);
+	return delta_new((int64_t)rng_below(rng, 100), rng_next(rng), pieces);
+}
+
 static void fill_snapshot(struct rng *rng, struct snapshot_part *part)
 {
 	part->version = (int64_t)rng_below(rng, 1000);
@@ -117,14 +129,22 @@
 		message->ping_request.subject = rng_next(rng);
 		break;
 	case MESSAGE_ADVERT:
-	case MESSAGE_PULL:
 		message->version = (int64_t)rng_below(rng, 1ULL << 40);
 		break;
+	case MESSAGE_PULL:
+		message->pull.have = (int64_t)rng_below(rng, 1ULL << 40);
+		message->pull.whole = rng_below(rng, 2);
+		break;
 	case MESSAGE_RECORDS:
 		message->records.count = 2;
 		message->records.records = g_new0(struct change_record, 2);
 		for (int i = 0; i < 2; i++)
 			message->records.records[i].change = random_change(rng);
+		/* Its content does not travel then. */
+		change_unref(message->records.records[1].change);
+		message->records.records[1].change =
+			change_superseded(random_label(rng), random_label(rng));
+		message->records.records[1].delta = random_delta(rng);
 		break;
 	case MESSAGE_SNAPSHOT:
 		fill_snapshot(rng, &message->snapshot);
