Large answers to other nodes leave at the pace of the VM's link

Change: a pace of 0.85 of the link's rate with 60 ms in its queue; small bodies go past it. The setting link_mbps comes from the platform's settings.

--- /dev/null
+++ b/core/pace.c
@@ -0,0 +1,26 @@
+#include "core/pace.h"
+
+#include <glib.h>
+
+/* Of the link's rate; the rest is for callers, other answers and control. */
+#define PACE_PART 0.85
+/* What may stand in the link's queue; a heartbeat that waits behind it is still in good time. */
+#define PACE_QUEUE_US (60 * US_PER_MS)
+
+enum { SMALL_BYTES = 8 << 10 /* an answer up to this goes past the large ones */ };
+
+struct pace pace_of_link(double mbps)
+{
+	return (struct pace){ .bytes_per_s = (int64_t)(PACE_PART * mbps * 1e6 / 8) };
+}
+
+int64_t pace_take(struct pace *pace, uint64_t before, size_t bytes, struct instant now)
+{
+	int64_t free_at_us = MAX(pace->free_at.at_us, now.mono_us);
+	int64_t wait_us = free_at_us - now.mono_us - PACE_QUEUE_US;
+
+	if (pace->bytes_per_s == 0)
+		return 0;
+	pace->free_at.at_us = free_at_us + (int64_t)bytes * US_PER_S / pace->bytes_per_s;
+	return before + bytes > SMALL_BYTES ? MAX(wait_us, 0) : 0;
+}
--- a/godwithitchd/daemon.h
+++ b/godwithitchd/daemon.h
@@ -10,6 +10,7 @@
 #include "base/workers.h"
 #include "caller/http.h"
 #include "core/node.h"
+#include "core/pace.h"
 #include "core/registration.h"
 #include "godwithitchd/settings.h"
 #include "operator/control.h"
@@ -39,6 +40,7 @@
 	gint log_jobs;	  /* appends and short reads of the log under way */
 	gint serving;	  /* calls at the own target, queued ones included */
 	struct lock lock; /* LOCK_CALLS: all below */
+	struct pace pace; /* of large answers to other nodes */
 	struct deadline announced_until;
 	struct registration registration; /* of the target on this VM */
 	struct deadline discover_at;	  /* 0: not before it is needed again */
--- a/godwithitchd/main.c
+++ b/godwithitchd/main.c
@@ -196,6 +196,7 @@
 	apr_pool_create(&daemon->pool, NULL);
 	lock_init(&daemon->lock, LOCK_CALLS, daemon->pool);
 	daemon->metrics = metrics_new(daemon->pool);
+	daemon->pace = pace_of_link(settings->link_mbps);
 	daemon->dialect =
 		settings->interface == INTERFACE_PLATFORM ? &dialect_platform : &dialect_own;
 	daemon->target = target_new(daemon->dialect, daemon->pool);
--- a/godwithitchd/serve.c
+++ b/godwithitchd/serve.c
@@ -297,9 +297,36 @@
 	return good;
 }
 
+/* Waits until the VM's link has room for a part of a large answer; false if the call is given up.
+ */
+static bool wait_pace(struct serve *serve, size_t bytes)
+{
+	struct daemon *daemon = serve->daemon;
+	struct deadline go_at;
+	int64_t wait_us;
+
+	lock_acquire(&daemon->lock);
+	wait_us = pace_take(&daemon->pace, serve->sent.length, bytes, clock_now());
+	lock_release(&daemon->lock);
+	if (wait_us == 0)
+		return true;
+	go_at = deadline_after(clock_now(), wait_us);
+	lock_acquire(&serve->lock);
+	for (;;) {
+		struct instant now = clock_now();
+
+		if (g_atomic_int_get(&serve->cancelled) || deadline_passed(go_at, now) ||
+		    deadline_passed(serve->ticket.deadline, now))
+			break;
+		lock_wait(&serve->lock, serve->changed, deadline_left_us(go_at, now));
+	}
+	lock_release(&serve->lock);
+	return !g_atomic_int_get(&serve->cancelled);
+}
+
 static bool send_body(struct serve *serve, struct str bytes)
 {
-	if (!wait_credit(serve))
+	if (!wait_credit(serve) || !wait_pace(serve, bytes.len))
 		return false;
 	wire_put_data(&serve->frames, serve->sink.stream.id, &serve->sent, bytes);
 	lock_acquire(&serve->lock);
--- a/godwithitchd/settings.c
+++ b/godwithitchd/settings.c
@@ -19,6 +19,7 @@
 #define STOP_MAX_US	    (86400 * US_PER_S)
 #define ANNOUNCE_TTL_MAX_US (60 * US_PER_S)
 #define RETRY_RATIO_DEFAULT 0.1 /* the load that repeats may add when all goes wrong */
+#define LINK_MAX_MBPS	    1e6 /* a terabit: more is a slip of the pen */
 #define RETRY_SLACK_DEFAULT 0
 
 struct reader {
@@ -189,7 +190,8 @@
 	       take_seconds(r, STR("stop_notice_s"), STOP_MAX_US, 0, &s->stop_notice_us) &&
 	       take_seconds(r, STR("announce_ttl_s"), ANNOUNCE_TTL_MAX_US, 0,
 			    &s->announce_ttl_us) &&
-	       take_real(r, STR("retry_ratio"), 1, &s->retry_ratio);
+	       take_real(r, STR("retry_ratio"), 1, &s->retry_ratio) &&
+	       take_real(r, STR("link_mbps"), LINK_MAX_MBPS, &s->link_mbps);
 }
 
 static bool take_numbers(struct reader *r)
--- a/godwithitchd/settings.h
+++ b/godwithitchd/settings.h
@@ -39,6 +39,7 @@
 	int64_t announce_ttl_us; /**< an announcement that does not say so holds this long */
 	double retry_ratio;	 /**< repeats for each call of a service, over the whole fleet */
 	int64_t retry_slack; /**< and this many more at once, over the whole fleet; 0: 50 a node */
+	double link_mbps;    /**< of this VM, megabits a second; 0: no bound on large answers */
 	int64_t workers;
 	int64_t connections;
 	int64_t connections_per_address;
--- /dev/null
+++ b/regress/core/pace_test.c
@@ -0,0 +1,76 @@
+/* Large bodies on a small link. */
+#include "regress/lib/check.h"
+
+#include <glib.h>
+
+#include "core/pace.h"
+
+/* A link of 11 Mbit/s: 90 KB take 77 ms at the pace's share of it. */
+#define LINK_MBPS 11.0
+
+enum { DOWNLOAD_BYTES = 90000, CHUNK_BYTES = 4096 };
+
+static int64_t send_body(struct pace *pace, int bytes, int64_t now_us)
+{
+	struct instant now = { .mono_us = now_us };
+	int64_t last_us = now_us;
+
+	for (int sent = 0; sent < bytes; sent += CHUNK_BYTES) {
+		now.mono_us = last_us;
+		last_us += pace_take(pace, (uint64_t)sent, (size_t)MIN(bytes - sent, CHUNK_BYTES),
+				     now);
+	}
+	return last_us;
+}
+
+/* Ten downloads at once leave at the link's pace, one after the other, not all into its queue. */
+static void test_downloads_leave_at_the_pace_of_the_link(void **state)
+{
+	struct pace pace = pace_of_link(LINK_MBPS);
+	int64_t last_us = 0;
+
+	(void)state;
+	for (int i = 0; i < 10; i++)
+		last_us = send_body(&pace, DOWNLOAD_BYTES, 1);
+	assert_true(last_us > 600 * US_PER_MS);
+	assert_true(last_us < 900 * US_PER_MS);
+}
+
+static void test_a_small_answer_does_not_wait(void **state)
+{
+	struct pace pace = pace_of_link(LINK_MBPS);
+
+	(void)state;
+	for (int i = 0; i < 10; i++)
+		send_body(&pace, DOWNLOAD_BYTES, 1);
+	assert_int_equal(pace_take(&pace, 0, 1500, (struct instant){ .mono_us = 1 }), 0);
+}
+
+static void test_one_download_hardly_waits(void **state)
+{
+	struct pace pace = pace_of_link(LINK_MBPS);
+
+	(void)state;
+	assert_true(send_body(&pace, DOWNLOAD_BYTES, 1) < 20 * US_PER_MS);
+}
+
+static void test_without_a_bound_nothing_waits(void **state)
+{
+	struct pace pace = pace_of_link(0);
+
+	(void)state;
+	for (int i = 0; i < 1000; i++)
+		assert_int_equal(send_body(&pace, DOWNLOAD_BYTES, 1), 1);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_downloads_leave_at_the_pace_of_the_link),
+		cmocka_unit_test(test_a_small_answer_does_not_wait),
+		cmocka_unit_test(test_one_download_hardly_waits),
+		cmocka_unit_test(test_without_a_bound_nothing_waits),
+	};
+
+	return cmocka_run_group_tests_name("core/pace", tests, NULL, NULL);
+}
