--- a/core/node_log.c
+++ b/core/node_log.c
@@ -294,13 +294,15 @@
 	read_log(node, now, out);
 }
 
-/* Backs off with jitter. Takes nothing; LOCK_SPREAD is held. */
-static void back_off(struct spread_state *spread, struct instant now)
+/* Backs off with jitter. Only a log that answers feels the load and is left alone ever longer; one
+ * that is out is found again soon. LOCK_SPREAD is held. */
+static void back_off(struct spread_state *spread, enum log_failure failure, struct instant now)
 {
 	int64_t jitter_us = (int64_t)rng_below(&spread->rng, (uint64_t)spread->log.retry_us);
 
 	spread->log.retry_at = deadline_after(now, spread->log.retry_us / 2 + jitter_us);
-	spread->log.retry_us = MIN(spread->log.retry_us * 2, LOG_RETRY_MAX_US);
+	if (failure == LOG_FAILURE_LIMITED)
+		spread->log.retry_us = MIN(spread->log.retry_us * 2, LOG_RETRY_MAX_US);
 }
 
 void log_on_failed(struct node *node, const struct event *event, struct instant now,
@@ -311,7 +313,7 @@
 
 	lock_acquire(&spread->lock);
 	spread->log.reading[event->failed.stream] = false;
-	back_off(spread, now);
+	back_off(spread, event->failed.failure, now);
 	switch (event->failed.failure) {
 	case LOG_FAILURE_OUT:
 		newly_out = !spread->log.out;
@@ -361,7 +363,7 @@
 
 	lock_acquire(&spread->lock);
 	if (!done)
-		back_off(spread, now);
+		back_off(spread, LOG_FAILURE_LIMITED, now);
 	if (!forget_saved(spread, tag, done) && done && tag == spread->snapshot_tag) {
 		written = spread->snapshot_pending_version;
 		spread->snapshot_version = MAX(spread->snapshot_version, written);
--- a/regress/godwithitchd/platform_test.c
+++ b/regress/godwithitchd/platform_test.c
@@ -368,6 +368,29 @@
 	fleet_log_fault(fleet, "out=0");
 }
 
+/* All nodes start while the store is silent, so that none can ask another. They serve within two
+ * seconds of its return: what was asked into the silence is asked again by then. */
+static void test_a_silent_store_is_found_again_soon(void **state)
+{
+	struct deadline until;
+
+	(void)state;
+	fleet_log_fault(fleet, "silent=1");
+	for (int i = 0; i < NODES; i++)
+		process_kill(&fleet->nodes[i].daemon);
+	for (int i = 0; i < NODES; i++)
+		fleet_restart_node(fleet, i);
+	for (int i = 0; i < NODES; i++)
+		beat(i, "ready");
+	wait_ms(2800);
+	fleet_log_fault(fleet, "silent=0");
+	until = deadline_after(clock_now(), 2 * US_PER_S);
+	for (int i = 0; i < NODES; i++)
+		assert_int_equal(wait_status(i, "/a/x", 200), 200);
+	assert_false(deadline_passed(until, clock_now()));
+	assert_true(fleet_wait_live(fleet, NODES, WAIT_MS));
+}
+
 static void test_a_leaving_target_gets_nothing_new(void **state)
 {
 	(void)state;
@@ -407,6 +430,7 @@
 		cmocka_unit_test(test_the_newest_configuration_is_in_force),
 		cmocka_unit_test(test_a_forgotten_history_is_read_as_newest),
 		cmocka_unit_test(test_a_restart_without_the_store),
+		cmocka_unit_test(test_a_silent_store_is_found_again_soon),
 		cmocka_unit_test(test_a_leaving_target_gets_nothing_new),
 		cmocka_unit_test(test_a_stop_finishes_what_it_took),
 	};
--- a/regress/storeservice.c
+++ b/regress/storeservice.c
@@ -1,7 +1,8 @@
 /*
  * Stand-in of the platform's store, by the calls that docs/PLATFORM.md names, for topics of one
  * partition, with faults that tests switch:
- *   POST /fault?out=0|1&deaf=0|1&lose=N&forget=1
+ *   POST /fault?out=0|1&silent=0|1&deaf=0|1&lose=N&forget=1
+ * silent: what is asked meanwhile is not answered, also when it is over;
  * deaf: reads fail, appends are taken; the next N appends take effect unanswered; forget drops the
  * history, but not the newest record of each key.
  * Prints "port N" when it listens; ends with its standard input.
@@ -17,7 +18,11 @@
 
 #include "base/str.h"
 
-enum { BODY_MAX = 2 << 20, LENGTH_BYTES = 4 };
+enum {
+	BODY_MAX = 2 << 20,
+	LENGTH_BYTES = 4,
+	SILENT_S = 8, /* whoever asked into the silence gets nothing, also when it is over */
+};
 
 struct topic {
 	GPtrArray *records; /* GBytes: key's length, key, value; NULL once forgotten */
@@ -28,6 +33,7 @@
 static GCond changed;
 static GHashTable *topics;
 static bool out;
+static bool silent;
 static bool deaf; /* reads fail, appends are taken */
 static int64_t lose;
 
@@ -203,6 +209,7 @@
 {
 	g_mutex_lock(&mutex);
 	out = number(connection, "out", out) != 0;
+	silent = number(connection, "silent", silent) != 0;
 	deaf = number(connection, "deaf", deaf) != 0;
 	lose = number(connection, "lose", lose);
 	if (number(connection, "forget", 0))
@@ -216,12 +223,19 @@
 				const GString *body)
 {
 	bool is_out;
+	bool was_silent;
+	gint64 silent_until = g_get_monotonic_time() + SILENT_S * G_USEC_PER_SEC;
 
 	if (strcmp(url, "/fault") == 0)
 		return on_fault(connection);
 	g_mutex_lock(&mutex);
+	was_silent = silent;
+	while (was_silent && g_get_monotonic_time() < silent_until)
+		g_cond_wait_until(&changed, &mutex, silent_until);
 	is_out = out;
 	g_mutex_unlock(&mutex);
+	if (was_silent)
+		return MHD_NO;
 	if (is_out)
 		return reply(connection, MHD_HTTP_SERVICE_UNAVAILABLE, NULL);
 	if (!argument(connection, "topic"))
