A bad version shows beside a fault that lasts

The sequential tests expect up to 1.3 times the old rate and look for twice of it, so that nothing showed, and the hold for a common fault looked at all routes together, where the failing one has 70% of the calls.

Ruled out: overflow to the new version (its share was that of the step), a late verdict.

Change: beside the tests, failures above those expected at the old version's rate of the same second add up for each route (Mantel-Haenszel) and condemn at five standard deviations, three without the worst target; a single route holds the steps.

test_a_bad_version_shows_beside_a_lasting_fault and test_a_fault_that_comes_and_goes_condemns_nobody fail on the code before.

--- a/core/evidence.c
+++ b/core/evidence.c
@@ -11,6 +11,15 @@
 #define TARGET_PART 0.6
 /* The old version's counts fade by this factor a second. */
 #define BASE_FADE 0.98
+/* Above this failure rate of the old version the excess is counted; below, the tests do better. */
+#define EXCESS_OLD_RATE 0.05
+/* Memory of the excess, a second: some 14 seconds. */
+#define EXCESS_FADE 0.93
+/* Standard deviations: chance comes to five about once in three million seconds, to three in 700.
+ */
+#define EXCESS_CONDEMNED    5.0
+#define EXCESS_DOUBT	    3.0
+#define EXCESS_MIN_FAILURES 10.0 /* fewer are not spread like the normal distribution */
 /* Short memory of the old version, for faults that hit both. */
 #define RECENT_FADE	 0.5 /* windows of the same second come a second apart at most */
 #define BASE_MIN_CALLS	 20.0
@@ -23,6 +32,8 @@
 /* A new version that fails less than this part of the old one's rate has no part in the fault. */
 #define BLIND_PART 0.5
 
+enum { SHARES_MAX = 8 /* targets that are told apart */ };
+
 /** One hypothesis test. */
 enum test_kind {
 	TEST_FAIL_SOME, /* fails a few per cent more */
@@ -40,8 +51,6 @@
 	double answered;
 };
 
-enum { SHARES_MAX = 8 };
-
 /** What each target added to the running sums, so that one alone does not decide. */
 struct target_share {
 	uint64_t target;
@@ -63,6 +72,24 @@
 	double above[TEST_COUNT]; /* calls slower than the quantile that a latency test uses */
 };
 
+/** What one target of the new version added to the excess. */
+struct target_excess {
+	uint64_t target;
+	double failures; /* above what is expected */
+	double variance;
+};
+
+/**
+ * Failures of the new version above what it would have if it failed like the old one in the same
+ * second, for times at which both fail (Mantel-Haenszel): a common fault that comes and goes adds
+ * nothing, however many calls the new version gets meanwhile.
+ */
+struct excess {
+	double seen; /* failures of the new version */
+	struct target_excess targets[SHARES_MAX];
+	int target_count;
+};
+
 struct route_evidence {
 	struct label route;
 	struct faded base;
@@ -70,6 +97,9 @@
 	struct faded second; /* of this second only */
 	struct tests tests;
 	struct tests unpaired;
+	struct excess excess;
+	double new_calls; /* of the new version, as short a memory as that of the old one */
+	double new_failures;
 	GArray *fresh; /* struct evidence_window of the new version, this second */
 };
 
@@ -80,8 +110,6 @@
 	struct overall recent;
 	struct overall second;
 	struct overall paired; /* since the old version last began to get calls */
-	double new_calls;      /* of the new version, as short a memory as that of the old one */
-	double new_failures;
 	bool blind; /* both versions fail: what the new one does by itself does not show */
 	bool old_in_use;
 	uint64_t calls;
@@ -206,8 +234,8 @@
 		return;
 	case EVIDENCE_NEW:
 		evidence->calls += window->calls;
-		evidence->new_calls += window->calls;
-		evidence->new_failures += window->failures + window->crashes;
+		route->new_calls += window->calls;
+		route->new_failures += window->failures + window->crashes;
 		g_array_append_vals(route->fresh, window, 1);
 		return;
 	}
@@ -217,7 +245,7 @@
 /* What of a count is more than chance: a single failure among few calls shows no shared fault. */
 static double surely(double count)
 {
-	return fmax(0, count - sqrt(count) - 0.5);
+	return fmax(0, count - 0.5 * sqrt(count) - 0.5);
 }
 
 /* An upper bound of a rate: a version that has only begun to get calls has the benefit of doubt. */
@@ -415,17 +443,90 @@
 	return finding;
 }
 
+static struct target_excess *excess_get(struct excess *excess, uint64_t target)
+{
+	for (int i = 0; i < excess->target_count; i++)
+		if (excess->targets[i].target == target)
+			return &excess->targets[i];
+	/* With more targets than places the last ones share one: they are no few canaries. */
+	if (excess->target_count == SHARES_MAX)
+		return &excess->targets[SHARES_MAX - 1];
+	excess->targets[excess->target_count].target = target;
+	return &excess->targets[excess->target_count++];
+}
+
+static void excess_add(struct route_evidence *route, const struct evidence_window *window)
+{
+	const struct faded *old = &route->recent;
+	double failures = window->failures + window->crashes;
+	double calls = fmax(window->calls, failures);
+	struct target_excess *own;
+	double rate;
+
+	if (old->calls < RECENT_MIN_CALLS || old->failures < EXCESS_OLD_RATE * old->calls)
+		return;
+	rate = (old->failures + failures) / (old->calls + calls);
+	own = excess_get(&route->excess, window->target);
+	route->excess.seen += failures;
+	own->failures += failures - rate * calls;
+	own->variance += rate * (1 - rate) * calls * old->calls / (old->calls + calls);
+}
+
+/* How many standard deviations the excess has, without that of one target; -1: with all. */
+static double excess_score(const struct excess *excess, int without)
+{
+	double failures = 0;
+	double variance = 0;
+
+	for (int i = 0; i < excess->target_count; i++) {
+		if (i == without)
+			continue;
+		failures += excess->targets[i].failures;
+		variance += excess->targets[i].variance;
+	}
+	return variance > 0 ? failures / sqrt(variance) : 0;
+}
+
+/* Whether the excess shows a bad version: one broken target alone does not. */
+static bool excess_condemns(const struct excess *excess)
+{
+	int worst = 0;
+
+	if (excess->seen < EXCESS_MIN_FAILURES || excess_score(excess, -1) < EXCESS_CONDEMNED)
+		return false;
+	for (int i = 1; i < excess->target_count; i++)
+		if (excess->targets[i].failures > excess->targets[worst].failures)
+			worst = i;
+	return excess_score(excess, worst) >= EXCESS_DOUBT;
+}
+
+static void excess_fade(struct excess *excess)
+{
+	excess->seen *= EXCESS_FADE;
+	for (int i = 0; i < excess->target_count; i++) {
+		excess->targets[i].failures *= EXCESS_FADE;
+		excess->targets[i].variance *= EXCESS_FADE;
+	}
+}
+
 static void judge_route(struct evidence *evidence, struct route_evidence *route)
 {
-	for (guint i = 0; i < route->fresh->len; i++)
-		judge_window(evidence, route,
-			     &g_array_index(route->fresh, struct evidence_window, i));
+	for (guint i = 0; i < route->fresh->len; i++) {
+		const struct evidence_window *window =
+			&g_array_index(route->fresh, struct evidence_window, i);
+
+		judge_window(evidence, route, window);
+		excess_add(route, window);
+	}
 	g_array_set_size(route->fresh, 0);
 }
 
 static void fade_route(struct route_evidence *route)
 {
 	faded_fade(&route->recent, RECENT_FADE);
+	route->new_calls *= RECENT_FADE;
+	route->new_failures *= RECENT_FADE;
+	excess_fade(&route->excess);
 	/* The long memory stands still without calls, to compare with after the move. */
 	if (route->second.calls > 0)
 		faded_fade(&route->base, BASE_FADE);
@@ -440,7 +541,8 @@
 	*route = (struct label){ 0 };
 	for (guint i = 0; i < evidence->routes->len; i++) {
 		const struct route_evidence *one = g_ptr_array_index(evidence->routes, i);
-		enum evidence_finding finding = find(&one->tests);
+		enum evidence_finding finding =
+			excess_condemns(&one->excess) ? EVIDENCE_FAILURES : find(&one->tests);
 
 		if (finding == EVIDENCE_NONE || worst == EVIDENCE_FAILURES)
 			continue;
@@ -467,18 +569,28 @@
 	return found;
 }
 
-/* A fault that both versions share leaves nothing to compare. Without calls it stays as it was. */
+/* Whether a fault that both versions share hides what the new one does on a route by itself. */
+static bool is_route_blind(const struct route_evidence *route, bool was_blind)
+{
+	double rate = sure_rate(route->recent.failures, route->recent.calls);
+
+	if (rate < RATE_BLIND)
+		return false;
+	if (route->new_calls < RECENT_MIN_CALLS)
+		return was_blind;
+	return route->new_failures >= BLIND_PART * rate * route->new_calls;
+}
+
+/* One route is enough: a version may be bad on it alone. Without calls it stays as it was. */
 static void judge_blindness(struct evidence *evidence)
 {
-	const struct overall *old = &evidence->recent;
-	double rate = sure_rate(old->failures, old->calls);
+	bool was_blind = evidence->blind;
 
-	if (old->calls < RECENT_MIN_CALLS)
+	if (evidence->recent.calls < RECENT_MIN_CALLS)
 		return;
-	if (rate < RATE_BLIND)
-		evidence->blind = false;
-	else if (evidence->new_calls >= RECENT_MIN_CALLS)
-		evidence->blind = evidence->new_failures >= BLIND_PART * rate * evidence->new_calls;
+	evidence->blind = false;
+	for (guint i = 0; i < evidence->routes->len && !evidence->blind; i++)
+		evidence->blind = is_route_blind(g_ptr_array_index(evidence->routes, i), was_blind);
 }
 
 enum evidence_finding evidence_close(struct evidence *evidence, bool old_in_use,
@@ -499,8 +611,6 @@
 	for (guint i = 0; i < evidence->routes->len; i++)
 		fade_route(g_ptr_array_index(evidence->routes, i));
 	overall_fade(&evidence->recent, RECENT_FADE);
-	evidence->new_calls *= RECENT_FADE;
-	evidence->new_failures *= RECENT_FADE;
 	evidence->second = (struct overall){ 0 };
 	return finding;
 }
@@ -530,7 +640,7 @@
 	for (guint i = 0; i < evidence->routes->len; i++) {
 		const struct route_evidence *route = g_ptr_array_index(evidence->routes, i);
 
-		if (is_doubtful(&route->tests))
+		if (is_doubtful(&route->tests) || excess_score(&route->excess, -1) >= EXCESS_DOUBT)
 			return true;
 	}
 	return is_doubtful(&evidence->whole);
--- a/regress/core/move_test.c
+++ b/regress/core/move_test.c
@@ -379,6 +379,60 @@
 	}
 }
 
+/*
+ * The load of argyris-cat trouble-1, seed 64516579: what both versions call fails a part of its
+ * calls for a long time, so that the old version fails a fifth, and the new one as many again by
+ * itself. It is taken back within five seconds of its 50th bad answer, one of them for the news.
+ */
+static void test_a_bad_version_shows_beside_a_lasting_fault(void **state)
+{
+	(void)state;
+	for (uint64_t seed = 1; seed <= 100; seed++) {
+		struct evidence *evidence = evidence_new();
+		struct rng rng = { seed };
+		struct label route;
+		bool found = false;
+		double bad = 0;
+		int after = 0;
+
+		for (int s = 0; s < 10; s++) {
+			second_of(evidence, &rng, 0.002, 0, 0);
+			evidence_close(evidence, true, &route);
+		}
+		for (; !found && after < 4; after += bad >= 50) {
+			second_of(evidence, &rng, 0.22, 0.42, 30);
+			bad += 30 * 0.2;
+			found = evidence_close(evidence, true, &route) != EVIDENCE_NONE;
+		}
+		assert_true(found);
+		evidence_free(evidence);
+	}
+}
+
+/* A common fault that comes and goes, while the new version's share grows, condemns nobody. */
+static void test_a_fault_that_comes_and_goes_condemns_nobody(void **state)
+{
+	int condemned = 0;
+
+	(void)state;
+	for (uint64_t seed = 1; seed <= 200; seed++) {
+		struct evidence *evidence = evidence_new();
+		struct rng rng = { seed };
+		struct label route;
+		bool found = false;
+
+		for (int s = 0; s < 60 && !found; s++) {
+			double fails = s / 5 % 2 ? 0.3 : 0.01;
+
+			second_of(evidence, &rng, fails, fails, 3 + s / 2);
+			found = evidence_close(evidence, true, &route) != EVIDENCE_NONE;
+		}
+		condemned += found;
+		evidence_free(evidence);
+	}
+	assert_true(condemned <= 1);
+}
+
 /* Calls on a route that the old version hardly served say nothing of the new one: they may fail
  * whoever serves them. */
 static void test_a_route_without_comparison_condemns_nobody(void **state)
@@ -518,6 +572,8 @@
 		cmocka_unit_test(test_sequential_tests),
 		cmocka_unit_test(test_shared_fault),
 		cmocka_unit_test(test_an_outage_hides_a_bad_version_no_longer_than_it_lasts),
+		cmocka_unit_test(test_a_bad_version_shows_beside_a_lasting_fault),
+		cmocka_unit_test(test_a_fault_that_comes_and_goes_condemns_nobody),
 		cmocka_unit_test(test_a_route_without_comparison_condemns_nobody),
 		cmocka_unit_test(test_an_outage_suspends_a_move_at_its_entry),
 		cmocka_unit_test(test_a_version_that_mends_the_old_one_goes_on),
