--- a/core/delta.c
+++ b/core/delta.c
@@ -160,25 +160,31 @@
 	return delta;
 }
 
+/* What a piece stands for; false if it goes beyond the old edition. */
+static bool piece_bytes(const struct piece *piece, struct str old, struct str *bytes)
+{
+	switch (piece->kind) {
+	case PIECE_COPY:
+		if (piece->copy.at > old.len || piece->copy.len > old.len - piece->copy.at)
+			return false;
+		*bytes = str_sub(old, piece->copy.at, piece->copy.len);
+		return true;
+	case PIECE_TEXT:
+		*bytes = piece->text;
+		return true;
+	}
+	g_assert_not_reached();
+}
+
 bool delta_apply(const struct delta *delta, struct str old, struct strbuf *out)
 {
 	size_t start = out->len;
 
 	for (guint i = 0; i < delta->pieces->len; i++) {
-		const struct piece *piece = &g_array_index(delta->pieces, struct piece, i);
-		struct str part = STR("");
-
-		switch (piece->kind) {
-		case PIECE_COPY:
-			if (piece->copy.at > old.len || piece->copy.len > old.len - piece->copy.at)
-				return false;
-			part = str_sub(old, piece->copy.at, piece->copy.len);
-			break;
-		case PIECE_TEXT:
-			part = piece->text;
-			break;
-		}
-		if (out->len - start + part.len > APPLIED_MAX)
+		struct str part;
+
+		if (!piece_bytes(&g_array_index(delta->pieces, struct piece, i), old, &part) ||
+		    out->len - start + part.len > APPLIED_MAX)
 			return false;
 		strbuf_add(out, part);
 	}
--- a/regress/peer/codec_test.c
+++ b/regress/peer/codec_test.c
@@ -112,6 +112,19 @@
 	return windows;
 }
 
+static void fill_records(struct rng *rng, struct message *message)
+{
+	message->records.count = 2;
+	message->records.records = g_new0(struct change_record, 2);
+	for (int i = 0; i < 2; i++)
+		message->records.records[i].change = random_change(rng);
+	/* Its content does not travel then. */
+	change_unref(message->records.records[1].change);
+	message->records.records[1].change =
+		change_superseded(random_label(rng), random_label(rng));
+	message->records.records[1].delta = random_delta(rng);
+}
+
 static struct message *random_message(struct rng *rng, enum message_kind kind)
 {
 	struct message *message = message_new(kind);
@@ -136,15 +149,7 @@
 		message->pull.whole = rng_below(rng, 2);
 		break;
 	case MESSAGE_RECORDS:
-		message->records.count = 2;
-		message->records.records = g_new0(struct change_record, 2);
-		for (int i = 0; i < 2; i++)
-			message->records.records[i].change = random_change(rng);
-		/* Its content does not travel then. */
-		change_unref(message->records.records[1].change);
-		message->records.records[1].change =
-			change_superseded(random_label(rng), random_label(rng));
-		message->records.records[1].delta = random_delta(rng);
+		fill_records(rng, message);
 		break;
 	case MESSAGE_SNAPSHOT:
 		fill_snapshot(rng, &message->snapshot);
