Soak: a loopback proxy before the log delays, resets, silences or cuts one way

Faults overlap now: while the connections to the log are harmed, a process is stopped, killed or paused, or the log is out.

--- a/regress/lib/fleet.c
+++ b/regress/lib/fleet.c
@@ -98,6 +98,7 @@
 	g_snprintf(keep, sizeof(keep), "%d", fleet->log_keep_s);
 	fleet->log = start(argv, &output, NULL);
 	fleet->log_port = read_port(output);
+	fleet->nodes_log_port = fleet->log_port;
 	g_free(program);
 	return fleet;
 }
@@ -174,8 +175,8 @@
 		"\"data_centre\": \"%s\", \"log\": \"http://127.0.0.1:%d\",\n"
 		"%s\n\"log_retention_s\": %d, \"log_file\": \"%s\",\n"
 		"\"seeds\": [%.*s], \"fleet\": [\"127.0.0.0/8\"] }\n",
-		node->data_centre, fleet->log_port, fleet->extra, fleet->log_keep_s, node->log_path,
-		STR_ARG(strbuf_str(&seeds)));
+		node->data_centre, fleet->nodes_log_port, fleet->extra, fleet->log_keep_s,
+		node->log_path, STR_ARG(strbuf_str(&seeds)));
 	fclose(file);
 	strbuf_clear(&seeds);
 }
--- a/regress/lib/fleet.h
+++ b/regress/lib/fleet.h
@@ -38,6 +38,7 @@
 	char bin[256];
 	struct process log;
 	int log_port;
+	int nodes_log_port; /**< where the nodes find it: a proxy's, or the same */
 	int log_keep_s;
 	int count;
 	struct fleet_node nodes[FLEET_NODES_MAX];
--- a/regress/soak.c
+++ b/regress/soak.c
@@ -1,7 +1,8 @@
 /*
  * Churn of targets, changes, moves and faults at once under load, with the invariants on: no read
  * fails but by the bad version, no key runs twice, versions never go back, memory and descriptors
- * stay flat.
+ * stay flat. Faults come from outside: signals to the processes, the log's stand-in, and a proxy
+ * between the nodes and the log that delays, resets, silences or cuts one way; some overlap.
  *   soak [-s SECONDS] [-r SEED] [-n NODES]
  */
 #include <curl/curl.h>
@@ -16,10 +17,12 @@
 #include "base/clock.h"
 #include "base/rng.h"
 #include "regress/lib/fleet.h"
+#include "regress/lib/proxy.h"
 
 enum { CALLERS = 6, SECONDS_DEFAULT = 600, NODES_DEFAULT = 12, FIXED = 4, PAUSE_MS = 10 };
 
 static struct fleet *fleet;
+static struct proxy *proxy; /* before the log */
 static int nodes = NODES_DEFAULT;
 static gint stop;
 static GMutex mutex;
@@ -189,12 +192,25 @@
 	return count;
 }
 
+static void one_fault(struct rng *rng);
+
+/* Harms the connections to the log, and something else goes wrong meanwhile. */
+static void harm_log(struct rng *rng)
+{
+	enum proxy_mode mode = PROXY_DELAY + (int)rng_below(rng, PROXY_MODES - PROXY_DELAY);
+
+	proxy_set(proxy, mode);
+	one_fault(rng);
+	wait_ms(500 + (int)rng_below(rng, 2000));
+	proxy_set(proxy, PROXY_PASS);
+}
+
 /* One seeded fault; the first FIXED nodes are left alone. */
 static void one_fault(struct rng *rng)
 {
 	int index = FIXED + (int)rng_below(rng, (uint64_t)(nodes - FIXED));
 
-	switch (rng_below(rng, 6)) {
+	switch (rng_below(rng, 9)) {
 	case 0:
 		restart(fleet, index, SIGKILL);
 		return;
@@ -212,9 +228,12 @@
 		wait_ms(1500);
 		fleet_log_fault(fleet, "out=0");
 		return;
-	default:
+	case 5:
 		fleet_log_fault(fleet, "lose_answers=2");
 		return;
+	default:
+		harm_log(rng);
+		return;
 	}
 }
 
@@ -237,6 +256,8 @@
 	char args[64];
 
 	fleet = fleet_new(0);
+	proxy = proxy_new(fleet->log_port);
+	fleet->nodes_log_port = proxy_port(proxy);
 	for (int i = 0; i < nodes; i++)
 		fleet_add_node(fleet, i % 2 ? "fes-b" : "fes-a");
 	for (int i = 0; i < nodes; i++) {
@@ -317,6 +338,7 @@
 	if (good < seconds * 20)
 		problem("too few calls", good, seconds);
 	fleet_free(fleet);
+	proxy_free(proxy);
 	printf("%s after %d s\n", problems ? "NOT as stated" : "all as stated", seconds);
 	return problems != 0;
 }
