A version that entries contain gets no further step

Change: where the old version has so many calls that the new one's share would be eight, and less than a quarter of it came, the interval does not do. The test fails on the code before.

--- a/core/evidence.c
+++ b/core/evidence.c
@@ -113,6 +113,7 @@
 	bool blind; /* both versions fail: what the new one does by itself does not show */
 	bool old_in_use;
 	uint64_t calls;
+	uint64_t old_calls;
 };
 
 static void route_evidence_free(gpointer data)
@@ -225,6 +226,7 @@
 
 	switch (side) {
 	case EVIDENCE_OLD:
+		evidence->old_calls += window->calls;
 		overall_add(&evidence->recent, route, window);
 		overall_add(&evidence->second, route, window);
 		overall_add(&evidence->paired, route, window);
@@ -620,9 +622,15 @@
 	return evidence->calls;
 }
 
+uint64_t evidence_old_calls(const struct evidence *evidence)
+{
+	return evidence->old_calls;
+}
+
 void evidence_reset_calls(struct evidence *evidence)
 {
 	evidence->calls = 0;
+	evidence->old_calls = 0;
 }
 
 static bool is_doubtful(const struct tests *tests)
--- a/core/evidence.h
+++ b/core/evidence.h
@@ -48,6 +48,8 @@
 /** Calls to the new version since the last evidence_reset_calls(). */
 uint64_t evidence_calls(const struct evidence *evidence);
 void evidence_reset_calls(struct evidence *evidence);
+/** Calls to the old version since then. */
+uint64_t evidence_old_calls(const struct evidence *evidence);
 /** True while a test is a quarter of the way to condemning, or the old version fails as well. */
 bool evidence_is_doubtful(const struct evidence *evidence);
 
--- a/core/move_coordinate.c
+++ b/core/move_coordinate.c
@@ -3,7 +3,13 @@
  */
 #include "core/move_table.h"
 
-enum { STEP_MIN_CALLS = 20 /* to the new version before the next step */ };
+enum {
+	STEP_MIN_CALLS = 20,	/* to the new version before the next step */
+	CONTAINED_EXPECTED = 8, /* calls; of fewer none may come by chance (once in 3,000) */
+};
+
+/* Cold targets and data centres without one get less than their share, but not that little. */
+#define CONTAINED_PART 0.25
 
 static enum withdraw_reason reason_of(enum evidence_finding finding)
 {
@@ -61,6 +67,18 @@
 	g_assert_not_reached();
 }
 
+/* Whether the new version gets far fewer calls than its share of the old one's: entries contain it
+ * by their own calls, and no evidence comes. */
+static bool is_contained(const struct move *move)
+{
+	double share = (double)move_step_share(move->state.step) / SHARE_WHOLE;
+	double old = (double)evidence_old_calls(move->evidence);
+	double expected = share < 1 ? old * share / (1 - share) : old;
+
+	return expected >= CONTAINED_EXPECTED &&
+	       (double)evidence_calls(move->evidence) < CONTAINED_PART * expected;
+}
+
 /*
  * Evidence is good enough after some calls without doubt. Where few calls come, waiting for them
  * would make the move late, so that an interval has to do.
@@ -75,6 +93,8 @@
 		return true;
 	if (move->evidence && evidence_calls(move->evidence) >= STEP_MIN_CALLS)
 		return true;
+	if (move->evidence && is_contained(move))
+		return false;
 	return dwell_us >= move_interval_us(&move->spec);
 }
 
--- a/regress/core/move_test.c
+++ b/regress/core/move_test.c
@@ -494,6 +494,53 @@
 	config_unref(config);
 }
 
+/* Whether a move at its fifth step goes on, with so many calls a second for each version: 5 or 6.
+ */
+static int step_reached(uint32_t old_calls, uint32_t new_calls)
+{
+	struct config *config;
+	struct moves *moves = started_move(&config);
+	struct move_surroundings around = { .second_ends = true,
+					    .may_advance = true,
+					    .may_withdraw = true,
+					    .new_targets = 4,
+					    .old_targets = 8,
+					    .main_version = LABEL("v1") };
+	int64_t start_us = 0;
+	int step = 0;
+
+	assert_true(clock_parse_utc(STR("2026-12-04T10:00:00Z"), &start_us));
+	for (int s = 1; s <= 20; s++) {
+		struct instant now = { s * US_PER_S, start_us + s * US_PER_S };
+		struct evidence_window old = {
+			.route = LABEL("r"), .target = 1, .targets = 8, .calls = old_calls
+		};
+		struct evidence_window new = {
+			.route = LABEL("r"), .target = 2, .targets = 4, .calls = new_calls
+		};
+
+		moves_add_evidence(moves, MOVES_PER_FILE, LABEL("v1"), &old);
+		moves_add_evidence(moves, MOVES_PER_FILE, LABEL("v2"), &new);
+		moves_coordinate(moves, MOVES_PER_FILE, &around, now);
+		step = moves_share(moves, MOVES_PER_FILE, now) > move_step_share(5) ? 6 : 5;
+	}
+	moves_free(moves);
+	config_unref(config);
+	return step;
+}
+
+/*
+ * Entries that contain a new version by their own calls send it nothing, so that no evidence comes.
+ * A move does not go on for that. Where the whole service has few calls it must.
+ */
+static void test_a_version_that_entries_contain_gets_no_further_step(void **state)
+{
+	(void)state;
+	assert_int_equal(step_reached(200, 0), 5);
+	assert_true(step_reached(200, 30) > 5);
+	assert_true(step_reached(1, 0) > 5);
+}
+
 /* A version that is brought in because the old one fails gets its share. */
 static void test_a_version_that_mends_the_old_one_goes_on(void **state)
 {
@@ -576,6 +623,7 @@
 		cmocka_unit_test(test_a_fault_that_comes_and_goes_condemns_nobody),
 		cmocka_unit_test(test_a_route_without_comparison_condemns_nobody),
 		cmocka_unit_test(test_an_outage_suspends_a_move_at_its_entry),
+		cmocka_unit_test(test_a_version_that_entries_contain_gets_no_further_step),
 		cmocka_unit_test(test_a_version_that_mends_the_old_one_goes_on),
 		cmocka_unit_test(test_one_broken_target),
 		cmocka_unit_test(test_shares_add_up_at_each_step),
