--- a/core/dialect.c
+++ b/core/dialect.c
@@ -1,6 +1,6 @@
 #include "core/dialect.h"
 
-enum { STATUS_UNAVAILABLE = 503, STATUS_TIMEOUT = 504 };
+enum { STATUS_NOT_FOUND = 404, STATUS_UNAVAILABLE = 503, STATUS_TIMEOUT = 504 };
 
 #define NAME(literal)                                                                              \
 	{                                                                                          \
@@ -14,4 +14,5 @@
 	.unsure_status = STATUS_UNAVAILABLE,
 	.late_status = STATUS_UNAVAILABLE,
 	.not_run_late_status = STATUS_TIMEOUT,
+	.no_configuration_status = STATUS_NOT_FOUND,
 };
--- a/core/dialect.h
+++ b/core/dialect.h
@@ -27,7 +27,8 @@
 	int unsure_status;	    /**< for "may have run" */
 	int late_status;	    /**< for "may have run" once the deadline passed */
 	int not_run_late_status;    /**< for "not run" then */
-	bool fractional_times;	    /**< callers read fractions of seconds */
+	int no_configuration_status; /**< for "not run" where no configuration is known yet */
+	bool fractional_times;	     /**< callers read fractions of seconds */
 };
 
 /** The product's own interface, docs/CALLERS.md and docs/TARGET-CONTRACT.md. */
--- a/godwithitchd/calls.c
+++ b/godwithitchd/calls.c
@@ -308,6 +308,18 @@
 	call->objective = deadline_after(now, call->route->objective_us - elapsed_us);
 }
 
+static void answer_no_route(struct call *call)
+{
+	if (!node_is_current(call->daemon->node))
+		call_answer(call, STATUS_UNAVAILABLE, VERDICT_NOT_RUN,
+			    STR("the node is not current yet"));
+	else if (call->config->accepted == 0)
+		call_answer(call, call->daemon->dialect->no_configuration_status, VERDICT_NOT_RUN,
+			    STR("the node has no configuration yet"));
+	else
+		call_answer(call, STATUS_NOT_FOUND, VERDICT_NOT_RUN, STR("no route matches"));
+}
+
 static void on_ready(struct daemon *daemon, struct caller_call *caller)
 {
 	struct call *call = call_new(daemon, caller);
@@ -322,12 +334,7 @@
 	call->route = config_match(call->config, caller_field(caller, STR("Host")),
 				   caller_method(caller), caller_target(caller));
 	if (!call->route) {
-		/* Only who holds a configuration can say that it has no such route. */
-		bool knows = node_is_current(daemon->node) && call->config->accepted > 0;
-
-		call_answer(call, knows ? STATUS_NOT_FOUND : STATUS_UNAVAILABLE, VERDICT_NOT_RUN,
-			    knows ? STR("no route matches")
-				  : STR("the node has no configuration yet"));
+		answer_no_route(call);
 		return;
 	}
 	call->tenant = label_from(tenant_text(call->route, caller));
