Choice: what serves and what is left alone are asked in one place each

A comment of node.h stood above the wrong function. Behaviour is as it was: choice, move, fleet and load tests pass.

--- a/core/member_choice.c
+++ b/core/member_choice.c
@@ -31,13 +31,24 @@
 	g_assert_not_reached();
 }
 
+/* Whether a target serves at all, as the fleet knows it. */
+static bool is_serving(const struct peer *peer)
+{
+	return peer->record.state == MEMBER_ALIVE && peer->record.slots > 0;
+}
+
+/* Whether this node leaves it alone for a while. */
+static bool is_contained(const struct peer *peer, struct instant now)
+{
+	return peer->contained_until.at_us && !deadline_passed(peer->contained_until, now);
+}
+
 static bool takes_work(const struct peer *peer, const struct choice_options *options,
 		       struct instant now)
 {
-	return peer->record.state == MEMBER_ALIVE && peer->record.slots > 0 &&
-	       version_matches(&options->version, &peer->record.version) &&
+	return is_serving(peer) && version_matches(&options->version, &peer->record.version) &&
 	       !members_holds(options->avoid, options->avoid_count, peer->record.id) &&
-	       (peer->contained_until.at_us == 0 || deadline_passed(peer->contained_until, now));
+	       !is_contained(peer, now);
 }
 
 /* What a moment ago was known of a target's free slots. */
@@ -136,7 +147,7 @@
 	for (guint i = 0; i < list->len && before < options->most; i++) {
 		const struct peer *other = g_ptr_array_index(list, i);
 
-		before += other->record.state == MEMBER_ALIVE && other->record.slots > 0 &&
+		before += is_serving(other) &&
 			  version_matches(&options->version, &other->record.version) &&
 			  rng_mix(other->record.id) < own;
 	}
@@ -228,13 +239,11 @@
 	for (guint i = 0; list && i < list->len; i++) {
 		const struct peer *other = g_ptr_array_index(list, i);
 
-		if (other == peer || other->record.state != MEMBER_ALIVE ||
-		    other->record.slots == 0)
+		if (other == peer || !is_serving(other))
 			continue;
 		live++;
 		failing += other->failing;
-		out += other->contained_until.at_us &&
-		       !deadline_passed(other->contained_until, now);
+		out += is_contained(other, now);
 	}
 	return live > 1 && out <= EJECT_MOST * live &&
 	       failing / (live - 1) < EJECT_OTHERS * peer->failing;
@@ -302,8 +311,7 @@
 	for (guint i = 0; list && i < list->len; i++) {
 		const struct peer *peer = g_ptr_array_index(list, i);
 
-		count += peer->record.state == MEMBER_ALIVE && peer->record.slots > 0 &&
-			 version_matches(version, &peer->record.version);
+		count += is_serving(peer) && version_matches(version, &peer->record.version);
 	}
 	return count;
 }
--- a/core/node.h
+++ b/core/node.h
@@ -86,10 +86,10 @@
 			  const struct call_facts *facts, struct instant now);
 /** A target that was chosen before takes the call after all; end with node_call_ended(). */
 void node_call_begins(struct node *node, uint64_t target);
-/** Notes how an attempt ended, as the entry node saw it. */
 /** What this entry has seen of each route. */
 struct traffic *node_traffic(struct node *node);
 
+/** Notes how an attempt ended, as the entry node saw it. */
 void node_call_ended(struct node *node, struct label service, uint64_t target,
 		     enum call_outcome outcome, struct instant now, struct actions *out);
 
