Log when a version is heard of, arrives, is pulled and is first used

A change that was in force late left one line a node, CHANGE_ACCEPTED, to the second. It could not be told whether the store or the readers were late, nor which of advert, pull, timeout, transfer and decoding took the time.

New events: VERSION_HEARD, CHANGES_ARRIVED (with the sender's newest version, bytes, wait and decoding time), VERSION_USED, PULL_STARTED, PULL_UNANSWERED, PULL_DELAYED, PLATFORM_LOG_EXPIRED, PLATFORM_LOG_LIMITED; CHANGE_ACCEPTED gets serial, way and behind_ms; lines carry milliseconds; the histogram godwithitch_change_decode_seconds. The logic is unchanged.

--- a/base/clock.c
+++ b/base/clock.c
@@ -83,13 +83,25 @@
 	return true;
 }
 
-void clock_format_utc(struct strbuf *out, int64_t wall_us)
+static void format_seconds(struct strbuf *out, int64_t wall_us)
 {
 	time_t seconds = wall_us / US_PER_S;
 	struct tm tm;
 	char text[32];
 
 	gmtime_r(&seconds, &tm);
-	strftime(text, sizeof(text), "%Y-%m-%dT%H:%M:%SZ", &tm);
+	strftime(text, sizeof(text), "%Y-%m-%dT%H:%M:%S", &tm);
 	strbuf_add(out, str_from_cstr(text));
 }
+
+void clock_format_utc(struct strbuf *out, int64_t wall_us)
+{
+	format_seconds(out, wall_us);
+	strbuf_add(out, STR("Z"));
+}
+
+void clock_format_utc_ms(struct strbuf *out, int64_t wall_us)
+{
+	format_seconds(out, wall_us);
+	strbuf_addf(out, ".%03lldZ", wall_us % US_PER_S / US_PER_MS);
+}
--- a/base/clock.h
+++ b/base/clock.h
@@ -35,5 +35,7 @@
 bool clock_parse_utc(struct str s, int64_t *wall_us);
 /** Appends @p wall_us in the format that clock_parse_utc() reads. */
 void clock_format_utc(struct strbuf *out, int64_t wall_us);
+/** As clock_format_utc(), with milliseconds. */
+void clock_format_utc_ms(struct strbuf *out, int64_t wall_us);
 
 #endif
--- a/base/events.h
+++ b/base/events.h
@@ -21,6 +21,12 @@
 	X(202, SNAPSHOT_LOADED, LOG_LEVEL_INFO)                                                    \
 	X(203, SNAPSHOT_WRITTEN, LOG_LEVEL_INFO)                                                   \
 	X(204, NODE_CURRENT, LOG_LEVEL_INFO)                                                       \
+	X(205, VERSION_HEARD, LOG_LEVEL_INFO)                                                      \
+	X(206, CHANGES_ARRIVED, LOG_LEVEL_INFO)                                                    \
+	X(207, VERSION_USED, LOG_LEVEL_INFO)                                                       \
+	X(208, PULL_STARTED, LOG_LEVEL_INFO)                                                       \
+	X(209, PULL_UNANSWERED, LOG_LEVEL_WARN)                                                    \
+	X(210, PULL_DELAYED, LOG_LEVEL_INFO)                                                       \
 	X(300, MEMBER_CHANGED, LOG_LEVEL_INFO)                                                     \
 	X(301, SUSPICION_REFUTED, LOG_LEVEL_WARN)                                                  \
 	X(302, READER_STARTED, LOG_LEVEL_INFO)                                                     \
@@ -41,6 +47,8 @@
 	X(600, PLATFORM_LOG_OUT, LOG_LEVEL_WARN)                                                   \
 	X(601, PLATFORM_LOG_BACK, LOG_LEVEL_INFO)                                                  \
 	X(602, PLATFORM_RECORD_BAD, LOG_LEVEL_ERROR)                                               \
+	X(603, PLATFORM_LOG_EXPIRED, LOG_LEVEL_INFO)                                               \
+	X(604, PLATFORM_LOG_LIMITED, LOG_LEVEL_WARN)                                               \
 	X(700, FRAME_BAD, LOG_LEVEL_WARN)                                                          \
 	X(701, LINK_SILENT, LOG_LEVEL_WARN)                                                        \
 	X(702, PEER_REFUSED, LOG_LEVEL_WARN)                                                       \
--- a/base/logger.c
+++ b/base/logger.c
@@ -88,7 +88,7 @@
 {
 	const struct event_entry *entry = find_entry(event);
 
-	clock_format_utc(out, clock_now().wall_us);
+	clock_format_utc_ms(out, clock_now().wall_us);
 	strbuf_addf(out, " %s %d %s %s\n", level_name(entry->level), (int)event, entry->name,
 		    fields);
 }
--- a/core/delta.c
+++ b/core/delta.c
@@ -212,6 +212,11 @@
 	g_array_unref(segments);
 }
 
+size_t delta_size(const struct delta *delta)
+{
+	return encoded_size(delta->segments);
+}
+
 struct delta *delta_new(int64_t base, uint64_t hash, GArray *segments)
 {
 	struct delta *delta = g_new0(struct delta, 1);
--- a/core/delta.h
+++ b/core/delta.h
@@ -39,6 +39,8 @@
 GArray *delta_new_segments(void);
 /** Frees segments that no delta owns. */
 void delta_free_segments(GArray *segments);
+/** Returns about the size of the encoded delta, in bytes. */
+size_t delta_size(const struct delta *delta);
 struct delta *delta_ref(struct delta *delta);
 void delta_unref(struct delta *delta);
 
--- a/core/node.c
+++ b/core/node.c
@@ -173,7 +173,7 @@
 		moves_on_evidence(node, message);
 		return;
 	case MESSAGE_RETRY:
-		config_on_retry(node, from, message->retry_after_us, now);
+		config_on_retry(node, from, message->retry_after_us, now, out);
 		return;
 	case MESSAGE_POISON:
 		calls_on_poison(node, &message->poison, now, out);
--- a/core/node_config.c
+++ b/core/node_config.c
@@ -7,6 +7,42 @@
 #define BOOT_PING_US	 (500 * US_PER_MS)
 #define MEMBERS_RETRY_US (1 * US_PER_S) /* after this time another peer is asked */
 
+/* Records that a version newer than the held one exists, and since when this node knows. */
+static void note_heard(struct node *node, uint64_t from, int64_t version, const char *way,
+		       struct instant now, struct actions *out)
+{
+	struct pull_state *pull = &node->gossip.pull;
+	int64_t held_version = history_version(node->history);
+	bool first;
+
+	if (version <= held_version)
+		return;
+	lock_acquire(&node->gossip.lock);
+	first = version > pull->heard_newest;
+	if (pull->heard_newest <= held_version)
+		pull->behind_since_us = now.mono_us;
+	if (first)
+		pull->heard_newest = version;
+	lock_release(&node->gossip.lock);
+	if (first)
+		actions_log_event(out, LOG_EVENT_VERSION_HEARD,
+				  "version=%ld held=%ld from=%lx way=%s", version, held_version,
+				  from, way);
+}
+
+/* Returns for how long this node knew of a newer version than it held; LOCK_GOSSIP is not held. */
+static int64_t behind_ms(struct node *node, int64_t old_version, struct instant now)
+{
+	struct pull_state *pull = &node->gossip.pull;
+	int64_t us = 0;
+
+	lock_acquire(&node->gossip.lock);
+	if (pull->heard_newest > old_version)
+		us = now.mono_us - pull->behind_since_us;
+	lock_release(&node->gossip.lock);
+	return us / US_PER_MS;
+}
+
 /* Records the newest known version and its holder; returns true if a pull from it starts now. */
 static bool begin_pull(struct node *node, uint64_t from, int64_t newest, struct instant now)
 {
@@ -69,6 +105,8 @@
 	lock_acquire(&node->gossip.lock);
 	message->pull.full = node->gossip.pull.need_full;
 	lock_release(&node->gossip.lock);
+	actions_log_event(out, LOG_EVENT_PULL_STARTED, "to=%lx held=%ld newest=%ld full=%d", from,
+			  held_version, newest, message->pull.full);
 	actions_send(out, from, message);
 }
 
@@ -128,25 +166,33 @@
 		record_current_peer(node, from, digest);
 		request_members(node, from, now, out);
 	}
+	note_heard(node, from, digest->version, "digest", now, out);
 	pull_from(node, from, digest->version, now, out);
 }
 
 void config_on_advert(struct node *node, uint64_t from, int64_t version, struct instant now,
 		      struct actions *out)
 {
+	note_heard(node, from, version, "advert", now, out);
 	pull_from(node, from, version, now, out);
 }
 
-void config_on_retry(struct node *node, uint64_t from, int64_t after_us, struct instant now)
+void config_on_retry(struct node *node, uint64_t from, int64_t after_us, struct instant now,
+		     struct actions *out)
 {
 	struct pull_state *pull = &node->gossip.pull;
+	bool delayed;
 
 	lock_acquire(&node->gossip.lock);
-	if (pull->from == from) {
+	delayed = pull->from == from;
+	if (delayed) {
 		pull->from = 0;
 		pull->not_before = deadline_after(now, after_us);
 	}
 	lock_release(&node->gossip.lock);
+	if (delayed)
+		actions_log_event(out, LOG_EVENT_PULL_DELAYED, "from=%lx after_ms=%lld", from,
+				  after_us / US_PER_MS);
 }
 
 static GPtrArray *new_files(void)
@@ -245,14 +291,29 @@
 	actions_send(out, from, message);
 }
 
+static const char *way_name(enum change_way way)
+{
+	switch (way) {
+	case CHANGE_FROM_LOG:
+		return "log";
+	case CHANGE_FROM_PEER:
+		return "peer";
+	}
+	g_assert_not_reached();
+}
+
 static void report_apply_result(const struct apply_result *result, const struct change *change,
+				const struct change_source *source, int64_t late_ms,
 				struct actions *out)
 {
 	switch (result->kind) {
 	case APPLY_ACCEPTED:
-		actions_log_event(out, LOG_EVENT_CHANGE_ACCEPTED, "offset=%ld file=%.*s id=%.*s",
+		actions_log_event(out, LOG_EVENT_CHANGE_ACCEPTED,
+				  "offset=%ld file=%.*s id=%.*s serial=%ld way=%s behind_ms=%ld",
 				  result->offset, STR_ARG(label_str(&change->file)),
-				  STR_ARG(label_str(&change->id)));
+				  STR_ARG(label_str(&change->id)),
+				  change->parsed ? change->parsed->serial : 0,
+				  way_name(source->way), late_ms);
 		return;
 	case APPLY_CONFLICT:
 	case APPLY_DUPLICATE:
@@ -277,8 +338,10 @@
 }
 
 bool config_apply_records(struct node *node, const struct change_record *records, int count,
+			  const struct change_source *source, struct instant now,
 			  struct actions *out)
 {
+	int64_t late_ms = behind_ms(node, history_version(node->history), now);
 	bool advanced = false;
 
 	for (int i = 0; i < count; i++) {
@@ -286,7 +349,7 @@
 			history_apply(node->history, records[i].offset, records[i].change);
 
 		advanced |= result.kind != APPLY_OUT_OF_ORDER;
-		report_apply_result(&result, records[i].change, out);
+		report_apply_result(&result, records[i].change, source, late_ms, out);
 	}
 	if (advanced)
 		configure_moves(node);
@@ -365,8 +428,9 @@
 void config_on_records(struct node *node, uint64_t from, const struct message *message,
 		       struct instant now, struct actions *out)
 {
-	bool advanced =
-		config_apply_records(node, message->records.records, message->records.count, out);
+	struct change_source source = { CHANGE_FROM_PEER, from };
+	bool advanced = config_apply_records(node, message->records.records, message->records.count,
+					     &source, now, out);
 
 	finish_pull(node, from, advanced, now, out);
 }
@@ -410,8 +474,11 @@
 }
 
 bool config_apply_snapshot_part(struct node *node, struct assembly *assembly,
-				const struct snapshot_part *part, struct actions *out)
+				const struct snapshot_part *part,
+				const struct change_source *source, struct instant now,
+				struct actions *out)
 {
+	int64_t late_ms = behind_ms(node, history_version(node->history), now);
 	GPtrArray *files;
 
 	moves_on_states(node, part->states, false, out);
@@ -421,15 +488,18 @@
 	if (!files || !history_import(node->history, files, part->version, part->accepted))
 		return false;
 	configure_moves(node);
-	actions_log_event(out, LOG_EVENT_SNAPSHOT_LOADED, "version=%ld parts=%d", part->version,
-			  part->count);
+	actions_log_event(out, LOG_EVENT_SNAPSHOT_LOADED,
+			  "version=%ld accepted=%ld parts=%d way=%s behind_ms=%ld", part->version,
+			  part->accepted, part->count, way_name(source->way), late_ms);
 	return true;
 }
 
 void config_on_snapshot(struct node *node, uint64_t from, const struct snapshot_part *part,
 			struct instant now, struct actions *out)
 {
-	if (config_apply_snapshot_part(node, &node->gossip.from_peer, part, out))
+	struct change_source source = { CHANGE_FROM_PEER, from };
+
+	if (config_apply_snapshot_part(node, &node->gossip.from_peer, part, &source, now, out))
 		finish_pull(node, from, true, now, out);
 }
 
@@ -440,6 +510,7 @@
 	struct rng rng = node_rng(node);
 	int64_t held_version = history_version(node->history);
 	int64_t newest = 0;
+	uint64_t unanswered = 0;
 	uint64_t peer = 0;
 	bool retry;
 
@@ -451,8 +522,13 @@
 		(pull->from == 0 || deadline_passed(pull->expires_at, now)) &&
 		(pull->not_before.at_us == 0 || deadline_passed(pull->not_before, now)) &&
 		(pull->remote_at.at_us == 0 || deadline_passed(pull->remote_at, now));
+	if (retry)
+		unanswered = pull->from;
 	newest = pull->known_newest;
 	lock_release(&node->gossip.lock);
+	if (unanswered)
+		actions_log_event(out, LOG_EVENT_PULL_UNANSWERED, "from=%lx held=%ld newest=%ld",
+				  unanswered, held_version, newest);
 	/* The peer that announced the version holds it; if it did not answer, a random one is
 	 * asked. */
 	if (retry && (peer || members_random(node->members, &rng, false, &peer, 1) == 1))
--- a/core/node_log.c
+++ b/core/node_log.c
@@ -197,6 +197,7 @@
 			  struct actions *out)
 {
 	struct change_record *records = g_new0(struct change_record, event->batch.count + 1);
+	struct change_source source = { .way = CHANGE_FROM_LOG };
 	int count = 0;
 
 	for (int i = 0; i < event->batch.count; i++) {
@@ -208,7 +209,7 @@
 		records[count].change = record->change;
 		count++;
 	}
-	if (config_apply_records(node, records, count, out)) {
+	if (config_apply_records(node, records, count, &source, now, out)) {
 		config_advertise(node, out);
 		lock_acquire(&node->gossip.lock);
 		if (node->gossip.boot.phase == BOOT_CURRENT)
@@ -227,8 +228,11 @@
 	g_array_unref(states);
 }
 
-static void apply_system_records(struct node *node, const struct event *event, struct actions *out)
+static void apply_system_records(struct node *node, const struct event *event, struct instant now,
+				 struct actions *out)
 {
+	struct change_source source = { .way = CHANGE_FROM_LOG };
+
 	for (int i = 0; i < event->batch.count; i++) {
 		const struct log_record *record = &event->batch.records[i];
 
@@ -239,7 +243,7 @@
 		switch (record->kind) {
 		case LOG_SNAPSHOT:
 			config_apply_snapshot_part(node, &node->gossip.from_log, &record->snapshot,
-						   out);
+						   &source, now, out);
 			break;
 		case LOG_MOVE:
 			apply_move_state(node, &record->move.state, out);
@@ -286,7 +290,7 @@
 		apply_changes(node, event, now, out);
 		break;
 	case STREAM_SYSTEM:
-		apply_system_records(node, event, out);
+		apply_system_records(node, event, now, out);
 		break;
 	case STREAM_KEYS:
 		return;
@@ -306,6 +310,32 @@
 		gossip->log.retry_us = MIN(gossip->log.retry_us * 2, LOG_RETRY_MAX_US);
 }
 
+/* Logs a failure that the log service answered; its silence is logged once, when it begins. */
+static void report_read_failure(struct node *node, const struct event *event, struct instant now,
+				struct actions *out)
+{
+	int64_t held_version = history_version(node->history);
+	int64_t retry_us;
+
+	lock_acquire(&node->gossip.lock);
+	retry_us = deadline_remaining_us(node->gossip.log.retry_at, now);
+	lock_release(&node->gossip.lock);
+	switch (event->failed.failure) {
+	case LOG_FAILURE_UNAVAILABLE:
+		return;
+	case LOG_FAILURE_LIMITED:
+		actions_log_event(out, LOG_EVENT_PLATFORM_LOG_LIMITED, "stream=%d retry_ms=%lld",
+				  (int)event->failed.stream, retry_us / US_PER_MS);
+		return;
+	case LOG_FAILURE_EXPIRED:
+		actions_log_event(out, LOG_EVENT_PLATFORM_LOG_EXPIRED,
+				  "stream=%d held=%ld retry_ms=%lld", (int)event->failed.stream,
+				  held_version, retry_us / US_PER_MS);
+		return;
+	}
+	g_assert_not_reached();
+}
+
 void log_on_failed(struct node *node, const struct event *event, struct instant now,
 		   struct actions *out)
 {
@@ -339,6 +369,7 @@
 	if (newly_unavailable)
 		actions_log_event(out, LOG_EVENT_PLATFORM_LOG_OUT, "stream=%d",
 				  (int)event->failed.stream);
+	report_read_failure(node, event, now, out);
 }
 
 static bool finish_move_append(struct gossip_state *gossip, uint64_t tag, bool done)
--- a/core/node_parts.h
+++ b/core/node_parts.h
@@ -64,6 +64,8 @@
 	int64_t known_newest;
 	uint64_t known_from;
 	struct deadline remote_at; /**< earliest pull from another data centre */
+	int64_t heard_newest;	   /**< newest version heard of */
+	int64_t behind_since_us;   /**< when this node heard of a newer version than it holds */
 	bool need_full;		   /**< the base of a delta is not retained here */
 };
 
@@ -111,6 +113,14 @@
 	uint64_t tag; /**< tag of the append in progress; 0: none */
 };
 
+/** Where a change or snapshot came from. */
+enum change_way { CHANGE_FROM_LOG, CHANGE_FROM_PEER };
+
+struct change_source {
+	enum change_way way;
+	uint64_t peer; /**< CHANGE_FROM_PEER: member id */
+};
+
 /** State of probes, pulls, the boot, the log and retries, under one lock. */
 struct gossip_state {
 	struct lock lock; /**< LOCK_GOSSIP */
@@ -207,16 +217,20 @@
 		       struct instant now, struct actions *out);
 void config_on_snapshot(struct node *node, uint64_t from, const struct snapshot_part *part,
 			struct instant now, struct actions *out);
-void config_on_retry(struct node *node, uint64_t from, int64_t after_us, struct instant now);
+void config_on_retry(struct node *node, uint64_t from, int64_t after_us, struct instant now,
+		     struct actions *out);
 void config_tick(struct node *node, struct instant now, struct actions *out);
 void config_boot_tick(struct node *node, struct instant now, struct actions *out);
 /** Applies records in order; returns true if the version advanced. */
 bool config_apply_records(struct node *node, const struct change_record *records, int count,
+			  const struct change_source *source, struct instant now,
 			  struct actions *out);
 /** Sends the held version to some peers. */
 void config_advertise(struct node *node, struct actions *out);
 bool config_apply_snapshot_part(struct node *node, struct assembly *assembly,
-				const struct snapshot_part *part, struct actions *out);
+				const struct snapshot_part *part,
+				const struct change_source *source, struct instant now,
+				struct actions *out);
 GPtrArray *config_snapshot_parts(struct node *node, struct instant now);
 /** Records that a peer's answer with all members is complete. */
 void config_set_members_known(struct node *node);
--- a/godwithitchd/daemon.h
+++ b/godwithitchd/daemon.h
@@ -51,6 +51,7 @@
 	GPtrArray *running_inbound; /**< struct inbound at the target now, for crash reports */
 	struct deadline crash_window_ends_at; /**< failures until then count as one crash */
 	uint64_t next_point;		      /**< next number for call_placement_point() */
+	int64_t used_version;		      /**< newest configuration that a call has used */
 	GPtrArray *open_calls;		      /**< struct call, all with a deadline */
 	GHashTable *pending_claims; /**< claim request number -> struct call, one reference */
 };
@@ -65,6 +66,8 @@
 void dispatch_tick(struct daemon *daemon);
 void dispatch_read_log(struct daemon *daemon, void *data);
 void dispatch_append(struct daemon *daemon, void *data);
+/** Completes and parses the changes of a peer's message, then passes it to core. */
+void dispatch_peer_message(struct daemon *daemon, uint64_t from, struct message *message);
 /** Adds this node to the platform's list of nodes and passes the nodes on it to core. */
 void dispatch_discover(struct daemon *daemon);
 /** Reports to core that an announced target no longer listens. */
--- a/godwithitchd/dispatch.c
+++ b/godwithitchd/dispatch.c
@@ -25,6 +25,7 @@
 	int partition;
 	int64_t from;
 	struct deadline wait_until;
+	int64_t started_us; /**< monotonic */
 };
 
 /** Arguments of WORK_APPEND, owned by the work item. */
@@ -94,6 +95,7 @@
 	job->partition = action->read.partition;
 	job->from = action->read.from;
 	job->wait_until = action->read.wait_until;
+	job->started_us = clock_now().mono_us;
 	if (workers_post(daemon->workers, (struct work){ WORK_READ_LOG, job }))
 		return;
 	g_free(job);
@@ -280,6 +282,76 @@
 	workers_rearm(daemon->workers, &daemon->tick_watch, WATCH_READ);
 }
 
+/* Logs changes or a snapshot that arrived and were decoded. */
+static void log_arrival(struct daemon *daemon, const char *way, struct instant received_at,
+			const char *fields)
+{
+	int64_t decode_us = clock_now().mono_us - received_at.mono_us;
+	char labels[16];
+
+	logger_event(LOG_EVENT_CHANGES_ARRIVED, "way=%s %s decode_ms=%lld", way, fields,
+		     decode_us / US_PER_MS);
+	g_snprintf(labels, sizeof(labels), "way=\"%s\"", way);
+	metrics_observe(daemon->metrics, STR("godwithitch_change_decode_seconds"),
+			str_from_cstr(labels), decode_us);
+}
+
+static void log_read_arrival(struct daemon *daemon, const struct read_job *job,
+			     const struct log_read *read)
+{
+	char fields[160];
+
+	if (read->count == 0 || job->stream == STREAM_KEYS)
+		return;
+	g_snprintf(fields, sizeof(fields),
+		   "stream=%d from=%ld count=%d newest=%ld bytes=%zu waited_ms=%lld",
+		   (int)job->stream, job->from, read->count, read->newest, read->bytes,
+		   (read->received_at.mono_us - job->started_us) / US_PER_MS);
+	log_arrival(daemon, "log", read->received_at, fields);
+}
+
+/* Returns the bytes of a peer's changes as they arrived, deltas included. */
+static size_t content_bytes(const struct message *message)
+{
+	size_t bytes = 0;
+
+	for (int i = 0; i < message->records.count; i++)
+		bytes += message->records.records[i].delta
+				 ? delta_size(message->records.records[i].delta)
+				 : message->records.records[i].change->content.len;
+	return bytes;
+}
+
+/* Describes the changes or the snapshot in a peer's message; empty for other messages. */
+static void describe_message(uint64_t from, const struct message *message, char *fields, size_t cap)
+{
+	fields[0] = '\0';
+	if (message->kind == MESSAGE_RECORDS && message->records.count)
+		g_snprintf(fields, (gulong)cap, "peer=%lx from=%ld count=%d newest=%ld bytes=%zu",
+			   from, message->records.records[0].offset, message->records.count,
+			   message->records.newest, content_bytes(message));
+	if (message->kind == MESSAGE_SNAPSHOT)
+		g_snprintf(fields, (gulong)cap, "peer=%lx newest=%ld part=%d parts=%d", from,
+			   message->snapshot.version, message->snapshot.index,
+			   message->snapshot.count);
+}
+
+void dispatch_peer_message(struct daemon *daemon, uint64_t from, struct message *message)
+{
+	struct event event = { .kind = EVENT_MESSAGE };
+	struct instant received_at = clock_now();
+	char fields[160];
+
+	describe_message(from, message, fields, sizeof(fields));
+	node_complete_message(daemon->node, message);
+	parse_message_changes(message);
+	if (fields[0])
+		log_arrival(daemon, "peer", received_at, fields);
+	event.message.from = from;
+	event.message.message = message;
+	dispatch_event(daemon, &event);
+}
+
 void dispatch_read_log(struct daemon *daemon, void *data)
 {
 	struct read_job *job = data;
@@ -292,6 +364,7 @@
 	if (read.kind == READ_DONE) {
 		for (int i = 0; i < read.count; i++)
 			parse_record_changes(&read.records[i]);
+		log_read_arrival(daemon, job, &read);
 		event.kind = EVENT_LOG_BATCH;
 		event.batch.stream = job->stream;
 		event.batch.partition = job->partition;
--- a/godwithitchd/expiry.c
+++ b/godwithitchd/expiry.c
@@ -1,6 +1,7 @@
 /*
  * Expiry of calls whose deadline passed without an answer from the target's node.
  */
+#include "base/logger.h"
 #include "godwithitchd/calls.h"
 
 #define EXPIRY_GRACE_US (100 * US_PER_MS) /* wait for the answer of the target's node to arrive */
@@ -8,11 +9,19 @@
 void call_open_add(struct call *call)
 {
 	struct daemon *daemon = call->daemon;
+	int64_t version = call->config->version;
+	bool first_use;
 
 	lock_acquire(&daemon->lock);
 	g_ptr_array_add(daemon->open_calls, call);
 	call->open_index = daemon->open_calls->len;
+	first_use = version > daemon->used_version;
+	if (first_use)
+		daemon->used_version = version;
 	lock_release(&daemon->lock);
+	if (first_use)
+		logger_event(LOG_EVENT_VERSION_USED, "version=%ld accepted=%ld", version,
+			     call->config->accepted);
 }
 
 /* Removes the call from the open calls. daemon->lock is held. */
--- a/godwithitchd/main.c
+++ b/godwithitchd/main.c
@@ -66,15 +66,10 @@
 static void on_peer(void *context, struct peer_event *event)
 {
 	struct daemon *daemon = context;
-	struct event message = { .kind = EVENT_MESSAGE };
 	struct inbound *inbound;
 
 	if (event->kind == PEER_MESSAGE) {
-		node_complete_message(daemon->node, event->message.message);
-		parse_message_changes(event->message.message);
-		message.message.from = event->message.from;
-		message.message.message = event->message.message;
-		dispatch_event(daemon, &message);
+		dispatch_peer_message(daemon, event->message.from, event->message.message);
 	} else if (event->kind == PEER_REQUEST) {
 		inbound = inbound_new_remote(daemon, event);
 		event->request.owner = (struct stream_owner *)inbound;
