Test that a change is in force within half of the promise on each node that reaches the log (red)

The bound is half of config_apply_s, 1,250 ms.

The simulation gains isolated nodes and the rate of each node's link.

--- /dev/null
+++ b/regress/core/lateness_test.c
@@ -0,0 +1,208 @@
+/*
+ * A change is in force on every node that reaches the log within half of the time that operators
+ * are promised, whatever happens to its peers. Each test is named after what made a change late.
+ */
+#include "regress/lib/check.h"
+
+#include <apr_general.h>
+
+#include "regress/lib/sim.h"
+
+/* The promise of the deployment on which changes were late, and half of it for this part. */
+#define PROMISED_US (2500 * US_PER_MS)
+#define ALLOWED_US  (PROMISED_US / 2)
+#define SETTLE_US   (40 * US_PER_S)
+#define LIMIT_US    (60 * US_PER_S)
+
+enum { NODES = 81, DATA_CENTRES = 4, CHANGES = 20, SEEDS = 5 };
+
+static struct sim *new_fleet(uint64_t seed, struct sim_options options)
+{
+	struct sim *sim;
+
+	options.nodes = NODES;
+	options.data_centres = DATA_CENTRES;
+	options.seed = seed;
+	options.preload = true;
+	sim = sim_new(&options);
+	sim_run(sim, SETTLE_US);
+	return sim;
+}
+
+static const char small_file[] =
+	"{\"services\": {\"s\": {\"versions\": {\"v1\": {\"share\": 100}}}},"
+	"\"routes\": [{\"name\": \"r\", \"path\": \"/\", \"service\": \"s\"}]}";
+
+static int64_t publish(struct sim *sim, int number, const char *content)
+{
+	char id[32];
+
+	g_snprintf(id, sizeof(id), "change-%d", number);
+	return sim_publish(sim, id, "file", CHANGE_ANY_BASE, content);
+}
+
+/* Runs until every running node holds @p version; fails if that takes longer than allowed. */
+static void assert_in_time(struct sim *sim, int64_t version, uint64_t seed)
+{
+	int64_t took_us = sim_run_until_version(sim, version, LIMIT_US);
+
+	if (took_us < 0)
+		fail_msg("seed %lu: version %ld is not in force after %lld s", seed, version,
+			 LIMIT_US / US_PER_S);
+	if (took_us > ALLOWED_US)
+		fail_msg("seed %lu: version %ld took %lld ms, allowed %lld", seed, version,
+			 took_us / US_PER_MS, ALLOWED_US / US_PER_MS);
+	assert_string_equal(sim_violation(sim), "");
+}
+
+static void test_lost_datagrams_do_not_delay_a_change(void **state)
+{
+	(void)state;
+	for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+		struct sim *sim = new_fleet(seed, (struct sim_options){ 0 });
+
+		sim_set_loss(sim, 0.05);
+		for (int i = 0; i < CHANGES; i++) {
+			assert_in_time(sim, publish(sim, i, small_file), seed);
+			sim_run(sim, (int64_t)rng_below(sim_rng(sim), 2 * US_PER_S));
+		}
+		sim_free(sim);
+	}
+}
+
+/* Nodes that only the log reaches must not depend on peers for a change. */
+static void test_node_cut_from_its_peers_gets_changes(void **state)
+{
+	(void)state;
+	for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+		struct sim *sim = new_fleet(seed, (struct sim_options){ 0 });
+
+		for (int i = 0; i < 5; i++)
+			sim_isolate(sim, (int)rng_below(sim_rng(sim), NODES), true);
+		for (int i = 0; i < CHANGES; i++) {
+			assert_in_time(sim, publish(sim, i, small_file), seed);
+			sim_run(sim, (int64_t)rng_below(sim_rng(sim), 2 * US_PER_S));
+		}
+		sim_free(sim);
+	}
+}
+
+/* Kills the readers of a data centre, which is cut from the others. */
+static void kill_readers(struct sim *sim, int data_centre)
+{
+	struct label name = { 0 };
+
+	name.len = (uint8_t)g_snprintf(name.data, sizeof(name.data), "dc%d", data_centre);
+	for (int dc = 0; dc < DATA_CENTRES; dc++) {
+		sim_cut(sim, data_centre, dc, dc != data_centre);
+		sim_cut(sim, dc, data_centre, dc != data_centre);
+	}
+	for (int i = 0; i < NODES; i++) {
+		const struct sim_node *instance = sim_node(sim, i);
+
+		if (instance->data_centre == data_centre &&
+		    members_rank(node_members(instance->node), SCOPE_DATA_CENTRE, name, 0) < 2)
+			sim_kill(sim, i);
+	}
+}
+
+static void test_data_centre_without_readers_gets_changes(void **state)
+{
+	(void)state;
+	for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+		struct sim *sim = new_fleet(seed, (struct sim_options){ 0 });
+
+		kill_readers(sim, (int)(seed % DATA_CENTRES));
+		for (int i = 0; i < CHANGES; i++)
+			assert_in_time(sim, publish(sim, i, small_file), seed);
+		sim_free(sim);
+	}
+}
+
+/* Adds @p count routes; the deadline of one of them varies by @p edition. */
+static char *large_file(int count, int edition)
+{
+	GString *text =
+		g_string_new("{\"services\": {\n\"s\": {\"versions\": \"any\"}},\"routes\": [");
+
+	for (int i = 0; i < count; i++)
+		g_string_append_printf(text,
+				       "%s\n{\"name\":\"r-%08x\",\"host\":\"host%d.example\","
+				       "\"path\":\"/p%08x/\",\"service\":\"s\","
+				       "\"repeat\":\"idempotent\",\"deadline_ms\":%d,"
+				       "\"class\":\"background\",\"objective_ms\":800,"
+				       "\"attempts\":2}",
+				       i ? "," : "", (unsigned int)i * 2654435761U, i % 9,
+				       (unsigned int)i * 2246822519U,
+				       i == edition ? 1500 + edition : 1500);
+	g_string_append(text, "]}");
+	return g_string_free(text, FALSE);
+}
+
+static int64_t publish_large(struct sim *sim, int number, int routes)
+{
+	char *content = large_file(routes, number);
+	int64_t version = publish(sim, number, content);
+
+	g_free(content);
+	return version;
+}
+
+/* The file grows threefold, so that most of its text is new to every node, on links of 11 Mbit/s.
+ */
+static void test_large_edition_does_not_wait_for_one_link(void **state)
+{
+	(void)state;
+	for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+		struct sim *sim =
+			new_fleet(seed, (struct sim_options){ .link_bytes_per_s = 11000000 / 8 });
+
+		assert_true(sim_run_until_version(sim, publish_large(sim, 1, 700), LIMIT_US) >= 0);
+		sim_run(sim, 5 * US_PER_S);
+		assert_in_time(sim, publish_large(sim, 2, 2100), seed);
+		for (int i = 3; i < 9; i++)
+			assert_in_time(sim, publish_large(sim, i, 2100), seed);
+		sim_free(sim);
+	}
+}
+
+/* A node that starts while its peers are behind must not serve an older version than the log
+ * acknowledged before its start. */
+static void test_restarted_node_does_not_serve_an_older_version(void **state)
+{
+	(void)state;
+	for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+		struct sim *sim = new_fleet(seed, (struct sim_options){ 0 });
+		int64_t version;
+		int index;
+
+		assert_in_time(sim, publish(sim, 1, small_file), seed);
+		kill_readers(sim, 1);
+		version = publish(sim, 2, small_file);
+		index = 1;
+		sim_kill(sim, index);
+		sim_start(sim, index);
+		for (int64_t us = 0; us < 10 * US_PER_S; us += 10 * US_PER_MS) {
+			sim_run(sim, 10 * US_PER_MS);
+			if (node_is_current(sim_node(sim, index)->node))
+				assert_true(history_version(node_history(
+						    sim_node(sim, index)->node)) >= version);
+		}
+		assert_true(node_is_current(sim_node(sim, index)->node));
+		sim_free(sim);
+	}
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_lost_datagrams_do_not_delay_a_change),
+		cmocka_unit_test(test_node_cut_from_its_peers_gets_changes),
+		cmocka_unit_test(test_data_centre_without_readers_gets_changes),
+		cmocka_unit_test(test_large_edition_does_not_wait_for_one_link),
+		cmocka_unit_test(test_restarted_node_does_not_serve_an_older_version),
+	};
+
+	apr_initialize();
+	return cmocka_run_group_tests_name("core/lateness", tests, NULL, NULL);
+}
--- a/regress/lib/sim.c
+++ b/regress/lib/sim.c
@@ -129,6 +129,24 @@
 	return min + (int64_t)rng_below(&sim->rng, (uint64_t)(sim->options.delay_max_us - min + 1));
 }
 
+int64_t sim_link_delay_us(const struct sim *sim, int64_t *busy_until_us, size_t bytes)
+{
+	if (sim->options.link_bytes_per_s == 0)
+		return 0;
+	*busy_until_us = MAX(*busy_until_us, sim->now_us) +
+			 (int64_t)bytes * US_PER_S / sim->options.link_bytes_per_s;
+	return *busy_until_us - sim->now_us;
+}
+
+/* Returns the time that a message spends on the links of both nodes. */
+static int64_t transfer_us(struct sim *sim, int from, int to, size_t bytes)
+{
+	int64_t sent_us = sim_link_delay_us(sim, &sim->nodes[from].sending_until_us, bytes);
+	int64_t received_us = sim_link_delay_us(sim, &sim->nodes[to].receiving_until_us, bytes);
+
+	return MAX(sent_us, received_us);
+}
+
 static void send_message(struct sim *sim, int from, uint64_t to_id, struct message *message)
 {
 	int to = sim_index_from_id(sim, to_id);
@@ -136,7 +154,7 @@
 	int copies = 1;
 
 	sim->nodes[from].messages++;
-	if (sim->options.count_bytes) {
+	if (sim->options.count_bytes || sim->options.link_bytes_per_s) {
 		struct strbuf encoded = { 0 };
 
 		codec_encode(message, &encoded);
@@ -144,14 +162,16 @@
 		strbuf_clear(&encoded);
 		sim->nodes[from].sent_bytes += bytes;
 	}
-	if (to < 0 || rng_unit(&sim->rng) < sim->options.loss ||
+	if (to < 0 || rng_unit(&sim->rng) < sim->options.loss || sim->nodes[from].isolated ||
+	    sim->nodes[to].isolated ||
 	    sim->link_cut[sim->nodes[from].data_centre][sim->nodes[to].data_centre])
 		return;
 	copies += rng_unit(&sim->rng) < sim->options.duplicates;
 	sim->nodes[to].received_bytes += bytes;
 	while (copies-- > 0) {
+		int64_t delay_us = random_delay_us(sim) + transfer_us(sim, from, to, bytes);
 		struct pending_event *pending =
-			sim_schedule(sim, sim->now_us + random_delay_us(sim), PENDING_MESSAGE, to);
+			sim_schedule(sim, sim->now_us + delay_us, PENDING_MESSAGE, to);
 
 		pending->message.from = sim->nodes[from].id;
 		pending->message.message = message_ref(message);
@@ -376,6 +396,11 @@
 	sim->link_cut[from_data_centre][to_data_centre] = cut;
 }
 
+void sim_isolate(struct sim *sim, int index, bool isolated)
+{
+	sim->nodes[index].isolated = isolated;
+}
+
 void sim_set_loss(struct sim *sim, double loss)
 {
 	sim->options.loss = loss;
--- a/regress/lib/sim.h
+++ b/regress/lib/sim.h
@@ -17,12 +17,13 @@
 	int nodes;
 	int data_centres;
 	uint64_t seed;
-	double loss;	      /**< fraction of messages lost */
-	double duplicates;    /**< fraction of messages delivered twice */
-	int64_t delay_min_us; /**< minimum message delay; 200 if 0 */
-	int64_t delay_max_us; /**< maximum message delay; 2000 if 0 */
-	bool count_bytes;     /**< encode each message to count its bytes */
-	bool preload;	      /**< nodes start with the full membership, as after a long run */
+	double loss;		  /**< fraction of messages lost */
+	double duplicates;	  /**< fraction of messages delivered twice */
+	int64_t delay_min_us;	  /**< minimum message delay; 200 if 0 */
+	int64_t delay_max_us;	  /**< maximum message delay; 2000 if 0 */
+	bool count_bytes;	  /**< encode each message to count its bytes */
+	bool preload;		  /**< nodes start with the full membership, as after a long run */
+	int64_t link_bytes_per_s; /**< rate of each node's link, each way; 0: no limit */
 	int readers;
 	int64_t log_retention_us;
 	/** If not NULL, called when a node has the result of a claim. */
@@ -59,6 +60,9 @@
 	struct sim_target target;
 	struct move_state last_move; /**< last state that the invariant check saw */
 	bool frozen;		     /**< see sim_freeze() */
+	bool isolated;		     /**< see sim_isolate() */
+	int64_t sending_until_us;    /**< when the link has sent all that it was given */
+	int64_t receiving_until_us;  /**< when the link has received all that was sent to it */
 };
 
 void *sim_context(const struct sim *sim);
@@ -91,6 +95,8 @@
 /** Drops, or delivers again, all messages from one data centre to another; one direction only. */
 void sim_cut(struct sim *sim, int from_data_centre, int to_data_centre, bool cut);
 void sim_set_loss(struct sim *sim, double loss);
+/** Drops all messages to and from a node, or delivers them again. The log answers it as before. */
+void sim_isolate(struct sim *sim, int index, bool isolated);
 
 /** Announces a target to its node. */
 void sim_announce_target(struct sim *sim, int index, const char *service, const char *version,
--- a/regress/lib/sim_log.c
+++ b/regress/lib/sim_log.c
@@ -104,13 +104,49 @@
 	return false;
 }
 
+static size_t content_bytes(const struct sim *sim, int stream, int64_t from)
+{
+	size_t bytes = 0;
+
+	for (int64_t offset = MAX(from, sim->oldest_offset[stream]);
+	     offset <= newest_offset(sim, stream); offset++) {
+		const struct log_record *record = &g_array_index(
+			sim->log[stream], struct log_record, offset - sim->oldest_offset[stream]);
+
+		bytes += record->kind == LOG_CHANGE ? record->change->content.len : 0;
+	}
+	return bytes;
+}
+
+/* Schedules the answer again for the time at which the node's link has carried it; returns false if
+ * it needs no time. */
+static bool transfer_answer(struct sim *sim, const struct pending_event *pending, int64_t from)
+{
+	struct sim_node *node = &sim->nodes[pending->to];
+	int64_t delay_us;
+	struct pending_event *arrival;
+
+	if (pending->answer.transferred || sim->log_unavailable)
+		return false;
+	delay_us = sim_link_delay_us(sim, &node->receiving_until_us,
+				     content_bytes(sim, pending->answer.stream, from));
+	if (delay_us == 0)
+		return false;
+	arrival = sim_schedule(sim, sim->now_us + delay_us, PENDING_LOG_ANSWER, pending->to);
+	arrival->answer = pending->answer;
+	arrival->answer.long_poll_id = 0;
+	arrival->answer.transferred = true;
+	return true;
+}
+
 void sim_deliver_log_answer(struct sim *sim, const struct pending_event *pending)
 {
 	int stream = pending->answer.stream;
 	int64_t from = pending->answer.from ? pending->answer.from : sim->oldest_offset[stream];
 	struct event event = { .kind = EVENT_LOG_FAILED };
 
-	if (!end_long_poll(sim, pending->answer.long_poll_id))
+	if (!end_long_poll(sim, pending->answer.long_poll_id) ||
+	    transfer_answer(sim, pending, from))
 		return;
 	sim_stream_from_index(stream, &event.failed.stream, &event.failed.partition);
 	event.failed.failure = LOG_FAILURE_UNAVAILABLE;
--- a/regress/lib/sim_parts.h
+++ b/regress/lib/sim_parts.h
@@ -37,6 +37,7 @@
 			int stream;
 			int64_t from;
 			uint64_t long_poll_id; /* 0 if none */
+			bool transferred;      /* the node's link has carried it */
 		} answer;
 		struct {
 			int stream;
@@ -80,6 +81,8 @@
 				   int to);
 void sim_handle_event(struct sim *sim, int index, const struct event *event);
 void sim_record_violation(struct sim *sim, int node, const char *description);
+/** Adds @p bytes to a link; returns the time until it has carried them. */
+int64_t sim_link_delay_us(const struct sim *sim, int64_t *busy_until_us, size_t bytes);
 int sim_index_from_id(const struct sim *sim, uint64_t id);
 
 /* sim_log.c */
