Nodes that nobody confirms as current read the log themselves

Callers saw requests handled by a configuration older than the promise allows. The promise counts from the log's answer to the operator and binds every node that reaches the log, but all nodes except two readers a data centre depended on peers: a lost advert or pull cost a second each time, a node cut from its peers got no change at all, a data centre that lost its readers waited until membership had replaced them, and a restarted node took the version of the first peer that called itself current.

Each node now keeps the moment at which the log is known to have held nothing newer than its own version. Digests and adverts carry that moment's age; adverts are repeated while it moves on, and forwarded once. The first in rank reads the log when the age reaches a sixth of the promised time, any node at a third, or when a version that it heard of is not delivered in a quarter. So a change waits for at most 0.42 of the promise, a tick and one read, whatever happens to peers. A joining node is current once its version is confirmed at a time after its start. A node that is not a reader also reads the newest files when records expired. Settings: apply_within_s, 8 by default. Long polls last 5 s instead of 20, so that one on a dead connection ends.

--- a/core/event.c
+++ b/core/event.c
@@ -49,6 +49,17 @@
 	g_array_append_val(actions->list, action);
 }
 
+void actions_check_log(struct actions *actions, int64_t from)
+{
+	struct action action = { .kind = ACTION_READ_LOG };
+
+	action.read.stream = STREAM_CONFIG;
+	action.read.from = from;
+	action.read.wait_until = (struct deadline){ 1 };
+	action.read.check = true;
+	g_array_append_val(actions->list, action);
+}
+
 void actions_append(struct actions *actions, enum log_stream stream, int partition, uint64_t tag,
 		    struct log_record record)
 {
--- a/core/event.h
+++ b/core/event.h
@@ -44,11 +44,13 @@
 			struct log_record *records;
 			int count;
 			int64_t newest; /**< newest offset of the stream at the time */
+			bool check;	/**< as in the action, here and below */
 		} batch;
 		struct {
 			enum log_stream stream;
 			int partition;
 			enum log_failure failure;
+			bool check;
 		} failed;
 		struct {
 			enum log_stream stream;
@@ -91,6 +93,7 @@
 			int partition;
 			int64_t from;
 			struct deadline wait_until; /**< latest time for the log's answer */
+			bool check;		    /**< not a long poll, but beside one */
 		} read;
 		struct {
 			uint64_t seq;
@@ -121,6 +124,8 @@
 void actions_send(struct actions *actions, uint64_t to, struct message *message);
 void actions_read(struct actions *actions, enum log_stream stream, int partition, int64_t from,
 		  struct deadline wait_until);
+/** Reads changes from @p from on without waiting, beside a long poll that may be in progress. */
+void actions_check_log(struct actions *actions, int64_t from);
 void actions_append(struct actions *actions, enum log_stream stream, int partition, uint64_t tag,
 		    struct log_record record);
 void actions_claimed(struct actions *actions, uint64_t seq, enum claim_result result, int status);
--- a/core/message.h
+++ b/core/message.h
@@ -22,8 +22,12 @@
 	uint64_t members_hash;
 	uint64_t moves_hash;
 	bool current; /**< false while the node joins */
+	/** Time since the log was known to hold nothing newer than .version; or CONFIRMED_NEVER */
+	int64_t confirmed_age_us;
 };
 
+enum { CONFIRMED_NEVER = -1 };
+
 /** A part of a snapshot: some of its files. All parts of a version make up the snapshot. */
 struct snapshot_part {
 	int64_t version;
@@ -85,7 +89,10 @@
 			uint32_t seq;
 			uint64_t subject;
 		} ping_request;
-		int64_t version; /**< ADVERT: newest version held */
+		struct {
+			int64_t version;	  /**< newest version held */
+			int64_t confirmed_age_us; /**< as in struct digest */
+		} advert;
 		struct {
 			int64_t held_version; /**< newest version that the requester holds */
 			bool full; /**< full content is needed: the base of a delta is missing */
--- a/core/node.c
+++ b/core/node.c
@@ -3,10 +3,11 @@
 #define SUSPECT_TIMEOUT_US (4 * US_PER_S)
 /* Dead members are remembered for longer than partitions between regions last, so that nodes find
  * each other again. */
-#define FORGET_US	     (2 * 3600 * US_PER_S)
-#define RETENTION_DEFAULT_US (3600 * US_PER_S)
-#define BOOT_LOG_DELAY_US    (1500 * US_PER_MS)
-#define BOOT_LOG_JITTER_US   (3 * US_PER_S)
+#define FORGET_US		(2 * 3600 * US_PER_S)
+#define RETENTION_DEFAULT_US	(3600 * US_PER_S)
+#define BOOT_LOG_DELAY_US	(1500 * US_PER_MS)
+#define BOOT_LOG_JITTER_US	(3 * US_PER_S)
+#define APPLY_WITHIN_DEFAULT_US (8 * US_PER_S)
 enum { READERS_DEFAULT = 2, READERS_MAX = 16 };
 
 static void gossip_init(struct node *node, struct instant now)
@@ -22,6 +23,7 @@
 	gossip->budgets = g_hash_table_new_full(label_hash, label_hash_equal, NULL, g_free);
 	gossip->log.retry_us = LOG_RETRY_MIN_US;
 	gossip->log.system_next = 1;
+	gossip->boot.started_us = now.mono_us;
 	gossip->boot.ping_at =
 		now.mono_us ? (struct deadline){ now.mono_us } : (struct deadline){ 1 };
 	/* When all nodes restart, the jitter keeps them from reading the log at the same time. */
@@ -31,6 +33,7 @@
 	gossip->moves_at = deadline_after(now, MOVES_TICK_US);
 	gossip->round_at = deadline_after(now, (int64_t)rng_below(&gossip->rng, ROUND_US));
 	gossip->flush_at = deadline_after(now, (int64_t)rng_below(&gossip->rng, FLUSH_US));
+	confirm_init(node, now);
 }
 
 static bool check_options(const struct node_options *options, GError **error)
@@ -60,6 +63,8 @@
 	node->options = *options;
 	if (node->options.readers == 0)
 		node->options.readers = READERS_DEFAULT;
+	if (node->options.apply_within_us == 0)
+		node->options.apply_within_us = APPLY_WITHIN_DEFAULT_US;
 	if (node->options.log_retention_us == 0)
 		node->options.log_retention_us = RETENTION_DEFAULT_US;
 	node->seeds = g_memdup2(options->seeds, options->seed_count * sizeof(uint64_t));
@@ -144,10 +149,10 @@
 		fleet_on_probe(node, from, message, now, out);
 		return;
 	case MESSAGE_PING_REQUEST:
-		fleet_on_ping_request(node, from, message, out);
+		fleet_on_ping_request(node, from, message, now, out);
 		return;
 	case MESSAGE_ADVERT:
-		config_on_advert(node, from, message->version, now, out);
+		config_on_advert(node, from, message, now, out);
 		return;
 	case MESSAGE_PULL:
 		config_on_pull(node, from, message, out);
@@ -219,6 +224,7 @@
 	fleet_tick(node, now, out);
 	config_tick(node, now, out);
 	log_tick(node, now, out);
+	confirm_tick(node, now, out);
 	claims_tick(node, now, out);
 	if (rearm_if_due(node, &node->gossip.moves_at, MOVES_TICK_US, now))
 		moves_tick(node, now, out);
@@ -340,7 +346,7 @@
 		on_append(node, event, now, out);
 		return;
 	case EVENT_PEERS:
-		fleet_introduce(node, event->peers.ids, event->peers.count, out);
+		fleet_introduce(node, event->peers.ids, event->peers.count, now, out);
 		return;
 	case EVENT_TARGET_UP:
 		on_target_up(node, event, out);
@@ -412,10 +418,11 @@
 	return node->admit;
 }
 
-struct digest node_digest(struct node *node)
+struct digest node_digest(struct node *node, struct instant now)
 {
 	struct digest digest = {
 		.version = history_version(node->history),
+		.confirmed_age_us = confirm_age_us(node, now),
 		.members_hash = members_hash(node->members),
 		.moves_hash = moves_hash(node->moves),
 	};
--- a/core/node.h
+++ b/core/node.h
@@ -22,9 +22,12 @@
 	int seed_count;
 	int readers;		  /**< nodes per data centre that read the log; default 2 */
 	int64_t log_retention_us; /**< retention of records in the log; default 1 hour */
-	bool log_retains_files;	  /**< the log retains each file's newest version: no snapshots */
-	double retry_ratio;	  /**< retries per call of a service; default 0.1 */
-	int retry_slack;	  /**< extra retries at once, shared by all nodes; 0: 50 per node */
+	/** Time in which an acknowledged change is in force on each node that reaches the log;
+	 *  default 8 s. */
+	int64_t apply_within_us;
+	bool log_retains_files; /**< the log retains each file's newest version: no snapshots */
+	double retry_ratio;	/**< retries per call of a service; default 0.1 */
+	int retry_slack;	/**< extra retries at once, shared by all nodes; 0: 50 per node */
 };
 
 struct node;
@@ -53,7 +56,7 @@
 struct moves *node_moves(struct node *node);
 /** Returns the admission table of the node's own target. */
 struct admit *node_admit(struct node *node);
-struct digest node_digest(struct node *node);
+struct digest node_digest(struct node *node, struct instant now);
 
 /* Calls */
 
--- a/core/node_config.c
+++ b/core/node_config.c
@@ -5,7 +5,8 @@
 #include "core/node_parts.h"
 
 #define BOOT_PING_US	 (500 * US_PER_MS)
-#define MEMBERS_RETRY_US (1 * US_PER_S) /* after this time another peer is asked */
+#define MEMBERS_RETRY_US (1 * US_PER_S)	    /* after this time another peer is asked */
+#define BOOT_CONFIRM_US	 (1500 * US_PER_MS) /* wait for a confirmation while the log is out */
 
 /* Records that a version newer than the held one exists, and since when this node knows. */
 static void note_heard(struct node *node, uint64_t from, int64_t version, const char *way,
@@ -167,13 +168,18 @@
 		request_members(node, from, now, out);
 	}
 	note_heard(node, from, digest->version, "digest", now, out);
+	confirm_from_peer(node, digest->version, digest->confirmed_age_us, now);
 	pull_from(node, from, digest->version, now, out);
 }
 
-void config_on_advert(struct node *node, uint64_t from, int64_t version, struct instant now,
-		      struct actions *out)
+void config_on_advert(struct node *node, uint64_t from, const struct message *message,
+		      struct instant now, struct actions *out)
 {
+	int64_t version = message->advert.version;
+
 	note_heard(node, from, version, "advert", now, out);
+	confirm_from_peer(node, version, message->advert.confirmed_age_us, now);
+	confirm_forward(node, now, out);
 	pull_from(node, from, version, now, out);
 }
 
@@ -351,17 +357,16 @@
 		advanced |= result.kind != APPLY_OUT_OF_ORDER;
 		report_apply_result(&result, records[i].change, source, late_ms, out);
 	}
-	if (advanced)
+	if (advanced) {
+		confirm_applied(node);
 		configure_moves(node);
+	}
 	return advanced;
 }
 
-void config_advertise(struct node *node, struct actions *out)
+void config_advertise(struct node *node, struct instant now, struct actions *out)
 {
-	struct message *message = message_new(MESSAGE_ADVERT);
-
-	message->version = history_version(node->history);
-	node_gossip(node, message, out);
+	node_gossip(node, confirm_advert(node, now), out);
 }
 
 void node_complete_message(struct node *node, struct message *message)
@@ -417,7 +422,7 @@
 	uint64_t next = end_pull(node, from, advanced, &newest);
 
 	if (advanced) {
-		config_advertise(node, out);
+		config_advertise(node, now, out);
 		if (node_is_current(node))
 			delay_next_pull(node, now);
 	}
@@ -487,6 +492,7 @@
 	lock_release(&node->gossip.lock);
 	if (!files || !history_import(node->history, files, part->version, part->accepted))
 		return false;
+	confirm_applied(node);
 	configure_moves(node);
 	actions_log_event(out, LOG_EVENT_SNAPSHOT_LOADED,
 			  "version=%ld accepted=%ld parts=%d way=%s behind_ms=%ld", part->version,
@@ -552,8 +558,9 @@
 
 enum boot_step { BOOT_WAIT, BOOT_PING_SEEDS, BOOT_READ_LOG, BOOT_FINISH };
 
-/* Returns true if enough current peers sent digests, or one did until .log_at, and this node holds
- * their newest version and all members. */
+/* Returns true if this node holds what the log held at some time since the node started. While
+ * nobody can confirm that, because the log is out, the newest version of several peers has to do.
+ * LOCK_GOSSIP is held. */
 static bool has_caught_up(const struct node *node, int64_t held_version, struct instant now)
 {
 	const struct boot_state *boot = &node->gossip.boot;
@@ -561,6 +568,10 @@
 
 	if (boot->current_peers == 0 || held_version < boot->newest_seen || !boot->members_known)
 		return false;
+	if (node->gossip.confirm.confirmed_at_us >= boot->started_us)
+		return true;
+	if (now.mono_us - boot->started_us < BOOT_CONFIRM_US)
+		return false;
 	return boot->current_peers >= wanted || deadline_passed(boot->log_at, now);
 }
 
@@ -594,7 +605,7 @@
 	case BOOT_READ_LOG:
 		return;
 	case BOOT_PING_SEEDS:
-		fleet_ping_seeds(node, BOOT_SAMPLE, out);
+		fleet_ping_seeds(node, BOOT_SAMPLE, now, out);
 		return;
 	case BOOT_FINISH:
 		config_set_current(node, out);
--- /dev/null
+++ b/core/node_confirm.c
@@ -0,0 +1,235 @@
+/*
+ * Confirmation that this node holds the newest version. A confirmation says that the log held
+ * nothing newer at some moment. It comes from the log itself, or from a peer with its age. A node
+ * whose last confirmation is too old, or that heard of a version which no peer delivered, reads the
+ * log itself, so that the time in which a change is in force does not depend on peers. The times
+ * are fractions of the time that operators are promised for a change.
+ */
+#include "core/node_parts.h"
+
+enum {
+	PROMISE_PERCENT = 100,
+	RANKED_CHECK_PERCENT = 16, /* the first node in rank reads the log at this age */
+	RANK_STEP_PERCENT = 3,	   /* each further rank waits for the ones before */
+	RANKS_MAX = 5,
+	CHECK_PERCENT = 32, /* any other node, when the first ones did not */
+	CHECK_JITTER_PERCENT = 10,
+	DELIVERY_PERCENT = 28, /* time for peers to deliver a version that they announced */
+	FORWARD_PERCENT = 12,  /* a confirmation is forwarded if it is newer by this much */
+	RETRY_PERCENT = 20,    /* first delay after a read that failed; doubles */
+	RETRY_MAX_PERCENT = 160,
+	FORWARD_LOCAL = 3, /* peers that get a forwarded confirmation, in the own data centre */
+	FORWARD_ANY = 1,   /* and anywhere */
+};
+
+static int64_t fraction_us(const struct node *node, int percent)
+{
+	return node->options.apply_within_us * percent / PROMISE_PERCENT;
+}
+
+/* Draws the age of a confirmation at which this node reads the log. LOCK_GOSSIP is held. */
+static int64_t check_age_us(struct node *node)
+{
+	struct confirm_state *confirm = &node->gossip.confirm;
+	int64_t jitter_us = fraction_us(node, CHECK_JITTER_PERCENT);
+
+	if (confirm->rank < RANKS_MAX)
+		return fraction_us(node, RANKED_CHECK_PERCENT + RANK_STEP_PERCENT * confirm->rank);
+	return fraction_us(node, CHECK_PERCENT) +
+	       (int64_t)rng_below(&node->gossip.rng, (uint64_t)jitter_us + 1);
+}
+
+/* Moves the confirmation of the held version forward. LOCK_GOSSIP is held. */
+static void confirm_held(struct node *node, int64_t at_us)
+{
+	struct confirm_state *confirm = &node->gossip.confirm;
+
+	if (at_us <= confirm->confirmed_at_us)
+		return;
+	confirm->confirmed_at_us = at_us;
+	confirm->check_at = (struct deadline){ at_us + check_age_us(node) };
+	confirm->retry_us = 0;
+	confirm->retry_at = (struct deadline){ 0 };
+}
+
+void confirm_init(struct node *node, struct instant now)
+{
+	struct confirm_state *confirm = &node->gossip.confirm;
+
+	confirm->rank = RANKS_MAX;
+	confirm->check_at = (struct deadline){ now.mono_us + check_age_us(node) };
+}
+
+void confirm_update_rank(struct node *node)
+{
+	int rank = members_rank(node->members, SCOPE_ALL, (struct label){ 0 }, 0);
+
+	lock_acquire(&node->gossip.lock);
+	node->gossip.confirm.rank = rank;
+	lock_release(&node->gossip.lock);
+}
+
+int64_t confirm_age_us(struct node *node, struct instant now)
+{
+	int64_t age_us = CONFIRMED_NEVER;
+
+	lock_acquire(&node->gossip.lock);
+	if (node->gossip.confirm.confirmed_at_us)
+		age_us = now.mono_us - node->gossip.confirm.confirmed_at_us;
+	lock_release(&node->gossip.lock);
+	return age_us;
+}
+
+/* Takes in that the log held nothing newer than @p version at @p at_us. */
+static void confirm(struct node *node, int64_t version, int64_t at_us)
+{
+	struct confirm_state *state = &node->gossip.confirm;
+	int64_t held_version = history_version(node->history);
+
+	lock_acquire(&node->gossip.lock);
+	if (version <= held_version) {
+		confirm_held(node, at_us);
+	} else if (version >= state->pending_version) {
+		state->pending_version = version;
+		state->pending_at_us = MAX(state->pending_at_us, at_us);
+	}
+	lock_release(&node->gossip.lock);
+}
+
+void confirm_applied(struct node *node)
+{
+	struct confirm_state *state = &node->gossip.confirm;
+	int64_t held_version = history_version(node->history);
+
+	lock_acquire(&node->gossip.lock);
+	if (state->pending_version && state->pending_version <= held_version) {
+		confirm_held(node, state->pending_at_us);
+		state->pending_version = 0;
+		state->pending_at_us = 0;
+	}
+	lock_release(&node->gossip.lock);
+}
+
+/* Returns whether the newest confirmation of the held version should be forwarded now. */
+static bool take_forward(struct node *node)
+{
+	struct confirm_state *state = &node->gossip.confirm;
+	bool forward;
+
+	lock_acquire(&node->gossip.lock);
+	forward = node->gossip.boot.phase == BOOT_CURRENT && !node->gossip.stopping &&
+		  state->confirmed_at_us - state->forwarded_us > fraction_us(node, FORWARD_PERCENT);
+	if (forward)
+		state->forwarded_us = state->confirmed_at_us;
+	lock_release(&node->gossip.lock);
+	return forward;
+}
+
+struct message *confirm_advert(struct node *node, struct instant now)
+{
+	struct message *message = message_new(MESSAGE_ADVERT);
+
+	message->advert.version = history_version(node->history);
+	message->advert.confirmed_age_us = confirm_age_us(node, now);
+	return message;
+}
+
+static void forward(struct node *node, struct instant now, struct actions *out)
+{
+	struct message *message = confirm_advert(node, now);
+	struct rng rng = node_rng(node);
+	uint64_t peers[FORWARD_LOCAL + FORWARD_ANY];
+	int count = members_random(node->members, &rng, true, peers, FORWARD_LOCAL);
+
+	count += members_random(node->members, &rng, false, peers + count, FORWARD_ANY);
+	for (int i = 0; i < count; i++)
+		actions_send(out, peers[i], message_ref(message));
+	message_unref(message);
+}
+
+void confirm_from_peer(struct node *node, int64_t version, int64_t age_us, struct instant now)
+{
+	if (age_us >= 0 && age_us < now.mono_us)
+		confirm(node, version, now.mono_us - age_us);
+}
+
+void confirm_forward(struct node *node, struct instant now, struct actions *out)
+{
+	if (take_forward(node))
+		forward(node, now, out);
+}
+
+void confirm_from_log(struct node *node, int64_t newest, struct instant at, struct instant now,
+		      struct actions *out)
+{
+	confirm(node, newest, at.mono_us);
+	if (take_forward(node))
+		node_gossip(node, confirm_advert(node, now), out);
+}
+
+/* Returns whether this node has to read the log itself now, and marks the read as begun. */
+static bool begin_check(struct node *node, int64_t held_version, struct instant now)
+{
+	struct confirm_state *state = &node->gossip.confirm;
+	const struct pull_state *pull = &node->gossip.pull;
+	struct deadline deliver_by = { pull->behind_since_us +
+				       fraction_us(node, DELIVERY_PERCENT) };
+	bool due;
+
+	lock_acquire(&node->gossip.lock);
+	due = deadline_passed(state->check_at, now) ||
+	      (pull->heard_newest > held_version && deadline_passed(deliver_by, now));
+	due = due && !state->checking && !node->gossip.stopping &&
+	      node->gossip.boot.phase == BOOT_CURRENT && !node->gossip.log.expired &&
+	      (state->retry_at.at_us == 0 || deadline_passed(state->retry_at, now));
+	if (due) {
+		state->checking = true;
+		state->asked_at = now;
+	}
+	lock_release(&node->gossip.lock);
+	return due;
+}
+
+void confirm_tick(struct node *node, struct instant now, struct actions *out)
+{
+	int64_t held_version = history_version(node->history);
+
+	if (begin_check(node, held_version, now))
+		actions_check_log(out, held_version + 1);
+}
+
+struct instant confirm_check_done(struct node *node)
+{
+	struct instant asked_at;
+
+	lock_acquire(&node->gossip.lock);
+	node->gossip.confirm.checking = false;
+	asked_at = node->gossip.confirm.asked_at;
+	lock_release(&node->gossip.lock);
+	return asked_at;
+}
+
+void confirm_check_failed(struct node *node, enum log_failure failure, struct instant now)
+{
+	struct confirm_state *state = &node->gossip.confirm;
+	int64_t jitter_us;
+
+	lock_acquire(&node->gossip.lock);
+	state->checking = false;
+	switch (failure) {
+	case LOG_FAILURE_UNAVAILABLE:
+	case LOG_FAILURE_LIMITED:
+		state->retry_us = CLAMP(2 * state->retry_us, fraction_us(node, RETRY_PERCENT),
+					fraction_us(node, RETRY_MAX_PERCENT));
+		jitter_us = (int64_t)rng_below(&node->gossip.rng, (uint64_t)state->retry_us + 1);
+		state->retry_at = deadline_after(now, state->retry_us / 2 + jitter_us);
+		break;
+	case LOG_FAILURE_EXPIRED:
+		/* The system stream has the newest files; the node reads it even if it is not a
+		 * reader. */
+		node->gossip.log.expired = true;
+		node->gossip.log.system_next = 0;
+		break;
+	}
+	lock_release(&node->gossip.lock);
+}
--- a/core/node_fleet.c
+++ b/core/node_fleet.c
@@ -64,14 +64,14 @@
 }
 
 static struct message *probe_message(struct node *node, enum message_kind kind, uint32_t seq,
-				     uint64_t origin, uint64_t subject)
+				     uint64_t origin, uint64_t subject, struct instant now)
 {
 	struct message *message = message_new(kind);
 
 	message->probe.seq = seq;
 	message->probe.origin = origin;
 	message->probe.subject = subject;
-	message->probe.digest = node_digest(node);
+	message->probe.digest = node_digest(node, now);
 	message->probe.members = dequeue_updates(node, 1);
 	return message;
 }
@@ -82,16 +82,16 @@
 }
 
 /* Sends a ping with the record of this node, which the receiver may not have. */
-static void ping_with_self(struct node *node, uint64_t to, struct actions *out)
+static void ping_with_self(struct node *node, uint64_t to, struct instant now, struct actions *out)
 {
-	struct message *message = probe_message(node, MESSAGE_PING, 0, 0, to);
+	struct message *message = probe_message(node, MESSAGE_PING, 0, 0, to, now);
 	struct member self = members_self(node->members);
 
 	append_record(message, &self);
 	actions_send(out, to, message);
 }
 
-void fleet_ping_seeds(struct node *node, int count, struct actions *out)
+void fleet_ping_seeds(struct node *node, int count, struct instant now, struct actions *out)
 {
 	struct rng rng = node_rng(node);
 
@@ -99,11 +99,12 @@
 		uint64_t to = node->seeds[rng_below(&rng, node->options.seed_count)];
 
 		if (to != node->options.id)
-			ping_with_self(node, to, out);
+			ping_with_self(node, to, now, out);
 	}
 }
 
-void fleet_introduce(struct node *node, const uint64_t *ids, int count, struct actions *out)
+void fleet_introduce(struct node *node, const uint64_t *ids, int count, struct instant now,
+		     struct actions *out)
 {
 	struct rng rng = node_rng(node);
 	int wanted = MIN(count, INTRODUCED_MAX);
@@ -114,7 +115,7 @@
 			continue;
 		wanted--;
 		if (ids[i] != node->options.id)
-			ping_with_self(node, ids[i], out);
+			ping_with_self(node, ids[i], now, out);
 	}
 }
 
@@ -273,10 +274,10 @@
 }
 
 static void answer_ping(struct node *node, uint64_t from, const struct message *message,
-			struct actions *out)
+			struct instant now, struct actions *out)
 {
 	struct message *answer = probe_message(node, MESSAGE_ACK, message->probe.seq,
-					       message->probe.origin, node->options.id);
+					       message->probe.origin, node->options.id, now);
 
 	add_sender_record(node, from, answer);
 	actions_send(out, from, answer);
@@ -289,11 +290,11 @@
 
 	fleet_on_members(node, message->probe.members, now, out);
 	if (message->kind == MESSAGE_PING)
-		answer_ping(node, from, message, out);
+		answer_ping(node, from, message, now, out);
 	else if (message->probe.origin && message->probe.origin != node->options.id)
 		actions_send(out, message->probe.origin,
 			     probe_message(node, MESSAGE_ACK, message->probe.seq,
-					   message->probe.origin, message->probe.subject));
+					   message->probe.origin, message->probe.subject, now));
 	else
 		handle_ack(node, message);
 	config_on_digest(node, from, digest, now, out);
@@ -302,11 +303,11 @@
 }
 
 void fleet_on_ping_request(struct node *node, uint64_t from, const struct message *message,
-			   struct actions *out)
+			   struct instant now, struct actions *out)
 {
 	actions_send(out, message->ping_request.subject,
 		     probe_message(node, MESSAGE_PING, message->ping_request.seq, from,
-				   message->ping_request.subject));
+				   message->ping_request.subject, now));
 }
 
 static void start_probe(struct node *node, struct instant now, struct actions *out)
@@ -325,7 +326,7 @@
 				       .relay_at = deadline_after(now, ACK_US),
 				       .suspect_at = deadline_after(now, ROUND_US - ACK_US / 4) };
 	lock_release(&node->gossip.lock);
-	actions_send(out, subject, probe_message(node, MESSAGE_PING, seq, 0, subject));
+	actions_send(out, subject, probe_message(node, MESSAGE_PING, seq, 0, subject, now));
 }
 
 enum probe_step { PROBE_WAIT, PROBE_RELAY, PROBE_SUSPECT };
@@ -416,10 +417,10 @@
 		return;
 	id = members_random_dead(node->members, &rng);
 	if (id)
-		ping_with_self(node, id, out);
+		ping_with_self(node, id, now, out);
 	/* Without a live peer, only the seeds of the settings lead back to the fleet. */
 	if (members_count(node->members).live <= 1)
-		fleet_ping_seeds(node, 1, out);
+		fleet_ping_seeds(node, 1, now, out);
 }
 
 void fleet_round(struct node *node, struct instant now, struct actions *out)
--- a/core/node_log.c
+++ b/core/node_log.c
@@ -28,7 +28,7 @@
 		*from = held_version + 1;
 		break;
 	case BOOT_CURRENT:
-		if (!gossip->log.reader)
+		if (!gossip->log.reader && !gossip->log.expired)
 			return false;
 		*stream = gossip->log.expired ? STREAM_SYSTEM : STREAM_CONFIG;
 		*from = gossip->log.expired ? gossip->log.system_next : held_version + 1;
@@ -169,6 +169,7 @@
 	int rank;
 
 	update_reader(node, out);
+	confirm_update_rank(node);
 	if (due_us >= 0) {
 		rank = members_rank(node->members, SCOPE_ALL, (struct label){ 0 },
 				    (uint64_t)(config->version / SNAPSHOT_EVERY));
@@ -210,7 +211,7 @@
 		count++;
 	}
 	if (config_apply_records(node, records, count, &source, now, out)) {
-		config_advertise(node, out);
+		config_advertise(node, now, out);
 		lock_acquire(&node->gossip.lock);
 		if (node->gossip.boot.phase == BOOT_CURRENT)
 			node->gossip.log.retry_at = deadline_after(now, BATCH_DELAY_US);
@@ -278,9 +279,24 @@
 		config_set_current(node, out);
 }
 
+/* Applies the answer to a read that confirms the held version or brings a newer one. */
+static void handle_check(struct node *node, const struct event *event, struct instant now,
+			 struct actions *out)
+{
+	struct instant asked_at = confirm_check_done(node);
+
+	note_log_available(node, out);
+	apply_changes(node, event, now, out);
+	confirm_from_log(node, event->batch.newest, asked_at, now, out);
+}
+
 void log_on_batch(struct node *node, const struct event *event, struct instant now,
 		  struct actions *out)
 {
+	if (event->batch.check) {
+		handle_check(node, event, now, out);
+		return;
+	}
 	lock_acquire(&node->gossip.lock);
 	node->gossip.log.reading[event->batch.stream] = false;
 	lock_release(&node->gossip.lock);
@@ -288,6 +304,9 @@
 	switch (event->batch.stream) {
 	case STREAM_CONFIG:
 		apply_changes(node, event, now, out);
+		/* Records may have been appended while the answer with records was on its way. */
+		if (event->batch.count == 0)
+			confirm_from_log(node, event->batch.newest, now, now, out);
 		break;
 	case STREAM_SYSTEM:
 		apply_system_records(node, event, now, out);
@@ -342,6 +361,10 @@
 	struct gossip_state *gossip = &node->gossip;
 	bool newly_unavailable = false;
 
+	if (event->failed.check) {
+		confirm_check_failed(node, event->failed.failure, now);
+		return;
+	}
 	lock_acquire(&gossip->lock);
 	gossip->log.reading[event->failed.stream] = false;
 	back_off(gossip, event->failed.failure, now);
--- a/core/node_parts.h
+++ b/core/node_parts.h
@@ -16,7 +16,7 @@
 #define REMOTE_PULL_US	 (500 * US_PER_MS) /* the own data centre may get the update meanwhile */
 #define BATCH_DELAY_US	 (300 * US_PER_MS) /* batches changes in quick succession */
 #define PULL_TIMEOUT_US	 (1 * US_PER_S)	   /* after this time another peer is asked */
-#define LOG_POLL_US	 (20 * US_PER_S)
+#define LOG_POLL_US	 (5 * US_PER_S)
 #define LOG_RETRY_MIN_US (500 * US_PER_MS)
 #define LOG_RETRY_MAX_US (8 * US_PER_S)
 #define SYNC_US		 (5 * US_PER_S) /* minimum interval between two syncs of members */
@@ -83,6 +83,7 @@
 	int64_t newest_seen;
 	struct deadline ping_at;
 	struct deadline log_at;		  /**< when the node falls back to the log */
+	int64_t started_us;		  /**< monotonic */
 	struct deadline members_retry_at; /**< next request for all members */
 	bool members_known;
 };
@@ -108,6 +109,20 @@
 	GPtrArray *files;
 };
 
+/** When this node last knew that it held the newest version, and when it reads the log itself. */
+struct confirm_state {
+	int64_t confirmed_at_us; /**< the log held nothing newer than the held version; 0: never */
+	int64_t forwarded_us;	 /**< newest confirmation that was sent to peers */
+	int64_t pending_version; /**< newest version confirmed that is not held yet; 0: none */
+	int64_t pending_at_us;
+	struct deadline check_at; /**< latest time for the next confirmation */
+	struct deadline retry_at;
+	int64_t retry_us; /**< grows while the log does not answer */
+	struct instant asked_at;
+	bool checking;
+	int rank; /**< among all live members */
+};
+
 struct unsaved_move {
 	struct saved_move move;
 	uint64_t tag; /**< tag of the append in progress; 0: none */
@@ -131,6 +146,7 @@
 	struct pull_state pull;
 	struct boot_state boot;
 	struct log_state log;
+	struct confirm_state confirm;
 	struct assembly from_peer;
 	struct assembly from_log;
 	int64_t snapshot_version;
@@ -190,12 +206,13 @@
 /* node_fleet.c */
 void fleet_round(struct node *node, struct instant now, struct actions *out);
 void fleet_tick(struct node *node, struct instant now, struct actions *out);
-void fleet_ping_seeds(struct node *node, int count, struct actions *out);
-void fleet_introduce(struct node *node, const uint64_t *ids, int count, struct actions *out);
+void fleet_ping_seeds(struct node *node, int count, struct instant now, struct actions *out);
+void fleet_introduce(struct node *node, const uint64_t *ids, int count, struct instant now,
+		     struct actions *out);
 void fleet_on_probe(struct node *node, uint64_t from, const struct message *message,
 		    struct instant now, struct actions *out);
 void fleet_on_ping_request(struct node *node, uint64_t from, const struct message *message,
-			   struct actions *out);
+			   struct instant now, struct actions *out);
 void fleet_on_members_ask(struct node *node, uint64_t from, const struct message *message,
 			  struct actions *out);
 void fleet_request_members(struct node *node, uint64_t from, bool all, struct actions *out);
@@ -209,8 +226,8 @@
 /* node_config.c */
 void config_on_digest(struct node *node, uint64_t from, const struct digest *digest,
 		      struct instant now, struct actions *out);
-void config_on_advert(struct node *node, uint64_t from, int64_t version, struct instant now,
-		      struct actions *out);
+void config_on_advert(struct node *node, uint64_t from, const struct message *message,
+		      struct instant now, struct actions *out);
 void config_on_pull(struct node *node, uint64_t from, const struct message *pull,
 		    struct actions *out);
 void config_on_records(struct node *node, uint64_t from, const struct message *message,
@@ -226,7 +243,7 @@
 			  const struct change_source *source, struct instant now,
 			  struct actions *out);
 /** Sends the held version to some peers. */
-void config_advertise(struct node *node, struct actions *out);
+void config_advertise(struct node *node, struct instant now, struct actions *out);
 bool config_apply_snapshot_part(struct node *node, struct assembly *assembly,
 				const struct snapshot_part *part,
 				const struct change_source *source, struct instant now,
@@ -236,6 +253,30 @@
 void config_set_members_known(struct node *node);
 void config_set_current(struct node *node, struct actions *out);
 
+/* node_confirm.c: all functions take LOCK_GOSSIP but confirm_init(), which runs before it is shared
+ */
+void confirm_init(struct node *node, struct instant now);
+/** Sets this node's rank for reading the log. */
+void confirm_update_rank(struct node *node);
+/** Returns the age of the held version's confirmation, or CONFIRMED_NEVER. */
+int64_t confirm_age_us(struct node *node, struct instant now);
+/** Takes in a peer's confirmation. */
+void confirm_from_peer(struct node *node, int64_t version, int64_t age_us, struct instant now);
+/** Forwards the held version's confirmation to a few peers, if they may lack it. */
+void confirm_forward(struct node *node, struct instant now, struct actions *out);
+/** Takes in that the log held nothing newer than @p newest at @p at, and sends it to peers. */
+void confirm_from_log(struct node *node, int64_t newest, struct instant at, struct instant now,
+		      struct actions *out);
+/** Makes a confirmation that came before its version count, once the version is held. */
+void confirm_applied(struct node *node);
+/** Returns an advert of the held version. */
+struct message *confirm_advert(struct node *node, struct instant now);
+/** Reads the log if that is due. */
+void confirm_tick(struct node *node, struct instant now, struct actions *out);
+/** Ends a read that was begun by confirm_tick(); returns when it began. */
+struct instant confirm_check_done(struct node *node);
+void confirm_check_failed(struct node *node, enum log_failure failure, struct instant now);
+
 /* node_log.c */
 void log_tick(struct node *node, struct instant now, struct actions *out);
 void log_round(struct node *node, struct instant now, struct actions *out);
--- a/godwithitchd/dispatch.c
+++ b/godwithitchd/dispatch.c
@@ -26,6 +26,7 @@
 	int64_t from;
 	struct deadline wait_until;
 	int64_t started_us; /**< monotonic */
+	bool check;	    /**< as in the action */
 };
 
 /** Arguments of WORK_APPEND, owned by the work item. */
@@ -66,6 +67,7 @@
 	event.failed.stream = action->read.stream;
 	event.failed.partition = action->read.partition;
 	event.failed.failure = LOG_FAILURE_LIMITED;
+	event.failed.check = action->read.check;
 	dispatch_event(daemon, &event);
 }
 
@@ -96,6 +98,7 @@
 	job->from = action->read.from;
 	job->wait_until = action->read.wait_until;
 	job->started_us = clock_now().mono_us;
+	job->check = action->read.check;
 	if (workers_post(daemon->workers, (struct work){ WORK_READ_LOG, job }))
 		return;
 	g_free(job);
@@ -371,10 +374,12 @@
 		event.batch.records = read.records;
 		event.batch.count = read.count;
 		event.batch.newest = read.newest;
+		event.batch.check = job->check;
 	} else {
 		event.failed.stream = job->stream;
 		event.failed.partition = job->partition;
 		event.failed.failure = read.failure;
+		event.failed.check = job->check;
 	}
 	if (!g_atomic_int_get(&daemon->stopping) || read.kind == READ_DONE)
 		dispatch_event(daemon, &event);
--- a/godwithitchd/main.c
+++ b/godwithitchd/main.c
@@ -105,6 +105,7 @@
 				     .seeds = (uint64_t *)(void *)settings->seeds->data,
 				     .seed_count = (int)settings->seeds->len,
 				     .log_retains_files = settings->interface == INTERFACE_PLATFORM,
+				     .apply_within_us = settings->apply_within_us,
 				     .log_retention_us = settings->log_retention_s * US_PER_S,
 				     .retry_ratio = settings->retry_ratio,
 				     .retry_slack = (int)settings->retry_slack };
--- a/godwithitchd/settings.c
+++ b/godwithitchd/settings.c
@@ -14,13 +14,15 @@
 	RETENTION_DEFAULT_S = 3600,
 };
 
-#define BODY_DEFAULT_BYTES  (4LL << 30)
-#define STOP_DEFAULT_US	    (600 * US_PER_S)
-#define STOP_MAX_US	    (86400 * US_PER_S)
-#define ANNOUNCE_TTL_MAX_US (60 * US_PER_S)
-#define RETRY_RATIO_DEFAULT 0.1 /* extra load from retries when every call fails */
-#define LINK_MAX_MBPS	    1e6 /* 1 Tbit/s; a larger value is taken for a typing error */
-#define RETRY_SLACK_DEFAULT 0
+#define BODY_DEFAULT_BYTES	(4LL << 30)
+#define STOP_DEFAULT_US		(600 * US_PER_S)
+#define APPLY_WITHIN_MAX_US	(600 * US_PER_S)
+#define APPLY_WITHIN_DEFAULT_US (8 * US_PER_S)
+#define STOP_MAX_US		(86400 * US_PER_S)
+#define ANNOUNCE_TTL_MAX_US	(60 * US_PER_S)
+#define RETRY_RATIO_DEFAULT	0.1 /* extra load from retries when every call fails */
+#define LINK_MAX_MBPS		1e6 /* 1 Tbit/s; a larger value is taken for a typing error */
+#define RETRY_SLACK_DEFAULT	0
 
 /** A document that is being read, and the destinations of its values and errors. */
 struct settings_reader {
@@ -165,6 +167,8 @@
 	return read_seconds(r, STR("stop_within_s"), STOP_MAX_US, STOP_DEFAULT_US,
 			    &s->stop_within_us) &&
 	       read_seconds(r, STR("stop_notice_s"), STOP_MAX_US, 0, &s->stop_notice_us) &&
+	       read_seconds(r, STR("apply_within_s"), APPLY_WITHIN_MAX_US, APPLY_WITHIN_DEFAULT_US,
+			    &s->apply_within_us) &&
 	       read_seconds(r, STR("announce_ttl_s"), ANNOUNCE_TTL_MAX_US, 0,
 			    &s->announce_ttl_us) &&
 	       read_double(r, STR("retry_ratio"), 1, &s->retry_ratio) &&
--- a/godwithitchd/settings.h
+++ b/godwithitchd/settings.h
@@ -39,6 +39,7 @@
 	int64_t log_retention_s;
 	int64_t stop_within_us;	 /**< longest graceful stop; running requests are then cut off */
 	int64_t stop_notice_us;	 /**< new requests are accepted this long after the stop began */
+	int64_t apply_within_us; /**< time in which an acknowledged change is in force */
 	int64_t announce_ttl_us; /**< lifetime of an announcement that states none */
 	double retry_ratio;	 /**< retries per call of a service, over the whole fleet */
 	int64_t retry_slack; /**< retries allowed beyond the ratio, fleet-wide; 0: 50 per node */
--- a/peer/codec.c
+++ b/peer/codec.c
@@ -4,7 +4,7 @@
 
 static void pack_digest(msgpack_packer *out, const struct digest *digest)
 {
-	msgpack_pack_array(out, 6);
+	msgpack_pack_array(out, 7);
 	msgpack_pack_int64(out, digest->version);
 	msgpack_pack_int64(out, digest->snapshot_version);
 	msgpack_pack_int64(out, digest->snapshot_at_us);
@@ -14,6 +14,7 @@
 		msgpack_pack_true(out);
 	else
 		msgpack_pack_false(out);
+	msgpack_pack_int64(out, digest->confirmed_age_us);
 }
 
 static void pack_probe(msgpack_packer *out, const struct probe_body *probe)
@@ -138,8 +139,9 @@
 		msgpack_pack_uint64(out, message->ping_request.subject);
 		return;
 	case MESSAGE_ADVERT:
-		msgpack_pack_array(out, 1);
-		msgpack_pack_int64(out, message->version);
+		msgpack_pack_array(out, 2);
+		msgpack_pack_int64(out, message->advert.version);
+		msgpack_pack_int64(out, message->advert.confirmed_age_us);
 		return;
 	case MESSAGE_PULL:
 		msgpack_pack_array(out, 2);
@@ -206,6 +208,12 @@
 	pack_body(&packer, message);
 }
 
+/* Nodes of earlier builds send no age. */
+static int64_t unpack_age(struct unpack *in)
+{
+	return in->remaining ? unpack_i64(in) : CONFIRMED_NEVER;
+}
+
 static void unpack_digest(struct unpack *in, struct digest *digest)
 {
 	struct unpack inner = unpack_inner(in);
@@ -216,6 +224,7 @@
 	digest->members_hash = unpack_u64(&inner);
 	digest->moves_hash = unpack_u64(&inner);
 	digest->current = unpack_bool(&inner);
+	digest->confirmed_age_us = unpack_age(&inner);
 	in->bad |= inner.bad;
 }
 
@@ -338,7 +347,8 @@
 		message->ping_request.subject = unpack_u64(in);
 		return;
 	case MESSAGE_ADVERT:
-		message->version = unpack_i64(in);
+		message->advert.version = unpack_i64(in);
+		message->advert.confirmed_age_us = unpack_age(in);
 		return;
 	case MESSAGE_PULL:
 		message->pull.held_version = unpack_i64(in);
--- a/regress/core/lateness_test.c
+++ b/regress/core/lateness_test.c
@@ -23,6 +23,7 @@
 	options.nodes = NODES;
 	options.data_centres = DATA_CENTRES;
 	options.seed = seed;
+	options.apply_within_us = PROMISED_US;
 	options.preload = true;
 	sim = sim_new(&options);
 	sim_run(sim, SETTLE_US);
--- a/regress/lib/sim_log.c
+++ b/regress/lib/sim_log.c
@@ -21,13 +21,14 @@
 	return sim->oldest_offset[stream] + (int64_t)sim->log[stream]->len - 1;
 }
 
-static void schedule_answer(struct sim *sim, int node, int stream, int64_t from)
+static void schedule_answer(struct sim *sim, int node, int stream, int64_t from, bool check)
 {
 	struct pending_event *pending =
 		sim_schedule(sim, sim->now_us + LOG_LATENCY_US, PENDING_LOG_ANSWER, node);
 
 	pending->answer.stream = stream;
 	pending->answer.from = from;
+	pending->answer.check = check;
 }
 
 static void wake_long_polls(struct sim *sim, int stream)
@@ -39,7 +40,7 @@
 			continue;
 		g_array_remove_index(sim->long_polls, i);
 		if (sim->nodes[long_poll.node].started_us == long_poll.node_started_us)
-			schedule_answer(sim, long_poll.node, stream, long_poll.from);
+			schedule_answer(sim, long_poll.node, stream, long_poll.from, false);
 	}
 }
 
@@ -65,7 +66,7 @@
 	sim->stats.reads++;
 	if (sim->log_unavailable || newest_offset(sim, long_poll.stream) >= long_poll.from ||
 	    wait_us <= 0) {
-		schedule_answer(sim, node, long_poll.stream, long_poll.from);
+		schedule_answer(sim, node, long_poll.stream, long_poll.from, action->read.check);
 		return;
 	}
 	g_array_append_val(sim->long_polls, long_poll);
@@ -150,12 +151,14 @@
 		return;
 	sim_stream_from_index(stream, &event.failed.stream, &event.failed.partition);
 	event.failed.failure = LOG_FAILURE_UNAVAILABLE;
+	event.failed.check = pending->answer.check;
 	if (!sim->log_unavailable && from < sim->oldest_offset[stream]) {
 		event.failed.failure = LOG_FAILURE_EXPIRED;
 	} else if (!sim->log_unavailable) {
 		event.kind = EVENT_LOG_BATCH;
 		sim_stream_from_index(stream, &event.batch.stream, &event.batch.partition);
 		event.batch.newest = newest_offset(sim, stream);
+		event.batch.check = pending->answer.check;
 		event.batch.count = (int)MAX(0, event.batch.newest - from + 1);
 		event.batch.records = event.batch.count
 					      ? &g_array_index(sim->log[stream], struct log_record,
--- a/regress/lib/sim_parts.h
+++ b/regress/lib/sim_parts.h
@@ -38,6 +38,7 @@
 			int64_t from;
 			uint64_t long_poll_id; /* 0 if none */
 			bool transferred;      /* the node's link has carried it */
+			bool check;	       /* as in the action */
 		} answer;
 		struct {
 			int stream;
--- a/regress/peer/codec_test.c
+++ b/regress/peer/codec_test.c
@@ -142,7 +142,8 @@
 		message->ping_request.subject = rng_next(rng);
 		break;
 	case MESSAGE_ADVERT:
-		message->version = (int64_t)rng_below(rng, 1ULL << 40);
+		message->advert.version = (int64_t)rng_below(rng, 1ULL << 40);
+		message->advert.confirmed_age_us = (int64_t)rng_below(rng, 1ULL << 40);
 		break;
 	case MESSAGE_PULL:
 		message->pull.held_version = (int64_t)rng_below(rng, 1ULL << 40);
