An unanswered pull is repeated soon, and at a peer that has the version

A node now remembers up to four peers that announced the newest version. After 12% of the promised time it asks the next of them; one that answers without the version is dropped. The wait for a local peer is bounded by the same time, and ends when a local peer announces the version.

test_unanswered_pull_is_repeated_at_another_holder failed before (no second pull within 0.5 s).

--- a/core/node_config.c
+++ b/core/node_config.c
@@ -8,6 +8,29 @@
 #define MEMBERS_RETRY_US (1 * US_PER_S)	    /* after this time another peer is asked */
 #define BOOT_CONFIRM_US	 (1500 * US_PER_MS) /* wait for a confirmation while the log is out */
 
+/* Records that a peer holds the newest known version. LOCK_GOSSIP is held. */
+static void add_holder(struct pull_state *pull, uint64_t peer, int64_t version)
+{
+	if (version < pull->known_newest)
+		return;
+	if (version > pull->known_newest)
+		pull->holder_count = 0;
+	pull->known_newest = version;
+	for (int i = 0; i < pull->holder_count; i++)
+		if (pull->holders[i] == peer)
+			return;
+	if (pull->holder_count < PULL_HOLDERS_MAX)
+		pull->holders[pull->holder_count++] = peer;
+}
+
+/* Removes a peer that did not deliver. LOCK_GOSSIP is held. */
+static void remove_holder(struct pull_state *pull, uint64_t peer)
+{
+	for (int i = 0; i < pull->holder_count; i++)
+		if (pull->holders[i] == peer)
+			pull->holders[i] = pull->holders[--pull->holder_count];
+}
+
 /* Records that a version newer than the held one exists, and since when this node knows. */
 static void note_heard(struct node *node, uint64_t from, int64_t version, const char *way,
 		       struct instant now, struct actions *out)
@@ -19,6 +42,7 @@
 	if (version <= held_version)
 		return;
 	lock_acquire(&node->gossip.lock);
+	add_holder(pull, from, version);
 	first = version > pull->heard_newest;
 	if (pull->heard_newest <= held_version)
 		pull->behind_since_us = now.mono_us;
@@ -44,22 +68,24 @@
 	return us / US_PER_MS;
 }
 
-/* Records the newest known version and its holder; returns true if a pull from it starts now. */
-static bool begin_pull(struct node *node, uint64_t from, int64_t newest, struct instant now)
+/* Returns after what time a pull without an answer is repeated at another peer. */
+static int64_t pull_timeout_us(const struct node *node)
+{
+	return node->options.apply_within_us * PULL_TIMEOUT_PERCENT / 100;
+}
+
+/* Returns true if a pull from a peer starts now. */
+static bool begin_pull(struct node *node, uint64_t from, struct instant now)
 {
 	struct pull_state *pull = &node->gossip.pull;
 	bool begin;
 
 	lock_acquire(&node->gossip.lock);
-	if (newest >= pull->known_newest) {
-		pull->known_newest = newest;
-		pull->known_from = from;
-	}
 	begin = (pull->from == 0 || deadline_passed(pull->expires_at, now)) &&
 		(pull->not_before.at_us == 0 || deadline_passed(pull->not_before, now));
 	if (begin) {
 		pull->from = from;
-		pull->expires_at = deadline_after(now, PULL_TIMEOUT_US);
+		pull->expires_at = deadline_after(now, pull_timeout_us(node));
 	}
 	lock_release(&node->gossip.lock);
 	return begin;
@@ -74,18 +100,18 @@
 	struct rng rng = node_rng(node);
 	struct member record;
 	uint64_t local_peer;
+	bool remote = node_is_current(node) && members_get(node->members, from, &record) &&
+		      !label_equal(&record.data_centre, &node->options.data_centre) &&
+		      members_random(node->members, &rng, true, &local_peer, 1) > 0;
 	bool waits;
 
-	if (!node_is_current(node) || !members_get(node->members, from, &record) ||
-	    label_equal(&record.data_centre, &node->options.data_centre) ||
-	    members_random(node->members, &rng, true, &local_peer, 1) == 0)
-		return false;
 	lock_acquire(&node->gossip.lock);
-	if (newest > pull->known_newest) {
-		pull->known_newest = newest;
-		pull->known_from = from;
-		if (pull->remote_at.at_us == 0)
-			pull->remote_at = deadline_after(now, REMOTE_PULL_US);
+	if (!remote) {
+		pull->remote_at = (struct deadline){ 0 };
+	} else if (newest == pull->known_newest && pull->holder_count == 1 &&
+		   pull->holders[0] == from && pull->remote_version < newest) {
+		pull->remote_version = newest;
+		pull->remote_at = deadline_after(now, MIN(REMOTE_PULL_US, pull_timeout_us(node)));
 	}
 	waits = pull->remote_at.at_us && !deadline_passed(pull->remote_at, now);
 	lock_release(&node->gossip.lock);
@@ -99,7 +125,7 @@
 	int64_t held_version = history_version(node->history);
 
 	if (newest <= held_version || waits_for_local_peer(node, from, newest, now) ||
-	    !begin_pull(node, from, newest, now))
+	    !begin_pull(node, from, now))
 		return;
 	message = message_new(MESSAGE_PULL);
 	message->pull.held_version = held_version;
@@ -399,8 +425,12 @@
 		pull->from = 0;
 	if (pull->known_newest <= held_version)
 		pull->remote_at = (struct deadline){ 0 };
-	if (pull->known_newest > held_version && (advanced || pull->need_full)) {
-		next = pull->known_from;
+	/* A peer that answers without the version that it announced is not asked for it again. */
+	if (!advanced && !pull->need_full)
+		remove_holder(pull, from);
+	if (pull->known_newest > held_version && pull->holder_count &&
+	    (advanced || pull->need_full)) {
+		next = pull->holders[0];
 		*newest = pull->known_newest;
 	}
 	lock_release(&node->gossip.lock);
@@ -509,35 +539,49 @@
 		finish_pull(node, from, true, now, out);
 }
 
-/* Starts a delayed pull, or repeats one that got no answer at another peer. */
-void config_tick(struct node *node, struct instant now, struct actions *out)
+/* Returns the peer to pull from now, or 0; removes one that did not answer from the holders and
+ * sets *unanswered to it. A holder comes before a random peer. */
+static uint64_t next_pull_peer(struct node *node, int64_t held_version, struct instant now,
+			       uint64_t *unanswered)
 {
 	struct pull_state *pull = &node->gossip.pull;
 	struct rng rng = node_rng(node);
-	int64_t held_version = history_version(node->history);
-	int64_t newest = 0;
-	uint64_t unanswered = 0;
 	uint64_t peer = 0;
-	bool retry;
+	bool due;
 
 	lock_acquire(&node->gossip.lock);
 	if (pull->known_newest <= held_version)
 		pull->remote_at = (struct deadline){ 0 };
-	peer = pull->from == 0 ? pull->known_from : 0;
-	retry = pull->known_newest > held_version &&
-		(pull->from == 0 || deadline_passed(pull->expires_at, now)) &&
-		(pull->not_before.at_us == 0 || deadline_passed(pull->not_before, now)) &&
-		(pull->remote_at.at_us == 0 || deadline_passed(pull->remote_at, now));
-	if (retry)
-		unanswered = pull->from;
-	newest = pull->known_newest;
+	due = pull->known_newest > held_version &&
+	      (pull->from == 0 || deadline_passed(pull->expires_at, now)) &&
+	      (pull->not_before.at_us == 0 || deadline_passed(pull->not_before, now)) &&
+	      (pull->remote_at.at_us == 0 || deadline_passed(pull->remote_at, now));
+	if (due) {
+		*unanswered = pull->from;
+		remove_holder(pull, pull->from);
+		peer = pull->holder_count ? pull->holders[0] : 0;
+	}
+	lock_release(&node->gossip.lock);
+	if (due && peer == 0 && members_random(node->members, &rng, false, &peer, 1) == 0)
+		return 0;
+	return peer;
+}
+
+/* Starts a delayed pull, or repeats one that got no answer at another peer. */
+void config_tick(struct node *node, struct instant now, struct actions *out)
+{
+	int64_t held_version = history_version(node->history);
+	uint64_t unanswered = 0;
+	uint64_t peer = next_pull_peer(node, held_version, now, &unanswered);
+	int64_t newest;
+
+	lock_acquire(&node->gossip.lock);
+	newest = node->gossip.pull.known_newest;
 	lock_release(&node->gossip.lock);
 	if (unanswered)
 		actions_log_event(out, LOG_EVENT_PULL_UNANSWERED, "from=%lx held=%ld newest=%ld",
 				  unanswered, held_version, newest);
-	/* The peer that announced the version holds it; if it did not answer, a random one is
-	 * asked. */
-	if (retry && (peer || members_random(node->members, &rng, false, &peer, 1) == 1))
+	if (peer)
 		pull_from(node, peer, newest, now, out);
 }
 
--- a/core/node_parts.h
+++ b/core/node_parts.h
@@ -15,7 +15,6 @@
 #define ACK_US		 (400 * US_PER_MS) /* wait before relays are asked to probe */
 #define REMOTE_PULL_US	 (500 * US_PER_MS) /* the own data centre may get the update meanwhile */
 #define BATCH_DELAY_US	 (300 * US_PER_MS) /* batches changes in quick succession */
-#define PULL_TIMEOUT_US	 (1 * US_PER_S)	   /* after this time another peer is asked */
 #define LOG_POLL_US	 (5 * US_PER_S)
 #define LOG_RETRY_MIN_US (500 * US_PER_MS)
 #define LOG_RETRY_MAX_US (8 * US_PER_S)
@@ -40,7 +39,9 @@
 	SNAPSHOT_PARTS_MAX = 4096,
 	UNSAVED_MAX = 256,
 	CENSUS_ENTRIES = 4,
-	INTRODUCED_MAX = 20, /* listed nodes that this node contacts; they inform the rest */
+	PULL_TIMEOUT_PERCENT = 12, /* of the promised time; then another peer is asked */
+	PULL_HOLDERS_MAX = 4,	   /* peers remembered as holders of the newest known version */
+	INTRODUCED_MAX = 20,	   /* listed nodes that this node contacts; they inform the rest */
 };
 
 /** A member record that is still to be sent to a few peers. */
@@ -62,8 +63,10 @@
 	struct deadline expires_at;
 	struct deadline not_before;
 	int64_t known_newest;
-	uint64_t known_from;
+	uint64_t holders[PULL_HOLDERS_MAX]; /**< peers that announced .known_newest */
+	int holder_count;
 	struct deadline remote_at; /**< earliest pull from another data centre */
+	int64_t remote_version;	   /**< newest version for which .remote_at was set */
 	int64_t heard_newest;	   /**< newest version heard of */
 	int64_t behind_since_us;   /**< when this node heard of a newer version than it holds */
 	bool need_full;		   /**< the base of a delta is not retained here */
--- a/regress/core/lateness_test.c
+++ b/regress/core/lateness_test.c
@@ -120,6 +120,61 @@
 	}
 }
 
+/* Returns the peer that the node pulls from as a result of an event; 0 if it starts no pull. */
+static uint64_t pulled_peer(struct node *node, const struct event *event, int64_t now_us)
+{
+	struct actions actions = actions_new();
+	uint64_t peer = 0;
+
+	node_handle(node, event, (struct instant){ now_us, now_us }, &actions);
+	for (guint i = 0; i < actions.list->len; i++) {
+		const struct action *action = &g_array_index(actions.list, struct action, i);
+
+		if (action->kind == ACTION_SEND && action->send.message->kind == MESSAGE_PULL)
+			peer = action->send.to;
+	}
+	actions_clear(&actions);
+	return peer;
+}
+
+static uint64_t pulled_after_advert(struct node *node, uint64_t from, int64_t version,
+				    int64_t now_us)
+{
+	struct event event = { .kind = EVENT_MESSAGE };
+	uint64_t peer;
+
+	event.message.from = from;
+	event.message.message = message_new(MESSAGE_ADVERT);
+	event.message.message->advert.version = version;
+	event.message.message->advert.confirmed_age_us = CONFIRMED_NEVER;
+	peer = pulled_peer(node, &event, now_us);
+	message_unref(event.message.message);
+	return peer;
+}
+
+/* Two holders announce a version. The first one's answer is lost: the other one is asked well
+ * within the promised time, rather than a random peer that may not have it. */
+static void test_unanswered_pull_is_repeated_at_another_holder(void **state)
+{
+	struct node_options options = {
+		.id = 1, .data_centre = LABEL("a"), .seed = 1, .apply_within_us = PROMISED_US
+	};
+	struct event tick = { .kind = EVENT_TICK };
+	int64_t now_us = US_PER_S;
+	struct node *node = node_new(&options, (struct instant){ now_us, now_us }, NULL);
+	uint64_t peer = 0;
+	int64_t waited_us = 0;
+
+	(void)state;
+	assert_int_equal(pulled_after_advert(node, 100, 5, now_us), 100);
+	assert_int_equal(pulled_after_advert(node, 200, 5, now_us), 0);
+	for (; peer == 0 && waited_us < PROMISED_US; waited_us += 100 * US_PER_MS)
+		peer = pulled_peer(node, &tick, now_us + waited_us);
+	assert_int_equal(peer, 200);
+	assert_true(waited_us <= PROMISED_US / 5);
+	node_free(node);
+}
+
 /* Adds @p count routes; the deadline of one of them varies by @p edition. */
 static char *large_file(int count, int edition)
 {
@@ -200,6 +255,7 @@
 		cmocka_unit_test(test_lost_datagrams_do_not_delay_a_change),
 		cmocka_unit_test(test_node_cut_from_its_peers_gets_changes),
 		cmocka_unit_test(test_data_centre_without_readers_gets_changes),
+		cmocka_unit_test(test_unanswered_pull_is_repeated_at_another_holder),
 		cmocka_unit_test(test_large_edition_does_not_wait_for_one_link),
 		cmocka_unit_test(test_restarted_node_does_not_serve_an_older_version),
 	};
