Files cross between nodes compressed, and large growth as a delta

When a file grew threefold its whole text, 396 KB, went to each node. The first holder's advert reached ten peers, which all pulled from it: 4 MB over a link of 11 Mbit/s are 2.9 s, so sidecar-fes-a-6 had edition 2 2.4 s after it heard of it.

The segments of a delta are compressed (zlib) once by the node that computes them; receivers keep the compressed form and the delta for peers that pull from them. A delta is sent whenever it is smaller than the file, and a node without its base gets one with base 0, the compressed file. A pull says that its sender takes these forms; earlier builds are served as before.

--- a/core/delta.c
+++ b/core/delta.c
@@ -4,7 +4,6 @@
 
 enum {
 	SEGMENT_OVERHEAD_BYTES = 16, /* encoded size of a segment without its text */
-	DELTA_SIZE_DIVISOR = 2,	     /* a delta must be smaller than the text divided by this */
 	HASH_SEED = 7,
 	APPLIED_MAX_BYTES = 16 << 20, /* limit of a peer's expanded delta; files are far smaller */
 };
@@ -153,7 +152,7 @@
 		g_hash_table_destroy(diff.line_index);
 		g_array_unref(diff.line_views);
 	}
-	if (encoded_size(diff.segments) < new.len / DELTA_SIZE_DIVISOR) {
+	if (encoded_size(diff.segments) < new.len) {
 		copy_texts(diff.segments);
 		delta = delta_new(base, str_hash(new, HASH_SEED), diff.segments);
 	} else {
@@ -162,6 +161,32 @@
 	return delta;
 }
 
+struct delta *delta_whole(struct str new)
+{
+	struct delta_segment segment = { SEGMENT_TEXT, { .text = str_dup(new) } };
+	GArray *segments = delta_new_segments();
+
+	g_array_append_val(segments, segment);
+	return delta_new(DELTA_NO_BASE, str_hash(new, HASH_SEED), segments);
+}
+
+static void encoding_free(struct delta_encoding *encoding)
+{
+	if (!encoding)
+		return;
+	g_free((char *)encoding->bytes.data);
+	g_free(encoding);
+}
+
+const struct delta_encoding *delta_set_encoding(struct delta *delta,
+						struct delta_encoding *encoding)
+{
+	if (g_atomic_pointer_compare_and_exchange(&delta->encoding, NULL, encoding))
+		return encoding;
+	encoding_free(encoding);
+	return g_atomic_pointer_get(&delta->encoding);
+}
+
 /* Finds the text of a segment; returns false if its range is not within the old text. */
 static bool segment_text(const struct delta_segment *segment, struct str old, struct str *bytes)
 {
@@ -212,9 +237,12 @@
 	g_array_unref(segments);
 }
 
-size_t delta_size(const struct delta *delta)
+size_t delta_size(struct delta *delta)
 {
-	return encoded_size(delta->segments);
+	const struct delta_encoding *encoding = g_atomic_pointer_get(&delta->encoding);
+
+	return encoding && encoding->bytes.len ? encoding->bytes.len
+					       : encoded_size(delta->segments);
 }
 
 struct delta *delta_new(int64_t base, uint64_t hash, GArray *segments)
@@ -240,5 +268,6 @@
 	if (!delta || !g_atomic_int_dec_and_test(&delta->refs))
 		return;
 	delta_free_segments(delta->segments);
+	encoding_free(delta->encoding);
 	g_free(delta);
 }
--- a/core/delta.h
+++ b/core/delta.h
@@ -29,9 +29,16 @@
 /** The segments that produce a new text. Immutable and reference-counted. */
 struct delta {
 	gint refs;
-	int64_t base;	  /**< version of the old text */
-	uint64_t hash;	  /**< hash of the new text */
-	GArray *segments; /**< struct delta_segment, in the order of the new text */
+	int64_t base;			 /**< version of the old text */
+	uint64_t hash;			 /**< hash of the new text */
+	GArray *segments;		 /**< struct delta_segment, in the order of the new text */
+	struct delta_encoding *encoding; /**< atomic; NULL until a codec has encoded the delta */
+};
+
+/** The segments as a codec sends them, made once for all receivers. */
+struct delta_encoding {
+	struct str bytes; /**< owned; empty if compression gains nothing */
+	size_t plain_len; /**< bytes before compression */
 };
 
 /** Takes ownership of @p segments. */
@@ -39,13 +46,19 @@
 GArray *delta_new_segments(void);
 /** Frees segments that no delta owns. */
 void delta_free_segments(GArray *segments);
-/** Returns about the size of the encoded delta, in bytes. */
-size_t delta_size(const struct delta *delta);
+/** Returns about the size of the encoded delta, in bytes; compressed if it was sent so. */
+size_t delta_size(struct delta *delta);
 struct delta *delta_ref(struct delta *delta);
 void delta_unref(struct delta *delta);
 
-/** Returns the difference, or NULL unless it is much smaller than the new text. */
+/** Returns the difference, or NULL unless it is smaller than the new text. */
 struct delta *delta_between(int64_t base, struct str old, struct str new);
+enum { DELTA_NO_BASE = 0 };
+/** Returns a delta with base DELTA_NO_BASE, which applies to an empty text. */
+struct delta *delta_whole(struct str new);
+/** Sets the encoding unless it is set, and returns the one that is set. Takes ownership. */
+const struct delta_encoding *delta_set_encoding(struct delta *delta,
+						struct delta_encoding *encoding);
 /** Appends the new text to @p out; returns false if the delta is not for @p old. */
 bool delta_apply(const struct delta *delta, struct str old, struct strbuf *out);
 
--- a/core/history.c
+++ b/core/history.c
@@ -58,7 +58,8 @@
 		return;
 	config_unref(history->config);
 	g_queue_free_full(history->retained, retained_record_free);
-	delta_unref(history->last_delta.delta);
+	for (int i = 0; i < DELTAS_CACHED; i++)
+		delta_unref(history->deltas[i].delta);
 	lock_destroy(&history->lock);
 	g_free(history);
 }
--- a/core/history.h
+++ b/core/history.h
@@ -59,12 +59,19 @@
 
 enum { HISTORY_PULL_MAX = 32 };
 
+/** What a peer that is behind asks for. */
+struct history_request {
+	int64_t held_version; /**< newest version that it holds */
+	bool full;	      /**< it lacks the base of a delta that it was sent */
+	bool packed;	      /**< it takes compressed deltas, and those without a base */
+};
+
 /**
- * Fills in up to HISTORY_PULL_MAX records after @p peer_version, which the caller clears. Large
- * files get a delta unless @p full. Takes LOCK_HISTORY.
+ * Fills in up to HISTORY_PULL_MAX records after the version that a peer holds, which the caller
+ * clears. Large files get a delta. Takes LOCK_HISTORY.
  * @return number of records, or -1 if they are no longer retained and a snapshot is needed
  */
-int history_records_since(struct history *history, int64_t peer_version, bool full,
+int history_records_since(struct history *history, const struct history_request *request,
 			  struct change_record *records);
 
 /**
--- a/core/history_pull.c
+++ b/core/history_pull.c
@@ -64,15 +64,32 @@
 /* A delta that remains to be computed. */
 struct pending_delta {
 	struct change_record *record;
-	struct change *old; /* NULL: no delta is needed */
-	int64_t base;
+	struct change *old; /* the version that the peer holds; NULL: none */
+	int64_t base;	    /* DELTA_NO_BASE without an old version */
+	bool wanted;
 };
 
-static struct delta *find_last_delta(const struct history *history, int64_t base, int64_t offset)
+static struct delta *find_cached_delta(const struct history *history, int64_t base, int64_t offset)
 {
-	if (history->last_delta.base != base || history->last_delta.offset != offset)
-		return NULL;
-	return delta_ref(history->last_delta.delta);
+	for (int i = 0; i < DELTAS_CACHED; i++) {
+		const struct cached_delta *cached = &history->deltas[i];
+
+		if (cached->delta && cached->base == base && cached->offset == offset)
+			return delta_ref(cached->delta);
+	}
+	return NULL;
+}
+
+static void cache_delta(struct history *history, int64_t base, int64_t offset, struct delta *delta)
+{
+	struct cached_delta *slot;
+
+	lock_acquire(&history->lock);
+	slot = &history->deltas[history->next_delta];
+	history->next_delta = (history->next_delta + 1) % DELTAS_CACHED;
+	delta_unref(slot->delta);
+	*slot = (struct cached_delta){ base, offset, delta_ref(delta) };
+	lock_release(&history->lock);
 }
 
 /* Comparing large files takes milliseconds on a small VM, so the lock is not held meanwhile. */
@@ -80,44 +97,48 @@
 {
 	struct change_record *record = pending->record;
 
-	if (!pending->old)
+	if (!pending->wanted)
 		return;
-	record->delta =
-		delta_between(pending->base, pending->old->content, record->change->content);
+	record->delta = pending->old ? delta_between(pending->base, pending->old->content,
+						     record->change->content)
+				     : delta_whole(record->change->content);
 	change_unref(pending->old);
-	lock_acquire(&history->lock);
-	delta_unref(history->last_delta.delta);
-	history->last_delta =
-		(struct last_delta){ pending->base, record->offset, delta_ref(record->delta) };
-	lock_release(&history->lock);
+	if (record->delta)
+		cache_delta(history, pending->base, record->offset, record->delta);
 }
 
 /* Fills in one record for a peer. LOCK_HISTORY is held. */
 static struct pending_delta fill_record(struct history *history, const GList *entry,
-					int64_t peer_version, bool full,
+					const struct history_request *request,
 					struct change_record *record)
 {
-	struct pending_delta pending = { .record = record };
+	struct pending_delta pending = { .record = record, .base = DELTA_NO_BASE };
 	const struct retained_record *retained = entry->data;
-	const struct retained_record *held;
+	const struct retained_record *held = NULL;
 
 	*record = (struct change_record){ .offset = retained->offset,
 					  .change = change_to_send(entry) };
-	held = record->change == retained->change && !full ? find_held_version(entry, peer_version)
-							   : NULL;
-	if (!held)
+	if (record->change != retained->change ||
+	    retained->change->content.len < DELTA_FILE_MIN_BYTES)
 		return pending;
-	record->delta = find_last_delta(history, held->offset, retained->offset);
-	if (!record->delta) {
-		pending.old = change_ref(held->change);
+	if (!request->full)
+		held = find_held_version(entry, request->held_version);
+	if (held)
 		pending.base = held->offset;
-	}
+	else if (!request->packed)
+		return pending;
+	record->delta = find_cached_delta(history, pending.base, retained->offset);
+	if (record->delta)
+		return pending;
+	pending.wanted = true;
+	pending.old = held ? change_ref(held->change) : NULL;
 	return pending;
 }
 
-int history_records_since(struct history *history, int64_t peer_version, bool full,
+int history_records_since(struct history *history, const struct history_request *request,
 			  struct change_record *records)
 {
+	int64_t peer_version = request->held_version;
 	struct pending_delta pending[HISTORY_PULL_MAX];
 	const struct retained_record *oldest;
 	int count = 0;
@@ -135,7 +156,7 @@
 
 		if (retained->offset <= peer_version)
 			continue;
-		pending[count] = fill_record(history, entry, peer_version, full, &records[count]);
+		pending[count] = fill_record(history, entry, request, &records[count]);
 		count++;
 	}
 	lock_release(&history->lock);
@@ -169,18 +190,34 @@
 	return found;
 }
 
-/* Returns the change with its full content; NULL if the base of the delta is not retained. */
+/* Appends the full content of a record with a delta; returns false if the delta's base is not
+ * retained or is another text. */
+static bool expand_delta(struct history *history, const struct change_record *record,
+			 struct strbuf *content)
+{
+	struct change *old;
+	bool expanded;
+
+	if (record->delta->base == DELTA_NO_BASE)
+		return delta_apply(record->delta, STR(""), content);
+	old = find_change(history, &record->change->file, record->delta->base);
+	expanded = old && delta_apply(record->delta, old->content, content);
+	change_unref(old);
+	return expanded;
+}
+
+/* Returns the change with its full content; NULL if the delta can't be applied. */
 static struct change *apply_record_delta(struct history *history,
 					 const struct change_record *record)
 {
-	struct change *old = find_change(history, &record->change->file, record->delta->base);
 	struct strbuf content = { 0 };
 	struct change *change = NULL;
 
-	if (old && delta_apply(record->delta, old->content, &content))
+	if (expand_delta(history, record, &content)) {
 		change = change_new(record->change->id, record->change->file, record->change->base,
 				    strbuf_str(&content));
-	change_unref(old);
+		cache_delta(history, record->delta->base, record->offset, record->delta);
+	}
 	strbuf_clear(&content);
 	return change;
 }
--- a/core/history_table.h
+++ b/core/history_table.h
@@ -12,6 +12,7 @@
 enum {
 	RETAINED_RECORDS_MAX = 256,
 	RETAINED_BYTES_MAX = 4 << 20,
+	DELTAS_CACHED = 4, /* of the newest editions, with and without a base */
 };
 
 /** A processed record that is retained for peers that are behind. */
@@ -21,8 +22,8 @@
 	struct apply_result result;
 };
 
-/** The delta computed last, cached because most peers need the same one. */
-struct last_delta {
+/** A delta that was computed or received, cached because most peers need the same one. */
+struct cached_delta {
 	int64_t base;
 	int64_t offset;
 	struct delta *delta;
@@ -33,7 +34,8 @@
 	struct config *config;
 	GQueue *retained; /* struct retained_record, by offset, contiguous up to config->version */
 	size_t retained_bytes;
-	struct last_delta last_delta;
+	struct cached_delta deltas[DELTAS_CACHED]; /* a ring */
+	int next_delta;				   /* slot that is replaced next */
 };
 
 /** Retains a record for peers that are behind. LOCK_HISTORY is held. */
--- a/core/message.h
+++ b/core/message.h
@@ -93,14 +93,12 @@
 			int64_t version;	  /**< newest version held */
 			int64_t confirmed_age_us; /**< as in struct digest */
 		} advert;
-		struct {
-			int64_t held_version; /**< newest version that the requester holds */
-			bool full; /**< full content is needed: the base of a delta is missing */
-		} pull;
+		struct history_request pull;
 		struct {
 			int64_t newest; /**< newest version that the sender holds */
 			int count;
 			struct change_record *records; /**< owned */
+			bool packed;		       /**< the receiver takes compressed deltas */
 		} records;
 		struct snapshot_part snapshot;
 		uint64_t *buckets; /**< MEMBERS_ASK: MEMBER_BUCKETS hashes, owned */
--- a/core/node_config.c
+++ b/core/node_config.c
@@ -129,6 +129,7 @@
 		return;
 	message = message_new(MESSAGE_PULL);
 	message->pull.held_version = held_version;
+	message->pull.packed = true;
 	lock_acquire(&node->gossip.lock);
 	message->pull.full = node->gossip.pull.need_full;
 	lock_release(&node->gossip.lock);
@@ -310,8 +311,7 @@
 		actions_send(out, from, message);
 		return;
 	}
-	count = history_records_since(node->history, pull->pull.held_version, pull->pull.full,
-				      records);
+	count = history_records_since(node->history, &pull->pull, records);
 	if (count < 0) {
 		send_snapshot(node, from, out);
 		return;
@@ -319,6 +319,7 @@
 	message = message_new(MESSAGE_RECORDS);
 	message->records.newest = history_version(node->history);
 	message->records.count = count;
+	message->records.packed = pull->pull.packed;
 	message->records.records = g_memdup2(records, (gsize)count * sizeof(*records));
 	actions_send(out, from, message);
 }
--- a/peer/codec.c
+++ b/peer/codec.c
@@ -29,13 +29,16 @@
 }
 
 /* If the receiver has a base version of the file, a delta replaces the content. */
-static void pack_record(msgpack_packer *out, const struct change_record *record)
+static void pack_record(msgpack_packer *out, const struct change_record *record, bool packed)
 {
 	msgpack_pack_array(out, record->delta ? 3 : 2);
 	msgpack_pack_int64(out, record->offset);
 	if (record->delta) {
 		pack_change_head(out, record->change);
-		pack_delta(out, record->delta);
+		if (packed)
+			pack_delta_compressed(out, record->delta);
+		else
+			pack_delta(out, record->delta);
 	} else {
 		pack_change(out, record->change);
 	}
@@ -47,7 +50,7 @@
 	msgpack_pack_int64(out, message->records.newest);
 	msgpack_pack_array(out, (size_t)message->records.count);
 	for (int i = 0; i < message->records.count; i++) {
-		pack_record(out, &message->records.records[i]);
+		pack_record(out, &message->records.records[i], message->records.packed);
 	}
 }
 
@@ -144,9 +147,10 @@
 		msgpack_pack_int64(out, message->advert.confirmed_age_us);
 		return;
 	case MESSAGE_PULL:
-		msgpack_pack_array(out, 2);
+		msgpack_pack_array(out, 3);
 		msgpack_pack_int64(out, message->pull.held_version);
 		msgpack_pack_int(out, message->pull.full);
+		msgpack_pack_int(out, message->pull.packed);
 		return;
 	case MESSAGE_RECORDS:
 		pack_records(out, message);
@@ -258,6 +262,7 @@
 			break;
 		message->records.records[message->records.count++] =
 			(struct change_record){ offset, change, delta };
+		message->records.packed |= delta && delta->encoding;
 	}
 	in->bad |= list.bad;
 }
@@ -353,6 +358,7 @@
 	case MESSAGE_PULL:
 		message->pull.held_version = unpack_i64(in);
 		message->pull.full = unpack_int(in, 1);
+		message->pull.packed = in->remaining && unpack_int(in, 1);
 		return;
 	case MESSAGE_RECORDS:
 		unpack_records(in, message);
--- a/peer/pack.c
+++ b/peer/pack.c
@@ -1,7 +1,12 @@
 #include "peer/pack.h"
 
+#include "base/deflate.h"
+
 enum {
-	ARRAY_ITEMS_MAX = 65536, /* most items of any array in a message */
+	ARRAY_ITEMS_MAX = 65536,	  /* most items of any array in a message */
+	COMPRESS_MIN_BYTES = 512,	  /* below, a delta fits a datagram as it is */
+	DELTA_PLAIN_MAX_BYTES = 16 << 20, /* limit of a peer's decompressed delta */
+	DELTA_COMPRESSED_ITEMS = 2,	  /* length of the array that holds a compressed delta */
 };
 
 static int append(void *data, const char *bytes, size_t len)
@@ -90,6 +95,41 @@
 		pack_segment(out, &g_array_index(delta->segments, struct delta_segment, i));
 }
 
+/* Returns the compressed form of the segments, which all receivers get. */
+static const struct delta_encoding *delta_encoding(struct delta *delta)
+{
+	const struct delta_encoding *known = g_atomic_pointer_get(&delta->encoding);
+	struct delta_encoding *encoding;
+	struct strbuf plain = { 0 };
+	struct strbuf bytes = { 0 };
+	msgpack_packer packer;
+
+	if (known)
+		return known;
+	encoding = g_new0(struct delta_encoding, 1);
+	pack_start(&packer, &plain);
+	pack_delta(&packer, delta);
+	encoding->plain_len = plain.len;
+	if (plain.len >= COMPRESS_MIN_BYTES && deflate_str(strbuf_str(&plain), &bytes))
+		encoding->bytes = str_dup(strbuf_str(&bytes));
+	strbuf_clear(&bytes);
+	strbuf_clear(&plain);
+	return delta_set_encoding(delta, encoding);
+}
+
+void pack_delta_compressed(msgpack_packer *out, struct delta *delta)
+{
+	const struct delta_encoding *encoding = delta_encoding(delta);
+
+	if (encoding->bytes.len == 0) {
+		pack_delta(out, delta);
+		return;
+	}
+	msgpack_pack_array(out, 2);
+	msgpack_pack_uint64(out, encoding->plain_len);
+	pack_str(out, encoding->bytes);
+}
+
 void pack_move_state(msgpack_packer *out, const struct move_state *state)
 {
 	msgpack_pack_array(out, 8);
@@ -344,12 +384,11 @@
 	return segment;
 }
 
-struct delta *unpack_delta(struct unpack *in)
+static struct delta *unpack_plain_delta(struct unpack *fields)
 {
-	struct unpack inner = unpack_inner(in);
-	int64_t base = unpack_i64(&inner);
-	uint64_t hash = unpack_u64(&inner);
-	struct unpack list = unpack_inner(&inner);
+	int64_t base = unpack_i64(fields);
+	uint64_t hash = unpack_u64(fields);
+	struct unpack list = unpack_inner(fields);
 	GArray *segments = delta_new_segments();
 
 	while (list.remaining && !list.bad) {
@@ -357,10 +396,54 @@
 
 		g_array_append_val(segments, segment);
 	}
-	in->bad |= inner.bad || list.bad;
+	fields->bad |= list.bad;
 	return delta_new(base, hash, segments);
 }
 
+/* The compressed form is kept for peers that pull from this node. */
+static void keep_encoding(struct delta *delta, struct str bytes, size_t plain_len)
+{
+	struct delta_encoding *encoding = g_new0(struct delta_encoding, 1);
+
+	encoding->bytes = str_dup(bytes);
+	encoding->plain_len = plain_len;
+	delta_set_encoding(delta, encoding);
+}
+
+static struct delta *unpack_compressed_delta(struct unpack *fields)
+{
+	uint64_t plain_len = unpack_u64(fields);
+	struct str bytes = unpack_str(fields);
+	struct strbuf plain = { 0 };
+	msgpack_unpacked unpacked;
+	struct unpack inner = { 0 };
+	struct delta *delta;
+
+	msgpack_unpacked_init(&unpacked);
+	if (fields->bad || plain_len > DELTA_PLAIN_MAX_BYTES ||
+	    plain_len / DEFLATE_RATIO_MAX > bytes.len || !inflate_str(bytes, plain_len, &plain) ||
+	    !unpack_open(strbuf_str(&plain), &unpacked, &inner))
+		inner.bad = true;
+	delta = unpack_plain_delta(&inner);
+	if (!inner.bad)
+		keep_encoding(delta, bytes, plain_len);
+	fields->bad |= inner.bad;
+	msgpack_unpacked_destroy(&unpacked);
+	strbuf_clear(&plain);
+	return delta;
+}
+
+struct delta *unpack_delta(struct unpack *in)
+{
+	struct unpack inner = unpack_inner(in);
+	struct delta *delta = inner.remaining == DELTA_COMPRESSED_ITEMS
+				      ? unpack_compressed_delta(&inner)
+				      : unpack_plain_delta(&inner);
+
+	in->bad |= inner.bad;
+	return delta;
+}
+
 void unpack_move_state(struct unpack *in, struct move_state *state)
 {
 	struct unpack inner = unpack_inner(in);
--- a/peer/pack.h
+++ b/peer/pack.h
@@ -20,6 +20,8 @@
 /** Packs a change without its content, for a record with a delta. */
 void pack_change_head(msgpack_packer *out, const struct change *change);
 void pack_delta(msgpack_packer *out, const struct delta *delta);
+/** Packs a delta with compressed segments if that is smaller; unpack_delta() reads both forms. */
+void pack_delta_compressed(msgpack_packer *out, struct delta *delta);
 void pack_move_state(msgpack_packer *out, const struct move_state *state);
 void pack_claim_op(msgpack_packer *out, const struct claim_op *op);
 void pack_snapshot(msgpack_packer *out, const struct snapshot_part *part);
--- a/regress/peer/codec_test.c
+++ b/regress/peer/codec_test.c
@@ -76,6 +76,9 @@
 	struct delta_segment copy = { SEGMENT_COPY, { .copy = { rng_below(rng, 100), 5 } } };
 	struct delta_segment inserted = { SEGMENT_TEXT, { .text = str_dup(label_str(&text)) } };
 
+	/* Half of the deltas are long enough to be compressed. */
+	for (uint64_t i = 60 * rng_below(rng, 2); i > 0; i--)
+		g_array_append_val(segments, copy);
 	g_array_append_val(segments, copy);
 	g_array_append_val(segments, inserted);
 	return delta_new((int64_t)rng_below(rng, 100), rng_next(rng), segments);
@@ -123,6 +126,7 @@
 	message->records.records[1].change =
 		change_superseded(random_label(rng), random_label(rng));
 	message->records.records[1].delta = random_delta(rng);
+	message->records.packed = rng_below(rng, 2);
 }
 
 static struct message *random_message(struct rng *rng, enum message_kind kind)
@@ -148,6 +152,7 @@
 	case MESSAGE_PULL:
 		message->pull.held_version = (int64_t)rng_below(rng, 1ULL << 40);
 		message->pull.full = rng_below(rng, 2);
+		message->pull.packed = rng_below(rng, 2);
 		break;
 	case MESSAGE_RECORDS:
 		fill_records(rng, message);
--- a/regress/peer/spread_test.c
+++ b/regress/peer/spread_test.c
@@ -46,7 +46,7 @@
 }
 
 /* Pulls from @p from to @p to by encoded records; returns the number of encoded bytes. */
-static size_t pull_records(struct history *from, struct history *to, bool full_content)
+static size_t pull_records(struct history *from, struct history *to, bool full_content, bool packed)
 {
 	struct message *message = message_new(MESSAGE_RECORDS);
 	struct strbuf bytes = { 0 };
@@ -56,8 +56,10 @@
 
 	message->records.newest = history_version(from);
 	message->records.records = g_new0(struct change_record, HISTORY_PULL_MAX);
-	message->records.count = history_records_since(from, history_version(to), full_content,
-						       message->records.records);
+	message->records.packed = packed;
+	message->records.count = history_records_since(
+		from, &(struct history_request){ history_version(to), full_content, packed },
+		message->records.records);
 	assert_true(message->records.count >= 0);
 	codec_encode(message, &bytes);
 	message_unref(message);
@@ -78,7 +80,7 @@
 
 static size_t pull(struct history *from, struct history *to)
 {
-	return pull_records(from, to, false);
+	return pull_records(from, to, false, false);
 }
 
 static void apply_superseded(struct history *history, int offset)
@@ -155,7 +157,8 @@
 	(void)state;
 	publish(source, 1);
 	publish(source, 2);
-	count = history_records_since(source, 1, false, records);
+	count = history_records_since(source, &(struct history_request){ .held_version = 1 },
+				      records);
 	assert_int_equal(count, 1);
 	assert_non_null(records[0].delta);
 	assert_int_equal(history_expand_deltas(empty, records, count), 0);
@@ -190,13 +193,42 @@
 	publish(reader, 5);
 	assert_true(pull(reader, other) <= DATAGRAM_BYTES);
 	assert_int_equal(history_version(other), 3);
-	assert_true(pull_records(reader, other, true) > DATAGRAM_BYTES);
+	assert_true(pull_records(reader, other, true, false) > DATAGRAM_BYTES);
 	assert_same(reader, other);
 	history_free(reader);
 	history_free(peer);
 	history_free(other);
 }
 
+/* On a link of 11 Mbit/s ten peers that pull a new file at once must have it in a fraction of a
+ * second; nodes pass on what they received. */
+static void test_new_file_is_sent_compressed(void **state)
+{
+	enum { PLAIN_TO_COMPRESSED_MIN = 5 };
+	struct history *source = history_new(pool);
+	struct history *first = history_new(pool);
+	struct history *second = history_new(pool);
+	struct history *older_build = history_new(pool);
+	struct change *edition = new_edition(1);
+	size_t bytes;
+
+	(void)state;
+	publish(source, 1);
+	bytes = pull_records(source, first, false, true);
+	assert_true(bytes * PLAIN_TO_COMPRESSED_MIN < edition->content.len);
+	assert_same(source, first);
+	assert_int_equal(pull_records(first, second, false, true), bytes);
+	assert_same(source, second);
+	/* An earlier build does not ask for compression and gets the plain text. */
+	assert_true(pull(first, older_build) > edition->content.len);
+	assert_same(source, older_build);
+	change_unref(edition);
+	history_free(source);
+	history_free(first);
+	history_free(second);
+	history_free(older_build);
+}
+
 static void random_text(struct rng *rng, struct strbuf *out)
 {
 	int lines = (int)rng_below(rng, 60);
@@ -246,6 +278,7 @@
 		cmocka_unit_test(test_imported_snapshot_is_sent_as_delta),
 		cmocka_unit_test(test_delta_without_its_base_is_not_applied),
 		cmocka_unit_test(test_reader_that_skipped_editions_serves_all_peers),
+		cmocka_unit_test(test_new_file_is_sent_compressed),
 		cmocka_unit_test(test_delta_restores_the_new_text),
 	};
 
