A document that its reader rejects is rejected by every node

An invalid version could be taken. A reader that found the operator's document invalid passed its raw text on, and a peer parsed that as a file of the product's own language: "{}", which the reader refused, was accepted by peers as an empty file and removed all routes there, while the readers kept the version before. Nodes then differed at the same version number.

The reader now passes on a change with the base CHANGE_INVALID_BASE and the reason in place of the text. Invariant: what a version means is decided from the record alone, never from which node read it.

--- a/core/config.c
+++ b/core/config.c
@@ -156,6 +156,14 @@
 	return change_new(id, file, CHANGE_SUPERSEDED_BASE, STR(""));
 }
 
+struct change *change_invalid(struct label id, struct label file, const char *reason)
+{
+	struct change *change = change_new(id, file, CHANGE_INVALID_BASE, str_from_cstr(reason));
+
+	change->parse_error = g_strdup(reason);
+	return change;
+}
+
 struct accepted_file *accepted_file_new(struct label name, int64_t version, struct change *change)
 {
 	struct accepted_file *file = g_new0(struct accepted_file, 1);
--- a/core/config.h
+++ b/core/config.h
@@ -144,6 +144,7 @@
 enum {
 	CHANGE_ANY_BASE = -2,	     /**< the change applies to any version of the file */
 	CHANGE_SUPERSEDED_BASE = -3, /**< replaced by a later change: only the offset is used */
+	CHANGE_INVALID_BASE = -4,    /**< the log's text is no valid file: every node rejects it */
 };
 
 /** One change that an operator published. Immutable and reference-counted. */
@@ -160,6 +161,9 @@
 struct change *change_new(struct label id, struct label file, int64_t base, struct str content);
 /** Creates a placeholder for a change that a later one replaces; only its offset is used. */
 struct change *change_superseded(struct label id, struct label file);
+/** Creates a change that every node rejects as invalid. The reason stands in place of its content.
+ */
+struct change *change_invalid(struct label id, struct label file, const char *reason);
 struct change *change_ref(struct change *change);
 void change_unref(struct change *change);
 
--- a/core/history.c
+++ b/core/history.c
@@ -153,6 +153,12 @@
 		result->kind = APPLY_SUPERSEDED;
 		return NULL;
 	}
+	if (change->base == CHANGE_INVALID_BASE) {
+		result->kind = APPLY_INVALID;
+		g_snprintf(result->reason, sizeof(result->reason), "%.*s",
+			   STR_ARG(change->content));
+		return NULL;
+	}
 	if (old && change->parsed && old->change->parsed && change->parsed->serial &&
 	    change->parsed->serial <= old->change->parsed->serial) {
 		result->kind = APPLY_CONFLICT;
--- a/operator/parse.c
+++ b/operator/parse.c
@@ -344,7 +344,8 @@
 {
 	GError *error = NULL;
 
-	if (change->parsed || change->parse_error || change->content.len == 0)
+	if (change->parsed || change->parse_error || change->content.len == 0 ||
+	    change->base == CHANGE_INVALID_BASE)
 		return;
 	change->parsed = parse_config(label_str(&change->file), change->content, &error);
 	if (change->parsed)
--- a/regress/peer/spread_test.c
+++ b/regress/peer/spread_test.c
@@ -8,6 +8,7 @@
 #include "core/message.h"
 #include "operator/parse.h"
 #include "peer/codec.h"
+#include "platform/document.h"
 
 /* A pull of one edition must fit a datagram, however large the file is. */
 enum { DATAGRAM_BYTES = 1200, ROUTES = 300 };
@@ -200,6 +201,38 @@
 	history_free(other);
 }
 
+/* A document that the reader of the log rejects must not take effect on a peer that pulls it, even
+ * if its text happens to be a valid file of the product's own: "{}" would remove all routes. */
+static void test_invalid_document_is_rejected_by_peers_too(void **state)
+{
+	static const char *const documents[] = { "{}", "{\"services\":{}}", "{\"routes\":[]",
+						 "[1]" };
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(documents); i++) {
+		struct history *reader = history_new(pool);
+		struct history *peer = history_new(pool);
+		struct change *invalid;
+		struct apply_result result;
+
+		publish(reader, 1);
+		pull(reader, peer);
+		invalid = document_decode_change(STR("config"), str_from_cstr(documents[i]), 2,
+						 (struct instant){ 0 });
+		assert_non_null(invalid);
+		assert_int_equal(history_apply(reader, 2, invalid).kind, APPLY_INVALID);
+		pull(reader, peer);
+		assert_same(reader, peer);
+		assert_int_equal(history_version(peer), 2);
+		assert_true(history_find_result(peer, invalid->id, &result));
+		assert_int_equal(result.kind, APPLY_INVALID);
+		assert_string_equal(result.reason, invalid->parse_error);
+		change_unref(invalid);
+		history_free(reader);
+		history_free(peer);
+	}
+}
+
 /* On a link of 11 Mbit/s ten peers that pull a new file at once must have it in a fraction of a
  * second; nodes pass on what they received. */
 static void test_new_file_is_sent_compressed(void **state)
@@ -278,6 +311,7 @@
 		cmocka_unit_test(test_imported_snapshot_is_sent_as_delta),
 		cmocka_unit_test(test_delta_without_its_base_is_not_applied),
 		cmocka_unit_test(test_reader_that_skipped_editions_serves_all_peers),
+		cmocka_unit_test(test_invalid_document_is_rejected_by_peers_too),
 		cmocka_unit_test(test_new_file_is_sent_compressed),
 		cmocka_unit_test(test_delta_restores_the_new_text),
 	};
