A route that a newer version may have is not denied

A request on an added route got 404 from a node that already knew from a digest or advert that it held an older version. 404 is final for callers: they don't repeat it.

A version that the log does not have, in a read that began after it was announced, is forgotten, so that a stale or foreign announcement ends.

test_route_of_a_newer_version_is_not_denied failed before: 404 instead of 503.

--- a/core/node.c
+++ b/core/node.c
@@ -382,6 +382,17 @@
 	return current;
 }
 
+bool node_is_behind(struct node *node)
+{
+	int64_t held_version = history_version(node->history);
+	bool behind;
+
+	lock_acquire(&node->gossip.lock);
+	behind = node->gossip.pull.heard_newest > held_version;
+	lock_release(&node->gossip.lock);
+	return behind;
+}
+
 bool node_is_ready(struct node *node)
 {
 	bool ready;
--- a/core/node.h
+++ b/core/node.h
@@ -48,6 +48,8 @@
 struct config *node_config(struct node *node);
 /** Returns true once the node holds the newest configuration that it could learn of. */
 bool node_is_current(struct node *node);
+/** Returns true while this node knows that a newer version than it holds exists. */
+bool node_is_behind(struct node *node);
 /** Returns true while callers should use this node: it is current, holds a configuration, and is
  *  neither retiring nor stopping. */
 bool node_is_ready(struct node *node);
--- a/core/node_config.c
+++ b/core/node_config.c
@@ -46,8 +46,10 @@
 	first = version > pull->heard_newest;
 	if (pull->heard_newest <= held_version)
 		pull->behind_since_us = now.mono_us;
-	if (first)
+	if (first) {
 		pull->heard_newest = version;
+		pull->heard_at_us = now.mono_us;
+	}
 	lock_release(&node->gossip.lock);
 	if (first)
 		actions_log_event(out, LOG_EVENT_VERSION_HEARD,
--- a/core/node_confirm.c
+++ b/core/node_confirm.c
@@ -159,10 +159,27 @@
 		forward(node, now, out);
 }
 
+/* Forgets a version that a peer announced, if the log did not have it later. Otherwise this node
+ * would believe for ever that it is behind. */
+static void forget_unconfirmed(struct node *node, int64_t newest, int64_t at_us)
+{
+	struct pull_state *pull = &node->gossip.pull;
+	int64_t held_version = history_version(node->history);
+
+	lock_acquire(&node->gossip.lock);
+	if (held_version >= newest && pull->heard_newest > newest && at_us > pull->heard_at_us) {
+		pull->heard_newest = held_version;
+		pull->known_newest = held_version;
+		pull->holder_count = 0;
+	}
+	lock_release(&node->gossip.lock);
+}
+
 void confirm_from_log(struct node *node, int64_t newest, struct instant at, struct instant now,
 		      struct actions *out)
 {
 	confirm(node, newest, at.mono_us);
+	forget_unconfirmed(node, newest, at.mono_us);
 	if (take_forward(node))
 		node_gossip(node, confirm_advert(node, now), out);
 }
--- a/core/node_parts.h
+++ b/core/node_parts.h
@@ -68,6 +68,7 @@
 	struct deadline remote_at; /**< earliest pull from another data centre */
 	int64_t remote_version;	   /**< newest version for which .remote_at was set */
 	int64_t heard_newest;	   /**< newest version heard of */
+	int64_t heard_at_us;	   /**< when it was first heard of */
 	int64_t behind_since_us;   /**< when this node heard of a newer version than it holds */
 	bool need_full;		   /**< the base of a delta is not retained here */
 };
--- a/godwithitchd/calls.c
+++ b/godwithitchd/calls.c
@@ -323,6 +323,10 @@
 	else if (call->config->accepted == 0)
 		call_answer(call, call->daemon->dialect->no_configuration_status, VERDICT_NOT_RUN,
 			    STR("the node has no configuration yet"));
+	else if (node_is_behind(call->daemon->node))
+		/* The newer version may have the route, and "not found" would be final. */
+		call_answer(call, STATUS_UNAVAILABLE, VERDICT_NOT_RUN,
+			    STR("no route matches in the version before the newest"));
 	else
 		call_answer(call, STATUS_NOT_FOUND, VERDICT_NOT_RUN, STR("no route matches"));
 }
--- a/regress/godwithitchd/platform_test.c
+++ b/regress/godwithitchd/platform_test.c
@@ -12,6 +12,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "peer/codec.h"
+#include "peer/wire.h"
 #include "regress/lib/fleet.h"
 
 #define SERVICE "books"
@@ -277,6 +279,45 @@
 	send_heartbeat(0, "ready");
 }
 
+/* Sends a node the advert of a version, as from another node of its fleet. */
+static void send_advert(int node, int64_t version)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET,
+				       .sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
+	struct message *message = message_new(MESSAGE_ADVERT);
+	int fd = socket(AF_INET, SOCK_DGRAM, 0);
+	struct strbuf payload = { 0 };
+	struct strbuf frame = { 0 };
+	char log_url[64];
+
+	g_snprintf(log_url, sizeof(log_url), "http://127.0.0.1:%d", fleet->nodes_log_port);
+	message->advert.version = version;
+	message->advert.confirmed_age_us = CONFIRMED_NEVER;
+	codec_encode(message, &payload);
+	wire_put_tagged(&frame, FRAME_MESSAGE, member_id(INADDR_LOOPBACK, 9),
+			str_hash(str_from_cstr(log_url), 0), strbuf_str(&payload));
+	address.sin_port = htons((uint16_t)atoi(strchr(fleet->nodes[node].address, ':') + 1));
+	assert_int_equal(
+		sendto(fd, frame.data, frame.len, 0, (struct sockaddr *)&address, sizeof(address)),
+		(ssize_t)frame.len);
+	close(fd);
+	strbuf_clear(&frame);
+	strbuf_clear(&payload);
+	message_unref(message);
+}
+
+/* A node that knows of a newer version than it holds can't know that a route does not exist: 404 is
+ * final for callers. The log shows later that the version does not exist. */
+static void test_route_of_a_newer_version_is_not_denied(void **state)
+{
+	(void)state;
+	fleet_log_fault(fleet, "out=1");
+	send_advert(0, 1000);
+	assert_int_equal(wait_for_status(0, "/added-later/x", 503), 503);
+	fleet_log_fault(fleet, "out=0");
+	assert_int_equal(wait_for_status(0, "/added-later/x", 404), 404);
+}
+
 static int open_connection(int node)
 {
 	struct sockaddr_in address = { .sin_family = AF_INET,
@@ -428,6 +469,7 @@
 		cmocka_unit_test(test_request_without_configuration_gets_503),
 		cmocka_unit_test(test_response_statuses),
 		cmocka_unit_test(test_misdirected_request_is_not_executed),
+		cmocka_unit_test(test_route_of_a_newer_version_is_not_denied),
 		cmocka_unit_test(test_pipelined_requests_run_concurrently),
 		cmocka_unit_test(test_older_or_invalid_configuration_is_ignored),
 		cmocka_unit_test(test_newest_configuration_after_history_expired),
