A change between two pages of the newest records is not lost

A node that starts, or whose history expired, reads the newest record of each key page by page. It took the end that the last page stated as its version, so that a change acknowledged between the pages counted as read: the node handled requests by the older file, answered 404 for added routes, and passed its version on as current, until the next change came. Large files make two pages likely (a page holds 1 MB in base64).

The stand-in for the store gains pages.

--- a/regress/godwithitchd/platform_test.c
+++ b/regress/godwithitchd/platform_test.c
@@ -434,6 +434,49 @@
 	assert_true(fleet_wait_live(fleet, NODES, WAIT_MS));
 }
 
+/* Waits until a node reads the store's newest records. */
+static bool wait_for_page_read(void)
+{
+	char url[64];
+	bool reads = false;
+
+	g_snprintf(url, sizeof(url), "http://127.0.0.1:%d/pages", fleet->log_port);
+	for (int i = 0; i < WAIT_MS / 20 && !reads; i++) {
+		struct http_reply reply = http_post(url, STR(""));
+
+		reads = !str_equal(strbuf_str(&reply.body), STR("0"));
+		http_reply_clear(&reply);
+		if (!reads)
+			wait_ms(20);
+	}
+	return reads;
+}
+
+/* All nodes start and read the newest records in two pages. A configuration that is acknowledged
+ * between the pages must not be taken for read. */
+static void test_change_between_two_pages_is_not_lost(void **state)
+{
+	(void)state;
+	append_record("keyed.op", "zz-other", "{}");
+	fleet_log_fault(fleet, "page=1&page_ms=500");
+	for (int i = 0; i < NODES; i++)
+		process_kill(&fleet->nodes[i].daemon);
+	for (int i = 0; i < NODES; i++)
+		fleet_restart_node(fleet, i);
+	assert_true(wait_for_page_read());
+	publish_config(15, "/e/");
+	for (int i = 0; i < NODES; i++)
+		send_heartbeat(i, "ready");
+	wait_ms(1000);
+	fleet_log_fault(fleet, "page=1000&page_ms=0");
+	for (int i = 0; i < NODES; i++)
+		assert_int_equal(wait_for_status(i, "/e/x", 200), 200);
+	publish_config(16, "/a/");
+	for (int i = 0; i < NODES; i++)
+		assert_int_equal(wait_for_status(i, "/a/x", 200), 200);
+	assert_true(fleet_wait_live(fleet, NODES, WAIT_MS));
+}
+
 static void test_draining_target_gets_no_requests(void **state)
 {
 	(void)state;
@@ -475,6 +518,7 @@
 		cmocka_unit_test(test_newest_configuration_after_history_expired),
 		cmocka_unit_test(test_restart_while_store_unavailable),
 		cmocka_unit_test(test_recovery_after_store_stopped_answering),
+		cmocka_unit_test(test_change_between_two_pages_is_not_lost),
 		cmocka_unit_test(test_draining_target_gets_no_requests),
 		cmocka_unit_test(test_graceful_stop_completes_requests),
 	};
--- a/regress/storeservice.c
+++ b/regress/storeservice.c
@@ -1,11 +1,12 @@
 /*
  * Stands in for the platform's store, by the calls that docs/PLATFORM.md names, for topics of one
  * partition. Tests switch its faults on:
- *   POST /fault?out=0|1&silent=0|1&deaf=0|1&lose=N&forget=1
+ *   POST /fault?out=0|1&silent=0|1&deaf=0|1&lose=N&forget=1&page=N&page_ms=N
  * out: all calls fail; silent: requests that arrive meanwhile are never answered; deaf: /log-read
  * fails, the other calls succeed; lose: the next N appends take effect unanswered; forget: the
- * history is dropped, except for the newest record of each key.
- * It prints "port N" when it listens, and exits when its standard input ends.
+ * history is dropped, except for the newest record of each key; page: keys in one answer of
+ * /log-newest for the operator's topic, each of which is delayed by page_ms. /pages returns how
+ * many are delayed now. It prints "port N" when it listens, and exits when its standard input ends.
  */
 #include <arpa/inet.h>
 #include <glib.h>
@@ -36,6 +37,9 @@
 static bool is_silent;
 static bool reads_fail;
 static int64_t answers_to_lose;
+static int64_t page_keys = INT64_MAX;
+static int64_t page_delay_ms;
+static int64_t pages_delayed; /* answers of /log-newest that wait for page_delay_ms now */
 
 static struct topic *topic_get(const char *name)
 {
@@ -160,39 +164,124 @@
 	return result;
 }
 
-/* Adds a record to the answer unless it has no value or a later record has the same key. */
-static void add_newest(struct strbuf *text, GHashTable *keys_seen, GBytes *record, int64_t offset)
+/* The newest record of a key. */
+struct newest_item {
+	char *key;
+	GBytes *record;
+	int64_t offset;
+};
+
+static void newest_item_free(gpointer data)
+{
+	struct newest_item *item = data;
+
+	g_free(item->key);
+	g_free(item);
+}
+
+static gint compare_keys(gconstpointer a, gconstpointer b)
+{
+	const struct newest_item *x = *(struct newest_item *const *)a;
+	const struct newest_item *y = *(struct newest_item *const *)b;
+
+	return strcmp(x->key, y->key);
+}
+
+/* Returns the newest record of each key that has a value, by key. */
+static GPtrArray *list_newest(const struct topic *topic)
+{
+	GHashTable *keys_seen = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	GPtrArray *items = g_ptr_array_new_with_free_func(newest_item_free);
+
+	for (int64_t i = topic->records->len; i-- > 0;) {
+		GBytes *record = g_ptr_array_index(topic->records, i);
+		gsize len;
+		const char *data = g_bytes_get_data(record, &len);
+		size_t key_len = (unsigned char)data[0];
+		struct newest_item *item;
+
+		if (!g_hash_table_add(keys_seen, g_strndup(data + 1, key_len)) ||
+		    len <= 1 + key_len)
+			continue;
+		item = g_new0(struct newest_item, 1);
+		item->key = g_strndup(data + 1, key_len);
+		item->record = record;
+		item->offset = i;
+		g_ptr_array_add(items, item);
+	}
+	g_ptr_array_sort(items, compare_keys);
+	g_hash_table_destroy(keys_seen);
+	return items;
+}
+
+static void add_newest(struct strbuf *text, const struct newest_item *item)
 {
 	gsize len;
-	const char *data = g_bytes_get_data(record, &len);
-	size_t key_len = (unsigned char)data[0];
-	char *key = g_strndup(data + 1, key_len);
-	char *value;
-
-	if (!g_hash_table_add(keys_seen, key) || len <= 1 + key_len)
-		return;
-	value = g_base64_encode((const guchar *)data + 1 + key_len, len - 1 - key_len);
+	const char *data = g_bytes_get_data(item->record, &len);
+	size_t key_len = strlen(item->key);
+	char *value = g_base64_encode((const guchar *)data + 1 + key_len, len - 1 - key_len);
+
 	strbuf_addf(text, "%s{\"key\":\"%s\",\"value\":\"%s\",\"offset\":%ld}",
-		    text->data[text->len - 1] == '[' ? "" : ",", key, value, offset);
+		    text->data[text->len - 1] == '[' ? "" : ",", item->key, value, item->offset);
 	g_free(value);
 }
 
+/* Adds the items of one page after a key; returns whether more follow. */
+static bool add_page(struct strbuf *text, const GPtrArray *items, const char *after, int64_t max)
+{
+	int64_t added = 0;
+
+	for (guint i = 0; i < items->len; i++) {
+		const struct newest_item *item = g_ptr_array_index(items, i);
+
+		if (after && strcmp(item->key, after) <= 0)
+			continue;
+		if (added++ == max)
+			return true;
+		add_newest(text, item);
+	}
+	return false;
+}
+
 static enum MHD_Result on_newest(struct MHD_Connection *connection)
 {
-	GHashTable *keys_seen = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	bool paged = strcmp(get_text(connection, "topic"), "keyed.op") == 0;
 	struct strbuf text = { 0 };
 	const struct topic *topic;
 	enum MHD_Result result;
+	GPtrArray *items;
+	int64_t delay_ms;
+	bool more;
 
 	g_mutex_lock(&mutex);
 	topic = topic_get(get_text(connection, "topic"));
+	items = list_newest(topic);
+	delay_ms = paged ? page_delay_ms : 0;
 	strbuf_add(&text, STR("{\"items\":["));
-	for (int64_t i = topic->records->len; i-- > 0;)
-		add_newest(&text, keys_seen, g_ptr_array_index(topic->records, i), i);
-	strbuf_addf(&text, "],\"more\":false,\"end\":%u}", topic->records->len);
+	more = add_page(&text, items, get_text(connection, "after"), paged ? page_keys : INT64_MAX);
+	strbuf_addf(&text, "],\"more\":%s,\"end\":%u}", more ? "true" : "false",
+		    topic->records->len);
+	pages_delayed += delay_ms > 0;
+	g_ptr_array_unref(items);
+	g_mutex_unlock(&mutex);
+	g_usleep((gulong)delay_ms * 1000);
+	g_mutex_lock(&mutex);
+	pages_delayed -= delay_ms > 0;
+	g_mutex_unlock(&mutex);
+	result = reply(connection, MHD_HTTP_OK, &text);
+	strbuf_clear(&text);
+	return result;
+}
+
+static enum MHD_Result on_pages(struct MHD_Connection *connection)
+{
+	struct strbuf text = { 0 };
+	enum MHD_Result result;
+
+	g_mutex_lock(&mutex);
+	strbuf_addf(&text, "%ld", pages_delayed);
 	g_mutex_unlock(&mutex);
 	result = reply(connection, MHD_HTTP_OK, &text);
-	g_hash_table_destroy(keys_seen);
 	strbuf_clear(&text);
 	return result;
 }
@@ -213,6 +302,8 @@
 	is_silent = get_number(connection, "silent", is_silent) != 0;
 	reads_fail = get_number(connection, "deaf", reads_fail) != 0;
 	answers_to_lose = get_number(connection, "lose", answers_to_lose);
+	page_keys = get_number(connection, "page", page_keys);
+	page_delay_ms = get_number(connection, "page_ms", page_delay_ms);
 	if (get_number(connection, "forget", 0))
 		g_hash_table_foreach(topics, drop_history, NULL);
 	g_cond_broadcast(&topic_changed);
@@ -229,6 +320,8 @@
 
 	if (strcmp(url, "/fault") == 0)
 		return on_fault(connection);
+	if (strcmp(url, "/pages") == 0)
+		return on_pages(connection);
 	g_mutex_lock(&mutex);
 	was_silent = is_silent;
 	while (was_silent && g_get_monotonic_time() < silent_until)
