Fewer own reads of the log while peers deliver

The time for peers to deliver starts anew when records arrive and, after a version was applied, at the hearing of the next. Ranked nodes read at a fifth of the promised time, long polls last 10 s, and reads that are made anyway confirm as of their request. A joining node that has all but a confirmation reads the log after half a second instead of waiting for the next one.

--- a/core/node.h
+++ b/core/node.h
@@ -42,7 +42,7 @@
 
 /** Replaces the deltas in a peer's message by full content, for the parser. Drops the first
  *  record whose base version this node does not hold, and all later ones. */
-void node_complete_message(struct node *node, struct message *message);
+void node_complete_message(struct node *node, struct message *message, struct instant now);
 
 /** Returns the configuration in force; the caller owns a reference. */
 struct config *node_config(struct node *node);
--- a/core/node_config.c
+++ b/core/node_config.c
@@ -44,8 +44,10 @@
 	lock_acquire(&node->gossip.lock);
 	add_holder(pull, from, version);
 	first = version > pull->heard_newest;
-	if (pull->heard_newest <= held_version)
+	if (pull->heard_newest <= held_version) {
 		pull->behind_since_us = now.mono_us;
+		pull->deliver_from_us = now.mono_us;
+	}
 	if (first) {
 		pull->heard_newest = version;
 		pull->heard_at_us = now.mono_us;
@@ -372,6 +374,17 @@
 	config_unref(config);
 }
 
+/* After a version was applied, peers have their time for the one that was heard of since. */
+static void restart_delivery(struct node *node)
+{
+	struct pull_state *pull = &node->gossip.pull;
+
+	lock_acquire(&node->gossip.lock);
+	pull->behind_since_us = pull->heard_at_us;
+	pull->deliver_from_us = pull->heard_at_us;
+	lock_release(&node->gossip.lock);
+}
+
 bool config_apply_records(struct node *node, const struct change_record *records, int count,
 			  const struct change_source *source, struct instant now,
 			  struct actions *out)
@@ -387,6 +400,7 @@
 		report_apply_result(&result, records[i].change, source, late_ms, out);
 	}
 	if (advanced) {
+		restart_delivery(node);
 		confirm_applied(node);
 		configure_moves(node);
 	}
@@ -398,12 +412,18 @@
 	node_gossip(node, confirm_advert(node, now), out);
 }
 
-void node_complete_message(struct node *node, struct message *message)
+void node_complete_message(struct node *node, struct message *message, struct instant now)
 {
 	int complete;
 
 	if (message->kind != MESSAGE_RECORDS)
 		return;
+	if (message->records.count) {
+		/* The records have arrived and only need to be parsed. */
+		lock_acquire(&node->gossip.lock);
+		node->gossip.pull.deliver_from_us = now.mono_us;
+		lock_release(&node->gossip.lock);
+	}
 	complete = history_expand_deltas(node->history, message->records.records,
 					 message->records.count);
 	for (int i = complete; i < message->records.count; i++)
--- a/core/node_confirm.c
+++ b/core/node_confirm.c
@@ -7,11 +7,14 @@
  */
 #include "core/node_parts.h"
 
+/* A joining node waits this long for a peer's confirmation before it reads the log. */
+#define JOIN_CHECK_US (500 * US_PER_MS)
+
 enum {
 	PROMISE_PERCENT = 100,
-	RANKED_CHECK_PERCENT = 16, /* the first node in rank reads the log at this age */
-	RANK_STEP_PERCENT = 3,	   /* each further rank waits for the ones before */
-	RANKS_MAX = 5,
+	RANKED_CHECK_PERCENT = 20, /* the first node in rank reads the log at this age */
+	RANK_STEP_PERCENT = 4,	   /* each further rank waits for the ones before */
+	RANKS_MAX = 3,
 	CHECK_PERCENT = 32, /* any other node, when the first ones did not */
 	CHECK_JITTER_PERCENT = 10,
 	DELIVERY_PERCENT = 28, /* time for peers to deliver a version that they announced */
@@ -184,20 +187,46 @@
 		node_gossip(node, confirm_advert(node, now), out);
 }
 
+/* Returns whether a check is due on a node that serves: its confirmation is old, or peers did not
+ * deliver a version in time. LOCK_GOSSIP is held. */
+static bool is_check_due(struct node *node, int64_t held_version, struct instant now)
+{
+	const struct pull_state *pull = &node->gossip.pull;
+	struct deadline deliver_by = { pull->deliver_from_us +
+				       fraction_us(node, DELIVERY_PERCENT) };
+
+	return deadline_passed(node->gossip.confirm.check_at, now) ||
+	       (pull->heard_newest > held_version && deadline_passed(deliver_by, now));
+}
+
+/* Returns whether a joining node has all but a confirmation. LOCK_GOSSIP is held. */
+static bool is_join_check_due(const struct node *node, struct instant now)
+{
+	const struct boot_state *boot = &node->gossip.boot;
+
+	return boot->current_peers > 0 && node->gossip.confirm.confirmed_at_us < boot->started_us &&
+	       now.mono_us - boot->started_us >= JOIN_CHECK_US;
+}
+
 /* Returns whether this node has to read the log itself now, and marks the read as begun. */
 static bool begin_check(struct node *node, int64_t held_version, struct instant now)
 {
 	struct confirm_state *state = &node->gossip.confirm;
-	const struct pull_state *pull = &node->gossip.pull;
-	struct deadline deliver_by = { pull->behind_since_us +
-				       fraction_us(node, DELIVERY_PERCENT) };
-	bool due;
+	bool due = false;
 
 	lock_acquire(&node->gossip.lock);
-	due = deadline_passed(state->check_at, now) ||
-	      (pull->heard_newest > held_version && deadline_passed(deliver_by, now));
+	switch (node->gossip.boot.phase) {
+	case BOOT_PEERS:
+		due = is_join_check_due(node, now);
+		break;
+	case BOOT_SYSTEM:
+	case BOOT_CONFIG:
+		break;
+	case BOOT_CURRENT:
+		due = is_check_due(node, held_version, now) && !node->gossip.log.expired;
+		break;
+	}
 	due = due && !state->checking && !node->gossip.stopping &&
-	      node->gossip.boot.phase == BOOT_CURRENT && !node->gossip.log.expired &&
 	      (state->retry_at.at_us == 0 || deadline_passed(state->retry_at, now));
 	if (due) {
 		state->checking = true;
--- a/core/node_log.c
+++ b/core/node_log.c
@@ -47,8 +47,10 @@
 
 	lock_acquire(&node->gossip.lock);
 	read = next_read(node, held_version, now, &stream, &from);
-	if (read)
+	if (read) {
 		node->gossip.log.reading[stream] = true;
+		node->gossip.log.asked_at = now;
+	}
 	current = node->gossip.boot.phase == BOOT_CURRENT;
 	lock_release(&node->gossip.lock);
 	if (read)
@@ -290,6 +292,20 @@
 	confirm_from_log(node, event->batch.newest, asked_at, now, out);
 }
 
+/* An empty answer was made just now; one with records when the first of them was there, at any time
+ * since the request. */
+static void confirm_from_poll(struct node *node, const struct event *event, struct instant now,
+			      struct actions *out)
+{
+	struct instant at = now;
+
+	lock_acquire(&node->gossip.lock);
+	if (event->batch.count)
+		at = node->gossip.log.asked_at;
+	lock_release(&node->gossip.lock);
+	confirm_from_log(node, event->batch.newest, at, now, out);
+}
+
 void log_on_batch(struct node *node, const struct event *event, struct instant now,
 		  struct actions *out)
 {
@@ -304,9 +320,7 @@
 	switch (event->batch.stream) {
 	case STREAM_CONFIG:
 		apply_changes(node, event, now, out);
-		/* Records may have been appended while the answer with records was on its way. */
-		if (event->batch.count == 0)
-			confirm_from_log(node, event->batch.newest, now, now, out);
+		confirm_from_poll(node, event, now, out);
 		break;
 	case STREAM_SYSTEM:
 		apply_system_records(node, event, now, out);
--- a/core/node_parts.h
+++ b/core/node_parts.h
@@ -15,7 +15,7 @@
 #define ACK_US		 (400 * US_PER_MS) /* wait before relays are asked to probe */
 #define REMOTE_PULL_US	 (500 * US_PER_MS) /* the own data centre may get the update meanwhile */
 #define BATCH_DELAY_US	 (300 * US_PER_MS) /* batches changes in quick succession */
-#define LOG_POLL_US	 (5 * US_PER_S)
+#define LOG_POLL_US	 (10 * US_PER_S)
 #define LOG_RETRY_MIN_US (500 * US_PER_MS)
 #define LOG_RETRY_MAX_US (8 * US_PER_S)
 #define SYNC_US		 (5 * US_PER_S) /* minimum interval between two syncs of members */
@@ -70,6 +70,7 @@
 	int64_t heard_newest;	   /**< newest version heard of */
 	int64_t heard_at_us;	   /**< when it was first heard of */
 	int64_t behind_since_us;   /**< when this node heard of a newer version than it holds */
+	int64_t deliver_from_us;   /**< when the time that peers have to deliver it began */
 	bool need_full;		   /**< the base of a delta is not retained here */
 };
 
@@ -95,7 +96,8 @@
 struct log_state {
 	bool reading[2]; /**< indexed by STREAM_CONFIG and STREAM_SYSTEM */
 	int64_t system_next;
-	int64_t retry_us; /**< grows while the log limits the rate */
+	struct instant asked_at; /**< last read of STREAM_CONFIG or STREAM_SYSTEM */
+	int64_t retry_us;	 /**< grows while the log limits the rate */
 	struct deadline retry_at;
 	bool unavailable;
 	bool reader;
--- a/godwithitchd/dispatch.c
+++ b/godwithitchd/dispatch.c
@@ -346,7 +346,7 @@
 	char fields[160];
 
 	describe_message(from, message, fields, sizeof(fields));
-	node_complete_message(daemon->node, message);
+	node_complete_message(daemon->node, message, received_at);
 	parse_message_changes(message);
 	if (fields[0])
 		log_arrival(daemon, "peer", received_at, fields);
