Answers without end cost bounded memory and are closed

Trailers without end made a call to the target take 128 MB in a second (libcurl keeps them), a body without end took 64 MB of the log client; a VM has 160. Bytes after a complete answer stayed unread on the idle connection, which was not closed until its next use.

Idle connections that are readable are closed each second. Trailers no longer touch the head that was delivered.

endless_test: 13 shapes each for target and log service; deadline, close and 16 MB of memory hold in each.

--- a/godwithitchd/dispatch.c
+++ b/godwithitchd/dispatch.c
@@ -279,6 +279,8 @@
 	if (daemon->next_second_at.at_us == 0 || deadline_passed(daemon->next_second_at, now)) {
 		daemon->next_second_at = deadline_after(now, US_PER_S);
 		log_load(daemon, now);
+		target_close_stray(daemon->target);
+		logclient_close_stray(daemon->logclient);
 		if (daemon->caller)
 			caller_tick(daemon->caller, now);
 	}
--- /dev/null
+++ b/regress/target/endless_test.c
@@ -0,0 +1,232 @@
+/*
+ * A server may send bytes that are no answer without end, until the connection is closed. Calls to
+ * the target and exchanges with the log service must end by their deadline, close the connection
+ * and need only a bounded amount of memory.
+ */
+#include "regress/lib/check.h"
+
+#include <apr_general.h>
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <string.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "platform/dialect.h"
+#include "platform/exchange.h"
+#include "target/call.h"
+
+#define DEADLINE_US	 (1 * US_PER_S)
+#define LATE_MAX_US	 (500 * US_PER_MS) /* a call may end this long after its deadline */
+#define CLOSED_WITHIN_US (500 * US_PER_MS) /* the connection is closed this long after the call */
+
+#define SWEEP_AFTER_US (100 * US_PER_MS) /* the daemon looks at idle connections once a second */
+
+enum { MEMORY_MAX_KB = 16 << 10, SERVER_STOP_S = 5 };
+
+struct endless_case {
+	const char *name;
+	const char *start;  /* sent once */
+	const char *repeat; /* sent until the connection is closed */
+};
+
+static const struct endless_case cases[] = {
+	{ "garbage without a line end", "", "xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx" },
+	{ "garbage lines", "", "not an answer\r\n" },
+	{ "status line without an end", "HTTP/1.1 200 ", "OK OK OK OK OK OK OK OK OK OK " },
+	{ "head of many fields", "HTTP/1.1 200 OK\r\n", "X-Field: some value of a field\r\n" },
+	{ "field without an end", "HTTP/1.1 200 OK\r\nX-Field: ", "value value value value " },
+	{ "interim heads", "", "HTTP/1.1 100 Continue\r\n\r\n" },
+	{ "interim heads with fields", "", "HTTP/1.1 103 Hints\r\nLink: </a>; rel=b\r\n\r\n" },
+	{ "body until the connection closes",
+	  "HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\nConnection: close\r\n\r\n",
+	  "body body body body body body body body " },
+	{ "chunks",
+	  "HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n",
+	  "10\r\n0123456789abcdef\r\n" },
+	{ "chunk size without an end",
+	  "HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n",
+	  "000000000000000000000000000000" },
+	{ "chunk extension without an end",
+	  "HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n4;",
+	  "extension=value;extension=value;" },
+	{ "trailers",
+	  "HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+	  "X-Trailer: some value of a trailer\r\n" },
+	{ "bytes after the answer",
+	  "HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\nContent-Length: 2\r\n\r\nok",
+	  "more more more more more more more more " },
+};
+
+/* A server for one connection, in its own thread. */
+struct server {
+	const struct endless_case *row;
+	int listen_fd;
+	uint16_t port;
+	int64_t closed_at_us; /* when the client's close was noticed; 0: never */
+	GThread *thread;
+};
+
+static bool is_writable(int fd, int64_t until_us)
+{
+	struct pollfd waited = { .fd = fd, .events = POLLOUT };
+	int64_t remaining_us = until_us - clock_now().mono_us;
+
+	return remaining_us > 0 && poll(&waited, 1, (int)(remaining_us / US_PER_MS)) > 0;
+}
+
+static void send_without_end(struct server *server, int fd, int64_t until_us)
+{
+	GString *block = g_string_new(NULL);
+	size_t period = strlen(server->row->repeat);
+	size_t offset = 0;
+
+	while (block->len < 1 << 16)
+		g_string_append(block, server->row->repeat);
+	send(fd, server->row->start, strlen(server->row->start), MSG_NOSIGNAL);
+	while (is_writable(fd, until_us)) {
+		ssize_t n = send(fd, block->str + offset, block->len - offset,
+				 MSG_NOSIGNAL | MSG_DONTWAIT);
+
+		if (n < 0) {
+			server->closed_at_us = clock_now().mono_us;
+			break;
+		}
+		/* The next block continues where the period of the text was interrupted. */
+		offset = (offset + (size_t)n) % period;
+	}
+	g_string_free(block, TRUE);
+}
+
+static gpointer run_server(gpointer data)
+{
+	struct server *server = data;
+	int64_t until_us = clock_now().mono_us + SERVER_STOP_S * US_PER_S;
+	int fd = accept(server->listen_fd, NULL, NULL);
+	char request[4096];
+
+	if (fd >= 0 && recv(fd, request, sizeof(request), 0) > 0)
+		send_without_end(server, fd, until_us);
+	close(fd);
+	return NULL;
+}
+
+static void server_start(struct server *server, const struct endless_case *row)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET,
+				       .sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
+	socklen_t len = sizeof(address);
+
+	*server = (struct server){ .row = row, .listen_fd = socket(AF_INET, SOCK_STREAM, 0) };
+	assert_int_equal(bind(server->listen_fd, (struct sockaddr *)&address, len), 0);
+	assert_int_equal(listen(server->listen_fd, 4), 0);
+	getsockname(server->listen_fd, (struct sockaddr *)&address, &len);
+	server->port = ntohs(address.sin_port);
+	server->thread = g_thread_new("server", run_server, server);
+}
+
+static int64_t peak_memory_kb(void)
+{
+	struct rusage usage;
+
+	getrusage(RUSAGE_SELF, &usage);
+	return usage.ru_maxrss;
+}
+
+/* Ends the server and checks what the call cost. */
+static void check_end(struct server *server, int64_t started_us, int64_t ended_us,
+		      int64_t memory_before_kb)
+{
+	const char *name = server->row->name;
+	int64_t memory_kb = peak_memory_kb() - memory_before_kb;
+
+	g_thread_join(server->thread);
+	close(server->listen_fd);
+	if (ended_us - started_us > DEADLINE_US + LATE_MAX_US)
+		fail_msg("%s: the call took %lld ms", name, (ended_us - started_us) / US_PER_MS);
+	if (server->closed_at_us == 0 || server->closed_at_us > ended_us + CLOSED_WITHIN_US)
+		fail_msg("%s: the connection was not closed", name);
+	if (memory_kb > MEMORY_MAX_KB)
+		fail_msg("%s: the call needed %ld KB", name, memory_kb);
+}
+
+static bool on_target_event(void *context, struct target_event *event)
+{
+	(void)context;
+	if (event->kind == TARGET_READ_BODY)
+		event->read.len = 0;
+	return true;
+}
+
+static void test_target_that_never_ends_its_answer(void **state)
+{
+	apr_pool_t *pool;
+
+	(void)state;
+	apr_pool_create(&pool, NULL);
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct target *target = target_new(&dialect_platform, pool);
+		struct request_head head = { .method = STR("GET"), .target = STR("/a") };
+		struct target_call_options options = { .head = &head, .handle = on_target_event };
+		int64_t memory_before_kb = peak_memory_kb();
+		int64_t started_us = clock_now().mono_us;
+		int64_t ended_us;
+		struct server server;
+
+		server_start(&server, &cases[i]);
+		target_set_endpoint(target, &(struct target_endpoint){ .ipv4 = INADDR_LOOPBACK,
+								       .port = server.port });
+		options.deadline = deadline_after(clock_now(), DEADLINE_US);
+		target_call(target, &options);
+		ended_us = clock_now().mono_us;
+		g_usleep(SWEEP_AFTER_US);
+		target_close_stray(target);
+		check_end(&server, started_us, ended_us, memory_before_kb);
+		target_free(target);
+	}
+	apr_pool_destroy(pool);
+}
+
+static void test_log_service_that_never_ends_its_answer(void **state)
+{
+	apr_pool_t *pool;
+
+	(void)state;
+	apr_pool_create(&pool, NULL);
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct exchange_request request = { .path = STR("log-read") };
+		int64_t memory_before_kb = peak_memory_kb();
+		int64_t started_us = clock_now().mono_us;
+		int64_t ended_us;
+		struct exchange_client *http;
+		struct exchange exchange;
+		struct server server;
+		char url[64];
+
+		server_start(&server, &cases[i]);
+		g_snprintf(url, sizeof(url), "http://127.0.0.1:%u", server.port);
+		http = exchange_client_new(str_from_cstr(url), pool, NULL);
+		request.deadline = deadline_after(clock_now(), DEADLINE_US);
+		exchange = exchange_run(http, &request);
+		ended_us = clock_now().mono_us;
+		strbuf_clear(&exchange.body);
+		g_usleep(SWEEP_AFTER_US);
+		exchange_close_stray(http);
+		check_end(&server, started_us, ended_us, memory_before_kb);
+		exchange_client_free(http);
+	}
+	apr_pool_destroy(pool);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_target_that_never_ends_its_answer),
+		cmocka_unit_test(test_log_service_that_never_ends_its_answer),
+	};
+
+	apr_initialize();
+	return cmocka_run_group_tests_name("target/endless", tests, NULL, NULL);
+}
--- a/target/call.c
+++ b/target/call.c
@@ -8,10 +8,12 @@
 #include <unistd.h>
 
 #include "base/lockorder.h"
+#include "base/socket.h"
 
 enum {
 	CONNECT_TIMEOUT_MS = 500,
 	CHECK_INTERVAL_MS = 100, /* a disconnected caller is noticed within 500 ms, hops included */
+	HEAD_MAX_BYTES = 256 << 10, /* interim heads and trailers included */
 	STATUS_MIN = 100,
 	STATUS_REDIRECT = 300,
 	STATUS_SERVER_ERROR = 500,
@@ -41,6 +43,7 @@
 	size_t field_ends[FIELDS_MAX]; /* offsets, since field_text may be reallocated */
 	size_t name_lens[FIELDS_MAX];
 	const struct dialect *dialect;
+	size_t head_bytes;
 	bool head_delivered;
 	bool aborted;
 	bool answer_mismatched; /* the answer is not the target's answer to this request */
@@ -229,12 +232,19 @@
 	call->field_text.len = 0;
 }
 
-/* Adds one line of the head. An empty line ends it, except after an interim (1xx) head. */
+/* Adds one line of the head. An empty line ends it, except after an interim (1xx) head. Returning
+ * less than the length ends the call, also for a target that never ends its head. */
 static size_t on_header(char *data, size_t size, size_t count, void *context)
 {
 	struct call *call = context;
 	struct str line = { data, size * count };
 
+	call->head_bytes += line.len;
+	if (call->head_bytes > HEAD_MAX_BYTES)
+		return 0;
+	/* Trailers are not forwarded, and the delivered head is in use. */
+	if (call->head_delivered)
+		return line.len;
 	if (str_has_prefix(line, STR("HTTP/"))) {
 		begin_head(call, line);
 	} else if (trim(line).len) {
@@ -296,6 +306,27 @@
 	lock_release(&target->lock);
 }
 
+/* Returns whether the handle's connection may serve another call. */
+static bool is_reusable(struct handle *handle)
+{
+	curl_socket_t fd = CURL_SOCKET_BAD;
+
+	return curl_easy_getinfo(handle->curl, CURLINFO_ACTIVESOCKET, &fd) != CURLE_OK ||
+	       fd == CURL_SOCKET_BAD || socket_is_quiet(fd);
+}
+
+void target_close_stray(struct target *target)
+{
+	GPtrArray *stray = g_ptr_array_new_with_free_func(handle_free);
+
+	lock_acquire(&target->lock);
+	for (guint i = target->idle->len; i-- > 0;)
+		if (!is_reusable(g_ptr_array_index(target->idle, i)))
+			g_ptr_array_add(stray, g_ptr_array_steal_index_fast(target->idle, i));
+	lock_release(&target->lock);
+	g_ptr_array_unref(stray);
+}
+
 static struct curl_slist *append_field(struct curl_slist *list, struct str name, struct str value)
 {
 	char *line = g_strdup_printf(value.len ? "%.*s: %.*s" : "%.*s;%.*s", STR_ARG(name),
--- a/target/call.h
+++ b/target/call.h
@@ -32,6 +32,10 @@
 /** Returns whether the target runs @p service; an empty name matches any. Takes LOCK_TARGET. */
 bool target_runs_service(struct target *target, const struct label *service);
 
+/** Closes idle connections on which the target sends more, or which it closed. Takes LOCK_TARGET.
+ */
+void target_close_stray(struct target *target);
+
 /** Returns whether the target accepts a connection now. Takes LOCK_TARGET. */
 bool target_accepts_connections(struct target *target);
 
