Expired records do not delay the next read

After the log dropped its history a reader waited 0.25 to 0.75 s before it read the newest files, on top of its poll: the delay of a log that does not answer was applied to an answer. Changes of that time were late on the whole data centre.

The next read follows after 50 ms, so that a log that keeps dropping is not read in a loop. test_expired_records_do_not_delay_the_next_read failed before (limit 200 ms).

--- a/core/node_log.c
+++ b/core/node_log.c
@@ -6,6 +6,7 @@
 
 #define SNAPSHOT_RANK_DELAY_US (5 * US_PER_S)
 #define SNAPSHOT_RETRY_US      (10 * US_PER_S)
+#define EXPIRED_PAUSE_US       (50 * US_PER_MS)
 
 enum { APPENDS_MAX = 4, SNAPSHOT_RANKS = 4 };
 
@@ -391,7 +392,9 @@
 		break;
 	case LOG_FAILURE_EXPIRED:
 		/* A snapshot contains the expired records. The system stream is read from its
-		 * oldest retained record. */
+		 * oldest retained record. The service answers, so that the next read needs no
+		 * backoff, only a pause in case this repeats. */
+		gossip->log.retry_at = deadline_after(now, EXPIRED_PAUSE_US);
 		if (event->failed.stream == STREAM_SYSTEM)
 			gossip->log.system_next = 0;
 		else if (gossip->boot.phase == BOOT_CONFIG)
--- a/regress/core/boot_test.c
+++ b/regress/core/boot_test.c
@@ -76,11 +76,20 @@
 	assert_true(longest_wait_after(LOG_FAILURE_LIMITED, 8) >= 4 * US_PER_S);
 }
 
+/* A reader whose records expired needs the newest files at once: callers already wait for a change.
+ */
+static void test_expired_records_do_not_delay_the_next_read(void **state)
+{
+	(void)state;
+	assert_true(longest_wait_after(LOG_FAILURE_EXPIRED, 1) <= 200 * US_PER_MS);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_unavailable_log_is_retried_within_900_ms),
 		cmocka_unit_test(test_rate_limited_log_backs_off),
+		cmocka_unit_test(test_expired_records_do_not_delay_the_next_read),
 	};
 
 	apr_initialize();
