A failed append does not delay the reads of changes

A coordinator whose conditional append of a move's state was refused, as it is where two write, waited up to 8 s before it read the log again: appends and reads shared one backoff, and each refusal counted as the rate limit. A reader that coordinates a move then had changes late, and its data centre with it.

Appends have a backoff of their own. test_failed_appends_do_not_delay_reads failed before (limit 200 ms after six failures).

--- a/core/node.c
+++ b/core/node.c
@@ -22,6 +22,7 @@
 	gossip->unsaved = g_array_new(FALSE, TRUE, sizeof(struct unsaved_move));
 	gossip->budgets = g_hash_table_new_full(label_hash, label_hash_equal, NULL, g_free);
 	gossip->log.retry_us = LOG_RETRY_MIN_US;
+	gossip->append_retry_us = LOG_RETRY_MIN_US;
 	gossip->log.system_next = 1;
 	gossip->boot.started_us = now.mono_us;
 	gossip->boot.ping_at =
--- a/core/node_log.c
+++ b/core/node_log.c
@@ -72,8 +72,8 @@
 			&g_array_index(gossip->unsaved, struct unsaved_move, i);
 
 		considered++;
-		if (unsaved->tag || !(gossip->log.retry_at.at_us == 0 ||
-				      deadline_passed(gossip->log.retry_at, now)))
+		if (unsaved->tag || !(gossip->append_retry_at.at_us == 0 ||
+				      deadline_passed(gossip->append_retry_at, now)))
 			continue;
 		unsaved->tag = ++gossip->tag;
 		actions_append(out, STREAM_SYSTEM, 0, unsaved->tag,
@@ -333,15 +333,17 @@
 	read_log(node, now, out);
 }
 
-/* Backs off with jitter. The delay grows only for a log that answers and limits its rate; one that
- * is unavailable is retried soon. LOCK_GOSSIP is held. */
-static void back_off(struct gossip_state *gossip, enum log_failure failure, struct instant now)
+/* Draws the time of the next attempt with jitter. The delay grows only for a log that answers and
+ * limits its rate; one that is unavailable is retried soon. LOCK_GOSSIP is held. */
+static struct deadline back_off(struct gossip_state *gossip, int64_t *retry_us,
+				enum log_failure failure, struct instant now)
 {
-	int64_t jitter_us = (int64_t)rng_below(&gossip->rng, (uint64_t)gossip->log.retry_us);
+	int64_t jitter_us = (int64_t)rng_below(&gossip->rng, (uint64_t)*retry_us);
+	struct deadline next = deadline_after(now, *retry_us / 2 + jitter_us);
 
-	gossip->log.retry_at = deadline_after(now, gossip->log.retry_us / 2 + jitter_us);
 	if (failure == LOG_FAILURE_LIMITED)
-		gossip->log.retry_us = MIN(gossip->log.retry_us * 2, LOG_RETRY_MAX_US);
+		*retry_us = MIN(*retry_us * 2, LOG_RETRY_MAX_US);
+	return next;
 }
 
 /* Logs a failure that the log service answered; its silence is logged once, when it begins. */
@@ -382,7 +384,7 @@
 	}
 	lock_acquire(&gossip->lock);
 	gossip->log.reading[event->failed.stream] = false;
-	back_off(gossip, event->failed.failure, now);
+	gossip->log.retry_at = back_off(gossip, &gossip->log.retry_us, event->failed.failure, now);
 	switch (event->failed.failure) {
 	case LOG_FAILURE_UNAVAILABLE:
 		newly_unavailable = !gossip->log.unavailable;
@@ -435,8 +437,13 @@
 	int64_t written_version = 0;
 
 	lock_acquire(&gossip->lock);
-	if (!done)
-		back_off(gossip, LOG_FAILURE_LIMITED, now);
+	if (done) {
+		gossip->append_retry_us = LOG_RETRY_MIN_US;
+		gossip->append_retry_at = (struct deadline){ 0 };
+	} else {
+		gossip->append_retry_at =
+			back_off(gossip, &gossip->append_retry_us, LOG_FAILURE_LIMITED, now);
+	}
 	if (!finish_move_append(gossip, tag, done) && done && tag == gossip->snapshot_tag) {
 		written_version = gossip->snapshot_pending_version;
 		gossip->snapshot_version = MAX(gossip->snapshot_version, written_version);
--- a/core/node_parts.h
+++ b/core/node_parts.h
@@ -160,7 +160,9 @@
 	uint64_t snapshot_tag;	/**< last part of the append in progress */
 	int64_t snapshot_pending_version;
 	struct deadline snapshot_not_before;
-	GArray *unsaved; /**< struct unsaved_move, states of moves not in the log yet */
+	struct deadline append_retry_at;
+	int64_t append_retry_us; /**< grows while appends fail */
+	GArray *unsaved;	 /**< struct unsaved_move, states of moves not in the log yet */
 	struct deadline round_at;
 	struct deadline flush_at;
 	struct deadline sync_at;
--- a/regress/core/boot_test.c
+++ b/regress/core/boot_test.c
@@ -84,12 +84,33 @@
 	assert_true(longest_wait_after(LOG_FAILURE_EXPIRED, 1) <= 200 * US_PER_MS);
 }
 
+/* Appends fail where two coordinators write the state of a move. That must not delay changes. */
+static void test_failed_appends_do_not_delay_reads(void **state)
+{
+	struct node_options options = { .id = 1, .data_centre = LABEL("a"), .seed = 1 };
+	struct event failed = { .kind = EVENT_APPEND_FAILED };
+	int64_t now_us = US_PER_S;
+	struct node *node = node_new(&options, (struct instant){ now_us, now_us }, NULL);
+
+	(void)state;
+	failed.append.stream = STREAM_SYSTEM;
+	for (int i = 0; i < 6; i++) {
+		struct actions actions = actions_new();
+
+		node_handle(node, &failed, (struct instant){ now_us, now_us }, &actions);
+		actions_clear(&actions);
+	}
+	assert_true(wait_for_read(node, &now_us) <= 200 * US_PER_MS);
+	node_free(node);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_unavailable_log_is_retried_within_900_ms),
 		cmocka_unit_test(test_rate_limited_log_backs_off),
 		cmocka_unit_test(test_expired_records_do_not_delay_the_next_read),
+		cmocka_unit_test(test_failed_appends_do_not_delay_reads),
 	};
 
 	apr_initialize();
