--- a/core/node_log.c
+++ b/core/node_log.c
@@ -6,6 +6,7 @@
 
 #define SNAPSHOT_RANK_DELAY_US (5 * US_PER_S)
 #define SNAPSHOT_RETRY_US      (10 * US_PER_S)
+#define APPEND_RETRY_MAX_US    (2 * US_PER_S) /* operators wait for the end of a move */
 #define EXPIRED_PAUSE_US       (50 * US_PER_MS)
 
 enum { APPENDS_MAX = 4, SNAPSHOT_RANKS = 4 };
@@ -443,6 +444,7 @@
 	} else {
 		gossip->append_retry_at =
 			back_off(gossip, &gossip->append_retry_us, LOG_FAILURE_LIMITED, now);
+		gossip->append_retry_us = MIN(gossip->append_retry_us, APPEND_RETRY_MAX_US);
 	}
 	if (!finish_move_append(gossip, tag, done) && done && tag == gossip->snapshot_tag) {
 		written_version = gossip->snapshot_pending_version;
