Tests: all machines lose power at once, and nothing acknowledged is lost

Nodes have no disk; what was acknowledged is on the platform. Two tests kill all nodes at once: 0 to 400 ms after a change was acknowledged, after which no node serves the older version at any time and all serve the change; and after keyed requests were answered, after which a repeat at another node gets the recorded outcome and no target runs it again (targets restarted too).

--- a/regress/godwithitchd/keys_test.c
+++ b/regress/godwithitchd/keys_test.c
@@ -165,9 +165,89 @@
 	fleet_free(fleet);
 }
 
+/* Sends a request with a key; returns the answer without its body. */
+static struct http_reply send_key(int node, const char *key)
+{
+	struct http_client *client = http_client_new();
+	struct http_options options = { .method = "POST",
+					.body = STR("invoice"),
+					.timeout_ms = 10000 };
+	char *url = g_strdup_printf("http://%s/invoices", fleet->nodes[node].caller_address);
+	char *field = g_strdup_printf("Idempotency-Key: %s", key);
+	struct http_reply reply;
+
+	options.headers[0] = field;
+	reply = http_do(client, url, &options);
+	http_client_free(client);
+	g_free(field);
+	g_free(url);
+	return reply;
+}
+
+/* Sends a request until it is answered as run; returns false if that takes too long. */
+static bool key_is_answered(int node, const char *key)
+{
+	bool ran = false;
+
+	for (int i = 0; i < 40 && !ran; i++) {
+		struct http_reply reply = send_key(node, key);
+
+		ran = strcmp(reply.verdict, "ran") == 0;
+		http_reply_clear(&reply);
+		if (!ran)
+			wait_ms(250);
+	}
+	return ran;
+}
+
+/* All nodes lose power right after an invoice was answered. A caller that sends it again, at any
+ * node that came back, gets the recorded outcome, and no target runs it once more. */
+static void test_answered_key_survives_power_loss_of_all(void **state)
+{
+	enum { KEYS = 6 };
+	GHashTable *runs;
+
+	(void)state;
+	fleet = fleet_new(0);
+	for (int i = 0; i < 3; i++)
+		fleet_add_node(fleet, i % 2 ? "fes-b" : "fes-a");
+	for (int i = 0; i < 2; i++)
+		fleet_add_target(fleet, i, "-s registre -v v1");
+	assert_true(fleet_wait_live(fleet, 3, 15000));
+	assert_int_equal(fleet_apply(fleet, "one.json", VALID_CONFIG_FILE, NULL), 0);
+	for (int key = 0; key < KEYS; key++) {
+		char name[16];
+
+		g_snprintf(name, sizeof(name), "p-%d-", key);
+		assert_true(key_is_answered(key % 3, name));
+	}
+	for (int i = 0; i < 3; i++)
+		process_kill(&fleet->nodes[i].daemon);
+	for (int i = 0; i < 3; i++)
+		fleet_restart_node(fleet, i);
+	for (int i = 0; i < 2; i++) {
+		process_kill(&fleet->nodes[i].target);
+		fleet_add_target(fleet, i, "-s registre -v v1");
+	}
+	assert_true(fleet_wait_live(fleet, 3, 15000));
+	for (int key = 0; key < KEYS; key++) {
+		char name[16];
+
+		g_snprintf(name, sizeof(name), "p-%d-", key);
+		assert_true(key_is_answered((key + 1) % 3, name));
+	}
+	runs = fleet_runs(fleet);
+	assert_int_equal(g_hash_table_size(runs), 0);
+	g_hash_table_destroy(runs);
+	fleet_free(fleet);
+}
+
 int main(void)
 {
-	const struct CMUnitTest tests[] = { cmocka_unit_test(test_each_key_runs_at_most_once) };
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_each_key_runs_at_most_once),
+		cmocka_unit_test(test_answered_key_survives_power_loss_of_all),
+	};
 
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	return cmocka_run_group_tests_name("godwithitchd/keys", tests, NULL, NULL);
--- a/regress/godwithitchd/platform_test.c
+++ b/regress/godwithitchd/platform_test.c
@@ -477,6 +477,53 @@
 	assert_true(fleet_wait_live(fleet, NODES, WAIT_MS));
 }
 
+/* Waits until the wanted path is served; fails if a node serves the path of the version before. */
+static void assert_only_newest_is_served(const char *wanted, const char *older)
+{
+	for (int node = 0; node < NODES; node++) {
+		long status = 0;
+
+		for (int i = 0; i < WAIT_MS / 50 && status != 200; i++) {
+			assert_int_not_equal(request_status(node, older, "GET"), 200);
+			status = request_status(node, wanted, "GET");
+			if (status != 200)
+				wait_ms(50);
+		}
+		assert_int_equal(status, 200);
+	}
+}
+
+/* All machines lose power soon after a change was acknowledged. Nothing is kept on them, so that
+ * what they come back with is in the store: the change, and no older version at any moment. */
+static void test_acknowledged_change_survives_power_loss_of_all(void **state)
+{
+	static const int after_ms[] = { 0, 5, 60, 400 };
+	char older[16] = "/a/x";
+
+	(void)state;
+	for (int round = 0; round < (int)G_N_ELEMENTS(after_ms); round++) {
+		char prefix[16];
+		char path[16];
+
+		g_snprintf(prefix, sizeof(prefix), "/p%d/", round);
+		g_snprintf(path, sizeof(path), "%sx", prefix);
+		publish_config(20 + round, prefix);
+		wait_ms(after_ms[round]);
+		for (int i = 0; i < NODES; i++)
+			process_kill(&fleet->nodes[i].daemon);
+		for (int i = 0; i < NODES; i++)
+			fleet_restart_node(fleet, i);
+		for (int i = 0; i < NODES; i++)
+			send_heartbeat(i, "ready");
+		assert_only_newest_is_served(path, older);
+		g_strlcpy(older, path, sizeof(older));
+	}
+	publish_config(30, "/a/");
+	for (int i = 0; i < NODES; i++)
+		assert_int_equal(wait_for_status(i, "/a/x", 200), 200);
+	assert_true(fleet_wait_live(fleet, NODES, WAIT_MS));
+}
+
 static void test_draining_target_gets_no_requests(void **state)
 {
 	(void)state;
@@ -519,6 +566,7 @@
 		cmocka_unit_test(test_restart_while_store_unavailable),
 		cmocka_unit_test(test_recovery_after_store_stopped_answering),
 		cmocka_unit_test(test_change_between_two_pages_is_not_lost),
+		cmocka_unit_test(test_acknowledged_change_survives_power_loss_of_all),
 		cmocka_unit_test(test_draining_target_gets_no_requests),
 		cmocka_unit_test(test_graceful_stop_completes_requests),
 	};
