--- a/core/history.c
+++ b/core/history.c
@@ -252,11 +252,30 @@
 	return version;
 }
 
+/* Returns whether each file could be read and has no more move ids than moves. */
+static bool is_well_formed(const GPtrArray *files)
+{
+	for (guint i = 0; i < files->len; i++) {
+		const struct accepted_file *file = g_ptr_array_index(files, i);
+		const struct config_file *parsed = file->change->parsed;
+
+		if ((!parsed && file->change->content.len) ||
+		    file->move_ids->len > (parsed ? parsed->moves->len : 0))
+			return false;
+	}
+	return true;
+}
+
 bool history_import(struct history *history, GPtrArray *files, int64_t version, int64_t accepted)
 {
-	struct config *next = config_build(files, version, accepted, NULL);
+	struct config *next;
 	bool imported = false;
 
+	if (!is_well_formed(files)) {
+		g_ptr_array_unref(files);
+		return false;
+	}
+	next = config_build(files, version, accepted, NULL);
 	if (!next)
 		return false;
 	lock_acquire(&history->lock);
--- a/core/history.h
+++ b/core/history.h
@@ -81,7 +81,8 @@
 int history_expand_deltas(struct history *history, struct change_record *records, int count);
 
 /**
- * Replaces the configuration by a snapshot's if that is newer; returns whether it was replaced.
+ * Replaces the configuration by a snapshot's if that is newer and each of its files can be read;
+ * returns whether it was replaced.
  * Takes ownership of @p files (struct accepted_file). Takes LOCK_HISTORY.
  */
 bool history_import(struct history *history, GPtrArray *files, int64_t version, int64_t accepted);
--- a/regress/core/history_test.c
+++ b/regress/core/history_test.c
@@ -169,6 +169,44 @@
 }
 
 /* A move that a new version of the file leaves unchanged must keep its id, and so its state. */
+/* Imports a snapshot of one file at version 9; @p extra_ids are move ids beyond the file's moves.
+ */
+static bool import_file(struct history *history, const char *content, int extra_ids)
+{
+	GPtrArray *files = g_ptr_array_new_with_free_func((GDestroyNotify)accepted_file_free);
+	struct change *change = make_change("z", "one", 0, content);
+	struct accepted_file *file = accepted_file_new(LABEL("one"), 9, change);
+
+	for (int i = 0; i < extra_ids; i++) {
+		uint64_t id = 100 + (uint64_t)i;
+
+		g_array_append_val(file->move_ids, id);
+	}
+	g_ptr_array_add(files, file);
+	change_unref(change);
+	return history_import(history, files, 9, 9);
+}
+
+/* A snapshot must be taken whole or not at all: without the file that can't be read its routes
+ * would be gone, and ids without moves would be looked up beyond the file's moves. */
+static void test_malformed_snapshot_is_refused(void **state)
+{
+	struct history *history = history_new(pool);
+	struct config *config;
+
+	(void)state;
+	assert_int_equal(apply(history, 1, "a", "one", 0, GOOD).kind, APPLY_ACCEPTED);
+	assert_false(import_file(history, "{\"services\": ", 0));
+	assert_false(import_file(history, GOOD, 3));
+	config = history_config(history);
+	assert_int_equal(config->version, 1);
+	assert_non_null(config_find_service(config, LABEL("s")));
+	config_unref(config);
+	assert_true(import_file(history, GOOD, 0));
+	assert_int_equal(history_version(history), 9);
+	history_free(history);
+}
+
 static void test_unchanged_move_keeps_id(void **state)
 {
 	struct history *history = history_new(pool);
@@ -191,6 +229,7 @@
 		cmocka_unit_test(test_result_of_each_change),
 		cmocka_unit_test(test_reordered_records_give_same_files),
 		cmocka_unit_test(test_older_snapshot_is_ignored),
+		cmocka_unit_test(test_malformed_snapshot_is_refused),
 		cmocka_unit_test(test_unchanged_move_keeps_id),
 	};
 
