--- a/core/node_log.c
+++ b/core/node_log.c
@@ -151,15 +151,17 @@
 	GPtrArray *parts = config_snapshot_parts(node, now);
 
 	lock_acquire(&node->gossip.lock);
+	node->gossip.snapshot_first_tag = node->gossip.tag + 1;
+	node->gossip.snapshot_parts_missing = (int)parts->len;
 	for (guint i = 0; i < parts->len; i++) {
 		struct snapshot_part *part = g_ptr_array_index(parts, i);
 		struct log_record record = { .kind = LOG_SNAPSHOT, .snapshot = *part };
 
 		part->files = NULL;
 		part->states = NULL;
-		node->gossip.snapshot_tag = ++node->gossip.tag;
+		node->gossip.snapshot_last_tag = ++node->gossip.tag;
 		node->gossip.snapshot_pending_version = record.snapshot.version;
-		actions_append(out, STREAM_SYSTEM, 0, node->gossip.snapshot_tag, record);
+		actions_append(out, STREAM_SYSTEM, 0, node->gossip.tag, record);
 	}
 	node->gossip.snapshot_not_before = deadline_after(now, SNAPSHOT_RETRY_US);
 	lock_release(&node->gossip.lock);
@@ -431,6 +433,14 @@
 	return false;
 }
 
+/* Counts a part that was appended; returns whether it was the last one missing. The parts of an
+ * earlier snapshot no longer count. LOCK_GOSSIP is held. */
+static bool finish_snapshot_part(struct gossip_state *gossip, uint64_t tag)
+{
+	return tag >= gossip->snapshot_first_tag && tag <= gossip->snapshot_last_tag &&
+	       --gossip->snapshot_parts_missing == 0;
+}
+
 void log_on_append(struct node *node, uint64_t tag, bool done, struct instant now,
 		   struct actions *out)
 {
@@ -446,7 +456,7 @@
 			back_off(gossip, &gossip->append_retry_us, LOG_FAILURE_LIMITED, now);
 		gossip->append_retry_us = MIN(gossip->append_retry_us, APPEND_RETRY_MAX_US);
 	}
-	if (!finish_move_append(gossip, tag, done) && done && tag == gossip->snapshot_tag) {
+	if (!finish_move_append(gossip, tag, done) && done && finish_snapshot_part(gossip, tag)) {
 		written_version = gossip->snapshot_pending_version;
 		gossip->snapshot_version = MAX(gossip->snapshot_version, written_version);
 		gossip->snapshot_at_us = MAX(gossip->snapshot_at_us, now.wall_us);
--- a/core/node_parts.h
+++ b/core/node_parts.h
@@ -156,8 +156,10 @@
 	struct assembly from_peer;
 	struct assembly from_log;
 	int64_t snapshot_version;
-	int64_t snapshot_at_us; /**< wall clock */
-	uint64_t snapshot_tag;	/**< last part of the append in progress */
+	int64_t snapshot_at_us;	     /**< wall clock */
+	uint64_t snapshot_first_tag; /**< tags of the parts of the append in progress */
+	uint64_t snapshot_last_tag;
+	int snapshot_parts_missing; /**< parts of it that are not appended yet */
 	int64_t snapshot_pending_version;
 	struct deadline snapshot_not_before;
 	struct deadline append_retry_at;
--- a/regress/core/boot_test.c
+++ b/regress/core/boot_test.c
@@ -4,6 +4,7 @@
 #include <apr_general.h>
 
 #include "core/node.h"
+#include "operator/parse.h"
 
 /* Ticks the node until it reads the log; returns the elapsed microseconds. */
 static int64_t wait_for_read(struct node *node, int64_t *now_us)
@@ -104,6 +105,111 @@
 	node_free(node);
 }
 
+static void handle(struct node *node, const struct event *event, int64_t now_us,
+		   struct actions *actions)
+{
+	node_handle(node, event, (struct instant){ now_us, now_us }, actions);
+}
+
+/* Applies a large file, so that a snapshot has several parts. */
+static void apply_large_files(struct node *node, int files, int64_t now_us)
+{
+	char *padding = g_strnfill(40 << 10, ' ');
+	struct event batch = { .kind = EVENT_LOG_BATCH };
+	struct log_record *records = g_new0(struct log_record, (gsize)files);
+	struct actions actions = actions_new();
+
+	for (int i = 0; i < files; i++) {
+		char name[16];
+		char *text = g_strdup_printf("{\"services\": {\"s%d\": {\"versions\": \"any\"}}}%s",
+					     i, padding);
+
+		g_snprintf(name, sizeof(name), "file-%d", i);
+		records[i] = (struct log_record){ .kind = LOG_CHANGE, .offset = i + 1 };
+		records[i].change =
+			change_new(label_from(str_from_cstr(name)), label_from(str_from_cstr(name)),
+				   0, str_from_cstr(text));
+		parse_change(records[i].change);
+		g_free(text);
+	}
+	batch.batch.stream = STREAM_CONFIG;
+	batch.batch.records = records;
+	batch.batch.count = files;
+	batch.batch.newest = files;
+	handle(node, &batch, now_us, &actions);
+	actions_clear(&actions);
+	for (int i = 0; i < files; i++)
+		log_record_clear(&records[i]);
+	g_free(records);
+	g_free(padding);
+}
+
+/* Ticks until the node appends a snapshot; answers each part, the first one with a failure if
+ * @p lose_first. Returns whether the node reports the snapshot as written. */
+static bool append_snapshot(struct node *node, int64_t *now_us, bool lose_first)
+{
+	struct event tick = { .kind = EVENT_TICK };
+	bool written = false;
+	int parts = 0;
+
+	for (int i = 0; i < 200 && parts == 0; i++) {
+		struct actions actions = actions_new();
+
+		*now_us += 100 * US_PER_MS;
+		handle(node, &tick, *now_us, &actions);
+		for (guint j = 0; j < actions.list->len; j++) {
+			const struct action *action =
+				&g_array_index(actions.list, struct action, j);
+			struct event answer = { .kind = EVENT_APPENDED };
+			struct actions results = actions_new();
+
+			if (action->kind != ACTION_APPEND ||
+			    action->append.record.kind != LOG_SNAPSHOT) {
+				actions_clear(&results);
+				continue;
+			}
+			if (parts++ == 0 && lose_first)
+				answer.kind = EVENT_APPEND_FAILED;
+			answer.append.stream = STREAM_SYSTEM;
+			answer.append.tag = action->append.tag;
+			handle(node, &answer, *now_us, &results);
+			for (guint k = 0; k < results.list->len; k++) {
+				const struct action *result =
+					&g_array_index(results.list, struct action, k);
+
+				written |= result->kind == ACTION_LOG_EVENT &&
+					   result->log_event.event == LOG_EVENT_SNAPSHOT_WRITTEN;
+			}
+			actions_clear(&results);
+		}
+		actions_clear(&actions);
+	}
+	assert_true(parts > 1);
+	return written;
+}
+
+/* Records lapse after a snapshot was written: one that lacks a part would lose the files of that
+ * part when the whole fleet restarts. */
+static void test_snapshot_without_a_part_is_not_written(void **state)
+{
+	struct node_options options = { .id = 1, .data_centre = LABEL("a"), .seed = 1 };
+	struct event empty = { .kind = EVENT_LOG_BATCH };
+	int64_t now_us = 4000 * US_PER_S;
+	struct actions actions = actions_new();
+	struct node *node = node_new(&options, (struct instant){ now_us, now_us }, NULL);
+
+	(void)state;
+	wait_for_read(node, &now_us);
+	empty.batch.stream = STREAM_SYSTEM;
+	handle(node, &empty, now_us, &actions);
+	apply_large_files(node, 4, now_us);
+	assert_true(node_is_current(node));
+	assert_false(append_snapshot(node, &now_us, true));
+	assert_true(append_snapshot(node, &now_us, false));
+	actions_clear(&actions);
+	node_free(node);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -111,6 +217,7 @@
 		cmocka_unit_test(test_rate_limited_log_backs_off),
 		cmocka_unit_test(test_expired_records_do_not_delay_the_next_read),
 		cmocka_unit_test(test_failed_appends_do_not_delay_reads),
+		cmocka_unit_test(test_snapshot_without_a_part_is_not_written),
 	};
 
 	apr_initialize();
