Soak: series of overlapping stops, pauses and changes, and callers on open connections until a node is gone

Series stop up to three nodes while others are still going down, pause another and publish four changes meanwhile. A caller keeps its connection to each node that gets SIGTERM in use until the process is gone; an answer that is cut there is a failure.

--- a/regress/soak.c
+++ b/regress/soak.c
@@ -1,11 +1,12 @@
 /*
  * Runs restarts, changes, moves and faults at the same time under load and checks that no read
- * fails and no key runs twice. On node 0, which is never stopped, it also checks that the version
- * of the configuration never decreases and that memory and descriptors do not grow. The faults are
- * signals to the processes, faults of the fake log service, and a proxy between the nodes and the
- * log that delays bytes, drops them in one or both directions, or resets connections; some faults
- * overlap.
- *   soak [-s SECONDS] [-r SEED] [-n NODES]
+ * fails, no key runs twice, and a node that is stopped by SIGTERM cuts no answer on connections
+ * that callers use until it is gone. Signals to several nodes and changes come in series that
+ * overlap. On node 0, which is never stopped, it also checks that the version of the configuration
+ * never decreases and that memory and descriptors do not grow. The faults are signals to the
+ * processes, faults of the fake log service, and a proxy between the nodes and the log that delays
+ * bytes, drops them in one or both directions, or resets connections; some faults overlap. soak [-s
+ * SECONDS] [-r SEED] [-n NODES]
  */
 #include <curl/curl.h>
 #include <dirent.h>
@@ -36,6 +37,9 @@
 static int next_key;
 static int failed_checks;
 static int versions_applied;
+static int extra_changes;
+static gint cut_answers; /* by nodes that were stopped by SIGTERM */
+static int series_run;
 
 static void report_failure(const char *description, int64_t a, int64_t b)
 {
@@ -133,20 +137,134 @@
 	g_free(config);
 }
 
-static void restart_node(struct fleet *f, int index, int signal_number)
+/* A caller that keeps using its connection to a node until the node is gone. */
+struct lingering_caller {
+	char url[96];
+	gint node_gone;
+	GThread *thread;
+};
+
+static gpointer linger(gpointer data)
+{
+	struct lingering_caller *caller = data;
+	struct http_client *client = http_client_new();
+
+	while (!g_atomic_int_get(&caller->node_gone)) {
+		struct http_options options = { .timeout_ms = 15000 };
+		struct http_reply reply = http_do(client, caller->url, &options);
+
+		/* Without a status the node closed the connection before it read the request. */
+		if (reply.status && !reply.complete)
+			g_atomic_int_inc(&cut_answers);
+		if (reply.status == 0)
+			wait_ms(INTERVAL_MS);
+		http_reply_clear(&reply);
+	}
+	http_client_free(client);
+	return NULL;
+}
+
+static struct lingering_caller *linger_start(int index)
+{
+	struct lingering_caller *caller = g_new0(struct lingering_caller, 1);
+
+	g_snprintf(caller->url, sizeof(caller->url), "http://%s/records",
+		   fleet->nodes[index].caller_address);
+	caller->thread = g_thread_new("linger", linger, caller);
+	return caller;
+}
+
+static void linger_end(struct lingering_caller *caller)
+{
+	g_atomic_int_set(&caller->node_gone, 1);
+	g_thread_join(caller->thread);
+	g_free(caller);
+}
+
+/* A node on its way down. */
+struct stop {
+	int index;
+	int signal_number;
+	struct lingering_caller *caller; /* NULL for SIGKILL, which may cut answers */
+};
+
+static struct stop stop_begin(int index, int signal_number)
 {
+	struct stop stop = { index, signal_number, NULL };
+
+	if (signal_number == SIGTERM)
+		stop.caller = linger_start(index);
+	process_signal(&fleet->nodes[index].target, signal_number);
+	process_wait(&fleet->nodes[index].target, 10000);
+	process_signal(&fleet->nodes[index].daemon, signal_number);
+	return stop;
+}
+
+static void stop_end(const struct stop *stop)
+{
+	int expected = stop->signal_number == SIGTERM ? 0 : 128 + SIGKILL;
 	char args[64];
 
-	process_signal(&f->nodes[index].target, signal_number);
-	process_wait(&f->nodes[index].target, 10000);
-	process_signal(&f->nodes[index].daemon, signal_number);
-	if (process_wait(&f->nodes[index].daemon, 20000) !=
-	    (signal_number == SIGTERM ? 0 : 128 + SIGKILL))
-		report_failure("a node did not exit with the expected status", index,
-			       signal_number);
-	fleet_restart_node(f, index);
-	g_snprintf(args, sizeof(args), "-s s -v v%d -c 500", index % 2 + 1);
-	fleet_add_target(f, index, args);
+	if (process_wait(&fleet->nodes[stop->index].daemon, 20000) != expected)
+		report_failure("a node did not exit with the expected status", stop->index,
+			       stop->signal_number);
+	if (stop->caller)
+		linger_end(stop->caller);
+	fleet_restart_node(fleet, stop->index);
+	g_snprintf(args, sizeof(args), "-s s -v v%d -c 500", stop->index % 2 + 1);
+	fleet_add_target(fleet, stop->index, args);
+}
+
+static void restart_node(int index, int signal_number)
+{
+	struct stop stop = stop_begin(index, signal_number);
+
+	stop_end(&stop);
+}
+
+/* Publishes changes of a second file one after the other, without waiting until they are in force.
+ */
+static gpointer apply_series(gpointer data)
+{
+	enum { SERIES_CHANGES = 4 };
+
+	(void)data;
+	for (int i = 0; i < SERIES_CHANGES; i++) {
+		char *content = g_strdup_printf("{\"services\": {\"extra\": {\"versions\": "
+						"\"any\"}}, \"routes\": [{\"name\": "
+						"\"extra\", \"path\": \"/extra\", \"service\": "
+						"\"extra\", \"deadline_ms\": %d}]}",
+						1000 + ++extra_changes);
+
+		if (fleet_apply(fleet, "extra.json", content, NULL) == 1)
+			report_failure("a change of a series was rejected", extra_changes, 0);
+		g_free(content);
+	}
+	return NULL;
+}
+
+/* Stops several nodes while others are still going down, pauses one more, and publishes meanwhile.
+ */
+static void run_series(struct rng *rng)
+{
+	GThread *changes = g_thread_new("changes", apply_series, NULL);
+	int unstable = nodes - STABLE_NODES;
+	int count = 1 + (int)rng_below(rng, (uint64_t)MIN(unstable - 1, 3));
+	int first = (int)rng_below(rng, (uint64_t)unstable);
+	struct process *paused = &fleet->nodes[STABLE_NODES + (first + count) % unstable].daemon;
+	struct stop stops[4];
+
+	process_signal(paused, SIGSTOP);
+	for (int i = 0; i < count; i++) {
+		stops[i] = stop_begin(STABLE_NODES + (first + i) % unstable,
+				      rng_below(rng, 3) ? SIGTERM : SIGKILL);
+		wait_ms((int)rng_below(rng, 400));
+	}
+	process_signal(paused, SIGCONT);
+	for (int i = 0; i < count; i++)
+		stop_end(&stops[i]);
+	g_thread_join(changes);
+	series_run++;
 }
 
 static int64_t config_version(int node)
@@ -212,13 +330,18 @@
 {
 	int index = STABLE_NODES + (int)rng_below(rng, (uint64_t)(nodes - STABLE_NODES));
 
-	switch (rng_below(rng, 9)) {
+	switch (rng_below(rng, 11)) {
+	case 9:
+	case 10:
+		if (nodes - STABLE_NODES > 1)
+			run_series(rng);
+		return;
 	case 0:
-		restart_node(fleet, index, SIGKILL);
+		restart_node(index, SIGKILL);
 		return;
 	case 1:
 	case 2:
-		restart_node(fleet, index, SIGTERM);
+		restart_node(index, SIGTERM);
 		return;
 	case 3:
 		process_signal(&fleet->nodes[index].daemon, SIGSTOP);
@@ -338,6 +461,9 @@
 	       good_calls, failed_reads, not_run_reads, keyed_unknown, last_failure);
 	if (failed_reads || not_run_reads)
 		report_failure("reads failed", failed_reads, not_run_reads);
+	printf("%d series, %d changes in them\n", series_run, extra_changes);
+	if (g_atomic_int_get(&cut_answers))
+		report_failure("answers were cut by nodes that stop", cut_answers, 0);
 	if (keys_run_twice())
 		report_failure("a key ran twice", keys_run_twice(), 0);
 	if (good_calls < seconds * 20)
