A paused or suspended node takes no old message for a confirmation

The age in a confirmation counts from its sending. A node that was paused found adverts that had waited for seconds, took the log for confirmed just now, and spread that; after a suspension its monotonic clock had missed the time altogether, so that its own confirmation looked young.

A gap of half a second between two ticks, by either clock, makes messages count for nothing in confirmations until half a second later; where the wall clock went further than the monotonic one, the own confirmation is dropped. Failed own reads back off to the promised time at most, instead of 1.6 times.

test_messages_read_after_a_pause_confirm_nothing and test_suspended_node_is_not_confirmed failed before (ages 0 and 0.1 s after pauses of 5 s).

--- a/core/node.c
+++ b/core/node.c
@@ -221,6 +221,7 @@
 
 static void on_tick(struct node *node, struct instant now, struct actions *out)
 {
+	confirm_note_tick(node, now);
 	config_boot_tick(node, now, out);
 	fleet_tick(node, now, out);
 	config_tick(node, now, out);
--- a/core/node_confirm.c
+++ b/core/node_confirm.c
@@ -7,6 +7,10 @@
  */
 #include "core/node_parts.h"
 
+/* A node whose ticks have a gap of this length was paused. Messages that waited meanwhile are older
+ * than they say, and are not taken as confirmations for the same time afterwards. */
+#define PAUSE_US (500 * US_PER_MS)
+
 /* A joining node waits this long for a peer's confirmation before it reads the log. */
 #define JOIN_CHECK_US (500 * US_PER_MS)
 
@@ -20,7 +24,7 @@
 	DELIVERY_PERCENT = 28, /* time for peers to deliver a version that they announced */
 	FORWARD_PERCENT = 12,  /* a confirmation is forwarded if it is newer by this much */
 	RETRY_PERCENT = 20,    /* first delay after a read that failed; doubles */
-	RETRY_MAX_PERCENT = 160,
+	RETRY_MAX_PERCENT = 100,
 	FORWARD_LOCAL = 3, /* peers that get a forwarded confirmation, in the own data centre */
 	FORWARD_ANY = 1,   /* and anywhere */
 };
@@ -60,6 +64,7 @@
 	struct confirm_state *confirm = &node->gossip.confirm;
 
 	confirm->rank = RANKS_MAX;
+	confirm->ticked_at = now;
 	confirm->check_at = (struct deadline){ now.mono_us + check_age_us(node) };
 }
 
@@ -150,9 +155,43 @@
 	message_unref(message);
 }
 
+void confirm_note_tick(struct node *node, struct instant now)
+{
+	struct confirm_state *state = &node->gossip.confirm;
+	int64_t mono_gap_us;
+	int64_t wall_gap_us;
+
+	lock_acquire(&node->gossip.lock);
+	mono_gap_us = now.mono_us - state->ticked_at.mono_us;
+	wall_gap_us = now.wall_us - state->ticked_at.wall_us;
+	if (mono_gap_us > PAUSE_US || wall_gap_us > PAUSE_US)
+		state->distrust_until = deadline_after(now, PAUSE_US);
+	/* The monotonic clock stands still while a VM is suspended. */
+	if (wall_gap_us - mono_gap_us > PAUSE_US) {
+		state->confirmed_at_us = 0;
+		state->check_at = (struct deadline){ now.mono_us };
+	}
+	state->ticked_at = now;
+	lock_release(&node->gossip.lock);
+}
+
+/* Returns whether a message received now may have waited while this node was paused. */
+static bool may_be_old(struct node *node, struct instant now)
+{
+	const struct confirm_state *state = &node->gossip.confirm;
+	bool old;
+
+	lock_acquire(&node->gossip.lock);
+	old = now.mono_us - state->ticked_at.mono_us > PAUSE_US ||
+	      now.wall_us - state->ticked_at.wall_us > PAUSE_US ||
+	      (state->distrust_until.at_us && !deadline_passed(state->distrust_until, now));
+	lock_release(&node->gossip.lock);
+	return old;
+}
+
 void confirm_from_peer(struct node *node, int64_t version, int64_t age_us, struct instant now)
 {
-	if (age_us >= 0 && age_us < now.mono_us)
+	if (age_us >= 0 && age_us < now.mono_us && !may_be_old(node, now))
 		confirm(node, version, now.mono_us - age_us);
 }
 
--- a/core/node_parts.h
+++ b/core/node_parts.h
@@ -125,6 +125,8 @@
 	struct deadline retry_at;
 	int64_t retry_us; /**< grows while the log does not answer */
 	struct instant asked_at;
+	struct instant ticked_at;
+	struct deadline distrust_until; /**< until then messages may be older than they say */
 	bool checking;
 	int rank; /**< among all live members */
 };
@@ -270,6 +272,8 @@
 void confirm_update_rank(struct node *node);
 /** Returns the age of the held version's confirmation, or CONFIRMED_NEVER. */
 int64_t confirm_age_us(struct node *node, struct instant now);
+/** Records a tick, by which a pause of this node is noticed. */
+void confirm_note_tick(struct node *node, struct instant now);
 /** Takes in a peer's confirmation. */
 void confirm_from_peer(struct node *node, int64_t version, int64_t age_us, struct instant now);
 /** Forwards the held version's confirmation to a few peers, if they may lack it. */
--- a/regress/core/lateness_test.c
+++ b/regress/core/lateness_test.c
@@ -175,6 +175,69 @@
 	node_free(node);
 }
 
+/* Gives a node the advert of the version that it holds, as confirmed just now by a peer. */
+static void confirm_by_advert(struct node *node, struct instant now)
+{
+	struct event event = { .kind = EVENT_MESSAGE };
+	struct actions actions = actions_new();
+
+	event.message.from = 100;
+	event.message.message = message_new(MESSAGE_ADVERT);
+	node_handle(node, &event, now, &actions);
+	message_unref(event.message.message);
+	actions_clear(&actions);
+}
+
+/* A paused node finds messages that waited. It must neither believe nor spread that the log was as
+ * they say when they are read, and after a suspension its own clock has missed the time. */
+static void test_messages_read_after_a_pause_confirm_nothing(void **state)
+{
+	struct node_options options = { .id = 1, .data_centre = LABEL("a"), .seed = 1 };
+	struct event tick = { .kind = EVENT_TICK };
+	struct instant now = { US_PER_S, US_PER_S };
+	struct node *node = node_new(&options, now, NULL);
+
+	(void)state;
+	pulled_peer(node, &tick, now.mono_us);
+	confirm_by_advert(node, now);
+	assert_int_equal(node_digest(node, now).confirmed_age_us, 0);
+	now = (struct instant){ 6 * US_PER_S, 6 * US_PER_S };
+	confirm_by_advert(node, now);
+	assert_true(node_digest(node, now).confirmed_age_us >= 5 * US_PER_S);
+	/* The tick may be handled before the messages. */
+	pulled_peer(node, &tick, now.mono_us);
+	confirm_by_advert(node, now);
+	assert_true(node_digest(node, now).confirmed_age_us >= 5 * US_PER_S);
+	for (int i = 0; i < 6; i++) {
+		now.mono_us += 100 * US_PER_MS;
+		now.wall_us = now.mono_us;
+		pulled_peer(node, &tick, now.mono_us);
+	}
+	confirm_by_advert(node, now);
+	assert_int_equal(node_digest(node, now).confirmed_age_us, 0);
+	node_free(node);
+}
+
+/* While a VM is suspended, its monotonic clock stands still. */
+static void test_suspended_node_is_not_confirmed(void **state)
+{
+	struct node_options options = { .id = 1, .data_centre = LABEL("a"), .seed = 1 };
+	struct event tick = { .kind = EVENT_TICK };
+	struct instant now = { US_PER_S, US_PER_S };
+	struct node *node = node_new(&options, now, NULL);
+	struct actions actions = actions_new();
+
+	(void)state;
+	node_handle(node, &tick, now, &actions);
+	confirm_by_advert(node, now);
+	assert_int_equal(node_digest(node, now).confirmed_age_us, 0);
+	now = (struct instant){ now.mono_us + 100 * US_PER_MS, now.wall_us + 5 * US_PER_S };
+	node_handle(node, &tick, now, &actions);
+	assert_int_equal(node_digest(node, now).confirmed_age_us, CONFIRMED_NEVER);
+	actions_clear(&actions);
+	node_free(node);
+}
+
 /* Adds @p count routes; the deadline of one of them varies by @p edition. */
 static char *large_file(int count, int edition)
 {
@@ -256,6 +319,8 @@
 		cmocka_unit_test(test_node_cut_from_its_peers_gets_changes),
 		cmocka_unit_test(test_data_centre_without_readers_gets_changes),
 		cmocka_unit_test(test_unanswered_pull_is_repeated_at_another_holder),
+		cmocka_unit_test(test_messages_read_after_a_pause_confirm_nothing),
+		cmocka_unit_test(test_suspended_node_is_not_confirmed),
 		cmocka_unit_test(test_large_edition_does_not_wait_for_one_link),
 		cmocka_unit_test(test_restarted_node_does_not_serve_an_older_version),
 	};
