A reader that is behind reads on at once

A reader that got only a part of what it lacked waited 0.3 s before it read the next part, as after each change: with 1 MB an answer of the store, or 32 changes of the own log service, a backlog came in at that pace, and all nodes behind that reader were late.

The delay, which batches changes in quick succession, now applies at the end of the log only. test_reader_that_is_behind_reads_on_at_once failed before.

--- a/core/node_log.c
+++ b/core/node_log.c
@@ -205,6 +205,7 @@
 {
 	struct change_record *records = g_new0(struct change_record, event->batch.count + 1);
 	struct change_source source = { .way = CHANGE_FROM_LOG };
+	bool at_end;
 	int count = 0;
 
 	for (int i = 0; i < event->batch.count; i++) {
@@ -218,8 +219,9 @@
 	}
 	if (config_apply_records(node, records, count, &source, now, out)) {
 		config_advertise(node, now, out);
+		at_end = history_version(node->history) >= event->batch.newest;
 		lock_acquire(&node->gossip.lock);
-		if (node->gossip.boot.phase == BOOT_CURRENT)
+		if (node->gossip.boot.phase == BOOT_CURRENT && at_end)
 			node->gossip.log.retry_at = deadline_after(now, BATCH_DELAY_US);
 		lock_release(&node->gossip.lock);
 	}
--- a/regress/core/boot_test.c
+++ b/regress/core/boot_test.c
@@ -111,13 +111,26 @@
 	node_handle(node, event, (struct instant){ now_us, now_us }, actions);
 }
 
-/* Applies a large file, so that a snapshot has several parts. */
-static void apply_large_files(struct node *node, int files, int64_t now_us)
+static bool reads_changes(const struct actions *actions)
+{
+	for (guint i = 0; i < actions->list->len; i++) {
+		const struct action *action = &g_array_index(actions->list, struct action, i);
+
+		if (action->kind == ACTION_READ_LOG && action->read.stream == STREAM_CONFIG &&
+		    !action->read.check)
+			return true;
+	}
+	return false;
+}
+
+/* Gives a node some large files, so that a snapshot has several parts, of a log with @p newest
+ * records. */
+static void apply_large_files(struct node *node, int files, int64_t newest, int64_t now_us,
+			      struct actions *actions)
 {
 	char *padding = g_strnfill(40 << 10, ' ');
 	struct event batch = { .kind = EVENT_LOG_BATCH };
 	struct log_record *records = g_new0(struct log_record, (gsize)files);
-	struct actions actions = actions_new();
 
 	for (int i = 0; i < files; i++) {
 		char name[16];
@@ -135,9 +148,8 @@
 	batch.batch.stream = STREAM_CONFIG;
 	batch.batch.records = records;
 	batch.batch.count = files;
-	batch.batch.newest = files;
-	handle(node, &batch, now_us, &actions);
-	actions_clear(&actions);
+	batch.batch.newest = newest;
+	handle(node, &batch, now_us, actions);
 	for (int i = 0; i < files; i++)
 		log_record_clear(&records[i]);
 	g_free(records);
@@ -188,6 +200,36 @@
 	return written;
 }
 
+/* A reader that got a part of what it lacks reads on at once; the delay that batches changes in
+ * quick succession is for a reader at the end of the log. */
+static void test_reader_that_is_behind_reads_on_at_once(void **state)
+{
+	struct node_options options = { .id = 1, .data_centre = LABEL("a"), .seed = 1 };
+	struct event empty = { .kind = EVENT_LOG_BATCH };
+	struct event tick = { .kind = EVENT_TICK };
+	int64_t now_us = 4000 * US_PER_S;
+	struct actions actions = actions_new();
+	struct node *node = node_new(&options, (struct instant){ now_us, now_us }, NULL);
+
+	(void)state;
+	wait_for_read(node, &now_us);
+	empty.batch.stream = STREAM_SYSTEM;
+	handle(node, &empty, now_us, &actions);
+	empty.batch.stream = STREAM_CONFIG;
+	handle(node, &empty, now_us, &actions);
+	assert_true(node_is_current(node));
+	for (int i = 0; i < 12; i++) {
+		now_us += 100 * US_PER_MS;
+		handle(node, &tick, now_us, &actions);
+	}
+	actions_clear(&actions);
+	actions = actions_new();
+	apply_large_files(node, 2, 9, now_us, &actions);
+	assert_true(reads_changes(&actions));
+	actions_clear(&actions);
+	node_free(node);
+}
+
 /* Records lapse after a snapshot was written: one that lacks a part would lose the files of that
  * part when the whole fleet restarts. */
 static void test_snapshot_without_a_part_is_not_written(void **state)
@@ -202,7 +244,7 @@
 	wait_for_read(node, &now_us);
 	empty.batch.stream = STREAM_SYSTEM;
 	handle(node, &empty, now_us, &actions);
-	apply_large_files(node, 4, now_us);
+	apply_large_files(node, 4, 4, now_us, &actions);
 	assert_true(node_is_current(node));
 	assert_false(append_snapshot(node, &now_us, true));
 	assert_true(append_snapshot(node, &now_us, false));
@@ -295,6 +337,7 @@
 		cmocka_unit_test(test_rate_limited_log_backs_off),
 		cmocka_unit_test(test_expired_records_do_not_delay_the_next_read),
 		cmocka_unit_test(test_failed_appends_do_not_delay_reads),
+		cmocka_unit_test(test_reader_that_is_behind_reads_on_at_once),
 		cmocka_unit_test(test_snapshot_without_a_part_is_not_written),
 		cmocka_unit_test(test_one_peer_is_not_enough_while_others_live),
 	};
