--- a/regress/soak.c
+++ b/regress/soak.c
@@ -222,24 +222,29 @@
 	stop_end(&stop);
 }
 
-/* Publishes changes of a second file one after the other, without waiting until they are in force.
- */
+/* Publishes changes of a second file in quick succession. The tool waits only briefly for nodes
+ * that are being stopped. */
 static gpointer apply_series(gpointer data)
 {
 	enum { SERIES_CHANGES = 4 };
+	char *path = g_build_filename(fleet->dir, "extra.json", NULL);
+	char *arguments = g_strdup_printf("-t 3 apply %s", path);
 
 	(void)data;
 	for (int i = 0; i < SERIES_CHANGES; i++) {
-		char *content = g_strdup_printf("{\"services\": {\"extra\": {\"versions\": "
-						"\"any\"}}, \"routes\": [{\"name\": "
-						"\"extra\", \"path\": \"/extra\", \"service\": "
-						"\"extra\", \"deadline_ms\": %d}]}",
-						1000 + ++extra_changes);
-
-		if (fleet_apply(fleet, "extra.json", content, NULL) == 1)
+		char *content = g_strdup_printf(
+			"{\"services\": {\"extra\": {\"versions\": \"any\"}}, \"routes\": "
+			"[{\"name\": \"extra\", \"path\": \"/extra\", \"service\": \"extra\", "
+			"\"deadline_ms\": %d}]}",
+			1000 + ++extra_changes);
+
+		g_file_set_contents(path, content, -1, NULL);
+		if (fleet_tool(fleet, NULL, arguments) == 1)
 			report_failure("a change of a series was rejected", extra_changes, 0);
 		g_free(content);
 	}
+	g_free(arguments);
+	g_free(path);
 	return NULL;
 }
 
