Idle connections to targets are looked at by their own socket

The server of the test now pauses before it goes on, and the case failed 3 of 3 times.

The socket is noted before the handle is removed. endless_test passes 3 of 3.

--- a/regress/target/endless_test.c
+++ b/regress/target/endless_test.c
@@ -24,6 +24,8 @@
 
 #define SWEEP_AFTER_US (100 * US_PER_MS) /* the daemon looks at idle connections once a second */
 
+#define REST_AFTER_US (20 * US_PER_MS)
+
 enum { MEMORY_MAX_KB = 16 << 10, SERVER_STOP_S = 5 };
 
 struct endless_case {
@@ -86,6 +88,8 @@
 	while (block->len < 1 << 16)
 		g_string_append(block, server->row->repeat);
 	send(fd, server->row->start, strlen(server->row->start), MSG_NOSIGNAL);
+	/* What follows a complete answer arrives after the client has taken the answer. */
+	g_usleep(REST_AFTER_US);
 	while (is_writable(fd, until_us)) {
 		ssize_t n = send(fd, block->str + offset, block->len - offset,
 				 MSG_NOSIGNAL | MSG_DONTWAIT);
--- a/target/call.c
+++ b/target/call.c
@@ -33,6 +33,7 @@
 struct handle {
 	CURL *curl;
 	CURLM *multi;
+	curl_socket_t fd; /* connection of the last call; CURL_SOCKET_BAD if it did not end well */
 };
 
 /* A running call. */
@@ -277,6 +278,7 @@
 
 	handle->curl = curl_easy_init();
 	handle->multi = curl_multi_init();
+	handle->fd = CURL_SOCKET_BAD;
 	return handle;
 }
 
@@ -307,12 +309,9 @@
 }
 
 /* Returns whether the handle's connection may serve another call. */
-static bool is_reusable(struct handle *handle)
+static bool is_reusable(const struct handle *handle)
 {
-	curl_socket_t fd = CURL_SOCKET_BAD;
-
-	return curl_easy_getinfo(handle->curl, CURLINFO_ACTIVESOCKET, &fd) != CURLE_OK ||
-	       fd == CURL_SOCKET_BAD || socket_is_quiet(fd);
+	return handle->fd == CURL_SOCKET_BAD || socket_is_quiet(handle->fd);
 }
 
 void target_close_stray(struct target *target)
@@ -492,8 +491,12 @@
 		if (running)
 			curl_multi_poll(handle->multi, NULL, 0, CHECK_INTERVAL_MS, NULL);
 	}
-	if (!running)
+	handle->fd = CURL_SOCKET_BAD;
+	if (!running) {
 		code = transfer_result(handle->multi);
+		/* The socket is not known any more once the handle is removed. */
+		curl_easy_getinfo(handle->curl, CURLINFO_ACTIVESOCKET, &handle->fd);
+	}
 	/* Removing the handle closes the connection of an unfinished transfer. */
 	curl_multi_remove_handle(handle->multi, handle->curl);
 	return code;
