--- a/core/node_confirm.c
+++ b/core/node_confirm.c
@@ -88,7 +88,8 @@
 	return age_us;
 }
 
-/* Takes in that the log held nothing newer than @p version at @p at_us. */
+/* Records that the log held nothing newer than @p version at @p at_us. If this node does not hold
+ * that version yet, the confirmation counts once it does. */
 static void confirm(struct node *node, int64_t version, int64_t at_us)
 {
 	struct confirm_state *state = &node->gossip.confirm;
--- a/core/node_parts.h
+++ b/core/node_parts.h
@@ -274,14 +274,14 @@
 int64_t confirm_age_us(struct node *node, struct instant now);
 /** Records a tick, by which a pause of this node is noticed. */
 void confirm_note_tick(struct node *node, struct instant now);
-/** Takes in a peer's confirmation. */
+/** Records a peer's confirmation of @p version, which is @p age_us old. */
 void confirm_from_peer(struct node *node, int64_t version, int64_t age_us, struct instant now);
 /** Forwards the held version's confirmation to a few peers, if they may lack it. */
 void confirm_forward(struct node *node, struct instant now, struct actions *out);
-/** Takes in that the log held nothing newer than @p newest at @p at, and sends it to peers. */
+/** Records that the log held nothing newer than @p newest at @p at, and sends that to peers. */
 void confirm_from_log(struct node *node, int64_t newest, struct instant at, struct instant now,
 		      struct actions *out);
-/** Makes a confirmation that came before its version count, once the version is held. */
+/** Applies a confirmation that arrived before its version, once the version is held. */
 void confirm_applied(struct node *node);
 /** Returns an advert of the held version. */
 struct message *confirm_advert(struct node *node, struct instant now);
