Answers to callers count in the pace of large answers

Cause: the pace limits downloads that go to other nodes to 0.85 of the link, but answers to callers and bodies of offers leave over the same link, and were not counted.

Change: both are counted, so that downloads get what is left.

--- a/core/pace.c
+++ b/core/pace.c
@@ -14,13 +14,20 @@
 	return (struct pace){ .bytes_per_s = (int64_t)(PACE_FRACTION * mbps * 1e6 / 8) };
 }
 
+void pace_count(struct pace *pace, size_t bytes, struct instant now)
+{
+	if (pace->bytes_per_s == 0)
+		return;
+	pace->free_at.at_us = MAX(pace->free_at.at_us, now.mono_us) +
+			      (int64_t)bytes * US_PER_S / pace->bytes_per_s;
+}
+
 int64_t pace_reserve(struct pace *pace, uint64_t before, size_t bytes, struct instant now)
 {
-	int64_t free_at_us = MAX(pace->free_at.at_us, now.mono_us);
-	int64_t wait_us = free_at_us - now.mono_us - PACE_QUEUE_US;
+	int64_t wait_us = pace->free_at.at_us - now.mono_us - PACE_QUEUE_US;
 
 	if (pace->bytes_per_s == 0)
 		return 0;
-	pace->free_at.at_us = free_at_us + (int64_t)bytes * US_PER_S / pace->bytes_per_s;
+	pace_count(pace, bytes, now);
 	return before + bytes > SMALL_BYTES ? MAX(wait_us, 0) : 0;
 }
--- a/core/pace.h
+++ b/core/pace.h
@@ -24,5 +24,7 @@
  * microseconds to wait before sending them; 0 for small bodies and the start of large ones.
  */
 int64_t pace_reserve(struct pace *pace, uint64_t before, size_t bytes, struct instant now);
+/** Counts @p bytes that are sent over the same link without waiting, such as answers to callers. */
+void pace_count(struct pace *pace, size_t bytes, struct instant now);
 
 #endif
--- a/godwithitchd/attempt.c
+++ b/godwithitchd/attempt.c
@@ -184,9 +184,15 @@
 	g_free(with_verdict);
 }
 
+static void count_answer(struct attempt *attempt, size_t bytes)
+{
+	attempt->answer_bytes += bytes;
+	call_count_sent(attempt->call, bytes);
+}
+
 bool attempt_forward_body(struct attempt *attempt, struct str bytes, struct deadline deadline)
 {
-	attempt->answer_bytes += bytes.len;
+	count_answer(attempt, bytes.len);
 	return !g_atomic_int_get(&attempt->finished) &&
 	       caller_write_wait(attempt->call->caller, bytes, deadline);
 }
@@ -329,7 +335,7 @@
 
 	if (g_atomic_int_get(&attempt->finished))
 		return;
-	attempt->answer_bytes += bytes.len;
+	count_answer(attempt, bytes.len);
 	if (caller_buffered_bytes(caller) + bytes.len <= 2 * STREAM_WINDOW) {
 		caller_write(caller, bytes);
 		return;
--- a/godwithitchd/calls.c
+++ b/godwithitchd/calls.c
@@ -33,6 +33,15 @@
 	return rng_mix(point);
 }
 
+void call_count_sent(const struct call *call, size_t bytes)
+{
+	struct daemon *daemon = call->daemon;
+
+	lock_acquire(&daemon->lock);
+	pace_count(&daemon->pace, bytes, clock_now());
+	lock_release(&daemon->lock);
+}
+
 struct placement_inputs call_placement_inputs(const struct call *call, struct instant now)
 {
 	struct placement_inputs inputs = { .remaining_us =
@@ -173,6 +182,7 @@
 	bool complete = !caller_upload(call->caller);
 
 	/* An empty body is passed as well: peers_call() then also sends the end of the request. */
+	call_count_sent(call, head->target.len + body.len);
 	if (!peers_call(call->daemon->peers, attempt->target, &attempt->owner, head,
 			complete ? &body : NULL, &attempt->stream))
 		return START_NO_LINK;
--- a/godwithitchd/calls.h
+++ b/godwithitchd/calls.h
@@ -85,6 +85,9 @@
  * number of a sequence if the key is empty. Takes daemon->lock.
  */
 uint64_t call_placement_point(struct daemon *daemon, struct str key);
+/** Counts bytes that the call sends to its caller or to another node, since large answers of this
+ *  node's target share the VM's link with them. Takes daemon->lock. */
+void call_count_sent(const struct call *call, size_t bytes);
 /** Returns the inputs of the placement decision at @p now. */
 struct placement_inputs call_placement_inputs(const struct call *call, struct instant now);
 /** Returns the maximum number of attempts of the call. */
--- a/regress/core/pace_test.c
+++ b/regress/core/pace_test.c
@@ -36,6 +36,24 @@
 	assert_true(last_us < 900 * US_PER_MS);
 }
 
+/* Answers to callers leave over the same link. Uncounted, they filled it beside the paced downloads
+ * in scale-1 of Lanhua's grown site, and small frames between nodes took 60 ms. */
+static void test_answers_to_callers_take_from_the_rate(void **state)
+{
+	struct pace pace = pace_of_link(LINK_MBPS);
+	int64_t alone_us;
+
+	(void)state;
+	for (int i = 0; i < 5; i++)
+		alone_us = send_body(&pace, DOWNLOAD_BYTES, 1);
+	pace = pace_of_link(LINK_MBPS);
+	for (int i = 0; i < 5; i++)
+		pace_count(&pace, DOWNLOAD_BYTES / 2, (struct instant){ .mono_us = 1 });
+	for (int i = 0; i < 5; i++)
+		assert_true(send_body(&pace, DOWNLOAD_BYTES, 1) > 0);
+	assert_true(send_body(&pace, DOWNLOAD_BYTES, 1) > alone_us * 3 / 2);
+}
+
 static void test_small_answer_is_not_delayed(void **state)
 {
 	struct pace pace = pace_of_link(LINK_MBPS);
@@ -67,6 +85,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_downloads_do_not_exceed_link_rate),
+		cmocka_unit_test(test_answers_to_callers_take_from_the_rate),
 		cmocka_unit_test(test_small_answer_is_not_delayed),
 		cmocka_unit_test(test_single_download_is_hardly_delayed),
 		cmocka_unit_test(test_no_delay_without_limit),
