Nested calls precede the longer calls of their class

Neither was deferred when late, so that check-ins filled the queue up to their deadline of 1.5 s, and a nested call with 0.4 s was refused.

Change: calls whose objective is at most 40% of the longest one of their service's routes count as nested. They have a queue of their own before the rest of their class, and only they keep their place when late; check-ins are deferred once they are late, like other calls. Weighed: the order by deadline alone (late check-ins would go first), the address of the caller (targets and callers share it), the time that a caller has left (callers differ as much in it as targets).

--- a/core/admit.c
+++ b/core/admit.c
@@ -14,7 +14,7 @@
 	BULK_SLOT_PERCENT = 50,
 	INITIAL_SERVICE_US = 2000, /* estimate before the first measurement */
 	GROW_AFTER_CALLS = 32,	   /* served calls after a shed one, until one more slot is used */
-	LOWER_CLASS_DIVISOR = 4,   /* at least 1/4 of the slots count as free for lower classes */
+	LOWER_LANE_DIVISOR = 4,	   /* at least 1/4 of the slots count as free for lower lanes */
 	WARMUP_CALLS = 10,	   /* first served calls, which weigh more in smoothed times */
 };
 
@@ -33,8 +33,18 @@
  * it is expected to take. */
 #define RETRIED_MARGIN 1.3
 
-/* Calls of a class that may start in a round before those of a lower class. */
-static const int class_weight[CLASS_COUNT] = { 64, 16, 4, 1 };
+/* The queues in order of precedence: one for each class, and one for nested calls. */
+enum lane {
+	LANE_INTERACTIVE,
+	LANE_NESTED,
+	LANE_STANDARD,
+	LANE_BULK,
+	LANE_BACKGROUND,
+	LANE_COUNT,
+};
+
+/* Calls of a lane that may start in a round before those of a lower lane. */
+static const int lane_weight[LANE_COUNT] = { 64, 64, 16, 4, 1 };
 
 struct tenant_queue {
 	struct label tenant;
@@ -44,7 +54,7 @@
 	int64_t used_at_us;
 };
 
-struct class_queue {
+struct lane_queue {
 	GQueue active; /* struct tenant_queue with queued calls */
 	int queued;
 	int credit; /* calls that may still start in this round */
@@ -64,7 +74,7 @@
 	int announced_slots;
 	int slots;
 	int running;
-	int running_of[CLASS_COUNT];
+	int running_of[LANE_COUNT];
 	int queued;
 	int served_since_shed;
 	int concurrency; /* highest number of calls served at once recently */
@@ -74,9 +84,9 @@
 	double service_us;
 	double service_square; /* smoothed square of the service times */
 	GQueue late; /* struct queue_entry; its objective can't be met: runs after all others */
-	struct class_queue classes[CLASS_COUNT];
-	GHashTable *tenants[CLASS_COUNT]; /* struct label -> struct tenant_queue */
-	GHashTable *routes;		  /* struct label -> struct route_use */
+	struct lane_queue lanes[LANE_COUNT];
+	GHashTable *tenants[LANE_COUNT]; /* struct label -> struct tenant_queue */
+	GHashTable *routes;		 /* struct label -> struct route_use */
 };
 
 struct str admit_result_name(enum admit_result result)
@@ -106,11 +116,11 @@
 	admit->service_us = INITIAL_SERVICE_US;
 	g_queue_init(&admit->late);
 	admit->routes = g_hash_table_new_full(label_hash, label_hash_equal, NULL, g_free);
-	for (int i = 0; i < CLASS_COUNT; i++) {
+	for (int i = 0; i < LANE_COUNT; i++) {
 		admit->tenants[i] =
 			g_hash_table_new_full(label_hash, label_hash_equal, NULL, g_free);
-		g_queue_init(&admit->classes[i].active);
-		admit->classes[i].credit = class_weight[i];
+		g_queue_init(&admit->lanes[i].active);
+		admit->lanes[i].credit = lane_weight[i];
 	}
 	return admit;
 }
@@ -119,8 +129,8 @@
 {
 	if (!admit)
 		return;
-	for (int i = 0; i < CLASS_COUNT; i++) {
-		g_queue_clear(&admit->classes[i].active);
+	for (int i = 0; i < LANE_COUNT; i++) {
+		g_queue_clear(&admit->lanes[i].active);
 		g_hash_table_destroy(admit->tenants[i]);
 	}
 	g_queue_clear(&admit->late);
@@ -155,6 +165,22 @@
 	lock_release(&admit->lock);
 }
 
+static enum lane lane_of(const struct queue_entry *entry)
+{
+	switch (entry->class) {
+	case CLASS_INTERACTIVE:
+		return LANE_INTERACTIVE;
+	case CLASS_STANDARD:
+		return entry->nested ? LANE_NESTED : LANE_STANDARD;
+	case CLASS_BULK:
+		return LANE_BULK;
+	case CLASS_BACKGROUND:
+	case CLASS_COUNT:
+		return LANE_BACKGROUND;
+	}
+	g_assert_not_reached();
+}
+
 static struct route_use *route_get(struct admit *admit, const struct label *name)
 {
 	struct route_use *route = g_hash_table_lookup(admit->routes, name);
@@ -184,7 +210,7 @@
 
 	if (admit->running >= admit->slots)
 		return false;
-	if (entry->class == CLASS_BULK && admit->running_of[CLASS_BULK] >= bulk_limit)
+	if (lane_of(entry) == LANE_BULK && admit->running_of[LANE_BULK] >= bulk_limit)
 		return false;
 	return route_get(admit, &entry->route)->running < route_limit(admit, entry);
 }
@@ -197,13 +223,13 @@
 	admit->start_times_sum_us += (double)now.mono_us;
 	tenant->running++;
 	admit->running++;
-	admit->running_of[entry->class]++;
+	admit->running_of[lane_of(entry)]++;
 	route_get(admit, &entry->route)->running++;
 }
 
 static struct tenant_queue *tenant_get(struct admit *admit, const struct queue_entry *entry)
 {
-	GHashTable *tenants = admit->tenants[entry->class];
+	GHashTable *tenants = admit->tenants[lane_of(entry)];
 	struct tenant_queue *tenant = g_hash_table_lookup(tenants, &entry->tenant);
 	struct label name = entry->tenant;
 
@@ -243,48 +269,48 @@
 	return route_get(admit, &entry->route)->service_us * slowness(admit, now);
 }
 
-/* Estimates the wait of a new call: calls of higher classes go first, and those of its own class
+/* Estimates the wait of a new call: calls of higher lanes go first, and those of its own lane
  * that the round robin between tenants serves before it. */
 static int64_t expected_wait_us(const struct admit *admit, const struct queue_entry *entry,
 				const struct tenant_queue *tenant, struct instant now)
 {
-	const struct class_queue *class = &admit->classes[entry->class];
+	const struct lane_queue *lane = &admit->lanes[lane_of(entry)];
 	int own = (int)tenant->entries.length + 1;
-	int tenants = MAX((int)class->active.length, 1);
-	int ahead = MIN(class->queued, own * tenants);
+	int tenants = MAX((int)lane->active.length, 1);
+	int ahead = MIN(lane->queued, own * tenants);
 	int slots = admit->slots;
 
-	/* Higher classes keep the slots that they use and go first when a slot becomes free. */
-	for (int i = 0; i < (int)entry->class; i++) {
-		ahead += admit->classes[i].queued;
+	/* Higher lanes keep the slots that they use and go first when a slot becomes free. */
+	for (int i = 0; i < (int)lane_of(entry); i++) {
+		ahead += admit->lanes[i].queued;
 		slots -= admit->running_of[i];
 	}
-	slots = MAX(slots, (admit->slots + LOWER_CLASS_DIVISOR - 1) / LOWER_CLASS_DIVISOR);
+	slots = MAX(slots, (admit->slots + LOWER_LANE_DIVISOR - 1) / LOWER_LANE_DIVISOR);
 	return (int64_t)((double)(ahead + 1) * admit->service_us * slowness(admit, now) / slots);
 }
 
-/* Each class has its own bound. A tenant with less than its equal share of the bound still gets in
- * when the class has reached it. */
+/* Each lane has its own bound. A tenant with less than its equal share of the bound still gets in
+ * when the lane has reached it. */
 static bool is_full(const struct admit *admit, const struct queue_entry *entry,
 		    const struct tenant_queue *tenant)
 {
-	const struct class_queue *class = &admit->classes[entry->class];
+	const struct lane_queue *lane = &admit->lanes[lane_of(entry)];
 	int bound = admit->slots * QUEUE_PER_SLOT;
-	int tenants = (int)class->active.length + (tenant->entries.length == 0);
+	int tenants = (int)lane->active.length + (tenant->entries.length == 0);
 	int guaranteed = MAX(bound / tenants, 1);
 
-	return class->queued >= bound && (int)tenant->entries.length >= guaranteed;
+	return lane->queued >= bound && (int)tenant->entries.length >= guaranteed;
 }
 
 static void enqueue(struct admit *admit, struct queue_entry *entry)
 {
-	struct class_queue *class = &admit->classes[entry->class];
+	struct lane_queue *lane = &admit->lanes[lane_of(entry)];
 	struct tenant_queue *tenant = tenant_get(admit, entry);
 
 	if (g_queue_is_empty(&tenant->entries))
-		g_queue_push_tail(&class->active, tenant);
+		g_queue_push_tail(&lane->active, tenant);
 	g_queue_push_tail(&tenant->entries, entry);
-	class->queued++;
+	lane->queued++;
 	admit->queued++;
 }
 
@@ -302,11 +328,11 @@
 	tenant->used_at_us = now.mono_us;
 }
 
-/* Whether a call may run after all others once it is late. Calls of the higher classes keep their
- * place: delaying them also delays the calls that wait for them. */
+/* Whether a call may run after all others once it is late. Interactive and nested calls keep their
+ * place: delaying a nested call also delays the call that waits for it. */
 static bool is_deferrable(const struct queue_entry *entry)
 {
-	return entry->objective.at_us && entry->class > CLASS_STANDARD;
+	return entry->objective.at_us && lane_of(entry) > LANE_NESTED;
 }
 
 /* Whether a call with that expected time until its answer is worth a place in the queue. */
@@ -436,7 +462,7 @@
 	route->running--;
 	tenant_get(admit, entry)->running--;
 	admit->running--;
-	admit->running_of[entry->class]--;
+	admit->running_of[lane_of(entry)]--;
 	admit->start_times_sum_us -= (double)entry->started_at_us;
 	if (outcome == SLOT_SERVED) {
 		update_service_times(admit, route, service_us);
@@ -447,15 +473,15 @@
 	lock_release(&admit->lock);
 }
 
-static struct queue_entry *dequeue(struct admit *admit, struct class_queue *class,
+static struct queue_entry *dequeue(struct admit *admit, struct lane_queue *lane,
 				   struct tenant_queue *tenant)
 {
 	struct queue_entry *entry = g_queue_pop_head(&tenant->entries);
 
-	class->queued--;
+	lane->queued--;
 	admit->queued--;
 	if (g_queue_is_empty(&tenant->entries))
-		g_queue_remove(&class->active, tenant);
+		g_queue_remove(&lane->active, tenant);
 	return entry;
 }
 
@@ -473,11 +499,11 @@
 }
 
 /* Moves calls that can't meet their objective to the late queue, behind those that still can. */
-static void defer_late_calls(struct admit *admit, struct class_queue *class, struct instant now)
+static void defer_late_calls(struct admit *admit, struct lane_queue *lane, struct instant now)
 {
 	GList *next;
 
-	for (GList *at = class->active.head; at; at = next) {
+	for (GList *at = lane->active.head; at; at = next) {
 		struct tenant_queue *tenant = at->data;
 		struct queue_entry *head;
 
@@ -486,7 +512,7 @@
 		       is_deferrable(head) && !is_expired(head, now) &&
 		       expected_service_us(admit, head, now) >
 			       (double)deadline_remaining_us(head->objective, now)) {
-			dequeue(admit, class, tenant);
+			dequeue(admit, lane, tenant);
 			g_queue_push_tail(&admit->late, head);
 			admit->queued++;
 		}
@@ -508,12 +534,12 @@
  * with few calls does not wait behind one with many. Tenants whose first call may not run yet, such
  * as one of a route at its limit, are skipped.
  */
-static struct tenant_queue *next_tenant(struct admit *admit, struct class_queue *class,
+static struct tenant_queue *next_tenant(struct admit *admit, struct lane_queue *lane,
 					struct instant now)
 {
 	struct tenant_queue *first = NULL;
 
-	for (GList *at = class->active.head; at; at = at->next) {
+	for (GList *at = lane->active.head; at; at = at->next) {
 		struct tenant_queue *tenant = at->data;
 
 		if (!tenant || !may_run(admit, g_queue_peek_head(&tenant->entries)))
@@ -525,10 +551,10 @@
 }
 
 /* Returns a tenant whose first call is to be refused: it expired, or the target takes no calls. */
-static struct tenant_queue *first_refused(struct admit *admit, struct class_queue *class,
+static struct tenant_queue *first_refused(struct admit *admit, struct lane_queue *lane,
 					  struct instant now)
 {
-	for (GList *at = class->active.head; at; at = at->next) {
+	for (GList *at = lane->active.head; at; at = at->next) {
 		struct tenant_queue *tenant = at->data;
 
 		if (admit->slots == 0 || admit->return_queued ||
@@ -538,18 +564,18 @@
 	return NULL;
 }
 
-static struct admit_dispatch next_of_class(struct admit *admit, struct class_queue *class,
-					   struct instant now)
+static struct admit_dispatch next_of_lane(struct admit *admit, struct lane_queue *lane,
+					  struct instant now)
 {
-	struct tenant_queue *tenant = first_refused(admit, class, now);
+	struct tenant_queue *tenant = first_refused(admit, lane, now);
 	struct queue_entry *head;
 
 	if (tenant)
-		return (struct admit_dispatch){ DISPATCH_LATE, dequeue(admit, class, tenant) };
-	tenant = next_tenant(admit, class, now);
+		return (struct admit_dispatch){ DISPATCH_LATE, dequeue(admit, lane, tenant) };
+	tenant = next_tenant(admit, lane, now);
 	if (!tenant)
 		return (struct admit_dispatch){ DISPATCH_NONE, NULL };
-	head = dequeue(admit, class, tenant);
+	head = dequeue(admit, lane, tenant);
 	add_use(tenant, route_get(admit, &head->route)->service_us, now);
 	start_call(admit, tenant, head, now);
 	return (struct admit_dispatch){ DISPATCH_RUN, head };
@@ -580,34 +606,34 @@
 	return (struct admit_dispatch){ DISPATCH_RUN, head };
 }
 
-/* Starts a new round once no class with queued calls has credit left. */
+/* Starts a new round once no lane with queued calls has credit left. */
 static void refill_credit(struct admit *admit)
 {
-	for (int i = 0; i < CLASS_COUNT; i++)
-		if (admit->classes[i].queued && admit->classes[i].credit > 0)
+	for (int i = 0; i < LANE_COUNT; i++)
+		if (admit->lanes[i].queued && admit->lanes[i].credit > 0)
 			return;
-	for (int i = 0; i < CLASS_COUNT; i++)
-		admit->classes[i].credit = class_weight[i];
+	for (int i = 0; i < LANE_COUNT; i++)
+		admit->lanes[i].credit = lane_weight[i];
 }
 
 static struct admit_dispatch next_dispatch(struct admit *admit, struct instant now)
 {
 	struct admit_dispatch dispatch = { DISPATCH_NONE, NULL };
 
-	for (int i = 0; i < CLASS_COUNT; i++)
-		defer_late_calls(admit, &admit->classes[i], now);
+	for (int i = 0; i < LANE_COUNT; i++)
+		defer_late_calls(admit, &admit->lanes[i], now);
 	refill_credit(admit);
 	/* Classes with credit come first, then those without, if none of the former can run. */
 	for (int pass = 0; pass < 2; pass++) {
-		for (int i = 0; i < CLASS_COUNT; i++) {
-			struct class_queue *class = &admit->classes[i];
+		for (int i = 0; i < LANE_COUNT; i++) {
+			struct lane_queue *lane = &admit->lanes[i];
 
-			if (class->queued == 0 || (pass == 0) != (class->credit > 0))
+			if (lane->queued == 0 || (pass == 0) != (lane->credit > 0))
 				continue;
-			dispatch = next_of_class(admit, class, now);
+			dispatch = next_of_lane(admit, lane, now);
 			if (dispatch.kind == DISPATCH_NONE)
 				continue;
-			class->credit -= dispatch.kind == DISPATCH_RUN;
+			lane->credit -= dispatch.kind == DISPATCH_RUN;
 			return dispatch;
 		}
 	}
--- a/core/admit.h
+++ b/core/admit.h
@@ -2,7 +2,12 @@
  * @file
  * Admission control at the node's own target. A bounded number of calls run at once; the others
  * wait in a short queue, ordered by class. Within a class, the tenant with the fewest running calls
- * goes first, then the tenant that has used the least of the target's time recently.
+ * goes first, then the tenant that has used the least of the target's time recently. Nested calls,
+ * which another target makes for a call that it serves, precede the other calls of their class.
+ *
+ * Load pattern: services that call each other at 1.2 times their capacity. A nested call that waits
+ * behind callers' requests misses its short deadline; the call that needs it fails after it has
+ * held a slot, and its caller tries again.
  */
 #ifndef CORE_ADMIT_H
 #define CORE_ADMIT_H
@@ -23,6 +28,7 @@
 	struct deadline objective; /**< an answer after it is late; 0: no objective */
 	bool no_queue;		   /**< refused if no slot is free */
 	bool retried;		   /**< refused before: better late than refused again */
+	bool nested;		   /**< another target waits for it: see config_is_nested() */
 	void *owner;		   /**< context of the code that offers it */
 	int64_t queued_at_us;	   /**< monotonic; set by admit_offer() */
 	int64_t started_at_us;	   /**< monotonic; time at which it got its slot */
--- a/core/config.c
+++ b/core/config.c
@@ -3,6 +3,8 @@
 #include <stdio.h>
 #include <string.h>
 
+enum { NESTED_PERCENT = 40 /* of the longest objective, the most that a nested call may have */ };
+
 GQuark config_error_quark(void)
 {
 	return g_quark_from_static_string("godwithitch-config");
@@ -238,6 +240,34 @@
 	return false;
 }
 
+static int64_t longest_objective_us(const struct config *config, const struct label *service)
+{
+	const int64_t *longest_us = g_hash_table_lookup(config->longest_objectives, service);
+
+	return longest_us ? *longest_us : 0;
+}
+
+static void note_objective(struct config *config, const struct label *service, int64_t objective_us)
+{
+	if (objective_us > longest_objective_us(config, service))
+		g_hash_table_insert(config->longest_objectives,
+				    g_memdup2(service, sizeof(*service)),
+				    g_memdup2(&objective_us, sizeof(objective_us)));
+}
+
+/* Interactive routes precede all others anyway, and are often probes with few calls. */
+static void note_objectives(struct config *config, const struct route *route)
+{
+	if (route->class == CLASS_INTERACTIVE)
+		return;
+	note_objective(config, &route->service, route->objective_us);
+	for (guint i = 0; route->destinations && i < route->destinations->len; i++)
+		note_objective(
+			config,
+			&g_array_index(route->destinations, struct route_destination, i).service,
+			route->objective_us);
+}
+
 static bool add_route(struct config *config, const struct accepted_file *file, struct route *route,
 		      GError **error)
 {
@@ -261,6 +291,7 @@
 	}
 	g_ptr_array_add(config->routes, route);
 	g_hash_table_insert(config->routes_by_name, &route->name, route);
+	note_objectives(config, route);
 	return true;
 }
 
@@ -411,6 +442,8 @@
 	config->services = g_hash_table_new(label_hash, label_hash_equal);
 	config->routes = g_ptr_array_new();
 	config->routes_by_name = g_hash_table_new(label_hash, label_hash_equal);
+	config->longest_objectives =
+		g_hash_table_new_full(label_hash, label_hash_equal, g_free, g_free);
 	config->moves = g_array_new(FALSE, TRUE, sizeof(struct move_spec));
 	config->switches = g_array_new(FALSE, TRUE, sizeof(struct auto_switch));
 	if (!add_files(config, error)) {
@@ -434,6 +467,7 @@
 	g_hash_table_destroy(config->services);
 	g_ptr_array_unref(config->routes);
 	g_hash_table_destroy(config->routes_by_name);
+	g_hash_table_destroy(config->longest_objectives);
 	g_array_unref(config->moves);
 	g_array_unref(config->switches);
 	g_ptr_array_unref(config->files);
@@ -461,6 +495,12 @@
 	return g_hash_table_lookup(config->routes_by_name, &name);
 }
 
+bool config_is_nested(const struct config *config, const struct route *route, struct label service)
+{
+	return route->objective_us > 0 &&
+	       route->objective_us <= longest_objective_us(config, &service) * NESTED_PERCENT / 100;
+}
+
 struct label route_service(const struct route *route, uint64_t point)
 {
 	int64_t remaining;
--- a/core/config.h
+++ b/core/config.h
@@ -183,9 +183,10 @@
 	GPtrArray *files;     /**< struct accepted_file, by name; a removed file has no content */
 	GHashTable *services; /**< struct label -> struct service, borrowed from the files */
 	GPtrArray *routes;    /**< struct route, longest path first */
-	GHashTable *routes_by_name; /**< struct label -> struct route */
-	GArray *moves;		    /**< struct move_spec with ids */
-	GArray *switches;	    /**< struct auto_switch */
+	GHashTable *routes_by_name;	/**< struct label -> struct route */
+	GHashTable *longest_objectives; /**< struct label -> int64_t, us; by service */
+	GArray *moves;			/**< struct move_spec with ids */
+	GArray *switches;		/**< struct auto_switch */
 };
 
 /**
@@ -204,6 +205,12 @@
 const struct accepted_file *config_find_file(const struct config *config, struct label name);
 const struct service *config_find_service(const struct config *config, struct label name);
 const struct route *config_find_route(const struct config *config, struct label name);
+/**
+ * Returns whether the route's calls to a service count as nested calls, which targets make while
+ * they serve a longer call: nothing in a request says so, but their objective is far shorter than
+ * the longest one among the routes to the service. Without an objective a route is not nested.
+ */
+bool config_is_nested(const struct config *config, const struct route *route, struct label service);
 /** Returns the service for a call on the route; @p point selects a destination by weight. */
 struct label route_service(const struct route *route, uint64_t point);
 /** Returns the matching route with the longest path; among equal paths, routes with a host precede
--- a/godwithitchd/inbound.c
+++ b/godwithitchd/inbound.c
@@ -73,6 +73,16 @@
 	}
 }
 
+static bool is_nested(struct daemon *daemon, const struct request_head *head)
+{
+	struct config *config = node_config(daemon->node);
+	const struct route *route = config_find_route(config, head->route);
+	bool nested = route && config_is_nested(config, route, head->service);
+
+	config_unref(config);
+	return nested;
+}
+
 static struct inbound *inbound_new(struct daemon *daemon, const struct request_head *head)
 {
 	struct inbound *inbound = g_new0(struct inbound, 1);
@@ -97,6 +107,7 @@
 		inbound->entry.objective = deadline_after(now, head->objective_remaining_us);
 	inbound->entry.no_queue = !head->may_queue;
 	inbound->entry.retried = head->retried;
+	inbound->entry.nested = is_nested(daemon, head);
 	inbound->entry.owner = inbound;
 	g_atomic_int_inc(&daemon->inbound_count);
 	return inbound;
--- a/regress/core/load_test.c
+++ b/regress/core/load_test.c
@@ -132,6 +132,7 @@
 	struct admit_dispatch dispatch;
 
 	(void)state;
+	urgent->nested = true;
 	assert_int_equal(admit_offer(admit, other, instant_at_s(1)), ADMIT_QUEUED);
 	assert_int_equal(admit_offer(admit, urgent, instant_at_s(1)), ADMIT_QUEUED);
 	admit_done(admit, running, SLOT_UNMEASURED, 0);
@@ -140,6 +141,28 @@
 	assert_ptr_equal(dispatch.entry, urgent);
 }
 
+/* In scale-1 of Lanhua's grown site, check-ins waited for a second, and the short calls that the
+ * board makes at the front desk waited behind them until their deadline. */
+static void test_nested_call_precedes_longer_calls_of_its_class(void **state)
+{
+	struct admit *admit = warm_admit();
+	struct queue_entry *running = fill_slots(admit, 1);
+	struct queue_entry *nested = entry_new(CLASS_STANDARD, 1.1, 0.3, 0.4);
+	struct admit_dispatch dispatch;
+
+	(void)state;
+	nested->nested = true;
+	for (int i = 0; i < 2 * SLOTS; i++)
+		assert_int_equal(
+			admit_offer(admit, entry_new(CLASS_STANDARD, 1, 0.6, 1.5), instant_at_s(1)),
+			ADMIT_QUEUED);
+	assert_int_equal(admit_offer(admit, nested, instant_at_s(1.1)), ADMIT_QUEUED);
+	admit_done(admit, running, SLOT_UNMEASURED, 0);
+	dispatch = admit_next(admit, instant_at_s(1.1));
+	assert_int_equal(dispatch.kind, DISPATCH_RUN);
+	assert_ptr_equal(dispatch.entry, nested);
+}
+
 /* A late call that waits until its deadline costs its caller more than an early refusal. */
 static void test_late_queue_is_bounded(void **state)
 {
@@ -339,6 +362,7 @@
 		cmocka_unit_test(test_late_local_call_goes_remote),
 		cmocka_unit_test(test_retry_wait_is_within_a_third_of_remaining_time),
 		cmocka_unit_test(test_full_data_centres_get_one_offer),
+		cmocka_unit_test(test_nested_call_precedes_longer_calls_of_its_class),
 		cmocka_unit_test(test_retry_has_elapsed_time),
 	};
 
--- a/regress/operator/parse_test.c
+++ b/regress/operator/parse_test.c
@@ -195,9 +195,47 @@
 	change_unref(change);
 }
 
+/* Calls that targets make have far shorter objectives than those that they serve. */
+static void test_nested_routes_have_short_objectives(void **state)
+{
+	struct change *change =
+		change_new(LABEL("id"), LABEL("f"), 0,
+			   STR("{\"services\": {\"s\": {\"versions\": \"any\"}, \"t\": "
+			       "{\"versions\": \"any\"}},"
+			       " \"routes\": ["
+			       "{\"name\": \"peek\", \"path\": \"/p\", \"service\": \"s\", "
+			       "\"objective_ms\": 120},"
+			       "{\"name\": \"enter\", \"path\": \"/e\", \"service\": \"s\", "
+			       "\"objective_ms\": 600},"
+			       "{\"name\": \"read\", \"path\": \"/r\", \"service\": \"t\", "
+			       "\"objective_ms\": 120},"
+			       "{\"name\": \"probe\", \"path\": \"/x\", \"service\": \"t\", "
+			       "\"objective_ms\": 900,"
+			       " \"class\": \"interactive\"},"
+			       "{\"name\": \"plain\", \"path\": \"/n\", \"service\": \"s\"}]}"));
+	GPtrArray *files = g_ptr_array_new_with_free_func((GDestroyNotify)accepted_file_free);
+	static const char *const names[] = { "peek", "enter", "read", "probe", "plain" };
+	struct config *config;
+
+	(void)state;
+	parse_change(change);
+	g_ptr_array_add(files, accepted_file_new(LABEL("f"), 1, change));
+	config = config_build(files, 1, 1, NULL);
+	assert_non_null(config);
+	for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+		const struct route *route =
+			config_find_route(config, label_from(str_from_cstr(names[i])));
+
+		assert_int_equal(config_is_nested(config, route, route->service), i == 0);
+	}
+	config_unref(config);
+	change_unref(change);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_nested_routes_have_short_objectives),
 		cmocka_unit_test(test_faults_are_reported_with_location),
 		cmocka_unit_test(test_deep_nesting_is_rejected),
 		cmocka_unit_test(test_route_matching),
