A late call that can't be served behind the others is refused at once

Cause: late calls wait behind those that are on time, up to one for each slot, and were refused only when their own service time no longer fitted.

Change: the wait behind the calls that go first counts as well.

Evidence: test_late_call_that_can_not_be_served_is_refused_at_once fails on the code before.

--- a/core/admit.c
+++ b/core/admit.c
@@ -490,14 +490,6 @@
 	return deadline_passed(entry->deadline, now);
 }
 
-/* Whether a call's answer would come after its deadline. */
-static bool misses_deadline(struct admit *admit, const struct queue_entry *entry,
-			    struct instant now)
-{
-	return deadline_remaining_us(entry->deadline, now) <
-	       (int64_t)route_get(admit, &entry->route)->service_us;
-}
-
 /* Moves calls that can't meet their objective to the late queue, behind those that still can. */
 static void defer_late_calls(struct admit *admit, struct lane_queue *lane, struct instant now)
 {
@@ -581,6 +573,17 @@
 	return (struct admit_dispatch){ DISPATCH_RUN, head };
 }
 
+/* Whether a late call that runs after the other queued calls would miss its deadline. */
+static bool misses_deadline_behind_others(struct admit *admit, const struct queue_entry *entry,
+					  struct instant now)
+{
+	int ahead = admit->queued - (int)g_queue_get_length(&admit->late);
+	double wait_us = admit->slots ? ahead * admit->service_us / admit->slots : 0;
+
+	return (double)deadline_remaining_us(entry->deadline, now) <
+	       wait_us + expected_service_us(admit, entry, now);
+}
+
 /* Returns the oldest late call; called when no other queued call can run. */
 static struct admit_dispatch next_late(struct admit *admit, struct instant now)
 {
@@ -592,7 +595,8 @@
 		return (struct admit_dispatch){ DISPATCH_NONE, NULL };
 	/* Late calls beyond the number of slots are refused early, while callers can still try
 	 * other targets. */
-	refuse = admit->slots == 0 || admit->return_queued || misses_deadline(admit, head, now) ||
+	refuse = admit->slots == 0 || admit->return_queued ||
+		 misses_deadline_behind_others(admit, head, now) ||
 		 (int)g_queue_get_length(&admit->late) > admit->slots;
 	if (!refuse && !may_run(admit, head))
 		return (struct admit_dispatch){ DISPATCH_NONE, NULL };
--- a/regress/core/load_test.c
+++ b/regress/core/load_test.c
@@ -163,6 +163,26 @@
 	assert_ptr_equal(dispatch.entry, nested);
 }
 
+/* A late call runs after those that are on time. If it would miss its deadline behind them, it is
+ * refused at once: held until its deadline, its caller had no time left to try again. */
+static void test_late_call_that_can_not_be_served_is_refused_at_once(void **state)
+{
+	struct admit *admit = warm_admit();
+	struct queue_entry *late = entry_new(CLASS_BACKGROUND, 1, 0.25, 0.6);
+	struct admit_dispatch dispatch;
+
+	(void)state;
+	fill_slots(admit, 1);
+	assert_int_equal(admit_offer(admit, late, instant_at_s(1)), ADMIT_QUEUED);
+	for (int i = 0; i < 4 * SLOTS; i++)
+		assert_int_equal(
+			admit_offer(admit, entry_new(CLASS_BACKGROUND, 1, 1, 2), instant_at_s(1)),
+			ADMIT_QUEUED);
+	dispatch = admit_next(admit, instant_at_s(1.2));
+	assert_int_equal(dispatch.kind, DISPATCH_LATE);
+	assert_ptr_equal(dispatch.entry, late);
+}
+
 /* A late call that waits until its deadline costs its caller more than an early refusal. */
 static void test_late_queue_is_bounded(void **state)
 {
@@ -363,6 +383,7 @@
 		cmocka_unit_test(test_retry_wait_is_within_a_third_of_remaining_time),
 		cmocka_unit_test(test_full_data_centres_get_one_offer),
 		cmocka_unit_test(test_nested_call_precedes_longer_calls_of_its_class),
+		cmocka_unit_test(test_late_call_that_can_not_be_served_is_refused_at_once),
 		cmocka_unit_test(test_retry_has_elapsed_time),
 	};
 
