Fewer offers where round trips take long

Cause: a call asks up to three local and three remote targets in turn before it queues. Where downloads fill the links a refused offer takes 40 to 70 ms, so that a nested call with an objective of 120 ms and a deadline of 400 ms spent its time on offers: 4.2 of them, answered after 276 ms (p50) of which 58 at the target.

Change: an entry node measures how long a refused offer takes. If three would take more than a quarter of the time until the objective, the first target may queue the call. A call that is late queues at the best target that it has asked.

Evidence: test_call_queues_at_first_target_where_round_trips_take_long, test_late_call_is_not_offered_further.

--- a/core/placement.c
+++ b/core/placement.c
@@ -21,6 +21,10 @@
  * more offers would only use bandwidth. */
 #define REMOTE_BUSY_PROBABILITY 0.2
 
+/* Largest part of the time until the objective that offers may take. If they would take more, the
+ * targets may queue the call. */
+#define OFFERS_TIME_FRACTION 0.25
+
 #define RETRY_MIN_US  (100 * US_PER_MS)
 #define RETRY_DIVISOR 3 /* callers wait for at most a third of their remaining time */
 
@@ -41,12 +45,30 @@
 								    : REMOTE_OFFERS_MAX;
 }
 
-enum placement_step placement_next(struct placement *placement,
-				   const struct placement_inputs *inputs)
+/* A call that is late already is not offered further: each round trip takes from the time that is
+ * left until its deadline. */
+static bool queues_without_more_offers(const struct placement *placement,
+				       const struct placement_inputs *inputs)
+{
+	return placement->best_target && inputs->objective_remaining_us <= 0;
+}
+
+static bool offers_take_long(const struct placement_inputs *inputs)
+{
+	return LOCAL_OFFERS_MAX * (double)inputs->round_trip_us >
+	       OFFERS_TIME_FRACTION * (double)inputs->objective_remaining_us;
+}
+
+static enum placement_step next_step(struct placement *placement,
+				     const struct placement_inputs *inputs)
 {
 	placement->queueing = false;
 	placement->offering_local = false;
 	placement->offering_remote = false;
+	if (queues_without_more_offers(placement, inputs)) {
+		placement->queueing = true;
+		return PLACE_QUEUE;
+	}
 	if (!placement->local_exhausted && placement->local_offers < LOCAL_OFFERS_MAX) {
 		placement->local_offers++;
 		placement->offering_local = true;
@@ -69,6 +91,15 @@
 	return PLACE_REFUSE;
 }
 
+enum placement_step placement_next(struct placement *placement,
+				   const struct placement_inputs *inputs)
+{
+	enum placement_step step = next_step(placement, inputs);
+
+	placement->may_queue = placement->queueing || offers_take_long(inputs);
+	return step;
+}
+
 void placement_no_target(struct placement *placement)
 {
 	if (placement->offering_local)
--- a/core/placement.h
+++ b/core/placement.h
@@ -2,7 +2,8 @@
  * @file
  * The order in which a call is offered to targets. Gossiped loads would be stale when they are
  * used, so the target's node is asked: it runs the call at once, or estimates when it would
- * answer. Answers between data centres are expensive: a call stays in the local data centre while
+ * answer. Where round trips take long, since links are full, the call may queue at the first
+ * target. Answers between data centres are expensive: a call stays in the local data centre while
  * it meets its objective there. If no target that was asked has a free slot, the call queues at the
  * one that expects to answer first.
  *
@@ -29,7 +30,8 @@
 	bool local_queue_tried;
 	bool offering_local;
 	bool offering_remote;
-	bool queueing;
+	bool queueing;	/**< the step is PLACE_QUEUE */
+	bool may_queue; /**< the target may queue the call, whatever the step */
 };
 
 /** Properties of the call at the time of the decision. */
@@ -38,6 +40,7 @@
 	int64_t remaining_us;		/**< time until its deadline */
 	double answer_bytes;		/**< expected size of its answer */
 	double remote_probability;	/**< recent share of remote offers that were accepted */
+	int64_t round_trip_us;		/**< recent time that a refused offer took */
 };
 
 /** The next step for a call. */
--- a/core/traffic.c
+++ b/core/traffic.c
@@ -6,6 +6,11 @@
 
 #define BYTES_SMOOTHING	 0.1 /* weight of an answer in the smoothed size */
 #define REMOTE_SMOOTHING 0.1 /* weight of an offer in the smoothed share */
+#define TRIP_SMOOTHING	 0.1 /* weight of a refused offer in the smoothed time */
+
+/* Calls that may queue are hardly refused: an old time would never be corrected. */
+#define TRIP_VALID_US (1 * US_PER_S)
+
 
 /* Shorter times are ignored: callers' clocks and network delays vary by some milliseconds. */
 #define ELAPSED_MIN_US (30 * US_PER_MS)
@@ -17,6 +22,8 @@
 	int64_t longest_remaining_us;
 	double bytes;
 	double remote_refused; /* smoothed share of refused remote offers */
+	double round_trip_us;		  /* smoothed time of a refused offer */
+	struct deadline round_trip_until; /* end of its use */
 };
 
 struct traffic {
@@ -111,3 +118,28 @@
 	lock_release(&traffic->lock);
 	return 1 - refused;
 }
+
+void traffic_record_refusal(struct traffic *traffic, struct label route, int64_t round_trip_us,
+			    struct instant now)
+{
+	struct route_stats *stats;
+
+	lock_acquire(&traffic->lock);
+	stats = stats_get(traffic, &route);
+	stats->round_trip_us += TRIP_SMOOTHING * ((double)round_trip_us - stats->round_trip_us);
+	stats->round_trip_until = deadline_after(now, TRIP_VALID_US);
+	lock_release(&traffic->lock);
+}
+
+int64_t traffic_round_trip_us(struct traffic *traffic, struct label route, struct instant now)
+{
+	struct route_stats *stats;
+	double round_trip_us = 0;
+
+	lock_acquire(&traffic->lock);
+	stats = stats_get(traffic, &route);
+	if (stats->round_trip_until.at_us && !deadline_passed(stats->round_trip_until, now))
+		round_trip_us = stats->round_trip_us;
+	lock_release(&traffic->lock);
+	return (int64_t)round_trip_us;
+}
--- a/core/traffic.h
+++ b/core/traffic.h
@@ -26,6 +26,11 @@
 void traffic_record_answer(struct traffic *traffic, struct label route, size_t bytes);
 /** Notes whether a target of a remote data centre accepted an offer at once. */
 void traffic_record_remote(struct traffic *traffic, struct label route, bool accepted);
+/** Notes how long it took until a target's node refused an offer. */
+void traffic_record_refusal(struct traffic *traffic, struct label route, int64_t round_trip_us,
+			    struct instant now);
+/** Returns the smoothed time that a refused offer takes; 0 if none was refused for a second. */
+int64_t traffic_round_trip_us(struct traffic *traffic, struct label route, struct instant now);
 /** Returns the smoothed share of accepted remote offers; 1 before the first. */
 double traffic_remote_probability(struct traffic *traffic, struct label route);
 /** Returns the smoothed size of the route's answers in bytes; 0 before the first. */
--- a/godwithitchd/attempt.c
+++ b/godwithitchd/attempt.c
@@ -84,9 +84,14 @@
 
 	call_exclude_target(call, attempt->target);
 	placement_refused(&call->placement, attempt->target, refusal->expected_us);
-	if (refusal->expected_us)
+	/* A call that had been queued is refused without an estimate, and not after one round trip.
+	 */
+	if (refusal->expected_us) {
 		members_record_refusal(node_members(call->daemon->node), attempt->target,
 				       refusal->expected_us, now);
+		traffic_record_refusal(node_traffic(call->daemon->node), call->route->name,
+				       now.mono_us - attempt->started_us, now);
+	}
 	if (!is_abandoned(call) && !call->body_consumed)
 		call_try_target(call);
 	else
--- a/godwithitchd/calls.c
+++ b/godwithitchd/calls.c
@@ -55,6 +55,7 @@
 
 		inputs.answer_bytes = traffic_answer_bytes(traffic, call->route->name);
 		inputs.remote_probability = traffic_remote_probability(traffic, call->route->name);
+		inputs.round_trip_us = traffic_round_trip_us(traffic, call->route->name, now);
 	}
 	return inputs;
 }
@@ -166,7 +167,7 @@
 	head->remaining_us = deadline_remaining_us(call->deadline, now);
 	head->has_objective = call->objective.at_us != 0;
 	head->objective_remaining_us = call->objective.at_us - now.mono_us;
-	head->may_queue = call->placement.queueing;
+	head->may_queue = call->placement.may_queue;
 	head->retried = call->retried;
 	head->service = call->service;
 	head->body_length = caller_body_length(call->caller);
--- a/regress/core/load_test.c
+++ b/regress/core/load_test.c
@@ -290,6 +290,49 @@
 	assert_int_equal(placement_next(&placement, &inputs), PLACE_QUEUE);
 }
 
+/* Nested calls have a deadline of three round trips where links are full: late ones queue at the
+ * best target that was asked instead of asking more. */
+static void test_late_call_is_not_offered_further(void **state)
+{
+	struct placement_inputs inputs = { .objective_remaining_us = 100 * US_PER_MS,
+					   .remaining_us = 300 * US_PER_MS,
+					   .remote_probability = 1 };
+	struct placement placement = { 0 };
+
+	(void)state;
+	assert_int_equal(placement_next(&placement, &inputs), PLACE_LOCAL);
+	placement_refused(&placement, 1, 90 * US_PER_MS);
+	inputs.objective_remaining_us = 0;
+	assert_int_equal(placement_next(&placement, &inputs), PLACE_QUEUE);
+	placement_refused(&placement, 1, 0);
+	assert_int_equal(placement_next(&placement, &inputs), PLACE_LOCAL);
+}
+
+/* In scale-1 of Lanhua's grown site, a refused offer to the night audit took 60 ms, since downloads
+ * fill the links, and a call with an objective of 120 ms made four. */
+static void test_call_queues_at_first_target_where_round_trips_take_long(void **state)
+{
+	struct placement_inputs inputs = { .objective_remaining_us = 120 * US_PER_MS,
+					   .remaining_us = 400 * US_PER_MS,
+					   .remote_probability = 1,
+					   .round_trip_us = 60 * US_PER_MS };
+	struct placement placement = { 0 };
+	struct traffic *traffic = traffic_new(pool);
+
+	(void)state;
+	assert_int_equal(placement_next(&placement, &inputs), PLACE_LOCAL);
+	assert_true(placement.may_queue);
+	inputs.round_trip_us = 2 * US_PER_MS;
+	assert_int_equal(placement_next(&placement, &inputs), PLACE_LOCAL);
+	assert_false(placement.may_queue);
+	for (int i = 0; i < 60; i++)
+		traffic_record_refusal(traffic, LABEL("r"), 60 * US_PER_MS, instant_at_s(1));
+	assert_true(traffic_round_trip_us(traffic, LABEL("r"), instant_at_s(1.5)) > 50 * US_PER_MS);
+	/* Without refusals nothing is known: offers are made again, and measured. */
+	assert_int_equal(traffic_round_trip_us(traffic, LABEL("r"), instant_at_s(2.5)), 0);
+	traffic_free(traffic);
+}
+
 static void test_retry_wait_is_within_a_third_of_remaining_time(void **state)
 {
 	struct placement_inputs inputs = { .objective_remaining_us = 0,
@@ -384,6 +427,8 @@
 		cmocka_unit_test(test_full_data_centres_get_one_offer),
 		cmocka_unit_test(test_nested_call_precedes_longer_calls_of_its_class),
 		cmocka_unit_test(test_late_call_that_can_not_be_served_is_refused_at_once),
+		cmocka_unit_test(test_late_call_is_not_offered_further),
+		cmocka_unit_test(test_call_queues_at_first_target_where_round_trips_take_long),
 		cmocka_unit_test(test_retry_has_elapsed_time),
 	};
 
--- a/regress/core/nested_test.c
+++ b/regress/core/nested_test.c
@@ -177,7 +177,7 @@
 	if (request->asked_count < ASKED_MAX)
 		request->asked[request->asked_count++] = target;
 	request->target = target;
-	request->entry.no_queue = !request->placement.queueing;
+	request->entry.no_queue = !request->placement.may_queue;
 	request->entry.queued_at_us = 0;
 	add_event(model, model->now_us + TRIP_US / 2, EVENT_OFFERED, request);
 }
@@ -189,6 +189,7 @@
 			deadline_remaining_us(request->entry.objective, now_of(model)),
 		.remaining_us = request->deadline_us - model->now_us,
 		.remote_probability = 1,
+		.round_trip_us = TRIP_US,
 	};
 }
 
