What a caller has left says less: returned calls by the usual patience

Cause: a call counted as returned if its caller had less time left than the longest ever seen on the route. Callers differ in patience by 15%, so that most first attempts counted as returned and lost up to 180 ms of their objective; after one caller with a long deadline all did.

Change: the usual patience is a quantile that forgets; only a caller with less than 0.8 of it counts as having tried before.

--- a/core/traffic.c
+++ b/core/traffic.c
@@ -11,17 +11,23 @@
 /* Calls that may queue are hardly refused: an old time would never be corrected. */
 #define TRIP_VALID_US (1 * US_PER_S)
 
+/* The usual patience of a route's callers is estimated as a quantile of the times that they have
+ * left. A caller tries again once at most on average, so that at least half of the calls are first
+ * attempts, and this quantile lies among those. */
+#define PATIENCE_QUANTILE 0.75
+#define PATIENCE_STEP	  0.02 /* of the estimate, the largest change by one call */
 
-/* Shorter times are ignored: callers' clocks and network delays vary by some milliseconds. */
-#define ELAPSED_MIN_US (30 * US_PER_MS)
+/* Callers of one route differ in patience by up to this fraction of the usual one. A caller with
+ * less time left than that has probably tried before. */
+#define PATIENCE_SPREAD 0.2
 
 enum { ROUTES_MAX = 4096 };
 
 struct route_stats {
 	struct label route;
-	int64_t longest_remaining_us;
+	double patience_us; /* estimated quantile of the remaining times; 0: none yet */
 	double bytes;
-	double remote_refused; /* smoothed share of refused remote offers */
+	double remote_refused;		  /* smoothed share of refused remote offers */
 	double round_trip_us;		  /* smoothed time of a refused offer */
 	struct deadline round_trip_until; /* end of its use */
 };
@@ -64,17 +70,35 @@
 	return stats;
 }
 
+/* Moves the estimate towards the quantile: up and down steps balance there. Unlike the longest time
+ * seen, it forgets a caller with an unusually long deadline. */
+static void update_patience(struct route_stats *stats, double remaining_us)
+{
+	double step = PATIENCE_STEP * stats->patience_us;
+
+	if (stats->patience_us == 0)
+		stats->patience_us = remaining_us;
+	else if (remaining_us > stats->patience_us)
+		stats->patience_us =
+			MIN(remaining_us, stats->patience_us + step * PATIENCE_QUANTILE);
+	else
+		stats->patience_us =
+			MAX(remaining_us, stats->patience_us - step * (1 - PATIENCE_QUANTILE));
+}
+
 int64_t traffic_elapsed_us(struct traffic *traffic, struct label route, int64_t remaining_us)
 {
 	struct route_stats *stats;
-	int64_t elapsed_us;
+	double patience_us;
 
 	lock_acquire(&traffic->lock);
 	stats = stats_get(traffic, &route);
-	stats->longest_remaining_us = MAX(stats->longest_remaining_us, remaining_us);
-	elapsed_us = stats->longest_remaining_us - remaining_us;
+	update_patience(stats, (double)remaining_us);
+	patience_us = stats->patience_us;
 	lock_release(&traffic->lock);
-	return elapsed_us < ELAPSED_MIN_US ? 0 : elapsed_us;
+	if ((double)remaining_us >= (1 - PATIENCE_SPREAD) * patience_us)
+		return 0;
+	return (int64_t)patience_us - remaining_us;
 }
 
 void traffic_record_answer(struct traffic *traffic, struct label route, size_t bytes)
--- a/core/traffic.h
+++ b/core/traffic.h
@@ -1,7 +1,8 @@
 /**
  * @file
- * Table of call statistics by route, as this entry node measured them: the longest time that a
- * caller waits, the size of the answers, and the share of remote offers that are accepted.
+ * Table of call statistics by route, as this entry node measured them: the usual time that a
+ * caller waits, the size of the answers, the share of remote offers that are accepted, and how long
+ * a refused offer takes.
  */
 #ifndef CORE_TRAFFIC_H
 #define CORE_TRAFFIC_H
@@ -17,9 +18,9 @@
 void traffic_free(struct traffic *traffic);
 
 /**
- * Notes a caller's remaining time and returns how many microseconds ago the first attempt of its
- * request was: a caller that retries after a refusal has less time than a new one. Takes
- * LOCK_TRAFFIC, like all below.
+ * Notes a caller's remaining time and estimates how many microseconds ago the first attempt of its
+ * request was; 0: this is probably the first one. Callers vary in patience, so that only one with
+ * much less time than usual counts as having tried before. Takes LOCK_TRAFFIC, like all below.
  */
 int64_t traffic_elapsed_us(struct traffic *traffic, struct label route, int64_t remaining_us);
 /** Notes the size of an answer. */
