A call does not end while another worker handles an event of it

Cause: the daemon frees its part of a call at CALLER_ENDED. A worker that finishes an answer starts the next pipelined call, or notes drained bytes, without a reference to that part; when the caller disconnects meanwhile, the worker that reads the connection's end delivers CALLER_ENDED, and the first one goes on with freed memory.

Change: events of a call are counted; CALLER_ENDED is delivered by the last worker that handles another event.

Evidence: test_call_does_not_end_while_an_event_is_handled fails on the code before (the end came while READY was being handled).

--- a/caller/connection.h
+++ b/caller/connection.h
@@ -41,6 +41,9 @@
 	/* Guarded by the connection's lock. */
 	bool startable;	      /* enough of the request has arrived */
 	bool dispatched;      /* passed to the handler */
+	int notifying;	      /* events that the handler is handling now */
+	bool ended;	      /* no further event is delivered */
+	bool end_deferred;    /* CALLER_ENDED follows the events that are being handled */
 	bool head_ready;      /* the head may be sent */
 	bool head_deferred;   /* the head waits for the end of the body */
 	bool head_serialized; /* the head is in the connection's output */
--- a/caller/http.c
+++ b/caller/http.c
@@ -60,12 +60,53 @@
 	g_free(call);
 }
 
+/* Returns whether an event may be delivered now. */
+static bool begin_notifying(struct caller_call *call, enum caller_event_kind kind)
+{
+	bool deliver;
+
+	lock_acquire(&call->connection->lock);
+	deliver = !call->ended;
+	if (kind == CALLER_ENDED) {
+		call->ended = true;
+		call->end_deferred = deliver && call->notifying > 0;
+		deliver = deliver && !call->end_deferred;
+	}
+	call->notifying += deliver;
+	lock_release(&call->connection->lock);
+	return deliver;
+}
+
+/* Returns whether CALLER_ENDED is due now. */
+static bool end_notifying(struct caller_call *call)
+{
+	bool end;
+
+	lock_acquire(&call->connection->lock);
+	call->notifying--;
+	end = call->notifying == 0 && call->end_deferred;
+	if (end)
+		call->end_deferred = false;
+	lock_release(&call->connection->lock);
+	return end;
+}
+
+/* The handler releases its own part of the call at CALLER_ENDED. A worker that closes the
+ * connection leaves that event to the last worker that is still handling another one. */
 void caller_notify(struct caller_call *call, enum caller_event_kind kind, size_t bytes)
 {
 	const struct caller_options *options = &call->connection->caller->options;
 	struct caller_event event = { .kind = kind, .call = call, .bytes = bytes };
 
+	if (!begin_notifying(call, kind))
+		return;
+	caller_call_ref(call);
 	options->handle(options->context, &event);
+	if (end_notifying(call)) {
+		event.kind = CALLER_ENDED;
+		options->handle(options->context, &event);
+	}
+	caller_call_unref(call);
 }
 
 const struct caller_options *caller_options_of(const struct caller *caller)
--- /dev/null
+++ b/regress/caller/connection_test.c
@@ -0,0 +1,220 @@
+/* Tests of callers' connections: events of a call while its caller disconnects, and answers. */
+#include "regress/lib/check.h"
+
+#include <apr_general.h>
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "caller/connection.h"
+
+enum { THREADS = 4, EVENT_WAIT_US = 300000, ANSWER_WAIT_MS = 2000, LISTEN_IP = 0x7f000001 };
+
+/* State of the handler. The mutex guards it. */
+struct handler {
+	GMutex mutex;
+	GCond changed;
+	GPtrArray *calls; /* struct caller_call, one reference each, in the order of READY */
+	bool slow_ready;  /* READY takes EVENT_WAIT_US */
+	int handling;	  /* events of the newest call that are being handled */
+	int ended;
+	bool ended_while_handling;
+	int uploaded;
+};
+
+static struct handler handler;
+static struct workers *workers;
+static struct caller *caller;
+static apr_pool_t *pool;
+
+static void on_ready(struct caller_call *call)
+{
+	g_mutex_lock(&handler.mutex);
+	g_ptr_array_add(handler.calls, caller_call_ref(call));
+	handler.handling++;
+	g_cond_broadcast(&handler.changed);
+	g_mutex_unlock(&handler.mutex);
+	if (handler.slow_ready)
+		g_usleep(EVENT_WAIT_US);
+	g_mutex_lock(&handler.mutex);
+	handler.handling--;
+	g_mutex_unlock(&handler.mutex);
+}
+
+static void on_event(void *context, const struct caller_event *event)
+{
+	(void)context;
+	switch (event->kind) {
+	case CALLER_READY:
+		on_ready(event->call);
+		return;
+	case CALLER_UPLOADED:
+		g_mutex_lock(&handler.mutex);
+		handler.uploaded++;
+		g_cond_broadcast(&handler.changed);
+		g_mutex_unlock(&handler.mutex);
+		return;
+	case CALLER_DRAINED:
+		return;
+	case CALLER_ENDED:
+		g_mutex_lock(&handler.mutex);
+		handler.ended_while_handling |= handler.handling > 0;
+		handler.ended++;
+		g_cond_broadcast(&handler.changed);
+		g_mutex_unlock(&handler.mutex);
+		return;
+	}
+}
+
+static void on_work(void *context, const struct work *work, int ready)
+{
+	(void)context;
+	(void)ready;
+	if (work->kind == WORK_CALLER_LISTEN)
+		caller_on_listen(work->data);
+	else if (work->kind == WORK_CALLER)
+		caller_on_connection(work->data);
+}
+
+static int set_up(void **state)
+{
+	struct workers_options pool_options = { .threads = THREADS,
+						.queue_max = 64,
+						.handle = on_work };
+	struct caller_options options = { .ipv4 = LISTEN_IP,
+					  .connections = 16,
+					  .connections_per_address = 16,
+					  .idle_s = 10,
+					  .body_max = 1 << 20,
+					  .verdict_field = STR("Verdict"),
+					  .handle = on_event };
+
+	(void)state;
+	memset(&handler, 0, sizeof(handler));
+	g_mutex_init(&handler.mutex);
+	g_cond_init(&handler.changed);
+	handler.calls = g_ptr_array_new_with_free_func((GDestroyNotify)caller_call_unref);
+	apr_pool_create(&pool, NULL);
+	workers = workers_new(&pool_options, pool, NULL);
+	options.workers = workers;
+	caller = caller_new(&options, pool, NULL);
+	assert_non_null(caller);
+	workers_start(workers);
+	return 0;
+}
+
+static int tear_down(void **state)
+{
+	(void)state;
+	g_ptr_array_unref(handler.calls);
+	workers_stop(workers);
+	caller_free(caller);
+	workers_free(workers);
+	apr_pool_destroy(pool);
+	return 0;
+}
+
+static int connect_to_caller(void)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET,
+				       .sin_port = htons(caller_port(caller)),
+				       .sin_addr.s_addr = htonl(LISTEN_IP) };
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	assert_int_equal(connect(fd, (struct sockaddr *)&address, sizeof(address)), 0);
+	return fd;
+}
+
+static void send_text(int fd, const char *text)
+{
+	assert_int_equal(send(fd, text, strlen(text), MSG_NOSIGNAL), strlen(text));
+}
+
+/* Waits until *counter is at least @p count. */
+static void wait_for(const int *counter, int count)
+{
+	gint64 until = g_get_monotonic_time() + 5 * G_USEC_PER_SEC;
+
+	g_mutex_lock(&handler.mutex);
+	while (*counter < count && g_cond_wait_until(&handler.changed, &handler.mutex, until))
+		;
+	if (*counter < count)
+		fail_msg("%d of %d events", *counter, count);
+	g_mutex_unlock(&handler.mutex);
+}
+
+static struct caller_call *wait_for_call(int index)
+{
+	struct caller_call *call;
+
+	wait_for((const int *)&handler.calls->len, index + 1);
+	g_mutex_lock(&handler.mutex);
+	call = g_ptr_array_index(handler.calls, index);
+	g_mutex_unlock(&handler.mutex);
+	return call;
+}
+
+/* Reads until nothing arrives for a while. */
+static struct strbuf read_answers(int fd, int wait_ms)
+{
+	struct strbuf bytes = { 0 };
+	struct pollfd poll_fd = { .fd = fd, .events = POLLIN };
+
+	while (poll(&poll_fd, 1, wait_ms) > 0) {
+		char block[4096];
+		ssize_t n = recv(fd, block, sizeof(block), 0);
+
+		if (n <= 0)
+			break;
+		strbuf_add(&bytes, (struct str){ block, (size_t)n });
+		wait_ms = 200;
+	}
+	strbuf_add(&bytes, (struct str){ "", 1 });
+	return bytes;
+}
+
+static gpointer answer_first(gpointer data)
+{
+	struct response_head head = { .status = 200 };
+
+	caller_answer(data, &head, STR("ok"));
+	return NULL;
+}
+
+/*
+ * A worker that finishes an answer starts the next pipelined call. If the caller disconnects
+ * meanwhile, another worker ends that call. The daemon frees its part at the end, so that the first
+ * worker went on with freed memory: a process of Lanhua's grown site ended by SIGSEGV.
+ */
+static void test_call_does_not_end_while_an_event_is_handled(void **state)
+{
+	int fd = connect_to_caller();
+	struct caller_call *first;
+	GThread *thread;
+
+	(void)state;
+	send_text(fd, "POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n"
+		      "POST /2 HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n");
+	first = wait_for_call(0);
+	handler.slow_ready = true;
+	thread = g_thread_new("answer", answer_first, first);
+	wait_for_call(1);
+	close(fd);
+	wait_for(&handler.ended, 2);
+	g_thread_join(thread);
+	assert_false(handler.ended_while_handling);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(test_call_does_not_end_while_an_event_is_handled,
+						set_up, tear_down),
+	};
+
+	apr_initialize();
+	return cmocka_run_group_tests_name("caller/connection", tests, NULL, NULL);
+}
