Trailers of a request no longer move the strings of its head

Cause: the fields of a chunked request's trailer were appended to the buffer that the head's strings point into, while a worker used them: one malformed request could end the process or change another's head.

Change: fields after the head are ignored; trailers are not forwarded.

Evidence: test_trailers_leave_the_head_unchanged fails on the code before (the buffer grew from 34 to 183 bytes).

--- a/caller/read.c
+++ b/caller/read.c
@@ -25,6 +25,7 @@
 	input->target = (struct span){ 0 };
 	input->field_count = 0;
 	input->in_value = false;
+	input->head_complete = false;
 	return 0;
 }
 
@@ -46,10 +47,13 @@
 	return 0;
 }
 
+/* Trailers are not forwarded: the strings of the head are in use, and must not move. */
 static int on_field_name(struct http_parser *parser, const char *data, size_t len)
 {
 	struct request_input *input = &connection_of(parser)->input;
 
+	if (input->head_complete)
+		return 0;
 	if (input->field_count == 0 || input->in_value) {
 		if (input->field_count == FIELDS_MAX) {
 			input->error_status = STATUS_HEAD_TOO_LARGE;
@@ -69,7 +73,7 @@
 	struct request_input *input = &connection_of(parser)->input;
 
 	/* A value that follows no field name of the head is ignored. */
-	if (input->field_count == 0)
+	if (input->field_count == 0 || input->head_complete)
 		return 0;
 	input->in_value = true;
 	append_fragment(input, &input->values[input->field_count - 1], data, len);
@@ -133,6 +137,7 @@
 	struct caller_call *call = input->call;
 
 	finish_head(input);
+	input->head_complete = true;
 	if (parser->upgrade) {
 		input->error_status = STATUS_BAD_REQUEST;
 		return 1;
--- a/regress/caller/connection_test.c
+++ b/regress/caller/connection_test.c
@@ -208,11 +208,38 @@
 	assert_false(handler.ended_while_handling);
 }
 
+/* Trailers of a streamed request arrive while the handler uses the strings of its head. */
+static void test_trailers_leave_the_head_unchanged(void **state)
+{
+	int fd = connect_to_caller();
+	struct caller_call *call;
+	const char *target;
+	size_t text_len;
+
+	(void)state;
+	send_text(fd, "POST /path HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+		      "2\r\nab\r\n");
+	call = wait_for_call(0);
+	target = caller_target(call).data;
+	text_len = call->text.len;
+	send_text(fd, "0\r\nX-Trailer: "
+		      "0123456789012345678901234567890123456789012345678901234567890123456789"
+		      "0123456789012345678901234567890123456789012345678901234567890123456789"
+		      "\r\n\r\n");
+	wait_for(&handler.uploaded, 2);
+	assert_int_equal(call->text.len, text_len);
+	assert_ptr_equal(call->text.data + (target - call->text.data), target);
+	assert_true(str_equal(caller_target(call), STR("/path")));
+	close(fd);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test_setup_teardown(test_call_does_not_end_while_an_event_is_handled,
 						set_up, tear_down),
+		cmocka_unit_test_setup_teardown(test_trailers_leave_the_head_unchanged, set_up,
+						tear_down),
 	};
 
 	apr_initialize();
