A call is answered once

Cause: the expiry of a call, its last target's refusal and the head of an answer come from different workers. caller_answer() wrote its body before it knew whether the head was the first, so that "late" could be sent as the body of a target's answer, whose own body was then missing.

Change: the first to begin an answer wins, for the call and again in caller/; the others write nothing. An expired call with a head is truncated visibly.

Evidence: test_second_answer_to_a_call_is_dropped fails on the code before (four bytes under a length of five).

--- a/caller/connection.h
+++ b/caller/connection.h
@@ -44,6 +44,7 @@
 	int notifying;	      /* events that the handler is handling now */
 	bool ended;	      /* no further event is delivered */
 	bool end_deferred;    /* CALLER_ENDED follows the events that are being handled */
+	bool answered;	      /* a head was written, and no other may be */
 	bool head_ready;      /* the head may be sent */
 	bool head_deferred;   /* the head waits for the end of the body */
 	bool head_serialized; /* the head is in the connection's output */
@@ -80,8 +81,8 @@
 	int field_count;
 	bool in_value;
 	bool head_complete; /* fields that follow are trailers */
-	int error_status; /* answer to an invalid request, after which nothing is read; 0: none */
-	bool ended;	  /* the last request is complete; bytes after it are discarded */
+	int error_status;   /* answer to an invalid request, after which nothing is read; 0: none */
+	bool ended;	    /* the last request is complete; bytes after it are discarded */
 };
 
 struct connection {
--- a/caller/http.c
+++ b/caller/http.c
@@ -429,24 +429,40 @@
 	}
 }
 
-void caller_write_head(struct caller_call *call, const struct response_head *head)
+/* Returns false if the call has an answer already. */
+static bool begin_answer(struct caller_call *call)
 {
 	bool first;
 
 	lock_acquire(&call->connection->lock);
-	first = !call->head_ready && !call->head_deferred;
-	if (first) {
-		copy_head(call, head);
-		call->head_deferred =
-			head->body_length >= 0 && head->body_length <= SMALL_ANSWER_BYTES;
-		call->head_ready = !call->head_deferred;
-	}
-	first = first && call->head_ready;
+	first = !call->answered;
+	call->answered = true;
+	lock_release(&call->connection->lock);
+	return first;
+}
+
+static void write_head(struct caller_call *call, const struct response_head *head)
+{
+	bool ready;
+
+	lock_acquire(&call->connection->lock);
+	copy_head(call, head);
+	call->head_deferred = head->body_length >= 0 && head->body_length <= SMALL_ANSWER_BYTES;
+	call->head_ready = !call->head_deferred;
+	ready = call->head_ready;
 	lock_release(&call->connection->lock);
-	if (first)
+	if (ready)
 		connection_advance(call->connection);
 }
 
+bool caller_write_head(struct caller_call *call, const struct response_head *head)
+{
+	if (!begin_answer(call))
+		return false;
+	write_head(call, head);
+	return true;
+}
+
 /* Releases a head that waited for the end of the body. Returns true if there was one. */
 static bool release_head(struct caller_call *call)
 {
@@ -487,15 +503,18 @@
 		connection_advance(call->connection);
 }
 
-void caller_answer(struct caller_call *call, const struct response_head *head, struct str body)
+bool caller_answer(struct caller_call *call, const struct response_head *head, struct str body)
 {
 	struct response_head sized = *head;
 
+	if (!begin_answer(call))
+		return false;
 	sized.body_length = (int64_t)body.len;
 	if (body.len)
 		pipe_write(call->answer, body);
-	caller_write_head(call, &sized);
+	write_head(call, &sized);
 	caller_finish(call, PIPE_DONE);
+	return true;
 }
 
 void caller_upload_consumed(struct caller_call *call)
--- a/caller/http.h
+++ b/caller/http.h
@@ -84,8 +84,9 @@
 /**
  * Writes the head of the answer. The body follows by caller_write(), then caller_finish(). The head
  * of a small body of known length waits for the end of the body, so that both are sent together.
+ * Returns false if the call has an answer already; nothing may be written then.
  */
-void caller_write_head(struct caller_call *call, const struct response_head *head);
+bool caller_write_head(struct caller_call *call, const struct response_head *head);
 /** Returns the bytes of the answer's body that are still in the pipe. */
 size_t caller_buffered_bytes(struct caller_call *call);
 /** Writes bytes of the answer's body. */
@@ -97,8 +98,8 @@
  * that the caller can tell that it is truncated.
  */
 void caller_finish(struct caller_call *call, enum pipe_end end);
-/** Writes a complete answer. */
-void caller_answer(struct caller_call *call, const struct response_head *head, struct str body);
+/** Writes a complete answer. Returns false, and writes nothing, if the call has one already. */
+bool caller_answer(struct caller_call *call, const struct response_head *head, struct str body);
 /** Resumes reading from the caller after bytes were read from the upload pipe. */
 void caller_upload_consumed(struct caller_call *call);
 
--- a/godwithitchd/answer.c
+++ b/godwithitchd/answer.c
@@ -41,13 +41,20 @@
 		g_snprintf(text, (gulong)cap, "%d", (int)seconds + 1);
 }
 
-void call_answer(struct call *call, int status, enum verdict verdict, struct str reason)
+bool call_begin_answer(struct call *call)
+{
+	return g_atomic_int_compare_and_exchange(&call->answered, 0, 1);
+}
+
+bool call_answer(struct call *call, int status, enum verdict verdict, struct str reason)
 {
 	const struct dialect *dialect = call->daemon->dialect;
 	struct response_head head = { .status = answer_status(call, status, verdict) };
 	struct strbuf body = { 0 };
 	char retry[32];
 
+	if (!call_begin_answer(call))
+		return false;
 	call->status = head.status;
 	call->verdict = verdict;
 	g_snprintf(call->reason, sizeof(call->reason), "%.*s", STR_ARG(reason));
@@ -64,4 +71,5 @@
 	strbuf_addf(&body, "%.*s: %.*s\n", STR_ARG(verdict_name(verdict)), STR_ARG(reason));
 	caller_answer(call->caller, &head, strbuf_str(&body));
 	strbuf_clear(&body);
+	return true;
 }
--- a/godwithitchd/attempt.c
+++ b/godwithitchd/attempt.c
@@ -171,7 +171,7 @@
 	struct str verdict_field = attempt->call->daemon->dialect->verdict;
 	struct response_head *with_verdict;
 
-	if (g_atomic_int_get(&attempt->finished))
+	if (g_atomic_int_get(&attempt->finished) || !call_begin_answer(attempt->call))
 		return;
 	with_verdict = g_memdup2(head, sizeof(*head));
 	if (with_verdict->field_count == FIELDS_MAX)
@@ -198,7 +198,7 @@
 bool attempt_forward_body(struct attempt *attempt, struct str bytes, struct deadline deadline)
 {
 	count_answer(attempt, bytes.len);
-	return !g_atomic_int_get(&attempt->finished) &&
+	return attempt->has_head && !g_atomic_int_get(&attempt->finished) &&
 	       caller_write_wait(attempt->call->caller, bytes, deadline);
 }
 
@@ -218,7 +218,8 @@
 				   clock_now().mono_us - attempt->started_us);
 	traffic_record_answer(node_traffic(attempt->call->daemon->node), attempt->call->route->name,
 			      attempt->answer_bytes);
-	caller_finish(attempt->call->caller, PIPE_DONE);
+	if (attempt->has_head)
+		caller_finish(attempt->call->caller, PIPE_DONE);
 }
 
 /* Reads from a small body, which is in memory completely; each attempt reads it from its start. */
@@ -338,7 +339,7 @@
 {
 	struct caller_call *caller = attempt->call->caller;
 
-	if (g_atomic_int_get(&attempt->finished))
+	if (g_atomic_int_get(&attempt->finished) || !attempt->has_head)
 		return;
 	count_answer(attempt, bytes.len);
 	if (caller_buffered_bytes(caller) + bytes.len <= 2 * STREAM_WINDOW) {
--- a/godwithitchd/calls.h
+++ b/godwithitchd/calls.h
@@ -36,9 +36,10 @@
 	struct deadline objective; /* time by which the answer is due; 0: none is stated */
 	bool retried;		   /* the caller was refused before */
 	struct placement placement;
-	int offers;   /* offers to nodes */
-	int attempts; /* failed attempts, without refusals by nodes */
-	int status;   /* status of the answer, for the counters */
+	gint answered; /* atomic: the call has its answer, or the head of one */
+	int offers;    /* offers to nodes */
+	int attempts;  /* failed attempts, without refusals by nodes */
+	int status;    /* status of the answer, for the counters */
 	enum verdict verdict;
 	uint64_t last_target;
 	char reason[64];	/* reason of a generated answer */
@@ -99,9 +100,12 @@
 
 /**
  * Sends a generated answer with @p reason in its body, and calls call_end_claim(). The dialect's
- * status replaces @p status for VERDICT_MAY_HAVE_RUN.
+ * status replaces @p status for VERDICT_MAY_HAVE_RUN. Returns false if the caller has an answer
+ * already: a call may expire on one worker while it is refused on another.
  */
-void call_answer(struct call *call, int status, enum verdict verdict, struct str reason);
+bool call_answer(struct call *call, int status, enum verdict verdict, struct str reason);
+/** Returns true once: to the code that answers the call. */
+bool call_begin_answer(struct call *call);
 
 /* keys.c */
 
--- a/godwithitchd/expiry.c
+++ b/godwithitchd/expiry.c
@@ -49,22 +49,18 @@
 static void expire_call(struct call *call)
 {
 	struct attempt *attempt;
-	bool has_head;
 
 	lock_acquire(&call->lock);
 	call->abandoned = true;
 	attempt = call->current;
 	call->current = NULL;
 	lock_release(&call->lock);
-	has_head = attempt && attempt->has_head;
 	if (attempt)
 		attempt_cancel(attempt);
 	attempt_unref(attempt);
-	if (has_head)
+	if (!call_answer(call, STATUS_TIMEOUT, VERDICT_MAY_HAVE_RUN,
+			 STR("no answer before the deadline")))
 		caller_finish(call->caller, PIPE_FAILED);
-	else
-		call_answer(call, STATUS_TIMEOUT, VERDICT_MAY_HAVE_RUN,
-			    STR("no answer before the deadline"));
 }
 
 void calls_tick(struct daemon *daemon, struct instant now)
--- a/godwithitchd/keys.c
+++ b/godwithitchd/keys.c
@@ -59,6 +59,8 @@
 {
 	struct response_head head = { .status = status, .field_count = 2 };
 
+	if (!call_begin_answer(call))
+		return;
 	call->status = status;
 	head.fields[0] = (struct field){ STR("Godwithitch-Verdict"), verdict_name(VERDICT_RAN) };
 	head.fields[1] = (struct field){ STR("Godwithitch-Replayed"), STR("true") };
--- a/regress/caller/connection_test.c
+++ b/regress/caller/connection_test.c
@@ -233,6 +233,31 @@
 	close(fd);
 }
 
+/* A call may expire on one worker while another one forwards the head of its answer: the generated
+ * body was sent under that head, and the rest of the answer was missing. */
+static void test_second_answer_to_a_call_is_dropped(void **state)
+{
+	struct response_head whole = { .status = 200, .body_length = 5 };
+	struct response_head late = { .status = 504 };
+	int fd = connect_to_caller();
+	struct caller_call *call;
+	struct strbuf answers;
+
+	(void)state;
+	send_text(fd, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+	call = wait_for_call(0);
+	assert_true(caller_write_head(call, &whole));
+	assert_false(caller_answer(call, &late, STR("late")));
+	assert_false(caller_write_head(call, &late));
+	caller_write(call, STR("whole"));
+	caller_finish(call, PIPE_DONE);
+	answers = read_answers(fd, ANSWER_WAIT_MS);
+	assert_non_null(strstr(answers.data, "Content-Length: 5\r\n\r\nwhole"));
+	assert_null(strstr(answers.data, "late"));
+	strbuf_clear(&answers);
+	close(fd);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -240,6 +265,8 @@
 						set_up, tear_down),
 		cmocka_unit_test_setup_teardown(test_trailers_leave_the_head_unchanged, set_up,
 						tear_down),
+		cmocka_unit_test_setup_teardown(test_second_answer_to_a_call_is_dropped, set_up,
+						tear_down),
 	};
 
 	apr_initialize();
