A request that was just sent no longer counts as not run when its link closes

Cause: a worker wrote a request without the link's lock and counted its bytes afterwards. When another worker closed the link in between, the stream's verdict was 'not run': the request was offered to another node and ran twice, or its caller was told that it hadn't run.

Change: bytes count when they are taken for the socket, under the lock, and are taken back if the socket did not accept them.

--- a/peer/link.c
+++ b/peer/link.c
@@ -158,6 +158,7 @@
 	}
 	*bytes = link->out;
 	link->out = (struct strbuf){ 0 };
+	link->detached += bytes->len;
 	return true;
 }
 
@@ -165,6 +166,7 @@
 static void requeue_unsent(struct link *link, struct strbuf *bytes, size_t sent)
 {
 	strbuf_consume(bytes, sent);
+	link->detached -= bytes->len;
 	strbuf_add(bytes, strbuf_str(&link->out));
 	strbuf_clear(&link->out);
 	link->out = *bytes;
@@ -187,7 +189,6 @@
 		ok = send_available(link, &bytes, &sent);
 		lock_acquire(&link->lock);
 		full = sent < bytes.len;
-		link->written += sent;
 		if (full)
 			requeue_unsent(link, &bytes, sent);
 		strbuf_clear(&bytes);
@@ -298,10 +299,16 @@
 			  WATCH_WRITE);
 }
 
-/* The request may have run if its full head was written. */
-static enum verdict lost_verdict(const struct link *link, const struct stream_entry *entry)
+/* The request may have run if its full head was passed to the socket, or is being passed to it by
+ * another worker now. */
+static enum verdict lost_verdict(struct link *link, const struct stream_entry *entry)
 {
-	return link->written >= entry->request_end ? VERDICT_MAY_HAVE_RUN : VERDICT_NOT_RUN;
+	uint64_t detached;
+
+	lock_acquire(&link->lock);
+	detached = link->detached;
+	lock_release(&link->lock);
+	return detached >= entry->request_end ? VERDICT_MAY_HAVE_RUN : VERDICT_NOT_RUN;
 }
 
 void link_release_owner(struct link *link, struct stream_owner *owner)
--- a/peer/link.h
+++ b/peer/link.h
@@ -45,7 +45,7 @@
 	struct strbuf out;
 	bool writing;
 	uint64_t queued;     /* total bytes appended to out */
-	uint64_t written;    /* total bytes written to the socket */
+	uint64_t detached;   /* total bytes taken from out for the socket and not put back */
 	GHashTable *streams; /* id -> struct stream_entry */
 	uint64_t next_stream;
 	int64_t received_at_us; /* monotonic; last read */
--- /dev/null
+++ b/regress/peer/link_test.c
@@ -0,0 +1,160 @@
+/* Tests of links: verdicts of lost streams, and frames of a peer that breaks the protocol. */
+#include "regress/lib/check.h"
+
+#include <apr_general.h>
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "core/member.h"
+#include "peer/link.h"
+
+enum { LOOPBACK = 0x7f000001, FLEET = 7, RACES = 4000, CLOSE_WAIT_MS = 3000 };
+
+struct owner {
+	struct stream_owner base; /* must be first: events point to it */
+	gint lost;
+	enum verdict verdict;
+};
+
+static apr_pool_t *pool;
+static struct workers *workers;
+static struct peers *peers;
+static struct owner accepted;
+
+static void on_peer(void *context, struct peer_event *event)
+{
+	struct owner *owner = (struct owner *)event->owner;
+
+	(void)context;
+	if (event->kind == PEER_REQUEST) {
+		g_atomic_int_inc(&accepted.base.refs);
+		event->request.owner = &accepted.base;
+	} else if (event->kind == PEER_LOST) {
+		owner->verdict = event->verdict;
+		g_atomic_int_set(&owner->lost, 1);
+	} else if (event->kind == PEER_RELEASED) {
+		g_atomic_int_add(&owner->base.refs, -1);
+	}
+}
+
+static void on_work(void *context, const struct work *work, int ready)
+{
+	(void)context;
+	(void)ready;
+	if (work->kind == WORK_PEER_LISTEN)
+		peers_on_listen(peers);
+	else if (work->kind == WORK_LINK_READ)
+		peers_on_link_read(peers, work->data);
+	else if (work->kind == WORK_LINK_WRITE)
+		peers_on_link_write(peers, work->data);
+}
+
+static int set_up(void **state)
+{
+	struct workers_options pool_options = { .threads = 2, .queue_max = 64, .handle = on_work };
+	struct peers_options options = { .self = member_id(LOOPBACK, 0),
+					 .fleet = FLEET,
+					 .ranges = { { LOOPBACK, 8 } },
+					 .range_count = 1,
+					 .handle = on_peer };
+
+	(void)state;
+	accepted = (struct owner){ .base.refs = 1 };
+	apr_pool_create(&pool, NULL);
+	workers = workers_new(&pool_options, pool, NULL);
+	options.workers = workers;
+	peers = peers_new(&options, pool, NULL);
+	assert_non_null(peers);
+	peers_start(peers);
+	workers_start(workers);
+	return 0;
+}
+
+static int tear_down(void **state)
+{
+	(void)state;
+	workers_stop(workers);
+	peers_free(peers);
+	workers_free(workers);
+	apr_pool_destroy(pool);
+	return 0;
+}
+
+static struct request_head request_head(void)
+{
+	return (struct request_head){ .method = STR("POST"), .target = STR("/") };
+}
+
+struct race {
+	struct link *link;
+	gint ready;
+};
+
+static gpointer close_link(gpointer data)
+{
+	struct race *race = data;
+
+	while (!g_atomic_int_get(&race->ready))
+		;
+	link_close(race->link);
+	return NULL;
+}
+
+/* Returns whether the peer received a complete request. */
+static bool received_request(int fd)
+{
+	char bytes[4096];
+	ssize_t n = recv(fd, bytes, sizeof(bytes), MSG_DONTWAIT);
+	struct frame frame;
+	size_t used;
+
+	return n > 0 &&
+	       wire_read_frame((struct str){ bytes, (size_t)n }, &frame, &used) == WIRE_FRAME;
+}
+
+/*
+ * A worker closes the link while another one has written a request but not yet counted its bytes.
+ * The request counted as not sent, was offered to another node, and ran twice.
+ */
+static void test_request_that_was_sent_may_have_run(void **state)
+{
+	(void)state;
+	for (int i = 0; i < RACES; i++) {
+		struct owner owner = { .base.refs = 1 };
+		struct request_head head = request_head();
+		struct race race = { 0 };
+		struct stream stream = { 0 };
+		GThread *thread;
+		int fds[2];
+
+		assert_int_equal(socketpair(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0, fds), 0);
+		race.link = link_new(peers, fds[0], true, LINK_OPEN);
+		thread = g_thread_new("close", close_link, &race);
+		g_atomic_int_set(&race.ready, 1);
+		for (int spin = 0; spin < i % 64 * 8; spin++)
+			g_atomic_int_get(&race.ready);
+		link_open(race.link, &owner.base, &head, NULL, &stream);
+		g_thread_join(thread);
+		if (g_atomic_int_get(&owner.lost) && owner.verdict == VERDICT_NOT_RUN &&
+		    received_request(fds[1]))
+			fail_msg("race %d: a request that was sent counts as not run", i);
+		link_unref(stream.link);
+		link_unref(race.link);
+		close(fds[1]);
+	}
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(test_request_that_was_sent_may_have_run, set_up,
+						tear_down),
+	};
+
+	apr_initialize();
+	return cmocka_run_group_tests_name("peer/link", tests, NULL, NULL);
+}
