A reused stream id closes the link

Cause: a second request with the id of an open stream replaced its entry, whose memory holds the table's key: the next frame of that stream read freed memory.

Evidence: test_reused_stream_id_closes_the_link fails on the code before.

--- a/peer/frames.c
+++ b/peer/frames.c
@@ -54,6 +54,16 @@
 	strbuf_clear(&frame);
 }
 
+static bool is_open_stream(struct link *link, uint64_t id)
+{
+	bool open;
+
+	lock_acquire(&link->lock);
+	open = g_hash_table_contains(link->streams, &id);
+	lock_release(&link->lock);
+	return open;
+}
+
 static bool handle_request(struct link *link, const struct frame *frame,
 			   struct admitted_calls *admitted)
 {
@@ -61,7 +71,9 @@
 	struct request_head head = { 0 };
 	struct decoded_head *storage = NULL;
 
-	if (link->outgoing || !wire_get_request(frame->payload, &head, &storage))
+	/* A sender never uses a stream's id again. */
+	if (link->outgoing || is_open_stream(link, frame->stream) ||
+	    !wire_get_request(frame->payload, &head, &storage))
 		return false;
 	event.request.link = link;
 	event.request.stream = frame->stream;
--- a/regress/peer/link_test.c
+++ b/regress/peer/link_test.c
@@ -148,11 +148,48 @@
 	}
 }
 
+static int connect_as_node(void)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET,
+				       .sin_port = htons(member_port(peers_self(peers))),
+				       .sin_addr.s_addr = htonl(LOOPBACK) };
+	struct strbuf frames = { 0 };
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	assert_int_equal(connect(fd, (struct sockaddr *)&address, sizeof(address)), 0);
+	wire_put_tagged(&frames, FRAME_HELLO, member_id(LOOPBACK, 1), FLEET, STR(""));
+	assert_int_equal(send(fd, frames.data, frames.len, 0), frames.len);
+	strbuf_clear(&frames);
+	return fd;
+}
+
+/* A second request with the id of an open stream replaced the first one's entry, whose key was
+ * freed with it: the next frame of that stream read freed memory. */
+static void test_reused_stream_id_closes_the_link(void **state)
+{
+	struct request_head head = request_head();
+	struct strbuf frames = { 0 };
+	int fd = connect_as_node();
+	struct pollfd poll_fd = { .fd = fd, .events = POLLIN };
+	char byte;
+
+	(void)state;
+	wire_put_request(&frames, 5, &head);
+	wire_put_request(&frames, 5, &head);
+	assert_int_equal(send(fd, frames.data, frames.len, 0), frames.len);
+	assert_int_equal(poll(&poll_fd, 1, CLOSE_WAIT_MS), 1);
+	assert_true(recv(fd, &byte, 1, 0) <= 0);
+	strbuf_clear(&frames);
+	close(fd);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test_setup_teardown(test_request_that_was_sent_may_have_run, set_up,
 						tear_down),
+		cmocka_unit_test_setup_teardown(test_reused_stream_id_closes_the_link, set_up,
+						tear_down),
 	};
 
 	apr_initialize();
