An answer needs the id of its request, a refusal too

Cause: an answer without an id was taken for the next request's, and fields beyond the 64th were dropped without a word, the id among them. A faulty target that sent an earlier refusal once more on a kept connection made the node tell 'not run' for a request that the target was running.

Also: curl repeats an idempotent request in silence when a kept connection ends; if the second connection was refused, the verdict was 'not run' although the first may have run it. It is now 'not run' only if nothing was sent.

--- a/target/call.c
+++ b/target/call.c
@@ -48,6 +48,7 @@
 	bool head_delivered;
 	bool aborted;
 	bool answer_mismatched; /* the answer is not the target's answer to this request */
+	bool fields_cut;	/* the answer has more fields than fit */
 	int64_t started_us;
 	int64_t head_us;
 };
@@ -148,7 +149,8 @@
 }
 
 /* Returns whether the answer belongs to the request and, if it is a success, carries the target's
- * signature (where the interface has one). */
+ * signature (where the interface has one). A target may send an earlier answer once more: without
+ * the id of this request, even a refusal says nothing about it. */
 static bool answer_matches(const struct call *call)
 {
 	const struct response_head *head = &call->head;
@@ -157,7 +159,7 @@
 	struct str request_id = field_value(request->fields, request->field_count, name);
 	struct str answer_id = field_value(head->fields, head->field_count, name);
 
-	if (request_id.len && answer_id.len && !str_equal(request_id, answer_id))
+	if (call->fields_cut || (request_id.len && !str_equal(request_id, answer_id)))
 		return false;
 	if (call->dialect->signature.len == 0 || head->status >= STATUS_REDIRECT)
 		return true;
@@ -212,9 +214,12 @@
 	value = trim(value);
 	if (str_equal_nocase(name, STR("content-length")))
 		str_to_int64(value, &call->head.body_length);
-	if (name.len == 0 || index >= FIELDS_MAX || is_hop_by_hop_field(name) ||
+	if (name.len == 0 || is_hop_by_hop_field(name) ||
 	    str_equal_nocase(name, STR("content-length")))
 		return;
+	call->fields_cut |= index >= FIELDS_MAX;
+	if (call->fields_cut)
+		return;
 	strbuf_add(&call->field_text, name);
 	strbuf_add(&call->field_text, value);
 	call->name_lens[index] = name.len;
@@ -231,6 +236,7 @@
 	str_to_int64(str_sub(trim(rest), 0, 3), &status);
 	call->head = (struct response_head){ .status = (int)status, .body_length = -1 };
 	call->field_text.len = 0;
+	call->fields_cut = false;
 }
 
 /* Adds one line of the head. An empty line ends it, except after an interim (1xx) head. Returning
@@ -425,7 +431,7 @@
 	} else if (call->aborted) {
 		/* The caller disconnected, which doesn't count against the target. */
 		result.outcome = TARGET_SHED;
-	} else if (code == CURLE_COULDNT_CONNECT || (sent == 0 && !call->head_delivered)) {
+	} else if (sent == 0 && !call->head_delivered) {
 		result.outcome = TARGET_UNREACHED;
 		result.verdict = VERDICT_NOT_RUN;
 	} else if (code == CURLE_OPERATION_TIMEDOUT) {
