Requests that may run once use kept connections too

Change: what is forbidden is the repeat. Such a request uses only a connection that was answered on within the last 200 ms, that is quiet, and whose target sent no stray bytes in the last ten seconds; a handle keeps one connection, so that it is known which one is used.

--- a/regress/target/answers_test.c
+++ b/regress/target/answers_test.c
@@ -199,10 +199,24 @@
 	apr_pool_destroy(pool);
 }
 
+/* A request that may run only once uses a kept connection, but curl's silent repeat on a new one is
+ * refused: the target may have run it. */
+static void test_request_that_may_run_once_is_not_repeated(void **state)
+{
+	apr_pool_t *pool;
+
+	(void)state;
+	apr_pool_create(&pool, NULL);
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++)
+		check_case(&cases[i], false, pool);
+	apr_pool_destroy(pool);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_answers_on_kept_connections),
+		cmocka_unit_test(test_request_that_may_run_once_is_not_repeated),
 	};
 
 	apr_initialize();
--- a/target/call.c
+++ b/target/call.c
@@ -21,11 +21,18 @@
 	STATUS_TOO_MANY = 429,
 };
 
+/* A request that may run only once uses a kept connection this long after its last answer at most:
+ * later the target may be closing it. */
+#define ONCE_REUSE_US (200 * US_PER_MS)
+/* After bytes that belong to no request, such requests get new connections for this long. */
+#define SUSPICIOUS_US (10 * US_PER_S)
+
 struct target {
 	const struct dialect *dialect;
-	struct lock lock; /* LOCK_TARGET; guards idle and endpoint */
+	struct lock lock; /* LOCK_TARGET; guards the members below */
 	apr_pool_t *pool;
-	GPtrArray *idle; /* struct handle */
+	GPtrArray *idle; /* struct handle; the one used last is at the end */
+	struct deadline suspicious_until;
 	struct target_endpoint endpoint;
 };
 
@@ -34,6 +41,7 @@
 	CURL *curl;
 	CURLM *multi;
 	curl_socket_t fd; /* connection of the last call; CURL_SOCKET_BAD if it did not end well */
+	struct deadline once_until; /* see ONCE_REUSE_US */
 };
 
 /* A running call. */
@@ -49,6 +57,7 @@
 	bool aborted;
 	bool answer_mismatched; /* the answer is not the target's answer to this request */
 	bool fields_cut;	/* the answer has more fields than fit */
+	CURL *curl;
 	int64_t started_us;
 	int64_t head_us;
 };
@@ -285,6 +294,8 @@
 	handle->curl = curl_easy_init();
 	handle->multi = curl_multi_init();
 	handle->fd = CURL_SOCKET_BAD;
+	/* With one connection at most it is known which one a call reuses. */
+	curl_multi_setopt(handle->multi, CURLMOPT_MAXCONNECTS, 1L);
 	return handle;
 }
 
@@ -306,10 +317,15 @@
 	return handle ? handle : handle_new();
 }
 
-static void release_handle(struct target *target, struct handle *handle)
+static void release_handle(struct target *target, struct handle *handle, bool mismatched)
 {
+	struct instant now = clock_now();
+
 	curl_easy_reset(handle->curl);
+	handle->once_until = deadline_after(now, ONCE_REUSE_US);
 	lock_acquire(&target->lock);
+	if (mismatched)
+		target->suspicious_until = deadline_after(now, SUSPICIOUS_US);
 	g_ptr_array_add(target->idle, handle);
 	lock_release(&target->lock);
 }
@@ -327,7 +343,7 @@
 	lock_acquire(&target->lock);
 	for (guint i = target->idle->len; i-- > 0;)
 		if (!is_reusable(g_ptr_array_index(target->idle, i)))
-			g_ptr_array_add(stray, g_ptr_array_steal_index_fast(target->idle, i));
+			g_ptr_array_add(stray, g_ptr_array_steal_index(target->idle, i));
 	lock_release(&target->lock);
 	g_ptr_array_unref(stray);
 }
@@ -402,9 +418,40 @@
 	curl_easy_setopt(curl, CURLOPT_READDATA, call);
 }
 
-static void set_limits(CURL *curl, const struct target_call_options *options)
+/* Refuses a second connection once bytes of the request were sent: curl repeats a request in
+ * silence when a kept connection ends without an answer. */
+static curl_socket_t open_unless_sent(void *context, curlsocktype purpose,
+				      struct curl_sockaddr *address)
+{
+	const struct call *call = context;
+	long sent = 0;
+
+	(void)purpose;
+	curl_easy_getinfo(call->curl, CURLINFO_REQUEST_SIZE, &sent);
+	if (sent > 0)
+		return CURL_SOCKET_BAD;
+	return socket(address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
+}
+
+/* Returns whether the kept connection may carry a request that may run only once. */
+static bool serves_once(struct target *target, const struct handle *handle)
 {
+	struct instant now = clock_now();
+	bool suspicious;
+
+	lock_acquire(&target->lock);
+	suspicious =
+		target->suspicious_until.at_us && !deadline_passed(target->suspicious_until, now);
+	lock_release(&target->lock);
+	return !suspicious && handle->fd != CURL_SOCKET_BAD &&
+	       !deadline_passed(handle->once_until, now) && socket_is_quiet(handle->fd);
+}
+
+static void set_limits(struct target *target, struct handle *handle, struct call *call)
+{
+	const struct target_call_options *options = call->options;
 	int64_t remaining_us = deadline_remaining_us(options->deadline, clock_now());
+	CURL *curl = handle->curl;
 
 	curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(curl, CURLOPT_TCP_NODELAY, 1L);
@@ -412,9 +459,11 @@
 	curl_easy_setopt(curl, CURLOPT_CONNECTTIMEOUT_MS, (long)CONNECT_TIMEOUT_MS);
 	if (remaining_us != INT64_MAX)
 		curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, (long)(remaining_us / US_PER_MS) + 1);
-	/* curl repeats a request when a reused connection ends without an answer. The request may
-	 * then run twice, so only idempotent ones reuse connections. */
-	if (!options->head->idempotent)
+	if (options->head->idempotent)
+		return;
+	curl_easy_setopt(curl, CURLOPT_OPENSOCKETFUNCTION, open_unless_sent);
+	curl_easy_setopt(curl, CURLOPT_OPENSOCKETDATA, call);
+	if (!serves_once(target, handle))
 		curl_easy_setopt(curl, CURLOPT_FRESH_CONNECT, 1L);
 }
 
@@ -525,18 +574,19 @@
 	struct target_result result;
 	CURLcode code;
 
+	call.curl = curl;
 	curl_easy_setopt(curl, CURLOPT_URL, url);
 	curl_easy_setopt(curl, CURLOPT_HTTPHEADER, fields);
 	set_method(curl, options->head, options->has_body, method);
 	set_callbacks(curl, &call);
-	set_limits(curl, options);
+	set_limits(target, handle, &call);
 	code = perform_transfer(handle, &call);
 	result = make_result(&call, curl, code);
 	result.misdirected = target->dialect->misdirected_status &&
 			     call.head.status == target->dialect->misdirected_status;
 	if (code == CURLE_OK && !deliver_head(&call))
 		result.complete = false;
-	release_handle(target, handle);
+	release_handle(target, handle, call.answer_mismatched);
 	curl_slist_free_all(fields);
 	strbuf_clear(&call.field_text);
 	g_free(method);
