A rejected head is answered when it arrives alone

Cause: the callback of the parser returned 1 for a body that is too large, which means 'no body' to the parser and not an error. If the body's first bytes were in the same segment they failed to parse, and the 413 was sent; if the head arrived alone, nothing was.

--- a/caller/read.c
+++ b/caller/read.c
@@ -9,6 +9,7 @@
 	STATUS_BAD_REQUEST = 400,
 	STATUS_TOO_LARGE = 413,
 	STATUS_HEAD_TOO_LARGE = 431,
+	HEAD_REJECTED = -1, /* ends parsing; 1 and 2 have other meanings for the parser */
 };
 
 static struct connection *connection_of(const struct http_parser *parser)
@@ -140,11 +141,11 @@
 	input->head_complete = true;
 	if (parser->upgrade) {
 		input->error_status = STATUS_BAD_REQUEST;
-		return 1;
+		return HEAD_REJECTED;
 	}
 	if (call->body_length > caller_options_of(connection->caller)->body_max) {
 		input->error_status = STATUS_TOO_LARGE;
-		return 1;
+		return HEAD_REJECTED;
 	}
 	if (call->body_length < 0 || call->body_length > SMALL_BODY_BYTES)
 		call->upload = pipe_new(UPLOAD_LIMIT_BYTES, call->pool);
--- a/regress/caller/connection_test.c
+++ b/regress/caller/connection_test.c
@@ -258,6 +258,21 @@
 	close(fd);
 }
 
+/* The parser took the result of a rejected head for "no body": if the head arrived alone, no answer
+ * was sent, and the caller waited for one until it gave up. */
+static void test_oversized_body_is_rejected_before_it_arrives(void **state)
+{
+	int fd = connect_to_caller();
+	struct strbuf answers;
+
+	(void)state;
+	send_text(fd, "POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 9999999\r\n\r\n");
+	answers = read_answers(fd, ANSWER_WAIT_MS);
+	assert_non_null(strstr(answers.data, "HTTP/1.1 413"));
+	strbuf_clear(&answers);
+	close(fd);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -265,6 +280,8 @@
 						set_up, tear_down),
 		cmocka_unit_test_setup_teardown(test_trailers_leave_the_head_unchanged, set_up,
 						tear_down),
+		cmocka_unit_test_setup_teardown(test_oversized_body_is_rejected_before_it_arrives,
+						set_up, tear_down),
 		cmocka_unit_test_setup_teardown(test_second_answer_to_a_call_is_dropped, set_up,
 						tear_down),
 	};
