A refused retry does not hide that an earlier attempt may have run

Cause: after an attempt whose answer was lost, the retry of an idempotent call found no target, and the caller was told 'not run'.

Evidence: test_refused_retry_of_a_lost_call_may_have_run got not-run on the code before.

--- a/godwithitchd/answer.c
+++ b/godwithitchd/answer.c
@@ -49,12 +49,16 @@
 bool call_answer(struct call *call, int status, enum verdict verdict, struct str reason)
 {
 	const struct dialect *dialect = call->daemon->dialect;
-	struct response_head head = { .status = answer_status(call, status, verdict) };
+	struct response_head head = { 0 };
 	struct strbuf body = { 0 };
 	char retry[32];
 
 	if (!call_begin_answer(call))
 		return false;
+	/* A refusal of the last attempt says nothing about an earlier one. */
+	if (verdict == VERDICT_NOT_RUN && call->may_have_run_count)
+		verdict = VERDICT_MAY_HAVE_RUN;
+	head.status = answer_status(call, status, verdict);
 	call->status = head.status;
 	call->verdict = verdict;
 	g_snprintf(call->reason, sizeof(call->reason), "%.*s", STR_ARG(reason));
--- a/regress/godwithitchd/losses_test.c
+++ b/regress/godwithitchd/losses_test.c
@@ -81,6 +81,21 @@
 	assert_int_equal(process_wait(&fleet->nodes[1].target, 5000), 3);
 }
 
+/* The only target crashes while it runs a read. The retry finds no other one; its refusal does not
+ * mean that the request has not run. */
+static void test_refused_retry_of_a_lost_call_may_have_run(void **state)
+{
+	struct http_options options = { .timeout_ms = 20000 };
+	struct http_reply reply;
+
+	(void)state;
+	fleet = pair_start("-s registre -v v1");
+	reply = pair_call(0, "/crash", &options);
+	assert_int_equal(reply.status, 503);
+	assert_string_equal(reply.verdict, "may-have-run");
+	http_reply_clear(&reply);
+}
+
 /* A request that crashes every target that runs it is refused by all nodes after two crashes. */
 static void test_a_request_that_crashes_targets_is_refused(void **state)
 {
@@ -264,6 +279,8 @@
 		cmocka_unit_test_teardown(test_stop_completes_running_downloads, pair_stop),
 		cmocka_unit_test_teardown(test_stop_completes_queued_calls, pair_stop),
 		cmocka_unit_test_teardown(test_crashed_write_is_not_retried, pair_stop),
+		cmocka_unit_test_teardown(test_refused_retry_of_a_lost_call_may_have_run,
+					  pair_stop),
 		cmocka_unit_test_teardown(test_a_request_that_crashes_targets_is_refused,
 					  pair_stop),
 		cmocka_unit_test_teardown(test_reads_succeed_during_losses, pair_stop),
