--- a/operator/json.c
+++ b/operator/json.c
@@ -1,5 +1,6 @@
 #include "operator/json.h"
 
+#include <errno.h>
 #include <string.h>
 #include <yajl/yajl_parse.h>
 
@@ -99,21 +100,25 @@
 	return value != NULL;
 }
 
-static int on_integer(void *context, long long integer)
+/* A number that no integer can hold becomes a floating-point one, which may be infinite: it is an
+ * error only for the code that reads it, and not in a field that is ignored. */
+static int on_number(void *context, const char *data, size_t len)
 {
-	struct json *value = add_value(context, JSON_INTEGER);
-
-	if (value)
+	char *text = str_to_cstr((struct str){ data, len });
+	struct json *value;
+	char *end = text;
+	int64_t integer;
+	bool fits;
+
+	errno = 0;
+	integer = g_ascii_strtoll(text, &end, 10);
+	fits = errno == 0 && *end == '\0';
+	value = add_value(context, fits ? JSON_INTEGER : JSON_DOUBLE);
+	if (value && fits)
 		value->integer = integer;
-	return value != NULL;
-}
-
-static int on_double(void *context, double number)
-{
-	struct json *value = add_value(context, JSON_DOUBLE);
-
-	if (value)
-		value->number = number;
+	else if (value)
+		value->number = g_ascii_strtod(text, NULL);
+	g_free(text);
 	return value != NULL;
 }
 
@@ -173,8 +178,7 @@
 static const yajl_callbacks callbacks = {
 	.yajl_null = on_null,
 	.yajl_boolean = on_boolean,
-	.yajl_integer = on_integer,
-	.yajl_double = on_double,
+	.yajl_number = on_number,
 	.yajl_string = on_string,
 	.yajl_start_map = on_start_map,
 	.yajl_map_key = on_key,
@@ -196,7 +200,7 @@
 	yajl_free_error(b->handle, text);
 }
 
-struct json_doc *json_parse(struct str file_name, struct str text, GError **error)
+static struct json_doc *parse(struct str file_name, struct str text, bool any_bytes, GError **error)
 {
 	struct builder b = { .doc = g_new0(struct json_doc, 1), .text = text, .line = 1 };
 	bool valid;
@@ -204,6 +208,7 @@
 	b.doc->file_name = str_dup(file_name);
 	b.handle = yajl_alloc(&callbacks, NULL, &b);
 	yajl_config(b.handle, yajl_allow_comments, 1);
+	yajl_config(b.handle, yajl_dont_validate_strings, any_bytes);
 	valid = yajl_parse(b.handle, (const unsigned char *)text.data, text.len) == yajl_status_ok;
 	if (valid) {
 		/* Errors of yajl_complete_parse() are reported at the last line of the text. */
@@ -220,6 +225,16 @@
 	return NULL;
 }
 
+struct json_doc *json_parse(struct str file_name, struct str text, GError **error)
+{
+	return parse(file_name, text, false, error);
+}
+
+struct json_doc *json_parse_any_bytes(struct str file_name, struct str text)
+{
+	return parse(file_name, text, true, NULL);
+}
+
 void json_free(struct json_doc *doc)
 {
 	if (!doc)
--- a/operator/json.h
+++ b/operator/json.h
@@ -48,6 +48,8 @@
 
 /** Parses @p text. Returns NULL and sets @p error if it is not valid JSON. */
 struct json_doc *json_parse(struct str file_name, struct str text, GError **error);
+/** Parses @p text, whose strings may be any bytes, also ones that are no UTF-8. */
+struct json_doc *json_parse_any_bytes(struct str file_name, struct str text);
 void json_free(struct json_doc *doc);
 
 /** Sets @p error to "FILE:LINE: PATH: ..." and returns false. */
--- a/regress/platform/document_test.c
+++ b/regress/platform/document_test.c
@@ -28,6 +28,12 @@
 		    "\"weight\":1}]," TIMES "}") "}",
 	  NULL },
 	{ "unknown fields", "{\"version\":7,\"later\":[1]," SERVICES "," HOSTS(PATH) "}", NULL },
+	{ "numbers too large in unknown fields",
+	  "{\"version\":7,\"later\":99999999999999999999,\"more\":[1e999,-1e999]," SERVICES
+	  "," HOSTS(PATH) "}",
+	  NULL },
+	{ "version too large", "{\"version\":99999999999999999999," SERVICES "," HOSTS(PATH) "}",
+	  "version" },
 	{ "truncated text", "{\"version\":7," SERVICES, "config:1" },
 	{ "no version", "{" SERVICES "," HOSTS(PATH) "}", "\"version\" is missing" },
 	{ "unknown service",
@@ -157,6 +163,22 @@
 		  "9,"
 		  "\"state\":\"ready\",\"warmup_left_s\":1.5,\"sequence\":4,\"born\":77}",
 		  true, ANNOUNCE_UP },
+		{ "numbers too large",
+		  "{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"version\":\"v1\",\"capacity\":"
+		  "9,"
+		  "\"state\":\"ready\",\"warmup_left_s\":1e300,\"sequence\":4,\"later\":1e999}",
+		  true, ANNOUNCE_UP },
+		{ "sequence too large",
+		  "{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"version\":\"v1\",\"capacity\":"
+		  "9,"
+		  "\"state\":\"ready\",\"sequence\":99999999999999999999}",
+		  false, ANNOUNCE_UP },
+		{ "port out of range",
+		  "{\"service\":\"s\",\"address\":\"10.0.0.9:80000\",\"version\":\"v1\","
+		  "\"capacity\":"
+		  "9,"
+		  "\"state\":\"ready\",\"sequence\":4}",
+		  false, ANNOUNCE_UP },
 		{ "draining",
 		  "{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"version\":\"v1\",\"capacity\":"
 		  "9,"
@@ -187,6 +209,10 @@
 
 		if (valid != cases[i].valid || (valid && announcement.kind != cases[i].kind))
 			fail_msg("%s: %d, kind %d", cases[i].name, valid, announcement.kind);
+		/* The end of the slow start is never past the range of times. */
+		if (announcement.slow_start_until.at_us > instant_at_s(3600).mono_us + US_PER_S)
+			fail_msg("%s: slow until %ld", cases[i].name,
+				 announcement.slow_start_until.at_us);
 	}
 }
 
