Other calls leave slots free for nested ones, and hopeless calls are refused

Calls that came back with less time than half of their usual service time were started, and cut by their deadline.

Change: other calls leave as many slots free as nested calls use on average, a third at most. A call with less than half of its usual service time left is refused, at its arrival and in the queue.

Evidence: test_nested_calls_find_a_free_slot and test_call_without_time_left_is_not_started fail on the code before.

--- a/core/admit.c
+++ b/core/admit.c
@@ -14,6 +14,7 @@
 	BULK_SLOT_PERCENT = 50,
 	INITIAL_SERVICE_US = 2000, /* estimate before the first measurement */
 	GROW_AFTER_CALLS = 32,	   /* served calls after a shed one, until one more slot is used */
+	RESERVED_DIVISOR = 3,	   /* at most 1/3 of the slots are reserved for nested calls */
 	LOWER_LANE_DIVISOR = 4,	   /* at least 1/4 of the slots count as free for lower lanes */
 	WARMUP_CALLS = 10,	   /* first served calls, which weigh more in smoothed times */
 };
@@ -27,12 +28,18 @@
 #define ROUTE_SMOOTHING	 0.1
 #define TARGET_SMOOTHING 0.05
 
+/* Time constant of the smoothed number of running nested calls. */
+#define NESTED_SMOOTHING_US (1 * US_PER_S)
+
 #define CONCURRENCY_VALID_US (1 * US_PER_S) /* how long a recorded concurrency is used */
 
 /* A retried call may be served late if its remaining time is at least this many times the time that
  * it is expected to take. */
 #define RETRIED_MARGIN 1.3
 
+/* A call with less than this part of its usual service time left is refused. */
+#define HOPELESS_FRACTION 0.5
+
 /* The queues in order of precedence: one for each class, and one for nested calls. */
 enum lane {
 	LANE_INTERACTIVE,
@@ -75,6 +82,8 @@
 	int slots;
 	int running;
 	int running_of[LANE_COUNT];
+	double nested_running; /* smoothed number of running nested calls */
+	int64_t nested_running_at_us;
 	int queued;
 	int served_since_shed;
 	int concurrency; /* highest number of calls served at once recently */
@@ -204,12 +213,32 @@
 	return limit > 0 ? limit : 1;
 }
 
+/* Samples the number of running nested calls whenever a call starts. */
+static void update_nested_running(struct admit *admit, struct instant now)
+{
+	double elapsed_us = (double)(now.mono_us - admit->nested_running_at_us);
+	double weight = 1 - exp(-elapsed_us / NESTED_SMOOTHING_US);
+
+	admit->nested_running += weight * (admit->running_of[LANE_NESTED] - admit->nested_running);
+	admit->nested_running_at_us = now.mono_us;
+}
+
+/* Returns how many slots other calls leave free for nested ones: as many as those use on average.
+ * Nested calls are short, and would wait for the end of a long one. */
+static int reserved_slots(const struct admit *admit)
+{
+	return MIN((int)admit->nested_running, admit->slots / RESERVED_DIVISOR);
+}
+
 static bool may_run(struct admit *admit, const struct queue_entry *entry)
 {
 	int bulk_limit = (admit->slots * BULK_SLOT_PERCENT + 99) / 100;
+	int others = admit->running - admit->running_of[LANE_NESTED];
 
 	if (admit->running >= admit->slots)
 		return false;
+	if (lane_of(entry) != LANE_NESTED && others >= admit->slots - reserved_slots(admit))
+		return false;
 	if (lane_of(entry) == LANE_BULK && admit->running_of[LANE_BULK] >= bulk_limit)
 		return false;
 	return route_get(admit, &entry->route)->running < route_limit(admit, entry);
@@ -218,6 +247,7 @@
 static void start_call(struct admit *admit, struct tenant_queue *tenant, struct queue_entry *entry,
 		       struct instant now)
 {
+	update_nested_running(admit, now);
 	entry->started_at_us = now.mono_us;
 	entry->running_at_start = admit->running + 1;
 	admit->start_times_sum_us += (double)now.mono_us;
@@ -357,6 +387,15 @@
 	       service_us <= deadline_remaining_us(entry->objective, now);
 }
 
+/* Whether a call has hardly a chance to be answered before its deadline, even if it runs now: its
+ * time at the target would be wasted. Service times vary, so that half of the usual one may do. */
+static bool is_hopeless(struct admit *admit, const struct queue_entry *entry, struct instant now)
+{
+	return admit->served >= WARMUP_CALLS &&
+	       (double)deadline_remaining_us(entry->deadline, now) <
+		       HOPELESS_FRACTION * route_get(admit, &entry->route)->service_us;
+}
+
 static enum admit_result offer(struct admit *admit, struct queue_entry *entry, struct instant now)
 {
 	struct tenant_queue *tenant;
@@ -365,7 +404,7 @@
 
 	if (admit->slots == 0 || admit->closed)
 		return ADMIT_CLOSED;
-	if (deadline_remaining_us(entry->deadline, now) == 0)
+	if (deadline_remaining_us(entry->deadline, now) == 0 || is_hopeless(admit, entry, now))
 		return ADMIT_LATE;
 	tenant = tenant_get(admit, entry);
 	service_us = (int64_t)expected_service_us(admit, entry, now);
@@ -542,15 +581,18 @@
 	return first;
 }
 
-/* Returns a tenant whose first call is to be refused: it expired, or the target takes no calls. */
+/* Returns a tenant whose first call is to be refused: it can't be answered in time, or the target
+ * takes no calls. */
 static struct tenant_queue *first_refused(struct admit *admit, struct lane_queue *lane,
 					  struct instant now)
 {
 	for (GList *at = lane->active.head; at; at = at->next) {
 		struct tenant_queue *tenant = at->data;
 
-		if (admit->slots == 0 || admit->return_queued ||
-		    is_expired(g_queue_peek_head(&tenant->entries), now))
+		const struct queue_entry *head = g_queue_peek_head(&tenant->entries);
+
+		if (admit->slots == 0 || admit->return_queued || is_expired(head, now) ||
+		    is_hopeless(admit, head, now))
 			return tenant;
 	}
 	return NULL;
--- a/regress/core/load_test.c
+++ b/regress/core/load_test.c
@@ -183,6 +183,63 @@
 	assert_ptr_equal(dispatch.entry, late);
 }
 
+/* In trouble-1 of Lanhua's grown site, reads came back with 80 ms left, ran for that time of their
+ * usual 130, and were cut by their deadline. */
+static void test_call_without_time_left_is_not_started(void **state)
+{
+	struct admit *admit = warm_admit();
+	struct queue_entry *hopeless = entry_new(CLASS_BACKGROUND, 1, 0.5, 0.04);
+	struct queue_entry *hopeful = entry_new(CLASS_BACKGROUND, 1, 0.5, 0.07);
+	struct queue_entry *queued = entry_new(CLASS_STANDARD, 1, 0.39, 0.4);
+	struct queue_entry *running;
+	struct admit_dispatch dispatch;
+
+	(void)state;
+	queued->nested = true;
+	assert_int_equal(admit_offer(admit, hopeless, instant_at_s(1)), ADMIT_LATE);
+	assert_int_equal(admit_offer(admit, hopeful, instant_at_s(1)), ADMIT_RUN);
+	admit_done(admit, hopeful, SLOT_UNMEASURED, 0);
+	running = fill_slots(admit, 1);
+	assert_int_equal(admit_offer(admit, queued, instant_at_s(1)), ADMIT_QUEUED);
+	admit_done(admit, running, SLOT_UNMEASURED, 0);
+	dispatch = admit_next(admit, instant_at_s(1.37));
+	assert_int_equal(dispatch.kind, DISPATCH_LATE);
+	assert_ptr_equal(dispatch.entry, queued);
+}
+
+/* Nested calls are short. Behind six calls of 160 ms each waited 27 ms for a slot, and the slot of
+ * the call that waits for it was taken as long: other calls leave free what they use on average. */
+static void test_nested_calls_find_a_free_slot(void **state)
+{
+	struct admit *admit = warm_admit();
+	double now_s = 1;
+	int others = 0;
+
+	(void)state;
+	for (int i = 0; i < 60; i++, now_s += 0.05) {
+		struct queue_entry *nested = entry_new(CLASS_STANDARD, now_s, 0.3, 0.4);
+		struct queue_entry *second = entry_new(CLASS_STANDARD, now_s, 0.3, 0.4);
+		struct queue_entry *third = entry_new(CLASS_BACKGROUND, now_s, 0.3, 0.4);
+
+		nested->nested = true;
+		second->nested = true;
+		assert_int_equal(admit_offer(admit, nested, instant_at_s(now_s)), ADMIT_RUN);
+		assert_int_equal(admit_offer(admit, second, instant_at_s(now_s)), ADMIT_RUN);
+		assert_int_equal(admit_offer(admit, third, instant_at_s(now_s + 0.04)), ADMIT_RUN);
+		admit_done(admit, nested, SLOT_SERVED, 50 * US_PER_MS);
+		admit_done(admit, second, SLOT_SERVED, 50 * US_PER_MS);
+		admit_done(admit, third, SLOT_SERVED, 10 * US_PER_MS);
+	}
+	for (int i = 0; i < SLOTS; i++) {
+		struct queue_entry *other = entry_new(CLASS_BACKGROUND, now_s, 1, 2);
+
+		other->no_queue = true;
+		others += admit_offer(admit, other, instant_at_s(now_s)) == ADMIT_RUN;
+	}
+	assert_int_equal(others, SLOTS - 1);
+	assert_int_equal(admit_count(admit, instant_at_s(now_s)).running, SLOTS - 1);
+}
+
 /* A late call that waits until its deadline costs its caller more than an early refusal. */
 static void test_late_queue_is_bounded(void **state)
 {
@@ -463,6 +520,8 @@
 		cmocka_unit_test(test_full_data_centres_get_one_offer),
 		cmocka_unit_test(test_nested_call_precedes_longer_calls_of_its_class),
 		cmocka_unit_test(test_late_call_that_can_not_be_served_is_refused_at_once),
+		cmocka_unit_test(test_call_without_time_left_is_not_started),
+		cmocka_unit_test(test_nested_calls_find_a_free_slot),
 		cmocka_unit_test(test_late_call_is_not_offered_further),
 		cmocka_unit_test(test_call_queues_at_first_target_where_round_trips_take_long),
 		cmocka_unit_test(test_retry_has_elapsed_time),
