At the first start few nodes list the fleet and read the configuration

A node that starts later still reads at once: it takes calls sooner.

Evidence: test_few_nodes_read_the_log_at_the_first_start (all at once on the code before).

--- a/core/member.c
+++ b/core/member.c
@@ -440,6 +440,24 @@
 	return count;
 }
 
+int members_joining(struct members *members, struct rng *rng, uint64_t *out, int max)
+{
+	int count = 0;
+	guint start;
+
+	lock_acquire(&members->lock);
+	start = (guint)rng_below(rng, members->all->len);
+	for (guint i = 0; i < members->all->len && count < max; i++) {
+		const struct peer *peer =
+			g_ptr_array_index(members->all, (start + i) % members->all->len);
+
+		if (peer->record.state == MEMBER_JOINING && peer->record.id != members->self)
+			out[count++] = peer->record.id;
+	}
+	lock_release(&members->lock);
+	return count;
+}
+
 uint64_t members_random_dead(struct members *members, struct rng *rng)
 {
 	uint64_t id = 0;
--- a/core/member.h
+++ b/core/member.h
@@ -90,6 +90,8 @@
 
 /** Draws up to @p max other live members, if @p local only those of the own data centre. */
 int members_random(struct members *members, struct rng *rng, bool local, uint64_t *out, int max);
+/** Draws up to @p max members that are joining, in random order. */
+int members_joining(struct members *members, struct rng *rng, uint64_t *out, int max);
 /** Returns a random dead member, to detect a healed partition; 0 if there is none. */
 uint64_t members_random_dead(struct members *members, struct rng *rng);
 /** Returns the next member to probe, in a shuffled round; 0 if there is none. */
--- a/core/node.c
+++ b/core/node.c
@@ -1,4 +1,5 @@
 #include "core/node_parts.h"
+#include "core/startup.h"
 
 #define SUSPECT_TIMEOUT_US (4 * US_PER_S)
 /* Dead members are remembered for longer than partitions between regions last, so that nodes find
@@ -10,10 +11,18 @@
 #define APPLY_WITHIN_DEFAULT_US (8 * US_PER_S)
 enum { READERS_DEFAULT = 2, READERS_MAX = 16 };
 
+/* When all nodes start at once, the delay keeps them from reading the log at the same time. */
+static int64_t boot_log_delay_us(struct node *node)
+{
+	if (node->options.seed_count)
+		return BOOT_LOG_DELAY_US +
+		       (int64_t)rng_below(&node->gossip.rng, BOOT_LOG_JITTER_US);
+	return node->options.first_start ? startup_log_delay_us(&node->gossip.rng) : 0;
+}
+
 static void gossip_init(struct node *node, struct instant now)
 {
 	struct gossip_state *gossip = &node->gossip;
-	uint64_t jitter_us;
 
 	lock_init(&gossip->lock, LOCK_GOSSIP, node->pool);
 	gossip->rng.state = node->options.seed ^ rng_mix(node->options.id);
@@ -27,10 +36,7 @@
 	gossip->boot.started_us = now.mono_us;
 	gossip->boot.ping_at =
 		now.mono_us ? (struct deadline){ now.mono_us } : (struct deadline){ 1 };
-	/* When all nodes restart, the jitter keeps them from reading the log at the same time. */
-	jitter_us = node->options.seed_count ? rng_below(&gossip->rng, BOOT_LOG_JITTER_US) : 0;
-	gossip->boot.log_at = deadline_after(
-		now, node->options.seed_count ? BOOT_LOG_DELAY_US + (int64_t)jitter_us : 0);
+	gossip->boot.log_at = deadline_after(now, boot_log_delay_us(node));
 	gossip->moves_at = deadline_after(now, MOVES_TICK_US);
 	gossip->round_at = deadline_after(now, (int64_t)rng_below(&gossip->rng, ROUND_US));
 	gossip->flush_at = deadline_after(now, (int64_t)rng_below(&gossip->rng, FLUSH_US));
--- a/core/node.h
+++ b/core/node.h
@@ -20,7 +20,8 @@
 	uint64_t seed;	       /**< seed of the random numbers */
 	const uint64_t *seeds; /**< ids of nodes to contact at start; copied */
 	int seed_count;
-	int readers;		  /**< nodes per data centre that read the log; default 2 */
+	bool first_start; /**< the whole fleet starts for the first time: see core/startup.h */
+	int readers;	  /**< nodes per data centre that read the log; default 2 */
 	int64_t log_retention_us; /**< retention of records in the log; default 1 hour */
 	/** Time in which an acknowledged change is in force on each node that reaches the log;
 	 *  default 8 s. */
--- a/core/node_config.c
+++ b/core/node_config.c
@@ -608,7 +608,7 @@
 		pull_from(node, peer, newest, now, out);
 }
 
-void config_set_current(struct node *node, struct actions *out)
+void config_set_current(struct node *node, struct instant now, struct actions *out)
 {
 	struct member self = members_self(node->members);
 
@@ -621,6 +621,7 @@
 		return;
 	self.state = MEMBER_ALIVE;
 	fleet_update_self(node, &self, 0, out);
+	fleet_ping_joining(node, now, out);
 }
 
 enum boot_step { BOOT_WAIT, BOOT_PING_SEEDS, BOOT_READ_LOG, BOOT_FINISH };
@@ -678,7 +679,7 @@
 		fleet_ping_seeds(node, BOOT_SAMPLE, now, out);
 		return;
 	case BOOT_FINISH:
-		config_set_current(node, out);
+		config_set_current(node, now, out);
 		return;
 	}
 	g_assert_not_reached();
--- a/core/node_fleet.c
+++ b/core/node_fleet.c
@@ -91,6 +91,16 @@
 	actions_send(out, to, message);
 }
 
+void fleet_ping_joining(struct node *node, struct instant now, struct actions *out)
+{
+	struct rng rng = node_rng(node);
+	uint64_t to[FANOUT];
+	int count = members_joining(node->members, &rng, to, FANOUT);
+
+	for (int i = 0; i < count; i++)
+		ping_with_self(node, to[i], now, out);
+}
+
 void fleet_ping_seeds(struct node *node, int count, struct instant now, struct actions *out)
 {
 	struct rng rng = node_rng(node);
--- a/core/node_log.c
+++ b/core/node_log.c
@@ -269,7 +269,7 @@
 
 /* Advances a joining node, or ends the read of a snapshot, at the end of a stream. */
 static void handle_end_of_stream(struct node *node, enum log_stream stream, int64_t newest,
-				 struct actions *out)
+				 struct instant now, struct actions *out)
 {
 	int64_t held_version = history_version(node->history);
 	bool current = false;
@@ -284,7 +284,7 @@
 		node->gossip.log.expired = false;
 	lock_release(&node->gossip.lock);
 	if (current)
-		config_set_current(node, out);
+		config_set_current(node, now, out);
 }
 
 /* Applies the answer to a read that confirms the held version or brings a newer one. */
@@ -334,7 +334,7 @@
 	case STREAM_KEYS:
 		return;
 	}
-	handle_end_of_stream(node, event->batch.stream, event->batch.newest, out);
+	handle_end_of_stream(node, event->batch.stream, event->batch.newest, now, out);
 	read_log(node, now, out);
 }
 
--- a/core/node_parts.h
+++ b/core/node_parts.h
@@ -218,6 +218,8 @@
 /* node_fleet.c */
 void fleet_round(struct node *node, struct instant now, struct actions *out);
 void fleet_tick(struct node *node, struct instant now, struct actions *out);
+/** Pings some joining members, which learn that this node is current. */
+void fleet_ping_joining(struct node *node, struct instant now, struct actions *out);
 void fleet_ping_seeds(struct node *node, int count, struct instant now, struct actions *out);
 void fleet_introduce(struct node *node, const uint64_t *ids, int count, struct instant now,
 		     struct actions *out);
@@ -263,7 +265,7 @@
 GPtrArray *config_snapshot_parts(struct node *node, struct instant now);
 /** Records that a peer's answer with all members is complete. */
 void config_set_members_known(struct node *node);
-void config_set_current(struct node *node, struct actions *out);
+void config_set_current(struct node *node, struct instant now, struct actions *out);
 
 /* node_confirm.c: all functions take LOCK_GOSSIP but confirm_init(), which runs before it is shared
  */
--- a/godwithitchd/daemon.h
+++ b/godwithitchd/daemon.h
@@ -47,6 +47,7 @@
 	struct registration registration;	 /**< registration of the target on this VM */
 	struct deadline discover_at;		 /**< next discovery; 0: none is due */
 	bool discovering;			 /**< a worker runs a discovery */
+	bool waited_for_others;	    /**< used only by the discovery: it has waited once */
 	bool listed;		    /**< this node is in the platform's list of nodes */
 	GPtrArray *running_inbound; /**< struct inbound at the target now, for crash reports */
 	struct deadline crash_window_ends_at; /**< failures until then count as one crash */
--- a/godwithitchd/dispatch.c
+++ b/godwithitchd/dispatch.c
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include "base/logger.h"
+#include "core/startup.h"
 #include "godwithitchd/daemon.h"
 #include "operator/parse.h"
 
@@ -231,23 +232,57 @@
 	dispatch_event(daemon, &event);
 }
 
-void dispatch_discover(struct daemon *daemon)
+static bool list_nodes(struct daemon *daemon)
 {
 	GArray *members = g_array_new(FALSE, FALSE, sizeof(uint64_t));
-	bool listed = daemon->listed ||
-		      logclient_register_node(daemon->logclient, peers_self(daemon->peers), false);
 	bool read = logclient_list_nodes(daemon->logclient, members);
 
 	if (members->len)
 		report_nodes(daemon, members);
+	g_array_unref(members);
+	return read;
+}
+
+/* Returns whether another node is known. */
+static bool knows_others(struct daemon *daemon)
+{
+	GArray *records = members_list(node_members(daemon->node));
+	bool others = records->len > 1;
+
+	g_array_unref(records);
+	return others;
+}
+
+/* Returns the time of the next step of a discovery; 0: it is complete. */
+static struct deadline next_discovery(struct daemon *daemon, bool listed)
+{
+	struct rng rng = { .state = peers_self(daemon->peers) ^ (uint64_t)clock_now().wall_us };
+	struct instant now = clock_now();
+
+	if (!listed)
+		return deadline_after(now, DISCOVER_RETRY_US);
+	/* At the first start of the fleet, another node may introduce itself meanwhile. */
+	if (daemon->settings.first_start && !daemon->waited_for_others) {
+		daemon->waited_for_others = true;
+		return deadline_after(now, startup_list_delay_us(&rng));
+	}
+	if (daemon->settings.first_start && knows_others(daemon))
+		return (struct deadline){ 0 };
+	return list_nodes(daemon) ? (struct deadline){ 0 }
+				  : deadline_after(clock_now(), DISCOVER_RETRY_US);
+}
+
+void dispatch_discover(struct daemon *daemon)
+{
+	bool listed = daemon->listed ||
+		      logclient_register_node(daemon->logclient, peers_self(daemon->peers), false);
+	struct deadline next_at = next_discovery(daemon, listed);
+
 	lock_acquire(&daemon->lock);
 	daemon->listed = listed;
 	daemon->discovering = false;
-	daemon->discover_at = (struct deadline){ 0 };
-	if (!listed || !read)
-		daemon->discover_at = deadline_after(clock_now(), DISCOVER_RETRY_US);
+	daemon->discover_at = next_at;
 	lock_release(&daemon->lock);
-	g_array_unref(members);
 }
 
 static void log_load(struct daemon *daemon, struct instant now)
--- a/godwithitchd/main.c
+++ b/godwithitchd/main.c
@@ -107,6 +107,7 @@
 				     .log_retains_files = settings->interface == INTERFACE_PLATFORM,
 				     .apply_within_us = settings->apply_within_us,
 				     .log_retention_us = settings->log_retention_s * US_PER_S,
+				     .first_start = settings->first_start,
 				     .retry_ratio = settings->retry_ratio,
 				     .retry_slack = (int)settings->retry_slack };
 
--- a/godwithitchd/settings.c
+++ b/godwithitchd/settings.c
@@ -193,6 +193,17 @@
 			    &s->body_max_bytes);
 }
 
+static bool read_first_start(struct settings_reader *r)
+{
+	struct json *value;
+
+	if (!json_read_member(r->doc, r->doc->root, STR("first_start"), JSON_OPTIONAL, JSON_BOOL,
+			      &value, r->error))
+		return false;
+	r->settings->first_start = value && value->boolean;
+	return true;
+}
+
 static bool read_strings(struct settings_reader *r)
 {
 	struct str url = STR("");
@@ -220,8 +231,9 @@
 	       read_endpoint(r, STR("callers"), &r->settings->callers) &&
 	       read_endpoint(r, STR("control"), &r->settings->control) &&
 	       read_endpoint(r, STR("announce"), &r->settings->announce) && read_strings(r) &&
-	       read_interface(r) && read_seeds(r) && read_fleet(r) && read_integers(r) &&
-	       read_times_and_rates(r) && json_check_unknown_keys(r->doc, r->doc->root, r->error);
+	       read_interface(r) && read_first_start(r) && read_seeds(r) && read_fleet(r) &&
+	       read_integers(r) && read_times_and_rates(r) &&
+	       json_check_unknown_keys(r->doc, r->doc->root, r->error);
 }
 
 bool settings_read(const char *path, struct settings *settings, GError **error)
--- a/godwithitchd/settings.h
+++ b/godwithitchd/settings.h
@@ -35,7 +35,8 @@
 	GArray *seeds;	    /**< uint64_t member ids */
 	struct address_range fleet[RANGES_MAX];
 	int fleet_count;
-	char *log_file; /**< owned; "-": standard error */
+	bool first_start; /**< the whole fleet starts for the first time */
+	char *log_file;	  /**< owned; "-": standard error */
 	int64_t log_retention_s;
 	int64_t stop_within_us;	 /**< longest graceful stop; running requests are then cut off */
 	int64_t stop_notice_us;	 /**< new requests are accepted this long after the stop began */
--- a/regress/core/boot_test.c
+++ b/regress/core/boot_test.c
@@ -2,6 +2,7 @@
 #include "regress/lib/check.h"
 
 #include <apr_general.h>
+#include <stdlib.h>
 
 #include "core/node.h"
 #include "operator/parse.h"
@@ -105,6 +106,44 @@
 	node_free(node);
 }
 
+static gint compare_times(gconstpointer a, gconstpointer b)
+{
+	const int64_t *x = a;
+	const int64_t *y = b;
+
+	return (*x > *y) - (*x < *y);
+}
+
+/*
+ * On the large site 295 nodes start at once, ten seconds before the first call, and each read the
+ * configuration from the store. One read has to do, and half a second later its result has spread:
+ * hardly any other node may have read meanwhile, and the last one soon after.
+ */
+static void test_few_nodes_read_the_log_at_the_first_start(void **state)
+{
+	enum { NODES = 295, EARLY_MAX = 30 };
+	int64_t times_us[NODES];
+	int early = 0;
+
+	(void)state;
+	for (int i = 0; i < NODES; i++) {
+		struct node_options options = { .id = (uint64_t)i + 1,
+						.data_centre = LABEL("a"),
+						.first_start = true };
+		int64_t now_us = US_PER_S;
+		struct node *node = node_new(&options, (struct instant){ now_us, now_us }, NULL);
+
+		times_us[i] = wait_for_read(node, &now_us);
+		node_free(node);
+	}
+	qsort(times_us, NODES, sizeof(times_us[0]), compare_times);
+	for (int i = 0; i < NODES; i++)
+		early += times_us[i] <= times_us[0] + 500 * US_PER_MS;
+	if (early > EARLY_MAX)
+		fail_msg("%d nodes read within half a second", early);
+	assert_true(times_us[NODES - 1] <= 5 * US_PER_S);
+}
+
 static void handle(struct node *node, const struct event *event, int64_t now_us,
 		   struct actions *actions)
 {
@@ -334,6 +373,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_unavailable_log_is_retried_within_900_ms),
+		cmocka_unit_test(test_few_nodes_read_the_log_at_the_first_start),
 		cmocka_unit_test(test_rate_limited_log_backs_off),
 		cmocka_unit_test(test_expired_records_do_not_delay_the_next_read),
 		cmocka_unit_test(test_failed_appends_do_not_delay_reads),
