Four readers of the log in the fleet instead of two in each data centre

Change: at most four nodes poll the log. Where a data centre has no reader, the nodes that hear of a version from another one draw when to pull it, so that a few pull it across and the others locally. The invariant stays: a node that nobody confirms reads itself.

--- a/core/node_config.c
+++ b/core/node_config.c
@@ -95,8 +95,8 @@
 	return begin;
 }
 
-/* Files are large and should cross between data centres only once: the log readers of this data
- * centre have them soon. */
+/* Files are large and should cross between data centres a few times only: of the nodes that hear of
+ * a version from another one, the first to pull it has it for the others. */
 static bool waits_for_local_peer(struct node *node, uint64_t from, int64_t newest,
 				 struct instant now)
 {
@@ -115,7 +115,9 @@
 	} else if (newest == pull->known_newest && pull->holder_count == 1 &&
 		   pull->holders[0] == from && pull->remote_version < newest) {
 		pull->remote_version = newest;
-		pull->remote_at = deadline_after(now, MIN(REMOTE_PULL_US, pull_timeout_us(node)));
+		pull->remote_at = deadline_after(
+			now, (int64_t)rng_below(
+				     &rng, (uint64_t)MIN(REMOTE_PULL_US, pull_timeout_us(node))));
 	}
 	waits = pull->remote_at.at_us && !deadline_passed(pull->remote_at, now);
 	lock_release(&node->gossip.lock);
--- a/core/node_log.c
+++ b/core/node_log.c
@@ -9,7 +9,11 @@
 #define APPEND_RETRY_MAX_US    (2 * US_PER_S) /* operators wait for the end of a move */
 #define EXPIRED_PAUSE_US       (50 * US_PER_MS)
 
-enum { APPENDS_MAX = 4, SNAPSHOT_RANKS = 4 };
+enum {
+	APPENDS_MAX = 4,
+	SNAPSHOT_RANKS = 4,
+	READERS_FLEET_MAX = 4, /* each reads every change; nodes that nobody confirms read too */
+};
 
 /* Selects the stream to read now and the first offset; returns false if there is none. */
 static bool next_read(struct node *node, int64_t held_version, struct instant now,
@@ -112,7 +116,8 @@
 static void update_reader(struct node *node, struct actions *out)
 {
 	int rank = members_rank(node->members, SCOPE_DATA_CENTRE, node->options.data_centre, 0);
-	bool reader = rank < node->options.readers;
+	int fleet_rank = members_rank(node->members, SCOPE_ALL, (struct label){ 0 }, 0);
+	bool reader = rank < node->options.readers && fleet_rank < READERS_FLEET_MAX;
 	bool changed;
 
 	lock_acquire(&node->gossip.lock);
