An admitted call runs although the pool's queue is full

Cause: the result of posting an admitted call to the pool was ignored. With a full queue the call was dropped, its slot stayed taken for good, and its caller waited until the deadline.

Evidence: test_admitted_requests_run_when_the_queue_is_full: 80 requests in one batch with a queue of 8; on the code before fewer than 80 ran.

--- a/peer/frames.c
+++ b/peer/frames.c
@@ -54,6 +54,16 @@
 	strbuf_clear(&frame);
 }
 
+/* Runs an admitted call on another worker, or on this one if the pool's queue is full: the call has
+ * a slot and may not be dropped. */
+static void run_elsewhere(struct link *link, struct stream_owner *owner)
+{
+	struct peer_event event = { .kind = PEER_RUN, .owner = owner };
+
+	if (!workers_post(peers_workers(link->peers), (struct work){ WORK_INBOUND, owner }))
+		peers_deliver(link->peers, &event);
+}
+
 static bool is_open_stream(struct link *link, uint64_t id)
 {
 	bool open;
@@ -96,8 +106,7 @@
 	if (event.wants_run && admitted->count < ADMITTED_MAX)
 		admitted->owners[admitted->count++] = event.owner;
 	else if (event.wants_run)
-		workers_post(peers_workers(link->peers),
-			     (struct work){ WORK_INBOUND, event.owner });
+		run_elsewhere(link, event.owner);
 	else
 		link_release_owner(link, event.owner);
 	return true;
@@ -324,8 +333,7 @@
 	struct peer_event event = { .kind = PEER_RUN };
 
 	for (int i = 1; i < admitted->count; i++)
-		workers_post(peers_workers(link->peers),
-			     (struct work){ WORK_INBOUND, admitted->owners[i] });
+		run_elsewhere(link, admitted->owners[i]);
 	if (admitted->count == 0)
 		return;
 	event.owner = admitted->owners[0];
--- a/regress/peer/link_test.c
+++ b/regress/peer/link_test.c
@@ -12,7 +12,14 @@
 #include "core/member.h"
 #include "peer/link.h"
 
-enum { LOOPBACK = 0x7f000001, FLEET = 7, RACES = 4000, CLOSE_WAIT_MS = 3000 };
+enum {
+	LOOPBACK = 0x7f000001,
+	FLEET = 7,
+	RACES = 4000,
+	CLOSE_WAIT_MS = 3000,
+	QUEUE_MAX = 8,
+	REQUESTS = 80
+};
 
 struct owner {
 	struct stream_owner base; /* must be first: events point to it */
@@ -24,6 +31,8 @@
 static struct workers *workers;
 static struct peers *peers;
 static struct owner accepted;
+static bool admits; /* accepted requests get a slot at once */
+static gint runs;   /* admitted requests that were run */
 
 static void on_peer(void *context, struct peer_event *event)
 {
@@ -33,6 +42,10 @@
 	if (event->kind == PEER_REQUEST) {
 		g_atomic_int_inc(&accepted.base.refs);
 		event->request.owner = &accepted.base;
+	} else if (event->kind == PEER_ADMIT) {
+		event->wants_run = admits;
+	} else if (event->kind == PEER_RUN) {
+		g_atomic_int_inc(&runs);
 	} else if (event->kind == PEER_LOST) {
 		owner->verdict = event->verdict;
 		g_atomic_int_set(&owner->lost, 1);
@@ -51,11 +64,15 @@
 		peers_on_link_read(peers, work->data);
 	else if (work->kind == WORK_LINK_WRITE)
 		peers_on_link_write(peers, work->data);
+	else if (work->kind == WORK_INBOUND)
+		g_atomic_int_inc(&runs);
 }
 
 static int set_up(void **state)
 {
-	struct workers_options pool_options = { .threads = 2, .queue_max = 64, .handle = on_work };
+	struct workers_options pool_options = { .threads = 2,
+						.queue_max = QUEUE_MAX,
+						.handle = on_work };
 	struct peers_options options = { .self = member_id(LOOPBACK, 0),
 					 .fleet = FLEET,
 					 .ranges = { { LOOPBACK, 8 } },
@@ -64,6 +81,8 @@
 
 	(void)state;
 	accepted = (struct owner){ .base.refs = 1 };
+	admits = false;
+	runs = 0;
 	apr_pool_create(&pool, NULL);
 	workers = workers_new(&pool_options, pool, NULL);
 	options.workers = workers;
@@ -183,11 +202,33 @@
 	close(fd);
 }
 
+/* Requests that had a slot were dropped when the pool's queue was full: their slots stayed taken,
+ * and their callers waited until the deadline. */
+static void test_admitted_requests_run_when_the_queue_is_full(void **state)
+{
+	struct request_head head = request_head();
+	struct strbuf frames = { 0 };
+	int fd = connect_as_node();
+
+	(void)state;
+	admits = true;
+	for (int i = 1; i <= REQUESTS; i++)
+		wire_put_request(&frames, (uint64_t)i, &head);
+	assert_int_equal(send(fd, frames.data, frames.len, 0), frames.len);
+	for (int i = 0; i < 200 && g_atomic_int_get(&runs) < REQUESTS; i++)
+		g_usleep(10000);
+	assert_int_equal(g_atomic_int_get(&runs), REQUESTS);
+	strbuf_clear(&frames);
+	close(fd);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test_setup_teardown(test_request_that_was_sent_may_have_run, set_up,
 						tear_down),
+		cmocka_unit_test_setup_teardown(test_admitted_requests_run_when_the_queue_is_full,
+						set_up, tear_down),
 		cmocka_unit_test_setup_teardown(test_reused_stream_id_closes_the_link, set_up,
 						tear_down),
 	};
