A target that is ending is not taken for one that still listens

Cause: a process that ends closes its connections before its listening socket.

Change: the node looks again 50 ms later, after the call has ended and its slot is free.

--- a/godwithitchd/inbound.c
+++ b/godwithitchd/inbound.c
@@ -6,6 +6,8 @@
 #include "godwithitchd/daemon.h"
 
 #define CRASH_WINDOW_US (2 * US_PER_S) /* calls that fail within it are counted as one crash */
+/* A process that ends closes its connections before its listening socket. */
+#define CRASH_CHECK_US (50 * US_PER_MS)
 
 enum {
 	FLUSH_BYTES = 16 << 10, /* answers up to this size are sent in one write */
@@ -543,13 +545,38 @@
 	g_assert_not_reached();
 }
 
+/* Waits for CRASH_CHECK_US. The call has ended, and its slot is free for others. */
+static void wait_for_crash(struct inbound *inbound)
+{
+	struct deadline until = deadline_after(clock_now(), CRASH_CHECK_US);
+	int64_t remaining_us;
+
+	inbound_dispatch_queue(inbound->daemon);
+	lock_acquire(&inbound->lock);
+	while ((remaining_us = deadline_remaining_us(until, clock_now())) > 0)
+		lock_wait(&inbound->lock, inbound->cond, remaining_us);
+	lock_release(&inbound->lock);
+}
+
+/* Returns whether the target ended. A connection that broke while the target still listens is a
+ * failed call, not a crash. */
+static bool is_target_down(struct inbound *inbound, const struct target_result *result)
+{
+	struct target *target = inbound->daemon->target;
+
+	if (result->misdirected)
+		return true;
+	if (result->outcome != TARGET_CRASHED && result->outcome != TARGET_UNREACHED)
+		return false;
+	if (target_accepts_connections(target) && result->outcome == TARGET_CRASHED)
+		wait_for_crash(inbound);
+	return !target_accepts_connections(target);
+}
+
 static void record_outcome(struct inbound *inbound, const struct target_result *result)
 {
 	enum target_outcome outcome = result->outcome;
-	/* A connection that broke while the target still listens is a failed call, not a crash. */
-	bool broken = outcome == TARGET_CRASHED || outcome == TARGET_UNREACHED;
-	bool target_down = result->misdirected ||
-			   (broken && !target_accepts_connections(inbound->daemon->target));
+	bool target_down = is_target_down(inbound, result);
 
 	if (outcome == TARGET_CRASHED && !target_down)
 		outcome = TARGET_FAILED;
@@ -593,10 +620,10 @@
 	set_running(inbound, true);
 	result = target_call(daemon->target, &options);
 	send_result(inbound, &result);
-	record_outcome(inbound, &result);
-	set_running(inbound, false);
 	admit_done(node_admit(daemon->node), &inbound->entry,
 		   slot_outcome_from_result(inbound, &result), result.service_us);
+	record_outcome(inbound, &result);
+	set_running(inbound, false);
 }
 
 /* Returns the next call for a free slot, with its reference, or NULL. Refuses queued calls that
