Callers that a starting node refuses return when it is current

Cause: a refusal without an estimate told the caller to come back within 0.05 to 0.1 s. After the power had returned to the large site no node was current by then: 1,020 callers were refused in two seconds, and a second refusal is final.

Change: a node that is not current yet says 0.6 to 1.2 s, and one that got no estimate from any target's node 0.3 to 0.6 s, both at most a third of the time that the caller has left.

Evidence: test_callers_of_a_starting_node_return_when_it_is_current.

--- a/core/placement.c
+++ b/core/placement.c
@@ -25,8 +25,10 @@
  * targets may queue the call. */
 #define OFFERS_TIME_FRACTION 0.25
 
-#define RETRY_MIN_US  (100 * US_PER_MS)
-#define RETRY_DIVISOR 3 /* callers wait for at most a third of their remaining time */
+#define RETRY_MIN_US	  (100 * US_PER_MS)
+#define RETRY_UNKNOWN_US  (600 * US_PER_MS)  /* no target's node gave an estimate */
+#define RETRY_STARTING_US (1200 * US_PER_MS) /* until a fleet that starts knows its targets */
+#define RETRY_DIVISOR	  3 /* callers wait for at most a third of their remaining time */
 
 static bool local_meets_objective(const struct placement *placement,
 				  const struct placement_inputs *inputs)
@@ -127,8 +129,10 @@
 				 const struct placement_inputs *inputs, struct rng *rng)
 {
 	int64_t max_us = inputs->remaining_us / RETRY_DIVISOR;
-	int64_t wait_us = MAX(placement->best_expected_us, RETRY_MIN_US);
+	int64_t wait_us =
+		placement->best_expected_us ? placement->best_expected_us : RETRY_UNKNOWN_US;
 
+	wait_us = MAX(wait_us, inputs->node_is_current ? RETRY_MIN_US : RETRY_STARTING_US);
 	wait_us = MIN(wait_us, max_us);
 	return wait_us / 2 + (int64_t)rng_below(rng, (uint64_t)wait_us / 2 + 1);
 }
--- a/core/placement.h
+++ b/core/placement.h
@@ -41,6 +41,7 @@
 	double answer_bytes;		/**< expected size of its answer */
 	double remote_probability;	/**< recent share of remote offers that were accepted */
 	int64_t round_trip_us;		/**< recent time that a refused offer took */
+	bool node_is_current;		/**< false: this node has just started */
 };
 
 /** The next step for a call. */
@@ -60,7 +61,8 @@
 void placement_refused(struct placement *placement, uint64_t target, int64_t expected_us);
 
 /** Returns how long a refused caller should wait: random, so that retries are distributed over the
- *  time in which slots become free. */
+ *  time in which slots become free. After the power has returned a caller that tries again at once
+ *  finds no node current and no target known, and is lost with its second refusal. */
 int64_t placement_retry_after_us(const struct placement *placement,
 				 const struct placement_inputs *inputs, struct rng *rng);
 
--- a/godwithitchd/calls.c
+++ b/godwithitchd/calls.c
@@ -45,7 +45,8 @@
 struct placement_inputs call_placement_inputs(const struct call *call, struct instant now)
 {
 	struct placement_inputs inputs = { .remaining_us =
-						   deadline_remaining_us(call->deadline, now) };
+						   deadline_remaining_us(call->deadline, now),
+					   .node_is_current = node_is_current(call->daemon->node) };
 
 	inputs.objective_remaining_us = call->objective.at_us
 						? deadline_remaining_us(call->objective, now)
--- a/regress/core/load_test.c
+++ b/regress/core/load_test.c
@@ -410,6 +410,26 @@
 	assert_true(most - least > 100 * US_PER_MS);
 }
 
+/* After the power returned to the large site, 1,020 callers were refused in two seconds, and told
+ * to come back within 0.1 s, when no node was current yet. */
+static void test_callers_of_a_starting_node_return_when_it_is_current(void **state)
+{
+	struct placement_inputs inputs = { .remaining_us = 4 * US_PER_S };
+	struct placement placement = { 0 };
+	struct rng rng = { 3 };
+
+	(void)state;
+	for (int i = 0; i < 1000; i++) {
+		int64_t after_us = placement_retry_after_us(&placement, &inputs, &rng);
+
+		assert_in_range(after_us, 600 * US_PER_MS, 1200 * US_PER_MS);
+	}
+	inputs.node_is_current = true;
+	assert_true(placement_retry_after_us(&placement, &inputs, &rng) >= 300 * US_PER_MS);
+	placement.best_expected_us = 120 * US_PER_MS;
+	assert_true(placement_retry_after_us(&placement, &inputs, &rng) <= 120 * US_PER_MS);
+}
+
 static void test_retry_has_elapsed_time(void **state)
 {
 	struct traffic *traffic = traffic_new(pool);
@@ -524,6 +544,7 @@
 		cmocka_unit_test(test_nested_calls_find_a_free_slot),
 		cmocka_unit_test(test_late_call_is_not_offered_further),
 		cmocka_unit_test(test_call_queues_at_first_target_where_round_trips_take_long),
+		cmocka_unit_test(test_callers_of_a_starting_node_return_when_it_is_current),
 		cmocka_unit_test(test_retry_has_elapsed_time),
 		cmocka_unit_test(test_impatient_first_attempts_are_not_retries),
 		cmocka_unit_test(test_long_deadline_is_forgotten),
--- a/regress/core/nested_test.c
+++ b/regress/core/nested_test.c
@@ -190,6 +190,7 @@
 		.remaining_us = request->deadline_us - model->now_us,
 		.remote_probability = 1,
 		.round_trip_us = TRIP_US,
+		.node_is_current = true,
 	};
 }
 
