A restarted node does not use a target that is leaving

Cause: a node keeps nothing over a restart. If its target had announced that it drains, or had deregistered, and an earlier ready heartbeat arrived late at the new process, the target got requests again.

Change: the first heartbeat after a start of the node counts only if the target answers its health path with 200 and its own id; the next one counts in any case, since health answers may be wrong. At the first start of the fleet, or without a health path, nothing is asked.

--- a/base/events.h
+++ b/base/events.h
@@ -44,6 +44,7 @@
 	X(503, ANNOUNCEMENT_BAD, LOG_LEVEL_WARN)                                                   \
 	X(504, ANNOUNCEMENT_STALE, LOG_LEVEL_INFO)                                                 \
 	X(505, TARGET_LOADED, LOG_LEVEL_INFO)                                                      \
+	X(506, TARGET_DOUBTED, LOG_LEVEL_INFO)                                                     \
 	X(600, PLATFORM_LOG_OUT, LOG_LEVEL_WARN)                                                   \
 	X(601, PLATFORM_LOG_BACK, LOG_LEVEL_INFO)                                                  \
 	X(602, PLATFORM_RECORD_BAD, LOG_LEVEL_ERROR)                                               \
--- a/core/registration.c
+++ b/core/registration.c
@@ -28,6 +28,12 @@
 	return HEARTBEAT_REPLACED;
 }
 
+bool registration_is_in_doubt(const struct registration *registration,
+			      const struct heartbeat *heartbeat)
+{
+	return !registration->known && heartbeat->kind == HEARTBEAT_READY;
+}
+
 enum heartbeat_result registration_apply(struct registration *registration,
 					 const struct heartbeat *heartbeat)
 {
--- a/core/registration.h
+++ b/core/registration.h
@@ -33,6 +33,12 @@
 	HEARTBEAT_REPLACED  /**< heartbeat from a new incarnation */
 };
 
+/**
+ * Returns whether a heartbeat may be a late one of a target that has left since: the node knows no
+ * earlier one, as after its own restart. A later heartbeat of the same target is in no doubt.
+ */
+bool registration_is_in_doubt(const struct registration *registration,
+			      const struct heartbeat *heartbeat);
 /** Applies an announcement to a registration. */
 enum heartbeat_result registration_apply(struct registration *registration,
 					 const struct heartbeat *heartbeat);
--- a/godwithitchd/dispatch.c
+++ b/godwithitchd/dispatch.c
@@ -10,6 +10,7 @@
 #include "core/startup.h"
 #include "godwithitchd/daemon.h"
 #include "operator/parse.h"
+#include "target/health.h"
 
 #define TICK_INTERVAL_US  (100 * US_PER_MS)
 #define APPEND_TIMEOUT_US (2 * US_PER_S)
@@ -442,11 +443,19 @@
 	g_free(job);
 }
 
+static struct target_endpoint target_endpoint_of(const struct daemon *daemon,
+						 const struct announcement *announcement)
+{
+	uint32_t ipv4 = announcement->ipv4 ? announcement->ipv4 : daemon->settings.announce.ipv4;
+
+	return (struct target_endpoint){ ipv4, announcement->port, announcement->id,
+					 announcement->service };
+}
+
 static void on_target_up(struct daemon *daemon, const struct announcement *announcement)
 {
 	struct event event = { .kind = EVENT_TARGET_UP };
-	uint32_t ipv4 = announcement->ipv4 ? announcement->ipv4 : daemon->settings.announce.ipv4;
-	struct target_endpoint endpoint;
+	struct target_endpoint endpoint = target_endpoint_of(daemon, announcement);
 	bool first;
 
 	lock_acquire(&daemon->lock);
@@ -460,8 +469,6 @@
 			     STR_ARG(label_str(&announcement->service)),
 			     STR_ARG(label_str(&announcement->version)), announcement->slots,
 			     announcement->port);
-	endpoint = (struct target_endpoint){ ipv4, announcement->port, announcement->id,
-					     announcement->service };
 	target_set_endpoint(daemon->target, &endpoint);
 	event.target.service = announcement->service;
 	event.target.version = announcement->version;
@@ -511,15 +518,32 @@
 	g_assert_not_reached();
 }
 
+/* Returns whether the target that announced itself is healthy. Where nobody knows how to ask it,
+ * the announcement has to do. */
+static bool is_healthy(struct daemon *daemon, const struct target_endpoint *endpoint)
+{
+	struct config *config = node_config(daemon->node);
+	const struct service *service = config_find_service(config, endpoint->service);
+	bool healthy = !service || service->health.len == 0 ||
+		       target_is_healthy(daemon->dialect, endpoint, service->health);
+
+	config_unref(config);
+	return healthy;
+}
+
 /* Returns false for a stale announcement. An announcement without an id is always accepted. */
 static bool apply_heartbeat(struct daemon *daemon, const struct announcement *announcement)
 {
 	struct heartbeat heartbeat = heartbeat_from(announcement);
 	enum heartbeat_result result = HEARTBEAT_ACCEPTED;
+	struct target_endpoint endpoint;
+	bool in_doubt;
 
 	if (announcement->id.len == 0)
 		return true;
 	lock_acquire(&daemon->lock);
+	in_doubt = !daemon->settings.first_start &&
+		   registration_is_in_doubt(&daemon->registration, &heartbeat);
 	result = registration_apply(&daemon->registration, &heartbeat);
 	if (result == HEARTBEAT_REPLACED)
 		daemon->announcement_expires_at = (struct deadline){ 0 };
@@ -528,6 +552,12 @@
 		logger_event(LOG_EVENT_ANNOUNCEMENT_STALE, "target=%.*s born_ms=%ld sequence=%ld",
 			     STR_ARG(label_str(&heartbeat.id)), heartbeat.started_ms,
 			     heartbeat.sequence);
+	endpoint = target_endpoint_of(daemon, announcement);
+	if (in_doubt && !is_healthy(daemon, &endpoint)) {
+		logger_event(LOG_EVENT_TARGET_DOUBTED, "target=%.*s sequence=%ld",
+			     STR_ARG(label_str(&heartbeat.id)), heartbeat.sequence);
+		return false;
+	}
 	return result != HEARTBEAT_STALE;
 }
 
--- a/regress/godwithitchd/platform_test.c
+++ b/regress/godwithitchd/platform_test.c
@@ -30,6 +30,7 @@
 	gint runs;
 	gint write_runs;
 	gint aborted; /**< requests whose connection closed before the answer */
+	gint leaving; /**< its health answer is 503 */
 	char caller_service[32];
 };
 
@@ -80,6 +81,9 @@
 		return queue_response(connection, 421, "", false, true);
 	g_strlcpy(upstream->caller_service, service ? service : "",
 		  sizeof(upstream->caller_service));
+	if (strcmp(url, "/health") == 0)
+		return queue_response(connection, g_atomic_int_get(&upstream->leaving) ? 503 : 200,
+				      "", false, true);
 	if (strstr(url, "/shed"))
 		return queue_response(connection, 503, "", false, false);
 	g_atomic_int_inc(&upstream->runs);
@@ -534,6 +538,29 @@
 	assert_int_equal(g_atomic_int_get(&upstreams[0].runs), 0);
 }
 
+/* A restarted node has forgotten that its target is leaving. An earlier heartbeat that arrives late
+ * must not bring the target back. */
+static void test_restarted_node_does_not_use_a_leaving_target(void **state)
+{
+	(void)state;
+	g_atomic_int_set(&upstreams[0].leaving, 1);
+	process_kill(&fleet->nodes[0].daemon);
+	fleet_restart_node(fleet, 0);
+	assert_int_equal(wait_for_status(0, "/a/x", 200), 200);
+	g_atomic_int_set(&upstreams[0].runs, 0);
+	upstreams[0].sequence = 1;
+	send_heartbeat(0, "ready");
+	for (int i = 0; i < 20; i++)
+		assert_int_equal(request_status(0, "/a/x", "GET"), 200);
+	assert_int_equal(g_atomic_int_get(&upstreams[0].runs), 0);
+	/* A later heartbeat counts: a health answer may be wrong. */
+	send_heartbeat(0, "ready");
+	for (int i = 0; i < 20; i++)
+		assert_int_equal(request_status(0, "/a/x", "GET"), 200);
+	assert_true(g_atomic_int_get(&upstreams[0].runs) > 0);
+	g_atomic_int_set(&upstreams[0].leaving, 0);
+}
+
 static void test_graceful_stop_completes_requests(void **state)
 {
 	char text[512] = "";
@@ -568,6 +595,7 @@
 		cmocka_unit_test(test_change_between_two_pages_is_not_lost),
 		cmocka_unit_test(test_acknowledged_change_survives_power_loss_of_all),
 		cmocka_unit_test(test_draining_target_gets_no_requests),
+		cmocka_unit_test(test_restarted_node_does_not_use_a_leaving_target),
 		cmocka_unit_test(test_graceful_stop_completes_requests),
 	};
 
