godwithitch report: calls in nodes' logs by second, route and reason, and a chart

The report counts calls, refusals, failures, offers, repeats and waiting calls, without contacting a node.

--- a/godwithitch/main.c
+++ b/godwithitch/main.c
@@ -21,9 +21,10 @@
 static int usage(void)
 {
 	fprintf(stderr,
-		"usage: godwithitch [-j] [-c host:port] [-f settings] [-l log-url] [-t seconds]\n"
-		"           apply file | check file ... | diff file | history | show [file] |\n"
-		"           status [host:port] | version | watch service\n");
+		"usage: godwithitch [-j] [-c host:port] [-f settings] [-l log-url] [-o chart]\n"
+		"           [-t seconds] apply file | check file ... | diff file | history |\n"
+		"           report log ... | show [file] | status [host:port] | version |\n"
+		"           watch service\n");
 	return TOOL_USAGE;
 }
 
@@ -89,6 +90,8 @@
 	}
 	if (strcmp(command, "check") == 0 && count > 0)
 		return tool_check(args, count);
+	if (strcmp(command, "report") == 0 && count > 0)
+		return tool_report(&(struct report_options){ args, count, tool->chart });
 	if (require(tool->control_count > 0, "a control address (-c or -f)") != TOOL_DONE)
 		return TOOL_USAGE;
 	if (strcmp(command, "apply") == 0 && count == 1) {
@@ -115,6 +118,7 @@
 	struct arg_str *control;
 	struct arg_file *file;
 	struct arg_str *log_url;
+	struct arg_file *chart;
 	struct arg_int *timeout;
 	struct arg_str *args;
 	struct arg_end *end;
@@ -138,6 +142,7 @@
 	if (seconds < 1 || seconds > TIMEOUT_MAX_S)
 		return usage();
 	tool->json = line->json->count > 0;
+	tool->chart = line->chart->count ? line->chart->filename[0] : NULL;
 	tool->deadline = deadline_after(clock_now(), seconds * US_PER_S);
 	return run_command(tool, line->args->sval[0], (char **)(void *)(line->args->sval + 1),
 			   line->args->count - 1);
@@ -150,12 +155,13 @@
 		.control = arg_strn("c", NULL, "HOST:PORT", 0, CONTROLS_MAX, "control"),
 		.file = arg_file0("f", NULL, "FILE", "settings"),
 		.log_url = arg_str0("l", NULL, "URL", "log"),
+		.chart = arg_file0("o", NULL, "CHART", "chart of a report"),
 		.timeout = arg_int0("t", NULL, "SECONDS", "time limit"),
 		.args = arg_strn(NULL, NULL, "WORD", 1, ARGS_MAX, "command"),
 		.end = arg_end(4),
 	};
-	void *table[] = { line.json,	line.control, line.file, line.log_url,
-			  line.timeout, line.args,    line.end };
+	void *table[] = { line.json,  line.control, line.file, line.log_url,
+			  line.chart, line.timeout, line.args, line.end };
 	struct tool_settings settings = { NULL };
 	struct tool tool = { 0 };
 	int status;
--- a/godwithitch/tool.h
+++ b/godwithitch/tool.h
@@ -30,6 +30,7 @@
 	struct str log_url;
 	struct deadline deadline; /**< time limit of the whole command */
 	bool json;
+	const char *chart; /**< file for the chart of a report; NULL: none */
 };
 
 /** An answer of a control endpoint; free with reply_clear(). */
@@ -64,4 +65,15 @@
 int tool_status(const struct tool *tool, const char *node);
 int tool_watch(const struct tool *tool, const char *service);
 
+/* report.c */
+
+/** Options of the command "report". */
+struct report_options {
+	char **paths; /**< logs */
+	int count;
+	const char *chart; /**< file for an SVG chart; NULL: none */
+};
+
+int tool_report(const struct report_options *options);
+
 #endif
