Test of callers' connections: locks that the thread sanitizer sees

The thread sanitizer reported a race in the test's own handler: it does not see the locks of GLib, and one flag was set without a lock. Checks as before.

--- a/regress/caller/connection_test.c
+++ b/regress/caller/connection_test.c
@@ -5,21 +5,29 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <poll.h>
+#include <pthread.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include "caller/connection.h"
 
-enum { THREADS = 4, EVENT_WAIT_US = 300000, ANSWER_WAIT_MS = 2000, LISTEN_IP = 0x7f000001 };
+enum {
+	THREADS = 4,
+	EVENT_WAIT_US = 300000,
+	ANSWER_WAIT_MS = 2000,
+	EVENT_LIMIT_S = 5,
+	LISTEN_IP = 0x7f000001
+};
 
 /* State of the handler. The mutex guards it. */
 struct handler {
-	GMutex mutex;
-	GCond changed;
+	pthread_mutex_t mutex; /* the thread sanitizer does not see the locks of GLib */
+	pthread_cond_t changed;
 	GPtrArray *calls; /* struct caller_call, one reference each, in the order of READY */
 	bool slow_ready;  /* READY takes EVENT_WAIT_US */
 	int handling;	  /* events of the newest call that are being handled */
+	int ready;
 	int ended;
 	bool ended_while_handling;
 	int uploaded;
@@ -32,16 +40,20 @@
 
 static void on_ready(struct caller_call *call)
 {
-	g_mutex_lock(&handler.mutex);
+	bool slow;
+
+	pthread_mutex_lock(&handler.mutex);
 	g_ptr_array_add(handler.calls, caller_call_ref(call));
 	handler.handling++;
-	g_cond_broadcast(&handler.changed);
-	g_mutex_unlock(&handler.mutex);
-	if (handler.slow_ready)
+	handler.ready++;
+	slow = handler.slow_ready;
+	pthread_cond_broadcast(&handler.changed);
+	pthread_mutex_unlock(&handler.mutex);
+	if (slow)
 		g_usleep(EVENT_WAIT_US);
-	g_mutex_lock(&handler.mutex);
+	pthread_mutex_lock(&handler.mutex);
 	handler.handling--;
-	g_mutex_unlock(&handler.mutex);
+	pthread_mutex_unlock(&handler.mutex);
 }
 
 static void on_event(void *context, const struct caller_event *event)
@@ -52,19 +64,19 @@
 		on_ready(event->call);
 		return;
 	case CALLER_UPLOADED:
-		g_mutex_lock(&handler.mutex);
+		pthread_mutex_lock(&handler.mutex);
 		handler.uploaded++;
-		g_cond_broadcast(&handler.changed);
-		g_mutex_unlock(&handler.mutex);
+		pthread_cond_broadcast(&handler.changed);
+		pthread_mutex_unlock(&handler.mutex);
 		return;
 	case CALLER_DRAINED:
 		return;
 	case CALLER_ENDED:
-		g_mutex_lock(&handler.mutex);
+		pthread_mutex_lock(&handler.mutex);
 		handler.ended_while_handling |= handler.handling > 0;
 		handler.ended++;
-		g_cond_broadcast(&handler.changed);
-		g_mutex_unlock(&handler.mutex);
+		pthread_cond_broadcast(&handler.changed);
+		pthread_mutex_unlock(&handler.mutex);
 		return;
 	}
 }
@@ -94,8 +106,8 @@
 
 	(void)state;
 	memset(&handler, 0, sizeof(handler));
-	g_mutex_init(&handler.mutex);
-	g_cond_init(&handler.changed);
+	pthread_mutex_init(&handler.mutex, NULL);
+	pthread_cond_init(&handler.changed, NULL);
 	handler.calls = g_ptr_array_new_with_free_func((GDestroyNotify)caller_call_unref);
 	apr_pool_create(&pool, NULL);
 	workers = workers_new(&pool_options, pool, NULL);
@@ -136,24 +148,29 @@
 /* Waits until *counter is at least @p count. */
 static void wait_for(const int *counter, int count)
 {
-	gint64 until = g_get_monotonic_time() + 5 * G_USEC_PER_SEC;
-
-	g_mutex_lock(&handler.mutex);
-	while (*counter < count && g_cond_wait_until(&handler.changed, &handler.mutex, until))
+	struct timespec until;
+	int reached;
+
+	clock_gettime(CLOCK_REALTIME, &until);
+	until.tv_sec += EVENT_LIMIT_S;
+	pthread_mutex_lock(&handler.mutex);
+	while (*counter < count &&
+	       pthread_cond_timedwait(&handler.changed, &handler.mutex, &until) == 0)
 		;
-	if (*counter < count)
-		fail_msg("%d of %d events", *counter, count);
-	g_mutex_unlock(&handler.mutex);
+	reached = *counter;
+	pthread_mutex_unlock(&handler.mutex);
+	if (reached < count)
+		fail_msg("%d of %d events", reached, count);
 }
 
 static struct caller_call *wait_for_call(int index)
 {
 	struct caller_call *call;
 
-	wait_for((const int *)&handler.calls->len, index + 1);
-	g_mutex_lock(&handler.mutex);
+	wait_for(&handler.ready, index + 1);
+	pthread_mutex_lock(&handler.mutex);
 	call = g_ptr_array_index(handler.calls, index);
-	g_mutex_unlock(&handler.mutex);
+	pthread_mutex_unlock(&handler.mutex);
 	return call;
 }
 
@@ -199,7 +216,9 @@
 	send_text(fd, "POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n"
 		      "POST /2 HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n");
 	first = wait_for_call(0);
+	pthread_mutex_lock(&handler.mutex);
 	handler.slow_ready = true;
+	pthread_mutex_unlock(&handler.mutex);
 	thread = g_thread_new("answer", answer_first, first);
 	wait_for_call(1);
 	close(fd);
