--- a/core/member.h
+++ b/core/member.h
@@ -90,7 +90,7 @@
 
 /** Draws up to @p max other live members, if @p local only those of the own data centre. */
 int members_random(struct members *members, struct rng *rng, bool local, uint64_t *out, int max);
-/** Draws up to @p max members that are joining, in random order. */
+/** Returns up to @p max members that are joining, from a random one on. */
 int members_joining(struct members *members, struct rng *rng, uint64_t *out, int max);
 /** Returns a random dead member, to detect a healed partition; 0 if there is none. */
 uint64_t members_random_dead(struct members *members, struct rng *rng);
