--- a/regress/platform/store_test.c
+++ b/regress/platform/store_test.c
@@ -10,6 +10,7 @@
 
 #include "core/member.h"
 #include "platform/storelog.h"
+#include "regress/lib/listen.h"
 
 #define GOOD_A "{\"key\":\"10.0.0.1:7000\",\"value\":\"MQ==\",\"offset\":3}"
 #define GOOD_B "{\"key\":\"10.0.0.2:7000\",\"value\":\"MQ==\",\"offset\":9}"
@@ -58,21 +59,16 @@
 
 static void server_start(struct server *server, const char *odd)
 {
-	struct sockaddr_in address = { .sin_family = AF_INET,
-				       .sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
-	socklen_t len = sizeof(address);
+	uint16_t port;
 	char *body = g_strdup_printf(
 		"{\"items\":[" GOOD_A ",%s," GOOD_B "],\"more\":false,\"end\":10}", odd);
 
-	*server = (struct server){ .listen_fd = socket(AF_INET, SOCK_STREAM, 0) };
+	*server = (struct server){ .listen_fd = listen_on_loopback(&port) };
+	server->port = port;
 	server->answer = g_strdup_printf("HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n"
 					 "Content-Type: application/json\r\n\r\n%s",
 					 strlen(body), body);
 	g_free(body);
-	assert_int_equal(bind(server->listen_fd, (struct sockaddr *)&address, len), 0);
-	assert_int_equal(listen(server->listen_fd, 4), 0);
-	getsockname(server->listen_fd, (struct sockaddr *)&address, &len);
-	server->port = ntohs(address.sin_port);
 	server->thread = g_thread_new("server", run_server, server);
 }
 
--- a/regress/target/answers_test.c
+++ b/regress/target/answers_test.c
@@ -13,6 +13,7 @@
 #include <unistd.h>
 
 #include "platform/dialect.h"
+#include "regress/lib/listen.h"
 #include "target/call.h"
 
 #define FIRST_ANSWER                                                                               \
@@ -123,15 +124,10 @@
 
 static void server_start(struct server *server, const struct answer_case *row)
 {
-	struct sockaddr_in address = { .sin_family = AF_INET,
-				       .sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
-	socklen_t len = sizeof(address);
-
-	*server = (struct server){ .row = row, .listen_fd = socket(AF_INET, SOCK_STREAM, 0) };
-	assert_int_equal(bind(server->listen_fd, (struct sockaddr *)&address, len), 0);
-	assert_int_equal(listen(server->listen_fd, 4), 0);
-	getsockname(server->listen_fd, (struct sockaddr *)&address, &len);
-	server->port = ntohs(address.sin_port);
+	uint16_t port;
+
+	*server = (struct server){ .row = row, .listen_fd = listen_on_loopback(&port) };
+	server->port = port;
 	server->thread = g_thread_new("server", run_server, server);
 }
 
