--- a/review/lib/stand.c
+++ b/review/lib/stand.c
@@ -18,7 +18,7 @@
 #include <time.h>
 #include <unistd.h>
 
-enum { BEAT_MS = 1500, PROCESSES_MAX = 32, PORT_MIN = 20000, PORTS = 10000 };
+enum { BEAT_MS = 1500, PROCESSES_MAX = 64, PORT_MIN = 20000, PORTS = 10000 };
 
 static pthread_mutex_t record_lock = PTHREAD_MUTEX_INITIALIZER;
 static FILE *record_file;
@@ -537,12 +537,23 @@
 	return answer_short(fd, leaving ? 503 : 200, fields);
 }
 
+/* What arrives meanwhile is never answered. */
+static bool wait_silently(const struct upstream *upstream)
+{
+	while (upstream->silent)
+		wait_ms(50);
+	return false;
+}
+
 static bool handle_arrival(struct arrival *arrival)
 {
 	struct upstream *upstream = arrival->upstream;
 	char expected[64];
 	char fields[192];
 
+	if (upstream->silent)
+		return wait_silently(upstream);
+
 	sscanf(arrival->head, "%15s %255s", arrival->method, arrival->path);
 	field(arrival->head, "X-Request-Id", arrival->id, sizeof(arrival->id));
 	arrival->has_caller =
@@ -604,7 +615,7 @@
 		struct arrival *arrival;
 		int enable = 1;
 
-		if (fd < 0)
+		if (fd < 0 || upstream->silent)
 			return NULL;
 		setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &enable, sizeof(enable));
 		pthread_mutex_lock(&upstream->lock);
@@ -702,6 +713,7 @@
 	record("%s: crashes", upstream->id);
 	pthread_mutex_lock(&upstream->lock);
 	upstream->beating = false;
+	upstream->silent = false;
 	listen_fd = upstream->listen_fd;
 	upstream->listen_fd = -1;
 	shutdown(listen_fd, SHUT_RDWR);
@@ -712,6 +724,21 @@
 	pthread_mutex_unlock(&upstream->lock);
 }
 
+void upstream_go_silent(struct upstream *upstream)
+{
+	int fd;
+
+	record("%s: falls silent", upstream->id);
+	pthread_mutex_lock(&upstream->lock);
+	upstream->beating = false;
+	upstream->silent = true;
+	listen(upstream->listen_fd, 0);
+	pthread_mutex_unlock(&upstream->lock);
+	/* The thread that accepts takes this one more and stops. */
+	fd = connect_to(upstream->port);
+	(void)fd;
+}
+
 void upstream_restart(struct upstream *upstream, const char *id)
 {
 	pthread_mutex_lock(&upstream->lock);
--- a/review/lib/stand.h
+++ b/review/lib/stand.h
@@ -94,6 +94,7 @@
 	pthread_mutex_t lock;
 	bool leaving; /**< health answers 503 */
 	bool beating; /**< heartbeats are sent each 1.5 s */
+	volatile bool silent;
 	int listen_fd;
 	int fds[256]; /**< open connections */
 	int fd_count;
@@ -105,6 +106,8 @@
 void upstream_crash(struct upstream *upstream);
 /** Listens again on the same port, as a new incarnation with id @p id. */
 void upstream_restart(struct upstream *upstream, const char *id);
+/** Falls silent: answers nothing any more, and its queue of new connections is full. */
+void upstream_go_silent(struct upstream *upstream);
 /** Sends a heartbeat with this sequence; returns the status, 0 without an answer. */
 int upstream_beat(struct upstream *upstream, const char *state, int sequence);
 int upstream_deregister(struct upstream *upstream);
