--- a/review/3/case.c
+++ b/review/3/case.c
@@ -5,7 +5,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "review/lib/stand.h"
+#include "review/stand.h"
 
 enum {
 	MACHINES = 14,	   /* as on the site */
--- a/review/build.sh
+++ b/review/build.sh
@@ -8,5 +8,5 @@
 for case in review/[1-9]/case.c; do
 	number=$(basename "$(dirname "$case")")
 	gcc -std=gnu11 -D_GNU_SOURCE -Wall -Wextra -O1 -g -I. -o "target/build/review/case$number" \
-		"$case" review/lib/stand.c -lpthread
+		"$case" review/stand.c -lpthread
 done
--- a/review/lib/stand.c
+++ b/review/stand.c
@@ -81,9 +81,30 @@
 	pthread_mutex_unlock(&record_lock);
 }
 
+static void ending_signals(sigset_t *signals)
+{
+	sigemptyset(signals);
+	sigaddset(signals, SIGTERM);
+	sigaddset(signals, SIGINT);
+	sigaddset(signals, SIGHUP);
+}
+
+static void *wait_for_end(void *data)
+{
+	sigset_t signals;
+	int number;
+
+	ending_signals(&signals);
+	if (sigwait(&signals, &number) == 0)
+		give_up("it was interrupted");
+	return data;
+}
+
 void stand_open(const char *record_path)
 {
 	const char *base = getenv("TMPDIR");
+	pthread_t thread;
+	sigset_t signals;
 
 	start_ms = clock_ms(CLOCK_MONOTONIC);
 	signal(SIGPIPE, SIG_IGN);
@@ -92,6 +113,11 @@
 	if (!record_file || !mkdtemp(folder))
 		exit(CANNOT_RUN);
 	record("trouble: %s", trouble() ? "yes" : "no");
+	ending_signals(&signals);
+	pthread_sigmask(SIG_BLOCK, &signals, NULL);
+	if (pthread_create(&thread, NULL, wait_for_end, NULL) != 0)
+		give_up("no thread");
+	pthread_detach(thread);
 }
 
 static void remove_files(void)
@@ -154,13 +180,14 @@
 	return ntohs(address.sin_port);
 }
 
-/* Ports below those that the kernel hands out for connections, each one once. */
+/* Ports below those that the kernel hands out for connections, each one once. Cases that start at
+ * the same time begin 211 ports apart. */
 static int free_port(void)
 {
 	static int next;
 
 	if (next == 0)
-		next = (int)getpid() * 37 % PORTS;
+		next = (int)getpid() * 211 % PORTS;
 	for (int i = 0; i < PORTS; i++) {
 		int port = PORT_MIN + next++ % PORTS;
 		int fd = listen_on(port);
@@ -182,6 +209,10 @@
 		int fd = output_path ? open(output_path, O_WRONLY | O_CREAT | O_APPEND, 0644)
 				     : output;
 
+		sigset_t none;
+
+		sigemptyset(&none);
+		sigprocmask(SIG_SETMASK, &none, NULL);
 		prctl(PR_SET_PDEATHSIG, SIGKILL);
 		if (input >= 0)
 			dup2(input, STDIN_FILENO);
@@ -479,6 +510,19 @@
 	machine->pid = 0;
 }
 
+bool machine_has_ended(struct machine *machine, int *signal_number)
+{
+	int status = 0;
+
+	if (waitpid(machine->pid, &status, WNOHANG) != machine->pid)
+		return false;
+	/* The number may belong to another process from now on. */
+	forget_process(machine->pid);
+	machine->pid = 0;
+	*signal_number = WIFSIGNALED(status) ? WTERMSIG(status) : 0;
+	return true;
+}
+
 void machine_wait_ready(struct machine *machine, int64_t timeout_ms)
 {
 	int64_t until_ms = now_ms() + timeout_ms;
--- a/review/lib/stand.h
+++ b/review/stand.h
@@ -29,7 +29,8 @@
 /** Whether the disruption is to happen: not with TROUBLE=0. */
 bool trouble(void);
 
-/** Opens record.txt in the folder of the case, and a temporary folder. */
+/** Opens record.txt in the folder of the case, and a temporary folder. SIGTERM, SIGINT and SIGHUP
+ *  end the case as give_up() does. Called before any thread is started. */
 void stand_open(const char *record_path);
 /** Ends all processes, removes the temporary folder, closes the record. */
 void stand_close(void);
@@ -62,6 +63,8 @@
 void machine_start(struct machine *machine, bool bootstrap);
 /** Sends a signal to the daemon. After SIGKILL, waits for its end. */
 void machine_signal(struct machine *machine, int number);
+/** Whether the daemon has ended by itself; *signal_number is what ended it, 0 for an exit. */
+bool machine_has_ended(struct machine *machine, int *signal_number);
 /** Waits until GET /readyz answers 200; gives up after @p timeout_ms. */
 void machine_wait_ready(struct machine *machine, int64_t timeout_ms);
 
