--- a/base/events.h
+++ b/base/events.h
@@ -45,6 +45,7 @@
 	X(504, ANNOUNCEMENT_STALE, LOG_LEVEL_INFO)                                                 \
 	X(505, TARGET_LOADED, LOG_LEVEL_INFO)                                                      \
 	X(506, TARGET_DOUBTED, LOG_LEVEL_INFO)                                                     \
+	X(507, TARGET_ANSWER_BROKEN, LOG_LEVEL_WARN)                                               \
 	X(600, PLATFORM_LOG_OUT, LOG_LEVEL_WARN)                                                   \
 	X(601, PLATFORM_LOG_BACK, LOG_LEVEL_INFO)                                                  \
 	X(602, PLATFORM_RECORD_BAD, LOG_LEVEL_ERROR)                                               \
--- a/godwithitchd/attempt.c
+++ b/godwithitchd/attempt.c
@@ -183,6 +183,7 @@
 	attempt->has_head = true;
 	attempt->status = head->status;
 	attempt->call->status = head->status;
+	attempt->call->announced_bytes = head->body_length;
 	attempt->call->verdict = VERDICT_RAN;
 	call_end_claim(attempt->call, VERDICT_RAN, head->status);
 	caller_write_head(attempt->call->caller, with_verdict);
@@ -192,6 +193,7 @@
 static void count_answer(struct attempt *attempt, size_t bytes)
 {
 	attempt->answer_bytes += bytes;
+	attempt->call->answer_bytes += bytes;
 	call_count_sent(attempt->call, bytes);
 }
 
--- a/godwithitchd/calls.c
+++ b/godwithitchd/calls.c
@@ -407,6 +407,14 @@
 	attempt_unref(attempt);
 }
 
+/* Returns how a message says where its body ends. */
+static const char *framing_name(int64_t length)
+{
+	if (length == 0)
+		return "none";
+	return length < 0 ? "chunks" : "length";
+}
+
 /* Logs the choices made for a call and its outcome, for the investigation of complaints. */
 static void log_call(const struct call *call, int64_t duration_us)
 {
@@ -416,11 +424,14 @@
 		id = caller_field(call->caller, call->daemon->dialect->request_id);
 	logger_event(LOG_EVENT_CALL_ENDED,
 		     "id=%.*s route=%.*s status=%d verdict=%.*s target=%lx repeats=%d offers=%d "
-		     "version=%ld ms=%.1f returned=%d why=\"%s\"",
+		     "version=%ld ms=%.1f returned=%d request=%s answer=%s bytes=%zu/%ld "
+		     "why=\"%s\"",
 		     STR_ARG(id), STR_ARG(label_str(&call->route->name)), call->status,
 		     STR_ARG(verdict_name(call->verdict)), call->last_target, call->attempts,
 		     call->offers, call->config->version, (double)duration_us / US_PER_MS,
-		     call->retried, call->reason);
+		     call->retried, framing_name(caller_body_length(call->caller)),
+		     framing_name(call->announced_bytes), call->answer_bytes, call->announced_bytes,
+		     call->reason);
 }
 
 static void count_call(struct call *call)
--- a/godwithitchd/calls.h
+++ b/godwithitchd/calls.h
@@ -36,10 +36,12 @@
 	struct deadline objective; /* time by which the answer is due; 0: none is stated */
 	bool retried;		   /* the caller was refused before */
 	struct placement placement;
-	gint answered; /* atomic: the call has its answer, or the head of one */
-	int offers;    /* offers to nodes */
-	int attempts;  /* failed attempts, without refusals by nodes */
-	int status;    /* status of the answer, for the counters */
+	gint answered;		 /* atomic: the call has its answer, or the head of one */
+	int offers;		 /* offers to nodes */
+	int attempts;		 /* failed attempts, without refusals by nodes */
+	int status;		 /* status of the answer, for the counters */
+	size_t answer_bytes;	 /* bytes of the forwarded answer's body */
+	int64_t announced_bytes; /* Content-Length of a forwarded answer; -1: none */
 	enum verdict verdict;
 	uint64_t last_target;
 	char reason[64];	/* reason of a generated answer */
--- a/godwithitchd/inbound.c
+++ b/godwithitchd/inbound.c
@@ -42,6 +42,9 @@
 	/* The answer to another node; lock guards credit and cond. */
 	struct strbuf frames;
 	struct body_sum answer_sum;
+	int status; /* of the answer whose head was passed on */
+	int64_t announced_bytes;
+	size_t answer_bytes;
 	struct lock lock; /* LOCK_PIPE */
 	apr_thread_cond_t *cond;
 	int64_t credit;
@@ -374,6 +377,8 @@
 	if (inbound->shed)
 		return false;
 	inbound->has_head = true;
+	inbound->status = head->status;
+	inbound->announced_bytes = head->body_length;
 	switch (inbound->sink.kind) {
 	case SINK_LOCAL:
 		attempt_forward_head(inbound->sink.attempt, head);
@@ -390,6 +395,7 @@
 
 static bool forward_body(struct inbound *inbound, struct str bytes)
 {
+	inbound->answer_bytes += bytes.len;
 	switch (inbound->sink.kind) {
 	case SINK_LOCAL:
 		return attempt_forward_body(inbound->sink.attempt, bytes, inbound->entry.deadline);
@@ -589,6 +595,33 @@
 			  clock_now());
 }
 
+static struct str request_id(const struct inbound *inbound)
+{
+	struct str name = inbound->daemon->dialect->request_id;
+
+	for (int i = 0; name.len && i < inbound->head.field_count; i++)
+		if (str_equal_nocase(inbound->head.fields[i].name, name))
+			return inbound->head.fields[i].value;
+	return STR("");
+}
+
+/* An answer that ended because its caller left is not broken. */
+static void log_broken_answer(const struct inbound *inbound, const struct target_result *result)
+{
+	if (result->complete || inbound->shed || result->outcome == TARGET_UNREACHED ||
+	    g_atomic_int_get(&inbound->cancelled))
+		return;
+	logger_event(LOG_EVENT_TARGET_ANSWER_BROKEN,
+		     "id=%.*s entry=%s place=%s status=%d bytes=%zu/%ld verdict=%.*s why=\"%s\"",
+		     STR_ARG(request_id(inbound)),
+		     inbound->sink.kind == SINK_LOCAL ? "own" : "peer",
+		     inbound->has_head ? "body" : "head", inbound->status, inbound->answer_bytes,
+		     inbound->announced_bytes, STR_ARG(verdict_name(result->verdict)),
+		     result->reason ? result->reason : "no answer");
+	metrics_add(inbound->daemon->metrics, STR("godwithitch_broken_answers_total"),
+		    inbound->has_head ? STR("place=\"body\"") : STR("place=\"head\""), 1);
+}
+
 static enum slot_outcome slot_outcome_from_result(const struct inbound *inbound,
 						  const struct target_result *result)
 {
@@ -619,6 +652,7 @@
 	inbound->reached = true;
 	set_running(inbound, true);
 	result = target_call(daemon->target, &options);
+	log_broken_answer(inbound, &result);
 	send_result(inbound, &result);
 	admit_done(node_admit(daemon->node), &inbound->entry,
 		   slot_outcome_from_result(inbound, &result), result.service_us);
