--- a/core/dialect.c
+++ b/core/dialect.c
@@ -1,6 +1,6 @@
 #include "core/dialect.h"
 
-enum { STATUS_NOT_FOUND = 404, STATUS_UNAVAILABLE = 503, STATUS_TIMEOUT = 504 };
+enum { STATUS_REQUEST_TIMEOUT = 408, STATUS_MISDIRECTED = 421 };
 
 #define NAME(literal)                                                                              \
 	{                                                                                          \
@@ -11,8 +11,21 @@
 	.deadline_ms = NAME("Godwithitch-Deadline-Ms"),
 	.not_run = NAME("Godwithitch-Not-Run"),
 	.verdict = NAME("Godwithitch-Verdict"),
-	.may_have_run_status = STATUS_UNAVAILABLE,
-	.may_have_run_late_status = STATUS_UNAVAILABLE,
-	.not_run_late_status = STATUS_TIMEOUT,
+	.late_status = STATUS_LATE,
 	.no_configuration_status = STATUS_NOT_FOUND,
 };
+
+static bool promises_not_run(int status)
+{
+	return status == STATUS_REQUEST_TIMEOUT || status == STATUS_MISDIRECTED ||
+	       status == STATUS_TOO_MANY || status == STATUS_UNAVAILABLE;
+}
+
+enum answer_statement dialect_answer_statement(const struct dialect *dialect, int status,
+					       bool has_not_run_field)
+{
+	if (has_not_run_field ||
+	    (dialect->misdirected_status && status == dialect->misdirected_status))
+		return STATES_NOT_RUN;
+	return dialect->statuses_promise && promises_not_run(status) ? STATES_NOTHING : STATES_RAN;
+}
--- a/core/dialect.h
+++ b/core/dialect.h
@@ -11,6 +11,22 @@
 #include "base/str.h"
 #include "base/verdict.h"
 
+/** Statuses of a call that has not run. */
+enum refusal_status {
+	STATUS_BAD_REQUEST = 400,
+	STATUS_NOT_FOUND = 404,
+	STATUS_TOO_MANY = 429,
+	STATUS_UNAVAILABLE = 503,
+	STATUS_LATE = 504,
+};
+
+/** Statuses of a call that may have run; none of them promises that it has not. */
+enum failure_status {
+	STATUS_CONFLICT = 409,
+	STATUS_BAD_GATEWAY = 502,
+	STATUS_GATEWAY_TIMEOUT = 504,
+};
+
 /** Names and statuses of one interface. An empty name means that it has no such field. */
 struct dialect {
 	struct str deadline_ms;	    /**< request: how long the caller still waits */
@@ -23,13 +39,25 @@
 	struct str signature;	    /**< answer: a success without it is not from the target */
 	struct str verdict;	    /**< answer, set by the entry node */
 	int misdirected_status;	    /**< answer of a target that is not the expected one; 0: none */
-	int may_have_run_status;    /**< verdict "may have run" */
-	int may_have_run_late_status; /**< verdict "may have run" after the deadline */
-	int not_run_late_status;      /**< verdict "not run" after the deadline */
-	int no_configuration_status;  /**< verdict "not run" without any configuration */
-	bool fractional_times;	      /**< Retry-After may be a fraction of a second */
+	enum refusal_status late_status;	     /**< not run, and the deadline has passed */
+	enum refusal_status no_configuration_status; /**< not run, without any configuration */
+	bool statuses_promise; /**< a refusal's status alone says that the request has not run */
+	bool fractional_times; /**< Retry-After may be a fraction of a second */
 };
 
+/** What a target's answer says about its request. */
+enum answer_statement {
+	STATES_RAN,	/**< it is the answer of a request that has run */
+	STATES_NOT_RUN, /**< the target did not run the request */
+	/** It has the status of a refusal, but not the field: the caller would take the status for
+	 * a promise that the target did not make. */
+	STATES_NOTHING,
+};
+
+/** Returns what an answer says; @p has_not_run_field: it has the dialect's field not_run. */
+enum answer_statement dialect_answer_statement(const struct dialect *dialect, int status,
+					       bool has_not_run_field);
+
 /** The native interface; see docs/CALLERS.md and docs/TARGET-CONTRACT.md. */
 extern const struct dialect dialect_native;
 
--- a/godwithitchd/answer.c
+++ b/godwithitchd/answer.c
@@ -12,17 +12,6 @@
 		head->fields[head->field_count++] = (struct field){ name, value };
 }
 
-/* Returns the status of a generated answer; for VERDICT_MAY_HAVE_RUN the dialect defines it. */
-static int answer_status(const struct call *call, int status, enum verdict verdict)
-{
-	const struct dialect *dialect = call->daemon->dialect;
-
-	if (verdict != VERDICT_MAY_HAVE_RUN)
-		return status;
-	return deadline_passed(call->deadline, clock_now()) ? dialect->may_have_run_late_status
-							    : dialect->may_have_run_status;
-}
-
 static bool is_overload_status(int status)
 {
 	return status == STATUS_UNAVAILABLE || status == STATUS_TOO_MANY;
@@ -46,19 +35,15 @@
 	return g_atomic_int_compare_and_exchange(&call->answered, 0, 1);
 }
 
-bool call_answer(struct call *call, int status, enum verdict verdict, struct str reason)
+static void send_reply(struct call *call, const struct reply *reply, struct str reason)
 {
 	const struct dialect *dialect = call->daemon->dialect;
-	struct response_head head = { 0 };
+	bool late = deadline_passed(call->deadline, clock_now());
+	enum verdict verdict = reply_verdict(reply);
+	struct response_head head = { .status = reply_status(reply, dialect, late) };
 	struct strbuf body = { 0 };
 	char retry[32];
 
-	if (!call_begin_answer(call))
-		return false;
-	/* A refusal of the last attempt says nothing about an earlier one. */
-	if (verdict == VERDICT_NOT_RUN && call->may_have_run_count)
-		verdict = VERDICT_MAY_HAVE_RUN;
-	head.status = answer_status(call, status, verdict);
 	call->status = head.status;
 	call->verdict = verdict;
 	g_snprintf(call->reason, sizeof(call->reason), "%.*s", STR_ARG(reason));
@@ -75,5 +60,27 @@
 	strbuf_addf(&body, "%.*s: %.*s\n", STR_ARG(verdict_name(verdict)), STR_ARG(reason));
 	caller_answer(call->caller, &head, strbuf_str(&body));
 	strbuf_clear(&body);
+}
+
+bool call_refuse(struct call *call, enum refusal_cause cause, struct str reason)
+{
+	struct reply reply;
+
+	if (!call_begin_answer(call))
+		return false;
+	lock_acquire(&call->lock);
+	reply = reply_refuse(&call->record, cause);
+	lock_release(&call->lock);
+	send_reply(call, &reply, reason);
+	return true;
+}
+
+bool call_fail(struct call *call, enum failure_cause cause, struct str reason)
+{
+	struct reply reply = reply_fail(cause);
+
+	if (!call_begin_answer(call))
+		return false;
+	send_reply(call, &reply, reason);
 	return true;
 }
--- a/godwithitchd/attempt.c
+++ b/godwithitchd/attempt.c
@@ -30,6 +30,15 @@
 	return g_atomic_int_compare_and_exchange(&attempt->finished, 0, 1);
 }
 
+void attempt_settle(struct attempt *attempt, enum verdict verdict)
+{
+	struct call *call = attempt->call;
+
+	lock_acquire(&call->lock);
+	attempt_record_end(&call->record, verdict);
+	lock_release(&call->lock);
+}
+
 void attempt_record_outcome(struct attempt *attempt, enum call_outcome outcome)
 {
 	struct call *call = attempt->call;
@@ -52,6 +61,16 @@
 		stream_cancel(attempt->stream);
 }
 
+static int may_have_run_count(struct call *call)
+{
+	int count;
+
+	lock_acquire(&call->lock);
+	count = attempt_record_may_have_run(&call->record);
+	lock_release(&call->lock);
+	return count;
+}
+
 static bool is_abandoned(struct call *call)
 {
 	bool abandoned;
@@ -69,7 +88,7 @@
 
 	/* A request that may have crashed two targets is not sent to a third. */
 	return !is_abandoned(call) && !call->body_consumed &&
-	       call->attempts < call_attempts_max(call) && call->may_have_run_count < 2 &&
+	       call->attempts < call_attempts_max(call) && may_have_run_count(call) < 2 &&
 	       verdict_allows_retry(verdict, idempotent) &&
 	       !deadline_passed(call->deadline, clock_now()) &&
 	       node_take_retry(call->daemon->node, call->service);
@@ -95,7 +114,7 @@
 	if (!is_abandoned(call) && !call->body_consumed)
 		call_try_target(call);
 	else
-		call_answer(call, STATUS_UNAVAILABLE, VERDICT_NOT_RUN, refusal->reason);
+		call_refuse(call, REFUSED_NO_TARGET, refusal->reason);
 }
 
 static void fail_attempt(struct attempt *attempt, enum verdict verdict, struct str reason)
@@ -111,7 +130,6 @@
 	call->attempts++;
 	call_exclude_target(call, attempt->target);
 	placement_refused(&call->placement, attempt->target, 0);
-	call->may_have_run_count += verdict == VERDICT_MAY_HAVE_RUN;
 	if (may_retry(call, verdict)) {
 		logger_event(LOG_EVENT_CALL_RETRIED,
 			     "route=%.*s target=%lx verdict=%.*s why=\"%.*s\"",
@@ -119,7 +137,7 @@
 			     STR_ARG(verdict_name(verdict)), STR_ARG(reason));
 		call_try_target(call);
 	} else
-		call_answer(call, STATUS_UNAVAILABLE, verdict, reason);
+		call_refuse(call, REFUSED_NO_TARGET, reason);
 }
 
 static enum call_outcome outcome_from_refusal(enum refusal_kind kind)
@@ -150,6 +168,7 @@
 {
 	if (!attempt_finish(attempt))
 		return;
+	attempt_settle(attempt, refusal->verdict);
 	record_remote_offer(attempt, refusal->target_reached);
 	attempt_record_outcome(attempt, outcome_from_refusal(refusal->kind));
 	if (refusal->verdict == VERDICT_NOT_RUN && !refusal->target_reached && !attempt->has_head)
@@ -162,6 +181,7 @@
 {
 	if (!attempt_finish(attempt))
 		return;
+	attempt_settle(attempt, verdict);
 	attempt_record_outcome(attempt, CALL_BROKEN);
 	fail_attempt(attempt, verdict, STR("the connection to the target was lost"));
 }
@@ -171,7 +191,17 @@
 	struct str verdict_field = attempt->call->daemon->dialect->verdict;
 	struct response_head *with_verdict;
 
-	if (g_atomic_int_get(&attempt->finished) || !call_begin_answer(attempt->call))
+	if (g_atomic_int_get(&attempt->finished))
+		return;
+	/* The target's node rejects such a head; its status must not reach the caller from any. */
+	if (dialect_answer_statement(attempt->call->daemon->dialect, head->status, false) !=
+	    STATES_RAN) {
+		if (attempt->stream.link)
+			stream_cancel(attempt->stream);
+		attempt_connection_lost(attempt, VERDICT_MAY_HAVE_RUN);
+		return;
+	}
+	if (!call_begin_answer(attempt->call))
 		return;
 	with_verdict = g_memdup2(head, sizeof(*head));
 	if (with_verdict->field_count == FIELDS_MAX)
@@ -213,6 +243,10 @@
 
 void attempt_end(struct attempt *attempt)
 {
+	if (!attempt->has_head) {
+		attempt_connection_lost(attempt, VERDICT_MAY_HAVE_RUN);
+		return;
+	}
 	if (!attempt_finish(attempt))
 		return;
 	attempt_record_outcome(attempt, outcome_from_status(attempt->status));
@@ -220,8 +254,7 @@
 				   clock_now().mono_us - attempt->started_us);
 	traffic_record_answer(node_traffic(attempt->call->daemon->node), attempt->call->route->name,
 			      attempt->answer_bytes);
-	if (attempt->has_head)
-		caller_finish(attempt->call->caller, PIPE_DONE);
+	caller_finish(attempt->call->caller, PIPE_DONE);
 }
 
 /* Reads from a small body, which is in memory completely; each attempt reads it from its start. */
--- a/godwithitchd/calls.c
+++ b/godwithitchd/calls.c
@@ -130,19 +130,20 @@
 	return attempt;
 }
 
-/* Makes an attempt the call's current one. Returns false if the call was abandoned meanwhile. */
-static bool set_current_attempt(struct call *call, struct attempt *attempt)
+/* Makes an attempt the call's current one. Returns false if the call was abandoned or refused
+ * meanwhile, so that the attempt may not be sent. */
+static bool begin_attempt(struct call *call, struct attempt *attempt)
 {
 	struct attempt *old;
-	bool abandoned;
+	bool begun;
 
 	lock_acquire(&call->lock);
 	old = call->current;
 	call->current = attempt_ref(attempt);
-	abandoned = call->abandoned;
+	begun = !call->abandoned && attempt_record_begin(&call->record);
 	lock_release(&call->lock);
 	attempt_unref(old);
-	return !abandoned;
+	return begun;
 }
 
 static void fill_request_head(struct call *call, struct request_head *head, struct instant now)
@@ -209,7 +210,7 @@
 	attempt->started_us = now.mono_us;
 	call->last_target = target;
 	call->offers++;
-	if (!set_current_attempt(call, attempt)) {
+	if (!begin_attempt(call, attempt)) {
 		if (attempt_finish(attempt))
 			attempt_record_outcome(attempt, CALL_REFUSED);
 	} else if (target == peers_self(call->daemon->peers)) {
@@ -219,8 +220,10 @@
 		if (result == START_OK && caller_upload(call->caller))
 			attempt_forward_upload(attempt);
 	}
-	if (result == START_NO_LINK && attempt_finish(attempt))
+	if (result == START_NO_LINK && attempt_finish(attempt)) {
+		attempt_settle(attempt, VERDICT_NOT_RUN);
 		attempt_record_outcome(attempt, CALL_BROKEN);
+	}
 	attempt_unref(attempt);
 	g_free(head);
 	return result;
@@ -257,8 +260,7 @@
 		node_call_started(call->daemon->node, choice->target);
 		return true;
 	case PLACE_REFUSE:
-		call_answer(call, STATUS_UNAVAILABLE, VERDICT_NOT_RUN,
-			    STR("no target of the service takes work"));
+		call_refuse(call, REFUSED_NO_TARGET, STR("no target of the service takes work"));
 		return false;
 	}
 	*choice = node_choose_target(call->daemon->node, call->config, &call->attributes, now);
@@ -283,12 +285,10 @@
 		placement_no_target(&call->placement);
 		return false;
 	case CHOICE_QUARANTINED:
-		call_answer(call, STATUS_TOO_MANY, VERDICT_NOT_RUN,
-			    STR("the request crashed targets before"));
+		call_refuse(call, REFUSED_QUARANTINED, STR("the request crashed targets before"));
 		return true;
 	case CHOICE_NOT_CURRENT:
-		call_answer(call, STATUS_UNAVAILABLE, VERDICT_NOT_RUN,
-			    STR("the node is not current yet"));
+		call_refuse(call, REFUSED_NO_TARGET, STR("the node is not current yet"));
 		return true;
 	}
 	g_assert_not_reached();
@@ -300,14 +300,13 @@
 		struct instant now = clock_now();
 
 		if (deadline_passed(call->deadline, now)) {
-			call_answer(call, call->daemon->dialect->not_run_late_status,
-				    VERDICT_NOT_RUN, STR("the deadline passed"));
+			call_refuse(call, REFUSED_LATE, STR("the deadline passed"));
 			return;
 		}
 		if (try_next_target(call, now))
 			return;
 	}
-	call_answer(call, STATUS_UNAVAILABLE, VERDICT_NOT_RUN, STR("no target could be reached"));
+	call_refuse(call, REFUSED_NO_TARGET, STR("no target could be reached"));
 }
 
 /* Sets the time by which the answer is due, counted from the caller's first attempt, which may be
@@ -330,17 +329,16 @@
 static void answer_no_route(struct call *call)
 {
 	if (!node_is_current(call->daemon->node))
-		call_answer(call, STATUS_UNAVAILABLE, VERDICT_NOT_RUN,
-			    STR("the node is not current yet"));
+		call_refuse(call, REFUSED_NO_TARGET, STR("the node is not current yet"));
 	else if (call->config->accepted == 0)
-		call_answer(call, call->daemon->dialect->no_configuration_status, VERDICT_NOT_RUN,
+		call_refuse(call, REFUSED_NO_CONFIGURATION,
 			    STR("the node has no configuration yet"));
 	else if (node_is_behind(call->daemon->node))
 		/* The newer version may have the route, and "not found" would be final. */
-		call_answer(call, STATUS_UNAVAILABLE, VERDICT_NOT_RUN,
+		call_refuse(call, REFUSED_NO_TARGET,
 			    STR("no route matches in the version before the newest"));
 	else
-		call_answer(call, STATUS_NOT_FOUND, VERDICT_NOT_RUN, STR("no route matches"));
+		call_refuse(call, REFUSED_NO_ROUTE, STR("no route matches"));
 }
 
 static void on_request(struct daemon *daemon, struct caller_call *caller)
@@ -351,7 +349,7 @@
 
 	caller_set_data(caller, call);
 	if (g_atomic_int_get(&daemon->stopping)) {
-		call_answer(call, STATUS_UNAVAILABLE, VERDICT_NOT_RUN, STR("the node is stopping"));
+		call_refuse(call, REFUSED_NO_TARGET, STR("the node is stopping"));
 		return;
 	}
 	call->route = config_match(call->config, caller_field(caller, STR("Host")),
--- a/godwithitchd/calls.h
+++ b/godwithitchd/calls.h
@@ -7,18 +7,13 @@
 #define GODWITHITCHD_CALLS_H
 
 #include "core/placement.h"
+#include "core/reply.h"
 #include "godwithitchd/daemon.h"
 
 enum {
 	ATTEMPTS_DEFAULT = 4, /* attempts for routes that state no maximum */
 	OFFERS_MAX = 16,      /* offers of one call to nodes, refused ones included */
-	STATUS_BAD_REQUEST = 400,
-	STATUS_NOT_FOUND = 404,
-	STATUS_CONFLICT = 409,
-	STATUS_TOO_MANY = 429,
 	STATUS_SERVER_ERROR = 500,
-	STATUS_UNAVAILABLE = 503,
-	STATUS_TIMEOUT = 504,
 };
 
 /** A call, from its request until its caller has the answer. */
@@ -44,11 +39,11 @@
 	int64_t announced_bytes; /* Content-Length of a forwarded answer; -1: none */
 	enum verdict verdict;
 	uint64_t last_target;
-	char reason[64];	/* reason of a generated answer */
-	int may_have_run_count; /* number of attempts that may have run */
-	bool body_consumed;	/* part of a streamed body was sent: no retry */
-	struct lock lock;	/* LOCK_CALLS: current, abandoned, the attempt's upload */
+	char reason[64];    /* reason of a generated answer */
+	bool body_consumed; /* part of a streamed body was sent: no retry */
+	struct lock lock;   /* LOCK_CALLS: record, current, abandoned, the attempt's upload */
 	apr_pool_t *pool;
+	struct attempt_record record;
 	struct attempt *current; /* attempt in progress, one reference */
 	bool abandoned;		 /* the caller disconnected or the deadline passed */
 	guint open_index;	 /* index in daemon->open_calls plus one; 0: absent. daemon->lock */
@@ -81,7 +76,7 @@
 /* calls.c */
 
 void call_unref(struct call *call);
-/** Starts the next attempt. If none can be started, answers the caller with VERDICT_NOT_RUN. */
+/** Starts the next attempt. If none can be started, refuses the call. */
 void call_try_target(struct call *call);
 /**
  * Returns the point of a call in the shares of its route: a stable hash of @p key, or of the next
@@ -101,11 +96,14 @@
 /* answer.c */
 
 /**
- * Sends a generated answer with @p reason in its body, and calls call_end_claim(). The dialect's
- * status replaces @p status for VERDICT_MAY_HAVE_RUN. Returns false if the caller has an answer
- * already: a call may expire on one worker while it is refused on another.
+ * Refuses a call, and calls call_end_claim(). The answer, with @p reason in its body, promises that
+ * the request has not run if no attempt may have run; nothing of the call is sent from then on.
+ * Otherwise it is the answer of call_fail(). Returns false if the caller has an answer already: a
+ * call may expire on one worker while it is refused on another. Takes call->lock.
  */
-bool call_answer(struct call *call, int status, enum verdict verdict, struct str reason);
+bool call_refuse(struct call *call, enum refusal_cause cause, struct str reason);
+/** Gives up a call that may have run, and calls call_end_claim(). Returns as call_refuse(). */
+bool call_fail(struct call *call, enum failure_cause cause, struct str reason);
 /** Returns true once: to the code that answers the call. */
 bool call_begin_answer(struct call *call);
 
@@ -130,6 +128,8 @@
 
 /** Marks an attempt as finished. Returns false if it was finished before. */
 bool attempt_finish(struct attempt *attempt);
+/** Records what is known of a finished attempt's run. Takes call->lock. */
+void attempt_settle(struct attempt *attempt, enum verdict verdict);
 /** Cancels an attempt whose caller disconnected or whose deadline passed. */
 void attempt_cancel(struct attempt *attempt);
 /** Reports the outcome of an attempt to core. */
--- a/godwithitchd/expiry.c
+++ b/godwithitchd/expiry.c
@@ -58,8 +58,7 @@
 	if (attempt)
 		attempt_cancel(attempt);
 	attempt_unref(attempt);
-	if (!call_answer(call, STATUS_TIMEOUT, VERDICT_MAY_HAVE_RUN,
-			 STR("no answer before the deadline")))
+	if (!call_fail(call, FAILED_DEADLINE, STR("no answer before the deadline")))
 		caller_finish(call->caller, PIPE_FAILED);
 }
 
--- a/godwithitchd/keys.c
+++ b/godwithitchd/keys.c
@@ -25,7 +25,7 @@
 	uint64_t *seq = g_new0(uint64_t, 1);
 
 	if (key.len == 0) {
-		call_answer(call, STATUS_BAD_REQUEST, VERDICT_NOT_RUN,
+		call_refuse(call, REFUSED_MALFORMED,
 			    STR("the route needs the field Idempotency-Key"));
 		actions_clear(&actions);
 		g_free(seq);
@@ -81,16 +81,15 @@
 		call_try_target(call);
 		break;
 	case CLAIM_HELD:
-		call_answer(call, STATUS_CONFLICT, VERDICT_MAY_HAVE_RUN,
-			    STR("a request with this key was taken before, and its outcome is not "
-				"known"));
+		call_fail(call, FAILED_KEY_HELD,
+			  STR("a request with this key was taken before, and its outcome is not "
+			      "known"));
 		break;
 	case CLAIM_REPLAYED:
 		answer_replayed(call, status);
 		break;
 	case CLAIM_TIMEOUT:
-		call_answer(call, STATUS_UNAVAILABLE, VERDICT_NOT_RUN,
-			    STR("the key could not be claimed in time"));
+		call_refuse(call, REFUSED_NO_TARGET, STR("the key could not be claimed in time"));
 		break;
 	}
 	call_unref(call);
--- a/regress/godwithitchd/losses_test.c
+++ b/regress/godwithitchd/losses_test.c
@@ -75,7 +75,7 @@
 	 * request when a reused connection ends without an answer. */
 	assert_int_equal(pair_status(0, "/write/a"), 200);
 	reply = pair_call(0, "/write/crash", &options);
-	assert_int_equal(reply.status, 503);
+	assert_int_equal(reply.status, 502);
 	assert_string_equal(reply.verdict, "may-have-run");
 	http_reply_clear(&reply);
 	assert_int_equal(process_wait(&fleet->nodes[1].target, 5000), 3);
@@ -91,7 +91,7 @@
 	(void)state;
 	fleet = pair_start("-s registre -v v1");
 	reply = pair_call(0, "/crash", &options);
-	assert_int_equal(reply.status, 503);
+	assert_int_equal(reply.status, 502);
 	assert_string_equal(reply.verdict, "may-have-run");
 	http_reply_clear(&reply);
 }
--- a/regress/godwithitchd/path_test.c
+++ b/regress/godwithitchd/path_test.c
@@ -54,7 +54,7 @@
 		{ 0, "/records/7", 200, "ran", "registre v1 /records/7\n" },
 		{ 1, "/records/7", 200, "ran", "registre v1 /records/7\n" },
 		{ 0, "/write/x", 200, "ran", "registre v1 /write/x\n" },
-		{ 0, "/hang", 503, "may-have-run", "may-have-run:" },
+		{ 0, "/hang", 504, "may-have-run", "may-have-run:" },
 	};
 
 	(void)state;
--- a/target/call.c
+++ b/target/call.c
@@ -17,8 +17,6 @@
 	STATUS_MIN = 100,
 	STATUS_REDIRECT = 300,
 	STATUS_SERVER_ERROR = 500,
-	STATUS_UNAVAILABLE = 503,
-	STATUS_TOO_MANY = 429,
 };
 
 /* A request that may run only once uses a kept connection this long after its last answer at most:
