--- a/godwithitchd/inbound.c
+++ b/godwithitchd/inbound.c
@@ -26,6 +26,14 @@
 	};
 };
 
+/** What has come of the target's answer. */
+enum answer_state {
+	ANSWER_NONE,	  /**< no head yet */
+	ANSWER_FORWARDED, /**< its head was passed on */
+	ANSWER_SHED,	  /**< the target states that it did not run the request */
+	ANSWER_REJECTED,  /**< a refusal without that statement: it is not passed on */
+};
+
 /** A request that this node passes to its own target. */
 struct inbound {
 	struct stream_owner owner; /* must be first: the link casts from it */
@@ -48,8 +56,7 @@
 	struct lock lock; /* LOCK_PIPE */
 	apr_thread_cond_t *cond;
 	int64_t credit;
-	bool has_head;
-	bool shed;    /* the target answered that it did not run the request */
+	enum answer_state answer;
 	bool reached; /* the request was sent to the target */
 };
 
@@ -359,24 +366,34 @@
 	return true;
 }
 
-/* Returns true if the answer states that the target did not run the request, since it sheds load or
- * is not the expected target. */
-static bool reports_not_run(const struct dialect *dialect, const struct response_head *head)
+static bool has_field(const struct response_head *head, struct str name)
 {
-	if (dialect->misdirected_status && head->status == dialect->misdirected_status)
-		return true;
 	for (int i = 0; i < head->field_count; i++)
-		if (str_equal_nocase(head->fields[i].name, dialect->not_run))
+		if (str_equal_nocase(head->fields[i].name, name))
 			return true;
 	return false;
 }
 
+static enum answer_state answer_state_from_head(const struct dialect *dialect,
+						const struct response_head *head)
+{
+	switch (dialect_answer_statement(dialect, head->status,
+					 has_field(head, dialect->not_run))) {
+	case STATES_NOT_RUN:
+		return ANSWER_SHED;
+	case STATES_NOTHING:
+		return ANSWER_REJECTED;
+	case STATES_RAN:
+		return ANSWER_FORWARDED;
+	}
+	g_assert_not_reached();
+}
+
 static bool forward_head(struct inbound *inbound, const struct response_head *head)
 {
-	inbound->shed = reports_not_run(inbound->daemon->dialect, head);
-	if (inbound->shed)
+	inbound->answer = answer_state_from_head(inbound->daemon->dialect, head);
+	if (inbound->answer != ANSWER_FORWARDED)
 		return false;
-	inbound->has_head = true;
 	inbound->status = head->status;
 	inbound->announced_bytes = head->body_length;
 	switch (inbound->sink.kind) {
@@ -522,20 +539,9 @@
 	}
 }
 
-static void send_result(struct inbound *inbound, const struct target_result *result)
+/* Ends a call whose answer's head was passed on. */
+static void end_answer(struct inbound *inbound, const struct target_result *result)
 {
-	if (inbound->shed) {
-		inbound->entry.expected_us = 0;
-		refuse(inbound, REFUSAL_BUSY, VERDICT_NOT_RUN, STR("the target sheds load"));
-		return;
-	}
-	if (!inbound->has_head) {
-		refuse(inbound,
-		       result->outcome == TARGET_UNREACHED ? REFUSAL_CLOSED : REFUSAL_BROKEN,
-		       result->verdict,
-		       str_from_cstr(result->reason ? result->reason : "no answer"));
-		return;
-	}
 	switch (inbound->sink.kind) {
 	case SINK_REMOTE:
 		send_remote_result(inbound, result);
@@ -551,6 +557,31 @@
 	g_assert_not_reached();
 }
 
+static void send_result(struct inbound *inbound, const struct target_result *result)
+{
+	switch (inbound->answer) {
+	case ANSWER_NONE:
+		refuse(inbound,
+		       result->outcome == TARGET_UNREACHED ? REFUSAL_CLOSED : REFUSAL_BROKEN,
+		       result->verdict,
+		       str_from_cstr(result->reason ? result->reason : "no answer"));
+		return;
+	case ANSWER_SHED:
+		inbound->entry.expected_us = 0;
+		refuse(inbound, REFUSAL_BUSY, VERDICT_NOT_RUN, STR("the target sheds load"));
+		return;
+	case ANSWER_REJECTED:
+		inbound->entry.expected_us = 0;
+		refuse(inbound, REFUSAL_BUSY, VERDICT_MAY_HAVE_RUN,
+		       STR("the target refused without saying that it has not run"));
+		return;
+	case ANSWER_FORWARDED:
+		end_answer(inbound, result);
+		return;
+	}
+	g_assert_not_reached();
+}
+
 /* Waits for CRASH_CHECK_US. The call has ended, and its slot is free for others. */
 static void wait_for_crash(struct inbound *inbound)
 {
@@ -608,18 +639,20 @@
 /* An answer that ended because its caller left is not broken. */
 static void log_broken_answer(const struct inbound *inbound, const struct target_result *result)
 {
-	if (result->complete || inbound->shed || result->outcome == TARGET_UNREACHED ||
-	    g_atomic_int_get(&inbound->cancelled))
+	bool has_head = inbound->answer == ANSWER_FORWARDED;
+
+	if (result->complete || inbound->answer == ANSWER_SHED ||
+	    result->outcome == TARGET_UNREACHED || g_atomic_int_get(&inbound->cancelled))
 		return;
 	logger_event(LOG_EVENT_TARGET_ANSWER_BROKEN,
 		     "id=%.*s entry=%s place=%s status=%d bytes=%zu/%ld verdict=%.*s why=\"%s\"",
 		     STR_ARG(request_id(inbound)),
-		     inbound->sink.kind == SINK_LOCAL ? "own" : "peer",
-		     inbound->has_head ? "body" : "head", inbound->status, inbound->answer_bytes,
-		     inbound->announced_bytes, STR_ARG(verdict_name(result->verdict)),
+		     inbound->sink.kind == SINK_LOCAL ? "own" : "peer", has_head ? "body" : "head",
+		     inbound->status, inbound->answer_bytes, inbound->announced_bytes,
+		     STR_ARG(verdict_name(result->verdict)),
 		     result->reason ? result->reason : "no answer");
 	metrics_add(inbound->daemon->metrics, STR("godwithitch_broken_answers_total"),
-		    inbound->has_head ? STR("place=\"body\"") : STR("place=\"head\""), 1);
+		    has_head ? STR("place=\"body\"") : STR("place=\"head\""), 1);
 }
 
 static enum slot_outcome slot_outcome_from_result(const struct inbound *inbound,
@@ -627,7 +660,8 @@
 {
 	if (result->misdirected || result->outcome == TARGET_UNREACHED)
 		return SLOT_UNMEASURED;
-	if (inbound->shed || (result->outcome == TARGET_SHED && result->complete))
+	if (inbound->answer == ANSWER_SHED || inbound->answer == ANSWER_REJECTED ||
+	    (result->outcome == TARGET_SHED && result->complete))
 		return SLOT_SHED;
 	/* The service time of a cancelled or failed call is not known. */
 	return result->complete ? SLOT_SERVED : SLOT_UNMEASURED;
