--- a/regress/target/answers_test.c
+++ b/regress/target/answers_test.c
@@ -44,7 +44,7 @@
 	  KEEP, true, true, VERDICT_RAN },
 	{ "refusal of this request",
 	  "HTTP/1.1 503 Busy\r\nX-Request-Id: 2\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
-	  KEEP, true, true, VERDICT_RAN },
+	  KEEP, true, true, VERDICT_NOT_RUN },
 	{ "second copy of the first answer", FIRST_ANSWER, KEEP, false, false,
 	  VERDICT_MAY_HAVE_RUN },
 	{ "earlier refusal once more",
--- a/target/call.c
+++ b/target/call.c
@@ -9,13 +9,12 @@
 
 #include "base/lockorder.h"
 #include "base/socket.h"
+#include "target/answer.h"
 
 enum {
 	CONNECT_TIMEOUT_MS = 500,
-	CHECK_INTERVAL_MS = 100, /* a disconnected caller is noticed within 500 ms, hops included */
 	HEAD_MAX_BYTES = 256 << 10, /* interim heads and trailers included */
-	STATUS_MIN = 100,
-	STATUS_REDIRECT = 300,
+	REFUSAL_BODY_MAX_BYTES = 64 << 10,
 	STATUS_SERVER_ERROR = 500,
 	STATUS_UNAVAILABLE = 503,
 	STATUS_TOO_MANY = 429,
@@ -47,16 +46,10 @@
 /* A running call. */
 struct call {
 	const struct target_call_options *options;
-	struct response_head head;
-	struct strbuf field_text;
-	size_t field_ends[FIELDS_MAX]; /* offsets, since field_text may be reallocated */
-	size_t name_lens[FIELDS_MAX];
 	const struct dialect *dialect;
-	size_t head_bytes;
-	bool head_delivered;
-	bool aborted;
-	bool answer_mismatched; /* the answer is not the target's answer to this request */
-	bool fields_cut;	/* the answer has more fields than fit */
+	struct answer answer;
+	size_t refusal_bytes;
+	bool aborted; /* by the handler */
 	CURL *curl;
 	int64_t started_us;
 	int64_t head_us;
@@ -133,158 +126,63 @@
 	return false;
 }
 
-/* Sets the views of the fields, once field_text is complete and no longer moves. */
-static void set_field_views(struct call *call)
+/* The head of a refusal is delivered once the answer is whole: until then the request may have run.
+ */
+static bool take_head(struct call *call, struct transfer_event *event)
 {
-	size_t at = 0;
+	struct target_event head = { .kind = TARGET_HEAD, .head = &call->answer.head };
 
-	for (int i = 0; i < call->head.field_count; i++) {
-		const char *text = call->field_text.data + at;
-		size_t name_len = call->name_lens[i];
-
-		call->head.fields[i].name = (struct str){ text, name_len };
-		call->head.fields[i].value =
-			(struct str){ text + name_len, call->field_ends[i] - at - name_len };
-		at = call->field_ends[i];
-	}
-}
-
-static struct str field_value(const struct field *fields, int count, struct str name)
-{
-	for (int i = 0; name.len && i < count; i++)
-		if (str_equal_nocase(fields[i].name, name))
-			return fields[i].value;
-	return STR("");
-}
-
-/* Returns whether the answer belongs to the request and, if it is a success, carries the target's
- * signature (where the interface has one). A target may send an earlier answer once more: without
- * the id of this request, even a refusal says nothing about it. */
-static bool answer_matches(const struct call *call)
-{
-	const struct response_head *head = &call->head;
-	const struct request_head *request = call->options->head;
-	struct str name = call->dialect->request_id;
-	struct str request_id = field_value(request->fields, request->field_count, name);
-	struct str answer_id = field_value(head->fields, head->field_count, name);
-
-	if (call->fields_cut || (request_id.len && !str_equal(request_id, answer_id)))
-		return false;
-	if (call->dialect->signature.len == 0 || head->status >= STATUS_REDIRECT)
+	answer_read(&call->answer, call->dialect, call->options->head, event->head.head);
+	call->head_us = clock_now().mono_us;
+	switch (call->answer.kind) {
+	case ANSWER_NONE:
+	case ANSWER_FOREIGN:
+		event->head.foreign = true;
 		return true;
-	/* Callers ask for bodies without a content encoding. */
-	return field_value(head->fields, head->field_count, call->dialect->signature).len > 0 &&
-	       field_value(head->fields, head->field_count, STR("content-encoding")).len == 0;
-}
-
-static bool deliver_head(struct call *call)
-{
-	struct target_event event = { .kind = TARGET_HEAD, .head = &call->head };
-
-	if (call->head_delivered)
+	case ANSWER_REFUSAL:
 		return true;
-	set_field_views(call);
-	if (!answer_matches(call)) {
-		call->answer_mismatched = true;
-		return false;
+	case ANSWER_TAKEN:
+		return deliver(call, &head);
 	}
-	call->head_delivered = true;
-	call->head_us = clock_now().mono_us;
-	return deliver(call, &event);
+	g_assert_not_reached();
 }
 
-static struct str trim(struct str s)
+static bool take_body(struct call *call, struct str bytes)
 {
-	while (s.len && strchr(" \t\r\n", s.data[0]))
-		s = str_sub(s, 1, s.len);
-	while (s.len && strchr(" \t\r\n", s.data[s.len - 1]))
-		s.len--;
-	return s;
-}
+	struct target_event event = { .kind = TARGET_BODY, .bytes = bytes };
 
-/* Hop-by-hop fields, which apply to one connection, are not forwarded. */
-static bool is_hop_by_hop_field(struct str name)
-{
-	static const char *const names[] = { "connection", "keep-alive", "transfer-encoding", "te",
-					     "trailer",	   "upgrade",	 "proxy-connection" };
-
-	for (size_t i = 0; i < G_N_ELEMENTS(names); i++)
-		if (str_equal_nocase(name, str_from_cstr(names[i])))
-			return true;
-	return false;
+	if (call->answer.kind == ANSWER_TAKEN)
+		return deliver(call, &event);
+	call->refusal_bytes += bytes.len;
+	return call->refusal_bytes <= REFUSAL_BODY_MAX_BYTES;
 }
 
-static void add_field(struct call *call, struct str line)
+static bool read_body(struct call *call, struct transfer_event *event)
 {
-	struct str value;
-	struct str name = trim(str_split(line, ':', &value));
-	int index = call->head.field_count;
-
-	value = trim(value);
-	if (str_equal_nocase(name, STR("content-length")))
-		str_to_int64(value, &call->head.body_length);
-	if (name.len == 0 || is_hop_by_hop_field(name) ||
-	    str_equal_nocase(name, STR("content-length")))
-		return;
-	call->fields_cut |= index >= FIELDS_MAX;
-	if (call->fields_cut)
-		return;
-	strbuf_add(&call->field_text, name);
-	strbuf_add(&call->field_text, value);
-	call->name_lens[index] = name.len;
-	call->field_ends[index] = call->field_text.len;
-	call->head.field_count++;
-}
+	struct target_event read = { .kind = TARGET_READ_BODY,
+				     .read = { event->read.into, event->read.cap, 0 } };
+	bool going_on = deliver(call, &read);
 
-static void begin_head(struct call *call, struct str line)
-{
-	struct str rest;
-	int64_t status = 0;
-
-	str_split(line, ' ', &rest);
-	str_to_int64(str_sub(trim(rest), 0, 3), &status);
-	call->head = (struct response_head){ .status = (int)status, .body_length = -1 };
-	call->field_text.len = 0;
-	call->fields_cut = false;
+	event->read.len = read.read.len;
+	return going_on;
 }
 
-/* Adds one line of the head. An empty line ends it, except after an interim (1xx) head. Returning
- * less than the length ends the call, also for a target that never ends its head. */
-static size_t on_header(char *data, size_t size, size_t count, void *context)
+static bool on_transfer_event(void *context, struct transfer_event *event)
 {
 	struct call *call = context;
-	struct str line = { data, size * count };
-
-	call->head_bytes += line.len;
-	if (call->head_bytes > HEAD_MAX_BYTES)
-		return 0;
-	/* Trailers are not forwarded, and the delivered head is in use. */
-	if (call->head_delivered)
-		return line.len;
-	if (str_has_prefix(line, STR("HTTP/"))) {
-		begin_head(call, line);
-	} else if (trim(line).len) {
-		add_field(call, line);
-	} else if (call->head.status >= 2 * STATUS_MIN && !deliver_head(call)) {
-		return 0;
+	struct target_event check = { .kind = TARGET_CHECK_CALLER };
+
+	switch (event->kind) {
+	case TRANSFER_HEAD:
+		return take_head(call, event);
+	case TRANSFER_BODY:
+		return take_body(call, event->bytes);
+	case TRANSFER_READ:
+		return read_body(call, event);
+	case TRANSFER_CHECK:
+		return deliver(call, &check);
 	}
-	return line.len;
-}
-
-static size_t on_body(char *data, size_t size, size_t count, void *context)
-{
-	struct call *call = context;
-	struct target_event event = { .kind = TARGET_BODY, .bytes = { data, size * count } };
-
-	return deliver(call, &event) ? size * count : 0;
-}
-
-static size_t on_read(char *into, size_t size, size_t count, void *context)
-{
-	struct call *call = context;
-	struct target_event event = { .kind = TARGET_READ_BODY, .read = { into, size * count, 0 } };
-
-	return deliver(call, &event) ? event.read.len : CURL_READFUNC_ABORT;
+	g_assert_not_reached();
 }
 
 static struct handle *handle_new(void)
@@ -317,16 +215,42 @@
 	return handle ? handle : handle_new();
 }
 
-static void release_handle(struct target *target, struct handle *handle, bool mismatched)
+/* Returns whether the target sent something that is no whole answer. */
+static bool is_suspicious(const struct transfer_result *transfer)
+{
+	switch (transfer->end) {
+	case TRANSFER_UNSENT:
+	case TRANSFER_UNANSWERED:
+	case TRANSFER_WHOLE:
+		return false;
+	case TRANSFER_MALFORMED:
+		return true;
+	case TRANSFER_CUT_IN_HEAD:
+	case TRANSFER_CUT_IN_BODY:
+		return transfer->cause == TRANSFER_CONNECTION;
+	}
+	g_assert_not_reached();
+}
+
+/* Keeps the handle and its connection for the next call if the answer was whole. */
+static void release_handle(struct target *target, struct handle *handle,
+			   const struct transfer_result *transfer)
 {
 	struct instant now = clock_now();
+	bool whole = transfer->end == TRANSFER_WHOLE;
 
-	curl_easy_reset(handle->curl);
-	handle->once_until = deadline_after(now, ONCE_REUSE_US);
+	if (whole) {
+		curl_easy_reset(handle->curl);
+		handle->fd = transfer->whole.fd;
+		handle->once_until = deadline_after(now, ONCE_REUSE_US);
+	} else {
+		handle_free(handle);
+	}
 	lock_acquire(&target->lock);
-	if (mismatched)
+	if (is_suspicious(transfer))
 		target->suspicious_until = deadline_after(now, SUSPICIOUS_US);
-	g_ptr_array_add(target->idle, handle);
+	if (whole)
+		g_ptr_array_add(target->idle, handle);
 	lock_release(&target->lock);
 }
 
@@ -379,7 +303,7 @@
 	for (int i = 0; i < head->field_count; i++) {
 		const struct field *field = &head->fields[i];
 
-		if (is_hop_by_hop_field(field->name) || is_replaced_field(dialect, field->name))
+		if (answer_is_hop_by_hop(field->name) || is_replaced_field(dialect, field->name))
 			continue;
 		has_type |= str_equal_nocase(field->name, STR("content-type"));
 		list = append_field(list, field->name, field->value);
@@ -408,16 +332,6 @@
 	}
 }
 
-static void set_callbacks(CURL *curl, struct call *call)
-{
-	curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, on_header);
-	curl_easy_setopt(curl, CURLOPT_HEADERDATA, call);
-	curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, on_body);
-	curl_easy_setopt(curl, CURLOPT_WRITEDATA, call);
-	curl_easy_setopt(curl, CURLOPT_READFUNCTION, on_read);
-	curl_easy_setopt(curl, CURLOPT_READDATA, call);
-}
-
 /* Refuses a second connection once bytes of the request were sent: curl repeats a request in
  * silence when a kept connection ends without an answer. */
 static curl_socket_t open_unless_sent(void *context, curlsocktype purpose,
@@ -467,30 +381,6 @@
 		curl_easy_setopt(curl, CURLOPT_FRESH_CONNECT, 1L);
 }
 
-/* Maps a failed exchange to the outcome and the verdict of the call. */
-static struct target_result failed_result(const struct call *call, CURLcode code, long sent)
-{
-	struct target_result result = { .outcome = TARGET_CRASHED,
-					.verdict = VERDICT_MAY_HAVE_RUN,
-					.reason = curl_easy_strerror(code) };
-
-	if (call->answer_mismatched) {
-		result.outcome = TARGET_FAILED;
-		result.reason = "the answer is not one to this request";
-	} else if (call->aborted) {
-		/* The caller disconnected, which doesn't count against the target. */
-		result.outcome = TARGET_SHED;
-	} else if (sent == 0 && !call->head_delivered) {
-		result.outcome = TARGET_UNREACHED;
-		result.verdict = VERDICT_NOT_RUN;
-	} else if (code == CURLE_OPERATION_TIMEDOUT) {
-		result.outcome = TARGET_FAILED;
-	}
-	if (call->head_delivered)
-		result.verdict = VERDICT_RAN;
-	return result;
-}
-
 static enum target_outcome outcome_of(int status)
 {
 	if (status == STATUS_UNAVAILABLE || status == STATUS_TOO_MANY)
@@ -498,63 +388,76 @@
 	return status >= STATUS_SERVER_ERROR ? TARGET_FAILED : TARGET_ANSWERED;
 }
 
-static struct target_result make_result(const struct call *call, CURL *curl, CURLcode code)
+/* Returns the outcome of a call whose answer is not whole. */
+static enum target_outcome broken_outcome(const struct call *call,
+					  const struct transfer_result *transfer)
 {
-	struct target_result result = { .verdict = VERDICT_RAN, .complete = true };
-	long sent = 0;
-
-	curl_easy_getinfo(curl, CURLINFO_REQUEST_SIZE, &sent);
-	if (code == CURLE_OK)
-		result.outcome = outcome_of(call->head.status);
-	else
-		result = failed_result(call, code, sent);
-	result.service_us =
-		(call->head_us ? call->head_us : clock_now().mono_us) - call->started_us;
-	return result;
+	/* The caller disconnected, which doesn't count against the target. */
+	if (call->aborted)
+		return TARGET_SHED;
+	switch (transfer->end) {
+	case TRANSFER_UNSENT:
+		return TARGET_UNREACHED;
+	case TRANSFER_MALFORMED:
+		return TARGET_FAILED;
+	case TRANSFER_UNANSWERED:
+	case TRANSFER_CUT_IN_HEAD:
+	case TRANSFER_CUT_IN_BODY:
+	case TRANSFER_WHOLE:
+		return transfer->cause == TRANSFER_CONNECTION ? TARGET_CRASHED : TARGET_FAILED;
+	}
+	g_assert_not_reached();
 }
 
-static bool caller_waits(struct call *call)
+static void set_whole(struct target_result *result, const struct call *call, int status)
 {
-	struct target_event event = { .kind = TARGET_CHECK_CALLER };
+	bool refused = call->answer.kind == ANSWER_REFUSAL;
 
-	return deliver(call, &event);
+	result->complete = true;
+	result->verdict = refused ? VERDICT_NOT_RUN : VERDICT_RAN;
+	result->outcome = refused ? TARGET_SHED : outcome_of(status);
+	result->misdirected =
+		call->dialect->misdirected_status && status == call->dialect->misdirected_status;
 }
 
-/* Returns the result of the finished transfer. */
-static CURLcode transfer_result(CURLM *multi)
+static struct target_result make_result(const struct call *call,
+					const struct transfer_result *transfer)
 {
-	CURLcode code = CURLE_ABORTED_BY_CALLBACK;
-	CURLMsg *message;
-	int queued = 0;
-
-	while ((message = curl_multi_info_read(multi, &queued)) != NULL)
-		if (message->msg == CURLMSG_DONE)
-			code = message->data.result;
-	return code;
-}
+	struct target_result result = { .end = transfer->end,
+					.outcome = broken_outcome(call, transfer),
+					.verdict = VERDICT_MAY_HAVE_RUN,
+					.content_length = -1,
+					.reason = transfer->reason };
 
-/* Runs the exchange, and aborts it soon after the caller has disconnected. */
-static CURLcode perform_transfer(struct handle *handle, struct call *call)
-{
-	CURLcode code = CURLE_ABORTED_BY_CALLBACK;
-	int running = 1;
-
-	curl_multi_add_handle(handle->multi, handle->curl);
-	while (running && caller_waits(call)) {
-		if (curl_multi_perform(handle->multi, &running) != CURLM_OK)
-			break;
-		if (running)
-			curl_multi_poll(handle->multi, NULL, 0, CHECK_INTERVAL_MS, NULL);
-	}
-	handle->fd = CURL_SOCKET_BAD;
-	if (!running) {
-		code = transfer_result(handle->multi);
-		/* The socket is not known any more once the handle is removed. */
-		curl_easy_getinfo(handle->curl, CURLINFO_ACTIVESOCKET, &handle->fd);
+	switch (transfer->end) {
+	case TRANSFER_UNSENT:
+		result.verdict = VERDICT_NOT_RUN;
+		break;
+	case TRANSFER_UNANSWERED:
+		break;
+	case TRANSFER_CUT_IN_HEAD:
+		result.head_bytes = transfer->cut_in_head.head_bytes;
+		break;
+	case TRANSFER_MALFORMED:
+		result.head_bytes = transfer->malformed.head_bytes;
+		break;
+	case TRANSFER_CUT_IN_BODY:
+		if (call->answer.kind == ANSWER_TAKEN)
+			result.verdict = VERDICT_RAN;
+		result.head_bytes = transfer->cut_in_body.head_bytes;
+		result.body_bytes = transfer->cut_in_body.body_bytes;
+		result.framing = transfer->cut_in_body.framing;
+		result.content_length = transfer->cut_in_body.content_length;
+		break;
+	case TRANSFER_WHOLE:
+		set_whole(&result, call, transfer->whole.status);
+		result.body_bytes = transfer->whole.body_bytes;
+		result.framing = transfer->whole.framing;
+		break;
 	}
-	/* Removing the handle closes the connection of an unfinished transfer. */
-	curl_multi_remove_handle(handle->multi, handle->curl);
-	return code;
+	result.service_us =
+		(call->head_us ? call->head_us : clock_now().mono_us) - call->started_us;
+	return result;
 }
 
 struct target_result target_call(struct target *target, const struct target_call_options *options)
@@ -568,27 +471,32 @@
 	struct label expected;
 	struct handle *handle =
 		acquire_handle(target, url, url_cap, options->head->target, &expected);
-	CURL *curl = handle->curl;
 	struct curl_slist *fields =
 		make_fields(target->dialect, options->head, options->deadline, &expected);
+	struct transfer_options transfer = { .curl = handle->curl,
+					     .multi = handle->multi,
+					     .unique = target->dialect->request_id,
+					     .no_body =
+						     str_equal(options->head->method, STR("HEAD")),
+					     .head_max_bytes = HEAD_MAX_BYTES,
+					     .handle = on_transfer_event,
+					     .context = &call };
+	struct target_event head = { .kind = TARGET_HEAD, .head = &call.answer.head };
+	struct transfer_result transferred;
 	struct target_result result;
-	CURLcode code;
 
-	call.curl = curl;
-	curl_easy_setopt(curl, CURLOPT_URL, url);
-	curl_easy_setopt(curl, CURLOPT_HTTPHEADER, fields);
-	set_method(curl, options->head, options->has_body, method);
-	set_callbacks(curl, &call);
+	call.curl = handle->curl;
+	curl_easy_setopt(handle->curl, CURLOPT_URL, url);
+	curl_easy_setopt(handle->curl, CURLOPT_HTTPHEADER, fields);
+	set_method(handle->curl, options->head, options->has_body, method);
 	set_limits(target, handle, &call);
-	code = perform_transfer(handle, &call);
-	result = make_result(&call, curl, code);
-	result.misdirected = target->dialect->misdirected_status &&
-			     call.head.status == target->dialect->misdirected_status;
-	if (code == CURLE_OK && !deliver_head(&call))
-		result.complete = false;
-	release_handle(target, handle, call.answer_mismatched);
+	transferred = transfer_run(&transfer);
+	result = make_result(&call, &transferred);
+	if (result.complete && call.answer.kind == ANSWER_REFUSAL)
+		deliver(&call, &head);
+	release_handle(target, handle, &transferred);
 	curl_slist_free_all(fields);
-	strbuf_clear(&call.field_text);
+	answer_clear(&call.answer);
 	g_free(method);
 	g_free(url);
 	return result;
--- a/target/call.h
+++ b/target/call.h
@@ -10,6 +10,7 @@
 #include <glib.h>
 
 #include "base/clock.h"
+#include "base/transfer.h"
 #include "core/dialect.h"
 #include "core/tally.h"
 #include "peer/wire.h"
@@ -40,7 +41,7 @@
 bool target_accepts_connections(struct target *target);
 
 enum target_event_kind {
-	TARGET_HEAD,	     /**< head of the answer; once, before the body */
+	TARGET_HEAD,	     /**< whole head of the answer; once, before the body */
 	TARGET_BODY,	     /**< part of the answer's body */
 	TARGET_READ_BODY,    /**< fill up to .read.cap bytes of the request's body */
 	TARGET_CHECK_CALLER, /**< several times a second; false if the caller has disconnected */
@@ -72,11 +73,20 @@
 /** Result of a call. */
 struct target_result {
 	enum target_outcome outcome;
+	/** VERDICT_NOT_RUN: nothing was sent, or a whole refusal came, whose head was delivered and
+	 *  whose body was not. VERDICT_RAN: the whole head of another answer came. */
 	enum verdict verdict;
-	bool complete;	    /**< the answer is complete */
+	bool complete;	    /**< the answer is whole */
 	bool misdirected;   /**< another target is at the address */
 	int64_t service_us; /**< time until the answer's head, or the failure */
 	const char *reason; /**< cause of an incomplete answer, for messages */
+
+	/* Where the answer broke off, for messages. */
+	enum transfer_end end;	   /**< TRANSFER_WHOLE: it did not */
+	size_t head_bytes;	   /**< whole lines of the head that came; 0 if .complete */
+	int64_t body_bytes;	   /**< bytes of the body that came */
+	enum head_framing framing; /**< TRANSFER_CUT_IN_BODY, TRANSFER_WHOLE: end of the body */
+	int64_t content_length;	   /**< TRANSFER_CUT_IN_BODY: stated length of the body, or -1 */
 };
 
 /** Calls the target and blocks until the call ends. Takes LOCK_TARGET, but not for the exchange. */
