--- a/target/health.c
+++ b/target/health.c
@@ -1,8 +1,8 @@
 #include "target/health.h"
 
-#include <curl/curl.h>
+#include "base/transfer.h"
 
-enum { TIMEOUT_MS = 300, STATUS_OK = 200 };
+enum { TIMEOUT_MS = 300, STATUS_OK = 200, HEAD_MAX_BYTES = 64 << 10 };
 
 /* The answer of the target that is expected, as far as it says which one it is. */
 struct health_answer {
@@ -11,27 +11,28 @@
 	bool other_target;
 };
 
-static size_t on_header(char *data, size_t size, size_t count, void *context)
+static void read_head(struct health_answer *answer, const struct head *head)
 {
-	struct health_answer *answer = context;
-	struct str value;
-	struct str name = str_split((struct str){ data, size * count }, ':', &value);
-
-	while (value.len && g_ascii_isspace(value.data[0]))
-		value = str_sub(value, 1, value.len);
-	while (value.len && g_ascii_isspace(value.data[value.len - 1]))
-		value.len--;
-	if (answer->dialect->target_id.len && str_equal_nocase(name, answer->dialect->target_id) &&
-	    !str_equal(value, label_str(answer->expected)))
-		answer->other_target = true;
-	return size * count;
+	struct str name = answer->dialect->target_id;
+
+	for (int i = 0; name.len && i < head->field_count; i++)
+		if (str_equal_nocase(head->fields[i].name, name) &&
+		    !str_equal(head->fields[i].value, label_str(answer->expected)))
+			answer->other_target = true;
 }
 
-static size_t on_body(char *data, size_t size, size_t count, void *context)
+static bool on_event(void *context, struct transfer_event *event)
 {
-	(void)data;
-	(void)context;
-	return size * count;
+	switch (event->kind) {
+	case TRANSFER_HEAD:
+		read_head(context, event->head.head);
+		return true;
+	case TRANSFER_BODY:
+	case TRANSFER_READ:
+	case TRANSFER_CHECK:
+		return true;
+	}
+	g_assert_not_reached();
 }
 
 bool target_is_healthy(const struct dialect *dialect, const struct target_endpoint *endpoint,
@@ -42,18 +43,19 @@
 	char *url = g_strdup_printf("http://%u.%u.%u.%u:%u%.*s", ip >> 24, ip >> 16 & 255,
 				    ip >> 8 & 255, ip & 255, endpoint->port, STR_ARG(path));
 	CURL *curl = curl_easy_init();
-	long status = 0;
-	CURLcode code;
+	struct transfer_options options = { .curl = curl,
+					    .unique = dialect->target_id,
+					    .head_max_bytes = HEAD_MAX_BYTES,
+					    .handle = on_event,
+					    .context = &answer };
+	struct transfer_result result;
 
 	curl_easy_setopt(curl, CURLOPT_URL, url);
 	curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, (long)TIMEOUT_MS);
-	curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, on_header);
-	curl_easy_setopt(curl, CURLOPT_HEADERDATA, &answer);
-	curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, on_body);
-	code = curl_easy_perform(curl);
-	curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &status);
+	result = transfer_run(&options);
 	curl_easy_cleanup(curl);
 	g_free(url);
-	return code == CURLE_OK && status == STATUS_OK && !answer.other_target;
+	return result.end == TRANSFER_WHOLE && result.whole.status == STATUS_OK &&
+	       !answer.other_target;
 }
