--- a/godwithitch/fetch.c
+++ b/godwithitch/fetch.c
@@ -1,30 +1,33 @@
-#include <curl/curl.h>
 #include <poll.h>
 
+#include "base/transfer.h"
 #include "godwithitch/tool.h"
 
-enum { FETCH_TIMEOUT_MS = 5000, CONNECT_TIMEOUT_MS = 1000 };
+enum { FETCH_TIMEOUT_MS = 5000, CONNECT_TIMEOUT_MS = 1000, HEAD_MAX_BYTES = 64 << 10 };
 
-static size_t on_body(char *data, size_t size, size_t count, void *context)
+static void read_head(struct reply *reply, const struct head *head)
 {
-	strbuf_add(context, (struct str){ data, size * count });
-	return size * count;
+	for (int i = 0; i < head->field_count; i++)
+		if (str_equal_nocase(head->fields[i].name, STR("Godwithitch-File-Version")))
+			str_to_int64(head->fields[i].value, &reply->file_version);
 }
 
-static size_t on_header(char *data, size_t size, size_t count, void *context)
+static bool on_event(void *context, struct transfer_event *event)
 {
 	struct reply *reply = context;
-	struct str value;
-	struct str name = str_split((struct str){ data, size * count }, ':', &value);
-
-	if (str_equal_nocase(name, STR("Godwithitch-File-Version"))) {
-		while (value.len && value.data[0] == ' ')
-			value = str_sub(value, 1, value.len);
-		while (value.len && value.data[value.len - 1] <= ' ')
-			value.len--;
-		str_to_int64(value, &reply->file_version);
+
+	switch (event->kind) {
+	case TRANSFER_HEAD:
+		read_head(reply, event->head.head);
+		return true;
+	case TRANSFER_BODY:
+		strbuf_add(&reply->body, event->bytes);
+		return true;
+	case TRANSFER_READ:
+	case TRANSFER_CHECK:
+		return true;
 	}
-	return size * count;
+	g_assert_not_reached();
 }
 
 struct reply fetch(struct str control, const char *method, const char *path)
@@ -32,18 +35,24 @@
 	struct reply reply = { 0 };
 	char *url = g_strdup_printf("http://%.*s%s", STR_ARG(control), path);
 	CURL *curl = curl_easy_init();
+	struct transfer_options options = { .curl = curl,
+					    .head_max_bytes = HEAD_MAX_BYTES,
+					    .handle = on_event,
+					    .context = &reply };
+	struct transfer_result result;
 
 	curl_easy_setopt(curl, CURLOPT_URL, url);
 	curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, method);
 	curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, (long)FETCH_TIMEOUT_MS);
 	curl_easy_setopt(curl, CURLOPT_CONNECTTIMEOUT_MS, (long)CONNECT_TIMEOUT_MS);
-	curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, on_body);
-	curl_easy_setopt(curl, CURLOPT_WRITEDATA, &reply.body);
-	curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, on_header);
-	curl_easy_setopt(curl, CURLOPT_HEADERDATA, &reply);
-	if (curl_easy_perform(curl) == CURLE_OK)
-		curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &reply.status);
+	result = transfer_run(&options);
+	if (result.end == TRANSFER_WHOLE) {
+		reply.status = result.whole.status;
+	} else {
+		reply.file_version = 0;
+		reply_clear(&reply);
+	}
 	curl_easy_cleanup(curl);
 	g_free(url);
 	return reply;
