--- a/godwithitchd/inbound.c
+++ b/godwithitchd/inbound.c
@@ -50,9 +50,7 @@
 	/* The answer to another node; lock guards credit and cond. */
 	struct strbuf frames;
 	struct body_sum answer_sum;
-	int status; /* of the answer whose head was passed on */
-	int64_t announced_bytes;
-	size_t answer_bytes;
+	int status;	  /* of the answer whose head was passed on */
 	struct lock lock; /* LOCK_PIPE */
 	apr_thread_cond_t *cond;
 	int64_t credit;
@@ -395,7 +393,6 @@
 	if (inbound->answer != ANSWER_FORWARDED)
 		return false;
 	inbound->status = head->status;
-	inbound->announced_bytes = head->body_length;
 	switch (inbound->sink.kind) {
 	case SINK_LOCAL:
 		attempt_forward_head(inbound->sink.attempt, head);
@@ -412,7 +409,6 @@
 
 static bool forward_body(struct inbound *inbound, struct str bytes)
 {
-	inbound->answer_bytes += bytes.len;
 	switch (inbound->sink.kind) {
 	case SINK_LOCAL:
 		return attempt_forward_body(inbound->sink.attempt, bytes, inbound->entry.deadline);
@@ -568,7 +564,7 @@
 		return;
 	case ANSWER_SHED:
 		inbound->entry.expected_us = 0;
-		refuse(inbound, REFUSAL_BUSY, VERDICT_NOT_RUN, STR("the target sheds load"));
+		refuse(inbound, REFUSAL_BUSY, result->verdict, STR("the target sheds load"));
 		return;
 	case ANSWER_REJECTED:
 		inbound->entry.expected_us = 0;
@@ -639,20 +635,23 @@
 /* An answer that ended because its caller left is not broken. */
 static void log_broken_answer(const struct inbound *inbound, const struct target_result *result)
 {
-	bool has_head = inbound->answer == ANSWER_FORWARDED;
+	struct str place = transfer_end_name(result->end);
+	char labels[64];
 
-	if (result->complete || inbound->answer == ANSWER_SHED ||
-	    result->outcome == TARGET_UNREACHED || g_atomic_int_get(&inbound->cancelled))
+	if (result->complete || result->outcome == TARGET_UNREACHED ||
+	    inbound->answer == ANSWER_REJECTED || g_atomic_int_get(&inbound->cancelled))
 		return;
 	logger_event(LOG_EVENT_TARGET_ANSWER_BROKEN,
-		     "id=%.*s entry=%s place=%s status=%d bytes=%zu/%ld verdict=%.*s why=\"%s\"",
+		     "id=%.*s entry=%s place=%.*s status=%d framing=%.*s head_bytes=%zu "
+		     "bytes=%ld/%ld verdict=%.*s why=\"%s\"",
 		     STR_ARG(request_id(inbound)),
-		     inbound->sink.kind == SINK_LOCAL ? "own" : "peer", has_head ? "body" : "head",
-		     inbound->status, inbound->answer_bytes, inbound->announced_bytes,
-		     STR_ARG(verdict_name(result->verdict)),
-		     result->reason ? result->reason : "no answer");
+		     inbound->sink.kind == SINK_LOCAL ? "own" : "peer", STR_ARG(place),
+		     inbound->status, STR_ARG(head_framing_name(result->framing)),
+		     result->head_bytes, result->body_bytes, result->content_length,
+		     STR_ARG(verdict_name(result->verdict)), result->reason);
+	g_snprintf(labels, sizeof(labels), "place=\"%.*s\"", STR_ARG(place));
 	metrics_add(inbound->daemon->metrics, STR("godwithitch_broken_answers_total"),
-		    has_head ? STR("place=\"body\"") : STR("place=\"head\""), 1);
+		    str_from_cstr(labels), 1);
 }
 
 static enum slot_outcome slot_outcome_from_result(const struct inbound *inbound,
--- a/target/answer.c
+++ b/target/answer.c
@@ -80,11 +80,19 @@
 	       field_value(head->fields, head->field_count, STR("content-encoding")).len == 0;
 }
 
-static bool is_refusal(const struct response_head *head, const struct dialect *dialect)
+static enum answer_kind kind_from_statement(const struct response_head *head,
+					    const struct dialect *dialect)
 {
-	if (dialect->misdirected_status && head->status == dialect->misdirected_status)
-		return true;
-	return find_field(head->fields, head->field_count, dialect->not_run) != NULL;
+	bool has_field = find_field(head->fields, head->field_count, dialect->not_run) != NULL;
+
+	switch (dialect_answer_statement(dialect, head->status, has_field)) {
+	case STATES_NOT_RUN:
+		return ANSWER_REFUSAL;
+	case STATES_NOTHING:
+	case STATES_RAN:
+		return ANSWER_TAKEN;
+	}
+	g_assert_not_reached();
 }
 
 void answer_read(struct answer *answer, const struct dialect *dialect,
@@ -95,7 +103,7 @@
 	if (!copy_fields(answer, from) || !matches(&answer->head, dialect, request))
 		answer->kind = ANSWER_FOREIGN;
 	else
-		answer->kind = is_refusal(&answer->head, dialect) ? ANSWER_REFUSAL : ANSWER_TAKEN;
+		answer->kind = kind_from_statement(&answer->head, dialect);
 }
 
 void answer_clear(struct answer *answer)
