--- a/peer/peers.c
+++ b/peer/peers.c
@@ -241,7 +241,7 @@
 	lock_acquire(&peers->lock);
 	g_ptr_array_add(peers->all, link);
 	if (link->outgoing)
-		g_hash_table_insert(peers->by_peer, &link->peer, link);
+		g_hash_table_replace(peers->by_peer, &link->peer, link);
 	lock_release(&peers->lock);
 }
 
@@ -319,14 +319,16 @@
 		link_unref(link);
 }
 
-/* Returns whether an idle link may have failed unnoticed; a new link is cheaper than a test. */
+/* Returns whether a link is closed but not yet removed, or is idle and may have failed unnoticed; a
+ * new link is cheaper than a test. */
 static bool is_stale(struct link *link, struct instant now)
 {
 	bool stale;
 
 	lock_acquire(&link->lock);
-	stale = g_hash_table_size(link->streams) == 0 && link->state == LINK_OPEN &&
-		now.mono_us - link->received_at_us > REUSE_IDLE_US;
+	stale = link->state == LINK_CLOSED ||
+		(g_hash_table_size(link->streams) == 0 && link->state == LINK_OPEN &&
+		 now.mono_us - link->received_at_us > REUSE_IDLE_US);
 	lock_release(&link->lock);
 	return stale;
 }
--- a/regress/peer/link_test.c
+++ b/regress/peer/link_test.c
@@ -25,6 +25,8 @@
 	struct stream_owner base; /* must be first: events point to it */
 	gint lost;
 	enum verdict verdict;
+	uint64_t call_when_lost; /* member that is called again at once; 0: none */
+	bool called;
 };
 
 static apr_pool_t *pool;
@@ -34,6 +36,22 @@
 static bool admits; /* accepted requests get a slot at once */
 static gint runs;   /* admitted requests that were run */
 
+static struct request_head request_head(void)
+{
+	return (struct request_head){ .method = STR("POST"), .target = STR("/") };
+}
+
+static void call_again(struct owner *owner)
+{
+	struct request_head head = request_head();
+	struct stream stream;
+
+	owner->called =
+		peers_call(peers, owner->call_when_lost, &accepted.base, &head, NULL, &stream);
+	if (owner->called)
+		link_unref(stream.link);
+}
+
 static void on_peer(void *context, struct peer_event *event)
 {
 	struct owner *owner = (struct owner *)event->owner;
@@ -48,6 +66,8 @@
 		g_atomic_int_inc(&runs);
 	} else if (event->kind == PEER_LOST) {
 		owner->verdict = event->verdict;
+		if (owner->call_when_lost)
+			call_again(owner);
 		g_atomic_int_set(&owner->lost, 1);
 	} else if (event->kind == PEER_RELEASED) {
 		g_atomic_int_add(&owner->base.refs, -1);
@@ -103,11 +123,6 @@
 	return 0;
 }
 
-static struct request_head request_head(void)
-{
-	return (struct request_head){ .method = STR("POST"), .target = STR("/") };
-}
-
 struct race {
 	struct link *link;
 	gint ready;
@@ -222,6 +237,32 @@
 	close(fd);
 }
 
+/* A link whose streams are being lost was given to new calls until it was removed: they found no
+ * link to the node, although it accepted a new one. */
+static void test_call_while_a_link_closes_gets_a_new_one(void **state)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET, .sin_addr.s_addr = htonl(LOOPBACK) };
+	socklen_t len = sizeof(address);
+	struct request_head head = request_head();
+	struct owner owner = { .base.refs = 1 };
+	int listen_fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	struct stream stream;
+
+	(void)state;
+	assert_int_equal(bind(listen_fd, (struct sockaddr *)&address, sizeof(address)), 0);
+	assert_int_equal(listen(listen_fd, 1), 0);
+	getsockname(listen_fd, (struct sockaddr *)&address, &len);
+	owner.call_when_lost = member_id(LOOPBACK, ntohs(address.sin_port));
+	assert_true(peers_call(peers, owner.call_when_lost, &owner.base, &head, NULL, &stream));
+	close(accept(listen_fd, NULL, NULL));
+	for (int i = 0; i < 200 && !g_atomic_int_get(&owner.lost); i++)
+		g_usleep(10000);
+	assert_true(g_atomic_int_get(&owner.lost));
+	assert_true(owner.called);
+	link_unref(stream.link);
+	close(listen_fd);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -231,6 +272,8 @@
 						set_up, tear_down),
 		cmocka_unit_test_setup_teardown(test_reused_stream_id_closes_the_link, set_up,
 						tear_down),
+		cmocka_unit_test_setup_teardown(test_call_while_a_link_closes_gets_a_new_one,
+						set_up, tear_down),
 	};
 
 	apr_initialize();
