--- a/peer/frames.c
+++ b/peer/frames.c
@@ -98,7 +98,7 @@
 	event.owner = event.request.owner;
 	lock_acquire(&link->lock);
 	g_atomic_int_inc(&event.owner->refs);
-	link_add_entry(link, frame->stream, event.owner, 0);
+	link_add_entry(link, frame->stream, event.owner, 0, body_of_request(head.body_length));
 	lock_release(&link->lock);
 	event.kind = PEER_ADMIT;
 	event.wants_run = false;
@@ -112,96 +112,111 @@
 	return true;
 }
 
+/* Ends a stream whose body is broken. The other streams of the link are sound: a target that breaks
+ * its answer must not cost them theirs. */
+static void lose_stream(struct link *link, const struct frame *frame, struct stream_owner *owner)
+{
+	struct peer_event event = { .kind = PEER_LOST,
+				    .owner = owner,
+				    .verdict = VERDICT_MAY_HAVE_RUN };
+	struct strbuf cancel = { 0 };
+
+	logger_event(LOG_EVENT_FRAME_BAD, "member=%lx kind=%d stream=%lx", link->peer,
+		     (int)frame->kind, frame->stream);
+	wire_put(&cancel, FRAME_CANCEL, frame->stream, STR(""));
+	link_write(link, strbuf_str(&cancel));
+	strbuf_clear(&cancel);
+	deliver_and_release(link, &event);
+}
+
+/* Takes a part of a body and delivers its event, unless the stream is closed. False if frames of
+ * the link were lost or changed. */
+static bool deliver_part(struct link *link, const struct frame *frame, const struct body_part *part,
+			 struct peer_event *event)
+{
+	enum body_result result = BODY_TAKEN;
+	struct stream_entry *entry;
+
+	lock_acquire(&link->lock);
+	entry = g_hash_table_lookup(link->streams, &frame->stream);
+	if (entry) {
+		event->owner = entry->owner;
+		result = body_take(&entry->body, part);
+		if (part->kind == PART_REFUSAL || result == BODY_BROKEN)
+			link_take_entry(link, frame->stream);
+		else
+			g_atomic_int_inc(&event->owner->refs);
+	}
+	lock_release(&link->lock);
+	if (!event->owner)
+		return true;
+	switch (result) {
+	case BODY_TAKEN:
+		deliver_and_release(link, event);
+		return true;
+	case BODY_BROKEN:
+		lose_stream(link, frame, event->owner);
+		return true;
+	case BODY_CORRUPT:
+		link_release_owner(link, event->owner);
+		return false;
+	}
+	g_assert_not_reached();
+}
+
 static bool handle_response(struct link *link, const struct frame *frame)
 {
 	struct peer_event event = { .kind = PEER_RESPONSE };
 	struct response_head head = { 0 };
+	struct body_part part = { .kind = PART_HEAD, .head = &head };
 	struct decoded_head *storage = NULL;
+	bool valid;
 
 	if (!wire_get_response(frame->payload, &head, &storage))
 		return false;
-	event.owner = find_owner(link, frame->stream);
 	event.response = &head;
-	if (event.owner)
-		deliver_and_release(link, &event);
+	valid = deliver_part(link, frame, &part, &event);
 	decoded_head_free(storage);
-	return true;
+	return valid;
 }
 
 static bool handle_refusal(struct link *link, const struct frame *frame)
 {
 	struct peer_event event = { .kind = PEER_REFUSED };
+	struct body_part part = { .kind = PART_REFUSAL };
 	struct refusal refusal = { 0 };
 	struct decoded_head *storage = NULL;
+	bool valid;
 
 	if (!wire_get_refusal(frame->payload, &refusal, &storage))
 		return false;
-	event.owner = link_remove_entry(link, frame->stream);
 	event.refusal = &refusal;
-	if (event.owner)
-		deliver_and_release(link, &event);
+	valid = deliver_part(link, frame, &part, &event);
 	decoded_head_free(storage);
-	return true;
-}
-
-/* Adds bytes to the sum of a body; false if @p offset is not its current length. */
-static bool add_to_sum(struct link *link, uint64_t id, uint64_t offset, struct str bytes)
-{
-	struct stream_entry *entry;
-	bool in_order = true;
-
-	lock_acquire(&link->lock);
-	entry = g_hash_table_lookup(link->streams, &id);
-	if (entry) {
-		in_order = entry->received.length == offset;
-		body_sum_add(&entry->received, bytes);
-	}
-	lock_release(&link->lock);
-	return in_order;
+	return valid;
 }
 
 static bool handle_data(struct link *link, const struct frame *frame)
 {
 	struct peer_event event = { .kind = PEER_DATA };
-	struct str bytes = frame->payload;
-	uint64_t offset;
+	struct body_part part = { .kind = PART_DATA };
 
-	if (!wire_read_u64(&bytes, &offset) || !add_to_sum(link, frame->stream, offset, bytes))
+	part.data.bytes = frame->payload;
+	if (!wire_read_u64(&part.data.bytes, &part.data.offset))
 		return false;
-	event.owner = find_owner(link, frame->stream);
-	event.bytes = bytes;
-	if (event.owner)
-		deliver_and_release(link, &event);
-	return true;
-}
-
-static bool sum_matches(struct link *link, uint64_t id, const struct body_sum *sum)
-{
-	const struct stream_entry *entry;
-	bool matches = true;
-
-	lock_acquire(&link->lock);
-	entry = g_hash_table_lookup(link->streams, &id);
-	if (entry)
-		matches = entry->received.length == sum->length &&
-			  entry->received.checksum == sum->checksum;
-	lock_release(&link->lock);
-	return matches;
+	event.bytes = part.data.bytes;
+	return deliver_part(link, frame, &part, &event);
 }
 
 static bool handle_end(struct link *link, const struct frame *frame)
 {
 	struct peer_event event = { .kind = PEER_END };
+	struct body_part part = { .kind = PART_END };
 	struct str payload = frame->payload;
-	struct body_sum sum;
 
-	if (!wire_read_u64(&payload, &sum.length) || !wire_read_u64(&payload, &sum.checksum) ||
-	    !sum_matches(link, frame->stream, &sum))
-		return false;
-	event.owner = find_owner(link, frame->stream);
-	if (event.owner)
-		deliver_and_release(link, &event);
-	return true;
+	return wire_read_u64(&payload, &part.end.length) &&
+	       wire_read_u64(&payload, &part.end.checksum) &&
+	       deliver_part(link, frame, &part, &event);
 }
 
 static bool handle_window(struct link *link, const struct frame *frame)
--- a/peer/link.c
+++ b/peer/link.c
@@ -233,13 +233,14 @@
 }
 
 void link_add_entry(struct link *link, uint64_t id, struct stream_owner *owner,
-		    uint64_t request_end)
+		    uint64_t request_end, struct body body)
 {
 	struct stream_entry *entry = g_new0(struct stream_entry, 1);
 
 	entry->id = id;
 	entry->owner = owner;
 	entry->request_end = request_end;
+	entry->body = body;
 	g_hash_table_insert(link->streams, &entry->id, entry);
 	link->used_at_us = clock_now().mono_us;
 }
@@ -260,7 +261,8 @@
 	open = link->state != LINK_CLOSED;
 	if (open) {
 		g_atomic_int_inc(&owner->refs);
-		link_add_entry(link, id, owner, link->queued + head_len);
+		link_add_entry(link, id, owner, link->queued + head_len,
+			       body_of_answer(head->method));
 		*stream = (struct stream){ link_ref(link), id };
 		/* The silence of an idle link counts from its first new stream. */
 		if (g_hash_table_size(link->streams) == 1)
@@ -360,18 +362,25 @@
 		remove_watch(link, &link->write_watch);
 }
 
+struct stream_owner *link_take_entry(struct link *link, uint64_t id)
+{
+	const struct stream_entry *entry = g_hash_table_lookup(link->streams, &id);
+	struct stream_owner *owner;
+
+	if (!entry)
+		return NULL;
+	owner = entry->owner;
+	g_hash_table_remove(link->streams, &id);
+	link->used_at_us = clock_now().mono_us;
+	return owner;
+}
+
 struct stream_owner *link_remove_entry(struct link *link, uint64_t id)
 {
-	struct stream_owner *owner = NULL;
-	const struct stream_entry *entry;
+	struct stream_owner *owner;
 
 	lock_acquire(&link->lock);
-	entry = g_hash_table_lookup(link->streams, &id);
-	if (entry) {
-		owner = entry->owner;
-		g_hash_table_remove(link->streams, &id);
-		link->used_at_us = clock_now().mono_us;
-	}
+	owner = link_take_entry(link, id);
 	lock_release(&link->lock);
 	return owner;
 }
--- a/peer/link.h
+++ b/peer/link.h
@@ -6,6 +6,7 @@
 #define PEER_LINK_H
 
 #include "base/lockorder.h"
+#include "peer/body.h"
 #include "peer/peers.h"
 
 enum link_state { LINK_CONNECTING, LINK_OPEN, LINK_CLOSED };
@@ -15,7 +16,7 @@
 	uint64_t id;
 	struct stream_owner *owner; /* one reference */
 	uint64_t request_end;	    /* value of link->queued at the end of the request's head */
-	struct body_sum received;   /* length and checksum of the incoming body */
+	struct body body;	    /* that is received: the request's or the answer's */
 };
 
 /** State of a watch; it decides which thread drops the watch's reference to the link. */
@@ -73,9 +74,11 @@
 		       int interest);
 /** Adds a stream's entry and passes it the caller's reference to @p owner. LOCK_LINK is held. */
 void link_add_entry(struct link *link, uint64_t id, struct stream_owner *owner,
-		    uint64_t request_end);
+		    uint64_t request_end, struct body body);
 /** Removes a stream's entry; returns its reference to the owner, NULL if there is no entry. */
 struct stream_owner *link_remove_entry(struct link *link, uint64_t id);
+/** Like link_remove_entry(). LOCK_LINK is held. */
+struct stream_owner *link_take_entry(struct link *link, uint64_t id);
 void link_release_owner(struct link *link, struct stream_owner *owner);
 
 void link_writable(struct link *link);
--- a/peer/peers.h
+++ b/peer/peers.h
@@ -31,10 +31,10 @@
 	PEER_ADMIT,   /**< the accepted call, its stream now open; set .wants_run to get PEER_RUN */
 	PEER_RESPONSE,
 	PEER_REFUSED,
-	PEER_DATA,     /**< bytes of a body, in order */
-	PEER_END,      /**< the body is complete and its checksum matches */
+	PEER_DATA,     /**< bytes of a body, in order, at most as many as its head announced */
+	PEER_END,      /**< the body is whole: as its head announced it, and its checksum matches */
 	PEER_WINDOW,   /**< the other side consumed bytes */
-	PEER_LOST,     /**< the stream was cancelled, or its link closed */
+	PEER_LOST,     /**< the stream was cancelled, its link closed, or its body was broken */
 	PEER_RELEASED, /**< drop the table's reference to the owner */
 	PEER_RUN,      /**< the admitted call is to run on this worker */
 };
