--- a/peer/link.c
+++ b/peer/link.c
@@ -281,6 +281,8 @@
 	socklen_t len = sizeof(error);
 	bool connecting;
 
+	/* An idle watch may be removed, with its reference, before link_end_handling() returns. */
+	link_ref(link);
 	link_begin_handling(link, &link->write_state);
 	lock_acquire(&link->lock);
 	connecting = link->state == LINK_CONNECTING;
@@ -299,6 +301,7 @@
 	}
 	link_end_handling(link, &link->write_watch, &link->write_state, write_output(link),
 			  WATCH_WRITE);
+	link_unref(link);
 }
 
 /* The request may have run if its full head was passed to the socket, or is being passed to it by
--- a/regress/peer/ends_test.c
+++ b/regress/peer/ends_test.c
@@ -459,9 +459,13 @@
 /* Compares the events before the stream's release. */
 static bool check_events(const struct owner *owner, const struct body_case *c)
 {
-	size_t count = strcspn(owner->log, "X");
-	bool equal = count == strlen(c->events) && strncmp(owner->log, c->events, count) == 0;
+	size_t count;
+	bool equal;
 
+	pthread_mutex_lock(&mutex);
+	count = strcspn(owner->log, "X");
+	equal = count == strlen(c->events) && strncmp(owner->log, c->events, count) == 0;
+	pthread_mutex_unlock(&mutex);
 	if (!equal)
 		print_error("%s to %.*s, status %d, length %ld: events %.*s, expected %s\n",
 			    c->script, STR_ARG(c->method), c->status, c->length, (int)count,
