--- a/peer/link.c
+++ b/peer/link.c
@@ -199,21 +199,25 @@
 	return ok && full;
 }
 
-void link_write(struct link *link, struct str frames)
+/* Queues frames on a link that is not closed. Returns true if the caller is to write them; a worker
+ * that is writing already sends them too. LOCK_LINK is held. */
+static bool queue_frames(struct link *link, struct str frames)
 {
-	bool write_now;
+	bool write_now = link->state == LINK_OPEN && !link->writing;
 
-	lock_acquire(&link->lock);
-	if (link->state == LINK_CLOSED) {
-		lock_release(&link->lock);
-		return;
-	}
 	strbuf_add(&link->out, frames);
 	link->queued += frames.len;
-	/* A worker that is writing already sends these frames too. */
-	write_now = link->state == LINK_OPEN && !link->writing;
 	if (write_now)
 		link->writing = true;
+	return write_now;
+}
+
+void link_write(struct link *link, struct str frames)
+{
+	bool write_now;
+
+	lock_acquire(&link->lock);
+	write_now = link->state != LINK_CLOSED && queue_frames(link, frames);
 	lock_release(&link->lock);
 	if (write_now && write_output(link))
 		arm_write(link);
@@ -251,6 +255,7 @@
 	struct strbuf frames = { 0 };
 	size_t head_len;
 	uint64_t id;
+	bool write_now = false;
 	bool open;
 
 	lock_acquire(&link->lock);
@@ -263,14 +268,17 @@
 		g_atomic_int_inc(&owner->refs);
 		link_add_entry(link, id, owner, link->queued + head_len,
 			       body_of_answer(head->method));
-		*stream = (struct stream){ link_ref(link), id };
+		stream->id = id;
+		g_atomic_pointer_set(&stream->link, link_ref(link));
 		/* The silence of an idle link counts from its first new stream. */
 		if (g_hash_table_size(link->streams) == 1)
 			link->received_at_us = clock_now().mono_us;
+		/* Other workers that see the stream may send on it from now on. */
+		write_now = queue_frames(link, strbuf_str(&frames));
 	}
 	lock_release(&link->lock);
-	if (open)
-		link_write(link, strbuf_str(&frames));
+	if (write_now && write_output(link))
+		arm_write(link);
 	strbuf_clear(&frames);
 	return open;
 }
--- a/regress/peer/link_test.c
+++ b/regress/peer/link_test.c
@@ -182,6 +182,55 @@
 	}
 }
 
+static gpointer send_data(gpointer data)
+{
+	struct stream *stream = data;
+	struct strbuf frames = { 0 };
+	struct body_sum sum = { 0 };
+
+	while (!g_atomic_pointer_get(&stream->link))
+		;
+	wire_put_data(&frames, stream->id, &sum, STR("body"));
+	stream_send(*stream, &frames);
+	strbuf_clear(&frames);
+	return NULL;
+}
+
+/* A worker that forwards an upload sends on a stream that another one is opening: data that went
+ * ahead of its request was dropped by the target's node, which then closed the link. */
+static void test_data_follows_its_request(void **state)
+{
+	(void)state;
+	for (int i = 0; i < RACES; i++) {
+		struct owner owner = { .base.refs = 1 };
+		struct request_head head = request_head();
+		struct stream stream = { 0 };
+		struct link *link;
+		GThread *thread;
+		struct frame frame;
+		char bytes[4096];
+		ssize_t n;
+		size_t used;
+		int fds[2];
+
+		assert_int_equal(socketpair(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0, fds), 0);
+		link = link_new(peers, fds[0], true, LINK_OPEN);
+		thread = g_thread_new("data", send_data, &stream);
+		assert_true(link_open(link, &owner.base, &head, NULL, &stream));
+		g_thread_join(thread);
+		n = recv(fds[1], bytes, sizeof(bytes), 0);
+		assert_true(n > 0);
+		assert_int_equal(wire_read_frame((struct str){ bytes, (size_t)n }, &frame, &used),
+				 WIRE_FRAME);
+		if (frame.kind != FRAME_REQUEST)
+			fail_msg("race %d: a frame of kind %d came first", i, frame.kind);
+		link_close(link);
+		link_unref(stream.link);
+		link_unref(link);
+		close(fds[1]);
+	}
+}
+
 static int connect_as_node(void)
 {
 	struct sockaddr_in address = { .sin_family = AF_INET,
@@ -268,6 +317,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test_setup_teardown(test_request_that_was_sent_may_have_run, set_up,
 						tear_down),
+		cmocka_unit_test_setup_teardown(test_data_follows_its_request, set_up, tear_down),
 		cmocka_unit_test_setup_teardown(test_admitted_requests_run_when_the_queue_is_full,
 						set_up, tear_down),
 		cmocka_unit_test_setup_teardown(test_reused_stream_id_closes_the_link, set_up,
