--- a/caller/connection.c
+++ b/caller/connection.c
@@ -113,6 +113,9 @@
 	lock_release(&connection->lock);
 	if (!was_open)
 		return;
+	/* The descriptor is closed with the last call, whose end may take a while. */
+	if (!g_queue_is_empty(&calls))
+		shutdown(connection->fd, SHUT_RDWR);
 	end_calls(connection, &calls);
 	/* A worker that is reading aborts the input itself in end_handling(). */
 	if (!being_handled)
--- a/regress/lib/callers.c
+++ b/regress/lib/callers.c
@@ -149,6 +149,14 @@
 	return call;
 }
 
+void callers_release(void)
+{
+	pthread_mutex_lock(&callers.mutex);
+	g_ptr_array_set_size(callers.calls, 0);
+	callers.ready = 0;
+	pthread_mutex_unlock(&callers.mutex);
+}
+
 struct strbuf callers_read(int fd, int wait_ms)
 {
 	struct strbuf bytes = { 0 };
--- a/regress/lib/callers.h
+++ b/regress/lib/callers.h
@@ -37,6 +37,8 @@
 void callers_wait(const int *counter, int count);
 /** Waits for the call with this index, in the order of READY. */
 struct caller_call *callers_call(int index);
+/** Releases all calls; the next one has index 0. */
+void callers_release(void);
 /** Reads until the end of the connection, or until nothing arrives for a while; ends with 0. */
 struct strbuf callers_read(int fd, int wait_ms);
 /** Waits for the end of the connection; false if more bytes come, or neither. */
