--- a/caller/connection.c
+++ b/caller/connection.c
@@ -130,10 +130,16 @@
 	return strcmp(text, "<unknown>") == 0 ? "Status" : text;
 }
 
-static bool has_body(const struct caller_call *call)
+static struct framing choose_framing(const struct caller_call *call)
 {
-	return !str_equal(call->method, STR("HEAD")) && call->head.status != STATUS_NO_CONTENT &&
-	       call->head.status != STATUS_NOT_MODIFIED;
+	const struct response_head *head = &call->head;
+
+	if (str_equal(call->method, STR("HEAD")) || head->status == STATUS_NO_CONTENT ||
+	    head->status == STATUS_NOT_MODIFIED)
+		return (struct framing){ .kind = FRAMING_NONE };
+	if (head->body_length < 0)
+		return (struct framing){ .kind = FRAMING_CHUNKS };
+	return (struct framing){ .kind = FRAMING_LENGTH, .length.missing = head->body_length };
 }
 
 static void serialize_head(struct connection *connection, struct caller_call *call)
@@ -145,8 +151,7 @@
 	for (int i = 0; i < head->field_count; i++)
 		strbuf_addf(output, "%.*s: %.*s\r\n", STR_ARG(head->fields[i].name),
 			    STR_ARG(head->fields[i].value));
-	call->chunked = head->body_length < 0 && has_body(call);
-	if (call->chunked)
+	if (call->framing.kind == FRAMING_CHUNKS)
 		strbuf_add(output, STR("Transfer-Encoding: chunked\r\n"));
 	else if (head->body_length >= 0 && head->status != STATUS_NO_CONTENT)
 		strbuf_addf(output, "Content-Length: %ld\r\n", head->body_length);
@@ -160,16 +165,61 @@
 	call->head_serialized = true;
 }
 
-static void serialize_body(struct connection *connection, const struct caller_call *call,
-			   struct str bytes)
+/* Returns whether the next @p bytes and the end of a body agree with its framing. */
+static bool fits_framing(const struct framing *framing, size_t bytes, enum pipe_end end)
+{
+	int64_t missing = framing->length.missing;
+
+	switch (framing->kind) {
+	case FRAMING_NONE:
+	case FRAMING_CHUNKS:
+		return true;
+	case FRAMING_LENGTH:
+		return end == PIPE_DONE ? (int64_t)bytes == missing : (int64_t)bytes <= missing;
+	}
+	g_assert_not_reached();
+}
+
+/* The caller takes the answer for whole once it has the last byte, which is held until the end of
+ * the body has come. */
+static void serialize_sized(struct strbuf *output, struct framing *framing, struct str bytes,
+			    enum pipe_end end)
+{
+	framing->length.missing -= (int64_t)bytes.len;
+	if (bytes.len && framing->length.missing == 0 && end == PIPE_OPEN) {
+		framing->length.holds_last = true;
+		framing->length.last = bytes.data[--bytes.len];
+	}
+	strbuf_add(output, bytes);
+	if (framing->length.holds_last && end == PIPE_DONE)
+		strbuf_add(output, (struct str){ &framing->length.last, 1 });
+}
+
+static void serialize_chunk(struct strbuf *output, struct str bytes, enum pipe_end end)
+{
+	if (bytes.len) {
+		strbuf_addf(output, "%zx\r\n", bytes.len);
+		strbuf_add(output, bytes);
+		strbuf_add(output, STR("\r\n"));
+	}
+	if (end == PIPE_DONE)
+		strbuf_add(output, STR("0\r\n\r\n"));
+}
+
+static void serialize_body(struct strbuf *output, struct framing *framing, struct str bytes,
+			   enum pipe_end end)
 {
-	if (!has_body(call))
+	switch (framing->kind) {
+	case FRAMING_NONE:
 		return;
-	if (call->chunked)
-		strbuf_addf(&connection->output, "%zx\r\n", bytes.len);
-	strbuf_add(&connection->output, bytes);
-	if (call->chunked)
-		strbuf_add(&connection->output, STR("\r\n"));
+	case FRAMING_LENGTH:
+		serialize_sized(output, framing, bytes, end);
+		return;
+	case FRAMING_CHUNKS:
+		serialize_chunk(output, bytes, end);
+		return;
+	}
+	g_assert_not_reached();
 }
 
 /* The result of serializing one block. */
@@ -185,18 +235,17 @@
 	*body_bytes = 0;
 	if (!call->head_ready)
 		return SERIALIZE_WAITING;
+	if (!call->head_serialized)
+		call->framing = choose_framing(call);
 	*body_bytes = pipe_read(call->answer, block, sizeof(block), &end);
-	if (end == PIPE_FAILED)
+	if (end == PIPE_FAILED || !fits_framing(&call->framing, *body_bytes, end))
 		return SERIALIZE_TRUNCATED;
 	if (!call->head_serialized)
 		serialize_head(connection, call);
-	if (*body_bytes)
-		serialize_body(connection, call, (struct str){ block, *body_bytes });
-	if (end == PIPE_DONE) {
-		if (call->chunked)
-			strbuf_add(&connection->output, STR("0\r\n\r\n"));
+	serialize_body(&connection->output, &call->framing, (struct str){ block, *body_bytes },
+		       end);
+	if (end == PIPE_DONE)
 		return SERIALIZE_DONE;
-	}
 	return *body_bytes ? SERIALIZE_MORE : SERIALIZE_WAITING;
 }
 
--- a/caller/connection.h
+++ b/caller/connection.h
@@ -21,6 +21,22 @@
 
 struct connection;
 
+/** How the caller finds the end of an answer's body. */
+enum framing_kind {
+	FRAMING_NONE, /**< there is no body */
+	FRAMING_LENGTH,
+	FRAMING_CHUNKS,
+};
+
+struct framing {
+	enum framing_kind kind;
+	struct {
+		int64_t missing; /* announced bytes that have not come yet */
+		bool holds_last; /* the last byte waits for the end of the body */
+		char last;
+	} length; /* FRAMING_LENGTH */
+};
+
 struct caller_call {
 	gint refs;
 	struct connection *connection; /* one reference */
@@ -48,7 +64,7 @@
 	bool head_ready;      /* the head may be sent */
 	bool head_deferred;   /* the head waits for the end of the body */
 	bool head_serialized; /* the head is in the connection's output */
-	bool chunked;
+	struct framing framing;
 	bool truncated; /* the answer failed before its end; no more of it is sent */
 	struct response_head head;
 	struct strbuf head_text;
--- a/regress/caller/answers_test.c
+++ b/regress/caller/answers_test.c
@@ -157,6 +157,48 @@
 	assert_int_equal(run_cases(cases, G_N_ELEMENTS(cases), false), 0);
 }
 
+/* The connection went on with the next answer, whose bytes ended up in the body of this one. */
+static void test_short_answer_ends_the_connection(void **state)
+{
+	static const struct answer_case cases[] = {
+		{ "e", "GET", 200, 4 },	      { "se", "GET", 200, 5 },
+		{ "spe", "GET", 200, 5 },     { "e", "GET", 200, LARGE },
+		{ "pe", "GET", 200, LARGE },  { "be", "GET", 200, LARGE },
+		{ "bpe", "GET", 200, LARGE },
+	};
+
+	(void)state;
+	assert_int_equal(run_cases(cases, G_N_ELEMENTS(cases), false), 0);
+}
+
+/* The last byte was sent before the answer had ended: one that failed behind it looked whole. */
+static void test_answer_that_fails_at_its_end_is_not_whole(void **state)
+{
+	static const struct answer_case cases[] = {
+		{ "bbf", "GET", 200, LARGE },
+		{ "bbpf", "GET", 200, LARGE },
+		{ "bpbpf", "GET", 200, LARGE },
+	};
+
+	(void)state;
+	assert_int_equal(run_cases(cases, G_N_ELEMENTS(cases), false), 0);
+}
+
+/* Bytes behind the announced length were taken for the next answer. */
+static void test_long_answer_ends_the_connection(void **state)
+{
+	static const struct answer_case cases[] = {
+		{ "se", "GET", 200, 0 },	{ "se", "GET", 200, 3 },
+		{ "spse", "GET", 200, 4 },	{ "bbse", "GET", 200, LARGE },
+		{ "bbpse", "GET", 200, LARGE }, { "bpbpspe", "GET", 200, LARGE },
+		{ "bbbpe", "GET", 200, LARGE }, { "bbbbbbbb", "GET", 200, LARGE },
+		{ "bbpsf", "GET", 200, LARGE },
+	};
+
+	(void)state;
+	assert_int_equal(run_cases(cases, G_N_ELEMENTS(cases), false), 0);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -164,6 +206,12 @@
 						callers_set_up, callers_tear_down),
 		cmocka_unit_test_setup_teardown(test_failed_answer_ends_the_connection_at_once,
 						callers_set_up, callers_tear_down),
+		cmocka_unit_test_setup_teardown(test_answer_that_fails_at_its_end_is_not_whole,
+						callers_set_up, callers_tear_down),
+		cmocka_unit_test_setup_teardown(test_short_answer_ends_the_connection,
+						callers_set_up, callers_tear_down),
+		cmocka_unit_test_setup_teardown(test_long_answer_ends_the_connection,
+						callers_set_up, callers_tear_down),
 	};
 
 	cmocka_set_test_filter(getenv("TEST_ONLY"));
