--- a/caller/connection.c
+++ b/caller/connection.c
@@ -48,7 +48,7 @@
 	connection->reading_paused = false;
 	connection->event_pending = false;
 	connection->awaiting_writable = false;
-	connection->close_after_output = false;
+	connection->answers = ANSWERS_FOLLOW;
 	connection->last_active_us = clock_now().mono_us;
 	connection->watch.fd = fd;
 	lock_release(&connection->lock);
@@ -159,8 +159,10 @@
 	 * connection closes. */
 	call->close_after |= caller_is_retired(connection->caller) &&
 			     g_queue_get_length(&connection->calls) == 1;
-	if (call->close_after)
+	if (call->close_after) {
 		strbuf_add(output, STR("Connection: close\r\n"));
+		connection->answers = ANSWERS_LAST;
+	}
 	strbuf_add(output, STR("\r\n"));
 	call->head_serialized = true;
 }
@@ -256,7 +258,8 @@
 	struct caller_call *call = g_queue_peek_head(&connection->calls);
 
 	*body_bytes = 0;
-	if (!call || connection->close_after_output || connection->output.len >= OUTPUT_MAX_BYTES)
+	if (!call || connection->answers == ANSWERS_ENDED ||
+	    connection->output.len >= OUTPUT_MAX_BYTES)
 		return NULL;
 	switch (serialize_block(connection, call, body_bytes)) {
 	case SERIALIZE_WAITING:
@@ -264,13 +267,14 @@
 	case SERIALIZE_MORE:
 		break;
 	case SERIALIZE_TRUNCATED:
-		connection->close_after_output = true;
+		connection->answers = ANSWERS_ENDED;
 		call->truncated = true;
 		break;
 	case SERIALIZE_DONE:
 		g_queue_pop_head(&connection->calls);
 		g_queue_push_tail(&connection->answered, call);
-		connection->close_after_output |= call->close_after;
+		if (connection->answers == ANSWERS_LAST)
+			connection->answers = ANSWERS_ENDED;
 		break;
 	}
 	return caller_call_ref(call);
@@ -361,6 +365,7 @@
 {
 	const struct caller_call *front;
 	GQueue answered = G_QUEUE_INIT;
+	GQueue unread = G_QUEUE_INIT; /* behind the last answer: they count as not read */
 	bool half_close = false;
 	bool truncated = false;
 
@@ -369,13 +374,16 @@
 		move_calls(&connection->answered, &answered);
 		front = g_queue_peek_head(&connection->calls);
 		truncated = front && front->truncated;
-		half_close = connection->close_after_output && !truncated &&
+		half_close = connection->answers == ANSWERS_ENDED && !truncated &&
 			     connection->state == CONNECTION_OPEN;
-		if (half_close)
+		if (half_close) {
 			connection->state = CONNECTION_LINGERING;
+			move_calls(&connection->calls, &unread);
+		}
 	}
 	lock_release(&connection->lock);
 	end_calls(connection, &answered);
+	end_calls(connection, &unread);
 	if (half_close)
 		shutdown(connection->fd, SHUT_WR);
 	if (truncated)
@@ -423,7 +431,8 @@
 		if (!call->safe)
 			break;
 	}
-	if (found && connection->state == CONNECTION_OPEN) {
+	if (found && connection->state == CONNECTION_OPEN &&
+	    connection->answers == ANSWERS_FOLLOW) {
 		found->dispatched = true;
 		caller_call_ref(found);
 	} else {
@@ -473,6 +482,17 @@
 	return room && (!call || !call->upload || pipe_has_room(call->upload));
 }
 
+/* Returns whether requests are read: bytes behind the last answer are discarded. */
+static bool reads_requests(struct connection *connection)
+{
+	bool reads;
+
+	lock_acquire(&connection->lock);
+	reads = connection->answers == ANSWERS_FOLLOW;
+	lock_release(&connection->lock);
+	return reads;
+}
+
 /* The result of reading from the socket. */
 enum read_result { READ_DRAINED, READ_MORE, READ_CLOSED };
 
@@ -489,7 +509,8 @@
 	connection->last_active_us = clock_now().mono_us;
 	lock_release(&connection->lock);
 	/* Bytes after the last request are read from the socket and discarded. */
-	input_parse(connection, (struct str){ bytes, (size_t)n });
+	if (reads_requests(connection))
+		input_parse(connection, (struct str){ bytes, (size_t)n });
 	return (size_t)n == sizeof(bytes) ? READ_MORE : READ_DRAINED;
 }
 
--- a/caller/connection.h
+++ b/caller/connection.h
@@ -56,7 +56,7 @@
 
 	/* Guarded by the connection's lock. */
 	bool startable;	      /* enough of the request has arrived */
-	bool dispatched;      /* passed to the handler */
+	bool dispatched;      /* passed to the handler: none is behind the last answer */
 	int notifying;	      /* events that the handler is handling now */
 	bool ended;	      /* no further event is delivered */
 	bool end_deferred;    /* CALLER_ENDED follows the events that are being handled */
@@ -81,6 +81,13 @@
 	CONNECTION_CLOSED,
 };
 
+/** What follows the answer that is being written. */
+enum connection_answers {
+	ANSWERS_FOLLOW,
+	ANSWERS_LAST,  /**< nothing: its caller was told that the connection closes behind it */
+	ANSWERS_ENDED, /**< nothing, and it is in the output as far as it gets */
+};
+
 /** A string of a request's head, as a range of its text. */
 struct span {
 	size_t offset;
@@ -119,10 +126,10 @@
 	GQueue calls;		/* struct caller_call, one reference each, oldest first */
 	GQueue answered;	/* struct caller_call; serialized, not yet written in full */
 	struct strbuf output;
-	bool writing;		 /* a thread is writing */
-	bool write_pending;	 /* the writing thread must make another pass */
-	bool close_after_output; /* no further answer follows the output */
-	int64_t last_active_us;	 /* monotonic time */
+	bool writing;	    /* a thread is writing */
+	bool write_pending; /* the writing thread must make another pass */
+	enum connection_answers answers;
+	int64_t last_active_us; /* monotonic time */
 };
 
 /** Starts the connection and takes ownership of @p fd. */
--- a/caller/read.c
+++ b/caller/read.c
@@ -115,19 +115,24 @@
 	return str_equal_nocase(caller_field(call, STR("Expect")), STR("100-continue"));
 }
 
-/* Queues the call in the order in which answers are sent. */
+/* Queues the call in the order in which answers are sent, unless the last one was chosen. */
 static void enqueue_call(struct connection *connection, struct caller_call *call)
 {
+	bool answers_follow;
+
 	lock_acquire(&connection->lock);
-	if (expects_continue(call) && g_queue_is_empty(&connection->calls) &&
-	    connection->output.len == 0)
-		strbuf_add(&connection->output, STR("HTTP/1.1 100 Continue\r\n\r\n"));
-	call->startable = call->upload != NULL;
-	caller_call_ref(call);
-	g_queue_push_tail(&connection->calls, call);
+	answers_follow = connection->answers == ANSWERS_FOLLOW;
+	if (answers_follow) {
+		if (expects_continue(call) && g_queue_is_empty(&connection->calls) &&
+		    connection->output.len == 0)
+			strbuf_add(&connection->output, STR("HTTP/1.1 100 Continue\r\n\r\n"));
+		call->startable = call->upload != NULL;
+		caller_call_ref(call);
+		g_queue_push_tail(&connection->calls, call);
+		caller_add_active(connection->caller, 1);
+	}
 	lock_release(&connection->lock);
-	caller_add_active(connection->caller, 1);
-	if (call->upload)
+	if (answers_follow && call->upload)
 		connection_advance(connection);
 }
 
