--- a/caller/connection.c
+++ b/caller/connection.c
@@ -48,7 +48,7 @@
 	connection->reading_paused = false;
 	connection->event_pending = false;
 	connection->awaiting_writable = false;
-	connection->close_after_output = false;
+	connection->answers = ANSWERS_FOLLOW;
 	connection->last_active_us = clock_now().mono_us;
 	connection->watch.fd = fd;
 	lock_release(&connection->lock);
@@ -113,6 +113,9 @@
 	lock_release(&connection->lock);
 	if (!was_open)
 		return;
+	/* The descriptor is closed with the last call, whose end may take a while. */
+	if (!g_queue_is_empty(&calls))
+		shutdown(connection->fd, SHUT_RDWR);
 	end_calls(connection, &calls);
 	/* A worker that is reading aborts the input itself in end_handling(). */
 	if (!being_handled)
@@ -127,10 +130,16 @@
 	return strcmp(text, "<unknown>") == 0 ? "Status" : text;
 }
 
-static bool has_body(const struct caller_call *call)
+static struct framing choose_framing(const struct caller_call *call)
 {
-	return !str_equal(call->method, STR("HEAD")) && call->head.status != STATUS_NO_CONTENT &&
-	       call->head.status != STATUS_NOT_MODIFIED;
+	const struct response_head *head = &call->head;
+
+	if (str_equal(call->method, STR("HEAD")) || head->status == STATUS_NO_CONTENT ||
+	    head->status == STATUS_NOT_MODIFIED)
+		return (struct framing){ .kind = FRAMING_NONE };
+	if (head->body_length < 0)
+		return (struct framing){ .kind = FRAMING_CHUNKS };
+	return (struct framing){ .kind = FRAMING_LENGTH, .length.missing = head->body_length };
 }
 
 static void serialize_head(struct connection *connection, struct caller_call *call)
@@ -142,8 +151,7 @@
 	for (int i = 0; i < head->field_count; i++)
 		strbuf_addf(output, "%.*s: %.*s\r\n", STR_ARG(head->fields[i].name),
 			    STR_ARG(head->fields[i].value));
-	call->chunked = head->body_length < 0 && has_body(call);
-	if (call->chunked)
+	if (call->framing.kind == FRAMING_CHUNKS)
 		strbuf_add(output, STR("Transfer-Encoding: chunked\r\n"));
 	else if (head->body_length >= 0 && head->status != STATUS_NO_CONTENT)
 		strbuf_addf(output, "Content-Length: %ld\r\n", head->body_length);
@@ -151,22 +159,69 @@
 	 * connection closes. */
 	call->close_after |= caller_is_retired(connection->caller) &&
 			     g_queue_get_length(&connection->calls) == 1;
-	if (call->close_after)
+	if (call->close_after) {
 		strbuf_add(output, STR("Connection: close\r\n"));
+		connection->answers = ANSWERS_LAST;
+	}
 	strbuf_add(output, STR("\r\n"));
 	call->head_serialized = true;
 }
 
-static void serialize_body(struct connection *connection, const struct caller_call *call,
-			   struct str bytes)
+/* Returns whether the next @p bytes and the end of a body agree with its framing. */
+static bool fits_framing(const struct framing *framing, size_t bytes, enum pipe_end end)
+{
+	int64_t missing = framing->length.missing;
+
+	switch (framing->kind) {
+	case FRAMING_NONE:
+	case FRAMING_CHUNKS:
+		return true;
+	case FRAMING_LENGTH:
+		return end == PIPE_DONE ? (int64_t)bytes == missing : (int64_t)bytes <= missing;
+	}
+	g_assert_not_reached();
+}
+
+/* The caller takes the answer for whole once it has the last byte, which is held until the end of
+ * the body has come. */
+static void serialize_sized(struct strbuf *output, struct framing *framing, struct str bytes,
+			    enum pipe_end end)
+{
+	framing->length.missing -= (int64_t)bytes.len;
+	if (bytes.len && framing->length.missing == 0 && end == PIPE_OPEN) {
+		framing->length.holds_last = true;
+		framing->length.last = bytes.data[--bytes.len];
+	}
+	strbuf_add(output, bytes);
+	if (framing->length.holds_last && end == PIPE_DONE)
+		strbuf_add(output, (struct str){ &framing->length.last, 1 });
+}
+
+static void serialize_chunk(struct strbuf *output, struct str bytes, enum pipe_end end)
+{
+	if (bytes.len) {
+		strbuf_addf(output, "%zx\r\n", bytes.len);
+		strbuf_add(output, bytes);
+		strbuf_add(output, STR("\r\n"));
+	}
+	if (end == PIPE_DONE)
+		strbuf_add(output, STR("0\r\n\r\n"));
+}
+
+static void serialize_body(struct strbuf *output, struct framing *framing, struct str bytes,
+			   enum pipe_end end)
 {
-	if (!has_body(call))
+	switch (framing->kind) {
+	case FRAMING_NONE:
+		return;
+	case FRAMING_LENGTH:
+		serialize_sized(output, framing, bytes, end);
+		return;
+	case FRAMING_CHUNKS:
+		serialize_chunk(output, bytes, end);
 		return;
-	if (call->chunked)
-		strbuf_addf(&connection->output, "%zx\r\n", bytes.len);
-	strbuf_add(&connection->output, bytes);
-	if (call->chunked)
-		strbuf_add(&connection->output, STR("\r\n"));
+	}
+	g_assert_not_reached();
 }
 
 /* The result of serializing one block. */
@@ -182,18 +237,17 @@
 	*body_bytes = 0;
 	if (!call->head_ready)
 		return SERIALIZE_WAITING;
+	if (!call->head_serialized)
+		call->framing = choose_framing(call);
 	*body_bytes = pipe_read(call->answer, block, sizeof(block), &end);
-	if (end == PIPE_FAILED)
+	if (end == PIPE_FAILED || !fits_framing(&call->framing, *body_bytes, end))
 		return SERIALIZE_TRUNCATED;
 	if (!call->head_serialized)
 		serialize_head(connection, call);
-	if (*body_bytes)
-		serialize_body(connection, call, (struct str){ block, *body_bytes });
-	if (end == PIPE_DONE) {
-		if (call->chunked)
-			strbuf_add(&connection->output, STR("0\r\n\r\n"));
+	serialize_body(&connection->output, &call->framing, (struct str){ block, *body_bytes },
+		       end);
+	if (end == PIPE_DONE)
 		return SERIALIZE_DONE;
-	}
 	return *body_bytes ? SERIALIZE_MORE : SERIALIZE_WAITING;
 }
 
@@ -204,7 +258,8 @@
 	struct caller_call *call = g_queue_peek_head(&connection->calls);
 
 	*body_bytes = 0;
-	if (!call || connection->close_after_output || connection->output.len >= OUTPUT_MAX_BYTES)
+	if (!call || connection->answers == ANSWERS_ENDED ||
+	    connection->output.len >= OUTPUT_MAX_BYTES)
 		return NULL;
 	switch (serialize_block(connection, call, body_bytes)) {
 	case SERIALIZE_WAITING:
@@ -212,13 +267,14 @@
 	case SERIALIZE_MORE:
 		break;
 	case SERIALIZE_TRUNCATED:
-		connection->close_after_output = true;
+		connection->answers = ANSWERS_ENDED;
 		call->truncated = true;
 		break;
 	case SERIALIZE_DONE:
 		g_queue_pop_head(&connection->calls);
 		g_queue_push_tail(&connection->answered, call);
-		connection->close_after_output |= call->close_after;
+		if (connection->answers == ANSWERS_LAST)
+			connection->answers = ANSWERS_ENDED;
 		break;
 	}
 	return caller_call_ref(call);
@@ -309,6 +365,7 @@
 {
 	const struct caller_call *front;
 	GQueue answered = G_QUEUE_INIT;
+	GQueue unread = G_QUEUE_INIT; /* behind the last answer: they count as not read */
 	bool half_close = false;
 	bool truncated = false;
 
@@ -317,13 +374,16 @@
 		move_calls(&connection->answered, &answered);
 		front = g_queue_peek_head(&connection->calls);
 		truncated = front && front->truncated;
-		half_close = connection->close_after_output && !truncated &&
+		half_close = connection->answers == ANSWERS_ENDED && !truncated &&
 			     connection->state == CONNECTION_OPEN;
-		if (half_close)
+		if (half_close) {
 			connection->state = CONNECTION_LINGERING;
+			move_calls(&connection->calls, &unread);
+		}
 	}
 	lock_release(&connection->lock);
 	end_calls(connection, &answered);
+	end_calls(connection, &unread);
 	if (half_close)
 		shutdown(connection->fd, SHUT_WR);
 	if (truncated)
@@ -371,7 +431,8 @@
 		if (!call->safe)
 			break;
 	}
-	if (found && connection->state == CONNECTION_OPEN) {
+	if (found && connection->state == CONNECTION_OPEN &&
+	    connection->answers == ANSWERS_FOLLOW) {
 		found->dispatched = true;
 		caller_call_ref(found);
 	} else {
@@ -421,6 +482,17 @@
 	return room && (!call || !call->upload || pipe_has_room(call->upload));
 }
 
+/* Returns whether requests are read: bytes behind the last answer are discarded. */
+static bool reads_requests(struct connection *connection)
+{
+	bool reads;
+
+	lock_acquire(&connection->lock);
+	reads = connection->answers == ANSWERS_FOLLOW;
+	lock_release(&connection->lock);
+	return reads;
+}
+
 /* The result of reading from the socket. */
 enum read_result { READ_DRAINED, READ_MORE, READ_CLOSED };
 
@@ -437,7 +509,8 @@
 	connection->last_active_us = clock_now().mono_us;
 	lock_release(&connection->lock);
 	/* Bytes after the last request are read from the socket and discarded. */
-	input_parse(connection, (struct str){ bytes, (size_t)n });
+	if (reads_requests(connection))
+		input_parse(connection, (struct str){ bytes, (size_t)n });
 	return (size_t)n == sizeof(bytes) ? READ_MORE : READ_DRAINED;
 }
 
--- a/peer/link.c
+++ b/peer/link.c
@@ -199,21 +199,25 @@
 	return ok && full;
 }
 
-void link_write(struct link *link, struct str frames)
+/* Queues frames on a link that is not closed. Returns true if the caller is to write them; a worker
+ * that is writing already sends them too. LOCK_LINK is held. */
+static bool queue_frames(struct link *link, struct str frames)
 {
-	bool write_now;
+	bool write_now = link->state == LINK_OPEN && !link->writing;
 
-	lock_acquire(&link->lock);
-	if (link->state == LINK_CLOSED) {
-		lock_release(&link->lock);
-		return;
-	}
 	strbuf_add(&link->out, frames);
 	link->queued += frames.len;
-	/* A worker that is writing already sends these frames too. */
-	write_now = link->state == LINK_OPEN && !link->writing;
 	if (write_now)
 		link->writing = true;
+	return write_now;
+}
+
+void link_write(struct link *link, struct str frames)
+{
+	bool write_now;
+
+	lock_acquire(&link->lock);
+	write_now = link->state != LINK_CLOSED && queue_frames(link, frames);
 	lock_release(&link->lock);
 	if (write_now && write_output(link))
 		arm_write(link);
@@ -233,13 +237,14 @@
 }
 
 void link_add_entry(struct link *link, uint64_t id, struct stream_owner *owner,
-		    uint64_t request_end)
+		    uint64_t request_end, struct body body)
 {
 	struct stream_entry *entry = g_new0(struct stream_entry, 1);
 
 	entry->id = id;
 	entry->owner = owner;
 	entry->request_end = request_end;
+	entry->body = body;
 	g_hash_table_insert(link->streams, &entry->id, entry);
 	link->used_at_us = clock_now().mono_us;
 }
@@ -250,6 +255,7 @@
 	struct strbuf frames = { 0 };
 	size_t head_len;
 	uint64_t id;
+	bool write_now = false;
 	bool open;
 
 	lock_acquire(&link->lock);
@@ -260,15 +266,19 @@
 	open = link->state != LINK_CLOSED;
 	if (open) {
 		g_atomic_int_inc(&owner->refs);
-		link_add_entry(link, id, owner, link->queued + head_len);
-		*stream = (struct stream){ link_ref(link), id };
+		link_add_entry(link, id, owner, link->queued + head_len,
+			       body_of_answer(head->method));
+		stream->id = id;
+		g_atomic_pointer_set(&stream->link, link_ref(link));
 		/* The silence of an idle link counts from its first new stream. */
 		if (g_hash_table_size(link->streams) == 1)
 			link->received_at_us = clock_now().mono_us;
+		/* Other workers that see the stream may send on it from now on. */
+		write_now = queue_frames(link, strbuf_str(&frames));
 	}
 	lock_release(&link->lock);
-	if (open)
-		link_write(link, strbuf_str(&frames));
+	if (write_now && write_output(link))
+		arm_write(link);
 	strbuf_clear(&frames);
 	return open;
 }
@@ -279,6 +289,8 @@
 	socklen_t len = sizeof(error);
 	bool connecting;
 
+	/* An idle watch may be removed, with its reference, before link_end_handling() returns. */
+	link_ref(link);
 	link_begin_handling(link, &link->write_state);
 	lock_acquire(&link->lock);
 	connecting = link->state == LINK_CONNECTING;
@@ -297,6 +309,7 @@
 	}
 	link_end_handling(link, &link->write_watch, &link->write_state, write_output(link),
 			  WATCH_WRITE);
+	link_unref(link);
 }
 
 /* The request may have run if its full head was passed to the socket, or is being passed to it by
@@ -360,18 +373,25 @@
 		remove_watch(link, &link->write_watch);
 }
 
+struct stream_owner *link_take_entry(struct link *link, uint64_t id)
+{
+	const struct stream_entry *entry = g_hash_table_lookup(link->streams, &id);
+	struct stream_owner *owner;
+
+	if (!entry)
+		return NULL;
+	owner = entry->owner;
+	g_hash_table_remove(link->streams, &id);
+	link->used_at_us = clock_now().mono_us;
+	return owner;
+}
+
 struct stream_owner *link_remove_entry(struct link *link, uint64_t id)
 {
-	struct stream_owner *owner = NULL;
-	const struct stream_entry *entry;
+	struct stream_owner *owner;
 
 	lock_acquire(&link->lock);
-	entry = g_hash_table_lookup(link->streams, &id);
-	if (entry) {
-		owner = entry->owner;
-		g_hash_table_remove(link->streams, &id);
-		link->used_at_us = clock_now().mono_us;
-	}
+	owner = link_take_entry(link, id);
 	lock_release(&link->lock);
 	return owner;
 }
