--- a/godwithitchd/attempt.c
+++ b/godwithitchd/attempt.c
@@ -57,7 +57,7 @@
 	attempt_record_outcome(attempt, CALL_REFUSED);
 	if (attempt->inbound)
 		inbound_cancel(attempt->inbound);
-	else if (attempt->stream.link)
+	else if (g_atomic_pointer_get(&attempt->stream.link))
 		stream_cancel(attempt->stream);
 }
 
@@ -343,7 +343,7 @@
 {
 	struct strbuf frames = { 0 };
 
-	if (!attempt->stream.link || !begin_forwarding(attempt))
+	if (!g_atomic_pointer_get(&attempt->stream.link) || !begin_forwarding(attempt))
 		return;
 	do {
 		bool more = true;
