--- a/godwithitchd/daemon.h
+++ b/godwithitchd/daemon.h
@@ -90,6 +90,8 @@
 /** Ends calls that are still open shortly after their deadline: answers them, or truncates the
  *  answer if its head was sent. */
 void calls_tick(struct daemon *daemon, struct instant now);
+/** Answers all open calls whose callers have no head of an answer: the process is about to exit. */
+void calls_end(struct daemon *daemon);
 void calls_on_peer(struct attempt *attempt, struct peer_event *event);
 struct attempt *attempt_ref(struct attempt *attempt);
 void attempt_unref(struct attempt *attempt);
@@ -113,7 +115,8 @@
 /** Queues the request, posts it to a worker or refuses it through attempt_refused(). */
 void inbound_admit_local(struct inbound *inbound);
 void inbound_on_peer(struct inbound *inbound, struct peer_event *event);
-void inbound_cancel(struct inbound *inbound);
+/** Cancels the request. Returns true if its target has got nothing of it and never will. */
+bool inbound_cancel(struct inbound *inbound);
 struct inbound *inbound_ref(struct inbound *inbound);
 void inbound_unref(struct inbound *inbound);
 /** Runs the request, then queued ones while slots are free; takes over a reference. */
--- a/godwithitchd/expiry.c
+++ b/godwithitchd/expiry.c
@@ -1,5 +1,5 @@
 /*
- * Expiry of calls whose deadline passed without an answer from the target's node.
+ * Calls that get no answer from the target's node: their deadline passed, or this node exits.
  */
 #include "base/logger.h"
 #include "godwithitchd/calls.h"
@@ -63,25 +63,88 @@
 		caller_finish(call->caller, PIPE_FAILED);
 }
 
-void calls_tick(struct daemon *daemon, struct instant now)
+/* Takes the calls for which @p is_due holds from the open calls, with a reference each. */
+static GPtrArray *take_open(struct daemon *daemon, struct instant now,
+			    bool (*is_due)(struct call *call, struct instant now))
 {
-	struct instant expired_before = { now.mono_us - EXPIRY_GRACE_US, now.wall_us };
-	GPtrArray *expired = g_ptr_array_new();
+	GPtrArray *taken = g_ptr_array_new_with_free_func((GDestroyNotify)call_unref);
 
 	lock_acquire(&daemon->lock);
 	for (guint i = daemon->open_calls->len; i-- > 0;) {
 		struct call *call = g_ptr_array_index(daemon->open_calls, i);
 
-		if (!deadline_passed(call->deadline, expired_before))
+		if (!is_due(call, now))
 			continue;
 		remove_open_locked(daemon, call);
 		g_atomic_int_inc(&call->refs);
-		g_ptr_array_add(expired, call);
+		g_ptr_array_add(taken, call);
 	}
 	lock_release(&daemon->lock);
-	for (guint i = 0; i < expired->len; i++) {
+	return taken;
+}
+
+static bool is_expired(struct call *call, struct instant now)
+{
+	struct instant expired_before = { now.mono_us - EXPIRY_GRACE_US, now.wall_us };
+
+	return deadline_passed(call->deadline, expired_before);
+}
+
+void calls_tick(struct daemon *daemon, struct instant now)
+{
+	GPtrArray *expired = take_open(daemon, now, is_expired);
+
+	for (guint i = 0; i < expired->len; i++)
 		expire_call(g_ptr_array_index(expired, i));
-		call_unref(g_ptr_array_index(expired, i));
-	}
 	g_ptr_array_unref(expired);
 }
+
+/* Detaches the call from its attempt. Returns true if no target has got it or ever will. */
+static bool withdraw_call(struct call *call)
+{
+	struct attempt *attempt;
+	bool not_run;
+
+	lock_acquire(&call->lock);
+	call->abandoned = true;
+	attempt = call->current;
+	call->current = NULL;
+	lock_release(&call->lock);
+	if (!attempt)
+		return true;
+	not_run = attempt->inbound && inbound_cancel(attempt->inbound);
+	attempt_cancel(attempt);
+	attempt_unref(attempt);
+	return not_run;
+}
+
+static void end_call(struct call *call)
+{
+	bool answered;
+
+	if (withdraw_call(call))
+		answered = call_answer(call, STATUS_UNAVAILABLE, VERDICT_NOT_RUN,
+				       STR("the node stops"));
+	else
+		answered = call_answer(call, STATUS_UNAVAILABLE, VERDICT_MAY_HAVE_RUN,
+				       STR("the node stops"));
+	/* The head came while the call was detached from its attempt. */
+	if (!answered)
+		caller_finish(call->caller, PIPE_FAILED);
+}
+
+/* A target that is sending its answer may still complete it. */
+static bool has_no_answer(struct call *call, struct instant now)
+{
+	(void)now;
+	return !g_atomic_int_get(&call->answered);
+}
+
+void calls_end(struct daemon *daemon)
+{
+	GPtrArray *waiting = take_open(daemon, clock_now(), has_no_answer);
+
+	for (guint i = 0; i < waiting->len; i++)
+		end_call(g_ptr_array_index(waiting, i));
+	g_ptr_array_unref(waiting);
+}
--- a/godwithitchd/inbound.c
+++ b/godwithitchd/inbound.c
@@ -26,6 +26,9 @@
 	};
 };
 
+/** Whether the target may get the request: decided once, by its worker or by who cancels it. */
+enum passing { PASS_OPEN, PASS_BEGUN, PASS_CANCELLED };
+
 /** A request that this node passes to its own target. */
 struct inbound {
 	struct stream_owner owner; /* must be first: the link casts from it */
@@ -38,6 +41,7 @@
 	bool has_body;
 	apr_pool_t *pool;
 	gint cancelled;
+	gint passing;		/* atomic: enum passing */
 	size_t body_read_bytes; /* bytes read since the last window frame */
 	/* The answer to another node; lock guards credit and cond. */
 	struct strbuf frames;
@@ -233,14 +237,19 @@
 	inbound_unref(inbound);
 }
 
-void inbound_cancel(struct inbound *inbound)
+bool inbound_cancel(struct inbound *inbound)
 {
+	bool not_run =
+		g_atomic_int_compare_and_exchange(&inbound->passing, PASS_OPEN, PASS_CANCELLED) ||
+		g_atomic_int_get(&inbound->passing) == PASS_CANCELLED;
+
 	g_atomic_int_set(&inbound->cancelled, 1);
 	if (inbound->body)
 		pipe_finish(inbound->body, PIPE_FAILED);
 	lock_acquire(&inbound->lock);
 	apr_thread_cond_broadcast(inbound->cond);
 	lock_release(&inbound->lock);
+	return not_run;
 }
 
 static void add_credit(struct inbound *inbound, uint64_t bytes)
@@ -654,7 +663,7 @@
 
 	/* The worker that frees a slot runs the next queued call itself, without a hand-off. */
 	while (inbound) {
-		if (g_atomic_int_get(&inbound->cancelled)) {
+		if (!g_atomic_int_compare_and_exchange(&inbound->passing, PASS_OPEN, PASS_BEGUN)) {
 			admit_done(node_admit(daemon->node), &inbound->entry, SLOT_UNMEASURED, 0);
 			release_attempt(inbound);
 		} else {
--- a/godwithitchd/main.c
+++ b/godwithitchd/main.c
@@ -8,17 +8,19 @@
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <time.h>
 #include <unistd.h>
 
 #include "base/logger.h"
+#include "core/stop.h"
 #include "godwithitchd/daemon.h"
 #include "operator/parse.h"
 #include "platform/dialect.h"
 
-#define STOP_POLL_MS   50
-#define STOP_MARGIN_US (200 * US_PER_MS) /* time to exit before the supervisor kills the daemon */
+/* Time for the last answers to leave after a second signal. */
+#define FLUSH_US (200 * US_PER_MS)
 
-enum { EXIT_USAGE = 2, WORK_QUEUE_MAX = 4096 };
+enum { EXIT_USAGE = 2, WORK_QUEUE_MAX = 4096, STOP_POLL_MS = 50, FLUSH_POLL_MS = 5 };
 
 static void on_work(void *context, const struct work *work, int ready)
 {
@@ -268,39 +270,57 @@
 	       (peers_unsent(daemon->peers) > 0);
 }
 
+/* Waits for a signal that ends the process, STOP_POLL_MS at most. */
+static bool poll_signal(const sigset_t *signals)
+{
+	struct timespec poll_interval = { 0, STOP_POLL_MS * 1000000L };
+	int signal_number = sigtimedwait(signals, NULL, &poll_interval);
+
+	return signal_number == SIGTERM || signal_number == SIGINT;
+}
+
+/* Answers the callers that still wait, and waits until the answers have left. */
+static void end_calls(struct daemon *daemon, struct deadline exit_at)
+{
+	struct timespec poll_interval = { 0, FLUSH_POLL_MS * 1000000L };
+
+	logger_event(LOG_EVENT_STOP_CUT_REQUEST, "in_flight=%d", count_in_flight(daemon));
+	calls_end(daemon);
+	while ((caller_active(daemon->caller) || peers_unsent(daemon->peers)) &&
+	       !deadline_passed(exit_at, clock_now()))
+		nanosleep(&poll_interval, NULL);
+}
+
 /* Waits until nothing is in flight or the stop deadline passes. A signal during the notice period
  * ends that period, a later one ends the wait. Returns false if requests are cut off. */
 static bool drain(struct daemon *daemon, const sigset_t *signals)
 {
-	struct timespec poll_interval = { 0, STOP_POLL_MS * 1000000L };
-	struct instant now = clock_now();
-	struct deadline notice_ends_at = deadline_after(now, daemon->settings.stop_notice_us);
-	struct deadline stop_at =
-		deadline_after(now, daemon->settings.stop_within_us - STOP_MARGIN_US);
+	struct stop_options options = { .within_us = daemon->settings.stop_within_us,
+					.notice_us = daemon->settings.stop_notice_us };
+	struct stop_plan plan = stop_plan_at(&options, clock_now());
 	struct event retire = { .kind = EVENT_RETIRE };
 	struct event stop = { .kind = EVENT_STOP };
-	int signal_number = 0;
+	bool signalled = false;
 
 	logger_event(LOG_EVENT_DAEMON_STOPPING, "in_flight=%d", count_in_flight(daemon));
 	dispatch_event(daemon, &retire);
 	caller_retire(daemon->caller);
 	/* Until the notice ends, callers that do not know of the stop yet are still served, and
 	 * other nodes still reach the target. */
-	while (signal_number != SIGTERM && signal_number != SIGINT &&
-	       !deadline_passed(notice_ends_at, clock_now()))
-		signal_number = sigtimedwait(signals, NULL, &poll_interval);
+	while (!signalled && !deadline_passed(plan.notice_ends_at, clock_now()))
+		signalled = poll_signal(signals);
 	dispatch_event(daemon, &stop);
 	g_atomic_int_set(&daemon->stopping, 1);
 	caller_quiesce(daemon->caller);
-	while (count_in_flight(daemon)) {
-		signal_number = sigtimedwait(signals, NULL, &poll_interval);
-		if (signal_number == SIGTERM || signal_number == SIGINT ||
-		    deadline_passed(stop_at, clock_now()))
-			break;
-	}
+	signalled = false;
+	while (count_in_flight(daemon) && !signalled &&
+	       !deadline_passed(plan.answer_at, clock_now()))
+		signalled = poll_signal(signals);
 	if (!count_in_flight(daemon))
 		return true;
-	logger_event(LOG_EVENT_STOP_CUT_REQUEST, "in_flight=%d", count_in_flight(daemon));
+	if (signalled)
+		plan.exit_at = deadline_after(clock_now(), FLUSH_US);
+	end_calls(daemon, plan.exit_at);
 	return false;
 }
 
