--- a/core/admit.c
+++ b/core/admit.c
@@ -40,6 +40,10 @@
 /* A call with less than this part of its usual service time left is refused. */
 #define HOPELESS_FRACTION 0.5
 
+/* As HOPELESS_FRACTION, for the time until the node cuts the call off. Service times vary, and a
+ * call that is refused can be tried elsewhere, while one that is cut off may have run. */
+#define CUT_FRACTION 2.0
+
 /* The queues in order of precedence: one for each class, and one for nested calls. */
 enum lane {
 	LANE_INTERACTIVE,
@@ -77,7 +81,9 @@
 struct admit {
 	struct lock lock;
 	bool closed;
-	bool return_queued; /* queued calls go back, to be sent to other targets */
+	bool return_queued;	       /* queued calls go back, to be sent to other targets */
+	struct deadline queue_ends_at; /* 0, as the next: the node does not stop */
+	struct deadline work_ends_at;
 	int announced_slots;
 	int slots;
 	int running;
@@ -174,6 +180,14 @@
 	lock_release(&admit->lock);
 }
 
+void admit_end_by(struct admit *admit, struct deadline queue_ends_at, struct deadline work_ends_at)
+{
+	lock_acquire(&admit->lock);
+	admit->queue_ends_at = queue_ends_at;
+	admit->work_ends_at = work_ends_at;
+	lock_release(&admit->lock);
+}
+
 static enum lane lane_of(const struct queue_entry *entry)
 {
 	switch (entry->class) {
@@ -365,15 +379,23 @@
 	return entry->objective.at_us && lane_of(entry) > LANE_NESTED;
 }
 
+/* Returns how long the call may stay at the target. */
+static int64_t remaining_us(const struct admit *admit, const struct queue_entry *entry,
+			    struct instant now)
+{
+	return MIN(deadline_remaining_us(entry->deadline, now),
+		   deadline_remaining_us(admit->work_ends_at, now));
+}
+
 /* Whether a call with that expected time until its answer is worth a place in the queue. */
-static bool is_worth_queueing(const struct queue_entry *entry, int64_t expected_us,
-			      struct instant now)
+static bool is_worth_queueing(const struct admit *admit, const struct queue_entry *entry,
+			      int64_t expected_us, struct instant now)
 {
-	int64_t remaining_us = deadline_remaining_us(entry->deadline, now);
+	int64_t left_us = remaining_us(admit, entry, now);
 
 	if (!is_deferrable(entry) || expected_us <= deadline_remaining_us(entry->objective, now))
-		return expected_us <= remaining_us;
-	return entry->retried && (double)expected_us * RETRIED_MARGIN <= (double)remaining_us;
+		return expected_us <= left_us;
+	return entry->retried && (double)expected_us * RETRIED_MARGIN <= (double)left_us;
 }
 
 /* Whether a call may start at once. A target so slow that the answer would be late refuses the call
@@ -387,13 +409,26 @@
 	       service_us <= deadline_remaining_us(entry->objective, now);
 }
 
+/* Whether a call that runs now would probably be cut off, since the node stops. */
+static bool is_cut_off(const struct admit *admit, const struct queue_entry *entry,
+		       double service_us, struct instant now)
+{
+	int64_t left_us = deadline_remaining_us(admit->work_ends_at, now);
+
+	return deadline_remaining_us(entry->deadline, now) >= left_us &&
+	       (double)left_us < CUT_FRACTION * service_us;
+}
+
 /* Whether a call has hardly a chance to be answered before its deadline, even if it runs now: its
  * time at the target would be wasted. Service times vary, so that half of the usual one may do. */
 static bool is_hopeless(struct admit *admit, const struct queue_entry *entry, struct instant now)
 {
+	double service_us = route_get(admit, &entry->route)->service_us;
+
 	return admit->served >= WARMUP_CALLS &&
-	       (double)deadline_remaining_us(entry->deadline, now) <
-		       HOPELESS_FRACTION * route_get(admit, &entry->route)->service_us;
+	       ((double)deadline_remaining_us(entry->deadline, now) <
+			HOPELESS_FRACTION * service_us ||
+		is_cut_off(admit, entry, service_us, now));
 }
 
 static enum admit_result offer(struct admit *admit, struct queue_entry *entry, struct instant now)
@@ -404,7 +439,7 @@
 
 	if (admit->slots == 0 || admit->closed)
 		return ADMIT_CLOSED;
-	if (deadline_remaining_us(entry->deadline, now) == 0 || is_hopeless(admit, entry, now))
+	if (remaining_us(admit, entry, now) == 0 || is_hopeless(admit, entry, now))
 		return ADMIT_LATE;
 	tenant = tenant_get(admit, entry);
 	service_us = (int64_t)expected_service_us(admit, entry, now);
@@ -421,7 +456,9 @@
 	if (is_full(admit, entry, tenant))
 		return ADMIT_FULL;
 	/* Without an objective, only the wait has to end before the deadline. */
-	if (!is_worth_queueing(entry, entry->objective.at_us ? entry->expected_us : wait_us, now))
+	if (!is_worth_queueing(admit, entry, entry->objective.at_us ? entry->expected_us : wait_us,
+			       now) ||
+	    wait_us > deadline_remaining_us(admit->queue_ends_at, now))
 		return ADMIT_LATE;
 	entry->queued_at_us = now.mono_us;
 	enqueue(admit, entry);
@@ -581,6 +618,13 @@
 	return first;
 }
 
+/* Whether queued calls go back to where they came from. */
+static bool returns_queue(const struct admit *admit, struct instant now)
+{
+	return admit->slots == 0 || admit->return_queued ||
+	       deadline_passed(admit->queue_ends_at, now);
+}
+
 /* Returns a tenant whose first call is to be refused: it can't be answered in time, or the target
  * takes no calls. */
 static struct tenant_queue *first_refused(struct admit *admit, struct lane_queue *lane,
@@ -591,7 +635,7 @@
 
 		const struct queue_entry *head = g_queue_peek_head(&tenant->entries);
 
-		if (admit->slots == 0 || admit->return_queued || is_expired(head, now) ||
+		if (returns_queue(admit, now) || is_expired(head, now) ||
 		    is_hopeless(admit, head, now))
 			return tenant;
 	}
@@ -637,7 +681,7 @@
 		return (struct admit_dispatch){ DISPATCH_NONE, NULL };
 	/* Late calls beyond the number of slots are refused early, while callers can still try
 	 * other targets. */
-	refuse = admit->slots == 0 || admit->return_queued ||
+	refuse = returns_queue(admit, now) || is_hopeless(admit, head, now) ||
 		 misses_deadline_behind_others(admit, head, now) ||
 		 (int)g_queue_get_length(&admit->late) > admit->slots;
 	if (!refuse && !may_run(admit, head))
--- a/core/admit.h
+++ b/core/admit.h
@@ -62,6 +62,11 @@
 void admit_close(struct admit *admit);
 /** Refuses new calls; admit_next() returns queued calls as late, to be sent to other targets. */
 void admit_return_queued(struct admit *admit);
+/**
+ * The node stops: calls run only if they can be expected to end by @p work_ends_at, and queued ones
+ * are returned from @p queue_ends_at on.
+ */
+void admit_end_by(struct admit *admit, struct deadline queue_ends_at, struct deadline work_ends_at);
 /** Gives a call a slot, queues it or refuses it. */
 enum admit_result admit_offer(struct admit *admit, struct queue_entry *entry, struct instant now);
 
--- a/core/event.h
+++ b/core/event.h
@@ -67,6 +67,10 @@
 			struct label version;
 			int slots;
 		} target;
+		struct {
+			struct deadline queue_ends_at; /**< as in struct stop_plan */
+			struct deadline work_ends_at;
+		} retire;
 	};
 };
 
--- a/core/node.c
+++ b/core/node.c
@@ -293,8 +293,9 @@
 }
 
 /* Other members are not notified yet, so that they use the target's slots until the node stops. */
-static void on_retire(struct node *node)
+static void on_retire(struct node *node, const struct event *event)
 {
+	admit_end_by(node->admit, event->retire.queue_ends_at, event->retire.work_ends_at);
 	lock_acquire(&node->gossip.lock);
 	node->gossip.retiring = true;
 	lock_release(&node->gossip.lock);
@@ -366,7 +367,7 @@
 		on_target_leaving(node, out);
 		return;
 	case EVENT_RETIRE:
-		on_retire(node);
+		on_retire(node, event);
 		return;
 	case EVENT_STOP:
 		on_stop(node, out);
--- a/core/stop.c
+++ b/core/stop.c
@@ -15,10 +15,20 @@
 	int64_t part_us = reserve_us / RESERVE_PARTS;
 	int64_t work_us = options->within_us - reserve_us;
 
+	int64_t notice_us = MIN(options->notice_us, work_us);
+
 	return (struct stop_plan){
-		.notice_ends_at = deadline_after(now, MIN(options->notice_us, work_us)),
+		.notice_ends_at = deadline_after(now, notice_us),
+		.queue_ends_at = deadline_after(now, notice_us + (work_us - notice_us) / 2),
 		.work_ends_at = deadline_after(now, work_us),
 		.answer_at = deadline_after(now, work_us + part_us),
 		.exit_at = deadline_after(now, options->within_us - part_us),
 	};
 }
+
+struct deadline stop_bound(const struct stop_plan *plan, struct deadline deadline)
+{
+	if (deadline.at_us && deadline.at_us < plan->work_ends_at.at_us)
+		return deadline;
+	return plan->work_ends_at;
+}
--- a/core/stop.h
+++ b/core/stop.h
@@ -17,6 +17,7 @@
 /** The deadlines of a stop, in order. */
 struct stop_plan {
 	struct deadline notice_ends_at; /**< new requests are refused from then on */
+	struct deadline queue_ends_at;	/**< calls that still wait for a slot go to other targets */
 	struct deadline work_ends_at;	/**< targets have answered by then */
 	struct deadline answer_at;	/**< callers that still wait get an answer of the node */
 	struct deadline exit_at;	/**< the process exits, even with answers unsent */
@@ -24,5 +25,7 @@
 
 /** Returns the deadlines of a stop that begins at @p now. */
 struct stop_plan stop_plan_at(const struct stop_options *options, struct instant now);
+/** Returns the deadline of a target's work on a call with @p deadline. */
+struct deadline stop_bound(const struct stop_plan *plan, struct deadline deadline);
 
 #endif
--- a/godwithitchd/calls.c
+++ b/godwithitchd/calls.c
@@ -44,10 +44,10 @@
 
 struct placement_inputs call_placement_inputs(const struct call *call, struct instant now)
 {
-	struct placement_inputs inputs = { .remaining_us =
-						   deadline_remaining_us(call->deadline, now),
-					   .node_is_current = node_is_current(call->daemon->node) };
+	struct placement_inputs inputs = { .node_is_current = node_is_current(call->daemon->node) };
 
+	inputs.remaining_us =
+		deadline_remaining_us(calls_work_deadline(call->daemon, call->deadline), now);
 	inputs.objective_remaining_us = call->objective.at_us
 						? deadline_remaining_us(call->objective, now)
 						: inputs.remaining_us;
@@ -165,7 +165,8 @@
 	head->class = call->route->class;
 	head->idempotent = call->route->repeat == REPEAT_IDEMPOTENT;
 	head->concurrency_percent = call->route->concurrency_percent;
-	head->remaining_us = deadline_remaining_us(call->deadline, now);
+	head->remaining_us =
+		deadline_remaining_us(calls_work_deadline(call->daemon, call->deadline), now);
 	head->has_objective = call->objective.at_us != 0;
 	head->objective_remaining_us = call->objective.at_us - now.mono_us;
 	head->may_queue = call->placement.may_queue;
@@ -304,6 +305,11 @@
 				    VERDICT_NOT_RUN, STR("the deadline passed"));
 			return;
 		}
+		if (deadline_passed(calls_work_deadline(call->daemon, call->deadline), now)) {
+			call_answer(call, STATUS_UNAVAILABLE, VERDICT_NOT_RUN,
+				    STR("the node is stopping"));
+			return;
+		}
 		if (try_next_target(call, now))
 			return;
 	}
@@ -361,7 +367,8 @@
 		return;
 	}
 	call->tenant = label_from(tenant_text(call->route, caller));
-	call->deadline = make_deadline(daemon->dialect, call->route, caller, now);
+	call->deadline = calls_work_deadline(
+		daemon, make_deadline(daemon->dialect, call->route, caller, now));
 	set_objective(call, now);
 	call->attributes.route = call->route;
 	call->attributes.point = call_placement_point(daemon, key);
--- a/godwithitchd/daemon.h
+++ b/godwithitchd/daemon.h
@@ -13,6 +13,7 @@
 #include "core/node.h"
 #include "core/pace.h"
 #include "core/registration.h"
+#include "core/stop.h"
 #include "godwithitchd/settings.h"
 #include "operator/control.h"
 #include "peer/peers.h"
@@ -38,7 +39,9 @@
 	struct heartbeat_endpoint *heartbeats; /**< INTERFACE_PLATFORM; NULL otherwise */
 	struct watch tick_watch;
 	struct deadline next_second_at; /**< used only by the worker that handles the tick */
-	gint stopping;			/**< atomic, like the two counters below */
+	struct stop_plan stop;		/**< set before stop_begun, and not changed after */
+	gint stop_begun;		/**< atomic, like the members below */
+	gint stopping;			/**< new requests are refused */
 	gint log_jobs;			/**< running appends, and reads of STREAM_KEYS */
 	gint inbound_count;		/**< inbound requests, queued ones included */
 	struct lock lock;		/**< LOCK_CALLS; protects all members below */
@@ -90,6 +93,8 @@
 /** Ends calls that are still open shortly after their deadline: answers them, or truncates the
  *  answer if its head was sent. */
 void calls_tick(struct daemon *daemon, struct instant now);
+/** Returns the deadline of a target's work on a call: during a stop it may be before the call's. */
+struct deadline calls_work_deadline(const struct daemon *daemon, struct deadline deadline);
 /** Answers all open calls whose callers have no head of an answer: the process is about to exit. */
 void calls_end(struct daemon *daemon);
 void calls_on_peer(struct attempt *attempt, struct peer_event *event);
--- a/godwithitchd/expiry.c
+++ b/godwithitchd/expiry.c
@@ -63,6 +63,12 @@
 		caller_finish(call->caller, PIPE_FAILED);
 }
 
+struct deadline calls_work_deadline(const struct daemon *daemon, struct deadline deadline)
+{
+	return g_atomic_int_get(&daemon->stop_begun) ? stop_bound(&daemon->stop, deadline)
+						     : deadline;
+}
+
 /* Takes the calls for which @p is_due holds from the open calls, with a reference each. */
 static GPtrArray *take_open(struct daemon *daemon, struct instant now,
 			    bool (*is_due)(struct call *call, struct instant now))
--- a/godwithitchd/inbound.c
+++ b/godwithitchd/inbound.c
@@ -614,7 +614,6 @@
 	struct daemon *daemon = inbound->daemon;
 	struct target_call_options options = { .head = &inbound->head,
 					       .has_body = inbound->has_body,
-					       .deadline = inbound->entry.deadline,
 					       .handle = on_target_event,
 					       .context = inbound };
 	struct target_result result;
@@ -625,6 +624,8 @@
 		refuse(inbound, REFUSAL_CLOSED, VERDICT_NOT_RUN, STR("another service is here"));
 		return;
 	}
+	inbound->entry.deadline = calls_work_deadline(daemon, inbound->entry.deadline);
+	options.deadline = inbound->entry.deadline;
 	inbound->reached = true;
 	set_running(inbound, true);
 	result = target_call(daemon->target, &options);
--- a/godwithitchd/main.c
+++ b/godwithitchd/main.c
@@ -298,11 +298,14 @@
 	struct stop_options options = { .within_us = daemon->settings.stop_within_us,
 					.notice_us = daemon->settings.stop_notice_us };
 	struct stop_plan plan = stop_plan_at(&options, clock_now());
-	struct event retire = { .kind = EVENT_RETIRE };
+	struct event retire = { .kind = EVENT_RETIRE,
+				.retire = { plan.queue_ends_at, plan.work_ends_at } };
 	struct event stop = { .kind = EVENT_STOP };
 	bool signalled = false;
 
 	logger_event(LOG_EVENT_DAEMON_STOPPING, "in_flight=%d", count_in_flight(daemon));
+	daemon->stop = plan;
+	g_atomic_int_set(&daemon->stop_begun, 1);
 	dispatch_event(daemon, &retire);
 	caller_retire(daemon->caller);
 	/* Until the notice ends, callers that do not know of the stop yet are still served, and
--- a/regress/core/admit_test.c
+++ b/regress/core/admit_test.c
@@ -268,6 +268,57 @@
 	sim_free(&sim);
 }
 
+/* Calls were passed to the target of a node that stopped before they could end. */
+static void test_call_that_a_stop_would_cut_off_is_refused(void **state)
+{
+	struct target_sim sim = sim_new();
+	struct queue_entry *entry = entry_new(&sim, 0, CLASS_STANDARD);
+
+	(void)state;
+	for (int i = 0; i < 10; i++) {
+		assert_int_equal(admit_offer(sim.admit, entry, sim_now(&sim)), ADMIT_RUN);
+		admit_done(sim.admit, entry, SLOT_SERVED, 1 * US_PER_S);
+	}
+	admit_end_by(sim.admit, deadline_after(sim_now(&sim), 2 * US_PER_S),
+		     deadline_after(sim_now(&sim), 4 * US_PER_S));
+	assert_int_equal(admit_offer(sim.admit, entry, sim_now(&sim)), ADMIT_RUN);
+	admit_done(sim.admit, entry, SLOT_UNMEASURED, 0);
+	sim.now_us += 2500 * US_PER_MS;
+	assert_int_equal(admit_offer(sim.admit, entry, sim_now(&sim)), ADMIT_LATE);
+	/* The stop takes nothing from a call whose deadline comes first. */
+	entry->deadline = deadline_after(sim_now(&sim), 1 * US_PER_S);
+	assert_int_equal(admit_offer(sim.admit, entry, sim_now(&sim)), ADMIT_RUN);
+	admit_done(sim.admit, entry, SLOT_UNMEASURED, 0);
+	g_free(entry);
+	sim_free(&sim);
+}
+
+/* Queued calls of other nodes were lost with the node that they waited at. */
+static void test_stop_returns_the_queue_in_time(void **state)
+{
+	struct target_sim sim = sim_new();
+
+	(void)state;
+	for (int i = 0; i < SLOTS * 3; i++)
+		offer_call(&sim, 0, CLASS_STANDARD);
+	admit_end_by(sim.admit, deadline_after(sim_now(&sim), SERVICE_US + 1000),
+		     deadline_after(sim_now(&sim), 4 * US_PER_S));
+	advance(&sim, SERVICE_US);
+	assert_int_equal(sim.refused[0], 0);
+	advance(&sim, 1000);
+	assert_int_equal(sim.refused[0], SLOTS);
+	/* No call is queued any more, but a free slot still serves one. */
+	for (int i = 0; i < SLOTS; i++)
+		offer_call(&sim, 1, CLASS_STANDARD);
+	advance(&sim, SERVICE_US);
+	assert_int_equal(sim.served[0], SLOTS * 2);
+	assert_int_equal(sim.refused[1], SLOTS);
+	offer_call(&sim, 1, CLASS_STANDARD);
+	advance(&sim, SERVICE_US);
+	assert_int_equal(sim.served[1], 1);
+	sim_free(&sim);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -280,6 +331,8 @@
 		cmocka_unit_test(test_service_time_follows_first_calls),
 		cmocka_unit_test(test_closed_target_serves_its_queue),
 		cmocka_unit_test(test_target_without_slots_returns_its_queue),
+		cmocka_unit_test(test_call_that_a_stop_would_cut_off_is_refused),
+		cmocka_unit_test(test_stop_returns_the_queue_in_time),
 	};
 
 	apr_initialize();
--- a/regress/core/stop_test.c
+++ b/regress/core/stop_test.c
@@ -21,7 +21,8 @@
 		for (size_t j = 0; j < G_N_ELEMENTS(notice_s); j++) {
 			struct stop_plan plan = plan_of(within_s[i], notice_s[j]);
 
-			assert_true(plan.notice_ends_at.at_us <= plan.work_ends_at.at_us);
+			assert_true(plan.notice_ends_at.at_us <= plan.queue_ends_at.at_us);
+			assert_true(plan.queue_ends_at.at_us <= plan.work_ends_at.at_us);
 			assert_true(plan.work_ends_at.at_us < plan.answer_at.at_us);
 			assert_true(plan.answer_at.at_us < plan.exit_at.at_us);
 			assert_true(plan.exit_at.at_us < instant_at_s(within_s[i]).mono_us);
@@ -42,11 +43,24 @@
 	}
 }
 
+static void test_work_is_bounded(void **state)
+{
+	struct stop_plan plan = plan_of(6, 2.5);
+	struct deadline soon = { instant_at_s(1).mono_us };
+	struct deadline late = { instant_at_s(9).mono_us };
+
+	(void)state;
+	assert_int_equal(stop_bound(&plan, soon).at_us, soon.at_us);
+	assert_int_equal(stop_bound(&plan, late).at_us, plan.work_ends_at.at_us);
+	assert_int_equal(stop_bound(&plan, (struct deadline){ 0 }).at_us, plan.work_ends_at.at_us);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_deadlines_are_in_order),
 		cmocka_unit_test(test_targets_work_until_the_last_sixth),
+		cmocka_unit_test(test_work_is_bounded),
 	};
 
 	return cmocka_run_group_tests_name("core/stop", tests, NULL, NULL);
--- a/regress/godwithitchd/stop_test.c
+++ b/regress/godwithitchd/stop_test.c
@@ -42,14 +42,15 @@
 	const char *service;
 	char id[16];
 	int port;
+	int capacity;
 	int sequence;
 };
 
 /** What a target did with one request. */
 struct run {
 	int count;
-	int64_t started_us;
 	int64_t ended_us; /* 0: still at work */
+	int64_t until_us; /* the time until which the target was allowed to work */
 };
 
 /** A request of a caller, and its result. */
@@ -59,6 +60,7 @@
 	int fd; /* open connection, or -1: open a new one */
 	const char *service;
 	bool unsafe;
+	bool slow_route; /* a route of the service "near" of its own, unsafe */
 	int work_ms;
 	int timeout_ms;
 	char id[16];
@@ -92,8 +94,7 @@
 	return result;
 }
 
-/* Counts the start or the end of the run of a request. */
-static void note_run(const char *id, bool ended)
+static void note_start(const char *id, int timeout_ms)
 {
 	struct run *run;
 
@@ -103,13 +104,19 @@
 		run = g_new0(struct run, 1);
 		g_hash_table_insert(runs, g_strdup(id), run);
 	}
-	if (ended) {
-		run->ended_us = clock_now().mono_us;
-	} else {
-		run->count++;
-		run->started_us = clock_now().mono_us;
-		run->ended_us = 0;
-	}
+	run->count++;
+	run->ended_us = 0;
+	run->until_us = clock_now().mono_us + timeout_ms * US_PER_MS;
+	g_mutex_unlock(&mutex);
+}
+
+static void note_end(const char *id)
+{
+	struct run *run;
+
+	g_mutex_lock(&mutex);
+	run = g_hash_table_lookup(runs, id);
+	run->ended_us = clock_now().mono_us;
 	g_mutex_unlock(&mutex);
 }
 
@@ -137,9 +144,9 @@
 	}
 	if (!id)
 		return queue_response(connection, MHD_HTTP_OK, id, "");
-	note_run(id, false);
+	note_start(id, timeout_ms);
 	poll(NULL, 0, MIN(work_ms, timeout_ms));
-	note_run(id, true);
+	note_end(id);
 	if (work_ms > timeout_ms)
 		return queue_response(connection, MHD_HTTP_GATEWAY_TIMEOUT, id, "late");
 	return queue_response(connection, MHD_HTTP_OK, id, url);
@@ -162,9 +169,9 @@
 	char url[96];
 	char *body = g_strdup_printf(
 		"{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"version\":\"v1\","
-		"\"capacity\":100,\"state\":\"ready\",\"warmup_left_s\":0,\"sequence\":%d,"
+		"\"capacity\":%d,\"state\":\"ready\",\"warmup_left_s\":0,\"sequence\":%d,"
 		"\"born\":5}",
-		upstream->service, upstream->port, ++upstream->sequence);
+		upstream->service, upstream->port, upstream->capacity, ++upstream->sequence);
 
 	g_snprintf(url, sizeof(url), "http://%s/instances/%s/heartbeat",
 		   fleet->nodes[index].announce_address, upstream->id);
@@ -184,6 +191,8 @@
 		"\"timeout_s\":20,\"service\":\"far\",\"max_attempts\":2},"
 		"{\"name\":\"wn\",\"path_prefix\":\"/w/near/\",\"kind\":\"unsafe\","
 		"\"timeout_s\":20,\"service\":\"near\",\"max_attempts\":2},"
+		"{\"name\":\"sn\",\"path_prefix\":\"/s/near/\",\"kind\":\"unsafe\","
+		"\"timeout_s\":20,\"service\":\"near\",\"max_attempts\":2},"
 		"{\"name\":\"wf\",\"path_prefix\":\"/w/far/\",\"kind\":\"unsafe\","
 		"\"timeout_s\":20,\"service\":\"far\",\"max_attempts\":2}]}]}";
 	static const char key[] = "config";
@@ -238,8 +247,11 @@
 	g_snprintf(text, sizeof(text),
 		   "%s /%s/%s/%d HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: %s\r\n"
 		   "X-Timeout-Ms: %d\r\nContent-Length: 0\r\n\r\n",
-		   request->unsafe ? "POST" : "GET", request->unsafe ? "w" : "r", request->service,
-		   request->work_ms, request->id, request->timeout_ms);
+		   request->unsafe ? "POST" : "GET",
+		   request->slow_route ? "s"
+		   : request->unsafe   ? "w"
+				       : "r",
+		   request->service, request->work_ms, request->id, request->timeout_ms);
 	request->sent_us = clock_now().mono_us;
 	send(request->fd, text, strlen(text), MSG_NOSIGNAL);
 	text[0] = '\0';
@@ -326,6 +338,7 @@
 
 		g_snprintf(upstreams[i].id, sizeof(upstreams[i].id), "i-%d", i);
 		upstreams[i].service = i ? "far" : "near";
+		upstreams[i].capacity = 100;
 		upstreams[i].daemon = MHD_start_daemon(
 			MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD, 0, NULL,
 			NULL, on_request, &upstreams[i], MHD_OPTION_SOCK_ADDR,
@@ -382,6 +395,8 @@
 	int broken;	 /* a target worked on it when the node answered in its place, too early */
 	int unfulfilled; /* a promise that it has not run, but a target got it */
 	int repeated;	 /* unsafe, and run more than once */
+	int unsure;	 /* "may have run" before its time was over, but no target got it */
+	int unbounded;	 /* a target may work on it after the node is gone */
 	int failed;	 /* had time enough, and got no 200 */
 };
 
@@ -411,6 +426,22 @@
 	       sent_us + request->work_ms * US_PER_MS < GRACE_US - 2 * US_PER_S;
 }
 
+/* Whether the node gave no promise although no target had got the request. */
+static bool is_unsure(const struct request *request)
+{
+	int64_t deadline_us = request->sent_us + request->timeout_ms * US_PER_MS;
+
+	return request->unsafe && (request->status == 502 || request->status == 504) &&
+	       request->ended_us < deadline_us - ROUNDING_US;
+}
+
+/* Whether a request that the stopping node took, or passed to its target, got too much time. */
+static bool is_unbounded(const struct request *request, const struct run *run)
+{
+	return request->node == 0 && request->sent_us > stop_began_us + ROUNDING_US &&
+	       run->until_us > stop_began_us + GRACE_US;
+}
+
 static void print_request(const struct request *request, const struct run *run)
 {
 	print_message("%s to node %d, target %s%s, work %d ms, timeout %d ms: sent at %lld ms, "
@@ -433,6 +464,8 @@
 	tally->broken += request->complete && run && was_broken_off(request, run);
 	tally->unfulfilled += request->complete && run && is_promise(request->status);
 	tally->repeated += request->unsafe && run && run->count > 1;
+	tally->unsure += request->complete && !run && is_unsure(request);
+	tally->unbounded += run && is_unbounded(request, run);
 	tally->failed += had_time(request) && request->status != STATUS_OK;
 	before.answered = tally->answered;
 	before.unread = tally->unread;
@@ -450,9 +483,9 @@
 			print_request(&requests[i], run);
 	}
 	print_message("answered %d, unread %d, lost %d, broken off %d, promise not kept %d, "
-		      "repeated %d, failed %d\n",
+		      "repeated %d, unsure %d, unbounded %d, failed %d\n",
 		      tally.answered, tally.unread, tally.lost, tally.broken, tally.unfulfilled,
-		      tally.repeated, tally.failed);
+		      tally.repeated, tally.unsure, tally.unbounded, tally.failed);
 	return tally;
 }
 
@@ -535,6 +568,8 @@
 	assert_int_equal(tally.broken, 0);
 	assert_int_equal(tally.unfulfilled, 0);
 	assert_int_equal(tally.repeated, 0);
+	assert_int_equal(tally.unsure, 0);
+	assert_int_equal(tally.unbounded, 0);
 	assert_int_equal(tally.failed, 0);
 }
 
@@ -544,7 +579,7 @@
 {
 	enum { CALLERS = 8 };
 	struct busy_caller callers[CALLERS];
-	int may_have_run = 0;
+	struct tally tally;
 
 	(void)state;
 	wait_until_served();
@@ -560,11 +595,76 @@
 	for (int i = 0; i < CALLERS; i++)
 		g_thread_join(callers[i].thread);
 	assert_int_equal(process_wait(&fleet->nodes[0].daemon, WAIT_MS), 0);
-	for (int i = 0; i < request_count; i++)
-		may_have_run += requests[i].status == 502 || requests[i].status == 504;
-	print_message("%d of %d may have run\n", may_have_run, request_count);
-	assert_int_equal(may_have_run, 0);
-	assert_int_equal(count_results().unfulfilled, 0);
+	tally = count_results();
+	assert_int_equal(tally.unfulfilled, 0);
+	assert_int_equal(tally.unsure, 0);
+}
+
+/* Sends a number of requests at once, each from a thread. */
+static void send_at_once(const struct request *shape, int count)
+{
+	for (int i = 0; i < count; i++) {
+		struct request *request = request_new(shape);
+
+		request->fd = -1;
+		request->thread = g_thread_new("request", request_main, request);
+	}
+}
+
+/* Unsafe requests that usually take longer than the rest of the stop. They must be refused before
+ * they are passed on, so that their callers may try elsewhere. */
+static void test_stop_refuses_what_cannot_end(void **state)
+{
+	enum { LEARNT = 12, LATE = 10 };
+	struct request shape = { .service = "near",
+				 .unsafe = true,
+				 .slow_route = true,
+				 .work_ms = 3500,
+				 .timeout_ms = 9000 };
+	int refused = 0;
+
+	(void)state;
+	wait_until_served();
+	send_at_once(&shape, LEARNT);
+	join_requests();
+	begin_stop();
+	wait_ms(2200);
+	for (shape.node = 0; shape.node < NODES; shape.node++)
+		send_at_once(&shape, LATE / NODES);
+	for (int i = LEARNT; i < LEARNT + LATE; i++) {
+		g_thread_join(requests[i].thread);
+		refused += requests[i].status == 503 &&
+			   requests[i].ended_us - requests[i].sent_us < US_PER_S &&
+			   !g_hash_table_lookup(runs, requests[i].id);
+	}
+	assert_int_equal(process_wait(&fleet->nodes[0].daemon, WAIT_MS), 0);
+	count_results();
+	assert_int_equal(refused, LATE);
+}
+
+/* Unsafe requests of another node wait in the queue of the stopping node's target. Those that can't
+ * run there any more must go back in time as not run. */
+static void test_stop_returns_queued_requests(void **state)
+{
+	enum { CALLS = 18 };
+	struct request shape = {
+		.node = 1, .service = "near", .unsafe = true, .work_ms = 1000, .timeout_ms = 12000
+	};
+	struct tally tally;
+
+	(void)state;
+	upstreams[0].capacity = 2;
+	send_heartbeat(0);
+	wait_until_served();
+	send_at_once(&shape, CALLS);
+	wait_ms(200);
+	begin_stop();
+	join_requests();
+	assert_int_equal(process_wait(&fleet->nodes[0].daemon, WAIT_MS), 0);
+	tally = count_results();
+	assert_int_equal(tally.lost, 0);
+	assert_int_equal(tally.unfulfilled, 0);
+	assert_int_equal(tally.unsure, 0);
 }
 
 int main(void)
@@ -574,6 +674,10 @@
 						set_up, tear_down),
 		cmocka_unit_test_setup_teardown(test_stop_refuses_what_other_nodes_pass_on, set_up,
 						tear_down),
+		cmocka_unit_test_setup_teardown(test_stop_refuses_what_cannot_end, set_up,
+						tear_down),
+		cmocka_unit_test_setup_teardown(test_stop_returns_queued_requests, set_up,
+						tear_down),
 	};
 
 	curl_global_init(CURL_GLOBAL_DEFAULT);
