--- a/core/admit.c
+++ b/core/admit.c
@@ -160,7 +160,6 @@
 	if (slots != admit->announced_slots)
 		admit->slots = slots;
 	admit->announced_slots = slots;
-	admit->closed = false;
 	admit->return_queued = false;
 	lock_release(&admit->lock);
 }
@@ -175,7 +174,6 @@
 void admit_return_queued(struct admit *admit)
 {
 	lock_acquire(&admit->lock);
-	admit->closed = true;
 	admit->return_queued = true;
 	lock_release(&admit->lock);
 }
@@ -437,7 +435,7 @@
 	int64_t service_us;
 	int64_t wait_us = 0;
 
-	if (admit->slots == 0 || admit->closed)
+	if (admit->slots == 0 || admit->closed || admit->return_queued)
 		return ADMIT_CLOSED;
 	if (remaining_us(admit, entry, now) == 0 || is_hopeless(admit, entry, now))
 		return ADMIT_LATE;
--- a/core/admit.h
+++ b/core/admit.h
@@ -58,9 +58,10 @@
 /** Sets the slots that the target announced; 0: it takes no calls. Takes LOCK_ADMIT, like all
  * below. */
 void admit_set_slots(struct admit *admit, int slots);
-/** Refuses new calls; queued calls still run. admit_set_slots() admits calls again. */
+/** Refuses new calls for good, since the node stops; queued calls still run. */
 void admit_close(struct admit *admit);
-/** Refuses new calls; admit_next() returns queued calls as late, to be sent to other targets. */
+/** Refuses new calls; admit_next() returns queued calls as late, to be sent to other targets.
+ *  admit_set_slots() admits calls again. */
 void admit_return_queued(struct admit *admit);
 /**
  * The node stops: calls run only if they can be expected to end by @p work_ends_at, and queued ones
--- a/regress/core/choice_test.c
+++ b/regress/core/choice_test.c
@@ -279,6 +279,29 @@
 	node_free(node);
 }
 
+/* The target beside a stopping node goes on to announce itself. That opened admission again. */
+static void test_stopped_node_stays_closed_to_calls(void **state)
+{
+	struct event up = { .kind = EVENT_TARGET_UP };
+	struct event stop = { .kind = EVENT_STOP };
+	struct queue_entry entry = { .no_queue = true };
+	struct node *node = make_node();
+
+	(void)state;
+	up.target.service = LABEL("s");
+	up.target.version = LABEL("v1");
+	up.target.slots = 4;
+	handle(node, &up);
+	handle(node, &stop);
+	handle(node, &up);
+	assert_int_equal(admit_offer(node_admit(node), &entry, instant_at_s(1)), ADMIT_CLOSED);
+	up.target.slots = 5;
+	handle(node, &up);
+	assert_int_equal(admit_offer(node_admit(node), &entry, instant_at_s(1)), ADMIT_CLOSED);
+	assert_int_equal(members_self(node_members(node)).state, MEMBER_LEAVING);
+	node_free(node);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -289,6 +312,7 @@
 		cmocka_unit_test(test_failure_of_all_targets_ejects_none),
 		cmocka_unit_test(test_outlier_is_ejected),
 		cmocka_unit_test(test_retiring_node_still_admits_calls),
+		cmocka_unit_test(test_stopped_node_stays_closed_to_calls),
 	};
 
 	apr_initialize();
