--- a/core/stop.c
+++ b/core/stop.c
@@ -7,6 +7,9 @@
  * time serves most requests, so that a short stop reserves only a small part of itself. */
 #define RESERVE_US (600 * US_PER_MS)
 
+/* Time in which all nodes of a large fleet hear of one that leaves. */
+#define HEARD_US (1 * US_PER_S)
+
 enum { RESERVE_DIVISOR = 8, RESERVE_PARTS = 3 };
 
 struct stop_plan stop_plan_at(const struct stop_options *options, struct instant now)
@@ -26,6 +29,11 @@
 	};
 }
 
+struct deadline stop_leave_at(const struct stop_plan *plan, struct instant now)
+{
+	return (struct deadline){ MIN(now.mono_us + HEARD_US, plan->work_ends_at.at_us) };
+}
+
 struct deadline stop_bound(const struct stop_plan *plan, struct deadline deadline)
 {
 	if (deadline.at_us && deadline.at_us < plan->work_ends_at.at_us)
--- a/core/stop.h
+++ b/core/stop.h
@@ -25,6 +25,12 @@
 
 /** Returns the deadlines of a stop that begins at @p now. */
 struct stop_plan stop_plan_at(const struct stop_options *options, struct instant now);
+/**
+ * Returns when a node that tells the others at @p now that it leaves may exit at the earliest, even
+ * if nothing is in flight: until they have all heard, they pass calls on to it. A call that it
+ * refuses goes to another target; one that it has not read when it exits may have run.
+ */
+struct deadline stop_leave_at(const struct stop_plan *plan, struct instant now);
 /** Returns the deadline of a target's work on a call with @p deadline. */
 struct deadline stop_bound(const struct stop_plan *plan, struct deadline deadline);
 
--- a/godwithitchd/main.c
+++ b/godwithitchd/main.c
@@ -291,42 +291,57 @@
 		nanosleep(&poll_interval, NULL);
 }
 
-/* Waits until nothing is in flight or the stop deadline passes. A signal during the notice period
- * ends that period, a later one ends the wait. Returns false if requests are cut off. */
-static bool drain(struct daemon *daemon, const sigset_t *signals)
+/* Serves new requests until the notice ends, or until a signal. Callers that do not know of the
+ * stop yet are still served, and other nodes still reach the target. */
+static void give_notice(struct daemon *daemon, const sigset_t *signals)
 {
-	struct stop_options options = { .within_us = daemon->settings.stop_within_us,
-					.notice_us = daemon->settings.stop_notice_us };
-	struct stop_plan plan = stop_plan_at(&options, clock_now());
+	const struct stop_plan *plan = &daemon->stop;
 	struct event retire = { .kind = EVENT_RETIRE,
-				.retire = { plan.queue_ends_at, plan.work_ends_at } };
-	struct event stop = { .kind = EVENT_STOP };
+				.retire = { plan->queue_ends_at, plan->work_ends_at } };
 	bool signalled = false;
 
-	logger_event(LOG_EVENT_DAEMON_STOPPING, "in_flight=%d", count_in_flight(daemon));
-	daemon->stop = plan;
-	g_atomic_int_set(&daemon->stop_begun, 1);
 	dispatch_event(daemon, &retire);
 	caller_retire(daemon->caller);
-	/* Until the notice ends, callers that do not know of the stop yet are still served, and
-	 * other nodes still reach the target. */
-	while (!signalled && !deadline_passed(plan.notice_ends_at, clock_now()))
+	while (!signalled && !deadline_passed(plan->notice_ends_at, clock_now()))
 		signalled = poll_signal(signals);
+}
+
+/* Waits until nothing is in flight and the other nodes know of the stop, or until its deadline or a
+ * signal. Returns false if requests are cut off. */
+static bool drain(struct daemon *daemon, const sigset_t *signals)
+{
+	const struct stop_plan *plan = &daemon->stop;
+	struct event stop = { .kind = EVENT_STOP };
+	struct deadline leave_at;
+	bool signalled = false;
+
 	dispatch_event(daemon, &stop);
+	leave_at = stop_leave_at(plan, clock_now());
 	g_atomic_int_set(&daemon->stopping, 1);
 	caller_quiesce(daemon->caller);
-	signalled = false;
-	while (count_in_flight(daemon) && !signalled &&
-	       !deadline_passed(plan.answer_at, clock_now()))
+	while ((count_in_flight(daemon) || !deadline_passed(leave_at, clock_now())) && !signalled &&
+	       !deadline_passed(plan->answer_at, clock_now()))
 		signalled = poll_signal(signals);
 	if (!count_in_flight(daemon))
 		return true;
-	if (signalled)
-		plan.exit_at = deadline_after(clock_now(), FLUSH_US);
-	end_calls(daemon, plan.exit_at);
+	end_calls(daemon, signalled ? deadline_after(clock_now(), FLUSH_US) : plan->exit_at);
 	return false;
 }
 
+/* Stops gracefully; a signal ends the notice period, or else the wait. Returns false if requests
+ * are cut off. */
+static bool stop_daemon(struct daemon *daemon, const sigset_t *signals)
+{
+	struct stop_options options = { .within_us = daemon->settings.stop_within_us,
+					.notice_us = daemon->settings.stop_notice_us };
+
+	logger_event(LOG_EVENT_DAEMON_STOPPING, "in_flight=%d", count_in_flight(daemon));
+	daemon->stop = stop_plan_at(&options, clock_now());
+	g_atomic_int_set(&daemon->stop_begun, 1);
+	give_notice(daemon, signals);
+	return drain(daemon, signals);
+}
+
 static void wait_for_stop(const sigset_t *signals)
 {
 	int signal_number = 0;
@@ -359,7 +374,7 @@
 	}
 	log_start(daemon);
 	wait_for_stop(&signals);
-	drained = drain(daemon, &signals);
+	drained = stop_daemon(daemon, &signals);
 	logclient_stop(daemon->logclient);
 	logger_event(LOG_EVENT_DAEMON_STOPPED, "pid=%d", (int)getpid());
 	/* Workers may still run calls that were cut off; exiting the process ends them. */
--- a/regress/core/stop_test.c
+++ b/regress/core/stop_test.c
@@ -55,12 +55,22 @@
 	assert_int_equal(stop_bound(&plan, (struct deadline){ 0 }).at_us, plan.work_ends_at.at_us);
 }
 
+static void test_node_stays_until_others_have_heard(void **state)
+{
+	struct stop_plan plan = plan_of(6, 2.5);
+
+	(void)state;
+	assert_int_equal(stop_leave_at(&plan, instant_at_s(2.5)).at_us, instant_at_s(3.5).mono_us);
+	assert_int_equal(stop_leave_at(&plan, instant_at_s(5)).at_us, plan.work_ends_at.at_us);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_deadlines_are_in_order),
 		cmocka_unit_test(test_targets_work_until_the_last_sixth),
 		cmocka_unit_test(test_work_is_bounded),
+		cmocka_unit_test(test_node_stays_until_others_have_heard),
 	};
 
 	return cmocka_run_group_tests_name("core/stop", tests, NULL, NULL);
--- a/regress/godwithitchd/stop_test.c
+++ b/regress/godwithitchd/stop_test.c
@@ -23,7 +23,7 @@
 	WAIT_MS = 8000,
 	INTERVAL_MS = 50,
 	KEPT_MAX = 160, /* connections that are open, and unused, when the stop begins */
-	REQUESTS_MAX = 4096,
+	REQUESTS_MAX = 16384,
 	STATUS_OK = 200,
 };
 
@@ -295,7 +295,7 @@
 	return NULL;
 }
 
-/* A caller that sends one request after another until it can't connect any more. */
+/* A caller that sends one request after another while a stop may run. */
 struct busy_caller {
 	GThread *thread;
 	struct request shape;
@@ -306,7 +306,7 @@
 	const struct busy_caller *caller = data;
 	int fd = open_connection(caller->shape.node);
 
-	while (fd >= 0 && clock_now().mono_us < stop_began_us + GRACE_US) {
+	while (fd >= 0 && clock_now().mono_us < stop_began_us + 4 * US_PER_S) {
 		struct request *request = request_new(&caller->shape);
 
 		request->fd = fd;
@@ -314,7 +314,7 @@
 			close(fd);
 			fd = open_connection(caller->shape.node);
 		}
-		wait_ms(20);
+		wait_ms(25);
 	}
 	if (fd >= 0)
 		close(fd);
@@ -573,19 +573,24 @@
 	assert_int_equal(tally.failed, 0);
 }
 
-/* Another node passes short unsafe requests to the stopping node's target all the time. None may
- * get "may have run" since the node was gone before it had read the request. */
+/* Other nodes pass short unsafe requests to the stopping node's target all the time, and hear of
+ * the stop one after another. None may get "may have run" since the node was gone before it had
+ * read the request. */
 static void test_stop_refuses_what_other_nodes_pass_on(void **state)
 {
-	enum { CALLERS = 8 };
+	enum { CALLERS = 14 };
 	struct busy_caller callers[CALLERS];
 	struct tally tally;
 
 	(void)state;
+	for (int i = 0; i < CALLERS; i++)
+		fleet_add_node(fleet, "dc-a");
+	assert_true(fleet_wait_live(fleet, NODES + CALLERS, WAIT_MS));
 	wait_until_served();
 	begin_stop();
+	wait_ms(2000);
 	for (int i = 0; i < CALLERS; i++) {
-		callers[i].shape = (struct request){ .node = 1,
+		callers[i].shape = (struct request){ .node = NODES + i,
 						     .service = "near",
 						     .unsafe = true,
 						     .work_ms = 1,
