--- a/godwithitchd/attempt.c
+++ b/godwithitchd/attempt.c
@@ -55,10 +55,12 @@
 		return;
 	/* A cancelled attempt must not count as a failure of the target. */
 	attempt_record_outcome(attempt, CALL_REFUSED);
-	if (attempt->inbound)
-		inbound_cancel(attempt->inbound);
-	else if (g_atomic_pointer_get(&attempt->stream.link))
+	if (attempt->inbound) {
+		if (inbound_cancel(attempt->inbound))
+			attempt_settle(attempt, VERDICT_NOT_RUN);
+	} else if (g_atomic_pointer_get(&attempt->stream.link)) {
 		stream_cancel(attempt->stream);
+	}
 }
 
 static int may_have_run_count(struct call *call)
--- a/godwithitchd/calls.c
+++ b/godwithitchd/calls.c
@@ -44,10 +44,10 @@
 
 struct placement_inputs call_placement_inputs(const struct call *call, struct instant now)
 {
-	struct placement_inputs inputs = { .remaining_us =
-						   deadline_remaining_us(call->deadline, now),
-					   .node_is_current = node_is_current(call->daemon->node) };
+	struct placement_inputs inputs = { .node_is_current = node_is_current(call->daemon->node) };
 
+	inputs.remaining_us =
+		deadline_remaining_us(calls_work_deadline(call->daemon, call->deadline), now);
 	inputs.objective_remaining_us = call->objective.at_us
 						? deadline_remaining_us(call->objective, now)
 						: inputs.remaining_us;
@@ -166,7 +166,8 @@
 	head->class = call->route->class;
 	head->idempotent = call->route->repeat == REPEAT_IDEMPOTENT;
 	head->concurrency_percent = call->route->concurrency_percent;
-	head->remaining_us = deadline_remaining_us(call->deadline, now);
+	head->remaining_us =
+		deadline_remaining_us(calls_work_deadline(call->daemon, call->deadline), now);
 	head->has_objective = call->objective.at_us != 0;
 	head->objective_remaining_us = call->objective.at_us - now.mono_us;
 	head->may_queue = call->placement.may_queue;
@@ -303,6 +304,10 @@
 			call_refuse(call, REFUSED_LATE, STR("the deadline passed"));
 			return;
 		}
+		if (deadline_passed(calls_work_deadline(call->daemon, call->deadline), now)) {
+			call_refuse(call, REFUSED_NO_TARGET, STR("the node is stopping"));
+			return;
+		}
 		if (try_next_target(call, now))
 			return;
 	}
@@ -359,7 +364,8 @@
 		return;
 	}
 	call->tenant = label_from(tenant_text(call->route, caller));
-	call->deadline = make_deadline(daemon->dialect, call->route, caller, now);
+	call->deadline = calls_work_deadline(
+		daemon, make_deadline(daemon->dialect, call->route, caller, now));
 	set_objective(call, now);
 	call->attributes.route = call->route;
 	call->attributes.point = call_placement_point(daemon, key);
@@ -450,7 +456,7 @@
 			    call->attempts);
 }
 
-static void on_disconnect(struct call *call)
+void call_abandon(struct call *call)
 {
 	struct attempt *attempt;
 
@@ -459,14 +465,19 @@
 	attempt = call->current;
 	call->current = NULL;
 	lock_release(&call->lock);
+	if (attempt)
+		attempt_cancel(attempt);
+	attempt_unref(attempt);
+}
+
+static void on_disconnect(struct call *call)
+{
 	call_open_remove(call);
 	if (call->route) {
 		count_call(call);
 		log_call(call, clock_now().mono_us - call->started_us);
 	}
-	if (attempt)
-		attempt_cancel(attempt);
-	attempt_unref(attempt);
+	call_abandon(call);
 	call_unref(call);
 }
 
--- a/godwithitchd/calls.h
+++ b/godwithitchd/calls.h
@@ -88,6 +88,8 @@
 void call_count_sent(const struct call *call, size_t bytes);
 /** Returns the inputs of the placement decision at @p now. */
 struct placement_inputs call_placement_inputs(const struct call *call, struct instant now);
+/** Detaches the call from its attempt, which is cancelled; none follows. Takes call->lock. */
+void call_abandon(struct call *call);
 /** Returns the maximum number of attempts of the call. */
 int call_attempts_max(const struct call *call);
 /** Excludes a target from the call's next attempts. */
