--- a/regress/lib/breaker.c
+++ b/regress/lib/breaker.c
@@ -51,6 +51,30 @@
 	return at;
 }
 
+static struct break_plan copy_plan(const struct break_plan *plan)
+{
+	return (struct break_plan){ str_dup(plan->first), str_dup(plan->early),
+				    str_dup(plan->bytes), plan->end };
+}
+
+static void clear_plan(struct break_plan *plan)
+{
+	g_free((char *)plan->first.data);
+	g_free((char *)plan->early.data);
+	g_free((char *)plan->bytes.data);
+}
+
+/* Returns a copy, since the plan may be replaced while it is carried out. */
+static struct break_plan take_plan(struct break_server *server)
+{
+	struct break_plan plan;
+
+	g_mutex_lock(&server->mutex);
+	plan = copy_plan(&server->plan);
+	g_mutex_unlock(&server->mutex);
+	return plan;
+}
+
 static void send_all(int fd, struct str bytes)
 {
 	while (bytes.len) {
@@ -111,16 +135,11 @@
 	return connection->in->len >= len ? len : 0;
 }
 
-static void send_early(struct break_server *server, struct connection *connection)
+static void send_early(struct break_server *server, struct connection *connection, struct str early)
 {
-	struct str early;
-
 	if (connection->early_sent)
 		return;
 	connection->early_sent = true;
-	g_mutex_lock(&server->mutex);
-	early = server->plan.early;
-	g_mutex_unlock(&server->mutex);
 	send_all(connection->fd, early);
 	wait_taken(connection->fd);
 	g_mutex_lock(&server->mutex);
@@ -129,22 +148,19 @@
 	g_mutex_unlock(&server->mutex);
 }
 
-/* Answers the requests that have come; false once the connection has to end. */
-static bool answer_requests(struct break_server *server, struct connection *connection,
-			    enum break_end *end)
+/* Carries out the plan for the first request, if it is complete; false once the connection has to
+ * end. */
+static bool answer_request(struct break_server *server, struct connection *connection,
+			   const struct break_plan *plan)
 {
 	size_t head_len = request_head_len(connection);
 	bool is_first = strstr(connection->in->str, "X-Request-Id: 1\r\n") != NULL;
-	struct break_plan plan;
 	size_t len;
 
 	if (head_len == 0)
 		return true;
-	g_mutex_lock(&server->mutex);
-	plan = server->plan;
-	g_mutex_unlock(&server->mutex);
-	if (!is_first && plan.early.len)
-		send_early(server, connection);
+	if (!is_first && plan->early.len)
+		send_early(server, connection, plan->early);
 	len = request_len(connection, head_len);
 	if (len == 0)
 		return true;
@@ -152,31 +168,34 @@
 	connection->early_sent = false;
 	connection->requests++;
 	if (is_first) {
-		send_all(connection->fd, plan.first);
+		send_all(connection->fd, plan->first);
 		return true;
 	}
 	g_mutex_lock(&server->mutex);
 	server->counts.requests++;
 	server->counts.on_kept += connection->requests > 1;
 	g_mutex_unlock(&server->mutex);
-	send_all(connection->fd, plan.bytes);
-	*end = plan.end;
-	return plan.end == BREAK_KEEP;
+	send_all(connection->fd, plan->bytes);
+	return plan->end == BREAK_KEEP;
 }
 
 static bool serve(struct break_server *server, struct connection *connection)
 {
+	struct break_plan plan = take_plan(server);
 	enum break_end end = BREAK_FIN;
+	bool going_on = false;
 	char bytes[16384];
 	ssize_t n = recv(connection->fd, bytes, sizeof(bytes), 0);
 
 	if (n > 0) {
+		end = plan.end;
 		g_string_append_len(connection->in, bytes, n);
-		if (answer_requests(server, connection, &end))
-			return true;
+		going_on = answer_request(server, connection, &plan);
 	}
-	close_connection(connection, end);
-	return false;
+	if (!going_on)
+		close_connection(connection, end);
+	clear_plan(&plan);
+	return going_on;
 }
 
 static void accept_connection(struct break_server *server)
@@ -245,6 +264,7 @@
 	close(server->stop_fds[0]);
 	close(server->stop_fds[1]);
 	close(server->listen_fd);
+	clear_plan(&server->plan);
 	g_mutex_clear(&server->mutex);
 	g_cond_clear(&server->cond);
 	g_free(server);
@@ -258,7 +278,8 @@
 void break_server_set(struct break_server *server, const struct break_plan *plan)
 {
 	g_mutex_lock(&server->mutex);
-	server->plan = *plan;
+	clear_plan(&server->plan);
+	server->plan = copy_plan(plan);
 	server->counts = (struct break_counts){ 0 };
 	server->early_sent = false;
 	g_mutex_unlock(&server->mutex);
--- a/regress/lib/breaker.h
+++ b/regress/lib/breaker.h
@@ -13,7 +13,7 @@
 /** What the server does with the connection after an answer. */
 enum break_end { BREAK_KEEP, BREAK_FIN, BREAK_RESET };
 
-/** What the server sends; the strings must live as long as the plan is set. */
+/** What the server sends. */
 struct break_plan {
 	struct str first; /**< answer to a request with the id 1, which keeps its connection */
 	struct str early; /**< sent as soon as the head of another request has come */
@@ -32,7 +32,7 @@
 struct break_server *break_server_new(void);
 void break_server_free(struct break_server *server);
 uint16_t break_server_port(const struct break_server *server);
-/** Sets the plan and the counts to zero. */
+/** Copies the plan and sets the counts to zero. */
 void break_server_set(struct break_server *server, const struct break_plan *plan);
 struct break_counts break_server_counts(struct break_server *server);
 /** Waits up to a second until .early was sent; false if it was not. */
