--- a/base/endpoint.c
+++ b/base/endpoint.c
@@ -10,8 +10,10 @@
 	struct sockaddr_in address = { .sin_family = AF_INET,
 				       .sin_port = htons(options->port),
 				       .sin_addr.s_addr = htonl(options->ipv4) };
+	/* With epoll a connection whose last bytes and end come together is noticed as ended only
+	 * by its timeout, and takes up a place until then. */
 	struct MHD_Daemon *daemon = MHD_start_daemon(
-		MHD_USE_EPOLL_INTERNAL_THREAD, options->port, NULL, NULL, options->handle,
+		MHD_USE_POLL_INTERNAL_THREAD, options->port, NULL, NULL, options->handle,
 		options->context, MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&address,
 		MHD_OPTION_CONNECTION_LIMIT, options->connections, MHD_OPTION_CONNECTION_TIMEOUT,
 		(unsigned int)IDLE_TIMEOUT_S, MHD_OPTION_NOTIFY_COMPLETED, options->completed,
