--- a/regress/platform/exchange_test.c
+++ b/regress/platform/exchange_test.c
@@ -313,6 +313,101 @@
 	check_each_byte(log_reads, G_N_ELEMENTS(log_reads), check_log_read);
 }
 
+/* A close ends these answers by the protocol: what they hold has to show whether it is whole. */
+static const struct whole_answer closed_answers[] = {
+	UNTIL_CLOSE("append", JSON_FIELDS "Connection: close\r\n\r\n{\"offset\":17}"),
+	UNTIL_CLOSE("list", JSON_FIELDS "Connection: close\r\n\r\n"
+					"{\"items\":[],\"more\":false,\"end\":100}"),
+	UNTIL_CLOSE("read", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n\x92\xcd\x01\x02\x90"),
+	UNTIL_CLOSE("append to log", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n17"),
+};
+
+static bool is_all(const struct broken_case *row)
+{
+	return row->end == BREAK_FIN && row->len == row->answer->bytes.len;
+}
+
+static bool check_closed(const struct broken_case *row, struct break_server *server,
+			 apr_pool_t *pool)
+{
+	struct exchange_client *http = client_of(server, pool);
+	struct logclient *client = logclient_of(server, pool);
+	GArray *members = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	struct store_append append = { .topic = STR("t"), .key = STR("k"), .expected_end = -1 };
+	struct log_record record = { .kind = LOG_MOVE };
+	struct log_read read = { 0 };
+	int64_t offset = 0;
+	bool right = false;
+
+	if (row->answer == &closed_answers[0])
+		right = store_append(http, &append, &offset) ==
+			(is_all(row) ? STORE_DONE : STORE_UNAVAILABLE);
+	if (row->answer == &closed_answers[1])
+		right = storelog_list_nodes(http, members) == is_all(row);
+	if (row->answer == &closed_answers[2]) {
+		read = logclient_read(client, STREAM_SYSTEM, 0, 0, (struct deadline){ 1 });
+		right = read.kind == (is_all(row) ? READ_DONE : READ_FAILED);
+	}
+	/* "1" of "17" is an offset as well. */
+	if (row->answer == &closed_answers[3])
+		right = logclient_append(client, STREAM_SYSTEM, 0, &record,
+					 deadline_after(clock_now(), US_PER_S),
+					 &offset) == APPEND_UNKNOWN;
+	log_read_clear(&read);
+	g_array_unref(members);
+	logclient_free(client);
+	exchange_client_free(http);
+	return right;
+}
+
+static void test_part_of_answer_that_ends_by_close_is_not_taken(void **state)
+{
+	(void)state;
+	check_each_byte(closed_answers, G_N_ELEMENTS(closed_answers), check_closed);
+}
+
+static const struct whole_answer empty[] = {
+	ANSWER("empty", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"),
+	ANSWER("no content", "HTTP/1.1 204 No Content\r\n\r\n"),
+};
+
+static bool check_empty(const struct broken_case *row, struct break_server *server,
+			apr_pool_t *pool)
+{
+	struct exchange_client *http = client_of(server, pool);
+	struct logclient *client = logclient_of(server, pool);
+	GArray *members = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	struct store_append append = { .topic = STR("t"), .key = STR("k"), .expected_end = -1 };
+	struct log_record record = { .kind = LOG_MOVE };
+	struct log_read read;
+	struct store_page page;
+	int64_t offset = 0;
+	bool wrong;
+
+	(void)row;
+	store_page_init(&page);
+	wrong = store_append(http, &append, &offset) == STORE_DONE;
+	wrong |= store_read(http, STR("t"), 0, (struct deadline){ 1 }, &page) == STORE_DONE;
+	wrong |= storelog_register_node(http, 1, true);
+	wrong |= storelog_list_nodes(http, members);
+	wrong |= logclient_append(client, STREAM_SYSTEM, 0, &record,
+				  deadline_after(clock_now(), US_PER_S), &offset) == APPEND_DONE;
+	read = logclient_read(client, STREAM_SYSTEM, 0, 0, (struct deadline){ 1 });
+	wrong |= read.kind == READ_DONE;
+	log_read_clear(&read);
+	store_page_clear(&page);
+	g_array_unref(members);
+	logclient_free(client);
+	exchange_client_free(http);
+	return !wrong;
+}
+
+static void test_empty_answer_is_neither_done_nor_a_list(void **state)
+{
+	(void)state;
+	check_each_byte(empty, G_N_ELEMENTS(empty), check_empty);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -322,6 +417,8 @@
 		cmocka_unit_test(test_broken_list_of_nodes_is_not_read),
 		cmocka_unit_test(test_append_to_log_with_broken_answer_may_have_happened),
 		cmocka_unit_test(test_broken_answer_to_log_read_tells_nothing),
+		cmocka_unit_test(test_part_of_answer_that_ends_by_close_is_not_taken),
+		cmocka_unit_test(test_empty_answer_is_neither_done_nor_a_list),
 	};
 
 	apr_initialize();
