--- a/regress/target/broken_answers_test.c
+++ b/regress/target/broken_answers_test.c
@@ -484,6 +484,48 @@
 	assert_int_equal(wrong, 0);
 }
 
+/* Answers that come whole while the request's body is still being sent. */
+static void test_whole_answer_during_upload_counts(void **state)
+{
+	struct str refusal = STR("HTTP/1.1 503 Busy\r\nX-Request-Id: 2\r\nX-Not-Executed: 1\r\n"
+				 "Content-Length: 4\r\n\r\nbusy");
+	const struct {
+		struct str bytes;
+		enum verdict verdict;
+		int heads;
+	} rows[] = {
+		{ refusal, VERDICT_NOT_RUN, 1 },
+		{ str_sub(refusal, 0, refusal.len - 2), VERDICT_MAY_HAVE_RUN, 0 },
+		{ answers[0].bytes, VERDICT_RAN, 1 },
+	};
+	struct break_server *server = break_server_new();
+	apr_pool_t *pool;
+
+	(void)state;
+	apr_pool_create(&pool, NULL);
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		struct target *target = target_new(&dialect_platform, pool);
+		struct received received = { .server = server, .body = g_string_new(NULL) };
+		struct break_plan plan = { .early = rows[i].bytes, .end = BREAK_FIN };
+		struct target_result result;
+
+		break_server_set(server, &plan);
+		target_set_endpoint(target,
+				    &(struct target_endpoint){ .ipv4 = INADDR_LOOPBACK,
+							       .port = break_server_port(server) });
+		result = call_present(target, &received, false);
+		if (result.verdict != rows[i].verdict || received.heads != rows[i].heads ||
+		    result.complete != (rows[i].verdict != VERDICT_MAY_HAVE_RUN))
+			fail_msg("row %zu: heads %d, complete %d, %.*s, %s", i, received.heads,
+				 result.complete, STR_ARG(verdict_name(result.verdict)),
+				 result.reason);
+		g_string_free(received.body, TRUE);
+		target_free(target);
+	}
+	apr_pool_destroy(pool);
+	break_server_free(server);
+}
+
 /* Heads that are no head of the protocol. */
 static const struct str malformed[] = {
 #define HEAD(text)                                                                                 \
@@ -645,6 +687,7 @@
 		cmocka_unit_test(test_broken_copy_is_not_joined_with_next_answer),
 		cmocka_unit_test(test_broken_copy_during_upload_is_not_joined_with_answer),
 		cmocka_unit_test(test_rest_of_copy_is_not_joined_with_next_answer),
+		cmocka_unit_test(test_whole_answer_during_upload_counts),
 		cmocka_unit_test(test_malformed_head_is_no_answer),
 		cmocka_unit_test(test_broken_answer_makes_kept_connections_suspicious),
 		cmocka_unit_test(test_target_with_broken_health_answer_is_not_healthy),
