--- a/caller/connection.c
+++ b/caller/connection.c
@@ -142,6 +142,17 @@
 	return (struct framing){ .kind = FRAMING_LENGTH, .length.missing = head->body_length };
 }
 
+/* Returns whether a request behind this one was passed to the handler. */
+static bool is_followed(struct connection *connection, const struct caller_call *call)
+{
+	const GList *at = g_queue_find(&connection->calls, call);
+
+	while (at && (at = at->next) != NULL)
+		if (((const struct caller_call *)at->data)->dispatched)
+			return true;
+	return false;
+}
+
 static void serialize_head(struct connection *connection, struct caller_call *call)
 {
 	struct strbuf *output = &connection->output;
@@ -155,10 +166,8 @@
 		strbuf_add(output, STR("Transfer-Encoding: chunked\r\n"));
 	else if (head->body_length >= 0 && head->status != STATUS_NO_CONTENT)
 		strbuf_addf(output, "Content-Length: %ld\r\n", head->body_length);
-	/* Requests pipelined behind this one may have started, and are answered before the
-	 * connection closes. */
-	call->close_after |= caller_is_retired(connection->caller) &&
-			     g_queue_get_length(&connection->calls) == 1;
+	call->close_after |=
+		caller_is_retired(connection->caller) && !is_followed(connection, call);
 	if (call->close_after) {
 		strbuf_add(output, STR("Connection: close\r\n"));
 		connection->answers = ANSWERS_LAST;
@@ -414,6 +423,23 @@
 	return !pending;
 }
 
+/* Returns whether the connection takes further requests. In a stop the next head to be written
+ * closes it, unless a request behind that one was passed on: none must be. */
+static bool takes_requests(const struct connection *connection)
+{
+	if (connection->state != CONNECTION_OPEN || connection->answers != ANSWERS_FOLLOW)
+		return false;
+	if (!caller_is_retired(connection->caller))
+		return true;
+	for (const GList *at = connection->calls.head; at; at = at->next) {
+		const struct caller_call *call = at->data;
+
+		if (call->dispatched && !call->head_serialized)
+			return false;
+	}
+	return true;
+}
+
 /* Returns the next call that may start. Calls with safe methods run concurrently; any other call
  * runs alone. */
 static struct caller_call *next_startable_call(struct connection *connection)
@@ -431,8 +457,7 @@
 		if (!call->safe)
 			break;
 	}
-	if (found && connection->state == CONNECTION_OPEN &&
-	    connection->answers == ANSWERS_FOLLOW) {
+	if (found && takes_requests(connection)) {
 		found->dispatched = true;
 		caller_call_ref(found);
 	} else {
--- a/regress/caller/stop_test.c
+++ b/regress/caller/stop_test.c
@@ -13,6 +13,7 @@
 	WAIT_MS = 500,
 	SETTLE_US = 100000,
 	LARGE = 20000, /* the head does not wait for the end of such a body */
+	ROUNDS = 8,
 };
 
 static void send_get(int fd, int number)
@@ -104,6 +105,90 @@
 	close(fd);
 }
 
+/* The body of a request had begun when the closing answer was written. */
+static void test_body_behind_a_closing_answer_is_not_run(void **state)
+{
+	int fd = callers_connect();
+	struct strbuf answers;
+
+	(void)state;
+	send_get(fd, 1);
+	callers_call(0);
+	callers_send(fd, "POST /2 HTTP/1.1\r\nHost: a\r\nContent-Length: 8\r\n\r\nbody");
+	g_usleep(SETTLE_US);
+	caller_retire(callers.caller);
+	begin_large(0);
+	callers_send(fd, "body");
+	end_large(0);
+	answers = callers_read(fd, WAIT_MS);
+	assert_int_equal(count_text(&answers, "HTTP/1.1 200"), 1);
+	assert_int_equal(count_text(&answers, "Connection: close"), 1);
+	assert_true(callers_ended(fd));
+	assert_int_equal(count_ready(), 1);
+	expect_no_active_calls();
+	strbuf_clear(&answers);
+	close(fd);
+}
+
+/* A caller that always had a second request under way was never told to close, until the node cut
+ * what it was running at the end of its stop. */
+static void test_busy_connection_is_told_to_close(void **state)
+{
+	int fd = callers_connect();
+	int answered = 0;
+	int received = 0;
+	int closes = 0;
+
+	(void)state;
+	send_get(fd, 1);
+	send_get(fd, 2);
+	callers_call(1);
+	caller_retire(callers.caller);
+	while (answered < ROUNDS && answered < count_ready() && closes == 0) {
+		struct strbuf bytes;
+
+		send_get(fd, answered + 3);
+		answer_small(answered++);
+		bytes = callers_read(fd, WAIT_MS);
+		received += count_text(&bytes, "HTTP/1.1 200");
+		closes += count_text(&bytes, "Connection: close");
+		strbuf_clear(&bytes);
+	}
+	assert_int_equal(closes, 1);
+	assert_int_equal(received, answered);
+	assert_int_equal(count_ready(), answered);
+	assert_true(callers_ended(fd));
+	expect_no_active_calls();
+	close(fd);
+}
+
+/* An answer that had begun before the stop can't tell its caller to close: the next one does. */
+static void test_request_behind_an_earlier_answer_is_run_and_answered(void **state)
+{
+	int fd = callers_connect();
+	struct strbuf answers;
+
+	(void)state;
+	send_get(fd, 1);
+	begin_large(0);
+	answers = callers_read(fd, WAIT_MS);
+	assert_int_equal(count_text(&answers, "Connection: close"), 0);
+	strbuf_clear(&answers);
+	caller_retire(callers.caller);
+	send_get(fd, 2);
+	answer_small(1);
+	send_get(fd, 3);
+	end_large(0);
+	answers = callers_read(fd, WAIT_MS);
+	assert_int_equal(count_text(&answers, "HTTP/1.1 200"), 1);
+	assert_int_equal(count_text(&answers, "Connection: close"), 1);
+	assert_true(callers_ended(fd));
+	assert_int_equal(count_ready(), 2);
+	expect_no_active_calls();
+	strbuf_clear(&answers);
+	close(fd);
+}
+
 /* Requests that were running when the stop began are answered, also behind a slow one. */
 static void test_running_requests_are_answered_in_a_stop(void **state)
 {
@@ -128,13 +213,46 @@
 	close(fd);
 }
 
+/* A request that was queued behind another before the stop, and not run, is left to the caller. */
+static void test_waiting_request_is_not_run_behind_a_closing_answer(void **state)
+{
+	int fd = callers_connect();
+	struct strbuf answers;
+
+	(void)state;
+	send_get(fd, 1);
+	callers_call(0);
+	callers_send(fd, "POST /2 HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n");
+	g_usleep(SETTLE_US);
+	caller_retire(callers.caller);
+	answer_small(0);
+	answers = callers_read(fd, WAIT_MS);
+	assert_int_equal(count_text(&answers, "HTTP/1.1 200"), 1);
+	assert_int_equal(count_text(&answers, "Connection: close"), 1);
+	assert_true(callers_ended(fd));
+	assert_int_equal(count_ready(), 1);
+	expect_no_active_calls();
+	strbuf_clear(&answers);
+	close(fd);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test_setup_teardown(test_request_behind_a_closing_answer_is_not_run,
 						callers_set_up, callers_tear_down),
+		cmocka_unit_test_setup_teardown(test_body_behind_a_closing_answer_is_not_run,
+						callers_set_up, callers_tear_down),
+		cmocka_unit_test_setup_teardown(test_busy_connection_is_told_to_close,
+						callers_set_up, callers_tear_down),
+		cmocka_unit_test_setup_teardown(
+			test_request_behind_an_earlier_answer_is_run_and_answered, callers_set_up,
+			callers_tear_down),
 		cmocka_unit_test_setup_teardown(test_running_requests_are_answered_in_a_stop,
 						callers_set_up, callers_tear_down),
+		cmocka_unit_test_setup_teardown(
+			test_waiting_request_is_not_run_behind_a_closing_answer, callers_set_up,
+			callers_tear_down),
 	};
 
 	cmocka_set_test_filter(getenv("TEST_ONLY"));
