--- a/caller/connection.h
+++ b/caller/connection.h
@@ -51,6 +51,7 @@
 	struct pipe *upload;
 	struct pipe *answer;
 	void *data;
+	bool queued;	  /* its head was valid; for the worker that reads */
 	bool safe;	  /* GET, HEAD or OPTIONS: may run concurrently with others */
 	bool close_after; /* the connection closes after this answer */
 
--- a/caller/read.c
+++ b/caller/read.c
@@ -122,6 +122,7 @@
 
 	lock_acquire(&connection->lock);
 	answers_follow = connection->answers == ANSWERS_FOLLOW;
+	call->queued = answers_follow;
 	if (answers_follow) {
 		if (expects_continue(call) && g_queue_is_empty(&connection->calls) &&
 		    connection->output.len == 0)
@@ -223,36 +224,57 @@
 	caller_call_unref(call);
 }
 
-/* Queues an error answer for an invalid request behind the answers to earlier requests. */
-static void reject_request(struct connection *connection)
+/* The head was valid, and the call may have started: only its body is invalid. An answer that is
+ * complete already is the connection's last. */
+static void reject_body(struct connection *connection, struct caller_call *call)
 {
-	struct request_input *input = &connection->input;
-	struct caller_call *call = input->call ? input->call : caller_call_new(connection);
-	struct response_head head = { .status = input->error_status, .field_count = 1 };
-	struct str verdict = caller_options_of(connection->caller)->verdict_field;
-	bool queued;
+	bool answered;
 
-	input->call = NULL;
 	lock_acquire(&connection->lock);
-	queued = g_queue_find(&connection->calls, call) != NULL;
+	answered = !g_queue_find(&connection->calls, call);
+	if (answered)
+		connection->answers = ANSWERS_ENDED;
 	lock_release(&connection->lock);
-	if (queued) {
-		/* The head was valid and the call may have started: only its body is invalid. */
+	if (answered)
+		connection_advance(connection);
+	else
 		connection_close(connection);
-		caller_call_unref(call);
-		return;
-	}
+}
+
+/* Queues an error answer behind the answers to earlier requests, unless the last one was chosen. */
+static void reject_head(struct connection *connection, struct caller_call *call, int status)
+{
+	struct response_head head = { .status = status };
+	struct str verdict = caller_options_of(connection->caller)->verdict_field;
+	bool answers_follow;
+
+	if (verdict.len)
+		head.fields[head.field_count++] = (struct field){ verdict, STR("not-run") };
 	call->close_after = true;
-	head.fields[0] = (struct field){ verdict, STR("not-run") };
-	head.field_count = verdict.len ? 1 : 0;
 	lock_acquire(&connection->lock);
-	call->dispatched = true;
-	call->startable = true;
-	caller_call_ref(call);
-	g_queue_push_tail(&connection->calls, call);
+	answers_follow = connection->answers == ANSWERS_FOLLOW;
+	if (answers_follow) {
+		call->dispatched = true;
+		call->startable = true;
+		caller_call_ref(call);
+		g_queue_push_tail(&connection->calls, call);
+		caller_add_active(connection->caller, 1);
+	}
 	lock_release(&connection->lock);
-	caller_add_active(connection->caller, 1);
-	caller_answer(call, &head, STR(""));
+	if (answers_follow)
+		caller_answer(call, &head, STR(""));
+}
+
+static void reject_request(struct connection *connection)
+{
+	struct request_input *input = &connection->input;
+	struct caller_call *call = input->call ? input->call : caller_call_new(connection);
+
+	input->call = NULL;
+	if (call->queued)
+		reject_body(connection, call);
+	else
+		reject_head(connection, call, input->error_status);
 	caller_call_unref(call);
 }
 
--- a/regress/caller/answers_test.c
+++ b/regress/caller/answers_test.c
@@ -199,6 +199,26 @@
 	assert_int_equal(run_cases(cases, G_N_ELEMENTS(cases), false), 0);
 }
 
+/* An answer may come before the request's body has. A body that turned out invalid then was
+ * answered once more, with a second end of the chunks. */
+static void test_invalid_body_gets_no_second_answer(void **state)
+{
+	struct response_head head = { .status = 429, .body_length = -1 };
+	int fd = callers_connect();
+	struct strbuf answers;
+
+	(void)state;
+	callers_send(fd, "POST /1 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n");
+	assert_true(caller_write_head(callers_call(0), &head));
+	caller_finish(callers_call(0), PIPE_DONE);
+	answers = callers_read(fd, WAIT_MS);
+	assert_non_null(strstr(answers.data, "\r\n\r\n0\r\n\r\n"));
+	strbuf_clear(&answers);
+	callers_send(fd, "not a chunk\r\n");
+	assert_true(callers_ended(fd));
+	close(fd);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -212,6 +232,8 @@
 						callers_set_up, callers_tear_down),
 		cmocka_unit_test_setup_teardown(test_long_answer_ends_the_connection,
 						callers_set_up, callers_tear_down),
+		cmocka_unit_test_setup_teardown(test_invalid_body_gets_no_second_answer,
+						callers_set_up, callers_tear_down),
 	};
 
 	cmocka_set_test_filter(getenv("TEST_ONLY"));
