--- a/regress/lib/callers.c
+++ b/regress/lib/callers.c
@@ -67,9 +67,9 @@
 		caller_on_connection(work->data);
 }
 
-int callers_set_up(void **state)
+static void start_server(int threads)
 {
-	struct workers_options pool_options = { .threads = THREADS,
+	struct workers_options pool_options = { .threads = threads,
 						.queue_max = 64,
 						.handle = on_work };
 	struct caller_options options = { .ipv4 = LISTEN_IP,
@@ -80,7 +80,6 @@
 					  .verdict_field = STR("Verdict"),
 					  .handle = on_event };
 
-	(void)state;
 	memset(&callers, 0, sizeof(callers));
 	pthread_mutex_init(&callers.mutex, NULL);
 	pthread_cond_init(&callers.changed, NULL);
@@ -91,6 +90,19 @@
 	callers.caller = caller_new(&options, pool, NULL);
 	assert_non_null(callers.caller);
 	workers_start(workers);
+}
+
+int callers_set_up(void **state)
+{
+	(void)state;
+	start_server(THREADS);
+	return 0;
+}
+
+int callers_set_up_ordered(void **state)
+{
+	(void)state;
+	start_server(1);
 	return 0;
 }
 
--- a/regress/lib/callers.h
+++ b/regress/lib/callers.h
@@ -29,6 +29,8 @@
 
 /** Test fixtures: start and stop the server. */
 int callers_set_up(void **state);
+/** With one worker, which handles the events of all connections in their order. */
+int callers_set_up_ordered(void **state);
 int callers_tear_down(void **state);
 /** Returns a connected socket. */
 int callers_connect(void);
