--- a/caller/http.h
+++ b/caller/http.h
@@ -45,7 +45,10 @@
 
 /** Listens for callers. Returns NULL and sets @p error (G_FILE_ERROR) if it can't. */
 struct caller *caller_new(const struct caller_options *options, apr_pool_t *pool, GError **error);
-/** From now on the last queued answer closes its connection, so that callers use other nodes. */
+/**
+ * From now on each connection closes behind the requests that were passed to the handler, and
+ * passes on none behind them, so that callers use other nodes.
+ */
 void caller_retire(struct caller *caller);
 /** Stops listening and closes idle connections; calls in progress continue. */
 void caller_quiesce(struct caller *caller);
@@ -95,7 +98,8 @@
 bool caller_write_wait(struct caller_call *call, struct str bytes, struct deadline deadline);
 /**
  * Ends the body: PIPE_DONE, or PIPE_FAILED to close the connection before the end of the answer, so
- * that the caller can tell that it is truncated.
+ * that the caller can tell that it is truncated. A body that is not as long as its head announced
+ * is truncated as well.
  */
 void caller_finish(struct caller_call *call, enum pipe_end end);
 /** Writes a complete answer. Returns false, and writes nothing, if the call has one already. */
