--- a/godwithitchd/settings.h
+++ b/godwithitchd/settings.h
@@ -38,7 +38,7 @@
 	bool first_start; /**< the whole fleet starts for the first time */
 	char *log_file;	  /**< owned; "-": standard error */
 	int64_t log_retention_s;
-	int64_t stop_within_us;	 /**< longest graceful stop; running requests are then cut off */
+	int64_t stop_within_us;	 /**< longest graceful stop; see core/stop.h */
 	int64_t stop_notice_us;	 /**< new requests are accepted this long after the stop began */
 	int64_t apply_within_us; /**< time in which an acknowledged change is in force */
 	int64_t announce_ttl_us; /**< lifetime of an announcement that states none */
