--- a/regress/lib/answercheck.c
+++ b/regress/lib/answercheck.c
@@ -58,12 +58,16 @@
 	places.status_line = out->len - start;
 	if (shape->framing_first)
 		add_framing(out, shape);
+	if (shape->not_executed && shape->refusal_first)
+		strbuf_add(out, STR("X-Not-Executed: 1\r\n"));
 	strbuf_addf(out, "X-Request-Id: %s\r\n", id);
-	if (shape->not_executed)
+	if (shape->not_executed && !shape->refusal_first)
 		strbuf_add(out, STR("X-Not-Executed: 1\r\n"));
 	if (!shape->unsigned_)
 		strbuf_addf(out, "X-Response-Signature: s-%s\r\n", id);
 	places.signature = out->len - start;
+	if (shape->fields)
+		strbuf_add(out, str_from_cstr(shape->fields));
 	if (!shape->framing_first)
 		add_framing(out, shape);
 	strbuf_add(out, STR("\r\n"));
--- a/regress/lib/answercheck.h
+++ b/regress/lib/answercheck.h
@@ -19,6 +19,8 @@
 	bool interim;	    /**< a 100 head comes before */
 	bool unsigned_;	    /**< without X-Response-Signature */
 	bool not_executed;  /**< a refusal: the request did not run */
+	bool refusal_first; /**< X-Not-Executed comes before the id */
+	const char *fields; /**< further lines of the head behind the signature; may be NULL */
 	size_t body_bytes;
 };
 
--- a/regress/lib/breaker.c
+++ b/regress/lib/breaker.c
@@ -23,6 +23,7 @@
 	GCond connection_ended;
 	int fds[CONNECTIONS_MAX];
 	int fd_count;
+	gint requests_awaited;
 };
 
 /* A connection and the request that it reads. */
@@ -153,10 +154,21 @@
 	return true;
 }
 
-/* Returns false if the connection is to be closed. */
-static bool take_step(int fd, const struct breaker_step *step)
+/* Waits for bytes of the next request. Returns false if none came or the connection ended. */
+static bool await_request(struct breaker *breaker, int fd)
 {
 	struct pollfd next = { .fd = fd, .events = POLLIN };
+	char first;
+
+	if (poll(&next, 1, NEXT_REQUEST_MS) != 1 || recv(fd, &first, 1, MSG_PEEK) != 1)
+		return false;
+	g_atomic_int_inc(&breaker->requests_awaited);
+	return true;
+}
+
+/* Returns false if the connection is to be closed. */
+static bool take_step(struct breaker *breaker, int fd, const struct breaker_step *step)
+{
 	struct linger abort_at_close = { .l_onoff = 1 };
 
 	switch (step->kind) {
@@ -166,7 +178,7 @@
 		g_usleep((gulong)step->wait_ms * 1000);
 		return true;
 	case BREAKER_WAIT_REQUEST:
-		return poll(&next, 1, NEXT_REQUEST_MS) == 1;
+		return await_request(breaker, fd);
 	case BREAKER_FIN:
 		return false;
 	case BREAKER_RESET:
@@ -215,7 +227,7 @@
 	else
 		options->answer(options->context, &connection->request, &plan);
 	for (int i = 0; i < plan.count; i++) {
-		keep = keep && take_step(connection->fd, &plan.steps[i]);
+		keep = keep && take_step(connection->breaker, connection->fd, &plan.steps[i]);
 		if (plan.steps[i].kind == BREAKER_SEND)
 			strbuf_clear(&plan.steps[i].bytes);
 	}
@@ -298,6 +310,11 @@
 	return breaker->port;
 }
 
+int breaker_requests_awaited(struct breaker *breaker)
+{
+	return g_atomic_int_get(&breaker->requests_awaited);
+}
+
 void breaker_free(struct breaker *breaker)
 {
 	shutdown(breaker->listen_fd, SHUT_RDWR);
--- a/regress/lib/breaker.h
+++ b/regress/lib/breaker.h
@@ -59,6 +59,8 @@
 /** Listens on a free port of the loopback address. @p options must live as long as the breaker. */
 struct breaker *breaker_new(const struct breaker_options *options);
 int breaker_port(const struct breaker *breaker);
+/** Returns how many steps BREAKER_WAIT_REQUEST have seen a request. */
+int breaker_requests_awaited(struct breaker *breaker);
 /** Closes all connections and waits for their threads. */
 void breaker_free(struct breaker *breaker);
 
