--- a/regress/broken.c
+++ b/regress/broken.c
@@ -33,23 +33,20 @@
 	SMALL_BYTES = 300,
 	PAUSE_EACH = 4, /* of four bodies one is sent with a pause in its middle */
 	PAUSE_MS = 15,
+	BODY_BYTES_MIN = 200, /* of answers; 400 is the mean */
+	BODY_BYTES_RANGE = 401,
 	SHOWN_MAX = 40, /* broken rules that are printed one by one */
 };
 
 /* Heads of answers. */
 static const struct answer_shape shapes[] = {
-	{ .name = "short", .status = 200, .framing = RAW_BY_LENGTH, .body_bytes = 400 },
+	{ .name = "short", .status = 200, .framing = RAW_BY_LENGTH },
 	{ .name = "long",
 	  .status = 200,
 	  .framing = RAW_BY_LENGTH,
-	  .fields = "X-Server-Load: 3,0,9\r\nKeep-Alive: timeout=5\r\n",
-	  .body_bytes = 400 },
-	{ .name = "first",
-	  .status = 200,
-	  .framing = RAW_BY_LENGTH,
-	  .framing_first = true,
-	  .body_bytes = 400 },
-	{ .name = "chunks", .status = 200, .framing = RAW_BY_CHUNKS, .body_bytes = 400 },
+	  .fields = "X-Server-Load: 3,0,9\r\nKeep-Alive: timeout=5\r\n" },
+	{ .name = "first", .status = 200, .framing = RAW_BY_LENGTH, .framing_first = true },
+	{ .name = "chunks", .status = 200, .framing = RAW_BY_CHUNKS },
 };
 
 /* Second copies of an answer, sent when the next request on the connection has begun. */
@@ -84,6 +81,7 @@
 	double upstreams; /* share of the upstreams that break off answers */
 	double reset;	  /* share of the breaks that are resets */
 	double copies;	  /* share of the answers of all upstreams that come twice */
+	double failures;  /* share of the answers that are 500 */
 	bool in_head;	  /* breaks only in the head */
 	const struct answer_shape *shape;
 } options = { .seconds = 30,
@@ -131,6 +129,18 @@
 static int shown;
 static int next_request;
 
+/* Returns the shape of the answer to a request; its status and length depend on the id. */
+static struct answer_shape shape_of(const char *id)
+{
+	struct rng rng = { .state = str_hash(str_from_cstr(id), options.seed) };
+	struct answer_shape shape = *options.shape;
+
+	shape.body_bytes = BODY_BYTES_MIN + rng_below(&rng, BODY_BYTES_RANGE);
+	if (rng_unit(&rng) < options.failures)
+		shape.status = 500;
+	return shape;
+}
+
 static struct run *record_run(const struct breaker_request *request, int upstream)
 {
 	struct run *run = g_hash_table_lookup(runs, request->id);
@@ -189,13 +199,15 @@
 {
 	int upstream = (int)((struct breaker_options *)context - breaker_options);
 	struct strbuf text = { 0 };
-	struct answer_places places = answer_format(options.shape, request->id, &text);
+	struct answer_shape shape = shape_of(request->id);
+	struct answer_places places = answer_format(&shape, request->id, &text);
 	struct run *run;
 	enum copy_kind copy;
 	bool copied;
 	bool broken;
 	bool by_reset;
 	size_t end;
+	size_t copy_end;
 
 	g_mutex_lock(&mutex);
 	run = record_run(request, upstream);
@@ -204,6 +216,7 @@
 	copy = (enum copy_kind)rng_below(&answer_rng, COPY_KINDS);
 	by_reset = rng_unit(&answer_rng) < options.reset;
 	end = choose_end(&places);
+	copy_end = 1 + rng_below(&answer_rng, places.head);
 	run->whole = places.whole;
 	run->sent = broken ? end : places.whole;
 	run->part = answer_part(&places, run->sent);
@@ -213,7 +226,7 @@
 	breaker_plan_step(plan, BREAKER_WAIT, options.work_ms);
 	if (copied) {
 		breaker_plan_send(plan, strbuf_str(&text));
-		add_copy(plan, copy, strbuf_str(&text), end);
+		add_copy(plan, copy, strbuf_str(&text), copy_end);
 	} else {
 		text.len = run->sent;
 		breaker_plan_send(plan, strbuf_str(&text));
@@ -245,7 +258,7 @@
 	       "%s; runs %d, the answer had %zu of %zu bytes (%s)\n",
 	       rule, sent->path, request->id, entry, run ? run->upstream : -1,
 	       body_names[sent->body], request->answer->status, request->answer->body.len,
-	       options.shape->body_bytes, framing_name(request->answer->framing), request->runs,
+	       request->shape->body_bytes, framing_name(request->answer->framing), request->runs,
 	       run ? run->sent : 0, run ? run->whole : 0,
 	       run ? answer_part_name(run->part) : "none");
 }
@@ -294,9 +307,10 @@
 				       .path = path,
 				       .id = id,
 				       .timeout_ms = TIMEOUT_MS };
+	struct answer_shape shape;
 	struct raw_answer reply;
 	struct answered_request answered = {
-		.shape = options.shape, .id = id, .unsafe = unsafe, .answer = &reply
+		.shape = &shape, .id = id, .unsafe = unsafe, .answer = &reply
 	};
 	bool promised;
 
@@ -310,6 +324,7 @@
 		request.pause_ms = PAUSE_MS;
 	g_snprintf(path, sizeof(path), "/%s/%d", unsafe ? "bill" : "sheet", number);
 	g_snprintf(id, sizeof(id), "%08x%07x%d", (unsigned)options.seed, (unsigned)number, attempt);
+	shape = shape_of(id);
 	reply = raw_call(caller, &request);
 	record_answer(&answered, entry, &request);
 	promised = answer_is_promise(reply.status);
@@ -487,6 +502,10 @@
 	       sum.mixed_framing[RAW_BY_LENGTH], sum.mixed_framing[RAW_UNFRAMED], sum.refused,
 	       sum.refused ? (double)sum.mixed / sum.refused : 0.0, sum.twice,
 	       invoices_issued_twice());
+	if (sum.requests < options.seconds * options.rate / 2) {
+		printf("too few requests\n");
+		return false;
+	}
 	return sum.mixed + sum.refused + sum.twice + altered + cut_whole == 0;
 }
 
@@ -509,11 +528,12 @@
 	struct arg_dbl *upstreams = arg_dbl0("u", "upstreams", "SHARE", "upstreams that do so");
 	struct arg_dbl *reset = arg_dbl0(NULL, "reset", "SHARE", "breaks by a reset");
 	struct arg_dbl *second = arg_dbl0("c", "copies", "SHARE", "answers that come twice");
+	struct arg_dbl *failures = arg_dbl0("f", "failures", "SHARE", "answers that are 500");
 	struct arg_lit *in_head = arg_lit0(NULL, "in-head", "break off in the head only");
 	struct arg_str *head = arg_str0(NULL, "head", "NAME", "short, long, first or chunks");
 	struct arg_end *end = arg_end(4);
-	void *table[] = { seconds,   seed,  nodes,  rate,    work, broken,
-			  upstreams, reset, second, in_head, head, end };
+	void *table[] = { seconds, seed,   nodes,    rate,    work, broken, upstreams,
+			  reset,   second, failures, in_head, head, end };
 	bool valid;
 
 	*seconds->ival = options.seconds;
@@ -534,6 +554,7 @@
 	options.upstreams = *upstreams->dval;
 	options.reset = reset->count ? *reset->dval : 0;
 	options.copies = second->count ? *second->dval : 0;
+	options.failures = failures->count ? *failures->dval : 0;
 	options.in_head = in_head->count > 0;
 	options.shape = find_shape(*head->sval);
 	if (!valid)
@@ -549,9 +570,10 @@
 	bool started;
 
 	if (!parse_arguments(argc, argv)) {
-		fprintf(stderr, "usage: broken [-s N] [-r N] [-n N] [--rate N] [--work MS] "
-				"[-b SHARE] [-u SHARE] [--reset SHARE] [-c SHARE] [--in-head] "
-				"[--head NAME]\n");
+		fprintf(stderr,
+			"usage: broken [-s N] [-r N] [-n N] [--rate N] [--work MS] "
+			"[-b SHARE] [-u SHARE] [--reset SHARE] [-c SHARE] [-f SHARE] [--in-head] "
+			"[--head NAME]\n");
 		return 2;
 	}
 	curl_global_init(CURL_GLOBAL_DEFAULT);
