--- a/regress/godwithitchd/broken_answers_test.c
+++ b/regress/godwithitchd/broken_answers_test.c
@@ -21,7 +21,14 @@
 	NODES,
 };
 
-enum { WAIT_MS = 10000, CAPACITY = 64, SENDERS = 12, PLAYS_MAX = 4, TIMEOUT_MS = 2000 };
+enum {
+	WAIT_MS = 10000,
+	CAPACITY = 64,
+	SENDERS = 12,
+	PLAYS_MAX = 60,
+	PLAY_AGAIN_MS = 50,
+	TIMEOUT_MS = 2000
+};
 
 static const char *const services[NODES] = { "books", "front", "loans", "loans", "loans" };
 
@@ -67,6 +74,8 @@
 
 enum { BODIES = G_N_ELEMENTS(bodies) };
 
+enum { WHOLE_BYTES = 9999 }; /* more than any answer has */
+
 static const enum breaker_step_kind endings[] = { BREAKER_FIN, BREAKER_RESET };
 
 /* A request and the place at which its answer breaks off. */
@@ -83,7 +92,8 @@
 struct tally {
 	int played;
 	int not_run;
-	int unanswered; /* no answer in time */
+	int turned_away; /* refused by the node, and sent again after a while */
+	int unanswered;	 /* no answer in time */
 	int mixed[BODIES][PART_COUNT];
 	int mixed_with_bytes; /* those with a body */
 	int mixed_by_reset;   /* those whose answer was reset */
@@ -97,18 +107,25 @@
 	int altered; /* requests that arrived with another body */
 };
 
+/* A whole answer, behind which the connection is kept. */
+static const struct play whole_play = { .ending = BREAKER_WAIT,
+					.sent = WHOLE_BYTES,
+					.part = PART_WHOLE };
+
 static struct fleet *fleet;
 static struct breaker *breakers[NODES];
 static struct breaker_options breaker_options[NODES];
 static GMutex mutex;	 /* guards all below */
 static GHashTable *runs; /* number of runs by id */
 static int altered_bodies;
+static int broken_on_kept_connection;
 static struct tally tally;
 static GArray *plays;
 static guint next_play;
+static int test_number; /* part of all ids */
 
 /* Counts a run and returns the number of runs of this request so far. */
-static int record_run(const struct breaker_request *request, size_t body_bytes)
+static int record_run(const struct breaker_request *request, size_t body_bytes, bool breaks)
 {
 	int count;
 
@@ -116,6 +133,7 @@
 	count = GPOINTER_TO_INT(g_hash_table_lookup(runs, request->id)) + 1;
 	g_hash_table_insert(runs, g_strdup(request->id), GINT_TO_POINTER(count));
 	altered_bodies += request->body_altered || request->body_bytes != body_bytes;
+	broken_on_kept_connection += breaks && request->on_kept_connection;
 	g_mutex_unlock(&mutex);
 	return count;
 }
@@ -143,7 +161,7 @@
 	(void)context;
 	answer_format(shape, request->id, &text);
 	if (!shape->not_executed)
-		is_first = record_run(request, bodies[atoi(words[3])].bytes) == 1;
+		is_first = record_run(request, bodies[atoi(words[3])].bytes, sent < text.len) == 1;
 	if (is_first)
 		text.len = MIN(text.len, sent);
 	breaker_plan_send(plan, strbuf_str(&text));
@@ -207,7 +225,7 @@
 					     .id = id,
 					     .unsafe = hop->unsafe,
 					     .sent_whole = play->part == PART_WHOLE &&
-							   play->ending == BREAKER_FIN,
+							   play->ending != BREAKER_RESET,
 					     .answer = &reply };
 
 	g_snprintf(path, sizeof(path), "%s%d/%d/%d/%zu/%s", hop->prefix, play->shape, play->body,
@@ -229,6 +247,7 @@
 	for (;;) {
 		const struct play *play = NULL;
 		bool has_run = false;
+		int turned_away = 0;
 		guint number;
 		char id[48];
 
@@ -240,13 +259,20 @@
 		if (!play)
 			break;
 		for (int i = 0; i < PLAYS_MAX && !has_run; i++) {
-			g_snprintf(id, sizeof(id), "%c%d-%05u-%d", hop->prefix[1], hop->entry,
-				   number, i);
+			/* A node that found the target closed uses it again a second later. */
+			if (i)
+				wait_ms(PLAY_AGAIN_MS);
+			turned_away = i;
+			g_snprintf(id, sizeof(id), "k%d-%05u-%02d", test_number, number, i);
+			if (play->part != PART_WHOLE && !send_play(caller, hop, &whole_play, id))
+				continue;
+			g_snprintf(id, sizeof(id), "p%d-%05u-%02d", test_number, number, i);
 			has_run = send_play(caller, hop, play, id);
 		}
 		g_mutex_lock(&mutex);
 		tally.played++;
 		tally.not_run += !has_run;
+		tally.turned_away += turned_away;
 		g_mutex_unlock(&mutex);
 	}
 	raw_caller_free(caller);
@@ -256,12 +282,12 @@
 /* Adds the plays of one shape and one kind of body. */
 static void add_plays(int shape, int body)
 {
-	static const char sample_id[] = "w0-00000-0";
+	static const char sample_id[] = "p0-00000-00";
 	struct strbuf text = { 0 };
 	struct answer_places places = answer_format(&shapes[shape], sample_id, &text);
 
 	for (size_t sent = 0; sent <= places.whole; sent++) {
-		if (sent < places.whole && (sent + (size_t)body) % bodies[body].stride)
+		if (sent > 0 && sent < places.whole && (sent + (size_t)body) % bodies[body].stride)
 			continue;
 		for (size_t i = 0; i < G_N_ELEMENTS(endings); i++) {
 			struct play play = { .shape = shape,
@@ -298,8 +324,10 @@
 
 	print_counts("MIXED", tally.mixed, &mixed);
 	print_counts("REFUSED", tally.refused, &refused);
-	print_message("%s: %d requests, %d not run, %d repeated, %d not answered in time\n", name,
-		      tally.played, tally.not_run, tally.repeated, tally.unanswered);
+	print_message("%s: %d requests, %d not run, %d turned away, %d broken on kept connections, "
+		      "%d repeated, %d not answered in time\n",
+		      name, tally.played, tally.not_run, tally.turned_away,
+		      broken_on_kept_connection, tally.repeated, tally.unanswered);
 	print_message("  MIXED %d (with bytes of a body %d, after a reset %d), REFUSED %d (after a "
 		      "reset %d, own 503 or 429 %d), TWICE %d\n",
 		      mixed, tally.mixed_with_bytes, tally.mixed_by_reset, refused,
@@ -321,9 +349,11 @@
 {
 	GThread *threads[SENDERS];
 
+	test_number++;
 	next_play = 0;
 	tally = (struct tally){ 0 };
 	altered_bodies = 0;
+	broken_on_kept_connection = 0;
 	for (int i = 0; i < SENDERS; i++)
 		threads[i] = g_thread_new("sender", send_plays, &hop);
 	for (int i = 0; i < SENDERS; i++)
@@ -339,6 +369,41 @@
 			add_plays(shape, body);
 }
 
+/* Returns whether the node sees an answer without the id of its request. It then uses new
+ * connections for unsafe requests for ten seconds. */
+static bool lacks_id(const struct play *play)
+{
+	return play->ending == BREAKER_FIN &&
+	       (play->part == PART_INTERIM || play->part == PART_HEAD_UNSIGNED);
+}
+
+/* Adds breaks of the answers to unsafe requests on kept connections. */
+static void add_kept_plays(void)
+{
+	enum { LENGTH = 0, CHUNKS = 2, LAST_BODY = 2 };
+
+	for (int body = 0; body <= LAST_BODY; body++) {
+		add_plays(LENGTH, body);
+		add_plays(CHUNKS, body);
+	}
+	for (guint i = plays->len; i-- > 0;)
+		if (lacks_id(&g_array_index(plays, struct play, i)))
+			g_array_remove_index(plays, i);
+}
+
+/* After a break the target still takes work: hardly any request is turned away. It runs before all
+ * others, whose answers without an id make the node use new connections. */
+static void test_unsafe_requests_on_kept_connections(void **state)
+{
+	enum { KEPT_MIN = 100 };
+
+	(void)state;
+	add_kept_plays();
+	run_plays("unsafe, kept connections", (struct hop){ BOOKS, "/w/", true });
+	assert_true(broken_on_kept_connection >= KEPT_MIN);
+	assert_true(tally.turned_away * 50 < tally.played);
+}
+
 static void test_unsafe_requests_at_own_target(void **state)
 {
 	(void)state;
@@ -370,16 +435,13 @@
 /* Adds whole answers behind each play, since a target whose answers all fail gets no requests. */
 static void add_whole_answers(void)
 {
-	enum { WHOLE_EACH = 12, WHOLE_BYTES = 9999 };
-	static const struct play whole = { .ending = BREAKER_FIN,
-					   .sent = WHOLE_BYTES,
-					   .part = PART_WHOLE };
+	enum { WHOLE_EACH = 12 };
 	GArray *mixture = g_array_new(FALSE, FALSE, sizeof(struct play));
 
 	for (guint i = 0; i < plays->len; i++) {
 		g_array_append_vals(mixture, &g_array_index(plays, struct play, i), 1);
 		for (int j = 0; j < WHOLE_EACH; j++)
-			g_array_append_val(mixture, whole);
+			g_array_append_val(mixture, whole_play);
 	}
 	g_array_unref(plays);
 	plays = mixture;
@@ -540,6 +602,7 @@
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_unsafe_requests_on_kept_connections),
 		cmocka_unit_test(test_unsafe_requests_at_own_target),
 		cmocka_unit_test(test_unsafe_requests_beside_another_node),
 		cmocka_unit_test(test_safe_requests_at_own_target),
--- a/regress/lib/breaker.c
+++ b/regress/lib/breaker.c
@@ -36,6 +36,7 @@
 	struct strbuf value;
 	bool in_value;
 	bool whole;
+	int requests; /* that were read */
 };
 
 static void copy_text(char *into, size_t cap, const struct strbuf *text)
@@ -125,7 +126,8 @@
 	char block[BLOCK_BYTES];
 
 	http_parser_init(&parser, HTTP_REQUEST);
-	connection->request = (struct breaker_request){ .path = "" };
+	connection->request =
+		(struct breaker_request){ .on_kept_connection = connection->requests++ > 0 };
 	connection->expected[0] = '\0';
 	connection->name.len = 0;
 	connection->value.len = 0;
--- a/regress/lib/breaker.h
+++ b/regress/lib/breaker.h
@@ -42,6 +42,7 @@
 	char path[BREAKER_PATH_MAX];
 	char id[BREAKER_ID_MAX]; /**< X-Request-Id */
 	bool in_chunks;
+	bool on_kept_connection; /**< another request came before on its connection */
 	size_t body_bytes;
 	bool body_altered; /**< a byte of the body isn't RAW_BODY_BYTE */
 };
