--- a/regress/godwithitchd/stop_test.c
+++ b/regress/godwithitchd/stop_test.c
@@ -122,6 +122,13 @@
 	g_mutex_unlock(&mutex);
 }
 
+/* Waits in short steps, until the test ends at the latest. */
+static void work(int ms)
+{
+	for (; ms > 0 && !g_atomic_int_get(&test_ended); ms -= 10)
+		poll(NULL, 0, MIN(ms, 10));
+}
+
 /* Works for the time in the path, /SERVICE/MS, but no longer than the request allows. */
 static enum MHD_Result on_request(void *context, struct MHD_Connection *connection, const char *url,
 				  const char *method, const char *version, const char *data,
@@ -149,8 +156,7 @@
 	if (!id)
 		return queue_response(connection, MHD_HTTP_OK, id, "");
 	note_start(id, *arrived_us + timeout_ms * US_PER_MS);
-	for (int ms = 0; ms < MIN(work_ms, timeout_ms) && !g_atomic_int_get(&test_ended); ms += 10)
-		poll(NULL, 0, 10);
+	work(MIN(work_ms, timeout_ms));
 	note_end(id);
 	if (work_ms > timeout_ms)
 		return queue_response(connection, MHD_HTTP_GATEWAY_TIMEOUT, id, "late");
