--- /dev/null
+++ b/regress/caller/upload_test.c
@@ -0,0 +1,98 @@
+/* Tests of answers that begin while the request's body is still being sent. */
+#include "regress/lib/check.h"
+
+#include <apr_general.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "regress/lib/callers.h"
+
+enum { SETTLE_US = 100000, END_WAIT_MS = 1000 };
+
+/* Reads the upload to its end, or until nothing comes for a while. */
+static struct strbuf read_upload(struct caller_call *call, enum pipe_end *end)
+{
+	struct strbuf body = { 0 };
+	char block[256];
+
+	*end = PIPE_OPEN;
+	for (int i = 0; i < END_WAIT_MS && *end == PIPE_OPEN; i++) {
+		size_t n = pipe_read(caller_upload(call), block, sizeof(block), end);
+
+		strbuf_add(&body, (struct str){ block, n });
+		caller_upload_consumed(call);
+		if (n == 0 && *end == PIPE_OPEN)
+			g_usleep(1000);
+	}
+	return body;
+}
+
+static void check_upload(const char *fields, bool retired)
+{
+	struct response_head head = { .status = 200, .body_length = -1 };
+	int fd = callers_connect();
+	struct strbuf answer;
+	struct strbuf body;
+	enum pipe_end end;
+	char text[256];
+
+	g_snprintf(text, sizeof(text),
+		   "POST /1 HTTP/1.1\r\nHost: a\r\n%sTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n",
+		   fields);
+	callers_send(fd, text);
+	callers_call(0);
+	if (retired)
+		caller_retire(callers.caller);
+	assert_true(caller_write_head(callers_call(0), &head));
+	caller_write(callers_call(0), STR("first"));
+	answer = callers_read(fd, SETTLE_US / 1000);
+	assert_non_null(strstr(answer.data, "first"));
+	strbuf_clear(&answer);
+	callers_send(fd, "2\r\ncd\r\n0\r\n\r\n");
+	body = read_upload(callers_call(0), &end);
+	if (end != PIPE_DONE || body.len != 4)
+		fail_msg("the body ends as %d after %zu of 4 bytes", (int)end, body.len);
+	caller_finish(callers_call(0), PIPE_DONE);
+	strbuf_clear(&body);
+	close(fd);
+}
+
+static void test_body_goes_on_behind_an_answer_that_keeps_the_connection(void **state)
+{
+	(void)state;
+	check_upload("", false);
+}
+
+/* The rest of the body was thrown away once the answer had begun, so that the target waited for it
+ * until the deadline. */
+static void test_body_goes_on_behind_the_head_of_a_closing_answer(void **state)
+{
+	(void)state;
+	check_upload("Connection: close\r\n", false);
+}
+
+static void test_body_goes_on_behind_the_head_of_an_answer_in_a_stop(void **state)
+{
+	(void)state;
+	check_upload("", true);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(
+			test_body_goes_on_behind_an_answer_that_keeps_the_connection,
+			callers_set_up, callers_tear_down),
+		cmocka_unit_test_setup_teardown(
+			test_body_goes_on_behind_the_head_of_a_closing_answer, callers_set_up,
+			callers_tear_down),
+		cmocka_unit_test_setup_teardown(
+			test_body_goes_on_behind_the_head_of_an_answer_in_a_stop, callers_set_up,
+			callers_tear_down),
+	};
+
+	cmocka_set_test_filter(getenv("TEST_ONLY"));
+	apr_initialize();
+	return cmocka_run_group_tests_name("caller/upload", tests, NULL, NULL);
+}
