--- a/caller/connection.c
+++ b/caller/connection.c
@@ -507,15 +507,16 @@
 	return room && (!call || !call->upload || pipe_has_room(call->upload));
 }
 
-/* Returns whether requests are read: bytes behind the last answer are discarded. */
+/* Returns whether bytes are read as requests. Behind the request of the last answer they are
+ * discarded; the rest of that request's own body is not. */
 static bool reads_requests(struct connection *connection)
 {
-	bool reads;
+	bool answers_follow;
 
 	lock_acquire(&connection->lock);
-	reads = connection->answers == ANSWERS_FOLLOW;
+	answers_follow = connection->answers == ANSWERS_FOLLOW;
 	lock_release(&connection->lock);
-	return reads;
+	return answers_follow || connection->input.call;
 }
 
 /* The result of reading from the socket. */
