--- a/caller/connection.c
+++ b/caller/connection.c
@@ -94,24 +94,33 @@
 		g_queue_push_tail(to, call);
 }
 
-void connection_close(struct connection *connection)
+enum close_condition { CLOSE_ALWAYS, CLOSE_IDLE };
+
+static bool is_idle(const struct connection *connection)
+{
+	return connection->calls.length == 0 && connection->answered.length == 0;
+}
+
+/* Closes the connection if the condition holds: no request is queued in between. */
+static void close_if(struct connection *connection, enum close_condition condition)
 {
 	GQueue calls = G_QUEUE_INIT;
-	bool was_open;
+	bool closes;
 	bool being_handled;
 
 	lock_acquire(&connection->lock);
-	was_open =
-		connection->state == CONNECTION_OPEN || connection->state == CONNECTION_LINGERING;
+	closes = (connection->state == CONNECTION_OPEN ||
+		  connection->state == CONNECTION_LINGERING) &&
+		 (condition == CLOSE_ALWAYS || is_idle(connection));
 	being_handled = connection->handling;
-	if (was_open) {
+	if (closes) {
 		connection->state = CONNECTION_CLOSED;
 		move_calls(&connection->answered, &calls);
 		move_calls(&connection->calls, &calls);
 		workers_unwatch(caller_options_of(connection->caller)->workers, &connection->watch);
 	}
 	lock_release(&connection->lock);
-	if (!was_open)
+	if (!closes)
 		return;
 	/* The descriptor is closed with the last call, whose end may take a while. */
 	if (!g_queue_is_empty(&calls))
@@ -123,6 +132,16 @@
 	connection_unref(connection);
 }
 
+void connection_close(struct connection *connection)
+{
+	close_if(connection, CLOSE_ALWAYS);
+}
+
+void connection_close_idle(struct connection *connection)
+{
+	close_if(connection, CLOSE_IDLE);
+}
+
 static const char *reason_phrase(int status)
 {
 	const char *text = http_status_str((enum http_status)status);
@@ -423,11 +442,16 @@
 	return !pending;
 }
 
-/* Returns whether the connection takes further requests. In a stop the next head to be written
+bool connection_takes_calls(const struct connection *connection)
+{
+	return connection->state == CONNECTION_OPEN && connection->answers == ANSWERS_FOLLOW;
+}
+
+/* Returns whether further requests are passed on. In a stop the next head to be written
  * closes it, unless a request behind that one was passed on: none must be. */
-static bool takes_requests(const struct connection *connection)
+static bool may_dispatch(const struct connection *connection)
 {
-	if (connection->state != CONNECTION_OPEN || connection->answers != ANSWERS_FOLLOW)
+	if (!connection_takes_calls(connection))
 		return false;
 	if (!caller_is_retired(connection->caller))
 		return true;
@@ -457,7 +481,7 @@
 		if (!call->safe)
 			break;
 	}
-	if (found && takes_requests(connection)) {
+	if (found && may_dispatch(connection)) {
 		found->dispatched = true;
 		caller_call_ref(found);
 	} else {
@@ -615,22 +639,6 @@
 	lock_release(&connection->lock);
 }
 
-static bool is_idle(struct connection *connection)
-{
-	bool idle;
-
-	lock_acquire(&connection->lock);
-	idle = g_queue_is_empty(&connection->calls) && g_queue_is_empty(&connection->answered);
-	lock_release(&connection->lock);
-	return idle;
-}
-
-void connection_close_idle(struct connection *connection)
-{
-	if (is_idle(connection))
-		connection_close(connection);
-}
-
 void connection_tick(struct connection *connection, struct instant now)
 {
 	int64_t timeout_us = caller_options_of(connection->caller)->idle_s * US_PER_S;
@@ -645,6 +653,6 @@
 	 * than an idle connection. */
 	has_output = connection->output.len > 0;
 	lock_release(&connection->lock);
-	if (inactive_us >= timeout_us && (has_output || is_idle(connection)))
-		connection_close(connection);
+	if (inactive_us >= timeout_us)
+		close_if(connection, has_output ? CLOSE_ALWAYS : CLOSE_IDLE);
 }
--- a/caller/connection.h
+++ b/caller/connection.h
@@ -133,6 +133,9 @@
 	int64_t last_active_us; /* monotonic time */
 };
 
+/** Returns whether a request may be queued: the connection is open, and its last answer is not
+ *  chosen yet. LOCK_CONNECTION is held. */
+bool connection_takes_calls(const struct connection *connection);
 /** Starts the connection and takes ownership of @p fd. */
 void connection_open(struct connection *connection, int fd, uint32_t ipv4);
 /** Handles an event of the connection's descriptor. */
--- a/caller/read.c
+++ b/caller/read.c
@@ -115,15 +115,12 @@
 	return str_equal_nocase(caller_field(call, STR("Expect")), STR("100-continue"));
 }
 
-/* Queues the call in the order in which answers are sent, unless the last one was chosen. */
+/* Queues the call in the order in which answers are sent, unless no more are sent. */
 static void enqueue_call(struct connection *connection, struct caller_call *call)
 {
-	bool answers_follow;
-
 	lock_acquire(&connection->lock);
-	answers_follow = connection->answers == ANSWERS_FOLLOW;
-	call->queued = answers_follow;
-	if (answers_follow) {
+	call->queued = connection_takes_calls(connection);
+	if (call->queued) {
 		if (expects_continue(call) && g_queue_is_empty(&connection->calls) &&
 		    connection->output.len == 0)
 			strbuf_add(&connection->output, STR("HTTP/1.1 100 Continue\r\n\r\n"));
@@ -133,7 +130,7 @@
 		caller_add_active(connection->caller, 1);
 	}
 	lock_release(&connection->lock);
-	if (answers_follow && call->upload)
+	if (call->queued && call->upload)
 		connection_advance(connection);
 }
 
@@ -241,19 +238,19 @@
 		connection_close(connection);
 }
 
-/* Queues an error answer behind the answers to earlier requests, unless the last one was chosen. */
+/* Queues an error answer behind the answers to earlier requests, unless no more are sent. */
 static void reject_head(struct connection *connection, struct caller_call *call, int status)
 {
 	struct response_head head = { .status = status };
 	struct str verdict = caller_options_of(connection->caller)->verdict_field;
-	bool answers_follow;
+	bool queued;
 
 	if (verdict.len)
 		head.fields[head.field_count++] = (struct field){ verdict, STR("not-run") };
 	call->close_after = true;
 	lock_acquire(&connection->lock);
-	answers_follow = connection->answers == ANSWERS_FOLLOW;
-	if (answers_follow) {
+	queued = connection_takes_calls(connection);
+	if (queued) {
 		call->dispatched = true;
 		call->startable = true;
 		caller_call_ref(call);
@@ -261,7 +258,7 @@
 		caller_add_active(connection->caller, 1);
 	}
 	lock_release(&connection->lock);
-	if (answers_follow)
+	if (queued)
 		caller_answer(call, &head, STR(""));
 }
 
