--- a/caller/connection.c
+++ b/caller/connection.c
@@ -70,8 +70,7 @@
 static void end_call(struct connection *connection, struct caller_call *call)
 {
 	pipe_abandon(call->answer);
-	if (call->upload)
-		pipe_finish(call->upload, PIPE_FAILED);
+	caller_body_cut(&call->body);
 	if (call->dispatched)
 		caller_notify(call, CALLER_ENDED, 0);
 	caller_add_active(connection->caller, -1);
@@ -504,7 +503,7 @@
 	lock_acquire(&connection->lock);
 	room = g_queue_get_length(&connection->calls) < PIPELINE_MAX;
 	lock_release(&connection->lock);
-	return room && (!call || !call->upload || pipe_has_room(call->upload));
+	return room && (!call || caller_body_has_room(&call->body));
 }
 
 /* Returns whether requests are read: bytes behind the last answer are discarded. */
--- a/caller/connection.h
+++ b/caller/connection.h
@@ -12,7 +12,6 @@
 #include "caller/http.h"
 
 enum {
-	SMALL_BODY_BYTES = 64 << 10,   /* largest body that is buffered and can be sent again */
 	SMALL_ANSWER_BYTES = 16 << 10, /* largest body that is sent together with its head */
 	ANSWER_LIMIT_BYTES = 256 << 10,
 	UPLOAD_LIMIT_BYTES = 256 << 10,
@@ -47,8 +46,7 @@
 	struct field fields[FIELDS_MAX];
 	int field_count;
 	int64_t body_length;
-	struct strbuf body;
-	struct pipe *upload;
+	struct caller_body body;
 	struct pipe *answer;
 	void *data;
 	bool queued;	  /* its head was valid; for the worker that reads */
@@ -160,6 +158,10 @@
 /* caller/http.c */
 
 struct caller_call *caller_call_new(struct connection *connection);
+/** Ends a body that is cut. A whole body needs no mark: its call is passed on only complete. */
+void caller_body_cut(struct caller_body *body);
+/** Returns whether more bytes of a body may be read from the caller. */
+bool caller_body_has_room(const struct caller_body *body);
 void caller_notify(struct caller_call *call, enum caller_event_kind kind, size_t bytes);
 const struct caller_options *caller_options_of(const struct caller *caller);
 bool caller_is_retired(struct caller *caller);
--- a/caller/http.c
+++ b/caller/http.c
@@ -46,14 +46,49 @@
 	return call;
 }
 
+static void body_clear(struct caller_body *body)
+{
+	switch (body->kind) {
+	case CALLER_BODY_WHOLE:
+		strbuf_clear(&body->whole);
+		return;
+	case CALLER_BODY_STREAMED:
+		pipe_unref(body->upload);
+		return;
+	}
+	g_assert_not_reached();
+}
+
+void caller_body_cut(struct caller_body *body)
+{
+	switch (body->kind) {
+	case CALLER_BODY_WHOLE:
+		return;
+	case CALLER_BODY_STREAMED:
+		pipe_finish(body->upload, PIPE_FAILED);
+		return;
+	}
+	g_assert_not_reached();
+}
+
+bool caller_body_has_room(const struct caller_body *body)
+{
+	switch (body->kind) {
+	case CALLER_BODY_WHOLE:
+		return true;
+	case CALLER_BODY_STREAMED:
+		return pipe_has_room(body->upload);
+	}
+	g_assert_not_reached();
+}
+
 void caller_call_unref(struct caller_call *call)
 {
 	if (!call || !g_atomic_int_dec_and_test(&call->refs))
 		return;
-	pipe_unref(call->upload);
+	body_clear(&call->body);
 	pipe_unref(call->answer);
 	strbuf_clear(&call->text);
-	strbuf_clear(&call->body);
 	strbuf_clear(&call->head_text);
 	connection_unref(call->connection);
 	apr_pool_destroy(call->pool);
@@ -381,14 +416,9 @@
 	return call->fields;
 }
 
-struct str caller_body(const struct caller_call *call)
-{
-	return strbuf_str(&call->body);
-}
-
-struct pipe *caller_upload(const struct caller_call *call)
+const struct caller_body *caller_body(const struct caller_call *call)
 {
-	return call->upload;
+	return &call->body;
 }
 
 int64_t caller_body_length(const struct caller_call *call)
@@ -519,6 +549,6 @@
 
 void caller_upload_consumed(struct caller_call *call)
 {
-	if (!call->upload || pipe_has_room(call->upload))
+	if (caller_body_has_room(&call->body))
 		connection_resume(call->connection);
 }
--- a/caller/http.h
+++ b/caller/http.h
@@ -16,8 +16,24 @@
 struct caller;
 struct caller_call;
 
+enum { SMALL_BODY_BYTES = 64 << 10 /* largest body that is buffered and can be sent again */ };
+
+/** How the body of a request reaches the handler. */
+enum caller_body_kind {
+	CALLER_BODY_WHOLE,    /**< small and of known length: complete at CALLER_READY */
+	CALLER_BODY_STREAMED, /**< the handler reads it from a pipe as it arrives */
+};
+
+struct caller_body {
+	enum caller_body_kind kind;
+	union {
+		struct strbuf whole; /**< CALLER_BODY_WHOLE */
+		struct pipe *upload; /**< CALLER_BODY_STREAMED */
+	};
+};
+
 enum caller_event_kind {
-	CALLER_READY,	 /**< the head has arrived, and the complete body if it is small */
+	CALLER_READY,	 /**< the head has arrived, and the body if it is CALLER_BODY_WHOLE */
 	CALLER_DRAINED,	 /**< bytes of the answer's body moved to the output */
 	CALLER_UPLOADED, /**< bytes or the end of a streamed body arrived */
 	/** The call has ended, or the caller disconnected; the handler drops its reference. */
@@ -73,10 +89,7 @@
 struct str caller_target(const struct caller_call *call); /**< path and query */
 struct str caller_field(const struct caller_call *call, struct str name);
 const struct field *caller_fields(const struct caller_call *call, int *count);
-/** The complete body, if it is small. */
-struct str caller_body(const struct caller_call *call);
-/** The pipe that a larger body is read from; NULL if the body is small. */
-struct pipe *caller_upload(const struct caller_call *call);
+const struct caller_body *caller_body(const struct caller_call *call);
 int64_t caller_body_length(const struct caller_call *call); /**< -1: unknown */
 uint32_t caller_ipv4(const struct caller_call *call);
 
@@ -104,7 +117,7 @@
 void caller_finish(struct caller_call *call, enum pipe_end end);
 /** Writes a complete answer. Returns false, and writes nothing, if the call has one already. */
 bool caller_answer(struct caller_call *call, const struct response_head *head, struct str body);
-/** Resumes reading from the caller after bytes were read from the upload pipe. */
+/** Resumes reading from the caller after bytes of a streamed body were read from its pipe. */
 void caller_upload_consumed(struct caller_call *call);
 
 #endif
--- a/caller/read.c
+++ b/caller/read.c
@@ -118,6 +118,7 @@
 /* Queues the call in the order in which answers are sent, unless the last one was chosen. */
 static void enqueue_call(struct connection *connection, struct caller_call *call)
 {
+	bool streamed = call->body.kind == CALLER_BODY_STREAMED;
 	bool answers_follow;
 
 	lock_acquire(&connection->lock);
@@ -127,13 +128,13 @@
 		if (expects_continue(call) && g_queue_is_empty(&connection->calls) &&
 		    connection->output.len == 0)
 			strbuf_add(&connection->output, STR("HTTP/1.1 100 Continue\r\n\r\n"));
-		call->startable = call->upload != NULL;
+		call->startable = streamed;
 		caller_call_ref(call);
 		g_queue_push_tail(&connection->calls, call);
 		caller_add_active(connection->caller, 1);
 	}
 	lock_release(&connection->lock);
-	if (answers_follow && call->upload)
+	if (answers_follow && streamed)
 		connection_advance(connection);
 }
 
@@ -154,7 +155,10 @@
 		return HEAD_REJECTED;
 	}
 	if (call->body_length < 0 || call->body_length > SMALL_BODY_BYTES)
-		call->upload = pipe_new(UPLOAD_LIMIT_BYTES, call->pool);
+		call->body = (struct caller_body){
+			.kind = CALLER_BODY_STREAMED,
+			.upload = pipe_new(UPLOAD_LIMIT_BYTES, call->pool),
+		};
 	enqueue_call(connection, call);
 	return 0;
 }
@@ -163,13 +167,33 @@
 {
 	struct caller_call *call = connection_of(parser)->input.call;
 
-	if (call->upload) {
-		pipe_write(call->upload, (struct str){ data, len });
+	switch (call->body.kind) {
+	case CALLER_BODY_WHOLE:
+		strbuf_add(&call->body.whole, (struct str){ data, len });
+		return 0;
+	case CALLER_BODY_STREAMED:
+		pipe_write(call->body.upload, (struct str){ data, len });
 		caller_notify(call, CALLER_UPLOADED, 0);
-	} else {
-		strbuf_add(&call->body, (struct str){ data, len });
+		return 0;
 	}
-	return 0;
+	g_assert_not_reached();
+}
+
+static void end_body(struct connection *connection, struct caller_call *call)
+{
+	switch (call->body.kind) {
+	case CALLER_BODY_WHOLE:
+		lock_acquire(&connection->lock);
+		call->startable = true;
+		lock_release(&connection->lock);
+		connection_advance(connection);
+		return;
+	case CALLER_BODY_STREAMED:
+		pipe_finish(call->body.upload, PIPE_DONE);
+		caller_notify(call, CALLER_UPLOADED, 0);
+		return;
+	}
+	g_assert_not_reached();
 }
 
 static int on_message_complete(struct http_parser *parser)
@@ -180,15 +204,7 @@
 
 	input->call = NULL;
 	input->ended = call->close_after;
-	if (call->upload) {
-		pipe_finish(call->upload, PIPE_DONE);
-		caller_notify(call, CALLER_UPLOADED, 0);
-	} else {
-		lock_acquire(&connection->lock);
-		call->startable = true;
-		lock_release(&connection->lock);
-		connection_advance(connection);
-	}
+	end_body(connection, call);
 	if (input->ended)
 		http_parser_pause(parser, 1);
 	caller_call_unref(call);
@@ -219,8 +235,8 @@
 	struct caller_call *call = connection->input.call;
 
 	connection->input.call = NULL;
-	if (call && call->upload)
-		pipe_finish(call->upload, PIPE_FAILED);
+	if (call)
+		caller_body_cut(&call->body);
 	caller_call_unref(call);
 }
 
--- a/godwithitchd/attempt.c
+++ b/godwithitchd/attempt.c
@@ -259,12 +259,12 @@
 	caller_finish(attempt->call->caller, PIPE_DONE);
 }
 
-/* Reads from a small body, which is in memory completely; each attempt reads it from its start. */
-static size_t read_small_body(struct attempt *attempt, char *into, size_t cap, enum pipe_end *end)
+/* Reads from a whole body; each attempt reads it from its start. */
+static size_t read_whole_body(struct attempt *attempt, struct str body, char *into, size_t cap,
+			      enum pipe_end *end)
 {
-	struct str rest = caller_body(attempt->call->caller);
+	struct str rest = str_sub(body, attempt->body_offset, cap);
 
-	rest = str_sub(rest, attempt->body_offset, cap);
 	if (rest.len)
 		memcpy(into, rest.data, rest.len);
 	attempt->body_offset += rest.len;
@@ -276,19 +276,25 @@
 			 struct deadline deadline)
 {
 	struct call *call = attempt->call;
+	const struct caller_body *body = caller_body(call->caller);
 	size_t n;
 
-	if (!caller_upload(call->caller))
-		return read_small_body(attempt, into, cap, end);
-	n = pipe_read_wait(caller_upload(call->caller), into, cap, end, deadline);
-	call->body_consumed |= n > 0;
-	caller_upload_consumed(call->caller);
-	return n;
+	switch (body->kind) {
+	case CALLER_BODY_WHOLE:
+		return read_whole_body(attempt, strbuf_str(&body->whole), into, cap, end);
+	case CALLER_BODY_STREAMED:
+		n = pipe_read_wait(body->upload, into, cap, end, deadline);
+		call->body_consumed |= n > 0;
+		caller_upload_consumed(call->caller);
+		return n;
+	}
+	g_assert_not_reached();
 }
 
 /* Appends one block of the upload to @p frames, within the credit. Returns false if no more can be
  * sent now. call->lock is held. */
-static bool forward_upload_block(struct attempt *attempt, struct strbuf *frames)
+static bool forward_upload_block(struct attempt *attempt, struct pipe *upload,
+				 struct strbuf *frames)
 {
 	struct call *call = attempt->call;
 	size_t cap = MIN(FORWARD_BLOCK_BYTES, (size_t)MAX(attempt->credit, 0));
@@ -299,7 +305,7 @@
 	if (cap == 0 || attempt->upload_ended)
 		return false;
 	chunk = g_malloc(cap);
-	n = pipe_read(caller_upload(call->caller), chunk, cap, &end);
+	n = pipe_read(upload, chunk, cap, &end);
 	if (n) {
 		wire_put_data(frames, attempt->stream.id, &attempt->upload_sum,
 			      (struct str){ chunk, n });
@@ -341,7 +347,7 @@
 	return !pending;
 }
 
-void attempt_forward_upload(struct attempt *attempt)
+static void forward_upload(struct attempt *attempt, struct pipe *upload)
 {
 	struct strbuf frames = { 0 };
 
@@ -352,7 +358,7 @@
 
 		while (more && !g_atomic_int_get(&attempt->finished)) {
 			lock_acquire(&attempt->call->lock);
-			more = forward_upload_block(attempt, &frames);
+			more = forward_upload_block(attempt, upload, &frames);
 			lock_release(&attempt->call->lock);
 			if (frames.len)
 				stream_send(attempt->stream, &frames);
@@ -362,6 +368,21 @@
 	strbuf_clear(&frames);
 }
 
+void attempt_forward_upload(struct attempt *attempt)
+{
+	const struct caller_body *body = caller_body(attempt->call->caller);
+
+	switch (body->kind) {
+	case CALLER_BODY_WHOLE:
+		/* It was sent with the request. */
+		return;
+	case CALLER_BODY_STREAMED:
+		forward_upload(attempt, body->upload);
+		return;
+	}
+	g_assert_not_reached();
+}
+
 static void on_window_update(struct attempt *attempt, uint64_t bytes)
 {
 	lock_acquire(&attempt->call->lock);
--- a/godwithitchd/calls.c
+++ b/godwithitchd/calls.c
@@ -77,15 +77,20 @@
 				    struct str key)
 {
 	uint64_t hash = str_hash(label_str(&route->name), 0);
+	const struct caller_body *body = caller_body(caller);
 
 	if (key.len)
 		return str_hash(key, hash);
-	/* A streamed body is not in memory as a whole: its request gets no fingerprint. */
-	if (caller_upload(caller))
+	switch (body->kind) {
+	case CALLER_BODY_WHOLE:
+		hash = str_hash(caller_method(caller), hash);
+		hash = str_hash(caller_target(caller), hash);
+		return str_hash(strbuf_str(&body->whole), hash);
+	case CALLER_BODY_STREAMED:
+		/* It is not in memory as a whole: its request gets no fingerprint. */
 		return 0;
-	hash = str_hash(caller_method(caller), hash);
-	hash = str_hash(caller_target(caller), hash);
-	return str_hash(caller_body(caller), hash);
+	}
+	g_assert_not_reached();
 }
 
 /* Returns the earlier of the route's and the caller's deadline: a target that makes calls itself
@@ -179,25 +184,49 @@
 
 enum start_result { START_OK, START_NO_LINK };
 
+/* A whole body goes with the request, beyond the stream's credit. */
+G_STATIC_ASSERT((size_t)SMALL_BODY_BYTES <= (size_t)STREAM_WINDOW);
+
 static enum start_result start_remote(struct call *call, struct attempt *attempt,
 				      const struct request_head *head)
 {
-	struct str body = caller_body(call->caller);
-	bool complete = !caller_upload(call->caller);
-
-	/* An empty body is passed as well: peers_call() then also sends the end of the request. */
-	call_count_sent(call, head->target.len + body.len);
-	if (!peers_call(call->daemon->peers, attempt->target, &attempt->owner, head,
-			complete ? &body : NULL, &attempt->stream))
+	const struct caller_body *body = caller_body(call->caller);
+	const struct str *sent = NULL;
+	struct str whole = { 0 };
+
+	switch (body->kind) {
+	case CALLER_BODY_WHOLE:
+		/* An empty body is passed as well: peers_call() then also sends the end of the
+		 * request. */
+		whole = strbuf_str(&body->whole);
+		sent = &whole;
+		break;
+	case CALLER_BODY_STREAMED:
+		break;
+	}
+	call_count_sent(call, head->target.len + whole.len);
+	if (!peers_call(call->daemon->peers, attempt->target, &attempt->owner, head, sent,
+			&attempt->stream))
 		return START_NO_LINK;
+	attempt_forward_upload(attempt);
 	return START_OK;
 }
 
-static void start_local(struct call *call, struct attempt *attempt, const struct request_head *head)
+static bool has_body(const struct caller_body *body)
 {
-	bool has_body = caller_upload(call->caller) || caller_body(call->caller).len;
+	switch (body->kind) {
+	case CALLER_BODY_WHOLE:
+		return body->whole.len > 0;
+	case CALLER_BODY_STREAMED:
+		return true;
+	}
+	g_assert_not_reached();
+}
 
-	attempt->inbound = inbound_new_local(call->daemon, attempt, head, has_body);
+static void start_local(struct call *call, struct attempt *attempt, const struct request_head *head)
+{
+	attempt->inbound =
+		inbound_new_local(call->daemon, attempt, head, has_body(caller_body(call->caller)));
 	inbound_admit_local(attempt->inbound);
 }
 
@@ -218,8 +247,6 @@
 		start_local(call, attempt, head);
 	} else {
 		result = start_remote(call, attempt, head);
-		if (result == START_OK && caller_upload(call->caller))
-			attempt_forward_upload(attempt);
 	}
 	if (result == START_NO_LINK && attempt_finish(attempt)) {
 		attempt_settle(attempt, VERDICT_NOT_RUN);
--- a/godwithitchd/calls.h
+++ b/godwithitchd/calls.h
@@ -136,7 +136,7 @@
 void attempt_cancel(struct attempt *attempt);
 /** Reports the outcome of an attempt to core. */
 void attempt_record_outcome(struct attempt *attempt, enum call_outcome outcome);
-/** Forwards received bytes of the request's body to the other node, within the credit. */
+/** Forwards received bytes of a streamed body to the other node, within the credit. */
 void attempt_forward_upload(struct attempt *attempt);
 
 #endif
--- a/regress/caller/requests_test.c
+++ b/regress/caller/requests_test.c
@@ -52,25 +52,37 @@
 	close(fd);
 }
 
-/* Returns the body that the handler gets, and its end. */
-static struct strbuf read_body(const struct caller_call *call, enum pipe_end *end)
+/* Reads a streamed body to its end. */
+static void read_upload(struct pipe *upload, struct strbuf *body, enum pipe_end *end)
 {
-	struct strbuf body = { 0 };
 	char block[4096];
 
-	*end = PIPE_OPEN;
-	if (!caller_upload(call)) {
-		strbuf_add(&body, caller_body(call));
-		*end = PIPE_DONE;
-	}
 	for (int i = 0; i < END_WAIT_MS && *end == PIPE_OPEN; i++) {
 		size_t n;
 
-		while ((n = pipe_read(caller_upload(call), block, sizeof(block), end)) > 0)
-			strbuf_add(&body, (struct str){ block, n });
+		while ((n = pipe_read(upload, block, sizeof(block), end)) > 0)
+			strbuf_add(body, (struct str){ block, n });
 		if (*end == PIPE_OPEN)
 			g_usleep(1000);
 	}
+}
+
+/* Returns the body that the handler gets, and its end. */
+static struct strbuf read_body(const struct caller_call *call, enum pipe_end *end)
+{
+	const struct caller_body *source = caller_body(call);
+	struct strbuf body = { 0 };
+
+	switch (source->kind) {
+	case CALLER_BODY_WHOLE:
+		strbuf_add(&body, strbuf_str(&source->whole));
+		*end = PIPE_DONE;
+		break;
+	case CALLER_BODY_STREAMED:
+		*end = PIPE_OPEN;
+		read_upload(source->upload, &body, end);
+		break;
+	}
 	return body;
 }
 
--- a/regress/lib/breaker.c
+++ b/regress/lib/breaker.c
@@ -97,9 +97,10 @@
 {
 	struct connection *connection = parser->data;
 
-	connection->request.body_bytes += len;
 	for (size_t i = 0; i < len; i++)
-		connection->request.body_altered |= data[i] != RAW_BODY_BYTE;
+		connection->request.body_altered |=
+			data[i] != raw_body_byte(connection->request.body_bytes + i);
+	connection->request.body_bytes += len;
 	return 0;
 }
 
--- a/regress/lib/breaker.h
+++ b/regress/lib/breaker.h
@@ -43,7 +43,7 @@
 	char id[BREAKER_ID_MAX]; /**< X-Request-Id */
 	bool in_chunks;
 	size_t body_bytes;
-	bool body_altered; /**< a byte of the body isn't RAW_BODY_BYTE */
+	bool body_altered; /**< a byte of the body isn't raw_body_byte() */
 };
 
 struct breaker_options {
--- a/regress/lib/rawcall.c
+++ b/regress/lib/rawcall.c
@@ -195,20 +195,22 @@
 	return true;
 }
 
-/* Appends bytes of the body, framed. */
-static void add_body(struct strbuf *text, enum raw_body kind, size_t bytes)
+/* Appends bytes of the body from an offset on, framed. */
+static void add_body(struct strbuf *text, enum raw_body kind, size_t offset, size_t bytes)
 {
 	char *data = g_malloc(CHUNK_BYTES);
 
-	memset(data, RAW_BODY_BYTE, CHUNK_BYTES);
 	while (bytes) {
 		size_t n = MIN(bytes, (size_t)CHUNK_BYTES);
 
+		for (size_t i = 0; i < n; i++)
+			data[i] = raw_body_byte(offset + i);
 		if (kind == RAW_IN_CHUNKS)
 			strbuf_addf(text, "%zx\r\n", n);
 		strbuf_add(text, (struct str){ data, n });
 		if (kind == RAW_IN_CHUNKS)
 			strbuf_add(text, STR("\r\n"));
+		offset += n;
 		bytes -= n;
 	}
 	g_free(data);
@@ -241,7 +243,7 @@
 
 	add_head(&text, request);
 	if (request->body != RAW_NO_BODY)
-		add_body(&text, request->body, first_half);
+		add_body(&text, request->body, 0, first_half);
 	if (request->pause_ms || request->ends_early) {
 		sent = send_bytes(fd, strbuf_str(&text));
 		text.len = 0;
@@ -252,7 +254,7 @@
 		poll(NULL, 0, request->pause_ms);
 	}
 	if (request->body != RAW_NO_BODY)
-		add_body(&text, request->body, request->body_bytes - first_half);
+		add_body(&text, request->body, first_half, request->body_bytes - first_half);
 	if (request->body == RAW_IN_CHUNKS)
 		strbuf_add(&text, STR("0\r\n\r\n"));
 	sent = send_bytes(fd, strbuf_str(&text));
--- a/regress/lib/rawcall.h
+++ b/regress/lib/rawcall.h
@@ -10,7 +10,12 @@
 
 #include "base/str.h"
 
-#define RAW_BODY_BYTE 'u'
+/** Returns the byte of a request's body at an offset. The period is prime, so that parts of a body
+ *  that have changed places are found. */
+static inline char raw_body_byte(size_t offset)
+{
+	return (char)(offset * 31 % 251);
+}
 
 enum raw_body { RAW_NO_BODY, RAW_WITH_LENGTH, RAW_IN_CHUNKS };
 
--- a/regress/targetservice.c
+++ b/regress/targetservice.c
@@ -5,7 +5,8 @@
  * From BAD_AFTER_MS on, calls whose path begins with FAIL_PATH take SLOW_FACTOR times as long, and
  * FAIL_PERCENT of them fail. During the first COLD_MS, all calls take four times as long.
  * Any path answers "SERVICE VERSION PATH"; /bytes?n=N returns N bytes of a known pattern; POST /sum
- * returns the length and checksum of the body; a path with "crash" ends the process, one with
+ * returns the length and checksum of the body; POST /check returns its length and how many bytes
+ * differ from raw_body_byte(); a path with "crash" ends the process, one with
  * "hang" is not answered; GET /admin/counts returns the number of runs by idempotency key. The
  * program drains on SIGTERM and exits when its standard input ends.
  */
@@ -24,6 +25,7 @@
 #include "base/clock.h"
 #include "base/rng.h"
 #include "base/str.h"
+#include "regress/lib/rawcall.h"
 
 #define ANNOUNCE_INTERVAL_MS 700
 #define ANNOUNCE_TTL_MS	     3000
@@ -51,6 +53,7 @@
 struct request {
 	uint64_t length;
 	uint64_t checksum;
+	uint64_t altered;
 	bool admitted;
 	bool refused;
 };
@@ -170,6 +173,9 @@
 		return reply_pattern(connection);
 	if (strcmp(url, "/sum") == 0)
 		g_snprintf(text, sizeof(text), "%lu %lx\n", request->length, request->checksum);
+	else if (strcmp(url, "/check") == 0)
+		g_snprintf(text, sizeof(text), "%lu bytes, %lu altered\n", request->length,
+			   request->altered);
 	else
 		g_snprintf(text, sizeof(text), "%s %s %s\n", options.service, options.version, url);
 	return reply(connection, MHD_HTTP_OK, text);
@@ -200,8 +206,10 @@
 		return MHD_YES;
 	}
 	if (*size) {
-		for (size_t i = 0; i < *size; i++)
+		for (size_t i = 0; i < *size; i++) {
 			request->checksum = request->checksum * 31 + (unsigned char)data[i];
+			request->altered += data[i] != raw_body_byte(request->length + i);
+		}
 		request->length += *size;
 		*size = 0;
 		return MHD_YES;
