--- a/regress/lib/breaker.h
+++ b/regress/lib/breaker.h
@@ -44,7 +44,7 @@
 	bool in_chunks;
 	bool on_kept_connection; /**< another request came before on its connection */
 	size_t body_bytes;
-	bool body_altered; /**< a byte of the body isn't RAW_BODY_BYTE */
+	bool body_altered; /**< a byte of the body isn't raw_body_byte() */
 };
 
 struct breaker_options {
