--- a/godwithitchd/inbound.c
+++ b/godwithitchd/inbound.c
@@ -600,19 +600,39 @@
 	lock_release(&inbound->lock);
 }
 
+static bool refuses_connections(struct inbound *inbound)
+{
+	switch (target_probe(inbound->daemon->target)) {
+	case TARGET_REFUSES:
+		return true;
+	case TARGET_ACCEPTS:
+	case TARGET_SILENT:
+		return false;
+	}
+	g_assert_not_reached();
+}
+
 /* Returns whether the target ended. A connection that broke while the target still listens is a
- * failed call, not a crash. */
+ * failed call, not a crash. A silent target listens: the kernel refuses connections to a process
+ * that has ended. */
 static bool is_target_down(struct inbound *inbound, const struct target_result *result)
 {
-	struct target *target = inbound->daemon->target;
-
 	if (result->misdirected)
 		return true;
-	if (result->outcome != TARGET_CRASHED && result->outcome != TARGET_UNREACHED)
-		return false;
-	if (target_accepts_connections(target) && result->outcome == TARGET_CRASHED)
+	switch (result->outcome) {
+	case TARGET_CRASHED:
+		if (refuses_connections(inbound))
+			return true;
 		wait_for_crash(inbound);
-	return !target_accepts_connections(target);
+		return refuses_connections(inbound);
+	case TARGET_UNREACHED:
+		return !result->silent && refuses_connections(inbound);
+	case TARGET_ANSWERED:
+	case TARGET_FAILED:
+	case TARGET_SHED:
+		return false;
+	}
+	g_assert_not_reached();
 }
 
 static void record_outcome(struct inbound *inbound, const struct target_result *result)
--- a/regress/lib/listen.c
+++ b/regress/lib/listen.c
@@ -3,7 +3,12 @@
 #include <arpa/inet.h>
 #include <glib.h>
 #include <netinet/in.h>
+#include <poll.h>
+#include <stdbool.h>
 #include <sys/socket.h>
+#include <unistd.h>
+
+enum { HANDSHAKE_MS = 200 };
 
 int listen_on_loopback(uint16_t *port)
 {
@@ -18,3 +23,39 @@
 	*port = ntohs(address.sin_port);
 	return fd;
 }
+
+/* Returns whether the connection was taken into the accept queue. */
+static bool is_taken(int fd, uint16_t port)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET,
+				       .sin_port = htons(port),
+				       .sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
+	struct pollfd waited = { .fd = fd, .events = POLLOUT };
+
+	if (connect(fd, (struct sockaddr *)&address, sizeof(address)) == 0)
+		return true;
+	return poll(&waited, 1, HANDSHAKE_MS) == 1;
+}
+
+void silent_listener_open(struct silent_listener *listener)
+{
+	bool taken = true;
+
+	listener->fd = listen_on_loopback(&listener->port);
+	for (listener->count = 0; taken && listener->count < SILENT_CONNECTIONS_MAX;
+	     listener->count++) {
+		int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+
+		listener->waiting[listener->count] = fd;
+		taken = is_taken(fd, listener->port);
+	}
+	if (taken)
+		g_error("the accept queue does not fill");
+}
+
+void silent_listener_close(struct silent_listener *listener)
+{
+	for (int i = 0; i < listener->count; i++)
+		close(listener->waiting[i]);
+	close(listener->fd);
+}
--- a/target/call.c
+++ b/target/call.c
@@ -1,11 +1,8 @@
 #include "target/call.h"
 
-#include <arpa/inet.h>
 #include <curl/curl.h>
-#include <netinet/in.h>
 #include <string.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
 #include "base/lockorder.h"
 #include "base/socket.h"
@@ -18,6 +15,8 @@
 	STATUS_SERVER_ERROR = 500,
 };
 
+/* On the same VM a connection is accepted or refused at once. */
+#define PROBE_TIMEOUT_US (50 * US_PER_MS)
 /* A request that may run only once uses a kept connection this long after its last answer at most:
  * later the target may be closing it. */
 #define ONCE_REUSE_US (200 * US_PER_MS)
@@ -31,6 +30,10 @@
 	GPtrArray *idle; /* struct handle; the one used last is at the end */
 	struct deadline suspicious_until;
 	struct target_endpoint endpoint;
+	apr_thread_cond_t *probed; /* the running probe has ended */
+	bool probing;
+	uint64_t probes;		 /* that have ended */
+	enum target_listening listening; /* result of the last one */
 };
 
 /* A handle for one call at a time, which keeps its connections open. */
@@ -69,6 +72,7 @@
 	target->dialect = dialect;
 	apr_pool_create(&target->pool, pool);
 	lock_init(&target->lock, LOCK_TARGET, target->pool);
+	apr_thread_cond_create(&target->probed, target->pool);
 	target->idle = g_ptr_array_new_with_free_func(handle_free);
 	return target;
 }
@@ -99,21 +103,50 @@
 	return matches;
 }
 
-bool target_accepts_connections(struct target *target)
+static enum target_listening probe_endpoint(const struct target_endpoint *endpoint)
 {
-	struct sockaddr_in address = { .sin_family = AF_INET };
-	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-	bool listens;
+	switch (socket_probe(endpoint->ipv4, endpoint->port,
+			     deadline_after(clock_now(), PROBE_TIMEOUT_US))) {
+	case SOCKET_ACCEPTED:
+		return TARGET_ACCEPTS;
+	case SOCKET_REFUSED:
+		return TARGET_REFUSES;
+	case SOCKET_UNANSWERED:
+		return TARGET_SILENT;
+	}
+	g_assert_not_reached();
+}
+
+/* Runs a probe, without the target's lock, for all who wait for its result. The lock is held. */
+static void run_probe(struct target *target)
+{
+	struct target_endpoint endpoint = target->endpoint;
+	enum target_listening listening;
+
+	target->probing = true;
+	lock_release(&target->lock);
+	listening = probe_endpoint(&endpoint);
+	lock_acquire(&target->lock);
+	target->probing = false;
+	target->probes++;
+	target->listening = listening;
+	apr_thread_cond_broadcast(target->probed);
+}
+
+enum target_listening target_probe(struct target *target)
+{
+	enum target_listening listening;
+	uint64_t probes;
 
 	lock_acquire(&target->lock);
-	address.sin_port = htons(target->endpoint.port);
-	address.sin_addr.s_addr = htonl(target->endpoint.ipv4);
+	probes = target->probes;
+	if (!target->probing)
+		run_probe(target);
+	while (target->probes == probes)
+		lock_wait(&target->lock, target->probed, PROBE_TIMEOUT_US);
+	listening = target->listening;
 	lock_release(&target->lock);
-	/* On the same VM connect() succeeds or fails at once. */
-	listens = fd >= 0 && connect(fd, (struct sockaddr *)&address, sizeof(address)) == 0;
-	if (fd >= 0)
-		close(fd);
-	return listens;
+	return listening;
 }
 
 static bool deliver(struct call *call, struct target_event *event)
@@ -430,6 +463,7 @@
 	switch (transfer->end) {
 	case TRANSFER_UNSENT:
 		result.verdict = VERDICT_NOT_RUN;
+		result.silent = transfer->cause == TRANSFER_DEADLINE;
 		break;
 	case TRANSFER_UNANSWERED:
 		break;
--- a/target/call.h
+++ b/target/call.h
@@ -37,8 +37,18 @@
  */
 void target_close_stray(struct target *target);
 
-/** Returns whether the target accepts a connection now. Takes LOCK_TARGET. */
-bool target_accepts_connections(struct target *target);
+/** What the target does with a new connection. */
+enum target_listening {
+	TARGET_ACCEPTS,
+	TARGET_REFUSES, /**< it does not listen */
+	TARGET_SILENT,	/**< neither within 50 ms, as with a full queue of new connections */
+};
+
+/**
+ * Opens a connection to the target and closes it. Blocks for up to 50 ms. While one call is at it,
+ * others wait for its result. Takes LOCK_TARGET, but not for the connection.
+ */
+enum target_listening target_probe(struct target *target);
 
 enum target_event_kind {
 	TARGET_HEAD,	     /**< whole head of the answer; once, before the body */
@@ -76,8 +86,9 @@
 	/** VERDICT_NOT_RUN: nothing was sent, or a whole refusal came, whose head was delivered and
 	 *  whose body was not. VERDICT_RAN: the whole head of another answer came. */
 	enum verdict verdict;
-	bool complete;	    /**< the answer is whole */
-	bool misdirected;   /**< another target is at the address */
+	bool complete;	  /**< the answer is whole */
+	bool misdirected; /**< another target is at the address */
+	bool silent;	  /**< TARGET_UNREACHED: the connection was neither accepted nor refused */
 	int64_t service_us; /**< time until the answer's head, or the failure */
 	const char *reason; /**< cause of an incomplete answer, for messages */
 
