--- a/core/registration.c
+++ b/core/registration.c
@@ -1,13 +1,5 @@
 #include "core/registration.h"
 
-static bool is_older_incarnation(const struct registration *known,
-				 const struct heartbeat *heartbeat)
-{
-	if (heartbeat->started_ms && known->newest.started_ms)
-		return heartbeat->started_ms < known->newest.started_ms;
-	return false;
-}
-
 static bool is_same_incarnation(const struct heartbeat *known, const struct heartbeat *heartbeat)
 {
 	if (!label_equal(&known->id, &heartbeat->id))
@@ -16,12 +8,21 @@
 	       heartbeat->started_ms == known->started_ms;
 }
 
+/* Returns whether a heartbeat is of an incarnation that has ended. A leaving one ends only those of
+ * its own id: its start may be false, as it need not have confirmed it. */
+static bool has_ended(const struct registration *registration, const struct heartbeat *heartbeat)
+{
+	const struct heartbeat *known = &registration->newest;
+
+	if (registration->leaving && !label_equal(&known->id, &heartbeat->id))
+		return false;
+	return heartbeat->started_ms && known->started_ms &&
+	       heartbeat->started_ms < known->started_ms;
+}
+
 static enum heartbeat_result replace_incarnation(struct registration *registration,
 						 const struct heartbeat *heartbeat)
 {
-	/* A deregistration by another target than the known one is ignored. */
-	if (heartbeat->kind == HEARTBEAT_DEREGISTER && registration->known)
-		return HEARTBEAT_STALE;
 	*registration = (struct registration){ .known = true, .newest = *heartbeat };
 	registration->leaving = heartbeat->kind != HEARTBEAT_READY;
 	registration->deregistered = heartbeat->kind == HEARTBEAT_DEREGISTER;
@@ -40,14 +41,20 @@
 	return HEARTBEAT_DOUBTED;
 }
 
-/* The leaving of a target that is not known. It need not state its start, unlike its heartbeats. */
+/* The leaving of an incarnation that is not known. It need not state its start, unlike its
+ * heartbeats. */
 static enum heartbeat_result apply_end(struct registration *registration,
 				       const struct heartbeat *heartbeat)
 {
 	struct heartbeat end = *heartbeat;
 
-	if (registration->doubted && is_same_incarnation(&registration->doubt, heartbeat))
+	if (registration->doubted && is_same_incarnation(&registration->doubt, heartbeat)) {
 		end.started_ms = registration->doubt.started_ms;
+		registration->doubted = false;
+	}
+	/* Another target than the known one was not in use. */
+	if (registration->known && !label_equal(&registration->newest.id, &heartbeat->id))
+		return HEARTBEAT_STALE;
 	return replace_incarnation(registration, &end);
 }
 
@@ -74,15 +81,13 @@
 enum heartbeat_result registration_apply(struct registration *registration,
 					 const struct heartbeat *heartbeat)
 {
-	if (!registration->known && heartbeat->kind == HEARTBEAT_READY)
-		return doubt(registration, heartbeat);
-	if (!registration->known)
-		return apply_end(registration, heartbeat);
-	if (is_older_incarnation(registration, heartbeat))
+	if (registration->known && is_same_incarnation(&registration->newest, heartbeat))
+		return apply_known(registration, heartbeat);
+	if (registration->known && has_ended(registration, heartbeat))
 		return HEARTBEAT_STALE;
-	if (!is_same_incarnation(&registration->newest, heartbeat))
-		return replace_incarnation(registration, heartbeat);
-	return apply_known(registration, heartbeat);
+	if (heartbeat->kind == HEARTBEAT_READY)
+		return doubt(registration, heartbeat);
+	return apply_end(registration, heartbeat);
 }
 
 enum heartbeat_result registration_confirm(struct registration *registration,
--- a/regress/core/registration_test.c
+++ b/regress/core/registration_test.c
@@ -101,6 +101,33 @@
 	check_rows(rows, G_N_ELEMENTS(rows));
 }
 
+static void test_heartbeat_of_another_writer_does_not_replace_target(void **state)
+{
+	static const struct row rows[] = {
+		{ "one that says that it leaves", "x", 80, 1, HEARTBEAT_LEAVING, HEARTBEAT_REPLACED,
+		  true, false },
+		{ "the target", "a", 10, 1, HEARTBEAT_READY, HEARTBEAT_REPLACED, false, false },
+		{ "one of a later start", "x", 90, 1, HEARTBEAT_READY, HEARTBEAT_DOUBTED, false,
+		  false },
+		{ "the target's next", "a", 10, 2, HEARTBEAT_READY, HEARTBEAT_ACCEPTED, false,
+		  false },
+		{ "one that leaves", "x", 90, 2, HEARTBEAT_LEAVING, HEARTBEAT_STALE, false, false },
+		{ "one that deregisters", "x", 90, 0, HEARTBEAT_DEREGISTER, HEARTBEAT_STALE, false,
+		  false },
+		{ "one without a start", "x", 0, 1, HEARTBEAT_READY, HEARTBEAT_DOUBTED, false,
+		  false },
+		{ "the target's next", "a", 10, 3, HEARTBEAT_READY, HEARTBEAT_ACCEPTED, false,
+		  false },
+		{ "the target's next start leaves", "a", 30, 1, HEARTBEAT_LEAVING,
+		  HEARTBEAT_REPLACED, true, false },
+		{ "a late one from before", "a", 10, 4, HEARTBEAT_READY, HEARTBEAT_STALE, true,
+		  false },
+	};
+
+	(void)state;
+	check_rows(rows, G_N_ELEMENTS(rows));
+}
+
 static void test_target_that_left_while_it_was_asked_is_not_used(void **state)
 {
 	struct heartbeat heartbeat = { .id = LABEL("a"), .started_ms = 10, .sequence = 1 };
@@ -120,6 +147,7 @@
 		cmocka_unit_test(test_late_announcements_are_ignored),
 		cmocka_unit_test(test_ended_incarnation_is_ignored),
 		cmocka_unit_test(test_late_heartbeats_after_restart_do_not_bring_a_target_back),
+		cmocka_unit_test(test_heartbeat_of_another_writer_does_not_replace_target),
 		cmocka_unit_test(test_target_that_left_while_it_was_asked_is_not_used),
 	};
 
--- a/regress/godwithitchd/platform_test.c
+++ b/regress/godwithitchd/platform_test.c
@@ -124,6 +124,24 @@
 	g_free(body);
 }
 
+/* Sends a heartbeat of another writer, of a later start than all targets. */
+static void send_foreign_heartbeat(int node, const char *state)
+{
+	char url[96];
+	char body[256];
+	struct http_reply reply;
+
+	g_snprintf(url, sizeof(url), "http://%s/instances/other/heartbeat",
+		   fleet->nodes[node].announce_address);
+	g_snprintf(body, sizeof(body),
+		   "{\"service\":\"unnamed\",\"address\":\"127.0.0.1:9\",\"version\":\"v1\","
+		   "\"capacity\":4,\"state\":\"%s\",\"sequence\":1,\"born\":900}",
+		   state);
+	reply = http_post(url, str_from_cstr(body));
+	assert_int_equal(reply.status, 200);
+	http_reply_clear(&reply);
+}
+
 static void append_record(const char *topic, const char *key, const char *value)
 {
 	struct strbuf record = { 0 };
@@ -539,6 +557,25 @@
 	assert_true(fleet_wait_live(fleet, NODES, WAIT_MS));
 }
 
+static void test_heartbeat_of_another_writer_does_not_replace_target(void **state)
+{
+	static const char *const states[] = { "ready", "draining" };
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(states); i++) {
+		send_heartbeat(0, "ready");
+		assert_true(wait_for_own_target(0));
+		send_foreign_heartbeat(0, states[i]);
+		send_heartbeat(0, "ready");
+		g_atomic_int_set(&upstreams[0].runs, 0);
+		for (int n = 0; n < 20; n++)
+			assert_int_equal(request_status(0, "/a/x", "GET"), 200);
+		printf("%s: %d of 20 requests ran at the target\n", states[i],
+		       g_atomic_int_get(&upstreams[0].runs));
+		assert_int_equal(g_atomic_int_get(&upstreams[0].runs), 20);
+	}
+}
+
 static void test_draining_target_gets_no_requests(void **state)
 {
 	(void)state;
@@ -606,6 +643,7 @@
 		cmocka_unit_test(test_recovery_after_store_stopped_answering),
 		cmocka_unit_test(test_change_between_two_pages_is_not_lost),
 		cmocka_unit_test(test_acknowledged_change_survives_power_loss_of_all),
+		cmocka_unit_test(test_heartbeat_of_another_writer_does_not_replace_target),
 		cmocka_unit_test(test_draining_target_gets_no_requests),
 		cmocka_unit_test(test_restarted_node_does_not_use_a_leaving_target),
 		cmocka_unit_test(test_graceful_stop_completes_requests),
