--- a/godwithitchd/attempt.c
+++ b/godwithitchd/attempt.c
@@ -73,14 +73,16 @@
 	return count;
 }
 
-static bool is_abandoned(struct call *call)
+/* Returns whether another attempt may have the whole request. The attempt before it has finished,
+ * so that no worker takes bytes of a streamed body for it any more. */
+static bool may_be_sent_again(struct call *call)
 {
-	bool abandoned;
+	bool whole;
 
 	lock_acquire(&call->lock);
-	abandoned = call->abandoned;
+	whole = !call->abandoned && !call->body_consumed;
 	lock_release(&call->lock);
-	return abandoned;
+	return whole;
 }
 
 /* Decides whether a failed attempt may be retried. */
@@ -89,9 +91,8 @@
 	bool idempotent = call->route->repeat == REPEAT_IDEMPOTENT;
 
 	/* A request that may have crashed two targets is not sent to a third. */
-	return !is_abandoned(call) && !call->body_consumed &&
-	       call->attempts < call_attempts_max(call) && may_have_run_count(call) < 2 &&
-	       verdict_allows_retry(verdict, idempotent) &&
+	return may_be_sent_again(call) && call->attempts < call_attempts_max(call) &&
+	       may_have_run_count(call) < 2 && verdict_allows_retry(verdict, idempotent) &&
 	       !deadline_passed(call->deadline, clock_now()) &&
 	       node_take_retry(call->daemon->node, call->service);
 }
@@ -113,7 +114,7 @@
 		traffic_record_refusal(node_traffic(call->daemon->node), call->route->name,
 				       now.mono_us - attempt->started_us, now);
 	}
-	if (!is_abandoned(call) && !call->body_consumed)
+	if (may_be_sent_again(call))
 		call_try_target(call);
 	else
 		call_refuse(call, REFUSED_NO_TARGET, refusal->reason);
@@ -284,7 +285,9 @@
 		return read_whole_body(attempt, strbuf_str(&body->whole), into, cap, end);
 	case CALLER_BODY_STREAMED:
 		n = pipe_read_wait(body->upload, into, cap, end, deadline);
+		lock_acquire(&call->lock);
 		call->body_consumed |= n > 0;
+		lock_release(&call->lock);
 		caller_upload_consumed(call->caller);
 		return n;
 	}
@@ -302,7 +305,8 @@
 	enum pipe_end end = PIPE_OPEN;
 	size_t n;
 
-	if (cap == 0 || attempt->upload_ended)
+	/* The bytes belong to the next attempt once this one has finished. */
+	if (cap == 0 || attempt->upload_ended || g_atomic_int_get(&attempt->finished))
 		return false;
 	chunk = g_malloc(cap);
 	n = pipe_read(upload, chunk, cap, &end);
