--- a/godwithitchd/calls.c
+++ b/godwithitchd/calls.c
@@ -139,13 +139,15 @@
  * meanwhile, so that the attempt may not be sent. */
 static bool begin_attempt(struct call *call, struct attempt *attempt)
 {
-	struct attempt *old;
+	struct attempt *old = NULL;
 	bool begun;
 
 	lock_acquire(&call->lock);
-	old = call->current;
-	call->current = attempt_ref(attempt);
 	begun = !call->abandoned && attempt_record_begin(&call->record);
+	if (begun) {
+		old = call->current;
+		call->current = attempt_ref(attempt);
+	}
 	lock_release(&call->lock);
 	attempt_unref(old);
 	return begun;
@@ -243,6 +245,8 @@
 	if (!begin_attempt(call, attempt)) {
 		if (attempt_finish(attempt))
 			attempt_record_outcome(attempt, CALL_REFUSED);
+		/* The key of a call that was never sent is free again. */
+		call_refuse(call, REFUSED_NO_TARGET, STR("the caller has left"));
 	} else if (target == peers_self(call->daemon->peers)) {
 		start_local(call, attempt, head);
 	} else {
