--- a/regress/caller/upload_test.c
+++ b/regress/caller/upload_test.c
@@ -13,12 +13,13 @@
 /* Reads the upload to its end, or until nothing comes for a while. */
 static struct strbuf read_upload(struct caller_call *call, enum pipe_end *end)
 {
+	const struct caller_body *source = caller_body(call);
 	struct strbuf body = { 0 };
 	char block[256];
 
 	*end = PIPE_OPEN;
 	for (int i = 0; i < END_WAIT_MS && *end == PIPE_OPEN; i++) {
-		size_t n = pipe_read(caller_upload(call), block, sizeof(block), end);
+		size_t n = pipe_read(source->upload, block, sizeof(block), end);
 
 		strbuf_add(&body, (struct str){ block, n });
 		caller_upload_consumed(call);
