--- a/caller/connection.c
+++ b/caller/connection.c
@@ -154,10 +154,10 @@
 
 	if (str_equal(call->method, STR("HEAD")) || head->status == STATUS_NO_CONTENT ||
 	    head->status == STATUS_NOT_MODIFIED)
-		return (struct framing){ .kind = FRAMING_NONE };
+		return (struct framing){ .kind = BODY_ABSENT };
 	if (head->body_length < 0)
-		return (struct framing){ .kind = FRAMING_CHUNKS };
-	return (struct framing){ .kind = FRAMING_LENGTH, .length.missing = head->body_length };
+		return (struct framing){ .kind = BODY_CHUNKED };
+	return (struct framing){ .kind = BODY_SIZED, .length.missing = head->body_length };
 }
 
 /* Returns whether a request behind this one was passed to the handler. */
@@ -180,7 +180,7 @@
 	for (int i = 0; i < head->field_count; i++)
 		strbuf_addf(output, "%.*s: %.*s\r\n", STR_ARG(head->fields[i].name),
 			    STR_ARG(head->fields[i].value));
-	if (call->framing.kind == FRAMING_CHUNKS)
+	if (call->framing.kind == BODY_CHUNKED)
 		strbuf_add(output, STR("Transfer-Encoding: chunked\r\n"));
 	else if (head->body_length >= 0 && head->status != STATUS_NO_CONTENT)
 		strbuf_addf(output, "Content-Length: %ld\r\n", head->body_length);
@@ -200,10 +200,10 @@
 	int64_t missing = framing->length.missing;
 
 	switch (framing->kind) {
-	case FRAMING_NONE:
-	case FRAMING_CHUNKS:
+	case BODY_ABSENT:
+	case BODY_CHUNKED:
 		return true;
-	case FRAMING_LENGTH:
+	case BODY_SIZED:
 		return end == PIPE_DONE ? (int64_t)bytes == missing : (int64_t)bytes <= missing;
 	}
 	g_assert_not_reached();
@@ -239,12 +239,12 @@
 			   enum pipe_end end)
 {
 	switch (framing->kind) {
-	case FRAMING_NONE:
+	case BODY_ABSENT:
 		return;
-	case FRAMING_LENGTH:
+	case BODY_SIZED:
 		serialize_sized(output, framing, bytes, end);
 		return;
-	case FRAMING_CHUNKS:
+	case BODY_CHUNKED:
 		serialize_chunk(output, bytes, end);
 		return;
 	}
--- a/caller/connection.h
+++ b/caller/connection.h
@@ -21,19 +21,19 @@
 struct connection;
 
 /** How the caller finds the end of an answer's body. */
-enum framing_kind {
-	FRAMING_NONE, /**< there is no body */
-	FRAMING_LENGTH,
-	FRAMING_CHUNKS,
+enum body_framing {
+	BODY_ABSENT, /**< there is no body */
+	BODY_SIZED,
+	BODY_CHUNKED,
 };
 
 struct framing {
-	enum framing_kind kind;
+	enum body_framing kind;
 	struct {
 		int64_t missing; /* announced bytes that have not come yet */
 		bool holds_last; /* the last byte waits for the end of the body */
 		char last;
-	} length; /* FRAMING_LENGTH */
+	} length; /* BODY_SIZED */
 };
 
 struct caller_call {
--- a/godwithitchd/inbound.c
+++ b/godwithitchd/inbound.c
@@ -27,11 +27,11 @@
 };
 
 /** What has come of the target's answer. */
-enum answer_state {
-	ANSWER_NONE,	  /**< no head yet */
-	ANSWER_FORWARDED, /**< its head was passed on */
-	ANSWER_SHED,	  /**< the target states that it did not run the request */
-	ANSWER_REJECTED,  /**< a refusal without that statement: it is not passed on */
+enum answer_use {
+	ANSWER_AWAITED,	  /**< no head yet */
+	ANSWER_PASSED_ON, /**< its head was passed on */
+	ANSWER_NOT_RUN,	  /**< the target states that it did not run the request */
+	ANSWER_WITHHELD,  /**< a refusal without that statement: it is not passed on */
 };
 
 /** Whether the target may get the request: decided once, by its worker or by who cancels it. */
@@ -58,7 +58,7 @@
 	struct lock lock; /* LOCK_PIPE */
 	apr_thread_cond_t *cond;
 	int64_t credit;
-	enum answer_state answer;
+	enum answer_use answer;
 	bool reached; /* the request was sent to the target */
 };
 
@@ -381,25 +381,25 @@
 	return false;
 }
 
-static enum answer_state answer_state_from_head(const struct dialect *dialect,
-						const struct response_head *head)
+static enum answer_use answer_use_from_head(const struct dialect *dialect,
+					    const struct response_head *head)
 {
 	switch (dialect_answer_statement(dialect, head->status,
 					 has_field(head, dialect->not_run))) {
 	case STATES_NOT_RUN:
-		return ANSWER_SHED;
+		return ANSWER_NOT_RUN;
 	case STATES_NOTHING:
-		return ANSWER_REJECTED;
+		return ANSWER_WITHHELD;
 	case STATES_RAN:
-		return ANSWER_FORWARDED;
+		return ANSWER_PASSED_ON;
 	}
 	g_assert_not_reached();
 }
 
 static bool forward_head(struct inbound *inbound, const struct response_head *head)
 {
-	inbound->answer = answer_state_from_head(inbound->daemon->dialect, head);
-	if (inbound->answer != ANSWER_FORWARDED)
+	inbound->answer = answer_use_from_head(inbound->daemon->dialect, head);
+	if (inbound->answer != ANSWER_PASSED_ON)
 		return false;
 	inbound->status = head->status;
 	switch (inbound->sink.kind) {
@@ -565,22 +565,22 @@
 static void send_result(struct inbound *inbound, const struct target_result *result)
 {
 	switch (inbound->answer) {
-	case ANSWER_NONE:
+	case ANSWER_AWAITED:
 		refuse(inbound,
 		       result->outcome == TARGET_UNREACHED ? REFUSAL_CLOSED : REFUSAL_BROKEN,
 		       result->verdict,
 		       str_from_cstr(result->reason ? result->reason : "no answer"));
 		return;
-	case ANSWER_SHED:
+	case ANSWER_NOT_RUN:
 		inbound->entry.expected_us = 0;
 		refuse(inbound, REFUSAL_BUSY, result->verdict, STR("the target sheds load"));
 		return;
-	case ANSWER_REJECTED:
+	case ANSWER_WITHHELD:
 		inbound->entry.expected_us = 0;
 		refuse(inbound, REFUSAL_BUSY, VERDICT_MAY_HAVE_RUN,
 		       STR("the target refused without saying that it has not run"));
 		return;
-	case ANSWER_FORWARDED:
+	case ANSWER_PASSED_ON:
 		end_answer(inbound, result);
 		return;
 	}
@@ -668,7 +668,7 @@
 	char labels[64];
 
 	if (result->complete || result->outcome == TARGET_UNREACHED ||
-	    inbound->answer == ANSWER_REJECTED || g_atomic_int_get(&inbound->cancelled))
+	    inbound->answer == ANSWER_WITHHELD || g_atomic_int_get(&inbound->cancelled))
 		return;
 	logger_event(LOG_EVENT_TARGET_ANSWER_BROKEN,
 		     "id=%.*s entry=%s place=%.*s status=%d framing=%.*s head_bytes=%zu "
@@ -688,7 +688,7 @@
 {
 	if (result->misdirected || result->outcome == TARGET_UNREACHED)
 		return SLOT_UNMEASURED;
-	if (inbound->answer == ANSWER_SHED || inbound->answer == ANSWER_REJECTED ||
+	if (inbound->answer == ANSWER_NOT_RUN || inbound->answer == ANSWER_WITHHELD ||
 	    (result->outcome == TARGET_SHED && result->complete))
 		return SLOT_SHED;
 	/* The service time of a cancelled or failed call is not known. */
