--- a/regress/core/reply_test.c
+++ b/regress/core/reply_test.c
@@ -48,7 +48,7 @@
 	}
 }
 
-/* The invoices of issue 30: an attempt that has run, or whose end is not known, and a refusal. */
+/* Invoices were issued twice after a refusal that followed a run. */
 static void test_refusal_after_an_attempt_that_may_have_run_promises_nothing(void **state)
 {
 	static const enum verdict verdicts[] = { VERDICT_MAY_HAVE_RUN, VERDICT_RAN };
