--- a/caller/http.c
+++ b/caller/http.c
@@ -433,12 +433,12 @@
 
 void caller_set_data(struct caller_call *call, void *data)
 {
-	call->data = data;
+	g_atomic_pointer_set(&call->data, data);
 }
 
-void *caller_data(const struct caller_call *call)
+void *caller_data(struct caller_call *call)
 {
-	return call->data;
+	return g_atomic_pointer_get(&call->data);
 }
 
 /* Copies the head with its strings, which are borrowed from the handler. */
--- a/caller/http.h
+++ b/caller/http.h
@@ -95,7 +95,7 @@
 
 /** Attaches a pointer of the daemon to the call. */
 void caller_set_data(struct caller_call *call, void *data);
-void *caller_data(const struct caller_call *call);
+void *caller_data(struct caller_call *call);
 
 /**
  * Writes the head of the answer. The body follows by caller_write(), then caller_finish(). The head
