--- a/caller/connection.h
+++ b/caller/connection.h
@@ -102,6 +102,7 @@
 	struct span values[FIELDS_MAX];
 	int field_count;
 	bool in_value;
+	bool closes;	    /* no request follows this one */
 	bool head_complete; /* fields that follow are trailers */
 	int error_status;   /* answer to an invalid request, after which nothing is read; 0: none */
 	bool ended;	    /* the last request is complete; bytes after it are discarded */
--- a/caller/read.c
+++ b/caller/read.c
@@ -103,7 +103,8 @@
 						  span_str(call, input->values[i]) };
 	call->field_count = input->field_count;
 	call->safe = is_safe(parser->method);
-	call->close_after = !http_should_keep_alive(parser);
+	input->closes = !http_should_keep_alive(parser);
+	call->close_after = input->closes;
 	if (parser->flags & F_CHUNKED)
 		call->body_length = -1;
 	else if (parser->flags & F_CONTENTLENGTH)
@@ -201,7 +202,7 @@
 	struct caller_call *call = input->call;
 
 	input->call = NULL;
-	input->ended = call->close_after;
+	input->ended = input->closes;
 	end_body(connection, call);
 	if (input->ended)
 		http_parser_pause(parser, 1);
