A node that cannot create all its workers does not start

Cause: workers_start() ignored errors of apr_thread_create(). APR sets its result even then. Where the kernel has no thread to give, it is one whose stack is freed again, and apr_thread_join() at the stop reads it.

--- a/base/workers.c
+++ b/base/workers.c
@@ -104,10 +104,33 @@
 	}
 }
 
-void workers_start(struct workers *workers)
+/* APR sets the thread even if it can't be created, and joining such threads may end the process. */
+static apr_status_t start_thread(struct workers *workers, int index)
 {
-	for (int i = 0; i < workers->options.threads; i++)
-		apr_thread_create(&workers->threads[i], NULL, worker_main, workers, workers->pool);
+	apr_thread_t *thread = NULL;
+	apr_status_t status =
+		apr_thread_create(&thread, NULL, worker_main, workers, workers->pool);
+
+	if (status == APR_SUCCESS)
+		workers->threads[index] = thread;
+	return status;
+}
+
+bool workers_start(struct workers *workers, GError **error)
+{
+	for (int i = 0; i < workers->options.threads; i++) {
+		apr_status_t status = start_thread(workers, i);
+		char text[64];
+
+		if (status == APR_SUCCESS)
+			continue;
+		workers_stop(workers);
+		g_set_error(error, G_FILE_ERROR, G_FILE_ERROR_AGAIN,
+			    "cannot create worker %d of %d: %s", i + 1, workers->options.threads,
+			    apr_strerror(status, text, sizeof(text)));
+		return false;
+	}
+	return true;
 }
 
 void workers_stop(struct workers *workers)
@@ -117,9 +140,11 @@
 
 	if (write(workers->stop_fd, &one, sizeof(one)) < 0)
 		return;
-	for (int i = 0; i < workers->options.threads; i++)
+	for (int i = 0; i < workers->options.threads; i++) {
 		if (workers->threads[i])
 			apr_thread_join(&status, workers->threads[i]);
+		workers->threads[i] = NULL;
+	}
 }
 
 void workers_free(struct workers *workers)
--- a/base/workers.h
+++ b/base/workers.h
@@ -47,8 +47,11 @@
 /** Returns NULL and sets @p error (G_FILE_ERROR) if a descriptor can't be created. */
 struct workers *workers_new(const struct workers_options *options, apr_pool_t *pool,
 			    GError **error);
-/** Starts the threads. */
-void workers_start(struct workers *workers);
+/**
+ * Starts the threads. Returns false and sets @p error (G_FILE_ERROR) if one can't be created: with
+ * fewer workers than the program counts on, blocking work could occupy them all. None runs then.
+ */
+bool workers_start(struct workers *workers, GError **error);
 /** Stops and joins all threads. Work that is still queued is dropped. */
 void workers_stop(struct workers *workers);
 /** Frees the pool; call workers_stop() first. */
--- a/godwithitchd/main.c
+++ b/godwithitchd/main.c
@@ -216,8 +216,7 @@
 	if (!open_endpoints(daemon, error))
 		return NULL;
 	peers_start(daemon->peers);
-	workers_start(daemon->workers);
-	return daemon;
+	return workers_start(daemon->workers, error) ? daemon : NULL;
 }
 
 static void format_address(char *out, size_t cap, uint32_t ip, uint16_t port)
--- a/regress/lib/callers.c
+++ b/regress/lib/callers.c
@@ -89,7 +89,7 @@
 	options.workers = workers;
 	callers.caller = caller_new(&options, pool, NULL);
 	assert_non_null(callers.caller);
-	workers_start(workers);
+	assert_true(workers_start(workers, NULL));
 }
 
 int callers_set_up(void **state)
--- a/regress/peer/link_test.c
+++ b/regress/peer/link_test.c
@@ -109,7 +109,7 @@
 	peers = peers_new(&options, pool, NULL);
 	assert_non_null(peers);
 	peers_start(peers);
-	workers_start(workers);
+	assert_true(workers_start(workers, NULL));
 	return 0;
 }
 
