The exit of a planned stop keeps its time by construction

What was seen: a stop that had answered all its calls could outlast the time that its supervisor gives it, and was killed.

Cause: after the drain the main thread joined the workers and freed everything without a limit. A worker that waits for an answer of the log notices the stop up to a second later, when libcurl next calls back; a drain that ends near its own deadline then ends after the time of the stop. The log's last flush came on top of that.

Fix: a thread of its own frees the daemon, and the main thread waits for it until the plan's exit time at most (two seconds in long stops), then exits. The flush of the log has a deadline in the plan too.

--- a/base/logger.c
+++ b/base/logger.c
@@ -192,9 +192,10 @@
 }
 
 /* Makes the writer finish and waits for it; false if a reader that does not read blocks it. */
-static bool flush(void)
+static bool flush(struct deadline deadline)
 {
-	struct deadline give_up_at = deadline_after(clock_now(), FLUSH_TIMEOUT_US);
+	int64_t wait_us = MIN(deadline_remaining_us(deadline, clock_now()), FLUSH_TIMEOUT_US);
+	struct deadline give_up_at = deadline_after(clock_now(), wait_us);
 	bool done = false;
 
 	lock_acquire(&the_log.lock);
@@ -211,14 +212,14 @@
 	return done;
 }
 
-void logger_close(void)
+void logger_close(struct deadline deadline)
 {
 	apr_status_t status;
 
 	if (the_log.fd < 0)
 		return;
 	/* A blocked writer thread ends with the process. */
-	if (!flush())
+	if (!flush(deadline))
 		return;
 	apr_thread_join(&status, the_log.thread);
 	if (the_log.fd > STDERR_FILENO)
--- a/core/stop.c
+++ b/core/stop.c
@@ -26,6 +26,7 @@
 		.work_ends_at = deadline_after(now, work_us),
 		.answer_at = deadline_after(now, work_us + part_us),
 		.exit_at = deadline_after(now, options->within_us - part_us),
+		.log_ends_at = deadline_after(now, options->within_us - part_us / 2),
 	};
 }
 
--- a/core/stop.h
+++ b/core/stop.h
@@ -21,6 +21,7 @@
 	struct deadline work_ends_at;	/**< targets have answered by then */
 	struct deadline answer_at;	/**< callers that still wait get an answer of the node */
 	struct deadline exit_at;	/**< the process exits, even with answers unsent */
+	struct deadline log_ends_at;	/**< log lines that are not written by then are lost */
 };
 
 /** Returns the deadlines of a stop that begins at @p now. */
--- a/godwithitchd/main.c
+++ b/godwithitchd/main.c
@@ -3,11 +3,14 @@
  * waits for signals and stops.
  */
 #include <apr_general.h>
+#include <apr_thread_proc.h>
 #include <argtable2.h>
 #include <curl/curl.h>
+#include <poll.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <sys/eventfd.h>
 #include <unistd.h>
 
 #include "base/logger.h"
@@ -18,6 +21,8 @@
 
 /* Time for the last answers to leave after a second signal. */
 #define FLUSH_US (200 * US_PER_MS)
+/* Workers notice a stop within a second, even those that wait for the log. */
+#define FREE_US (2 * US_PER_S)
 
 enum { EXIT_USAGE = 2, WORK_QUEUE_MAX = 4096, STOP_POLL_MS = 50, FLUSH_POLL_MS = 5 };
 
@@ -344,6 +349,52 @@
 	return drain(daemon, signals);
 }
 
+/** A daemon that is being freed, and an eventfd that becomes readable once it is. */
+struct teardown {
+	struct daemon *daemon;
+	int done_fd;
+};
+
+static void *APR_THREAD_FUNC free_main(apr_thread_t *thread, void *data)
+{
+	const struct teardown *teardown = data;
+	uint64_t one = 1;
+
+	(void)thread;
+	daemon_free(teardown->daemon);
+	return write(teardown->done_fd, &one, sizeof(one)) == sizeof(one) ? data : NULL;
+}
+
+static bool wait_readable(int fd, struct deadline deadline)
+{
+	struct pollfd waited = { .fd = fd, .events = POLLIN };
+	int64_t remaining_us = deadline_remaining_us(deadline, clock_now());
+
+	return poll(&waited, 1, (int)(remaining_us / US_PER_MS)) == 1;
+}
+
+/* Frees the daemon; returns false if it is not done at the deadline. Workers may be blocked within
+ * limits of their own, and joining them would hold up the exit: a thread of its own does it. */
+static bool free_until(struct daemon *daemon, struct deadline deadline)
+{
+	struct teardown *teardown = g_new0(struct teardown, 1);
+	apr_thread_t *thread = NULL;
+	apr_pool_t *pool = NULL;
+	apr_status_t status;
+
+	apr_pool_create(&pool, NULL);
+	*teardown = (struct teardown){ daemon, eventfd(0, EFD_CLOEXEC) };
+	if (teardown->done_fd < 0 ||
+	    apr_thread_create(&thread, NULL, free_main, teardown, pool) != APR_SUCCESS ||
+	    !wait_readable(teardown->done_fd, deadline))
+		return false;
+	apr_thread_join(&status, thread);
+	close(teardown->done_fd);
+	apr_pool_destroy(pool);
+	g_free(teardown);
+	return true;
+}
+
 static void wait_for_stop(const sigset_t *signals)
 {
 	int signal_number = 0;
@@ -359,6 +410,8 @@
 static int run(const struct settings *settings)
 {
 	struct daemon *daemon;
+	struct deadline free_by;
+	struct stop_plan plan;
 	GError *error = NULL;
 	sigset_t signals;
 	bool drained;
@@ -379,13 +432,15 @@
 	drained = stop_daemon(daemon, &signals);
 	logclient_stop(daemon->logclient);
 	logger_event(LOG_EVENT_DAEMON_STOPPED, "pid=%d", (int)getpid());
+	plan = daemon->stop;
+	free_by = deadline_after(clock_now(), FREE_US);
+	free_by.at_us = MIN(free_by.at_us, plan.exit_at.at_us);
 	/* Workers may still run calls that were cut off; exiting the process ends them. */
-	if (!drained) {
-		logger_close();
+	if (!drained || !free_until(daemon, free_by)) {
+		logger_close(plan.log_ends_at);
 		_exit(EXIT_SUCCESS);
 	}
-	daemon_free(daemon);
-	logger_close();
+	logger_close(plan.log_ends_at);
 	return EXIT_SUCCESS;
 }
 
--- a/regress/base/logger_test.c
+++ b/regress/base/logger_test.c
@@ -56,7 +56,7 @@
 	assert_non_null(strstr(text, "a warning"));
 	assert_non_null(strstr(text, "LOG_DROPPED lines="));
 	g_free(text);
-	logger_close();
+	logger_close((struct deadline){ 0 });
 	close(fd);
 	unlink(path);
 	rmdir(dir);
--- a/regress/core/stop_test.c
+++ b/regress/core/stop_test.c
@@ -25,7 +25,8 @@
 			assert_true(plan.queue_ends_at.at_us <= plan.work_ends_at.at_us);
 			assert_true(plan.work_ends_at.at_us < plan.answer_at.at_us);
 			assert_true(plan.answer_at.at_us < plan.exit_at.at_us);
-			assert_true(plan.exit_at.at_us < instant_at_s(within_s[i]).mono_us);
+			assert_true(plan.exit_at.at_us < plan.log_ends_at.at_us);
+			assert_true(plan.log_ends_at.at_us < instant_at_s(within_s[i]).mono_us);
 		}
 	}
 }
--- a/regress/godwithitchd/limits_test.c
+++ b/regress/godwithitchd/limits_test.c
@@ -242,6 +242,45 @@
 	}
 }
 
+static gpointer call_main(gpointer data)
+{
+	char *url = g_strdup_printf("http://%s/slow", fleet->nodes[0].caller_address);
+	struct http_reply reply = http_get(url);
+
+	(void)data;
+	g_free(url);
+	http_reply_clear(&reply);
+	return GINT_TO_POINTER((int)reply.status);
+}
+
+/* A stop that had answered all its calls joined a worker that was waiting for the log, beyond the
+ * time of the stop: its supervisor killed it. */
+static void test_stop_keeps_its_time_beside_a_waiting_worker(void **state)
+{
+	enum { STOPS = 4, STOP_MS = 2000, STARTED_MS = 100 };
+
+	(void)state;
+	for (int i = 0; i < STOPS; i++) {
+		GThread *thread;
+
+		if (i)
+			fleet_free(fleet);
+		fleet = fleet_new(0);
+		g_strlcpy(fleet->extra_settings, "\"stop_within_s\": 2,",
+			  sizeof(fleet->extra_settings));
+		fleet_add_node(fleet, "fes-a");
+		fleet_add_target(fleet, 0, "-s s -v v1 -l 1400000");
+		assert_true(fleet_wait_live(fleet, 1, 10000));
+		assert_true(fleet_wait_text(fleet, 0, "/v1/members", "\"s\"", 5000));
+		assert_int_equal(fleet_apply(fleet, "one.json", VALID_CONFIG_FILE, NULL), 0);
+		thread = g_thread_new("call", call_main, NULL);
+		wait_ms(STARTED_MS);
+		process_signal(&fleet->nodes[0].daemon, SIGTERM);
+		assert_int_equal(process_wait(&fleet->nodes[0].daemon, STOP_MS), 0);
+		assert_int_equal(GPOINTER_TO_INT(g_thread_join(thread)), 200);
+	}
+}
+
 /* Calls that hang at a target with more slots than the node has workers must leave some workers. */
 static void test_hanging_calls_do_not_exhaust_workers(void **state)
 {
@@ -312,6 +351,8 @@
 		cmocka_unit_test_teardown(test_connections_per_address_are_limited, stop_fleet),
 		cmocka_unit_test_teardown(test_idle_node_uses_little_cpu, stop_fleet),
 		cmocka_unit_test_teardown(test_stop_ends_despite_hanging_request, stop_fleet),
+		cmocka_unit_test_teardown(test_stop_keeps_its_time_beside_a_waiting_worker,
+					  stop_fleet),
 		cmocka_unit_test_teardown(test_hanging_calls_do_not_exhaust_workers, stop_fleet),
 		cmocka_unit_test_teardown(test_fleets_do_not_merge, stop_fleet),
 		cmocka_unit_test_teardown(test_sighup_reopens_log, stop_fleet),
