Test of silent targets: the target is in use before it falls silent

The test was not able to fail any more.

The new one is as strict and shows the fault: the target answers until it is in use, then falls silent with a full accept queue; calls come from three nodes, since each avoids a target for a second after a call that did not reach it; and the test fails if no calls waited for the target.

--- a/regress/godwithitchd/silent_target_test.c
+++ b/regress/godwithitchd/silent_target_test.c
@@ -1,4 +1,5 @@
-/* A target whose accept queue is full: calls to it must not hold up its node's other calls. */
+/* A target that falls silent, so that its accept queue fills: calls to it must not hold up its
+ * node's other calls. */
 #include "regress/lib/check.h"
 
 #include <curl/curl.h>
@@ -7,17 +8,19 @@
 
 #include "regress/lib/answercheck.h"
 #include "regress/lib/breaker.h"
-#include "regress/lib/listen.h"
 #include "regress/lib/platform.h"
 #include "regress/lib/rawcall.h"
 
-enum { DARK, BOOKS, NODES }; /* the silent target is beside the first node */
+/* The silent target is beside the first node. The others send calls to it as well: after a call
+ * that did not reach it a node avoids it for a second. */
+enum { DARK, BOOKS, SHOP, NODES };
 
 enum {
 	WAIT_MS = 10000,
 	CALLERS = 24,
+	MANY_CALLERS = 240,
 	CALL_MS = 1500,
-	CHECKS = 30,
+	CHECKS = 60,
 	CHECK_MS = 100,
 	PAUSE_MS = 20, /* between calls of one caller */
 	CAPACITY = 16,
@@ -25,17 +28,20 @@
 };
 
 #define ANSWER_MAX_US (1 * US_PER_S)
+#define WAITED_US     (300 * US_PER_MS)
 
 static struct fleet *fleet;
-static struct silent_listener listener;
-static struct breaker *breaker;
-static struct breaker_options breaker_options;
+static struct breaker *breakers[NODES];
+static struct breaker_options breaker_options[NODES];
 static gint stopping;
 static gint dark_calls;
+static gint waited; /* calls that waited for the silent target */
+static gint resets; /* the target resets its connections */
 
 static const char configuration[] =
 	"{\"version\":3,\"services\":[{\"name\":\"books\",\"health_path\":\"/health\"},"
-	"{\"name\":\"dark\",\"health_path\":\"/health\"}],"
+	"{\"name\":\"dark\",\"health_path\":\"/health\"},"
+	"{\"name\":\"shop\",\"health_path\":\"/health\"}],"
 	"\"virtual_hosts\":[{\"host\":\"shop.example\",\"paths\":["
 	"{\"name\":\"read\",\"path_prefix\":\"/r/\",\"kind\":\"safe\",\"timeout_s\":2,"
 	"\"service\":\"books\",\"max_attempts\":2},"
@@ -50,6 +56,10 @@
 	struct strbuf text = { 0 };
 
 	(void)context;
+	if (g_atomic_int_get(&resets) && g_str_has_prefix(request->path, "/dark/")) {
+		breaker_plan_step(plan, BREAKER_RESET, 0);
+		return;
+	}
 	answer_format(&shape, request->id, &text);
 	breaker_plan_send(plan, strbuf_str(&text));
 	strbuf_clear(&text);
@@ -69,21 +79,22 @@
 	return status;
 }
 
-static struct raw_caller *new_caller(void)
+static struct raw_caller *new_caller(int node)
 {
-	return raw_caller_new(atoi(strchr(fleet->nodes[DARK].caller_address, ':') + 1));
+	return raw_caller_new(atoi(strchr(fleet->nodes[node].caller_address, ':') + 1));
 }
 
-static gpointer call_silent_target(gpointer data)
+static gpointer call_dark_target(gpointer data)
 {
-	struct raw_caller *caller = new_caller();
+	struct raw_caller *caller = new_caller(GPOINTER_TO_INT(data));
 
-	(void)data;
 	while (!g_atomic_int_get(&stopping)) {
 		char id[32];
+		int64_t started_us = clock_now().mono_us;
 
 		g_snprintf(id, sizeof(id), "dark-%d", g_atomic_int_add(&dark_calls, 1));
 		call_status(caller, "/dark/a", id);
+		g_atomic_int_add(&waited, clock_now().mono_us - started_us > WAITED_US);
 		wait_ms(PAUSE_MS);
 	}
 	raw_caller_free(caller);
@@ -103,61 +114,103 @@
 	return answered;
 }
 
-/* The workers waited in connect(), and calls to other targets got no answer. */
-static void test_silent_target_does_not_hold_up_other_calls(void **state)
+static bool wait_for_answer(const char *path)
 {
-	struct raw_caller *caller = new_caller();
-	GThread *threads[CALLERS];
-	int64_t slowest_us = 0;
-	int failed = 0;
-	int mute = 0;
+	struct raw_caller *caller = new_caller(DARK);
+	bool answered = false;
 
-	(void)state;
-	for (int i = 0; i < CALLERS; i++)
-		threads[i] = g_thread_new("caller", call_silent_target, NULL);
+	for (int i = 0; i < WAIT_MS / CHECK_MS && !answered; i++) {
+		answered = call_status(caller, path, "first") == 200;
+		if (!answered)
+			wait_ms(CHECK_MS);
+	}
+	raw_caller_free(caller);
+	return answered;
+}
+
+/* How calls to another target and the control endpoint fared beside those to the dark one. */
+struct beside {
+	int64_t slowest_us;
+	int failed;
+	int mute;
+};
+
+static struct beside call_beside(int callers)
+{
+	struct raw_caller *caller = new_caller(DARK);
+	GThread **threads = g_new0(GThread *, callers);
+	struct beside beside = { 0 };
+
+	g_atomic_int_set(&stopping, 0);
+	for (int i = 0; i < callers; i++)
+		threads[i] = g_thread_new("caller", call_dark_target, GINT_TO_POINTER(i % NODES));
 	for (int i = 0; i < CHECKS; i++) {
 		int64_t started_us = clock_now().mono_us;
 		char id[32];
 
 		g_snprintf(id, sizeof(id), "read-%d", i);
-		failed += call_status(caller, "/r/a", id) != 200;
-		slowest_us = MAX(slowest_us, clock_now().mono_us - started_us);
-		mute += !control_answers();
+		beside.failed += call_status(caller, "/r/a", id) != 200;
+		beside.slowest_us = MAX(beside.slowest_us, clock_now().mono_us - started_us);
+		beside.mute += !control_answers();
 		wait_ms(CHECK_MS);
 	}
 	g_atomic_int_set(&stopping, 1);
-	for (int i = 0; i < CALLERS; i++)
+	for (int i = 0; i < callers; i++)
 		g_thread_join(threads[i]);
 	raw_caller_free(caller);
-	if (failed || mute || slowest_us > ANSWER_MAX_US)
-		fail_msg("of %d calls to another target %d failed, the slowest took %ld ms; the "
-			 "control endpoint was late %d times; %d calls to the silent target",
-			 CHECKS, failed, slowest_us / US_PER_MS, mute, dark_calls);
-	assert_true(dark_calls > CALLERS);
+	g_free(threads);
+	return beside;
 }
 
-static bool wait_for_books(void)
+static void check_beside(const struct beside *beside)
 {
-	struct raw_caller *caller = new_caller();
-	bool answered = false;
+	print_message(
+		"of %d calls to another target %d failed, the slowest took %lld ms; the "
+		"control endpoint was late %d times; %d calls to the dark target, %d waited\n",
+		CHECKS, beside->failed, beside->slowest_us / US_PER_MS, beside->mute, dark_calls,
+		waited);
+	assert_int_equal(beside->failed, 0);
+	assert_int_equal(beside->mute, 0);
+	assert_true(beside->slowest_us <= ANSWER_MAX_US);
+}
 
-	for (int i = 0; i < WAIT_MS / CHECK_MS && !answered; i++) {
-		answered = call_status(caller, "/r/a", "first") == 200;
-		if (!answered)
-			wait_ms(CHECK_MS);
-	}
-	raw_caller_free(caller);
-	return answered;
+/* A call whose connection broke keeps its worker for 50 ms or more, to see whether the target has
+ * ended: other calls must find a free one. */
+static void test_resetting_target_does_not_hold_up_other_calls(void **state)
+{
+	struct beside beside;
+
+	(void)state;
+	g_atomic_int_set(&resets, 1);
+	beside = call_beside(MANY_CALLERS);
+	check_beside(&beside);
 }
 
-static void start_node(int node, const char *service, const char *instance, int port)
+/* The workers waited in connect(), and calls to other targets got no answer. */
+static void test_silent_target_does_not_hold_up_other_calls(void **state)
 {
-	struct platform_heartbeat heartbeat = { .service = service,
-						.instance = instance,
-						.port = port,
-						.capacity = CAPACITY,
-						.sequence = 1 };
+	struct beside beside;
+
+	(void)state;
+	g_atomic_int_set(&resets, 0);
+	assert_true(wait_for_answer("/dark/a"));
+	g_atomic_int_set(&waited, 0);
+	breaker_fall_silent(breakers[DARK]);
+	beside = call_beside(CALLERS);
+	check_beside(&beside);
+	/* A target that its node does not use shows nothing. */
+	assert_true(waited > CALLERS);
+}
+
+static void start_node(int node, const char *service, const char *instance)
+{
+	struct platform_heartbeat heartbeat = {
+		.service = service, .instance = instance, .capacity = CAPACITY, .sequence = 1
+	};
 
+	breaker_options[node] = (struct breaker_options){ .instance = instance, .answer = answer };
+	breakers[node] = breaker_new(&breaker_options[node]);
+	heartbeat.port = breaker_port(breakers[node]);
 	g_snprintf(fleet->extra_settings, sizeof(fleet->extra_settings),
 		   "\"interface\": \"platform\", \"service\": \"%s\", \"announce_ttl_s\": 60, "
 		   "\"workers\": %d,",
@@ -166,33 +219,33 @@
 	assert_true(platform_send_heartbeat(fleet, node, &heartbeat));
 }
 
+/* The target that falls silent is in use before: a node uses none that never answered. */
 static int set_up(void **state)
 {
 	(void)state;
 	fleet = fleet_new_platform();
-	silent_listener_open(&listener);
-	breaker_options = (struct breaker_options){ .instance = "i-1", .answer = answer };
-	breaker = breaker_new(&breaker_options);
-	start_node(DARK, "dark", "i-0", listener.port);
-	start_node(BOOKS, "books", "i-1", breaker_port(breaker));
+	start_node(DARK, "dark", "i-0");
+	start_node(BOOKS, "books", "i-1");
+	start_node(SHOP, "shop", "i-2");
 	if (!platform_publish(fleet, "config", configuration) ||
 	    !fleet_wait_live(fleet, NODES, WAIT_MS))
 		return 1;
-	return wait_for_books() ? 0 : 1;
+	return wait_for_answer("/r/a") && wait_for_answer("/dark/a") ? 0 : 1;
 }
 
 static int tear_down(void **state)
 {
 	(void)state;
 	fleet_free(fleet);
-	breaker_free(breaker);
-	silent_listener_close(&listener);
+	for (int i = 0; i < NODES; i++)
+		breaker_free(breakers[i]);
 	return 0;
 }
 
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_resetting_target_does_not_hold_up_other_calls),
 		cmocka_unit_test(test_silent_target_does_not_hold_up_other_calls),
 	};
 
--- a/regress/lib/breaker.c
+++ b/regress/lib/breaker.c
@@ -12,7 +12,14 @@
 #include "regress/lib/listen.h"
 #include "regress/lib/rawcall.h"
 
-enum { CONNECTIONS_MAX = 1024, NEXT_REQUEST_MS = 2000, BACKLOG = 512, BLOCK_BYTES = 16384 };
+enum {
+	CONNECTIONS_MAX = 1024,
+	NEXT_REQUEST_MS = 2000,
+	BACKLOG = 512,
+	BLOCK_BYTES = 16384,
+	FLOOD_BYTES = 1 << 16,
+	SILENT_POLL_US = 10000,
+};
 
 struct breaker {
 	const struct breaker_options *options;
@@ -24,6 +31,9 @@
 	int fds[CONNECTIONS_MAX];
 	int fd_count;
 	gint requests_awaited;
+	gsize flooded_bytes;		 /* atomic */
+	gint silent;			 /* atomic */
+	struct silent_listener unopened; /* connections that fill the accept queue */
 };
 
 /* A connection and the request that it reads. */
@@ -169,6 +179,26 @@
 	return true;
 }
 
+/* Sends the bytes over and over until the connection ends. */
+static void flood(struct breaker *breaker, int fd, struct str bytes)
+{
+	struct strbuf block = { 0 };
+	size_t at = 0;
+	ssize_t n = 0;
+
+	while (block.len < FLOOD_BYTES)
+		strbuf_add(&block, bytes);
+	while (n >= 0) {
+		n = send(fd, block.data + at, block.len - at, MSG_NOSIGNAL);
+		if (n < 0)
+			break;
+		g_atomic_pointer_add(&breaker->flooded_bytes, n);
+		/* The next block goes on where this one was interrupted. */
+		at = (at + (size_t)n) % bytes.len;
+	}
+	strbuf_clear(&block);
+}
+
 /* Returns false if the connection is to be closed. */
 static bool take_step(struct breaker *breaker, int fd, const struct breaker_step *step)
 {
@@ -182,6 +212,9 @@
 		return true;
 	case BREAKER_WAIT_REQUEST:
 		return await_request(breaker, fd);
+	case BREAKER_FLOOD:
+		flood(breaker, fd, strbuf_str(&step->bytes));
+		return false;
 	case BREAKER_FIN:
 		return false;
 	case BREAKER_RESET:
@@ -199,6 +232,12 @@
 	strbuf_add(&step->bytes, bytes);
 }
 
+void breaker_plan_flood(struct breaker_plan *plan, struct str bytes)
+{
+	breaker_plan_send(plan, bytes);
+	plan->steps[plan->count - 1].kind = BREAKER_FLOOD;
+}
+
 void breaker_plan_step(struct breaker_plan *plan, enum breaker_step_kind kind, int wait_ms)
 {
 	plan->steps[plan->count++] = (struct breaker_step){ .kind = kind, .wait_ms = wait_ms };
@@ -231,7 +270,7 @@
 		options->answer(options->context, &connection->request, &plan);
 	for (int i = 0; i < plan.count; i++) {
 		keep = keep && take_step(connection->breaker, connection->fd, &plan.steps[i]);
-		if (plan.steps[i].kind == BREAKER_SEND)
+		if (plan.steps[i].kind == BREAKER_SEND || plan.steps[i].kind == BREAKER_FLOOD)
 			strbuf_clear(&plan.steps[i].bytes);
 	}
 	return keep;
@@ -242,8 +281,12 @@
 	struct connection *connection = data;
 	struct breaker *breaker = connection->breaker;
 
-	while (read_request(connection) && answer_request(connection))
+	while (read_request(connection) && !g_atomic_int_get(&breaker->silent) &&
+	       answer_request(connection))
 		;
+	/* What a silent upstream has read is never answered, and its connections stay open. */
+	while (g_atomic_int_get(&breaker->silent))
+		g_usleep(SILENT_POLL_US);
 	g_mutex_lock(&breaker->mutex);
 	for (int i = 0; i < breaker->fd_count; i++) {
 		if (breaker->fds[i] != connection->fd)
@@ -283,6 +326,10 @@
 
 		if (fd < 0)
 			return NULL;
+		if (g_atomic_int_get(&breaker->silent)) {
+			close(fd);
+			return NULL;
+		}
 		if (!add_connection(breaker, fd)) {
 			close(fd);
 			continue;
@@ -318,11 +365,36 @@
 	return g_atomic_int_get(&breaker->requests_awaited);
 }
 
+uint64_t breaker_flooded_bytes(struct breaker *breaker)
+{
+	return (uint64_t)g_atomic_pointer_get(&breaker->flooded_bytes);
+}
+
+void breaker_fall_silent(struct breaker *breaker)
+{
+	struct silent_listener *unopened = &breaker->unopened;
+
+	g_atomic_int_set(&breaker->silent, 1);
+	unopened->fd = breaker->listen_fd;
+	unopened->port = breaker->port;
+	/* The thread that accepts takes one more connection and stops. */
+	silent_listener_connect(unopened);
+	g_thread_join(breaker->thread);
+	breaker->thread = NULL;
+	listen(breaker->listen_fd, 0);
+	silent_listener_fill(unopened);
+}
+
 void breaker_free(struct breaker *breaker)
 {
+	g_atomic_int_set(&breaker->silent, 0);
 	shutdown(breaker->listen_fd, SHUT_RDWR);
-	g_thread_join(breaker->thread);
-	close(breaker->listen_fd);
+	if (breaker->thread) {
+		g_thread_join(breaker->thread);
+		close(breaker->listen_fd);
+	} else {
+		silent_listener_close(&breaker->unopened);
+	}
 	g_mutex_lock(&breaker->mutex);
 	for (int i = 0; i < breaker->fd_count; i++)
 		shutdown(breaker->fds[i], SHUT_RDWR);
--- a/regress/lib/breaker.h
+++ b/regress/lib/breaker.h
@@ -20,13 +20,14 @@
 	BREAKER_WAIT_REQUEST, /**< until bytes of the next request arrive, 2 s at most */
 	BREAKER_FIN,
 	BREAKER_RESET,
+	BREAKER_FLOOD, /**< sends the bytes over and over until the connection ends */
 };
 
 /** One step of an answer. */
 struct breaker_step {
 	enum breaker_step_kind kind;
 	union {
-		struct strbuf bytes; /**< BREAKER_SEND; cleared by the breaker */
+		struct strbuf bytes; /**< BREAKER_SEND, BREAKER_FLOOD; cleared by the breaker */
 		int wait_ms;	     /**< BREAKER_WAIT */
 	};
 };
@@ -62,11 +63,17 @@
 int breaker_port(const struct breaker *breaker);
 /** Returns how many steps BREAKER_WAIT_REQUEST have seen a request. */
 int breaker_requests_awaited(struct breaker *breaker);
+/** Returns the bytes that steps BREAKER_FLOOD have sent. */
+uint64_t breaker_flooded_bytes(struct breaker *breaker);
+/** Answers nothing any more, not even the opening packets of new connections. */
+void breaker_fall_silent(struct breaker *breaker);
 /** Closes all connections and waits for their threads. */
 void breaker_free(struct breaker *breaker);
 
 /** Appends a step that sends a copy of @p bytes. */
 void breaker_plan_send(struct breaker_plan *plan, struct str bytes);
+/** Appends a step that sends copies of @p bytes without end. */
+void breaker_plan_flood(struct breaker_plan *plan, struct str bytes);
 /** Appends a step without bytes; @p wait_ms is for BREAKER_WAIT. */
 void breaker_plan_step(struct breaker_plan *plan, enum breaker_step_kind kind, int wait_ms);
 
--- a/regress/lib/listen.c
+++ b/regress/lib/listen.c
@@ -4,7 +4,6 @@
 #include <glib.h>
 #include <netinet/in.h>
 #include <poll.h>
-#include <stdbool.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -37,22 +36,31 @@
 	return poll(&waited, 1, HANDSHAKE_MS) == 1;
 }
 
-void silent_listener_open(struct silent_listener *listener)
+bool silent_listener_connect(struct silent_listener *listener)
 {
-	bool taken = true;
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
 
-	listener->fd = listen_on_loopback(&listener->port);
-	for (listener->count = 0; taken && listener->count < SILENT_CONNECTIONS_MAX;
-	     listener->count++) {
-		int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+	listener->waiting[listener->count++] = fd;
+	return is_taken(fd, listener->port);
+}
+
+void silent_listener_fill(struct silent_listener *listener)
+{
+	bool taken = true;
 
-		listener->waiting[listener->count] = fd;
-		taken = is_taken(fd, listener->port);
-	}
+	while (taken && listener->count < SILENT_CONNECTIONS_MAX)
+		taken = silent_listener_connect(listener);
 	if (taken)
 		g_error("the accept queue does not fill");
 }
 
+void silent_listener_open(struct silent_listener *listener)
+{
+	listener->count = 0;
+	listener->fd = listen_on_loopback(&listener->port);
+	silent_listener_fill(listener);
+}
+
 void silent_listener_close(struct silent_listener *listener)
 {
 	for (int i = 0; i < listener->count; i++)
--- a/regress/lib/listen.h
+++ b/regress/lib/listen.h
@@ -5,6 +5,7 @@
 #ifndef REGRESS_LISTEN_H
 #define REGRESS_LISTEN_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 /** Listens on a free port of the loopback address; ends the test on failure. Sets *port. */
@@ -22,6 +23,10 @@
 
 /** Listens on a free port of the loopback address; ends the test on failure. */
 void silent_listener_open(struct silent_listener *listener);
+/** Opens a connection to a listener; returns whether it is in the accept queue. */
+bool silent_listener_connect(struct silent_listener *listener);
+/** Fills the accept queue; ends the test on failure. */
+void silent_listener_fill(struct silent_listener *listener);
 void silent_listener_close(struct silent_listener *listener);
 
 #endif
