Answers whose bytes carry nothing end early

What was seen: a target that answered with a chunk's size line, or with chunks of one byte behind long extensions, without end was read as fast as it sent until the call's deadline. Four callers of it cost their node 12 s of processor time in 3 s, for bytes that reached nobody or hardly anybody: on a machine with a fifth of a core that is the time of all other callers.

Cause: heads had a limit of bytes, lines around chunks had none. libcurl skips an extension without telling its user and reads on while bytes are there; of each small chunk the handler got a call of its own, and so a write to the caller's socket.

Fix: the reader of chunks counts all bytes and those of the body; more than 64 KiB and eight bytes for each byte of the body end the answer as a broken one, so that the target counts as failing. libcurl is paused at that point, since it would go on to read up to 1.6 MB. Small parts of a body are delivered together. Heads, interim ones and trailers included, have 64 KiB, as those of the log and of health checks do; they had 256.

--- a/base/chunks.c
+++ b/base/chunks.c
@@ -2,6 +2,11 @@
 
 #include <glib.h>
 
+enum {
+	FRAMING_FREE_BYTES = 64 << 10,
+	FRAMING_PER_BYTE = 8, /* a chunk of a single byte has five bytes around it */
+};
+
 /* Reads a byte of the line with a chunk's size. */
 static void read_size(struct chunks *chunks, char byte)
 {
@@ -29,6 +34,7 @@
 	size_t taken = chunks->left < len ? (size_t)chunks->left : len;
 
 	chunks->left -= taken;
+	chunks->data += taken;
 	if (chunks->left == 0)
 		chunks->state = CHUNKS_LINE;
 	return taken;
@@ -38,6 +44,7 @@
 {
 	size_t at = 0;
 
+	chunks->total += bytes.len;
 	while (at < bytes.len) {
 		switch (chunks->state) {
 		case CHUNKS_SIZE:
@@ -59,3 +66,8 @@
 		}
 	}
 }
+
+bool chunks_are_hollow(uint64_t total, uint64_t data)
+{
+	return (total - data) / FRAMING_PER_BYTE > FRAMING_FREE_BYTES / FRAMING_PER_BYTE + data;
+}
--- a/base/chunks.h
+++ b/base/chunks.h
@@ -21,9 +21,16 @@
 	enum chunks_state state;
 	uint64_t left;	 /**< bytes of the chunk that are to come */
 	size_t line_len; /**< of a trailer, without its end */
+	uint64_t data;	 /**< bytes of chunks that came */
+	uint64_t total;	 /**< all bytes that came */
 };
 
 /** Reads the next bytes; those behind the body's end are ignored. */
 void chunks_read(struct chunks *chunks, struct str bytes);
+/**
+ * Returns whether a body in chunks, of whose @p total bytes @p data are its own, has too little of
+ * them. Lines with sizes have no other limit, and reading them takes time from other work.
+ */
+bool chunks_are_hollow(uint64_t total, uint64_t data);
 
 #endif
--- a/base/transfer.c
+++ b/base/transfer.c
@@ -2,7 +2,11 @@
 
 #include "base/chunks.h"
 
-enum { CHECK_INTERVAL_MS = 100 };
+enum {
+	CHECK_INTERVAL_MS = 100,
+	/* Parts of a body below this size, such as small chunks, are delivered together. */
+	COLLECT_BYTES = 4 << 10,
+};
 
 /* A running transfer. */
 struct transfer {
@@ -10,8 +14,9 @@
 	struct head_reader reader;
 	size_t head_bytes;
 	int64_t body_bytes;
-	struct chunks chunks; /* the body, if it is in chunks */
-	bool too_long;	      /* the head is */
+	struct chunks chunks;	 /* the body, if it is in chunks */
+	struct strbuf collected; /* bytes of the body that are not delivered yet */
+	bool too_long;		 /* the head is */
 	bool foreign;
 	bool stopped; /* by the handler */
 };
@@ -83,15 +88,39 @@
 	g_assert_not_reached();
 }
 
+static bool deliver_body(struct transfer *transfer, struct str bytes)
+{
+	struct transfer_event event = { .kind = TRANSFER_BODY, .bytes = bytes };
+
+	return deliver(transfer, &event);
+}
+
+/* Delivers the collected bytes. Each delivery may end in a write to a socket. */
+static bool deliver_collected(struct transfer *transfer)
+{
+	bool wanted = true;
+
+	if (transfer->collected.len && !transfer->stopped)
+		wanted = deliver_body(transfer, strbuf_str(&transfer->collected));
+	transfer->collected.len = 0;
+	return wanted;
+}
+
 static size_t on_body(char *data, size_t size, size_t count, void *context)
 {
 	struct transfer *transfer = context;
-	struct transfer_event event = { .kind = TRANSFER_BODY, .bytes = { data, size * count } };
+	struct str bytes = { data, size * count };
+	bool wanted = true;
 
 	if (transfer->reader.state != HEAD_ENDED)
 		return 0;
-	transfer->body_bytes += (int64_t)event.bytes.len;
-	return deliver(transfer, &event) ? event.bytes.len : 0;
+	transfer->body_bytes += (int64_t)bytes.len;
+	if (transfer->collected.len == 0 && bytes.len >= COLLECT_BYTES)
+		return deliver_body(transfer, bytes) ? bytes.len : 0;
+	strbuf_add(&transfer->collected, bytes);
+	if (transfer->collected.len >= COLLECT_BYTES)
+		wanted = deliver_collected(transfer);
+	return wanted ? bytes.len : 0;
 }
 
 static size_t on_read(char *into, size_t size, size_t count, void *context)
@@ -102,11 +131,17 @@
 	return deliver(transfer, &event) ? event.read.len : CURL_READFUNC_ABORT;
 }
 
+/* Returns whether the answer is in chunks that hold next to nothing of a body. */
+static bool is_hollow(const struct transfer *transfer)
+{
+	return chunks_are_hollow(transfer->chunks.total, transfer->chunks.data);
+}
+
 static bool is_awaited(struct transfer *transfer)
 {
 	struct transfer_event event = { .kind = TRANSFER_CHECK };
 
-	return deliver(transfer, &event);
+	return deliver_collected(transfer) && !is_hollow(transfer) && deliver(transfer, &event);
 }
 
 static int on_progress(void *context, curl_off_t download_total, curl_off_t downloaded,
@@ -123,9 +158,11 @@
 {
 	struct transfer *transfer = context;
 
-	(void)curl;
 	if (type == CURLINFO_DATA_IN)
 		chunks_read(&transfer->chunks, (struct str){ data, size });
+	/* Otherwise libcurl reads on while there are bytes. is_awaited() ends the transfer. */
+	if (is_hollow(transfer))
+		curl_easy_pause(curl, CURLPAUSE_RECV);
 	return 0;
 }
 
@@ -164,7 +201,7 @@
 
 	curl_multi_add_handle(multi, curl);
 	while (running && is_awaited(transfer)) {
-		if (curl_multi_perform(multi, &running) != CURLM_OK)
+		if (curl_multi_perform(multi, &running) != CURLM_OK || !deliver_collected(transfer))
 			break;
 		if (running)
 			curl_multi_poll(multi, NULL, 0, CHECK_INTERVAL_MS, NULL);
@@ -219,8 +256,9 @@
 	    (transfer->too_long && state != HEAD_ENDED))
 		return TRANSFER_MALFORMED;
 	if (state == HEAD_ENDED)
-		return code == CURLE_OK && is_body_whole(transfer) ? TRANSFER_WHOLE
-								   : TRANSFER_CUT_IN_BODY;
+		return code == CURLE_OK && !transfer->stopped && is_body_whole(transfer)
+			       ? TRANSFER_WHOLE
+			       : TRANSFER_CUT_IN_BODY;
 	if (transfer->head_bytes)
 		return TRANSFER_CUT_IN_HEAD;
 	curl_easy_getinfo(transfer->options->curl, CURLINFO_REQUEST_SIZE, &sent);
@@ -235,6 +273,8 @@
 		return "the answer's head is too long";
 	if (transfer->reader.state == HEAD_MALFORMED)
 		return transfer->reader.problem;
+	if (is_hollow(transfer))
+		return "the answer's chunks are nearly empty";
 	return code == CURLE_OK ? "the answer broke off" : curl_easy_strerror(code);
 }
 
@@ -290,7 +330,9 @@
 	head_reader_init(&transfer.reader, options->unique, options->no_body);
 	set_callbacks(options->curl, &transfer);
 	code = perform(&transfer, &fd);
+	deliver_collected(&transfer);
 	result = make_result(&transfer, code, fd);
 	head_reader_clear(&transfer.reader);
+	strbuf_clear(&transfer.collected);
 	return result;
 }
--- a/regress/base/chunks_test.c
+++ b/regress/base/chunks_test.c
@@ -47,9 +47,36 @@
 	assert_int_equal(chunks.state, CHUNKS_ENDED);
 }
 
+/* A chunk of one byte may have a short extension; one with pages of it is no body. */
+static void test_body_with_hardly_any_bytes_is_hollow(void **state)
+{
+	static const struct {
+		const char *chunk;
+		bool hollow;
+	} rows[] = {
+		{ "1\r\nb\r\n", false },
+		{ "4;name=value;", true },
+		{ "4;name=value\r\nbody\r\n", false },
+		{ "1;name=value;name=value;name=value\r\nb\r\n", true },
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		struct str chunk = str_from_cstr(rows[i].chunk);
+		struct chunks chunks = { 0 };
+
+		while (chunks.total < 1 << 20)
+			chunks_read(&chunks, chunk);
+		if (chunks_are_hollow(chunks.total, chunks.data) != rows[i].hollow)
+			fail_msg("row %zu: %lu bytes, %lu of the body", i, chunks.total,
+				 chunks.data);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_body_with_hardly_any_bytes_is_hollow),
 		cmocka_unit_test(test_body_ends_with_its_last_byte),
 		cmocka_unit_test(test_bytes_behind_the_end_change_nothing),
 	};
--- a/target/call.c
+++ b/target/call.c
@@ -10,7 +10,7 @@
 
 enum {
 	CONNECT_TIMEOUT_MS = 500,
-	HEAD_MAX_BYTES = 256 << 10, /* interim heads and trailers included */
+	HEAD_MAX_BYTES = 64 << 10, /* interim heads and trailers included */
 	REFUSAL_BODY_MAX_BYTES = 64 << 10,
 	STATUS_SERVER_ERROR = 500,
 };
