A health check reads no more than a small body

What was seen: a target whose health answer never ended was read for the 300 ms of the check, 1.1 GB in one, four times a second while its heartbeat was in doubt.

Cause: the handler took and dropped each part of the body.

Fix: a body above 64 KiB ends the check, and the target is not healthy.

--- a/regress/target/endless_test.c
+++ b/regress/target/endless_test.c
@@ -1,7 +1,8 @@
 /*
  * A server may send bytes that are no answer without end, until the connection is closed. Calls to
- * the target and exchanges with the log service must end by their deadline, close the connection
- * and need only a bounded amount of memory.
+ * the target, its health checks, exchanges with the log service and fetches of the operator's tool
+ * must end by their deadline, close the connection, need only a bounded amount of memory, and read
+ * few of the bytes that belong to no body.
  */
 #include "regress/lib/check.h"
 
@@ -18,6 +19,7 @@
 #include "platform/exchange.h"
 #include "regress/lib/listen.h"
 #include "target/call.h"
+#include "target/health.h"
 
 #define DEADLINE_US	 (1 * US_PER_S)
 #define LATE_MAX_US	 (500 * US_PER_MS) /* a call may end this long after its deadline */
@@ -27,40 +29,51 @@
 
 #define REST_AFTER_US (20 * US_PER_MS)
 
-enum { MEMORY_MAX_KB = 16 << 10, SERVER_STOP_S = 5 };
+enum {
+	MEMORY_MAX_KB = 16 << 10,
+	TAKEN_MAX_BYTES = MEMORY_MAX_KB << 10, /* those in the buffers of both sockets included */
+	SERVER_STOP_S = 7,
+};
 
 struct endless_case {
 	const char *name;
 	const char *start;  /* sent once */
 	const char *repeat; /* sent until the connection is closed */
+	bool is_body;	    /* the bytes are passed on, or taken until the client's own limit */
 };
 
 static const struct endless_case cases[] = {
-	{ "garbage without a line end", "", "xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx" },
-	{ "garbage lines", "", "not an answer\r\n" },
-	{ "status line without an end", "HTTP/1.1 200 ", "OK OK OK OK OK OK OK OK OK OK " },
-	{ "head of many fields", "HTTP/1.1 200 OK\r\n", "X-Field: some value of a field\r\n" },
-	{ "field without an end", "HTTP/1.1 200 OK\r\nX-Field: ", "value value value value " },
-	{ "interim heads", "", "HTTP/1.1 100 Continue\r\n\r\n" },
-	{ "interim heads with fields", "", "HTTP/1.1 103 Hints\r\nLink: </a>; rel=b\r\n\r\n" },
+	{ "garbage without a line end", "", "xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx", false },
+	{ "garbage lines", "", "not an answer\r\n", false },
+	{ "status line without an end", "HTTP/1.1 200 ", "OK OK OK OK OK OK OK OK OK OK ", false },
+	{ "head of many fields", "HTTP/1.1 200 OK\r\n", "X-Field: some value of a field\r\n",
+	  false },
+	{ "field without an end", "HTTP/1.1 200 OK\r\nX-Field: ", "value value value value ",
+	  false },
+	{ "interim heads", "", "HTTP/1.1 100 Continue\r\n\r\n", false },
+	{ "interim heads with fields", "", "HTTP/1.1 103 Hints\r\nLink: </a>; rel=b\r\n\r\n",
+	  false },
 	{ "body until the connection closes",
 	  "HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\nConnection: close\r\n\r\n",
-	  "body body body body body body body body " },
+	  "body body body body body body body body ", true },
 	{ "chunks",
 	  "HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n",
-	  "10\r\n0123456789abcdef\r\n" },
+	  "10\r\n0123456789abcdef\r\n", true },
+	{ "chunks of one byte with a long extension",
+	  "HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n",
+	  "1;extension=value;extension=value;extension=value;extension=value\r\nx\r\n", false },
 	{ "chunk size without an end",
 	  "HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n",
-	  "000000000000000000000000000000" },
+	  "000000000000000000000000000000", false },
 	{ "chunk extension without an end",
 	  "HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n4;",
-	  "extension=value;extension=value;" },
+	  "extension=value;extension=value;", false },
 	{ "trailers",
 	  "HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
-	  "X-Trailer: some value of a trailer\r\n" },
+	  "X-Trailer: some value of a trailer\r\n", false },
 	{ "bytes after the answer",
 	  "HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\nContent-Length: 2\r\n\r\nok",
-	  "more more more more more more more more " },
+	  "more more more more more more more more ", false },
 };
 
 /* A server for one connection, in its own thread. */
@@ -69,6 +82,7 @@
 	int listen_fd;
 	uint16_t port;
 	int64_t closed_at_us; /* when the client's close was noticed; 0: never */
+	uint64_t taken_bytes;
 	GThread *thread;
 };
 
@@ -99,6 +113,7 @@
 			server->closed_at_us = clock_now().mono_us;
 			break;
 		}
+		server->taken_bytes += (uint64_t)n;
 		/* The next block continues where the period of the text was interrupted. */
 		offset = (offset + (size_t)n) % period;
 	}
@@ -141,6 +156,7 @@
 {
 	const char *name = server->row->name;
 	int64_t memory_kb = peak_memory_kb() - memory_before_kb;
+	bool passed_on = server->row->is_body;
 
 	g_thread_join(server->thread);
 	close(server->listen_fd);
@@ -150,6 +166,8 @@
 		fail_msg("%s: the connection was not closed", name);
 	if (memory_kb > MEMORY_MAX_KB)
 		fail_msg("%s: the call needed %ld KB", name, memory_kb);
+	if (!passed_on && server->taken_bytes > TAKEN_MAX_BYTES)
+		fail_msg("%s: the client took %lu KB", name, server->taken_bytes >> 10);
 }
 
 static bool on_target_event(void *context, struct target_event *event)
@@ -220,9 +238,32 @@
 	apr_pool_destroy(pool);
 }
 
+/* A health check read on until its time was over, gigabytes where the server sent as many. */
+static void test_health_check_reads_little_of_endless_answer(void **state)
+{
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct target_endpoint endpoint = { .ipv4 = INADDR_LOOPBACK };
+		int64_t memory_before_kb = peak_memory_kb();
+		int64_t started_us = clock_now().mono_us;
+		struct endless_case row = cases[i];
+		struct server server;
+		bool healthy;
+
+		row.is_body = false;
+		server_start(&server, &row);
+		endpoint.port = server.port;
+		healthy = target_is_healthy(&dialect_platform, &endpoint, STR("/health"));
+		check_end(&server, started_us, clock_now().mono_us, memory_before_kb);
+		if (healthy && !g_str_has_prefix(row.name, "bytes after"))
+			fail_msg("%s: the target counts as healthy", row.name);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_health_check_reads_little_of_endless_answer),
 		cmocka_unit_test(test_target_that_never_ends_its_answer),
 		cmocka_unit_test(test_log_service_that_never_ends_its_answer),
 	};
--- a/target/health.c
+++ b/target/health.c
@@ -2,13 +2,19 @@
 
 #include "base/transfer.h"
 
-enum { TIMEOUT_MS = 300, STATUS_OK = 200, HEAD_MAX_BYTES = 64 << 10 };
+enum {
+	TIMEOUT_MS = 300,
+	STATUS_OK = 200,
+	HEAD_MAX_BYTES = 64 << 10,
+	BODY_MAX_BYTES = 64 << 10,
+};
 
 /* The answer of the target that is expected, as far as it says which one it is. */
 struct health_answer {
 	const struct dialect *dialect;
 	const struct label *expected;
 	bool other_target;
+	size_t body_bytes;
 };
 
 static void read_head(struct health_answer *answer, const struct head *head)
@@ -23,11 +29,15 @@
 
 static bool on_event(void *context, struct transfer_event *event)
 {
+	struct health_answer *answer = context;
+
 	switch (event->kind) {
 	case TRANSFER_HEAD:
-		read_head(context, event->head.head);
+		read_head(answer, event->head.head);
 		return true;
 	case TRANSFER_BODY:
+		answer->body_bytes += event->bytes.len;
+		return answer->body_bytes <= BODY_MAX_BYTES;
 	case TRANSFER_READ:
 	case TRANSFER_CHECK:
 		return true;
