Tool: an answer without end is not kept

What was seen: the operator's tool kept everything that a control address sent until its time was over: 3.5 GB in five seconds, on the operator's machine.

Cause: fetch() had a limit of time but none of bytes.

Fix: an answer above 16 MiB is broken off.

--- a/godwithitch/fetch.c
+++ b/godwithitch/fetch.c
@@ -3,7 +3,12 @@
 #include "base/transfer.h"
 #include "godwithitch/tool.h"
 
-enum { FETCH_TIMEOUT_MS = 5000, CONNECT_TIMEOUT_MS = 1000, HEAD_MAX_BYTES = 64 << 10 };
+enum {
+	FETCH_TIMEOUT_MS = 5000,
+	CONNECT_TIMEOUT_MS = 1000,
+	HEAD_MAX_BYTES = 64 << 10,
+	BODY_MAX_BYTES = 16 << 20, /* the members of 5,800 nodes, or the largest file */
+};
 
 static void read_head(struct reply *reply, const struct head *head)
 {
@@ -21,6 +26,8 @@
 		read_head(reply, event->head.head);
 		return true;
 	case TRANSFER_BODY:
+		if (reply->body.len + event->bytes.len > BODY_MAX_BYTES)
+			return false;
 		strbuf_add(&reply->body, event->bytes);
 		return true;
 	case TRANSFER_READ:
--- a/regress/godwithitch/fetch_test.c
+++ b/regress/godwithitch/fetch_test.c
@@ -5,10 +5,18 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 
 #include "regress/lib/break_server.h"
+#include "regress/lib/breaker.h"
 
-enum { EXIT_DONE = 0, EXIT_REJECTED = 1, EXIT_UNKNOWN = 3, SHOWN_MAX = 8 };
+enum {
+	EXIT_DONE = 0,
+	EXIT_REJECTED = 1,
+	EXIT_UNKNOWN = 3,
+	SHOWN_MAX = 8,
+	MEMORY_MAX_KB = 64 << 10,
+};
 
 struct whole_answer {
 	struct str bytes;
@@ -84,9 +92,39 @@
 	assert_int_equal(wrong, 0);
 }
 
+static void answer_without_end(void *context, const struct breaker_request *request,
+			       struct breaker_plan *plan)
+{
+	(void)context;
+	(void)request;
+	breaker_plan_send(plan, STR("HTTP/1.1 200 OK\r\n\r\n"));
+	breaker_plan_flood(plan, STR("more of the file\n"));
+}
+
+/* The command kept all that came until its time was over. */
+static void test_endless_answer_needs_little_memory(void **state)
+{
+	struct breaker_options options = { .instance = "", .answer = answer_without_end };
+	struct breaker *breaker = breaker_new(&options);
+	struct rusage usage;
+	char *output = NULL;
+
+	(void)state;
+	assert_int_equal(run_show((uint16_t)breaker_port(breaker), &output), EXIT_UNKNOWN);
+	assert_string_equal(output, "");
+	getrusage(RUSAGE_CHILDREN, &usage);
+	printf("%ld KB at the peak\n", usage.ru_maxrss);
+	assert_true(usage.ru_maxrss <= MEMORY_MAX_KB);
+	g_free(output);
+	breaker_free(breaker);
+}
+
 int main(void)
 {
-	const struct CMUnitTest tests[] = { cmocka_unit_test(test_broken_answer_is_no_answer) };
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_broken_answer_is_no_answer),
+		cmocka_unit_test(test_endless_answer_needs_little_memory),
+	};
 
 	return cmocka_run_group_tests_name("godwithitch/fetch", tests, NULL, NULL);
 }
