Callers: bytes that are no request are read up to a limit

What was seen: a caller that sent without end behind its last request, behind an invalid one, or in chunks of one byte with long extensions, was read as fast as it sent, and its connection never closed: each read counted as activity.

Cause: what follows the last request is read and dropped, so that a close does not reset the connection before its answer has arrived; nothing limited that. http_parser limits the lines around a chunk one by one only.

Fix: after 1 MiB of dropped bytes a connection is not read any more, so that it closes as an idle one; a body in chunks that are nearly empty is invalid, by the rule for answers of targets.

--- a/caller/connection.c
+++ b/caller/connection.c
@@ -14,6 +14,7 @@
 	READS_PER_EVENT = 4, /* after so many reads the worker handles other connections */
 	BLOCK_BYTES = 32 << 10,
 	OUTPUT_MAX_BYTES = 64 << 10, /* serialized but not yet written to the socket */
+	DISCARD_MAX_BYTES = 1 << 20, /* then a connection is not read any more */
 	STATUS_NO_CONTENT = 204,
 	STATUS_NOT_MODIFIED = 304,
 };
@@ -524,6 +525,8 @@
 	const struct caller_call *call = connection->input.call;
 	bool room;
 
+	if (connection->input.discarded > DISCARD_MAX_BYTES)
+		return false;
 	lock_acquire(&connection->lock);
 	room = g_queue_get_length(&connection->calls) < PIPELINE_MAX;
 	lock_release(&connection->lock);
@@ -557,9 +560,11 @@
 	lock_acquire(&connection->lock);
 	connection->last_active_us = clock_now().mono_us;
 	lock_release(&connection->lock);
-	/* Bytes after the last request are read from the socket and discarded. */
-	if (reads_requests(connection))
-		input_parse(connection, (struct str){ bytes, (size_t)n });
+	/* Bytes after the last request are read from the socket and discarded: closing it with
+	 * unread bytes would reset it, and the caller could lose its last answer. */
+	if (!reads_requests(connection) ||
+	    !input_parse(connection, (struct str){ bytes, (size_t)n }))
+		connection->input.discarded += (uint64_t)n;
 	return (size_t)n == sizeof(bytes) ? READ_MORE : READ_DRAINED;
 }
 
--- a/caller/connection.h
+++ b/caller/connection.h
@@ -104,8 +104,11 @@
 	bool in_value;
 	bool closes;	    /* no request follows this one */
 	bool head_complete; /* fields that follow are trailers */
+	uint64_t received;  /* bytes since the end of the head */
+	uint64_t body;	    /* those of the body itself */
 	int error_status;   /* answer to an invalid request, after which nothing is read; 0: none */
 	bool ended;	    /* the last request is complete; bytes after it are discarded */
+	uint64_t discarded; /* bytes that belong to no request */
 };
 
 struct connection {
--- a/caller/read.c
+++ b/caller/read.c
@@ -3,6 +3,7 @@
  */
 #include <string.h>
 
+#include "base/chunks.h"
 #include "caller/connection.h"
 
 enum {
@@ -145,6 +146,8 @@
 
 	finish_head(input);
 	input->head_complete = true;
+	input->received = 0;
+	input->body = 0;
 	if (parser->upgrade) {
 		input->error_status = STATUS_BAD_REQUEST;
 		return HEAD_REJECTED;
@@ -164,8 +167,10 @@
 
 static int on_body(struct http_parser *parser, const char *data, size_t len)
 {
-	struct caller_call *call = connection_of(parser)->input.call;
+	struct request_input *input = &connection_of(parser)->input;
+	struct caller_call *call = input->call;
 
+	input->body += len;
 	switch (call->body.kind) {
 	case CALLER_BODY_WHOLE:
 		strbuf_add(&call->body.whole, (struct str){ data, len });
@@ -298,6 +303,13 @@
 	return error == HPE_HEADER_OVERFLOW ? STATUS_HEAD_TOO_LARGE : STATUS_BAD_REQUEST;
 }
 
+/* Returns whether the body that is being read came with far more bytes around it than it has. */
+static bool is_hollow(const struct request_input *input)
+{
+	return input->call && input->head_complete &&
+	       chunks_are_hollow(input->received, input->body);
+}
+
 bool input_parse(struct connection *connection, struct str bytes)
 {
 	struct request_input *input = &connection->input;
@@ -306,9 +318,10 @@
 	if (input->ended || input->error_status)
 		return false;
 	parsed = http_parser_execute(&input->parser, &callbacks, bytes.data, bytes.len);
+	input->received += parsed;
 	if (input->ended)
 		return false;
-	if (parsed == bytes.len && HTTP_PARSER_ERRNO(&input->parser) == HPE_OK)
+	if (parsed == bytes.len && HTTP_PARSER_ERRNO(&input->parser) == HPE_OK && !is_hollow(input))
 		return true;
 	if (input->error_status == 0)
 		input->error_status = error_status_of(HTTP_PARSER_ERRNO(&input->parser));
