An invalid body cuts no request before it

What was seen: a caller sent a request, and behind it one whose body was no chunk. The connection was closed at once, and the first request, which was running at its target, was never answered.

Cause: reject_body() closed the connection, although requests of which only the head was read may wait behind others.

Evidence: caller/requests, test_invalid_body_cuts_no_request_before_it: failed before the fix.

Fix: a request that was not passed to the handler yet is answered 400 behind the earlier answers, and the connection closes behind that. One that has started still ends its connection: its body cannot be completed.

--- a/caller/read.c
+++ b/caller/read.c
@@ -244,32 +244,58 @@
 	caller_call_unref(call);
 }
 
+/* Answers a request that was not passed to the handler: 4xx, and the connection closes behind it.
+ */
+static void answer_rejected(struct connection *connection, struct caller_call *call, int status)
+{
+	struct response_head head = { .status = status };
+	struct str verdict = caller_options_of(connection->caller)->verdict_field;
+
+	if (verdict.len)
+		head.fields[head.field_count++] = (struct field){ verdict, STR("not-run") };
+	caller_answer(call, &head, STR(""));
+}
+
+/* What has become of a request whose body is invalid. */
+enum queued_call { QUEUED_ANSWERED, QUEUED_WAITING, QUEUED_RUNNING };
+
 /* The head was valid, and the call may have started: only its body is invalid. An answer that is
- * complete already is the connection's last. */
-static void reject_body(struct connection *connection, struct caller_call *call)
+ * complete already is the connection's last. A call that waits for earlier ones has not started:
+ * those are answered, and then it is. */
+static void reject_body(struct connection *connection, struct caller_call *call, int status)
 {
-	bool answered;
+	enum queued_call state = QUEUED_RUNNING;
 
 	lock_acquire(&connection->lock);
-	answered = !g_queue_find(&connection->calls, call);
-	if (answered)
+	if (!g_queue_find(&connection->calls, call)) {
+		state = QUEUED_ANSWERED;
 		connection->answers = ANSWERS_ENDED;
+	} else if (!call->dispatched) {
+		state = QUEUED_WAITING;
+		call->dispatched = true;
+		call->startable = true;
+		call->close_after = true;
+	}
 	lock_release(&connection->lock);
-	if (answered)
+	switch (state) {
+	case QUEUED_ANSWERED:
 		connection_advance(connection);
-	else
+		return;
+	case QUEUED_WAITING:
+		answer_rejected(connection, call, status);
+		return;
+	case QUEUED_RUNNING:
 		connection_close(connection);
+		return;
+	}
+	g_assert_not_reached();
 }
 
 /* Queues an error answer behind the answers to earlier requests, unless no more are sent. */
 static void reject_head(struct connection *connection, struct caller_call *call, int status)
 {
-	struct response_head head = { .status = status };
-	struct str verdict = caller_options_of(connection->caller)->verdict_field;
 	bool queued;
 
-	if (verdict.len)
-		head.fields[head.field_count++] = (struct field){ verdict, STR("not-run") };
 	call->close_after = true;
 	lock_acquire(&connection->lock);
 	queued = connection_takes_calls(connection);
@@ -282,7 +308,7 @@
 	}
 	lock_release(&connection->lock);
 	if (queued)
-		caller_answer(call, &head, STR(""));
+		answer_rejected(connection, call, status);
 }
 
 static void reject_request(struct connection *connection)
@@ -292,7 +318,7 @@
 
 	input->call = NULL;
 	if (call->queued)
-		reject_body(connection, call);
+		reject_body(connection, call, input->error_status);
 	else
 		reject_head(connection, call, input->error_status);
 	caller_call_unref(call);
--- a/regress/caller/requests_test.c
+++ b/regress/caller/requests_test.c
@@ -207,9 +207,33 @@
 	check_cuts(&request);
 }
 
+/* The connection was closed at once, and the request that was running got no answer. */
+static void test_invalid_body_cuts_no_request_before_it(void **state)
+{
+	struct response_head head = { .status = 200 };
+	int fd = callers_connect();
+	struct strbuf answers;
+
+	(void)state;
+	callers_send(fd, "GET /first HTTP/1.1\r\nHost: a\r\n\r\n");
+	callers_call(0);
+	callers_send(fd, "POST /second HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+			 "not a size\r\n");
+	wait_for_server();
+	assert_true(caller_answer(callers_call(0), &head, STR("first")));
+	answers = callers_read(fd, END_WAIT_MS);
+	assert_non_null(strstr(answers.data, "HTTP/1.1 200 "));
+	assert_non_null(strstr(answers.data, "HTTP/1.1 400 "));
+	assert_null(find_call(STR("/second")));
+	strbuf_clear(&answers);
+	close(fd);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(test_invalid_body_cuts_no_request_before_it,
+						callers_set_up_ordered, callers_tear_down),
 		cmocka_unit_test_setup_teardown(test_cut_small_body_is_not_passed_on,
 						callers_set_up_ordered, callers_tear_down),
 		cmocka_unit_test_setup_teardown(test_cut_streamed_body_is_not_complete,
