--- a/base/workers.c
+++ b/base/workers.c
@@ -108,8 +108,7 @@
 static apr_status_t start_thread(struct workers *workers, int index)
 {
 	apr_thread_t *thread = NULL;
-	apr_status_t status =
-		apr_thread_create(&thread, NULL, worker_main, workers, workers->pool);
+	apr_status_t status = apr_thread_create(&thread, NULL, worker_main, workers, workers->pool);
 
 	if (status == APR_SUCCESS)
 		workers->threads[index] = thread;
