Jobs of the log wait for each other instead of failing

What was seen: keys of callers that left while their keys were being claimed stayed held, 1 to 4 of 20, though nothing ran (godwithitchd/left_keys_test, listed in KNOWN-RED.txt). Native interface only.

Cause: at most four appends and reads of keys run at once, so that a slow log occupies no more workers. A fifth failed at once, and its partition tried again 200 ms later, together with all others: twenty keys, whose claims need an append, a read and the append of a release each, got four jobs done in 200 ms however fast the log was, and the releases were not in the log when the callers came back.

Fix: a job waits for one that ends, and its worker runs it; a job that could not start within two seconds fails as before.

--- a/godwithitchd/daemon.h
+++ b/godwithitchd/daemon.h
@@ -42,10 +42,11 @@
 	struct stop_plan stop;		/**< set before stop_begun, and not changed after */
 	gint stop_begun;		/**< atomic, like the members below */
 	gint stopping;			/**< new requests are refused */
-	gint log_jobs;			/**< running appends, and reads of STREAM_KEYS */
 	gint inbound_count;		/**< inbound requests, queued ones included */
 	struct lock announcements;	/**< LOCK_ANNOUNCE; held while one takes effect */
 	struct lock lock;		/**< LOCK_CALLS; protects all members below */
+	int log_jobs;			/**< running appends, and reads of STREAM_KEYS */
+	GQueue waiting_log_jobs;	/**< struct work; those that wait for one to end */
 	struct pace pace;		/**< rate limit of large answers to other nodes */
 	struct deadline announcement_expires_at; /**< 0: no target is announced */
 	struct registration registration;	 /**< registration of the target on this VM */
@@ -74,6 +75,8 @@
 void dispatch_tick(struct daemon *daemon);
 void dispatch_read_log(struct daemon *daemon, void *data);
 void dispatch_append(struct daemon *daemon, void *data);
+/** Frees the log's jobs that wait. To be called after the workers have ended. */
+void dispatch_drop_log_jobs(struct daemon *daemon);
 /** Completes and parses the changes of a peer's message, then passes it to core. */
 void dispatch_peer_message(struct daemon *daemon, uint64_t from, struct message *message);
 /** Adds this node to the platform's list of nodes and passes the nodes on it to core. */
--- a/godwithitchd/dispatch.c
+++ b/godwithitchd/dispatch.c
@@ -14,6 +14,7 @@
 
 #define TICK_INTERVAL_US  (100 * US_PER_MS)
 #define APPEND_TIMEOUT_US (2 * US_PER_S)
+#define LOG_WAIT_US	  (2 * US_PER_S) /* of a job, until it is started */
 #define DISCOVER_RETRY_US (500 * US_PER_MS)
 #define ASK_RETRY_US	  (250 * US_PER_MS)
 
@@ -24,6 +25,7 @@
 
 /** Arguments of WORK_READ_LOG, owned by the work item. */
 struct read_job {
+	struct deadline start_by; /**< otherwise it has failed; 0: no limit */
 	enum log_stream stream;
 	int partition;
 	int64_t from;
@@ -34,6 +36,7 @@
 
 /** Arguments of WORK_APPEND, owned by the work item. */
 struct append_job {
+	struct deadline start_by; /**< otherwise it has failed */
 	enum log_stream stream;
 	int partition;
 	uint64_t tag;
@@ -48,18 +51,38 @@
 	dispatch_actions(daemon, &actions);
 }
 
-/* Counts a new log job; returns false if LOG_JOBS_MAX are running. */
-static bool acquire_log_job(struct daemon *daemon)
+/* Starts a job of the log, or lets it wait while LOG_JOBS_MAX are running. Core has one append and
+ * one read of each partition at most. Returns false if the workers' queue is full. */
+static bool post_log_job(struct daemon *daemon, struct work work)
 {
-	if (g_atomic_int_add(&daemon->log_jobs, 1) < LOG_JOBS_MAX)
+	bool runs;
+
+	lock_acquire(&daemon->lock);
+	runs = daemon->log_jobs < LOG_JOBS_MAX;
+	if (runs)
+		daemon->log_jobs++;
+	else
+		g_queue_push_tail(&daemon->waiting_log_jobs, g_memdup2(&work, sizeof(work)));
+	lock_release(&daemon->lock);
+	if (!runs || workers_post(daemon->workers, work))
 		return true;
-	g_atomic_int_add(&daemon->log_jobs, -1);
+	lock_acquire(&daemon->lock);
+	daemon->log_jobs--;
+	lock_release(&daemon->lock);
 	return false;
 }
 
-static void release_log_job(struct daemon *daemon)
+/* Ends a job; its worker takes the next one that waits. Returns NULL if there is none. */
+static struct work *next_log_job(struct daemon *daemon)
 {
-	g_atomic_int_add(&daemon->log_jobs, -1);
+	struct work *work;
+
+	lock_acquire(&daemon->lock);
+	work = g_queue_pop_head(&daemon->waiting_log_jobs);
+	if (!work)
+		daemon->log_jobs--;
+	lock_release(&daemon->lock);
+	return work;
 }
 
 /* Reports a read that could not be started; core backs off and retries it. */
@@ -86,15 +109,9 @@
 
 static void post_read(struct daemon *daemon, const struct action *action)
 {
-	struct read_job *job;
-
-	/* Reads of the other streams, such as the long poll for changes, are not counted: core
-	 * has at most one of each running, and WORKERS_RESERVED leaves workers for them. */
-	if (action->read.stream == STREAM_KEYS && !acquire_log_job(daemon)) {
-		fail_read(daemon, action);
-		return;
-	}
-	job = g_new0(struct read_job, 1);
+	struct read_job *job = g_new0(struct read_job, 1);
+	struct work work = { WORK_READ_LOG, job };
+	bool posted;
 
 	job->stream = action->read.stream;
 	job->partition = action->read.partition;
@@ -102,35 +119,35 @@
 	job->wait_until = action->read.wait_until;
 	job->started_us = clock_now().mono_us;
 	job->check = action->read.check;
-	if (workers_post(daemon->workers, (struct work){ WORK_READ_LOG, job }))
+	/* Reads of the other streams, such as the long poll for changes, are not counted: core
+	 * has at most one of each running, and WORKERS_RESERVED leaves workers for them. */
+	if (job->stream == STREAM_KEYS) {
+		job->start_by = deadline_after(clock_now(), LOG_WAIT_US);
+		posted = post_log_job(daemon, work);
+	} else {
+		posted = workers_post(daemon->workers, work);
+	}
+	if (posted)
 		return;
 	g_free(job);
-	if (action->read.stream == STREAM_KEYS)
-		release_log_job(daemon);
 	fail_read(daemon, action);
 }
 
 static void post_append(struct daemon *daemon, struct action *action)
 {
-	struct append_job *job;
-
-	if (!acquire_log_job(daemon)) {
-		fail_append(daemon, action);
-		return;
-	}
-	job = g_new0(struct append_job, 1);
+	struct append_job *job = g_new0(struct append_job, 1);
 
+	job->start_by = deadline_after(clock_now(), LOG_WAIT_US);
 	job->stream = action->append.stream;
 	job->partition = action->append.partition;
 	job->tag = action->append.tag;
 	job->record = action->append.record;
 	/* The job takes over ownership of the record. */
 	action->append.record = (struct log_record){ .kind = LOG_INVALID };
-	if (workers_post(daemon->workers, (struct work){ WORK_APPEND, job }))
+	if (post_log_job(daemon, (struct work){ WORK_APPEND, job }))
 		return;
 	log_record_clear(&job->record);
 	g_free(job);
-	release_log_job(daemon);
 	fail_append(daemon, action);
 }
 
@@ -414,56 +431,103 @@
 	dispatch_event(daemon, &event);
 }
 
-void dispatch_read_log(struct daemon *daemon, void *data)
+static void report_read(struct daemon *daemon, const struct read_job *job,
+			const struct log_read *read)
 {
-	struct read_job *job = data;
-	struct log_read read = logclient_read(daemon->logclient, job->stream, job->partition,
-					      job->from, job->wait_until);
 	struct event event = { .kind = EVENT_LOG_FAILED };
 
-	if (job->stream == STREAM_KEYS)
-		release_log_job(daemon);
-	if (read.kind == READ_DONE) {
-		for (int i = 0; i < read.count; i++)
-			parse_record_changes(&read.records[i]);
-		log_read_arrival(daemon, job, &read);
+	if (read->kind == READ_DONE) {
+		for (int i = 0; i < read->count; i++)
+			parse_record_changes(&read->records[i]);
+		log_read_arrival(daemon, job, read);
 		event.kind = EVENT_LOG_BATCH;
 		event.batch.stream = job->stream;
 		event.batch.partition = job->partition;
-		event.batch.records = read.records;
-		event.batch.count = read.count;
-		event.batch.newest = read.newest;
+		event.batch.records = read->records;
+		event.batch.count = read->count;
+		event.batch.newest = read->newest;
 		event.batch.check = job->check;
 	} else {
 		event.failed.stream = job->stream;
 		event.failed.partition = job->partition;
-		event.failed.failure = read.failure;
+		event.failed.failure = read->failure;
 		event.failed.check = job->check;
 	}
-	if (!g_atomic_int_get(&daemon->stopping) || read.kind == READ_DONE)
+	if (!g_atomic_int_get(&daemon->stopping) || read->kind == READ_DONE)
 		dispatch_event(daemon, &event);
+}
+
+static void run_read(struct daemon *daemon, struct read_job *job)
+{
+	struct log_read read = { .kind = READ_FAILED, .failure = LOG_FAILURE_LIMITED };
+
+	if (!deadline_passed(job->start_by, clock_now()))
+		read = logclient_read(daemon->logclient, job->stream, job->partition, job->from,
+				      job->wait_until);
+	report_read(daemon, job, &read);
 	log_read_clear(&read);
 	g_free(job);
 }
 
-void dispatch_append(struct daemon *daemon, void *data)
+static void run_append(struct daemon *daemon, struct append_job *job)
 {
-	struct append_job *job = data;
 	struct event event = { .kind = EVENT_APPEND_FAILED,
 			       .append = { job->stream, job->partition, job->tag, 0 } };
+	struct instant now = clock_now();
 	int64_t offset = 0;
-	struct deadline deadline = deadline_after(clock_now(), APPEND_TIMEOUT_US);
 
-	if (logclient_append(daemon->logclient, job->stream, job->partition, &job->record, deadline,
-			     &offset) == APPEND_DONE)
+	if (!deadline_passed(job->start_by, now) &&
+	    logclient_append(daemon->logclient, job->stream, job->partition, &job->record,
+			     deadline_after(now, APPEND_TIMEOUT_US), &offset) == APPEND_DONE)
 		event.kind = EVENT_APPENDED;
-	release_log_job(daemon);
 	event.append.offset = offset;
 	dispatch_event(daemon, &event);
 	log_record_clear(&job->record);
 	g_free(job);
 }
 
+void dispatch_drop_log_jobs(struct daemon *daemon)
+{
+	struct work *work;
+
+	while ((work = g_queue_pop_head(&daemon->waiting_log_jobs)) != NULL) {
+		if (work->kind == WORK_APPEND)
+			log_record_clear(&((struct append_job *)work->data)->record);
+		g_free(work->data);
+		g_free(work);
+	}
+}
+
+/* Runs the jobs that waited for one that has ended. */
+static void run_waiting_log_jobs(struct daemon *daemon)
+{
+	struct work *work;
+
+	while ((work = next_log_job(daemon)) != NULL) {
+		if (work->kind == WORK_READ_LOG)
+			run_read(daemon, work->data);
+		else
+			run_append(daemon, work->data);
+		g_free(work);
+	}
+}
+
+void dispatch_read_log(struct daemon *daemon, void *data)
+{
+	struct read_job *job = data;
+	bool counted = job->stream == STREAM_KEYS;
+
+	run_read(daemon, job);
+	if (counted)
+		run_waiting_log_jobs(daemon);
+}
+
+void dispatch_append(struct daemon *daemon, void *data)
+{
+	run_append(daemon, data);
+	run_waiting_log_jobs(daemon);
+}
+
 static struct target_endpoint target_endpoint_of(const struct daemon *daemon,
 						 const struct announcement *announcement)
 {
--- a/godwithitchd/main.c
+++ b/godwithitchd/main.c
@@ -262,6 +262,7 @@
 	target_free(daemon->target);
 	node_free(daemon->node);
 	metrics_free(daemon->metrics);
+	dispatch_drop_log_jobs(daemon);
 	g_hash_table_destroy(daemon->pending_claims);
 	g_ptr_array_unref(daemon->running_inbound);
 	g_ptr_array_unref(daemon->open_calls);
