--- a/regress/godwithitchd/broken_answers_test.c
+++ b/regress/godwithitchd/broken_answers_test.c
@@ -178,7 +178,8 @@
 	bool unsafe;
 };
 
-static void record_findings(const struct play *play, const struct answered_request *request)
+static void record_findings(const struct play *play, const struct answered_request *request,
+			    int64_t took_us)
 {
 	struct answer_findings findings = answer_check(request);
 
@@ -194,14 +195,15 @@
 	tally.cut_looks_whole += findings.cut_looks_whole;
 	tally.not_passed_on += findings.not_passed_on;
 	tally.unanswered += request->answer->ending == RAW_TIMED_OUT;
-	if (getenv("GODWITHITCH_SHOW") && (findings.mixed || findings.refused || findings.twice ||
-					   findings.cut_looks_whole || findings.not_passed_on))
+	if (findings.mixed || findings.refused || findings.twice || findings.cut_looks_whole ||
+	    findings.not_passed_on)
 		print_message(
-			"%s: %s, %s, %zu bytes, %s: %d with %zu bytes, ending %d, runs %d%s\n",
+			"%s: %s, %s, %zu bytes, %s: %d with %zu bytes, ending %d, runs %d, after "
+			"%lld ms%s\n",
 			request->id, shapes[play->shape].name, bodies[play->body].name, play->sent,
 			play->ending == BREAKER_FIN ? "FIN" : "reset", request->answer->status,
 			request->answer->body.len, request->answer->ending, request->runs,
-			findings.not_passed_on ? ", not passed on" : "");
+			took_us / US_PER_MS, findings.not_passed_on ? ", not passed on" : "");
 	g_mutex_unlock(&mutex);
 }
 
@@ -212,6 +214,7 @@
 	const struct body_row *body = &bodies[play->body];
 	const struct answer_shape *shape = &shapes[play->shape];
 	char path[BREAKER_PATH_MAX];
+	int64_t started_us;
 	struct raw_request request = { .method = body->kind == RAW_NO_BODY && !hop->unsafe ? "GET"
 											   : "POST",
 				       .host = HOST,
@@ -230,10 +233,11 @@
 
 	g_snprintf(path, sizeof(path), "%s%d/%d/%d/%zu/%s", hop->prefix, play->shape, play->body,
 		   (int)play->ending, play->sent, id);
+	started_us = clock_now().mono_us;
 	reply = raw_call(caller, &request);
 	answered.runs = run_count(id);
 	if (answered.runs || shape->not_executed)
-		record_findings(play, &answered);
+		record_findings(play, &answered, clock_now().mono_us - started_us);
 	raw_answer_clear(&reply);
 	return answered.runs || shape->not_executed;
 }
