The end of a paused connection is noticed

What was seen: a caller that reset a connection whose reading was paused (64 requests in progress, a full upload, or dropped bytes beyond their limit) kept a worker busy, and its calls went on until their deadlines.

Cause: epoll reports the end of a connection whatever it is asked for. The worker does not read a paused connection, armed it again, and got the same event.

Evidence: caller/endless_test, test_end_of_a_paused_connection_is_noticed: 64 requests in progress and a reset; their ends were not reported within five seconds before the fix, and are after it.

Fix: a paused connection that has ended in both directions is closed.

--- a/caller/connection.c
+++ b/caller/connection.c
@@ -3,6 +3,7 @@
 #include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -568,10 +569,22 @@
 	return (size_t)n == sizeof(bytes) ? READ_MORE : READ_DRAINED;
 }
 
+/* Returns whether the connection has ended in both directions. */
+static bool has_hung_up(int fd)
+{
+	struct pollfd polled = { .fd = fd };
+
+	return poll(&polled, 1, 0) == 1 && polled.revents & (POLLHUP | POLLERR);
+}
+
 static enum read_result read_available(struct connection *connection)
 {
 	enum read_result result = READ_MORE;
 
+	/* A paused connection is not read, and its end is reported again as long as it is watched.
+	 */
+	if (!can_read(connection))
+		return has_hung_up(connection->fd) ? READ_CLOSED : READ_MORE;
 	for (int i = 0; i < READS_PER_EVENT && result == READ_MORE && can_read(connection); i++)
 		result = read_once(connection);
 	return result;
--- a/regress/caller/endless_test.c
+++ b/regress/caller/endless_test.c
@@ -101,11 +101,30 @@
 	assert_int_equal(failed, 0);
 }
 
+/* A connection whose reading is paused kept a worker busy once its caller had reset it, and its
+ * calls went on. */
+static void test_end_of_a_paused_connection_is_noticed(void **state)
+{
+	struct linger at_once = { .l_onoff = 1 };
+	int fd = callers_connect();
+
+	(void)state;
+	for (int i = 0; i < PIPELINE_MAX + 8; i++)
+		callers_send(fd, "GET /a HTTP/1.1\r\nHost: a\r\n\r\n");
+	callers_wait(&callers.ready, PIPELINE_MAX);
+	g_usleep(TICK_MS * 1000);
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+	close(fd);
+	callers_wait(&callers.ended, PIPELINE_MAX);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test_setup_teardown(test_endless_bytes_of_a_caller_are_not_read,
 						callers_set_up, callers_tear_down),
+		cmocka_unit_test_setup_teardown(test_end_of_a_paused_connection_is_noticed,
+						callers_set_up, callers_tear_down),
 	};
 
 	apr_initialize();
