The outcome of a key is reported until the log holds it

What callers saw (native interface): a request with an idempotency key ran and was answered, and each later request with that key got 409 "its outcome is not known" until the log expired, although no node had failed but one, or none had.

Cause: the entry node reported the outcome to the key's home in one message that nobody confirmed. Lost with its datagram, or with a home that had not appended it yet, it was lost for good, while claims have been sent again until they are answered all along.

Why this works: the home confirms an outcome once its append is acknowledged, and the entry node keeps it for a minute and reports it again, to whichever node is the home by then, at growing distances. A home ignores a repetition that is queued or being appended; one that the log holds already is confirmed at once. A second copy in the log has no effect. A home of an earlier build confirms nothing: it gets up to nine copies of an outcome in that minute.

--- a/core/claim.c
+++ b/core/claim.c
@@ -9,8 +9,16 @@
 #define APPENDS_BURST 4.0
 #define RETRY_US      (200 * US_PER_MS)
 #define RESEND_US     (500 * US_PER_MS)
-
-enum { BATCH_MAX = 500, KEYS_MAX = 1 << 18 };
+/* An outcome is reported again after 0.2 s, and then each time after as long as it is known. */
+#define ENDING_RESEND_US (200 * US_PER_MS)
+#define ENDING_KEPT_US	 (60 * US_PER_S)
+
+enum {
+	BATCH_MAX = 500,
+	KEYS_MAX = 1 << 18,
+	OUTCOMES_MAX = 4 * BATCH_MAX, /* of a partition; further ones are reported again */
+	ENDINGS_MAX = 8192,
+};
 
 /** State of a key according to the stream. */
 struct key_state {
@@ -32,6 +40,12 @@
 	uint64_t first_fresh_read; /* number of the first read that starts after the request */
 };
 
+/** The outcome of a claim, reported by an entry node. */
+struct outcome {
+	struct claim_op op;
+	uint64_t from;
+};
+
 struct partition {
 	GHashTable *keys;    /* struct key_state */
 	int64_t next_offset; /* offset to read from; 0: the oldest retained */
@@ -40,19 +54,30 @@
 	uint64_t reads_started;
 	int64_t newest_written; /* newest offset appended by this node */
 	GArray *requests;	/* struct claim_request */
-	GArray *outcomes;	/* struct claim_op: to append */
+	GArray *outcomes;	/* struct outcome: to append */
 	GArray *batch_ops;	/* struct claim_op: in the current append */
+	GArray *batch_outcomes; /* struct outcome: those among them */
+	GArray *recorded;	/* struct claim_recorded: to be confirmed */
 	uint64_t batch;		/* id of the batch in the current append; 0: none */
 	double tokens;
 	int64_t tokens_at_us;
 	struct deadline retry_at;
 };
 
+/** An outcome of a claim of this node that is not known to be recorded. */
+struct ending {
+	struct claim_op op;
+	int64_t reported_us; /* monotonic; for the first time */
+	struct deadline resend_at;
+	struct deadline forget_at;
+};
+
 struct claims {
 	struct lock lock; /* LOCK_CLAIMS */
 	struct partition partitions[CLAIM_PARTITIONS];
 	uint64_t last_batch;
 	GArray *pending; /* struct claim_pending */
+	GArray *endings; /* struct ending, oldest first */
 };
 
 struct claim_key claim_key_of(struct label route, struct str idempotency_key)
@@ -89,6 +114,7 @@
 
 	lock_init(&claims->lock, LOCK_CLAIMS, pool);
 	claims->pending = g_array_new(FALSE, FALSE, sizeof(struct claim_pending));
+	claims->endings = g_array_new(FALSE, FALSE, sizeof(struct ending));
 	return claims;
 }
 
@@ -100,6 +126,8 @@
 	g_array_unref(partition->requests);
 	g_array_unref(partition->outcomes);
 	g_array_unref(partition->batch_ops);
+	g_array_unref(partition->batch_outcomes);
+	g_array_unref(partition->recorded);
 }
 
 void claims_free(struct claims *claims)
@@ -109,6 +137,7 @@
 	for (int i = 0; i < CLAIM_PARTITIONS; i++)
 		partition_clear(&claims->partitions[i]);
 	g_array_unref(claims->pending);
+	g_array_unref(claims->endings);
 	lock_destroy(&claims->lock);
 	g_free(claims);
 }
@@ -122,8 +151,10 @@
 		return partition;
 	partition->keys = g_hash_table_new_full(key_hash, key_equal, g_free, NULL);
 	partition->requests = g_array_new(FALSE, FALSE, sizeof(struct claim_request));
-	partition->outcomes = g_array_new(FALSE, FALSE, sizeof(struct claim_op));
+	partition->outcomes = g_array_new(FALSE, FALSE, sizeof(struct outcome));
 	partition->batch_ops = g_array_new(FALSE, FALSE, sizeof(struct claim_op));
+	partition->batch_outcomes = g_array_new(FALSE, FALSE, sizeof(struct outcome));
+	partition->recorded = g_array_new(FALSE, FALSE, sizeof(struct claim_recorded));
 	partition->tokens = APPENDS_BURST;
 	return partition;
 }
@@ -158,14 +189,63 @@
 	lock_release(&claims->lock);
 }
 
-void claims_end(struct claims *claims, const struct claim_op *op)
+static bool holds_outcome(const GArray *outcomes, const struct claim_op *op)
+{
+	for (guint i = 0; i < outcomes->len; i++)
+		if (g_array_index(outcomes, struct outcome, i).op.claim == op->claim)
+			return true;
+	return false;
+}
+
+/* Returns whether the log is known to hold the outcome. A release is appended again instead: its
+ * claim may be among records that are not read yet. */
+static bool is_recorded(struct partition *partition, const struct claim_op *op)
+{
+	const struct key_state *state = find_key(partition, op->key);
+
+	return op->kind == CLAIM_COMPLETE && state && state->ran && state->holder == op->claim;
+}
+
+static void add_recorded(struct partition *partition, uint64_t from, uint64_t claim)
+{
+	struct claim_recorded recorded = { from, claim };
+
+	g_array_append_val(partition->recorded, recorded);
+}
+
+void claims_end(struct claims *claims, uint64_t from, const struct claim_op *op)
 {
+	struct outcome outcome = { *op, from };
+	struct partition *partition;
+
 	lock_acquire(&claims->lock);
-	g_array_append_vals(find_or_create_partition(claims, claim_partition(op->key))->outcomes,
-			    op, 1);
+	partition = find_or_create_partition(claims, claim_partition(op->key));
+	if (is_recorded(partition, op))
+		add_recorded(partition, from, op->claim);
+	else if (partition->outcomes->len < OUTCOMES_MAX &&
+		 !holds_outcome(partition->outcomes, op) &&
+		 !(partition->batch && holds_outcome(partition->batch_outcomes, op)))
+		g_array_append_val(partition->outcomes, outcome);
 	lock_release(&claims->lock);
 }
 
+int claims_take_recorded(struct claims *claims, int partition_index, struct claim_recorded *out,
+			 int max)
+{
+	struct partition *partition = &claims->partitions[partition_index];
+	int count = 0;
+
+	lock_acquire(&claims->lock);
+	for (; partition->keys && partition->recorded->len && count < max; count++) {
+		guint last = partition->recorded->len - 1;
+
+		out[count] = g_array_index(partition->recorded, struct claim_recorded, last);
+		g_array_set_size(partition->recorded, last);
+	}
+	lock_release(&claims->lock);
+	return count;
+}
+
 static bool take_token(struct partition *partition, struct instant now)
 {
 	double passed_s = (double)(now.mono_us - partition->tokens_at_us) / US_PER_S;
@@ -189,6 +269,7 @@
 static void collect_batch(struct partition *partition, uint64_t batch)
 {
 	g_array_set_size(partition->batch_ops, 0);
+	g_array_set_size(partition->batch_outcomes, 0);
 	for (guint i = 0; i < partition->requests->len && partition->batch_ops->len < BATCH_MAX;
 	     i++) {
 		struct claim_request *request =
@@ -201,7 +282,10 @@
 		g_array_append_val(partition->batch_ops, op);
 	}
 	while (partition->outcomes->len && partition->batch_ops->len < BATCH_MAX) {
-		g_array_append_vals(partition->batch_ops, partition->outcomes->data, 1);
+		struct outcome outcome = g_array_index(partition->outcomes, struct outcome, 0);
+
+		g_array_append_val(partition->batch_ops, outcome.op);
+		g_array_append_val(partition->batch_outcomes, outcome);
 		g_array_remove_index(partition->outcomes, 0);
 	}
 }
@@ -278,14 +362,28 @@
 		if (request->batch == partition->batch)
 			request->batch = 0;
 	}
-	for (guint i = 0; i < partition->batch_ops->len; i++) {
-		const struct claim_op *op =
-			&g_array_index(partition->batch_ops, struct claim_op, i);
+	g_array_append_vals(partition->outcomes, partition->batch_outcomes->data,
+			    partition->batch_outcomes->len);
+	partition->retry_at = deadline_after(now, RETRY_US);
+}
+
+/* Sets the offset of the batch's claims, and confirms its outcomes. */
+static void record_batch(struct partition *partition, int64_t offset)
+{
+	for (guint i = 0; i < partition->requests->len; i++) {
+		struct claim_request *request =
+			&g_array_index(partition->requests, struct claim_request, i);
+
+		if (request->batch == partition->batch)
+			request->offset = offset;
+	}
+	for (guint i = 0; i < partition->batch_outcomes->len; i++) {
+		const struct outcome *outcome =
+			&g_array_index(partition->batch_outcomes, struct outcome, i);
 
-		if (op->kind != CLAIM_ACQUIRE)
-			g_array_append_vals(partition->outcomes, op, 1);
+		add_recorded(partition, outcome->from, outcome->op.claim);
 	}
-	partition->retry_at = deadline_after(now, RETRY_US);
+	partition->newest_written = MAX(partition->newest_written, offset);
 }
 
 void claims_appended(struct claims *claims, int partition_index, uint64_t batch, int64_t offset,
@@ -295,15 +393,9 @@
 
 	lock_acquire(&claims->lock);
 	if (partition->keys && partition->batch == batch) {
-		for (guint i = 0; offset && i < partition->requests->len; i++) {
-			struct claim_request *request =
-				&g_array_index(partition->requests, struct claim_request, i);
-
-			if (request->batch == batch)
-				request->offset = offset;
-		}
-		partition->newest_written = MAX(partition->newest_written, offset);
-		if (!offset)
+		if (offset)
+			record_batch(partition, offset);
+		else
 			requeue_batch(partition, now);
 		partition->batch = 0;
 	}
@@ -485,3 +577,61 @@
 	lock_release(&claims->lock);
 	return found;
 }
+
+void claims_ending_add(struct claims *claims, const struct claim_op *op, struct instant now)
+{
+	struct ending ending = { .op = *op,
+				 .reported_us = now.mono_us,
+				 .resend_at = deadline_after(now, ENDING_RESEND_US),
+				 .forget_at = deadline_after(now, ENDING_KEPT_US) };
+
+	lock_acquire(&claims->lock);
+	if (claims->endings->len == ENDINGS_MAX)
+		g_array_remove_index(claims->endings, 0);
+	g_array_append_val(claims->endings, ending);
+	lock_release(&claims->lock);
+}
+
+bool claims_ending_remove(struct claims *claims, uint64_t claim)
+{
+	bool found = false;
+
+	lock_acquire(&claims->lock);
+	for (guint i = 0; i < claims->endings->len && !found; i++) {
+		found = g_array_index(claims->endings, struct ending, i).op.claim == claim;
+		if (found)
+			g_array_remove_index(claims->endings, i);
+	}
+	lock_release(&claims->lock);
+	return found;
+}
+
+static void drop_old_endings(struct claims *claims, struct instant now)
+{
+	guint old = 0;
+
+	while (old < claims->endings->len &&
+	       deadline_passed(g_array_index(claims->endings, struct ending, old).forget_at, now))
+		old++;
+	g_array_remove_range(claims->endings, 0, old);
+}
+
+bool claims_ending_due(struct claims *claims, struct instant now, struct claim_op *out)
+{
+	bool found = false;
+
+	lock_acquire(&claims->lock);
+	drop_old_endings(claims, now);
+	for (guint i = 0; i < claims->endings->len && !found; i++) {
+		struct ending *ending = &g_array_index(claims->endings, struct ending, i);
+
+		found = deadline_passed(ending->resend_at, now);
+		if (!found)
+			continue;
+		ending->resend_at = deadline_after(
+			now, MAX(now.mono_us - ending->reported_us, ENDING_RESEND_US));
+		*out = ending->op;
+	}
+	lock_release(&claims->lock);
+	return found;
+}
--- a/core/claim.h
+++ b/core/claim.h
@@ -74,8 +74,9 @@
  * queued. */
 void claims_request(struct claims *claims, uint64_t from, uint64_t seq, struct claim_key key,
 		    uint64_t claim, struct deadline deadline);
-/** Queues the outcome of a claim for appending. */
-void claims_end(struct claims *claims, const struct claim_op *op);
+/** Queues the outcome of a claim that @p from reports for appending. A repetition is ignored while
+ *  the first is queued. */
+void claims_end(struct claims *claims, uint64_t from, const struct claim_op *op);
 /** Returns the append and the read that are due for a partition and marks them as started. */
 struct claim_work claims_next_work(struct claims *claims, int partition_index, struct instant now);
 /** Ends an append of a batch at @p offset; 0: it may or may not have been appended. */
@@ -92,6 +93,16 @@
 int claims_take_answers(struct claims *claims, int partition_index, struct instant now,
 			struct claim_answer *out, int max);
 
+/** An outcome that the log holds. */
+struct claim_recorded {
+	uint64_t to; /**< member id of the entry node that reported it */
+	uint64_t claim;
+};
+
+/** Removes outcomes that were recorded since the last call, @p max at most; @return how many. */
+int claims_take_recorded(struct claims *claims, int partition_index, struct claim_recorded *out,
+			 int max);
+
 /* Functions of the entry node; all acquire LOCK_CLAIMS. */
 
 /** A request for a key that has no answer yet. */
@@ -110,4 +121,11 @@
 bool claims_pending_due(struct claims *claims, struct instant now, struct claim_pending *out,
 			bool *expired);
 
+/** Keeps the outcome of a claim until it is recorded, or for a minute. */
+void claims_ending_add(struct claims *claims, const struct claim_op *op, struct instant now);
+/** Forgets the outcome of a claim, which was recorded; false if it is not known. */
+bool claims_ending_remove(struct claims *claims, uint64_t claim);
+/** Finds an outcome that is due to be reported again. */
+bool claims_ending_due(struct claims *claims, struct instant now, struct claim_op *out);
+
 #endif
--- a/core/event.c
+++ b/core/event.c
@@ -13,6 +13,7 @@
 		return;
 	case ACTION_READ_LOG:
 	case ACTION_CLAIMED:
+	case ACTION_CLAIM_ENDED:
 	case ACTION_LOG_EVENT:
 		return;
 	}
@@ -76,6 +77,13 @@
 	g_array_append_val(actions->list, action);
 }
 
+void actions_claim_ended(struct actions *actions, uint64_t claim)
+{
+	struct action action = { .kind = ACTION_CLAIM_ENDED, .claim_ended = claim };
+
+	g_array_append_val(actions->list, action);
+}
+
 void actions_log_event(struct actions *actions, enum log_event event, const char *format, ...)
 {
 	struct action action = { .kind = ACTION_LOG_EVENT, .log_event = { .event = event } };
--- a/core/event.h
+++ b/core/event.h
@@ -76,10 +76,11 @@
 
 enum action_kind {
 	ACTION_SEND,
-	ACTION_READ_LOG,  /**< long poll; EVENT_LOG_BATCH or EVENT_LOG_FAILED follows */
-	ACTION_APPEND,	  /**< EVENT_APPENDED or EVENT_APPEND_FAILED follows */
-	ACTION_CLAIMED,	  /**< the answer to node_claim_start() */
-	ACTION_LOG_EVENT, /**< an event for the daemon's log file */
+	ACTION_READ_LOG,    /**< long poll; EVENT_LOG_BATCH or EVENT_LOG_FAILED follows */
+	ACTION_APPEND,	    /**< EVENT_APPENDED or EVENT_APPEND_FAILED follows */
+	ACTION_CLAIMED,	    /**< the answer to node_claim_start() */
+	ACTION_CLAIM_ENDED, /**< the log holds an outcome reported by node_claim_end() */
+	ACTION_LOG_EVENT,   /**< an event for the daemon's log file */
 };
 
 enum { EVENT_TEXT_MAX_BYTES = 200 };
@@ -104,6 +105,7 @@
 			enum claim_result result;
 			int status;
 		} claimed;
+		uint64_t claim_ended; /**< the claim */
 		struct {
 			enum log_stream stream;
 			int partition;
@@ -133,6 +135,7 @@
 void actions_append(struct actions *actions, enum log_stream stream, int partition, uint64_t tag,
 		    struct log_record record);
 void actions_claimed(struct actions *actions, uint64_t seq, enum claim_result result, int status);
+void actions_claim_ended(struct actions *actions, uint64_t claim);
 void actions_log_event(struct actions *actions, enum log_event event, const char *format, ...)
 	__attribute__((format(printf, 3, 4)));
 
--- a/core/message.c
+++ b/core/message.c
@@ -39,6 +39,8 @@
 		return STR("claim_answer");
 	case MESSAGE_CLAIM_END:
 		return STR("claim_end");
+	case MESSAGE_CLAIM_ENDED:
+		return STR("claim_ended");
 	case MESSAGE_KINDS:
 		break;
 	}
@@ -112,6 +114,7 @@
 	case MESSAGE_CLAIM_ASK:
 	case MESSAGE_CLAIM_ANSWER:
 	case MESSAGE_CLAIM_END:
+	case MESSAGE_CLAIM_ENDED:
 		return;
 	case MESSAGE_KINDS:
 		break;
--- a/core/message.h
+++ b/core/message.h
@@ -58,6 +58,7 @@
 	MESSAGE_CLAIM_ASK,
 	MESSAGE_CLAIM_ANSWER,
 	MESSAGE_CLAIM_END,
+	MESSAGE_CLAIM_ENDED,
 	MESSAGE_KINDS,
 };
 
@@ -130,6 +131,7 @@
 			int status;
 		} claim_answer;
 		struct claim_op claim_end;
+		uint64_t claim_ended; /**< CLAIM_ENDED: the claim whose outcome the log holds */
 	};
 };
 
--- a/core/node.c
+++ b/core/node.c
@@ -204,7 +204,10 @@
 				 message->claim_answer.status, out);
 		return;
 	case MESSAGE_CLAIM_END:
-		claims_on_end(node, &message->claim_end, now, out);
+		claims_on_end(node, from, &message->claim_end, now, out);
+		return;
+	case MESSAGE_CLAIM_ENDED:
+		claims_on_ended(node, message->claim_ended, out);
 		return;
 	case MESSAGE_KINDS:
 		break;
--- a/core/node.h
+++ b/core/node.h
@@ -123,7 +123,7 @@
 uint64_t node_claim_start(struct node *node, struct claim_key key, struct deadline deadline,
 			  struct instant now, uint64_t *claim, struct actions *out);
 /** Reports the end of a granted claim: CLAIM_COMPLETE or CLAIM_RELEASE. Without the report the key
- * stays held. */
+ * stays held. ACTION_CLAIM_ENDED follows once the log holds it. */
 void node_claim_end(struct node *node, const struct claim_op *op, struct instant now,
 		    struct actions *out);
 
--- a/core/node_claims.c
+++ b/core/node_claims.c
@@ -4,7 +4,7 @@
  */
 #include "core/node_parts.h"
 
-enum { ANSWERS_MAX = 64 };
+enum { ANSWERS_MAX = 64, RECORDED_MAX = 64 };
 
 /* Returns the live member that appends for a partition. Nodes whose tables of members differ may
  * choose two homes, which is safe because the order of the log decides. */
@@ -32,7 +32,34 @@
 	actions_send(out, answer->to, message);
 }
 
-/* Starts the appends and reads that are due for a partition and sends the answers. */
+static void send_ended(struct node *node, const struct claim_recorded *recorded,
+		       struct actions *out)
+{
+	struct message *message;
+
+	if (recorded->to == node->options.id) {
+		claims_on_ended(node, recorded->claim, out);
+		return;
+	}
+	message = message_new(MESSAGE_CLAIM_ENDED);
+	message->claim_ended = recorded->claim;
+	actions_send(out, recorded->to, message);
+}
+
+static void confirm_recorded(struct node *node, int partition, struct actions *out)
+{
+	struct claim_recorded recorded[RECORDED_MAX];
+	int count;
+
+	do {
+		count = claims_take_recorded(node->claims, partition, recorded, RECORDED_MAX);
+		for (int i = 0; i < count; i++)
+			send_ended(node, &recorded[i], out);
+	} while (count == RECORDED_MAX);
+}
+
+/* Starts the appends and reads that are due for a partition, sends the answers and confirms the
+ * outcomes that were recorded. */
 void claims_process(struct node *node, int partition, struct instant now, struct actions *out)
 {
 	struct claim_answer answers[ANSWERS_MAX];
@@ -48,6 +75,7 @@
 		actions_read(out, STREAM_KEYS, partition, work.read_from, (struct deadline){ 1 });
 	for (int i = 0; i < count; i++)
 		send_answer(node, &answers[i], out);
+	confirm_recorded(node, partition, out);
 }
 
 static void request_claim(struct node *node, const struct claim_pending *pending,
@@ -86,15 +114,15 @@
 	return pending.seq;
 }
 
-void node_claim_end(struct node *node, const struct claim_op *op, struct instant now,
-		    struct actions *out)
+static void report_end(struct node *node, const struct claim_op *op, struct instant now,
+		       struct actions *out)
 {
 	int partition = claim_partition(op->key);
 	uint64_t home = partition_home(node, partition);
 	struct message *message;
 
 	if (home == node->options.id) {
-		claims_end(node->claims, op);
+		claims_end(node->claims, home, op);
 		claims_process(node, partition, now, out);
 		return;
 	}
@@ -103,6 +131,13 @@
 	actions_send(out, home, message);
 }
 
+void node_claim_end(struct node *node, const struct claim_op *op, struct instant now,
+		    struct actions *out)
+{
+	claims_ending_add(node->claims, op, now);
+	report_end(node, op, now, out);
+}
+
 void claims_on_ask(struct node *node, uint64_t from, const struct message *message,
 		   struct instant now, struct actions *out)
 {
@@ -112,13 +147,19 @@
 	claims_process(node, claim_partition(message->claim_ask.key), now, out);
 }
 
-void claims_on_end(struct node *node, const struct claim_op *op, struct instant now,
+void claims_on_end(struct node *node, uint64_t from, const struct claim_op *op, struct instant now,
 		   struct actions *out)
 {
-	claims_end(node->claims, op);
+	claims_end(node->claims, from, op);
 	claims_process(node, claim_partition(op->key), now, out);
 }
 
+void claims_on_ended(struct node *node, uint64_t claim, struct actions *out)
+{
+	if (claims_ending_remove(node->claims, claim))
+		actions_claim_ended(out, claim);
+}
+
 void claims_on_answer(struct node *node, uint64_t seq, enum claim_result result, int status,
 		      struct actions *out)
 {
@@ -149,8 +190,11 @@
 void claims_tick(struct node *node, struct instant now, struct actions *out)
 {
 	struct claim_pending pending;
+	struct claim_op ended;
 	bool expired;
 
+	while (claims_ending_due(node->claims, now, &ended))
+		report_end(node, &ended, now, out);
 	while (claims_pending_due(node->claims, now, &pending, &expired)) {
 		struct claim_op release = { pending.key, pending.claim, CLAIM_RELEASE, 0 };
 
--- a/core/node_parts.h
+++ b/core/node_parts.h
@@ -319,8 +319,9 @@
 		   struct instant now, struct actions *out);
 void claims_on_answer(struct node *node, uint64_t seq, enum claim_result result, int status,
 		      struct actions *out);
-void claims_on_end(struct node *node, const struct claim_op *op, struct instant now,
+void claims_on_end(struct node *node, uint64_t from, const struct claim_op *op, struct instant now,
 		   struct actions *out);
+void claims_on_ended(struct node *node, uint64_t claim, struct actions *out);
 void claims_on_batch(struct node *node, const struct event *event, struct instant now,
 		     struct actions *out);
 void claims_process(struct node *node, int partition, struct instant now, struct actions *out);
--- a/godwithitchd/dispatch.c
+++ b/godwithitchd/dispatch.c
@@ -167,6 +167,8 @@
 		calls_on_claim_result(daemon, action->claimed.seq, action->claimed.result,
 				      action->claimed.status);
 		return;
+	case ACTION_CLAIM_ENDED:
+		return;
 	case ACTION_LOG_EVENT:
 		logger_event(action->log_event.event, "%s", action->log_event.text);
 		return;
--- a/peer/codec.c
+++ b/peer/codec.c
@@ -196,6 +196,10 @@
 		msgpack_pack_array(out, 1);
 		pack_claim_op(out, &message->claim_end);
 		return;
+	case MESSAGE_CLAIM_ENDED:
+		msgpack_pack_array(out, 1);
+		msgpack_pack_uint64(out, message->claim_ended);
+		return;
 	case MESSAGE_KINDS:
 		break;
 	}
@@ -401,6 +405,9 @@
 	case MESSAGE_CLAIM_END:
 		unpack_claim_op(in, &message->claim_end);
 		return;
+	case MESSAGE_CLAIM_ENDED:
+		message->claim_ended = unpack_u64(in);
+		return;
 	case MESSAGE_KINDS:
 		break;
 	}
--- a/regress/core/claim_test.c
+++ b/regress/core/claim_test.c
@@ -16,6 +16,7 @@
 	int key;
 	uint64_t claim;
 	bool answered;
+	bool ended; /* its outcome was reported */
 	enum claim_result result;
 };
 
@@ -189,6 +190,80 @@
 			run_fault_case(&fault_cases[i], seed);
 }
 
+/* Reports that the requests ran whose claims were granted. */
+static void complete_granted(struct sim *sim, struct fixture *fixture)
+{
+	for (int i = 0; i < fixture->count; i++) {
+		struct claim_request *request = &fixture->requests[i];
+
+		if (!request->answered || request->ended || request->result != CLAIM_GRANTED)
+			continue;
+		request->ended = true;
+		end_claim(sim, request, CLAIM_COMPLETE);
+	}
+}
+
+/* Claims each key again. Returns how many of them are known to have run. */
+static int count_replayed(struct sim *sim, struct fixture *fixture)
+{
+	int first = fixture->count;
+	int replayed = 0;
+
+	for (int key = 0; key < KEYS; key++)
+		start_claim(sim, fixture, key % 3, key, 20);
+	sim_run(sim, 25 * US_PER_S);
+	for (int i = first; i < fixture->count; i++)
+		replayed += fixture->requests[i].result == CLAIM_REPLAYED;
+	return replayed;
+}
+
+static void run_outcome_case(const struct fault_case *fault_case, uint64_t seed)
+{
+	struct fixture *fixture = g_new0(struct fixture, 1);
+	struct sim_options options = { .nodes = NODES,
+				       .data_centres = 3,
+				       .seed = seed,
+				       .preload = true,
+				       .duplicates = 0.2,
+				       .delay_max_us = 20000,
+				       .on_claimed = on_claimed,
+				       .context = fixture };
+	struct sim *sim = sim_new(&options);
+	int completed = 0;
+	int replayed;
+
+	sim_run(sim, 10 * US_PER_S);
+	for (int step = 0; step < 15; step++) {
+		fault_case->fault(sim, step);
+		for (int i = 0; step < 12 && i < KEYS / 12; i++)
+			start_claim(sim, fixture, i % 3, step * KEYS / 12 + i, 20);
+		sim_run(sim, US_PER_S);
+		complete_granted(sim, fixture);
+	}
+	for (int i = 0; i < 40; i++) {
+		sim_run(sim, US_PER_S);
+		complete_granted(sim, fixture);
+	}
+	for (int i = 0; i < fixture->count; i++)
+		completed += fixture->requests[i].ended;
+	replayed = count_replayed(sim, fixture);
+	if (replayed != completed || (fault_case->all_granted && completed != KEYS))
+		fail_msg("%s, seed %lu: %d of %d outcomes are known, of %d keys", fault_case->name,
+			 seed, replayed, completed, KEYS);
+	sim_free(sim);
+	g_free(fixture);
+}
+
+/* The report of an outcome was lost with its message or with its home, and the key was held until
+ * the log expired. */
+static void test_faults_lose_no_outcome(void **state)
+{
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(fault_cases); i++)
+		for (uint64_t seed = 1; seed <= 5; seed++)
+			run_outcome_case(&fault_cases[i], seed);
+}
+
 static enum claim_result claim_and_wait(struct sim *sim, struct fixture *fixture, int node, int key)
 {
 	int index = fixture->count;
@@ -268,6 +343,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_faults_never_grant_key_twice),
+		cmocka_unit_test(test_faults_lose_no_outcome),
 		cmocka_unit_test(test_key_is_granted_held_replayed_or_timed_out),
 		cmocka_unit_test(test_batches_limit_append_rate),
 	};
--- a/regress/peer/codec_test.c
+++ b/regress/peer/codec_test.c
@@ -194,6 +194,9 @@
 	case MESSAGE_CLAIM_END:
 		message->claim_end.claim = rng_next(rng);
 		break;
+	case MESSAGE_CLAIM_ENDED:
+		message->claim_ended = rng_next(rng);
+		break;
 	case MESSAGE_KINDS:
 		break;
 	}
--- a/regress/replay.c
+++ b/regress/replay.c
@@ -114,6 +114,7 @@
 			break;
 		case ACTION_SEND:
 		case ACTION_CLAIMED:
+		case ACTION_CLAIM_ENDED:
 		case ACTION_LOG_EVENT:
 			break;
 		}
