A safe request's body is sent again when its kept connection ended

Cause: libcurl sends an idempotent request again on a new connection when a kept one ends without an answer, as a target does that closes idle connections. It reads the body from its start for that, which the node offered no way to do, so the transfer ended: "Send failed since rewinding of the data stream failed".

Why this works: the target's node keeps up to 64 KiB of what it has sent of an idempotent request's body and gives it to libcurl again, whichever way the body came. A larger body gets a new connection, and one of unknown length only uses a connection that was quiet and in use just before, as requests that may run once do. Those are still never sent twice.

--- a/base/transfer.c
+++ b/base/transfer.c
@@ -131,6 +131,16 @@
 	return deliver(transfer, &event) ? event.read.len : CURL_READFUNC_ABORT;
 }
 
+static int on_seek(void *context, curl_off_t offset, int origin)
+{
+	struct transfer *transfer = context;
+	struct transfer_event event = { .kind = TRANSFER_REWIND, .rewound = false };
+
+	if (offset != 0 || origin != SEEK_SET || !deliver(transfer, &event))
+		return CURL_SEEKFUNC_FAIL;
+	return event.rewound ? CURL_SEEKFUNC_OK : CURL_SEEKFUNC_CANTSEEK;
+}
+
 /* Returns whether the answer is in chunks that hold next to nothing of a body. */
 static bool is_hollow(const struct transfer *transfer)
 {
@@ -174,6 +184,8 @@
 	curl_easy_setopt(curl, CURLOPT_WRITEDATA, transfer);
 	curl_easy_setopt(curl, CURLOPT_READFUNCTION, on_read);
 	curl_easy_setopt(curl, CURLOPT_READDATA, transfer);
+	curl_easy_setopt(curl, CURLOPT_SEEKFUNCTION, on_seek);
+	curl_easy_setopt(curl, CURLOPT_SEEKDATA, transfer);
 	curl_easy_setopt(curl, CURLOPT_DEBUGFUNCTION, on_debug);
 	curl_easy_setopt(curl, CURLOPT_DEBUGDATA, transfer);
 }
--- a/base/transfer.h
+++ b/base/transfer.h
@@ -62,9 +62,12 @@
 };
 
 enum transfer_event_kind {
-	TRANSFER_HEAD,	/**< the whole head; once, before the body */
-	TRANSFER_BODY,	/**< part of the body */
-	TRANSFER_READ,	/**< fill up to .read.cap bytes of the request's body */
+	TRANSFER_HEAD, /**< the whole head; once, before the body */
+	TRANSFER_BODY, /**< part of the body */
+	TRANSFER_READ, /**< fill up to .read.cap bytes of the request's body */
+	/** The request is sent again, since its kept connection ended without an answer: the body
+	 * is read from its start if the handler sets .rewound. */
+	TRANSFER_REWIND,
 	TRANSFER_CHECK, /**< several times a second; false if nobody waits for the answer */
 };
 
@@ -82,6 +85,7 @@
 			size_t cap;
 			size_t len; /**< set by the handler; 0: the body is complete */
 		} read;
+		bool rewound;
 	};
 };
 
--- a/godwithitch/fetch.c
+++ b/godwithitch/fetch.c
@@ -31,6 +31,7 @@
 		strbuf_add(&reply->body, event->bytes);
 		return true;
 	case TRANSFER_READ:
+	case TRANSFER_REWIND:
 	case TRANSFER_CHECK:
 		return true;
 	}
--- a/godwithitchd/inbound.c
+++ b/godwithitchd/inbound.c
@@ -2,6 +2,8 @@
  * Calls to this node's own target: admission, the exchange with the target, and the return of the
  * answer to the entry node, which received the call from its caller and may be this node.
  */
+#include <string.h>
+
 #include "base/logger.h"
 #include "godwithitchd/daemon.h"
 
@@ -37,6 +39,13 @@
 /** Whether the target may get the request: decided once, by its worker or by who cancels it. */
 enum passing { PASS_OPEN, PASS_BEGUN, PASS_CANCELLED };
 
+/** What the target has been sent of the body of an idempotent request, to send it again. */
+struct sent_body {
+	struct strbuf bytes;
+	size_t offset; /* of the byte that is sent next; within .bytes after a rewind */
+	bool too_long; /* for .bytes, which is empty */
+};
+
 /** A request that this node passes to its own target. */
 struct inbound {
 	struct stream_owner owner; /* must be first: the link casts from it */
@@ -51,6 +60,7 @@
 	gint cancelled;
 	gint passing;		/* atomic: enum passing */
 	size_t body_read_bytes; /* bytes read since the last window frame */
+	struct sent_body sent_body;
 	/* The answer to another node; lock guards credit and cond. */
 	struct strbuf frames;
 	struct body_sum answer_sum;
@@ -165,6 +175,7 @@
 	pipe_unref(inbound->body);
 	strbuf_clear(&inbound->strings);
 	strbuf_clear(&inbound->frames);
+	strbuf_clear(&inbound->sent_body.bytes);
 	apr_pool_destroy(inbound->pool);
 	g_free(inbound);
 }
@@ -443,7 +454,36 @@
 	strbuf_clear(&frame);
 }
 
-static bool read_request_body(struct inbound *inbound, struct target_event *event)
+static void keep_sent(struct sent_body *sent, struct str bytes)
+{
+	sent->too_long |= sent->bytes.len + bytes.len > TARGET_REWIND_BYTES;
+	if (sent->too_long)
+		strbuf_clear(&sent->bytes);
+	else
+		strbuf_add(&sent->bytes, bytes);
+	sent->offset += bytes.len;
+}
+
+/* Reads what a rewound body has of bytes that were sent before. */
+static size_t read_sent(struct sent_body *sent, char *into, size_t cap)
+{
+	struct str rest = str_sub(strbuf_str(&sent->bytes), sent->offset, cap);
+
+	if (rest.len)
+		memcpy(into, rest.data, rest.len);
+	sent->offset += rest.len;
+	return rest.len;
+}
+
+static bool rewind_body(struct inbound *inbound, struct target_event *event)
+{
+	event->rewound = inbound->head.idempotent && !inbound->sent_body.too_long;
+	if (event->rewound)
+		inbound->sent_body.offset = 0;
+	return true;
+}
+
+static bool read_new_body(struct inbound *inbound, struct target_event *event)
 {
 	enum pipe_end end = PIPE_OPEN;
 
@@ -458,9 +498,17 @@
 		send_window_update(inbound, event->read.len);
 		break;
 	}
+	if (inbound->head.idempotent)
+		keep_sent(&inbound->sent_body, (struct str){ event->read.into, event->read.len });
 	return end != PIPE_FAILED;
 }
 
+static bool read_request_body(struct inbound *inbound, struct target_event *event)
+{
+	event->read.len = read_sent(&inbound->sent_body, event->read.into, event->read.cap);
+	return event->read.len || read_new_body(inbound, event);
+}
+
 static bool on_target_event(void *context, struct target_event *event)
 {
 	struct inbound *inbound = context;
@@ -474,6 +522,8 @@
 		return forward_body(inbound, event->bytes);
 	case TARGET_READ_BODY:
 		return read_request_body(inbound, event);
+	case TARGET_REWIND_BODY:
+		return rewind_body(inbound, event);
 	case TARGET_CHECK_CALLER:
 		return true;
 	}
--- a/regress/target/broken_answers_test.c
+++ b/regress/target/broken_answers_test.c
@@ -312,6 +312,7 @@
 	case TARGET_READ_BODY:
 		read_body(received, event);
 		break;
+	case TARGET_REWIND_BODY:
 	case TARGET_CHECK_CALLER:
 		break;
 	}
--- a/target/call.c
+++ b/target/call.c
@@ -198,6 +198,15 @@
 	return going_on;
 }
 
+static bool rewind_body(struct call *call, struct transfer_event *event)
+{
+	struct target_event rewind = { .kind = TARGET_REWIND_BODY, .rewound = false };
+	bool going_on = deliver(call, &rewind);
+
+	event->rewound = rewind.rewound;
+	return going_on;
+}
+
 static bool on_transfer_event(void *context, struct transfer_event *event)
 {
 	struct call *call = context;
@@ -210,6 +219,8 @@
 		return take_body(call, event->bytes);
 	case TRANSFER_READ:
 		return read_body(call, event);
+	case TRANSFER_REWIND:
+		return rewind_body(call, event);
 	case TRANSFER_CHECK:
 		return deliver(call, &check);
 	}
@@ -392,6 +403,18 @@
 	       !deadline_passed(handle->once_until, now) && socket_is_quiet(handle->fd);
 }
 
+/* Returns whether the call may use the kept connection, which the target may be closing. */
+static bool may_reuse(struct target *target, const struct handle *handle,
+		      const struct target_call_options *options)
+{
+	int64_t body_length = options->has_body ? options->head->body_length : 0;
+
+	if (body_length > TARGET_REWIND_BYTES)
+		return false;
+	/* How much of a body of unknown length will have been sent is not known. */
+	return (options->head->idempotent && body_length >= 0) || serves_once(target, handle);
+}
+
 static void set_limits(struct target *target, struct handle *handle, struct call *call)
 {
 	const struct target_call_options *options = call->options;
@@ -404,12 +427,12 @@
 	curl_easy_setopt(curl, CURLOPT_CONNECTTIMEOUT_MS, (long)CONNECT_TIMEOUT_MS);
 	if (remaining_us != INT64_MAX)
 		curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, (long)(remaining_us / US_PER_MS) + 1);
+	if (!may_reuse(target, handle, options))
+		curl_easy_setopt(curl, CURLOPT_FRESH_CONNECT, 1L);
 	if (options->head->idempotent)
 		return;
 	curl_easy_setopt(curl, CURLOPT_OPENSOCKETFUNCTION, open_unless_sent);
 	curl_easy_setopt(curl, CURLOPT_OPENSOCKETDATA, call);
-	if (!serves_once(target, handle))
-		curl_easy_setopt(curl, CURLOPT_FRESH_CONNECT, 1L);
 }
 
 static enum target_outcome outcome_of(int status)
--- a/target/call.h
+++ b/target/call.h
@@ -50,10 +50,15 @@
  */
 enum target_listening target_probe(struct target *target);
 
+/** Largest body of an idempotent request that is sent again when its kept connection ends without
+ * an answer. Requests with a larger one get new connections. */
+enum { TARGET_REWIND_BYTES = 64 << 10 };
+
 enum target_event_kind {
 	TARGET_HEAD,	     /**< whole head of the answer; once, before the body */
 	TARGET_BODY,	     /**< part of the answer's body */
 	TARGET_READ_BODY,    /**< fill up to .read.cap bytes of the request's body */
+	TARGET_REWIND_BODY,  /**< the body is read from its start next if .rewound is set */
 	TARGET_CHECK_CALLER, /**< several times a second; false if the caller has disconnected */
 };
 
@@ -68,6 +73,7 @@
 			size_t cap;
 			size_t len; /**< set by the handler; 0: the body is complete */
 		} read;
+		bool rewound;
 	};
 };
 
--- a/target/health.c
+++ b/target/health.c
@@ -39,6 +39,7 @@
 		answer->body_bytes += event->bytes.len;
 		return answer->body_bytes <= BODY_MAX_BYTES;
 	case TRANSFER_READ:
+	case TRANSFER_REWIND:
 	case TRANSFER_CHECK:
 		return true;
 	}
