Unread bytes of a peer are no silence

Cause: a link with calls counts as silent 0.6 s after the node last read from it. The tick that follows a pause may run before the workers that read, and closes links whose bytes wait in the socket, the peer's heartbeats among them.

Evidence: peer/link, test_unread_bytes_are_no_silence: a link with unread bytes was closed on the code before; a silent one still is.

Why this works: before a link is closed as silent its socket is looked at. What waits there, or is being read, came from the peer. A peer that is cut off sends nothing, so it is found as before. That peers of a paused node find it silent is right and has not changed.

--- a/peer/link.c
+++ b/peer/link.c
@@ -4,6 +4,7 @@
 #include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -441,19 +442,30 @@
 		link_unref(link);
 }
 
+/* Returns whether the peer has sent what no worker has read yet: this node is late, not the peer.
+ */
+static bool has_unread(const struct link *link)
+{
+	struct pollfd polled = { .fd = link->fd, .events = POLLIN };
+
+	return poll(&polled, 1, 0) == 1 && polled.revents & POLLIN;
+}
+
 void link_tick(struct link *link, struct instant now)
 {
 	struct strbuf frame = { 0 };
 	int64_t silent_us;
 	int64_t unused_us;
+	bool being_read;
 	guint streams;
 
 	lock_acquire(&link->lock);
 	silent_us = now.mono_us - link->received_at_us;
 	unused_us = now.mono_us - link->used_at_us;
 	streams = g_hash_table_size(link->streams);
+	being_read = link->read_state == WATCH_HANDLING;
 	lock_release(&link->lock);
-	if (streams && silent_us >= SILENT_US) {
+	if (streams && silent_us >= SILENT_US && !being_read && !has_unread(link)) {
 		logger_event(LOG_EVENT_LINK_SILENT, "member=%lx streams=%u", link->peer, streams);
 		link_close(link);
 	} else if (streams && silent_us >= HEARTBEAT_US) {
--- a/regress/peer/link_test.c
+++ b/regress/peer/link_test.c
@@ -312,6 +312,42 @@
 	close(listen_fd);
 }
 
+/* Returns whether a link with a call counts as silent 0.7 s after the node last read from it. */
+static bool is_silent(bool bytes_wait)
+{
+	struct owner owner = { .base.refs = 1 };
+	struct request_head head = request_head();
+	struct stream stream = { 0 };
+	struct instant later;
+	struct link *link;
+	bool lost;
+	int fds[2];
+
+	assert_int_equal(socketpair(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0, fds), 0);
+	link = link_new(peers, fds[0], true, LINK_OPEN);
+	assert_true(link_open(link, &owner.base, &head, NULL, &stream));
+	if (bytes_wait)
+		assert_int_equal(send(fds[1], "bytes", 5, 0), 5);
+	later = clock_now();
+	later.mono_us += 700 * US_PER_MS;
+	link_tick(link, later);
+	lost = g_atomic_int_get(&owner.lost);
+	link_close(link);
+	link_unref(stream.link);
+	link_unref(link);
+	close(fds[1]);
+	return lost;
+}
+
+/* A node that had no processor time for a while found all its links silent, though their bytes
+ * waited unread, and closed them in the middle of answers. */
+static void test_unread_bytes_are_no_silence(void **state)
+{
+	(void)state;
+	assert_true(is_silent(false));
+	assert_false(is_silent(true));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -324,6 +360,8 @@
 						tear_down),
 		cmocka_unit_test_setup_teardown(test_call_while_a_link_closes_gets_a_new_one,
 						set_up, tear_down),
+		cmocka_unit_test_setup_teardown(test_unread_bytes_are_no_silence, set_up,
+						tear_down),
 	};
 
 	apr_initialize();
