The time of a call begins with its head

What callers saw: a request whose body came slowly, or that waited behind others on its connection, ran after its caller had given up, and its target got more time than the caller had left (BUDGET).

Cause: the deadline was counted from the moment at which the request was passed on. For bodies of up to 64 KiB that is after their last byte, for pipelined requests after the answers before them.

Evidence: godwithitchd/bodies, test_slow_body_takes_from_the_time_of_its_call: a body that ends 1 s after its head, on a route of 500 ms, was sent to its target on the code before (504 "may have run" 0.5 s later); now it is refused as not run at once.

Why this works: the reader notes when the head was whole, and deadline and objective count from there.

--- a/caller/http.c
+++ b/caller/http.c
@@ -426,6 +426,11 @@
 	return call->body_length;
 }
 
+struct instant caller_arrived(const struct caller_call *call)
+{
+	return call->arrived;
+}
+
 uint32_t caller_ipv4(const struct caller_call *call)
 {
 	return call->connection->ipv4;
--- a/caller/http.h
+++ b/caller/http.h
@@ -91,6 +91,8 @@
 const struct field *caller_fields(const struct caller_call *call, int *count);
 const struct caller_body *caller_body(const struct caller_call *call);
 int64_t caller_body_length(const struct caller_call *call); /**< -1: unknown */
+/** Returns when the head had arrived: the caller's time began before its body came. */
+struct instant caller_arrived(const struct caller_call *call);
 uint32_t caller_ipv4(const struct caller_call *call);
 
 /** Attaches a pointer of the daemon to the call. */
--- a/caller/read.c
+++ b/caller/read.c
@@ -104,6 +104,7 @@
 						  span_str(call, input->values[i]) };
 	call->field_count = input->field_count;
 	call->safe = is_safe(parser->method);
+	call->arrived = clock_now();
 	input->closes = !http_should_keep_alive(parser);
 	call->close_after = input->closes;
 	if (parser->flags & F_CHUNKED)
--- a/godwithitchd/calls.c
+++ b/godwithitchd/calls.c
@@ -395,9 +395,9 @@
 		return;
 	}
 	call->tenant = label_from(tenant_text(call->route, caller));
-	call->deadline = calls_work_deadline(
-		daemon, make_deadline(daemon->dialect, call->route, caller, now));
-	set_objective(call, now);
+	call->deadline = calls_work_deadline(daemon, make_deadline(daemon->dialect, call->route,
+								   caller, caller_arrived(caller)));
+	set_objective(call, caller_arrived(caller));
 	call->attributes.route = call->route;
 	call->attributes.point = call_placement_point(daemon, key);
 	call->service = call_service(&call->attributes);
--- a/regress/godwithitchd/bodies_test.c
+++ b/regress/godwithitchd/bodies_test.c
@@ -97,6 +97,32 @@
 	check_bodies(OWN_TARGET, RAW_IN_CHUNKS);
 }
 
+/* The time of a call counted from the end of its body: a target got requests that their callers had
+ * given up, and more time than they had left. */
+static void test_slow_body_takes_from_the_time_of_its_call(void **state)
+{
+	enum { LATE_MS = 1000 }; /* the route allows 500 ms */
+	struct raw_request request = { .method = "POST",
+				       .host = "a",
+				       .path = "/hang",
+				       .id = "1",
+				       .body = RAW_WITH_LENGTH,
+				       .body_bytes = 100,
+				       .pause_ms = LATE_MS,
+				       .timeout_ms = TIMEOUT_MS };
+	struct raw_caller *caller;
+	struct raw_answer answer;
+
+	(void)state;
+	fleet = pair_start("-s registre -v v1");
+	caller = raw_caller_new(atoi(strchr(fleet->nodes[OWN_TARGET].caller_address, ':') + 1));
+	answer = raw_call(caller, &request);
+	assert_int_equal(answer.status, 504);
+	assert_true(str_has_prefix(strbuf_str(&answer.body), STR("not-run")));
+	raw_answer_clear(&answer);
+	raw_caller_free(caller);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -105,6 +131,8 @@
 		cmocka_unit_test_teardown(test_bodies_with_a_length_reach_own_target, pair_stop),
 		cmocka_unit_test_teardown(test_bodies_in_chunks_reach_another_node, pair_stop),
 		cmocka_unit_test_teardown(test_bodies_in_chunks_reach_own_target, pair_stop),
+		cmocka_unit_test_teardown(test_slow_body_takes_from_the_time_of_its_call,
+					  pair_stop),
 	};
 
 	curl_global_init(CURL_GLOBAL_DEFAULT);
