Small bodies in chunks are buffered like those with a length

A request in chunks was also never tried at a second target once a byte of its body had been read.

Cause: each body without a length was streamed, whatever its size. It was not in memory when the request was passed on, so that the request had no fingerprint and its body could not be sent again.

Why this works: chunks are collected until the body ends, or is larger than 64 KiB and streamed from then on. The connection's lock orders that change with the end of the connection.

Tests that need a streamed body (caller/upload, trailers, an early answer) now begin one of more than 64 KiB; what they check is unchanged, and the wait for the trailers is for the end of the body instead of a count of events.

--- a/caller/connection.c
+++ b/caller/connection.c
@@ -72,7 +72,9 @@
 static void end_call(struct connection *connection, struct caller_call *call)
 {
 	pipe_abandon(call->answer);
+	lock_acquire(&connection->lock);
 	caller_body_cut(&call->body);
+	lock_release(&connection->lock);
 	if (call->dispatched)
 		caller_notify(call, CALLER_ENDED, 0);
 	caller_add_active(connection->caller, -1);
--- a/caller/connection.h
+++ b/caller/connection.h
@@ -46,6 +46,7 @@
 	struct field fields[FIELDS_MAX];
 	int field_count;
 	int64_t body_length;
+	bool in_chunks;
 	struct instant arrived; /* the head, as a whole */
 	struct caller_body body;
 	struct pipe *answer;
--- a/caller/http.c
+++ b/caller/http.c
@@ -426,6 +426,11 @@
 	return call->body_length;
 }
 
+bool caller_sent_chunks(const struct caller_call *call)
+{
+	return call->in_chunks;
+}
+
 struct instant caller_arrived(const struct caller_call *call)
 {
 	return call->arrived;
--- a/caller/http.h
+++ b/caller/http.h
@@ -20,7 +20,7 @@
 
 /** How the body of a request reaches the handler. */
 enum caller_body_kind {
-	CALLER_BODY_WHOLE,    /**< small and of known length: complete at CALLER_READY */
+	CALLER_BODY_WHOLE,    /**< small, also in chunks: complete at CALLER_READY */
 	CALLER_BODY_STREAMED, /**< the handler reads it from a pipe as it arrives */
 };
 
@@ -91,6 +91,7 @@
 const struct field *caller_fields(const struct caller_call *call, int *count);
 const struct caller_body *caller_body(const struct caller_call *call);
 int64_t caller_body_length(const struct caller_call *call); /**< -1: unknown */
+bool caller_sent_chunks(const struct caller_call *call);
 /** Returns when the head had arrived: the caller's time began before its body came. */
 struct instant caller_arrived(const struct caller_call *call);
 uint32_t caller_ipv4(const struct caller_call *call);
--- a/caller/read.c
+++ b/caller/read.c
@@ -107,7 +107,8 @@
 	call->arrived = clock_now();
 	input->closes = !http_should_keep_alive(parser);
 	call->close_after = input->closes;
-	if (parser->flags & F_CHUNKED)
+	call->in_chunks = parser->flags & F_CHUNKED;
+	if (call->in_chunks)
 		call->body_length = -1;
 	else if (parser->flags & F_CONTENTLENGTH)
 		call->body_length = (int64_t)parser->content_length;
@@ -157,7 +158,7 @@
 		input->error_status = STATUS_TOO_LARGE;
 		return HEAD_REJECTED;
 	}
-	if (call->body_length < 0 || call->body_length > SMALL_BODY_BYTES)
+	if (call->body_length > SMALL_BODY_BYTES)
 		call->body = (struct caller_body){
 			.kind = CALLER_BODY_STREAMED,
 			.upload = pipe_new(UPLOAD_LIMIT_BYTES, call->pool),
@@ -166,15 +167,35 @@
 	return 0;
 }
 
+/* Streams a body in chunks that is not small. The connection may end on another worker meanwhile,
+ * which cuts the body. */
+static void stream_body(struct connection *connection, struct caller_call *call)
+{
+	struct strbuf collected = call->body.whole;
+	struct pipe *upload = pipe_new(UPLOAD_LIMIT_BYTES, call->pool);
+
+	pipe_write(upload, strbuf_str(&collected));
+	lock_acquire(&connection->lock);
+	call->body = (struct caller_body){ .kind = CALLER_BODY_STREAMED, .upload = upload };
+	call->startable = true;
+	lock_release(&connection->lock);
+	strbuf_clear(&collected);
+	if (call->queued)
+		connection_advance(connection);
+}
+
 static int on_body(struct http_parser *parser, const char *data, size_t len)
 {
-	struct request_input *input = &connection_of(parser)->input;
+	struct connection *connection = connection_of(parser);
+	struct request_input *input = &connection->input;
 	struct caller_call *call = input->call;
 
 	input->body += len;
 	switch (call->body.kind) {
 	case CALLER_BODY_WHOLE:
 		strbuf_add(&call->body.whole, (struct str){ data, len });
+		if (call->body.whole.len > SMALL_BODY_BYTES)
+			stream_body(connection, call);
 		return 0;
 	case CALLER_BODY_STREAMED:
 		pipe_write(call->body.upload, (struct str){ data, len });
@@ -189,6 +210,7 @@
 	switch (call->body.kind) {
 	case CALLER_BODY_WHOLE:
 		lock_acquire(&connection->lock);
+		call->body_length = (int64_t)call->body.whole.len;
 		call->startable = true;
 		lock_release(&connection->lock);
 		connection_advance(connection);
--- a/godwithitchd/calls.c
+++ b/godwithitchd/calls.c
@@ -87,7 +87,7 @@
 		hash = str_hash(caller_target(caller), hash);
 		return str_hash(strbuf_str(&body->whole), hash);
 	case CALLER_BODY_STREAMED:
-		/* It is not in memory as a whole: its request gets no fingerprint. */
+		/* It is large and not in memory as a whole: its request gets no fingerprint. */
 		return 0;
 	}
 	g_assert_not_reached();
@@ -450,6 +450,11 @@
 	return length < 0 ? "chunks" : "length";
 }
 
+static const char *request_framing_name(const struct caller_call *caller)
+{
+	return caller_sent_chunks(caller) ? "chunks" : framing_name(caller_body_length(caller));
+}
+
 /* Logs the choices made for a call and its outcome, for the investigation of complaints. */
 static void log_call(const struct call *call, int64_t duration_us)
 {
@@ -464,7 +469,7 @@
 		     STR_ARG(id), STR_ARG(label_str(&call->route->name)), call->status,
 		     STR_ARG(verdict_name(call->verdict)), call->last_target, call->attempts,
 		     call->offers, call->config->version, (double)duration_us / US_PER_MS,
-		     call->retried, framing_name(caller_body_length(call->caller)),
+		     call->retried, request_framing_name(call->caller),
 		     framing_name(call->announced_bytes), call->answer_bytes, call->announced_bytes,
 		     call->reason);
 }
--- a/regress/lib/callers.c
+++ b/regress/lib/callers.c
@@ -133,6 +133,18 @@
 	assert_int_equal(send(fd, text, strlen(text), MSG_NOSIGNAL), strlen(text));
 }
 
+void callers_begin_upload(int fd, const char *target, const char *fields)
+{
+	char *bytes = g_strnfill(CALLERS_UPLOAD_BYTES, 'a');
+	char *text = g_strdup_printf("POST %s HTTP/1.1\r\nHost: a\r\n%sTransfer-Encoding: chunked"
+				     "\r\n\r\n%x\r\n%s\r\n",
+				     target, fields, (unsigned int)CALLERS_UPLOAD_BYTES, bytes);
+
+	callers_send(fd, text);
+	g_free(text);
+	g_free(bytes);
+}
+
 void callers_wait(const int *counter, int count)
 {
 	struct timespec until;
--- a/regress/lib/callers.h
+++ b/regress/lib/callers.h
@@ -11,6 +11,9 @@
 
 #include "caller/connection.h"
 
+/** The first chunk of callers_begin_upload(): a body that is larger than small ones. */
+enum { CALLERS_UPLOAD_BYTES = SMALL_BODY_BYTES + 1 };
+
 /** State of the handler. The mutex guards it. */
 struct callers {
 	pthread_mutex_t mutex; /**< the thread sanitizer does not see the locks of GLib */
@@ -35,6 +38,9 @@
 /** Returns a connected socket. */
 int callers_connect(void);
 void callers_send(int fd, const char *text);
+/** Sends the head of a POST request with the lines @p fields and a first chunk of
+ *  CALLERS_UPLOAD_BYTES, so that its body is streamed; its last chunk does not follow. */
+void callers_begin_upload(int fd, const char *target, const char *fields);
 /** Waits until *counter, a member of callers, is at least @p count. */
 void callers_wait(const int *counter, int count);
 /** Waits for the call with this index, in the order of READY. */
