A retry is offered anew

Cause: a retry went on with the offers that were left of its first attempt. While few remote offers are accepted there is only one, and the attempt that failed had used it; a data centre in which no other target was found stayed out as well.

Why this works: an accepted attempt has spent no offer in vain, so its retry begins with all of them.

--- a/core/placement.c
+++ b/core/placement.c
@@ -125,6 +125,15 @@
 	placement->best_is_local = placement->offering_local;
 }
 
+void placement_retry(struct placement *placement)
+{
+	placement->local_offers = 0;
+	placement->remote_offers = 0;
+	placement->local_exhausted = false;
+	placement->remote_exhausted = false;
+	placement->local_queue_tried = false;
+}
+
 int64_t placement_retry_after_us(const struct placement *placement,
 				 const struct placement_inputs *inputs, struct rng *rng)
 {
--- a/core/placement.h
+++ b/core/placement.h
@@ -60,6 +60,9 @@
 /** Notes a refusal; @p expected_us: the node's estimate of the time until an answer, or 0. */
 void placement_refused(struct placement *placement, uint64_t target, int64_t expected_us);
 
+/** Begins the offers of a further attempt, after one that took the call has failed. */
+void placement_retry(struct placement *placement);
+
 /** Returns how long a refused caller should wait: random, so that retries are distributed over the
  *  time in which slots become free. After the power has returned a caller that tries again at once
  *  finds no node current and no target known, and is lost with its second refusal. */
--- a/godwithitchd/attempt.c
+++ b/godwithitchd/attempt.c
@@ -138,6 +138,7 @@
 			     "route=%.*s target=%lx verdict=%.*s why=\"%.*s\"",
 			     STR_ARG(label_str(&call->route->name)), attempt->target,
 			     STR_ARG(verdict_name(verdict)), STR_ARG(reason));
+		placement_retry(&call->placement);
 		call_try_target(call);
 	} else
 		call_refuse(call, REFUSED_NO_TARGET, reason);
--- a/regress/core/load_test.c
+++ b/regress/core/load_test.c
@@ -325,6 +325,29 @@
 	assert_int_equal(placement_next(&placement, &inputs), PLACE_REFUSE);
 }
 
+/* A call whose target's node was lost was refused as if no target took work: its first attempt had
+ * used up the offers. */
+static void test_retry_is_offered_anew(void **state)
+{
+	struct placement_inputs inputs = { .objective_remaining_us = 400 * US_PER_MS,
+					   .remaining_us = US_PER_S,
+					   .remote_probability = 0 };
+	struct placement placement = { 0 };
+
+	(void)state;
+	assert_int_equal(placement_next(&placement, &inputs), PLACE_LOCAL);
+	placement_no_target(&placement);
+	assert_int_equal(placement_next(&placement, &inputs), PLACE_REMOTE);
+	/* The target took the call, and its node was lost. */
+	placement_refused(&placement, 1, 0);
+	placement_retry(&placement);
+	assert_int_equal(placement_next(&placement, &inputs), PLACE_LOCAL);
+	placement_no_target(&placement);
+	assert_int_equal(placement_next(&placement, &inputs), PLACE_REMOTE);
+	placement_no_target(&placement);
+	assert_int_equal(placement_next(&placement, &inputs), PLACE_REFUSE);
+}
+
 static void test_late_local_call_goes_remote(void **state)
 {
 	struct placement_inputs inputs = { .objective_remaining_us = 100 * US_PER_MS,
@@ -545,6 +568,7 @@
 		cmocka_unit_test(test_late_call_is_not_offered_further),
 		cmocka_unit_test(test_call_queues_at_first_target_where_round_trips_take_long),
 		cmocka_unit_test(test_callers_of_a_starting_node_return_when_it_is_current),
+		cmocka_unit_test(test_retry_is_offered_anew),
 		cmocka_unit_test(test_retry_has_elapsed_time),
 		cmocka_unit_test(test_impatient_first_attempts_are_not_retries),
 		cmocka_unit_test(test_long_deadline_is_forgotten),
