In a stop a body in chunks is streamed from its head on

What callers saw: a request in chunks whose head reached a stopping node in time, and whose body ended after the notice, was refused with 503.

Cause: the request was passed on at its body's end, when the node's own target takes no calls any more.

--- a/caller/read.c
+++ b/caller/read.c
@@ -140,6 +140,15 @@
 		connection_advance(connection);
 }
 
+/* Returns whether the body is passed on before its end. In a stop one in chunks is, as its target
+ * may be gone by then; otherwise it is, like others, if it is not small. */
+static bool is_streamed(const struct connection *connection, const struct caller_call *call,
+			int64_t body_bytes)
+{
+	return body_bytes > SMALL_BODY_BYTES ||
+	       (call->in_chunks && caller_is_retired(connection->caller));
+}
+
 static int on_headers_complete(struct http_parser *parser)
 {
 	struct connection *connection = connection_of(parser);
@@ -158,7 +167,7 @@
 		input->error_status = STATUS_TOO_LARGE;
 		return HEAD_REJECTED;
 	}
-	if (call->body_length > SMALL_BODY_BYTES)
+	if (is_streamed(connection, call, call->body_length))
 		call->body = (struct caller_body){
 			.kind = CALLER_BODY_STREAMED,
 			.upload = pipe_new(UPLOAD_LIMIT_BYTES, call->pool),
@@ -194,7 +203,7 @@
 	switch (call->body.kind) {
 	case CALLER_BODY_WHOLE:
 		strbuf_add(&call->body.whole, (struct str){ data, len });
-		if (call->body.whole.len > SMALL_BODY_BYTES)
+		if (is_streamed(connection, call, (int64_t)call->body.whole.len))
 			stream_body(connection, call);
 		return 0;
 	case CALLER_BODY_STREAMED:
