--- a/regress/core/claim_test.c
+++ b/regress/core/claim_test.c
@@ -140,9 +140,9 @@
 	{ "homes crash and restart", restart_homes, true },
 };
 
-static void run_fault_case(const struct fault_case *fault_case, uint64_t seed)
+/* Starts a fleet whose messages are delayed, duplicated and reordered. */
+static struct sim *start_sim(struct fixture *fixture, uint64_t seed)
 {
-	struct fixture *fixture = g_new0(struct fixture, 1);
 	struct sim_options options = { .nodes = NODES,
 				       .data_centres = 3,
 				       .seed = seed,
@@ -152,9 +152,17 @@
 				       .on_claimed = on_claimed,
 				       .context = fixture };
 	struct sim *sim = sim_new(&options);
-	int granted = 0;
 
 	sim_run(sim, 10 * US_PER_S);
+	return sim;
+}
+
+static void run_fault_case(const struct fault_case *fault_case, uint64_t seed)
+{
+	struct fixture *fixture = g_new0(struct fixture, 1);
+	struct sim *sim = start_sim(fixture, seed);
+	int granted = 0;
+
 	for (int step = 0; step < 15; step++) {
 		fault_case->fault(sim, step);
 		for (int i = 0; step < 12 && i < KEYS * REQUESTS / 12; i++) {
@@ -220,19 +228,10 @@
 static void run_outcome_case(const struct fault_case *fault_case, uint64_t seed)
 {
 	struct fixture *fixture = g_new0(struct fixture, 1);
-	struct sim_options options = { .nodes = NODES,
-				       .data_centres = 3,
-				       .seed = seed,
-				       .preload = true,
-				       .duplicates = 0.2,
-				       .delay_max_us = 20000,
-				       .on_claimed = on_claimed,
-				       .context = fixture };
-	struct sim *sim = sim_new(&options);
+	struct sim *sim = start_sim(fixture, seed);
 	int completed = 0;
 	int replayed;
 
-	sim_run(sim, 10 * US_PER_S);
 	for (int step = 0; step < 15; step++) {
 		fault_case->fault(sim, step);
 		for (int i = 0; step < 12 && i < KEYS / 12; i++)
--- a/regress/godwithitchd/kept_connections_test.c
+++ b/regress/godwithitchd/kept_connections_test.c
@@ -104,7 +104,8 @@
 		failed += call_status(caller, body, i) != 200;
 	raw_caller_free(caller);
 	print_message("%s: %d of %d calls failed, %d connections closed, %d bodies altered\n",
-		      body->name, failed, CALLS, closed, altered);
+		      body->name, failed, CALLS, g_atomic_int_get(&closed),
+		      g_atomic_int_get(&altered));
 	return failed;
 }
 
@@ -115,9 +116,9 @@
 
 	for (size_t i = 0; i < G_N_ELEMENTS(bodies); i++) {
 		failed += count_failed(entry, &bodies[i]);
-		altered_bodies += altered;
+		altered_bodies += g_atomic_int_get(&altered);
 		if (bodies[i].reuses)
-			assert_true(closed * 2 >= CALLS);
+			assert_true(g_atomic_int_get(&closed) * 2 >= CALLS);
 	}
 	assert_int_equal(failed, 0);
 	assert_int_equal(altered_bodies, 0);
