--- a/core/config.c
+++ b/core/config.c
@@ -92,6 +92,13 @@
 		g_array_unref(route->destinations);
 }
 
+static void tenant_clear(gpointer data)
+{
+	struct tenant *tenant = data;
+
+	g_array_unref(tenant->keys);
+}
+
 struct config_file *config_file_new(void)
 {
 	struct config_file *file = g_new0(struct config_file, 1);
@@ -102,6 +109,8 @@
 	g_array_set_clear_func(file->routes, route_clear);
 	file->moves = g_array_new(FALSE, TRUE, sizeof(struct move_spec));
 	file->switches = g_array_new(FALSE, TRUE, sizeof(struct auto_switch));
+	file->tenants = g_array_new(FALSE, TRUE, sizeof(struct tenant));
+	g_array_set_clear_func(file->tenants, tenant_clear);
 	file->text = g_string_chunk_new(256);
 	return file;
 }
@@ -114,6 +123,7 @@
 	g_array_unref(file->routes);
 	g_array_unref(file->moves);
 	g_array_unref(file->switches);
+	g_array_unref(file->tenants);
 	g_string_chunk_free(file->text);
 	g_free(file);
 }
@@ -364,6 +374,50 @@
 	return true;
 }
 
+static bool add_key(struct config *config, const struct accepted_file *file,
+		    struct tenant *tenant, struct str *key, GError **error)
+{
+	const struct tenant *holder = g_hash_table_lookup(config->tenants_by_key, key);
+	char path[64];
+
+	snprintf(path, sizeof(path), "tenants.%.*s", STR_ARG(label_str(&tenant->name)));
+	/* The message doesn't show the key, which is secret. */
+	if (holder && holder != tenant)
+		return fail(error, CONFIG_ERROR_NAME, file, tenant->line, path,
+			    "tenant \"%.*s\" holds one of the keys already",
+			    STR_ARG(label_str(&holder->name)));
+	g_hash_table_insert(config->tenants_by_key, key, tenant);
+	return true;
+}
+
+static bool add_tenant(struct config *config, const struct accepted_file *file,
+		       struct tenant *tenant, GError **error)
+{
+	char path[64];
+
+	snprintf(path, sizeof(path), "tenants.%.*s", STR_ARG(label_str(&tenant->name)));
+	if (g_hash_table_contains(config->tenants, &tenant->name))
+		return fail(error, CONFIG_ERROR_NAME, file, tenant->line, path,
+			    "the tenant is declared twice");
+	g_hash_table_insert(config->tenants, &tenant->name, tenant);
+	for (guint i = 0; i < tenant->keys->len; i++)
+		if (!add_key(config, file, tenant, &g_array_index(tenant->keys, struct str, i),
+			     error))
+			return false;
+	return true;
+}
+
+static bool add_tenants(struct config *config, const struct accepted_file *file, GError **error)
+{
+	GArray *tenants = file->change->parsed->tenants;
+
+	config->has_tenants |= file->change->parsed->has_tenants;
+	for (guint i = 0; i < tenants->len; i++)
+		if (!add_tenant(config, file, &g_array_index(tenants, struct tenant, i), error))
+			return false;
+	return true;
+}
+
 static bool add_services(struct config *config, const struct accepted_file *file, GError **error)
 {
 	GArray *services = file->change->parsed->services;
@@ -390,7 +444,7 @@
 		if (!add_switch(config, file,
 				&g_array_index(parsed->switches, struct auto_switch, i), error))
 			return false;
-	return true;
+	return add_tenants(config, file, error);
 }
 
 static gint compare_routes(gconstpointer a, gconstpointer b)
@@ -430,6 +484,16 @@
 	return true;
 }
 
+static guint hash_str(gconstpointer data)
+{
+	return (guint)str_hash(*(const struct str *)data, 0);
+}
+
+static gboolean equal_str(gconstpointer a, gconstpointer b)
+{
+	return str_equal(*(const struct str *)a, *(const struct str *)b);
+}
+
 struct config *config_build(GPtrArray *files, int64_t version, int64_t accepted, GError **error)
 {
 	struct config *config = g_new0(struct config, 1);
@@ -446,6 +510,8 @@
 		g_hash_table_new_full(label_hash, label_hash_equal, g_free, g_free);
 	config->moves = g_array_new(FALSE, TRUE, sizeof(struct move_spec));
 	config->switches = g_array_new(FALSE, TRUE, sizeof(struct auto_switch));
+	config->tenants = g_hash_table_new(label_hash, label_hash_equal);
+	config->tenants_by_key = g_hash_table_new(hash_str, equal_str);
 	if (!add_files(config, error)) {
 		config_unref(config);
 		return NULL;
@@ -470,10 +536,22 @@
 	g_hash_table_destroy(config->longest_objectives);
 	g_array_unref(config->moves);
 	g_array_unref(config->switches);
+	g_hash_table_destroy(config->tenants);
+	g_hash_table_destroy(config->tenants_by_key);
 	g_ptr_array_unref(config->files);
 	g_free(config);
 }
 
+const struct tenant *config_find_key(const struct config *config, struct str key)
+{
+	return g_hash_table_lookup(config->tenants_by_key, &key);
+}
+
+const struct tenant *config_find_tenant(const struct config *config, struct label name)
+{
+	return g_hash_table_lookup(config->tenants, &name);
+}
+
 const struct accepted_file *config_find_file(const struct config *config, struct label name)
 {
 	for (guint i = 0; i < config->files->len; i++) {
--- a/core/config.h
+++ b/core/config.h
@@ -103,6 +103,18 @@
 	int64_t objective_us;	 /**< response time objective; 0: none */
 	int attempts;		 /**< limit on the targets tried for one call; 0: default */
 	int concurrency_percent; /**< share of a target's slots that the route may use */
+	bool is_public;		 /**< callers need no key, also where tenants are declared */
+	int line;
+};
+
+/** A workspace whose callers present keys. */
+struct tenant {
+	struct label name;
+	GArray *keys;		  /**< struct str; empty: all keys were withdrawn */
+	bool has_class;		  /**< .class goes before the class of the route */
+	enum traffic_class class; /**< class of its requests, with .has_class */
+	double rate_per_s;	  /**< limit over the whole fleet, requests per second; 0: none */
+	double burst;		  /**< requests beyond the rate at once, over the whole fleet */
 	int line;
 };
 
@@ -131,6 +143,8 @@
 	GArray *routes;	  /**< struct route */
 	GArray *moves;	  /**< struct move_spec; ids are 0 until accepted */
 	GArray *switches; /**< struct auto_switch */
+	GArray *tenants;  /**< struct tenant */
+	bool has_tenants; /**< the file declares tenants, maybe none */
 	int64_t serial;	  /**< increases with each version of the file; 0: none */
 	GStringChunk *text;
 };
@@ -187,6 +201,9 @@
 	GHashTable *longest_objectives; /**< struct label -> int64_t, us; by service */
 	GArray *moves;			/**< struct move_spec with ids */
 	GArray *switches;		/**< struct auto_switch */
+	bool has_tenants;		/**< requests need a key, except on public routes */
+	GHashTable *tenants;		/**< struct label -> struct tenant, borrowed from the files */
+	GHashTable *tenants_by_key;	/**< struct str -> struct tenant, borrowed */
 };
 
 /**
@@ -213,6 +230,9 @@
 bool config_is_nested(const struct config *config, const struct route *route, struct label service);
 /** Returns the service for a call on the route; @p point selects a destination by weight. */
 struct label route_service(const struct route *route, uint64_t point);
+/** Returns the tenant that holds @p key, or NULL. */
+const struct tenant *config_find_key(const struct config *config, struct str key);
+const struct tenant *config_find_tenant(const struct config *config, struct label name);
 /** Returns the matching route with the longest path; among equal paths, routes with a host precede
  * those without. NULL: none matches. */
 const struct route *config_match(const struct config *config, struct str host, struct str method,
--- a/operator/parse.c
+++ b/operator/parse.c
@@ -8,8 +8,12 @@
 	TIMEOUT_MAX_MS = 3600 * 1000,
 	WEIGHT_MAX = 1000000,
 	ATTEMPTS_MAX = 64,
+	KEY_MAX_BYTES = 256,
 };
 
+/* A larger limit of a tenant is taken for a typing error. */
+#define RATE_MAX_PER_S 1e6
+
 /* State of parsing one configuration file. */
 struct parser {
 	const struct json_doc *doc;
@@ -198,6 +202,7 @@
 	int64_t objective_ms = 0;
 	int64_t concurrency = 100;
 	int64_t attempts = 0;
+	struct json *is_public;
 
 	if (!json_read_int(p->doc, item, STR("deadline_ms"), JSON_OPTIONAL, 1, TIMEOUT_MAX_MS,
 			   &timeout_ms, p->error) ||
@@ -206,8 +211,11 @@
 	    !json_read_int(p->doc, item, STR("attempts"), JSON_OPTIONAL, 1, ATTEMPTS_MAX, &attempts,
 			   p->error) ||
 	    !json_read_int(p->doc, item, STR("concurrency_percent"), JSON_OPTIONAL, 1, 100,
-			   &concurrency, p->error))
+			   &concurrency, p->error) ||
+	    !json_read_member(p->doc, item, STR("public"), JSON_OPTIONAL, JSON_BOOL, &is_public,
+			      p->error))
 		return false;
+	route->is_public = is_public && is_public->boolean;
 	route->timeout_us = timeout_ms * US_PER_MS;
 	route->objective_us = objective_ms * US_PER_MS;
 	route->attempts = (int)attempts;
@@ -230,6 +238,76 @@
 	return valid;
 }
 
+/* Reads a rate of requests, integer or not; an absent one is 0, which means no limit. */
+static bool parse_rate(struct parser *p, const struct json *item, struct str key, double *rate)
+{
+	const struct json *value = json_get(item, key);
+
+	if (!value)
+		return true;
+	if (value->kind == JSON_INTEGER)
+		*rate = (double)value->integer;
+	else if (value->kind == JSON_DOUBLE)
+		*rate = value->number;
+	else
+		return json_check_kind(p->doc, value, JSON_DOUBLE, p->error);
+	if (*rate >= 0 && *rate <= RATE_MAX_PER_S)
+		return true;
+	return json_fail(p->doc, value, CONFIG_ERROR_TYPE, p->error,
+			 "expected a number from 0 to %g", RATE_MAX_PER_S);
+}
+
+static bool parse_key(struct parser *p, const struct json *item, struct tenant *tenant)
+{
+	struct str key;
+
+	if (!json_check_kind(p->doc, item, JSON_STRING, p->error))
+		return false;
+	if (item->string.len == 0 || item->string.len > KEY_MAX_BYTES)
+		return json_fail(p->doc, item, CONFIG_ERROR_TYPE, p->error,
+				 "expected a key of 1 to %d bytes", KEY_MAX_BYTES);
+	key = config_file_copy_str(p->file, item->string);
+	g_array_append_val(tenant->keys, key);
+	return true;
+}
+
+static bool parse_tenant_class(struct parser *p, const struct json *item, struct tenant *tenant)
+{
+	struct str name = STR("");
+
+	if (!json_read_str(p->doc, item, STR("class"), JSON_OPTIONAL, &name, p->error))
+		return false;
+	tenant->has_class = name.len > 0;
+	if (!tenant->has_class || traffic_class_parse(name, &tenant->class))
+		return true;
+	return json_fail(p->doc, json_get(item, STR("class")), CONFIG_ERROR_TYPE, p->error,
+			 "\"%.*s\": expected \"interactive\", \"standard\", \"bulk\" or "
+			 "\"background\"",
+			 STR_ARG(name));
+}
+
+static bool parse_tenant(struct parser *p, const struct json *item)
+{
+	struct tenant tenant = { .name = label_from(item->key), .line = item->line };
+	struct json *keys;
+
+	if (!json_check_name(p->doc, item, item->key, p->error) ||
+	    !json_check_kind(p->doc, item, JSON_OBJECT, p->error) ||
+	    !json_read_member(p->doc, item, STR("keys"), JSON_REQUIRED, JSON_ARRAY, &keys,
+			      p->error) ||
+	    !parse_tenant_class(p, item, &tenant) ||
+	    !parse_rate(p, item, STR("rate_per_s"), &tenant.rate_per_s) ||
+	    !parse_rate(p, item, STR("burst"), &tenant.burst) ||
+	    !json_check_unknown_keys(p->doc, item, p->error))
+		return false;
+	tenant.keys = g_array_new(FALSE, FALSE, sizeof(struct str));
+	g_array_append_val(p->file->tenants, tenant);
+	for (guint i = 0; i < keys->items->len; i++)
+		if (!parse_key(p, g_ptr_array_index(keys->items, i), &tenant))
+			return false;
+	return true;
+}
+
 static bool parse_time(struct parser *p, const struct json *item, struct str key, int64_t *wall_us)
 {
 	struct str text = STR("");
@@ -311,6 +389,12 @@
 	return true;
 }
 
+static bool parse_tenants(struct parser *p)
+{
+	p->file->has_tenants = json_get(p->doc->root, STR("tenants")) != NULL;
+	return parse_section(p, STR("tenants"), JSON_OBJECT, parse_tenant);
+}
+
 static bool parse_root(struct parser *p)
 {
 	return json_check_kind(p->doc, p->doc->root, JSON_OBJECT, p->error) &&
@@ -320,6 +404,7 @@
 	       parse_section(p, STR("routes"), JSON_ARRAY, parse_route) &&
 	       parse_section(p, STR("moves"), JSON_ARRAY, parse_move) &&
 	       parse_section(p, STR("switches"), JSON_OBJECT, parse_switches) &&
+	       parse_tenants(p) &&
 	       json_check_unknown_keys(p->doc, p->doc->root, p->error);
 }
 
