Tenants: keys, proofs that a configuration is recent, limits over the whole fleet

Callers' keys name their tenant; the key does not reach the target, the tenant's name does. A node admits keys only while it has a proof, from a read of the log or from a peer's answer to its own question, that no key was withdrawn longer ago than the bound. Limits are divided into four shards; entry nodes ask their holders for tokens that expire soon.

--- a/base/lockorder.h
+++ b/base/lockorder.h
@@ -27,6 +27,7 @@
 	LOCK_MOVES,	 /**< state and evidence of the moves */
 	LOCK_ADMIT,	 /**< slots and queue of the node's own target, call counts */
 	LOCK_CLAIMS,	 /**< idempotency keys */
+	LOCK_QUOTA,	 /**< tokens of tenants */
 	LOCK_TRAFFIC,	 /**< measurements of each route */
 	LOCK_POISON,	 /**< fingerprints of requests that crash targets */
 	LOCK_TARGET,	 /**< the announced target, idle handles of platform services */
--- a/core/config.c
+++ b/core/config.c
@@ -374,8 +374,8 @@
 	return true;
 }
 
-static bool add_key(struct config *config, const struct accepted_file *file,
-		    struct tenant *tenant, struct str *key, GError **error)
+static bool add_key(struct config *config, const struct accepted_file *file, struct tenant *tenant,
+		    struct str *key, GError **error)
 {
 	const struct tenant *holder = g_hash_table_lookup(config->tenants_by_key, key);
 	char path[64];
--- a/core/dialect.c
+++ b/core/dialect.c
@@ -9,6 +9,7 @@
 
 const struct dialect dialect_native = {
 	.deadline_ms = NAME("Godwithitch-Deadline-Ms"),
+	.tenant = NAME("Godwithitch-Tenant"),
 	.not_run = NAME("Godwithitch-Not-Run"),
 	.verdict = NAME("Godwithitch-Verdict"),
 	.late_status = STATUS_LATE,
--- a/core/dialect.h
+++ b/core/dialect.h
@@ -14,6 +14,7 @@
 /** Statuses of a call that has not run. */
 enum refusal_status {
 	STATUS_BAD_REQUEST = 400,
+	STATUS_UNAUTHORIZED = 401,
 	STATUS_NOT_FOUND = 404,
 	STATUS_TOO_MANY = 429,
 	STATUS_UNAVAILABLE = 503,
@@ -32,6 +33,7 @@
 	struct str deadline_ms;	    /**< request: how long the caller still waits */
 	struct str request_id;	    /**< request; repeated in the answers of targets and nodes */
 	struct str caller_service;  /**< request, set by the entry node: the service that calls */
+	struct str tenant;	    /**< request to a target, set by the entry node: the tenant */
 	struct str expected_target; /**< request to a target: id of the target that may run it */
 	struct str target_id;	    /**< health answer: the target's id */
 	struct str load;	    /**< answer: "running,waiting,slots" of the target */
--- a/core/event.c
+++ b/core/event.c
@@ -14,6 +14,7 @@
 	case ACTION_READ_LOG:
 	case ACTION_CLAIMED:
 	case ACTION_CLAIM_ENDED:
+	case ACTION_QUOTA:
 	case ACTION_LOG_EVENT:
 		return;
 	}
@@ -84,6 +85,13 @@
 	g_array_append_val(actions->list, action);
 }
 
+void actions_quota(struct actions *actions, const struct quota_result *result)
+{
+	struct action action = { .kind = ACTION_QUOTA, .quota = *result };
+
+	g_array_append_val(actions->list, action);
+}
+
 void actions_log_event(struct actions *actions, enum log_event event, const char *format, ...)
 {
 	struct action action = { .kind = ACTION_LOG_EVENT, .log_event = { .event = event } };
--- a/core/event.h
+++ b/core/event.h
@@ -7,6 +7,7 @@
 
 #include "base/events.h"
 #include "core/message.h"
+#include "core/quota.h"
 
 /** How a request to the platform's log failed. */
 enum log_failure {
@@ -79,6 +80,7 @@
 	ACTION_READ_LOG,    /**< long poll; EVENT_LOG_BATCH or EVENT_LOG_FAILED follows */
 	ACTION_APPEND,	    /**< EVENT_APPENDED or EVENT_APPEND_FAILED follows */
 	ACTION_CLAIMED,	    /**< the answer to node_claim_start() */
+	ACTION_QUOTA,	    /**< the answer to node_quota_take() that said QUOTA_WAITS */
 	ACTION_CLAIM_ENDED, /**< the log holds an outcome reported by node_claim_end() */
 	ACTION_LOG_EVENT,   /**< an event for the daemon's log file */
 };
@@ -105,6 +107,7 @@
 			enum claim_result result;
 			int status;
 		} claimed;
+		struct quota_result quota;
 		uint64_t claim_ended; /**< the claim */
 		struct {
 			enum log_stream stream;
@@ -136,6 +139,7 @@
 		    struct log_record record);
 void actions_claimed(struct actions *actions, uint64_t seq, enum claim_result result, int status);
 void actions_claim_ended(struct actions *actions, uint64_t claim);
+void actions_quota(struct actions *actions, const struct quota_result *result);
 void actions_log_event(struct actions *actions, enum log_event event, const char *format, ...)
 	__attribute__((format(printf, 3, 4)));
 
--- a/core/member.c
+++ b/core/member.c
@@ -191,6 +191,7 @@
 			   struct instant now)
 {
 	bool service_changed = !label_equal(&peer->record.service, &record->service);
+	bool was_live = peer->live_index != UINT32_MAX;
 
 	remove_live(members, peer);
 	if (service_changed)
@@ -202,6 +203,8 @@
 		add_to_service(members, peer);
 	if (is_live(peer))
 		add_live(members, peer);
+	if (is_live(peer) != was_live)
+		members->live_changed_us = now.mono_us;
 	set_deadlines(members, peer, now);
 }
 
@@ -586,6 +589,16 @@
 	return count;
 }
 
+int64_t members_live_changed_us(struct members *members)
+{
+	int64_t changed_us;
+
+	lock_acquire(&members->lock);
+	changed_us = members->live_changed_us;
+	lock_release(&members->lock);
+	return changed_us;
+}
+
 int members_first_ranked(struct members *members, enum scope_kind scope, struct label name,
 			 uint64_t salt, uint64_t *out, int max)
 {
--- a/core/member.h
+++ b/core/member.h
@@ -88,6 +88,9 @@
 /** Returns all records, for reports; the caller frees the array. */
 GArray *members_list(struct members *members);
 
+/** Returns when a member last became live or ceased to be, monotonic us. */
+int64_t members_live_changed_us(struct members *members);
+
 /** Draws up to @p max other live members, if @p local only those of the own data centre. */
 int members_random(struct members *members, struct rng *rng, bool local, uint64_t *out, int max);
 /** Returns up to @p max members that are joining, from a random one on. */
--- a/core/message.c
+++ b/core/message.c
@@ -41,6 +41,14 @@
 		return STR("claim_end");
 	case MESSAGE_CLAIM_ENDED:
 		return STR("claim_ended");
+	case MESSAGE_CONFIRM_ASK:
+		return STR("confirm_ask");
+	case MESSAGE_CONFIRM:
+		return STR("confirm");
+	case MESSAGE_QUOTA_ASK:
+		return STR("quota_ask");
+	case MESSAGE_QUOTA_GRANT:
+		return STR("quota_grant");
 	case MESSAGE_KINDS:
 		break;
 	}
@@ -115,6 +123,10 @@
 	case MESSAGE_CLAIM_ANSWER:
 	case MESSAGE_CLAIM_END:
 	case MESSAGE_CLAIM_ENDED:
+	case MESSAGE_CONFIRM_ASK:
+	case MESSAGE_CONFIRM:
+	case MESSAGE_QUOTA_ASK:
+	case MESSAGE_QUOTA_GRANT:
 		return;
 	case MESSAGE_KINDS:
 		break;
--- a/core/message.h
+++ b/core/message.h
@@ -13,6 +13,7 @@
 #include "core/history.h"
 #include "core/member.h"
 #include "core/move.h"
+#include "core/quota.h"
 
 /** Summary of a node's state; a node with older state pulls. */
 struct digest {
@@ -59,6 +60,10 @@
 	MESSAGE_CLAIM_ANSWER,
 	MESSAGE_CLAIM_END,
 	MESSAGE_CLAIM_ENDED,
+	MESSAGE_CONFIRM_ASK,
+	MESSAGE_CONFIRM,
+	MESSAGE_QUOTA_ASK,
+	MESSAGE_QUOTA_GRANT,
 	MESSAGE_KINDS,
 };
 
@@ -131,6 +136,24 @@
 			int status;
 		} claim_answer;
 		struct claim_op claim_end;
+		struct {
+			uint64_t seq;
+			int64_t version; /**< version that the sender holds */
+			int64_t age_us;	 /**< age of its proof, or CONFIRMED_NEVER */
+		} confirm;		 /**< CONFIRM_ASK (seq only), CONFIRM */
+		struct {
+			uint64_t seq;
+			struct label tenant;
+			int shard;
+			int needed; /**< requests that wait for a token */
+			int extra;  /**< tokens that will probably be used soon */
+		} quota_ask;
+		struct {
+			uint64_t seq;
+			int tokens;
+			bool holds;	    /**< the sender holds the shard */
+			int64_t room_in_us; /**< time until there is room; .tokens is too few */
+		} quota_grant;
 		uint64_t claim_ended; /**< CLAIM_ENDED: the claim whose outcome the log holds */
 	};
 };
--- a/core/node.c
+++ b/core/node.c
@@ -9,6 +9,9 @@
 #define BOOT_LOG_DELAY_US	(1500 * US_PER_MS)
 #define BOOT_LOG_JITTER_US	(3 * US_PER_S)
 #define APPLY_WITHIN_DEFAULT_US (8 * US_PER_S)
+#define QUOTA_WINDOW_DEFAULT_US (5 * US_PER_S)
+#define QUOTA_OVER_DEFAULT	0.1
+#define QUOTA_SLACK_DEFAULT	20
 enum { READERS_DEFAULT = 2, READERS_MAX = 16 };
 
 /* When all nodes start at once, the delay keeps them from reading the log at the same time. */
@@ -88,6 +91,12 @@
 	node->poison = poison_new(node->pool);
 	node->claims = claims_new(node->pool);
 	node->traffic = traffic_new(node->pool);
+	if (node->options.quota.window_us == 0)
+		node->options.quota = (struct quota_options){ .window_us = QUOTA_WINDOW_DEFAULT_US,
+							      .over = QUOTA_OVER_DEFAULT,
+							      .slack = QUOTA_SLACK_DEFAULT };
+	node->options.quota.seed = node->options.seed ^ node->options.id;
+	node->quota = quota_new(&node->options.quota, node->pool);
 	gossip_init(node, now);
 	return node;
 }
@@ -109,6 +118,7 @@
 	assembly_clear(&node->gossip.from_peer);
 	assembly_clear(&node->gossip.from_log);
 	lock_destroy(&node->gossip.lock);
+	quota_free(node->quota);
 	traffic_free(node->traffic);
 	claims_free(node->claims);
 	poison_free(node->poison);
@@ -209,6 +219,18 @@
 	case MESSAGE_CLAIM_ENDED:
 		claims_on_ended(node, message->claim_ended, out);
 		return;
+	case MESSAGE_CONFIRM_ASK:
+		confirm_on_ask(node, from, message->confirm.seq, now, out);
+		return;
+	case MESSAGE_CONFIRM:
+		confirm_on_answer(node, message);
+		return;
+	case MESSAGE_QUOTA_ASK:
+		quotas_on_ask(node, from, message, now, out);
+		return;
+	case MESSAGE_QUOTA_GRANT:
+		quotas_on_grant(node, message, now, out);
+		return;
 	case MESSAGE_KINDS:
 		break;
 	}
@@ -236,7 +258,9 @@
 	config_tick(node, now, out);
 	log_tick(node, now, out);
 	confirm_tick(node, now, out);
+	confirm_proof_tick(node, now, out);
 	claims_tick(node, now, out);
+	quotas_tick(node, now, out);
 	if (rearm_if_due(node, &node->gossip.moves_at, MOVES_TICK_US, now))
 		moves_tick(node, now, out);
 	if (!rearm_if_due(node, &node->gossip.round_at, ROUND_US, now))
--- a/core/node.h
+++ b/core/node.h
@@ -8,6 +8,7 @@
 #define CORE_NODE_H
 
 #include "base/verdict.h"
+#include "core/access.h"
 #include "core/admit.h"
 #include "core/event.h"
 #include "core/tally.h"
@@ -27,8 +28,11 @@
 	 *  default 8 s. */
 	int64_t apply_within_us;
 	bool log_retains_files; /**< the log retains each file's newest version: no snapshots */
-	double retry_ratio;	/**< retries per call of a service; default 0.1 */
-	int retry_slack;	/**< extra retries at once, shared by all nodes; 0: 50 per node */
+	/** Time after which a key that was withdrawn admits no request on any node; 0: none. */
+	int64_t revoke_within_us;
+	struct quota_options quota; /**< tolerance of the limits of tenants; window 0: defaults */
+	double retry_ratio;	    /**< retries per call of a service; default 0.1 */
+	int retry_slack; /**< extra retries at once, shared by all nodes; 0: 50 per node */
 };
 
 struct node;
@@ -54,6 +58,8 @@
 /** Returns true while callers should use this node: it is current, holds a configuration, and is
  *  neither retiring nor stopping. */
 bool node_is_ready(struct node *node);
+/** Returns what this node knows of newer configurations. Takes LOCK_GOSSIP. */
+enum access_knowledge node_access_knowledge(struct node *node, struct instant now);
 struct history *node_history(struct node *node);
 struct members *node_members(struct node *node);
 struct moves *node_moves(struct node *node);
@@ -127,6 +133,17 @@
 void node_claim_end(struct node *node, const struct claim_op *op, struct instant now,
 		    struct actions *out);
 
+/* Limits of tenants */
+
+/**
+ * Takes a token of a tenant's limit for a request. With QUOTA_WAITS, *waiter is set and
+ * ACTION_QUOTA follows with it.
+ */
+struct quota_decision node_quota_take(struct node *node, const struct tenant *tenant,
+				      uint64_t *waiter, struct instant now, struct actions *out);
+/** Returns the token of a request that was refused and has not run. */
+void node_quota_return(struct node *node, const struct label *tenant, struct instant now);
+
 /* Census: the number of members that hold a version. */
 
 struct census {
--- a/core/node_confirm.c
+++ b/core/node_confirm.c
@@ -4,6 +4,11 @@
  * whose last confirmation is too old, or that heard of a version which no peer delivered, reads the
  * log itself, so that the time in which a change is in force does not depend on peers. The times
  * are fractions of the time that operators are promised for a change.
+ *
+ * Withdrawn keys need more: a confirmation that a peer sent may have waited on a cut link for any
+ * time. A proof is the log's answer to this node, or a peer's answer to a question of this node,
+ * dated back to the question. Load and failure that it answers: nodes whose way to the log is cut
+ * while a key is withdrawn.
  */
 #include "core/node_parts.h"
 
@@ -11,6 +16,9 @@
  * than they say, and are not taken as confirmations for the same time afterwards. */
 #define PAUSE_US (500 * US_PER_MS)
 
+/* Time for the answer to a question for a proof. */
+#define PROOF_ANSWER_US (300 * US_PER_MS)
+
 /* A joining node waits this long for a peer's confirmation before it reads the log. */
 #define JOIN_CHECK_US (500 * US_PER_MS)
 
@@ -25,6 +33,11 @@
 	FORWARD_PERCENT = 12,  /* a confirmation is forwarded if it is newer by this much */
 	RETRY_PERCENT = 20,    /* first delay after a read that failed; doubles */
 	RETRY_MAX_PERCENT = 100,
+	ASK_PROOF_PERCENT = 36, /* of revoke_within_us: age of the proof at which a peer is asked */
+	READ_PROOF_PERCENT = 56, /* and at which this node reads the log itself */
+	PROOF_PERCENT = 80,	 /* and up to which it is valid; the rest covers the clocks */
+	PROOF_PEERS = 3,	 /* nodes first in rank, which read the log most often */
+	PROOF_MISSES = 2,	 /* unanswered questions after which any peer is asked */
 	FORWARD_LOCAL = 3, /* peers that get a forwarded confirmation, in the own data centre */
 	FORWARD_ANY = 1,   /* and anywhere */
 };
@@ -108,9 +121,15 @@
 void confirm_applied(struct node *node)
 {
 	struct confirm_state *state = &node->gossip.confirm;
+	struct proof_state *proof = &node->gossip.proof;
 	int64_t held_version = history_version(node->history);
 
 	lock_acquire(&node->gossip.lock);
+	if (proof->pending_version && proof->pending_version <= held_version) {
+		proof->proven_at_us = MAX(proof->proven_at_us, proof->pending_at_us);
+		proof->pending_version = 0;
+		proof->pending_at_us = 0;
+	}
 	if (state->pending_version && state->pending_version <= held_version) {
 		confirm_held(node, state->pending_at_us);
 		state->pending_version = 0;
@@ -171,6 +190,7 @@
 	if (wall_gap_us - mono_gap_us > PAUSE_US) {
 		state->confirmed_at_us = 0;
 		state->check_at = (struct deadline){ now.mono_us };
+		node->gossip.proof = (struct proof_state){ 0 };
 	}
 	state->ticked_at = now;
 	lock_release(&node->gossip.lock);
@@ -276,6 +296,168 @@
 	return due;
 }
 
+/* The log held nothing newer than @p version at @p at_us. LOCK_GOSSIP is held. */
+static void prove(struct node *node, int64_t version, int64_t held_version, int64_t at_us)
+{
+	struct proof_state *proof = &node->gossip.proof;
+
+	if (version <= held_version) {
+		proof->proven_at_us = MAX(proof->proven_at_us, at_us);
+	} else if (version >= proof->pending_version) {
+		proof->pending_version = version;
+		proof->pending_at_us = MAX(proof->pending_at_us, at_us);
+	}
+}
+
+void confirm_prove_from_log(struct node *node, int64_t newest, struct instant asked_at)
+{
+	int64_t held_version = history_version(node->history);
+
+	lock_acquire(&node->gossip.lock);
+	prove(node, newest, held_version, asked_at.mono_us);
+	lock_release(&node->gossip.lock);
+}
+
+/* Returns the age of the proof, INT64_MAX without one. LOCK_GOSSIP is held. */
+static int64_t proof_age_us(const struct node *node, struct instant now)
+{
+	int64_t proven_at_us = node->gossip.proof.proven_at_us;
+
+	return proven_at_us ? now.mono_us - proven_at_us : INT64_MAX;
+}
+
+static int64_t revoke_fraction_us(const struct node *node, int percent)
+{
+	return node->options.revoke_within_us * percent / PROMISE_PERCENT;
+}
+
+/* The monotonic clock stands still while a VM is suspended. LOCK_GOSSIP is held. */
+static bool was_suspended(const struct node *node, struct instant now)
+{
+	const struct instant *ticked_at = &node->gossip.confirm.ticked_at;
+
+	return (now.wall_us - ticked_at->wall_us) - (now.mono_us - ticked_at->mono_us) > PAUSE_US;
+}
+
+enum access_knowledge node_access_knowledge(struct node *node, struct instant now)
+{
+	int64_t held_version = history_version(node->history);
+	enum access_knowledge knowledge = ACCESS_RECENT;
+	const struct gossip_state *gossip = &node->gossip;
+	int64_t confirmed_at_us;
+
+	lock_acquire(&node->gossip.lock);
+	confirmed_at_us = gossip->confirm.confirmed_at_us;
+	if (gossip->boot.phase != BOOT_CURRENT || gossip->pull.heard_newest > held_version ||
+	    confirmed_at_us == 0 || now.mono_us - confirmed_at_us > node->options.apply_within_us)
+		knowledge = ACCESS_OUTDATED;
+	if (node->options.revoke_within_us &&
+	    (was_suspended(node, now) ||
+	     proof_age_us(node, now) > revoke_fraction_us(node, PROOF_PERCENT)))
+		knowledge = ACCESS_UNPROVEN;
+	lock_release(&node->gossip.lock);
+	return knowledge;
+}
+
+void confirm_on_ask(struct node *node, uint64_t from, uint64_t seq, struct instant now,
+		    struct actions *out)
+{
+	struct message *message = message_new(MESSAGE_CONFIRM);
+	int64_t age_us;
+
+	message->confirm.seq = seq;
+	message->confirm.version = history_version(node->history);
+	lock_acquire(&node->gossip.lock);
+	age_us = was_suspended(node, now) ? INT64_MAX : proof_age_us(node, now);
+	lock_release(&node->gossip.lock);
+	message->confirm.age_us = age_us == INT64_MAX ? CONFIRMED_NEVER : age_us;
+	actions_send(out, from, message);
+}
+
+void confirm_on_answer(struct node *node, const struct message *message)
+{
+	struct proof_state *proof = &node->gossip.proof;
+	int64_t held_version = history_version(node->history);
+
+	lock_acquire(&node->gossip.lock);
+	if (proof->asked_seq && message->confirm.seq == proof->asked_seq) {
+		proof->asked_seq = 0;
+		proof->unanswered = 0;
+		/* The peer's proof is as old as it says or younger, seen from the question. */
+		if (message->confirm.age_us >= 0 && message->confirm.age_us < proof->asked_at_us)
+			prove(node, message->confirm.version, held_version,
+			      proof->asked_at_us - message->confirm.age_us);
+		else
+			proof->unanswered = PROOF_MISSES;
+	}
+	lock_release(&node->gossip.lock);
+}
+
+/* Returns a peer that probably has a recent proof; 0 if there is none. */
+static uint64_t proof_peer(struct node *node, int unanswered)
+{
+	struct rng rng = node_rng(node);
+	uint64_t peers[PROOF_PEERS];
+	uint64_t peer = 0;
+	int count;
+
+	if (unanswered < PROOF_MISSES) {
+		count = members_first_ranked(node->members, SCOPE_ALL, (struct label){ 0 }, 0,
+					     peers, PROOF_PEERS);
+		peer = count ? peers[rng_below(&rng, (uint64_t)count)] : 0;
+	}
+	if (peer == 0 || peer == node->options.id)
+		peer = members_random(node->members, &rng, unanswered % 2 == 0, peers, 1) ? peers[0]
+											  : 0;
+	return peer;
+}
+
+/* Begins a question for a proof if one is due; returns its number, or 0. */
+static uint64_t begin_question(struct node *node, struct instant now, int *unanswered)
+{
+	struct proof_state *proof = &node->gossip.proof;
+	int64_t age_us;
+	uint64_t seq = 0;
+
+	lock_acquire(&node->gossip.lock);
+	if (proof->asked_seq && deadline_passed(proof->answer_by, now)) {
+		proof->asked_seq = 0;
+		proof->unanswered++;
+	}
+	age_us = proof_age_us(node, now);
+	if (age_us >= revoke_fraction_us(node, READ_PROOF_PERCENT) && !node->gossip.stopping)
+		node->gossip.confirm.check_at = (struct deadline){ now.mono_us };
+	if (proof->asked_seq == 0 && node->gossip.boot.phase == BOOT_CURRENT &&
+	    age_us >= revoke_fraction_us(node, ASK_PROOF_PERCENT)) {
+		seq = rng_next(&node->gossip.rng) | 1;
+		proof->asked_seq = seq;
+		proof->asked_at_us = now.mono_us;
+		proof->answer_by = deadline_after(now, PROOF_ANSWER_US);
+	}
+	*unanswered = proof->unanswered;
+	lock_release(&node->gossip.lock);
+	return seq;
+}
+
+void confirm_proof_tick(struct node *node, struct instant now, struct actions *out)
+{
+	struct config *config = node_config(node);
+	bool needed = config->has_tenants && node->options.revoke_within_us;
+	struct message *message;
+	int unanswered = 0;
+	uint64_t peer;
+	uint64_t seq;
+
+	config_unref(config);
+	seq = needed ? begin_question(node, now, &unanswered) : 0;
+	peer = seq ? proof_peer(node, unanswered) : 0;
+	if (peer == 0)
+		return;
+	message = message_new(MESSAGE_CONFIRM_ASK);
+	message->confirm.seq = seq;
+	actions_send(out, peer, message);
+}
+
 void confirm_tick(struct node *node, struct instant now, struct actions *out)
 {
 	int64_t held_version = history_version(node->history);
--- a/core/node_log.c
+++ b/core/node_log.c
@@ -300,6 +300,7 @@
 
 	note_log_available(node, out);
 	apply_changes(node, event, now, out);
+	confirm_prove_from_log(node, event->batch.newest, asked_at);
 	confirm_from_log(node, event->batch.newest, asked_at, now, out);
 }
 
@@ -309,11 +310,14 @@
 			      struct actions *out)
 {
 	struct instant at = now;
+	struct instant asked_at;
 
 	lock_acquire(&node->gossip.lock);
+	asked_at = node->gossip.log.asked_at;
 	if (event->batch.count)
-		at = node->gossip.log.asked_at;
+		at = asked_at;
 	lock_release(&node->gossip.lock);
+	confirm_prove_from_log(node, event->batch.newest, asked_at);
 	confirm_from_log(node, event->batch.newest, at, now, out);
 }
 
--- a/core/node_parts.h
+++ b/core/node_parts.h
@@ -115,6 +115,21 @@
 	GPtrArray *files;
 };
 
+/**
+ * When the log is proven to have held nothing newer than the held version: by a read of the log, or
+ * by the answer to a question of this node. Other confirmations may have waited on their way for
+ * any time.
+ */
+struct proof_state {
+	int64_t proven_at_us; /**< monotonic; 0: never */
+	int64_t pending_version;
+	int64_t pending_at_us; /**< proven for .pending_version, which is not held yet; 0: none */
+	uint64_t asked_seq;    /**< question without an answer; 0: none */
+	int64_t asked_at_us;
+	struct deadline answer_by;
+	int unanswered; /**< questions in a row */
+};
+
 /** When this node last knew that it held the newest version, and when it reads the log itself. */
 struct confirm_state {
 	int64_t confirmed_at_us; /**< the log held nothing newer than the held version; 0: never */
@@ -155,6 +170,7 @@
 	struct boot_state boot;
 	struct log_state log;
 	struct confirm_state confirm;
+	struct proof_state proof;
 	struct assembly from_peer;
 	struct assembly from_log;
 	int64_t snapshot_version;
@@ -204,6 +220,7 @@
 	struct poison *poison;
 	struct claims *claims;
 	struct traffic *traffic;
+	struct quota *quota;
 	struct gossip_state gossip;
 	struct deadline
 		target_slow_start_until; /**< under gossip.lock; unset before the first call */
@@ -287,6 +304,13 @@
 void confirm_applied(struct node *node);
 /** Returns an advert of the held version. */
 struct message *confirm_advert(struct node *node, struct instant now);
+/** Records the log's answer to a request of @p asked_at as a proof. */
+void confirm_prove_from_log(struct node *node, int64_t newest, struct instant asked_at);
+void confirm_on_ask(struct node *node, uint64_t from, uint64_t seq, struct instant now,
+		    struct actions *out);
+void confirm_on_answer(struct node *node, const struct message *message);
+/** Asks a peer for a proof, or makes this node read the log, if that is due. */
+void confirm_proof_tick(struct node *node, struct instant now, struct actions *out);
 /** Reads the log if that is due. */
 void confirm_tick(struct node *node, struct instant now, struct actions *out);
 /** Ends a read that was begun by confirm_tick(); returns when it began. */
@@ -327,6 +351,13 @@
 void claims_process(struct node *node, int partition, struct instant now, struct actions *out);
 void claims_tick(struct node *node, struct instant now, struct actions *out);
 
+/* node_quota.c */
+void quotas_on_ask(struct node *node, uint64_t from, const struct message *message,
+		   struct instant now, struct actions *out);
+void quotas_on_grant(struct node *node, const struct message *message, struct instant now,
+		     struct actions *out);
+void quotas_tick(struct node *node, struct instant now, struct actions *out);
+
 /* node_calls.c */
 void calls_on_poison(struct node *node, const struct poison_mark *mark, struct instant now,
 		     struct actions *out);
--- a/core/reply.c
+++ b/core/reply.c
@@ -67,6 +67,10 @@
 		return dialect->no_configuration_status;
 	case REFUSED_MALFORMED:
 		return STATUS_BAD_REQUEST;
+	case REFUSED_UNAUTHORIZED:
+		return STATUS_UNAUTHORIZED;
+	case REFUSED_OVER_QUOTA:
+		return STATUS_TOO_MANY;
 	}
 	g_assert_not_reached();
 }
--- a/core/reply.h
+++ b/core/reply.h
@@ -36,6 +36,8 @@
 	REFUSED_NO_ROUTE,	  /**< no route matches */
 	REFUSED_NO_CONFIGURATION, /**< the node has none yet */
 	REFUSED_MALFORMED,	  /**< the route needs a field that the request lacks */
+	REFUSED_UNAUTHORIZED,	  /**< its key belongs to no tenant, or it has none */
+	REFUSED_OVER_QUOTA,	  /**< its tenant's limit is used up */
 };
 
 /** Why the outcome of a call is not known. */
--- a/godwithitchd/answer.c
+++ b/godwithitchd/answer.c
@@ -25,8 +25,12 @@
 {
 	struct placement_inputs inputs = call_placement_inputs(call, clock_now());
 	struct rng rng = { .state = call_placement_point(call->daemon, STR("")) };
-	double seconds =
-		(double)placement_retry_after_us(&call->placement, &inputs, &rng) / US_PER_S;
+	int64_t wait_us = call->retry_after_us;
+	double seconds;
+
+	if (wait_us == 0)
+		wait_us = placement_retry_after_us(&call->placement, &inputs, &rng);
+	seconds = (double)wait_us / US_PER_S;
 
 	if (call->daemon->dialect->fractional_times)
 		g_snprintf(text, (gulong)cap, "%.3f", seconds);
@@ -52,11 +56,15 @@
 	call->verdict = verdict;
 	g_snprintf(call->reason, sizeof(call->reason), "%.*s", STR_ARG(reason));
 	call_end_claim(call, verdict, head.status);
+	if (verdict == VERDICT_NOT_RUN)
+		call_return_token(call);
 	add_field(&head, dialect->verdict, verdict_name(verdict));
 	if (dialect->request_id.len)
 		add_field(&head, dialect->request_id,
 			  caller_field(call->caller, dialect->request_id));
 	add_field(&head, STR("Content-Type"), STR("text/plain"));
+	if (head.status == STATUS_UNAUTHORIZED)
+		add_field(&head, STR("WWW-Authenticate"), STR("Bearer"));
 	if (verdict == VERDICT_NOT_RUN && is_overload_status(head.status)) {
 		format_retry_after(call, retry, sizeof(retry));
 		add_field(&head, STR("Retry-After"), str_from_cstr(retry));
--- a/godwithitchd/calls.c
+++ b/godwithitchd/calls.c
@@ -153,24 +153,40 @@
 	return begun;
 }
 
+/* Whether a caller's field does not reach the target: the node sets it, or it holds the key. */
+static bool is_withheld(const struct call *call, struct str name)
+{
+	const struct dialect *dialect = call->daemon->dialect;
+
+	if (dialect->caller_service.len && str_equal_nocase(name, dialect->caller_service))
+		return true;
+	return call->config->has_tenants && (str_equal_nocase(name, STR("Authorization")) ||
+					     str_equal_nocase(name, dialect->tenant));
+}
+
+static void set_field(struct request_head *head, struct str name, struct str value)
+{
+	if (name.len && value.len && head->field_count < FIELDS_MAX)
+		head->fields[head->field_count++] = (struct field){ name, value };
+}
+
 static void fill_request_head(struct call *call, struct request_head *head, struct instant now)
 {
-	struct str caller_service = call->daemon->dialect->caller_service;
+	const struct dialect *dialect = call->daemon->dialect;
 	int count;
 	const struct field *fields = caller_fields(call->caller, &count);
 
 	for (int i = 0; i < count; i++)
-		if (!caller_service.len || !str_equal_nocase(fields[i].name, caller_service))
+		if (!is_withheld(call, fields[i].name))
 			head->fields[head->field_count++] = fields[i];
-	if (caller_service.len && head->field_count < FIELDS_MAX)
-		head->fields[head->field_count++] =
-			(struct field){ caller_service,
-					label_str(&call->daemon->settings.service) };
+	set_field(head, dialect->caller_service, label_str(&call->daemon->settings.service));
+	if (call->key_tenant)
+		set_field(head, dialect->tenant, label_str(&call->tenant));
 	head->method = caller_method(call->caller);
 	head->target = caller_target(call->caller);
 	head->route = call->route->name;
 	head->tenant = call->tenant;
-	head->class = call->route->class;
+	head->class = call->class;
 	head->idempotent = call->route->repeat == REPEAT_IDEMPOTENT;
 	head->concurrency_percent = call->route->concurrency_percent;
 	head->remaining_us =
@@ -377,6 +393,15 @@
 		call_refuse(call, REFUSED_NO_ROUTE, STR("no route matches"));
 }
 
+void call_start(struct call *call)
+{
+	if (call->route->repeat == REPEAT_AT_MOST_ONCE)
+		call_start_claim(call, caller_field(call->caller, STR("Idempotency-Key")),
+				 clock_now());
+	else
+		call_try_target(call);
+}
+
 static void on_request(struct daemon *daemon, struct caller_call *caller)
 {
 	struct call *call = call_new(daemon, caller);
@@ -395,6 +420,8 @@
 		return;
 	}
 	call->tenant = label_from(tenant_text(call->route, caller));
+	if (!call_identify(call, now))
+		return;
 	call->deadline = calls_work_deadline(daemon, make_deadline(daemon->dialect, call->route,
 								   caller, caller_arrived(caller)));
 	set_objective(call, caller_arrived(caller));
@@ -404,10 +431,10 @@
 	call->attributes.fingerprint = request_fingerprint(call->route, caller, key);
 	node_record_call(daemon->node, call->service);
 	call_open_add(call);
-	if (call->route->repeat == REPEAT_AT_MOST_ONCE)
-		call_start_claim(call, key, now);
+	if (call->key_tenant)
+		call_take_token(call, now);
 	else
-		call_try_target(call);
+		call_start(call);
 }
 
 /* Returns the call's current attempt with a reference, or NULL. */
@@ -479,8 +506,7 @@
 	char labels[128];
 
 	g_snprintf(labels, sizeof(labels), "tenant=\"%.*s\",class=\"%.*s\"",
-		   STR_ARG(label_str(&call->tenant)),
-		   STR_ARG(traffic_class_name(call->route->class)));
+		   STR_ARG(label_str(&call->tenant)), STR_ARG(traffic_class_name(call->class)));
 	metrics_observe(call->daemon->metrics, STR("godwithitch_call_seconds"),
 			str_from_cstr(labels), clock_now().mono_us - call->started_us);
 	g_snprintf(labels, sizeof(labels), "tenant=\"%.*s\",status=\"%d\"",
--- a/godwithitchd/calls.h
+++ b/godwithitchd/calls.h
@@ -26,6 +26,10 @@
 	struct label service; /* destination of the route, chosen once */
 	struct call_attributes attributes;
 	struct label tenant;
+	const struct tenant *key_tenant; /* of the caller's key, borrowed from config; NULL: none */
+	enum traffic_class class;	 /* of the tenant, or else of the route */
+	gint holds_token;		 /* atomic: a token of the tenant's limit */
+	int64_t retry_after_us;		 /* for a refusal; 0: chosen by the placement */
 	struct deadline deadline;
 	int64_t started_us;
 	struct deadline objective; /* time by which the answer is due; 0: none is stated */
@@ -77,6 +81,8 @@
 /* calls.c */
 
 void call_unref(struct call *call);
+/** Starts a call that may run: claims its key, or starts the first attempt. */
+void call_start(struct call *call);
 /** Starts the next attempt. If none can be started, refuses the call. */
 void call_try_target(struct call *call);
 /**
@@ -110,6 +116,16 @@
 /** Returns true once: to the code that answers the call. */
 bool call_begin_answer(struct call *call);
 
+/* tenants.c */
+
+/** Sets the tenant and the class of a call by its caller's key. Returns false if it was refused. */
+bool call_identify(struct call *call, struct instant now);
+/** Takes a token of the tenant's limit, maybe later, and starts or refuses the call. Takes
+ *  daemon->lock. */
+void call_take_token(struct call *call, struct instant now);
+/** Returns the token of a call that has not run. */
+void call_return_token(struct call *call);
+
 /* keys.c */
 
 /**
--- a/godwithitchd/daemon.h
+++ b/godwithitchd/daemon.h
@@ -63,6 +63,7 @@
 	int64_t used_version;		      /**< newest configuration that a call has used */
 	GPtrArray *open_calls;		      /**< struct call, all with a deadline */
 	GHashTable *pending_claims; /**< claim request number -> struct call, one reference */
+	GHashTable *pending_tokens; /**< quota_result.waiter -> struct call, one reference */
 	GHashTable *held_answers; /**< claim -> struct call, one reference; see call_end_claim() */
 };
 
@@ -101,6 +102,8 @@
 /** Continues a call with the result of claiming its idempotency key. */
 void calls_on_claim_result(struct daemon *daemon, uint64_t seq, enum claim_result result,
 			   int status);
+/** Continues a call that waited for a token of its tenant's limit. */
+void calls_on_quota(struct daemon *daemon, const struct quota_result *result);
 /** Sends the answer of a call whose outcome the log holds. */
 void calls_on_claim_ended(struct daemon *daemon, uint64_t claim);
 /** Ends calls that are still open shortly after their deadline: answers them, or truncates the
--- a/godwithitchd/dispatch.c
+++ b/godwithitchd/dispatch.c
@@ -167,6 +167,9 @@
 		calls_on_claim_result(daemon, action->claimed.seq, action->claimed.result,
 				      action->claimed.status);
 		return;
+	case ACTION_QUOTA:
+		calls_on_quota(daemon, &action->quota);
+		return;
 	case ACTION_CLAIM_ENDED:
 		calls_on_claim_ended(daemon, action->claim_ended);
 		return;
--- a/godwithitchd/main.c
+++ b/godwithitchd/main.c
@@ -117,6 +117,8 @@
 				     .apply_within_us = settings->apply_within_us,
 				     .log_retention_us = settings->log_retention_s * US_PER_S,
 				     .first_start = settings->first_start,
+				     .revoke_within_us = settings->revoke_within_us,
+				     .quota = settings->quota,
 				     .retry_ratio = settings->retry_ratio,
 				     .retry_slack = (int)settings->retry_slack };
 
@@ -216,6 +218,7 @@
 	daemon->held_answers = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
 						     (GDestroyNotify)call_unref);
 	daemon->pending_claims = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+	daemon->pending_tokens = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
 	daemon->next_point = (uint64_t)clock_now().wall_us;
 	if (!create_components(daemon, error) || !dispatch_start_timer(daemon, error))
 		return NULL;
@@ -267,6 +270,7 @@
 	metrics_free(daemon->metrics);
 	dispatch_drop_log_jobs(daemon);
 	g_hash_table_destroy(daemon->pending_claims);
+	g_hash_table_destroy(daemon->pending_tokens);
 	g_ptr_array_unref(daemon->running_inbound);
 	g_ptr_array_unref(daemon->open_calls);
 	lock_destroy(&daemon->lock);
--- a/godwithitchd/settings.c
+++ b/godwithitchd/settings.c
@@ -23,6 +23,11 @@
 #define RETRY_RATIO_DEFAULT	0.1 /* extra load from retries when every call fails */
 #define LINK_MAX_MBPS		1e6 /* 1 Tbit/s; a larger value is taken for a typing error */
 #define RETRY_SLACK_DEFAULT	0
+#define QUOTA_WINDOW_DEFAULT_US (5 * US_PER_S)
+#define QUOTA_WINDOW_MAX_US	(600 * US_PER_S)
+#define QUOTA_OVER_DEFAULT	0.1
+#define QUOTA_SLACK_DEFAULT	20
+#define QUOTA_SLACK_MAX		1e6
 
 /** A document that is being read, and the destinations of its values and errors. */
 struct settings_reader {
@@ -159,6 +164,17 @@
 			       &r->settings->service, r->error);
 }
 
+static bool read_quota(struct settings_reader *r)
+{
+	struct quota_options *quota = &r->settings->quota;
+
+	*quota = (struct quota_options){ .over = QUOTA_OVER_DEFAULT, .slack = QUOTA_SLACK_DEFAULT };
+	return read_seconds(r, STR("quota_window_s"), QUOTA_WINDOW_MAX_US, QUOTA_WINDOW_DEFAULT_US,
+			    &quota->window_us) &&
+	       read_double(r, STR("quota_over"), 1, &quota->over) &&
+	       read_double(r, STR("quota_slack"), QUOTA_SLACK_MAX, &quota->slack);
+}
+
 static bool read_times_and_rates(struct settings_reader *r)
 {
 	struct settings *s = r->settings;
@@ -169,6 +185,9 @@
 	       read_seconds(r, STR("stop_notice_s"), STOP_MAX_US, 0, &s->stop_notice_us) &&
 	       read_seconds(r, STR("apply_within_s"), APPLY_WITHIN_MAX_US, APPLY_WITHIN_DEFAULT_US,
 			    &s->apply_within_us) &&
+	       read_seconds(r, STR("revoke_within_s"), APPLY_WITHIN_MAX_US, 0,
+			    &s->revoke_within_us) &&
+	       read_quota(r) &&
 	       read_seconds(r, STR("announce_ttl_s"), ANNOUNCE_TTL_MAX_US, 0,
 			    &s->announce_ttl_us) &&
 	       read_double(r, STR("retry_ratio"), 1, &s->retry_ratio) &&
--- a/godwithitchd/settings.h
+++ b/godwithitchd/settings.h
@@ -8,6 +8,7 @@
 
 #include <glib.h>
 
+#include "core/quota.h"
 #include "peer/peers.h"
 
 /** Address of a listening socket. */
@@ -38,11 +39,13 @@
 	bool first_start; /**< the whole fleet starts for the first time */
 	char *log_file;	  /**< owned; "-": standard error */
 	int64_t log_retention_s;
-	int64_t stop_within_us;	 /**< longest graceful stop; see core/stop.h */
-	int64_t stop_notice_us;	 /**< new requests are accepted this long after the stop began */
-	int64_t apply_within_us; /**< time in which an acknowledged change is in force */
-	int64_t announce_ttl_us; /**< lifetime of an announcement that states none */
-	double retry_ratio;	 /**< retries per call of a service, over the whole fleet */
+	int64_t stop_within_us;	    /**< longest graceful stop; see core/stop.h */
+	int64_t stop_notice_us;	    /**< new requests are accepted this long after the stop began */
+	int64_t apply_within_us;    /**< time in which an acknowledged change is in force */
+	int64_t announce_ttl_us;    /**< lifetime of an announcement that states none */
+	int64_t revoke_within_us;   /**< see struct node_options */
+	struct quota_options quota; /**< tolerance of the limits of tenants */
+	double retry_ratio;	    /**< retries per call of a service, over the whole fleet */
 	int64_t retry_slack; /**< retries allowed beyond the ratio, fleet-wide; 0: 50 per node */
 	double link_mbps;    /**< link rate of this VM, Mbit/s; 0: large answers are not paced */
 	int64_t workers;
--- a/operator/parse.c
+++ b/operator/parse.c
@@ -403,8 +403,7 @@
 	       parse_section(p, STR("services"), JSON_OBJECT, parse_service) &&
 	       parse_section(p, STR("routes"), JSON_ARRAY, parse_route) &&
 	       parse_section(p, STR("moves"), JSON_ARRAY, parse_move) &&
-	       parse_section(p, STR("switches"), JSON_OBJECT, parse_switches) &&
-	       parse_tenants(p) &&
+	       parse_section(p, STR("switches"), JSON_OBJECT, parse_switches) && parse_tenants(p) &&
 	       json_check_unknown_keys(p->doc, p->doc->root, p->error);
 }
 
--- a/peer/codec.c
+++ b/peer/codec.c
@@ -135,6 +135,33 @@
 	msgpack_pack_uint64(out, message->claim_ended);
 }
 
+static void pack_confirm(msgpack_packer *out, const struct message *message)
+{
+	msgpack_pack_array(out, 3);
+	msgpack_pack_uint64(out, message->confirm.seq);
+	msgpack_pack_int64(out, message->confirm.version);
+	msgpack_pack_int64(out, message->confirm.age_us);
+}
+
+static void pack_quota_ask(msgpack_packer *out, const struct message *message)
+{
+	msgpack_pack_array(out, 5);
+	msgpack_pack_uint64(out, message->quota_ask.seq);
+	pack_label(out, &message->quota_ask.tenant);
+	msgpack_pack_int(out, message->quota_ask.shard);
+	msgpack_pack_int(out, message->quota_ask.needed);
+	msgpack_pack_int(out, message->quota_ask.extra);
+}
+
+static void pack_quota_grant(msgpack_packer *out, const struct message *message)
+{
+	msgpack_pack_array(out, 4);
+	msgpack_pack_uint64(out, message->quota_grant.seq);
+	msgpack_pack_int(out, message->quota_grant.tokens);
+	msgpack_pack_int(out, message->quota_grant.holds);
+	msgpack_pack_int64(out, message->quota_grant.room_in_us);
+}
+
 static void pack_ping_request(msgpack_packer *out, const struct message *message)
 {
 	msgpack_pack_array(out, 2);
@@ -215,6 +242,16 @@
 	case MESSAGE_CLAIM_ENDED:
 		pack_claim_ended(out, message);
 		return;
+	case MESSAGE_CONFIRM_ASK:
+	case MESSAGE_CONFIRM:
+		pack_confirm(out, message);
+		return;
+	case MESSAGE_QUOTA_ASK:
+		pack_quota_ask(out, message);
+		return;
+	case MESSAGE_QUOTA_GRANT:
+		pack_quota_grant(out, message);
+		return;
 	case MESSAGE_KINDS:
 		break;
 	}
@@ -359,6 +396,30 @@
 	message->claim_ask.remaining_us = unpack_i64(in);
 }
 
+static void unpack_confirm(struct unpack *in, struct message *message)
+{
+	message->confirm.seq = unpack_u64(in);
+	message->confirm.version = unpack_i64(in);
+	message->confirm.age_us = unpack_i64(in);
+}
+
+static void unpack_quota_ask(struct unpack *in, struct message *message)
+{
+	message->quota_ask.seq = unpack_u64(in);
+	message->quota_ask.tenant = unpack_label(in);
+	message->quota_ask.shard = unpack_int(in, QUOTA_SHARDS - 1);
+	message->quota_ask.needed = unpack_int(in, INT32_MAX);
+	message->quota_ask.extra = unpack_int(in, INT32_MAX);
+}
+
+static void unpack_quota_grant(struct unpack *in, struct message *message)
+{
+	message->quota_grant.seq = unpack_u64(in);
+	message->quota_grant.tokens = unpack_int(in, INT32_MAX);
+	message->quota_grant.holds = unpack_int(in, 1) != 0;
+	message->quota_grant.room_in_us = unpack_i64(in);
+}
+
 static void unpack_body(struct unpack *in, struct message *message)
 {
 	switch (message->kind) {
@@ -423,6 +484,16 @@
 	case MESSAGE_CLAIM_ENDED:
 		message->claim_ended = unpack_u64(in);
 		return;
+	case MESSAGE_CONFIRM_ASK:
+	case MESSAGE_CONFIRM:
+		unpack_confirm(in, message);
+		return;
+	case MESSAGE_QUOTA_ASK:
+		unpack_quota_ask(in, message);
+		return;
+	case MESSAGE_QUOTA_GRANT:
+		unpack_quota_grant(in, message);
+		return;
 	case MESSAGE_KINDS:
 		break;
 	}
--- a/regress/lib/sim.c
+++ b/regress/lib/sim.c
@@ -201,6 +201,10 @@
 				sim->options.on_claimed(sim, node, action->claimed.seq,
 							action->claimed.result);
 			break;
+		case ACTION_QUOTA:
+			if (sim->options.on_quota)
+				sim->options.on_quota(sim, node, &action->quota);
+			break;
 		case ACTION_CLAIM_ENDED:
 		case ACTION_LOG_EVENT:
 			break;
--- a/regress/lib/sim.h
+++ b/regress/lib/sim.h
@@ -29,6 +29,8 @@
 	int64_t apply_within_us; /**< see struct node_options */
 	/** If not NULL, called when a node has the result of a claim. */
 	void (*on_claimed)(struct sim *sim, int node, uint64_t seq, enum claim_result result);
+	/** Called with the decision on a request that waited for a token; may be NULL. */
+	void (*on_quota)(struct sim *sim, int node, const struct quota_result *result);
 	void *context; /**< returned by sim_context() */
 };
 
--- a/regress/replay.c
+++ b/regress/replay.c
@@ -115,6 +115,7 @@
 		case ACTION_SEND:
 		case ACTION_CLAIMED:
 		case ACTION_CLAIM_ENDED:
+		case ACTION_QUOTA:
 		case ACTION_LOG_EVENT:
 			break;
 		}
