Tests of keys, of proofs that a configuration is recent, and of limits in virtual time

A small tenant's limit was split into shards with about one token each, and a sixth of its requests below the limit were refused (7 of 47 at 4 requests a second).

--- a/core/quota.c
+++ b/core/quota.c
@@ -9,6 +9,9 @@
  * rate and the burst, so that a tenant at its limit isn't refused for rounding. */
 #define LIFETIME_FRACTION 0.6
 #define EXTRA_FRACTION	  0.3
+/* Part of the slack that the bursts get. A small tenant's limit is split into shards with about one
+ * token each, and parts of tokens serve nobody. */
+#define SLACK_FRACTION 0.3
 
 /* Time for an answer, before the next holder is asked as well. */
 #define ANSWER_US (100 * US_PER_MS)
@@ -132,10 +135,12 @@
 	return limit->rate_per_s * (1 + EXTRA_FRACTION * quota->options.over) / QUOTA_SHARDS;
 }
 
-/* A shard holds one token at least: the slack covers that of small tenants. */
 static double shard_burst(const struct quota *quota, const struct quota_limit *limit)
 {
-	return MAX(limit->burst * (1 + EXTRA_FRACTION * quota->options.over) / QUOTA_SHARDS, 1);
+	double burst = limit->burst * (1 + EXTRA_FRACTION * quota->options.over) +
+		       SLACK_FRACTION * quota->options.slack;
+
+	return MAX(burst / QUOTA_SHARDS, 1);
 }
 
 static gboolean bucket_rested(gpointer key, gpointer value, gpointer data)
--- a/regress/lib/sim.c
+++ b/regress/lib/sim.c
@@ -366,6 +366,7 @@
 	options.readers = sim->options.readers;
 	options.log_retention_us = sim->options.log_retention_us;
 	options.apply_within_us = sim->options.apply_within_us;
+	options.revoke_within_us = sim->options.revoke_within_us;
 	for (int i = 0; i < 4; i++)
 		seeds[i] = node_id((int)rng_below(&sim->rng, (uint64_t)sim->options.nodes));
 	options.seeds = seeds;
--- a/regress/lib/sim.h
+++ b/regress/lib/sim.h
@@ -26,7 +26,8 @@
 	int64_t link_bytes_per_s; /**< rate of each node's link, each way; 0: no limit */
 	int readers;
 	int64_t log_retention_us;
-	int64_t apply_within_us; /**< see struct node_options */
+	int64_t apply_within_us;  /**< see struct node_options */
+	int64_t revoke_within_us; /**< see struct node_options */
 	/** If not NULL, called when a node has the result of a claim. */
 	void (*on_claimed)(struct sim *sim, int node, uint64_t seq, enum claim_result result);
 	/** Called with the decision on a request that waited for a token; may be NULL. */
--- a/regress/peer/codec_test.c
+++ b/regress/peer/codec_test.c
@@ -204,6 +204,25 @@
 	case MESSAGE_CLAIM_ENDED:
 		message->claim_ended = rng_next(rng);
 		break;
+	case MESSAGE_CONFIRM_ASK:
+	case MESSAGE_CONFIRM:
+		message->confirm.seq = rng_next(rng);
+		message->confirm.version = (int64_t)rng_below(rng, 1000);
+		message->confirm.age_us = (int64_t)rng_below(rng, 1000) - 1;
+		break;
+	case MESSAGE_QUOTA_ASK:
+		message->quota_ask.seq = rng_next(rng);
+		message->quota_ask.tenant = LABEL("studio");
+		message->quota_ask.shard = (int)rng_below(rng, QUOTA_SHARDS);
+		message->quota_ask.needed = (int)rng_below(rng, 100);
+		message->quota_ask.extra = (int)rng_below(rng, 100);
+		break;
+	case MESSAGE_QUOTA_GRANT:
+		message->quota_grant.seq = rng_next(rng);
+		message->quota_grant.tokens = (int)rng_below(rng, 100);
+		message->quota_grant.holds = rng_below(rng, 2) != 0;
+		message->quota_grant.room_in_us = (int64_t)rng_below(rng, US_PER_S);
+		break;
 	case MESSAGE_KINDS:
 		break;
 	}
