--- a/regress/platform/document_test.c
+++ b/regress/platform/document_test.c
@@ -62,6 +62,29 @@
 	  "," HOSTS("{\"name\":\"r\",\"path_prefix\":\"/a/"
 		    "\",\"kind\":\"odd\",\"service\":\"s\"," TIMES "}") "}",
 	  "the kind is unknown" },
+	{ "upload that needs no key",
+	  "{\"version\":7," SERVICES
+	  "," HOSTS("{\"name\":\"r\",\"path_prefix\":\"/a/\",\"kind\":\"upload\","
+		    "\"public\":true,\"service\":\"s\"," TIMES "}") "}",
+	  NULL },
+	{ "tenants, one of which lost its keys",
+	  "{\"version\":7," SERVICES
+	  "," HOSTS(PATH) ",\"tenants\":[{\"name\":\"a\",\"api_keys\":"
+			  "[\"k\"],\"priority\":0,\"rate_per_s\":3.7,\"burst\":4},{\"name\":\"b\","
+			  "\"api_keys\":[]}]}",
+	  NULL },
+	{ "two tenants of one name",
+	  "{\"version\":7," SERVICES
+	  "," HOSTS(PATH) ",\"tenants\":[{\"name\":\"a\",\"api_keys\":"
+			  "[\"k\"]},{\"name\":\"a\",\"api_keys\":[\"l\"]}]}",
+	  "the key stands twice" },
+	{ "tenant without a list of keys",
+	  "{\"version\":7," SERVICES "," HOSTS(PATH) ",\"tenants\":[{\"name\":\"a\"}]}",
+	  "\"api_keys\" is missing" },
+	{ "negative rate",
+	  "{\"version\":7," SERVICES "," HOSTS(PATH) ",\"tenants\":[{\"name\":\"a\",\"api_keys\":"
+						     "[\"k\"],\"rate_per_s\":-1}]}",
+	  "rate_per_s" },
 	{ "number instead of an array", "{\"version\":7,\"services\":3," HOSTS(PATH) "}",
 	  "expected an array" },
 };
