--- a/regress/storeservice.c
+++ b/regress/storeservice.c
@@ -1,12 +1,14 @@
 /*
  * Stands in for the platform's store, by the calls that docs/PLATFORM.md names, for topics of one
  * partition. Tests switch its faults on:
- *   POST /fault?out=0|1&silent=0|1&deaf=0|1&lose=N&forget=1&page=N&page_ms=N
+ *   POST /fault?out=0|1&silent=0|1&deaf=0|1&lose=N&forget=1&restore_ms=N&page=N&page_ms=N
  * out: all calls fail; silent: requests that arrive meanwhile are never answered; deaf: /log-read
  * fails, the other calls succeed; lose: the next N appends take effect unanswered; forget: the
- * history is dropped, except for the newest record of each key; page: keys in one answer of
- * /log-newest for the operator's topic, each of which is delayed by page_ms. /pages returns how
- * many are delayed now. It prints "port N" when it listens, and exits when its standard input ends.
+ * history is dropped, except for the newest record of each key; restore_ms: the store comes back
+ * from a copy of that age, and the era in the header Store-Era rises by one; calls that wait go on
+ * with the restored topics. page: keys in one answer of /log-newest for the operator's topic, each
+ * of which is delayed by page_ms. /pages returns how many are delayed now. It prints "port N" when
+ * it listens, and exits when its standard input ends.
  */
 #include <arpa/inet.h>
 #include <glib.h>
@@ -27,12 +29,14 @@
 
 struct topic {
 	GPtrArray *records;   /* array of GBytes: length of the key, key, value */
+	GArray *written_at;   /* int64_t, monotonic, us; of each record */
 	int64_t first_offset; /* offset of the oldest record that can be read */
 };
 
 static GMutex mutex;
 static GCond topic_changed;
 static GHashTable *topics;
+static int64_t era;
 static bool unavailable;
 static bool is_silent;
 static bool reads_fail;
@@ -49,6 +53,7 @@
 		return topic;
 	topic = g_new0(struct topic, 1);
 	topic->records = g_ptr_array_new_with_free_func((GDestroyNotify)g_bytes_unref);
+	topic->written_at = g_array_new(FALSE, TRUE, sizeof(int64_t));
 	g_hash_table_insert(topics, g_strdup(name), topic);
 	return topic;
 }
@@ -58,8 +63,14 @@
 {
 	struct MHD_Response *response = MHD_create_response_from_buffer(
 		body ? body->len : 0, body ? body->data : (void *)"", MHD_RESPMEM_MUST_COPY);
-	enum MHD_Result result = MHD_queue_response(connection, status, response);
+	enum MHD_Result result;
+	char text[24];
 
+	g_mutex_lock(&mutex);
+	g_snprintf(text, sizeof(text), "%ld", era);
+	g_mutex_unlock(&mutex);
+	MHD_add_response_header(response, "Store-Era", text);
+	result = MHD_queue_response(connection, status, response);
 	MHD_destroy_response(response);
 	return result;
 }
@@ -88,6 +99,7 @@
 /* Adds the records of an append's body. Returns false if the body ends within a record. */
 static bool add_records(struct topic *topic, const GString *body)
 {
+	int64_t now_us = g_get_monotonic_time();
 	size_t read_offset = 0;
 
 	while (read_offset + LENGTH_BYTES <= body->len) {
@@ -99,6 +111,7 @@
 		if (read_offset + len > body->len)
 			return false;
 		g_ptr_array_add(topic->records, g_bytes_new(body->str + read_offset, len));
+		g_array_append_val(topic->written_at, now_us);
 		read_offset += len;
 	}
 	return read_offset == body->len;
@@ -142,12 +155,12 @@
 
 	g_mutex_lock(&mutex);
 	topic = topic_get(get_text(connection, "topic"));
-	while (!unavailable && !reads_fail && (int64_t)topic->records->len <= from &&
+	while (!unavailable && !reads_fail && (int64_t)topic->records->len == from &&
 	       g_cond_wait_until(&topic_changed, &mutex, wait_until_us))
 		;
 	if (unavailable || reads_fail)
 		status = MHD_HTTP_SERVICE_UNAVAILABLE;
-	else if (from < topic->first_offset)
+	else if (from < topic->first_offset || from > (int64_t)topic->records->len)
 		status = MHD_HTTP_GONE;
 	add_number(&text, topic->records->len, 8);
 	add_number(&text, (uint64_t)topic->first_offset, 8);
@@ -295,6 +308,29 @@
 	topic->first_offset = topic->records->len;
 }
 
+/* Removes what was written after the time of the copy. */
+static void restore_topic(gpointer key, gpointer value, gpointer copied_at_us)
+{
+	struct topic *topic = value;
+	guint count = 0;
+
+	(void)key;
+	while (count < topic->records->len &&
+	       g_array_index(topic->written_at, int64_t, count) <= *(const int64_t *)copied_at_us)
+		count++;
+	g_ptr_array_set_size(topic->records, (gint)count);
+	g_array_set_size(topic->written_at, count);
+	topic->first_offset = MIN(topic->first_offset, count);
+}
+
+static void restore_topics(int64_t age_ms)
+{
+	int64_t copied_at_us = g_get_monotonic_time() - age_ms * 1000;
+
+	g_hash_table_foreach(topics, restore_topic, &copied_at_us);
+	era++;
+}
+
 static enum MHD_Result on_fault(struct MHD_Connection *connection)
 {
 	g_mutex_lock(&mutex);
@@ -306,6 +342,8 @@
 	page_delay_ms = get_number(connection, "page_ms", page_delay_ms);
 	if (get_number(connection, "forget", 0))
 		g_hash_table_foreach(topics, drop_history, NULL);
+	if (get_text(connection, "restore_ms"))
+		restore_topics(get_number(connection, "restore_ms", 0));
 	g_cond_broadcast(&topic_changed);
 	g_mutex_unlock(&mutex);
 	return reply(connection, MHD_HTTP_OK, NULL);
