core: versions of a log that came back from an older copy

A version has the era of the log above its position, so that versions only rise. Where the era rises, files in force that are newer than those of the copy stay, and an order that is read again is the move in force.

--- a/core/history.c
+++ b/core/history.c
@@ -5,6 +5,9 @@
 
 #include <string.h>
 
+#include "base/clock.h"
+#include "core/version.h"
+
 struct str apply_result_name(enum apply_result_kind kind)
 {
 	switch (kind) {
@@ -116,10 +119,49 @@
 	g_strlcpy(result->reason, text, sizeof(result->reason));
 }
 
+/* Returns whether two declarations of open-ended moves say the same. Their times are those at which
+ * they were read, in whole seconds: the duration counts. */
+static bool is_same_order(const struct move_spec *a, const struct move_spec *b)
+{
+	int64_t rounding_us = a->finish_at_us - a->start_at_us - (b->finish_at_us - b->start_at_us);
+
+	return a->from.len == 0 && b->from.len == 0 && label_equal(&a->service, &b->service) &&
+	       label_equal(&a->to, &b->to) && ABS(rounding_us) <= US_PER_S;
+}
+
+/* Returns whether both changes declare the same open-ended moves, and at least one. */
+static bool have_same_orders(const struct change *a, const struct change *b)
+{
+	if (!a->parsed || !b->parsed || a->parsed->moves->len == 0 ||
+	    a->parsed->moves->len != b->parsed->moves->len)
+		return false;
+	for (guint i = 0; i < a->parsed->moves->len; i++)
+		if (!is_same_order(&g_array_index(a->parsed->moves, struct move_spec, i),
+				   &g_array_index(b->parsed->moves, struct move_spec, i)))
+			return false;
+	return true;
+}
+
+/* What the log lost is written again in a later era: an order is then the one in force, and its
+ * moves go on with their ids and times. Returns NULL if the change is another one. */
+static struct accepted_file *continue_order(const struct accepted_file *old, int64_t version,
+					    const struct change *change)
+{
+	struct accepted_file *file;
+
+	if (!old || version_era(old->version) >= version_era(version) ||
+	    !have_same_orders(old->change, change))
+		return NULL;
+	file = accepted_file_copy(old);
+	file->version = version;
+	return file;
+}
+
 /* Applies a change whose base matches; returns NULL if its content is invalid. */
 static struct config *apply_content(const struct config *config, int64_t offset,
 				    struct change *change, struct apply_result *result)
 {
+	const struct accepted_file *old = config_find_file(config, change->file);
 	struct accepted_file *file;
 	struct config *next;
 	GError *error = NULL;
@@ -129,8 +171,11 @@
 		set_reason(result, change->parse_error ? change->parse_error : "not parsed");
 		return NULL;
 	}
-	file = accepted_file_new(change->file, offset, change);
-	assign_move_ids(file, config_find_file(config, change->file));
+	file = continue_order(old, offset, change);
+	if (!file) {
+		file = accepted_file_new(change->file, offset, change);
+		assign_move_ids(file, old);
+	}
 	next = config_build(files_with_replaced(config, file), offset, offset, &error);
 	if (!next) {
 		set_reason(result, error->message);
@@ -142,6 +187,18 @@
 	return next;
 }
 
+/* Returns whether the change's serial is too low to replace the file. The serial in force may come
+ * again with what the log lost; then all nodes take it, also if its content differs. */
+static bool has_old_serial(const struct accepted_file *old, int64_t offset,
+			   const struct change *change)
+{
+	if (!old || !change->parsed || !old->change->parsed || !change->parsed->serial)
+		return false;
+	if (change->parsed->serial == old->change->parsed->serial)
+		return version_era(offset) == version_era(old->version);
+	return change->parsed->serial < old->change->parsed->serial;
+}
+
 /* Decides from the records alone, so that every node gets the same results. */
 static struct config *apply_change(const struct config *config, int64_t offset,
 				   struct change *change, struct apply_result *result)
@@ -159,8 +216,7 @@
 			   STR_ARG(change->content));
 		return NULL;
 	}
-	if (old && change->parsed && old->change->parsed && change->parsed->serial &&
-	    change->parsed->serial <= old->change->parsed->serial) {
+	if (has_old_serial(old, offset, change)) {
 		result->kind = APPLY_CONFLICT;
 		g_snprintf(result->reason, sizeof(result->reason),
 			   "edition %ld is in force, the change brings %ld",
@@ -266,9 +322,119 @@
 	return true;
 }
 
+/* Returns the record at an earlier version, NULL if it is not retained. */
+static const struct retained_record *find_retained(const struct history *history, int64_t version)
+{
+	for (const GList *entry = history->retained->head; entry; entry = entry->next) {
+		const struct retained_record *retained = entry->data;
+
+		if (retained->offset == version)
+			return retained;
+	}
+	return NULL;
+}
+
+/* Returns whether a file of the restored log was there already before the held one replaced it.
+ * Otherwise it was written after the rollback, at an offset that was given out again. What is no
+ * longer retained is too old to be lost. LOCK_HISTORY is held. */
+static bool is_earlier_file(const struct history *history, const struct accepted_file *held,
+			    const struct accepted_file *file)
+{
+	int64_t version = version_make(version_era(held->version), version_position(file->version));
+	const struct retained_record *retained = find_retained(history, version);
+
+	if (version >= held->version)
+		return false;
+	if (!retained || retained->result.kind == APPLY_SUPERSEDED)
+		return true;
+	return label_equal(&retained->change->file, &file->name) &&
+	       have_same_orders(retained->change, file->change);
+}
+
+/* Returns whether the held file stays in force, since the log's copy is older than that.
+ * LOCK_HISTORY is held. */
+static bool outlasts(const struct history *history, const struct accepted_file *held,
+		     const struct accepted_file *file)
+{
+	const struct config_file *old = held->change->parsed;
+	const struct config_file *new = file ? file->change->parsed : NULL;
+
+	if (!old || !file)
+		return old != NULL;
+	if (old->serial && new &&new->serial)
+		return old->serial > new->serial;
+	/* A peer's file of the same era. */
+	if (version_era(file->version) == version_era(held->version))
+		return held->version > file->version;
+	return is_earlier_file(history, held, file);
+}
+
+static struct accepted_file *find_in(const GPtrArray *files, const struct label *name)
+{
+	for (guint i = 0; i < files->len; i++) {
+		struct accepted_file *file = g_ptr_array_index(files, i);
+
+		if (label_equal(&file->name, name))
+			return file;
+	}
+	return NULL;
+}
+
+/* Returns the files of a log that came back from an older copy, with the held ones that are newer.
+ * LOCK_HISTORY is held. */
+static GPtrArray *files_after_rollback(const struct history *history, const GPtrArray *restored)
+{
+	GPtrArray *files = files_new();
+
+	for (guint i = 0; i < restored->len; i++) {
+		const struct accepted_file *file = g_ptr_array_index(restored, i);
+		const struct accepted_file *held = config_find_file(history->config, file->name);
+		struct accepted_file *kept = NULL;
+
+		if (held && outlasts(history, held, file))
+			kept = accepted_file_copy(held);
+		else if (held && version_position(file->version) <= version_position(held->version))
+			kept = continue_order(held, file->version, file->change);
+		g_ptr_array_add(files, kept ? kept : accepted_file_copy(file));
+	}
+	for (guint i = 0; i < history->config->files->len; i++) {
+		const struct accepted_file *held = g_ptr_array_index(history->config->files, i);
+
+		if (!find_in(restored, &held->name) && outlasts(history, held, NULL))
+			g_ptr_array_add(files, accepted_file_copy(held));
+	}
+	return files;
+}
+
+static int64_t newest_version_of(const GPtrArray *files, int64_t accepted)
+{
+	for (guint i = 0; i < files->len; i++) {
+		const struct accepted_file *file = g_ptr_array_index(files, i);
+
+		accepted = MAX(accepted, file->version);
+	}
+	return accepted;
+}
+
+/* Returns the configuration of a log that came back from an older copy: held files that are newer
+ * stay, unless they contradict the others. NULL: none is needed, or it is invalid. LOCK_HISTORY is
+ * held. */
+static struct config *config_after_rollback(const struct history *history,
+					    const struct config *restored)
+{
+	GPtrArray *files;
+
+	if (version_era(restored->version) <= version_era(history->config->version))
+		return NULL;
+	files = files_after_rollback(history, restored->files);
+	return config_build(files, restored->version, newest_version_of(files, restored->accepted),
+			    NULL);
+}
+
 bool history_import(struct history *history, GPtrArray *files, int64_t version, int64_t accepted)
 {
 	struct config *next;
+	struct config *merged;
 	bool imported = false;
 
 	if (!is_well_formed(files)) {
@@ -279,6 +445,11 @@
 	if (!next)
 		return false;
 	lock_acquire(&history->lock);
+	merged = config_after_rollback(history, next);
+	if (merged) {
+		config_unref(next);
+		next = merged;
+	}
 	if (version > history->config->version) {
 		struct config *old = history->config;
 
--- a/core/history.h
+++ b/core/history.h
@@ -82,8 +82,9 @@
 
 /**
  * Replaces the configuration by a snapshot's if that is newer and each of its files can be read;
- * returns whether it was replaced.
- * Takes ownership of @p files (struct accepted_file). Takes LOCK_HISTORY.
+ * returns whether it was replaced. Where the log came back from an older copy (core/version.h),
+ * held files stay that are newer than the snapshot's. Takes ownership of @p files (struct
+ * accepted_file). Takes LOCK_HISTORY.
  */
 bool history_import(struct history *history, GPtrArray *files, int64_t version, int64_t accepted);
 
--- a/core/node.c
+++ b/core/node.c
@@ -1,5 +1,6 @@
 #include "core/node_parts.h"
 #include "core/startup.h"
+#include "core/version.h"
 
 #define SUSPECT_TIMEOUT_US (4 * US_PER_S)
 /* Dead members are remembered for longer than partitions between regions last, so that nodes find
@@ -407,13 +408,17 @@
 
 bool node_is_ready(struct node *node)
 {
+	struct config *config = node_config(node);
+	/* After a rollback the log may be empty; what it held may be in force. */
+	bool has_read = version_position(config->version) > 0 || config->accepted > 0;
 	bool ready;
 
+	config_unref(config);
 	lock_acquire(&node->gossip.lock);
 	ready = node->gossip.boot.phase == BOOT_CURRENT && !node->gossip.retiring &&
 		!node->gossip.stopping;
 	lock_release(&node->gossip.lock);
-	return ready && history_version(node->history) > 0;
+	return ready && has_read;
 }
 
 struct history *node_history(struct node *node)
--- a/core/node_config.c
+++ b/core/node_config.c
@@ -3,6 +3,7 @@
  * obtains the newest version.
  */
 #include "core/node_parts.h"
+#include "core/version.h"
 
 #define BOOT_PING_US	 (500 * US_PER_MS)
 #define MEMBERS_RETRY_US (1 * US_PER_S)	    /* after this time another peer is asked */
@@ -533,12 +534,25 @@
 	return files;
 }
 
+/* The log came back from an older copy. It may lack what nodes have appended. */
+static void handle_rollback(struct node *node, int64_t held_version, struct actions *out)
+{
+	struct config *config = node_config(node);
+
+	actions_log_event(out, LOG_EVENT_PLATFORM_LOG_RESTORED,
+			  "era=%ld version=%ld held=%ld accepted=%ld", version_era(config->version),
+			  config->version, held_version, config->accepted);
+	config_unref(config);
+	moves_save_again(node);
+}
+
 bool config_apply_snapshot_part(struct node *node, struct assembly *assembly,
 				const struct snapshot_part *part,
 				const struct change_source *source, struct instant now,
 				struct actions *out)
 {
-	int64_t late_ms = behind_ms(node, history_version(node->history), now);
+	int64_t held_version = history_version(node->history);
+	int64_t late_ms = behind_ms(node, held_version, now);
 	GPtrArray *files;
 
 	moves_on_states(node, part->states, false, out);
@@ -552,6 +566,8 @@
 	actions_log_event(out, LOG_EVENT_SNAPSHOT_LOADED,
 			  "version=%ld accepted=%ld parts=%d way=%s behind_ms=%ld", part->version,
 			  part->accepted, part->count, way_name(source->way), late_ms);
+	if (held_version && version_era(part->version) > version_era(held_version))
+		handle_rollback(node, held_version, out);
 	return true;
 }
 
--- a/core/node_confirm.c
+++ b/core/node_confirm.c
@@ -6,6 +6,7 @@
  * are fractions of the time that operators are promised for a change.
  */
 #include "core/node_parts.h"
+#include "core/version.h"
 
 /* A node whose ticks have a gap of this length was paused. Messages that waited meanwhile are older
  * than they say, and are not taken as confirmations for the same time afterwards. */
@@ -221,6 +222,9 @@
 void confirm_from_log(struct node *node, int64_t newest, struct instant at, struct instant now,
 		      struct actions *out)
 {
+	/* An answer from before a rollback may have come long after it was made. */
+	if (version_era(newest) < version_era(history_version(node->history)))
+		return;
 	confirm(node, newest, at.mono_us);
 	forget_unconfirmed(node, newest, at.mono_us);
 	if (take_forward(node))
--- a/core/node_moves.c
+++ b/core/node_moves.c
@@ -175,6 +175,25 @@
 	return node_is_current(node) && self.state == MEMBER_ALIVE;
 }
 
+void moves_save_again(struct node *node)
+{
+	struct member self = members_self(node->members);
+	GArray *states = moves_states(node->moves);
+
+	for (guint i = 0; i < states->len; i++) {
+		const struct move_state *state = &g_array_index(states, struct move_state, i);
+		struct move_spec spec;
+
+		if (state->step == 0 || !moves_spec(node->moves, state->id, &spec) ||
+		    !label_equal(&spec.service, &self.service) ||
+		    members_rank(node->members, SCOPE_SERVICE, spec.service, state->id) >=
+			    COORDINATORS)
+			continue;
+		log_save_move(node, &(struct saved_move){ *state, spec.service, spec.to });
+	}
+	g_array_unref(states);
+}
+
 void moves_tick(struct node *node, struct instant now, struct actions *out)
 {
 	if (may_coordinate(node))
--- a/core/node_parts.h
+++ b/core/node_parts.h
@@ -305,6 +305,8 @@
 void log_save_move(struct node *node, const struct saved_move *move);
 
 /* node_moves.c */
+/** Appends the states of the moves that this node coordinates to the log again. */
+void moves_save_again(struct node *node);
 void moves_round(struct node *node, struct instant now, struct actions *out);
 /** Opens steps that are due in moves that this node coordinates. */
 void moves_tick(struct node *node, struct instant now, struct actions *out);
