--- a/regress/platform/document_test.c
+++ b/regress/platform/document_test.c
@@ -130,7 +130,7 @@
 static void test_status_restores_move_state(void **state)
 {
 	struct saved_move move = { .service = LABEL("s"), .to = LABEL("v2") };
-	struct move_state restored = { 0 };
+	struct saved_move restored = { 0 };
 	struct strbuf text = { 0 };
 
 	(void)state;
@@ -140,13 +140,18 @@
 	strbuf_add(&text, (struct str){ "", 1 });
 	assert_non_null(strstr(text.data, "\"state\":\"rolled_back\""));
 	assert_non_null(strstr(text.data, "\"target_version\":\"v2\""));
-	assert_true(document_decode_state((struct str){ text.data, text.len - 1 }, &restored));
-	assert_int_equal(restored.id, 9);
-	assert_int_equal(restored.step, 3);
-	assert_int_equal(restored.withdrawn_at_us, 77);
-	assert_true(label_is(&restored.from, STR("v1")));
-	assert_false(document_decode_state(STR("{\"saved\":\"\"}"), &restored));
-	assert_false(document_decode_state(STR("{\"state\":\"running\"}"), &restored));
+	assert_true(document_decode_status((struct str){ text.data, text.len - 1 }, &restored));
+	assert_int_equal(restored.state.id, 9);
+	assert_int_equal(restored.state.step, 3);
+	assert_int_equal(restored.state.withdrawn_at_us, 77);
+	assert_true(label_is(&restored.state.from, STR("v1")));
+	assert_true(label_is(&restored.service, STR("s")));
+	assert_true(label_is(&restored.to, STR("v2")));
+	assert_false(document_decode_status(STR("{\"service\":\"s\",\"target_version\":\"v2\","
+						"\"saved\":\"\"}"),
+					    &restored));
+	assert_false(document_decode_status(STR("{\"saved\":\"\"}"), &restored));
+	assert_false(document_decode_status(STR("{\"state\":\"running\"}"), &restored));
 	strbuf_clear(&text);
 }
 
--- a/regress/platform/exchange_test.c
+++ b/regress/platform/exchange_test.c
@@ -176,13 +176,13 @@
 	struct store_append append = {
 		.topic = STR("keyed.nodes"), .key = STR("k"), .value = STR("v"), .expected_end = -1
 	};
-	int64_t offset = 0;
+	struct store_place place = { 0 };
 	enum store_result expected =
 		is_whole(row) ? append_results[row->answer - append_answers] : STORE_UNAVAILABLE;
-	enum store_result result = store_append(http, &append, &offset);
+	enum store_result result = store_append(http, &append, &place);
 
 	exchange_client_free(http);
-	return result == expected && (result != STORE_DONE || offset == VERSION);
+	return result == expected && (result != STORE_DONE || place.offset == VERSION);
 }
 
 static void test_append_with_broken_answer_may_have_happened(void **state)
@@ -197,10 +197,11 @@
 {
 	struct exchange_client *http = client_of(server, pool);
 	bool done = is_whole(row) && append_results[row->answer - append_answers] == STORE_DONE;
-	bool right = storelog_register_node(http, 1, false) == done;
+	int64_t era;
+	bool right = storelog_register_node(http, 1, false, &era) == done;
 
 	set_plan(server, row);
-	right &= storelog_register_node(http, 1, true) == done;
+	right &= storelog_register_node(http, 1, true, &era) == done;
 	exchange_client_free(http);
 	return right;
 }
@@ -336,11 +337,12 @@
 	struct store_append append = { .topic = STR("t"), .key = STR("k"), .expected_end = -1 };
 	struct log_record record = { .kind = LOG_MOVE };
 	struct log_read read = { 0 };
+	struct store_place place = { 0 };
 	int64_t offset = 0;
 	bool right = false;
 
 	if (row->answer == &closed_answers[0])
-		right = store_append(http, &append, &offset) ==
+		right = store_append(http, &append, &place) ==
 			(is_all(row) ? STORE_DONE : STORE_UNAVAILABLE);
 	if (row->answer == &closed_answers[1])
 		right = storelog_list_nodes(http, members) == is_all(row);
@@ -381,14 +383,15 @@
 	struct log_record record = { .kind = LOG_MOVE };
 	struct log_read read;
 	struct store_page page;
+	struct store_place place = { 0 };
 	int64_t offset = 0;
 	bool wrong;
 
 	(void)row;
 	store_page_init(&page);
-	wrong = store_append(http, &append, &offset) == STORE_DONE;
+	wrong = store_append(http, &append, &place) == STORE_DONE;
 	wrong |= store_read(http, STR("t"), 0, (struct deadline){ 1 }, &page) == STORE_DONE;
-	wrong |= storelog_register_node(http, 1, true);
+	wrong |= storelog_register_node(http, 1, true, &offset);
 	wrong |= storelog_list_nodes(http, members);
 	wrong |= logclient_append(client, STREAM_SYSTEM, 0, &record,
 				  deadline_after(clock_now(), US_PER_S), &offset) == APPEND_DONE;
