--- a/base/events.h
+++ b/base/events.h
@@ -51,6 +51,7 @@
 	X(602, PLATFORM_RECORD_BAD, LOG_LEVEL_ERROR)                                               \
 	X(603, PLATFORM_LOG_EXPIRED, LOG_LEVEL_INFO)                                               \
 	X(604, PLATFORM_LOG_LIMITED, LOG_LEVEL_WARN)                                               \
+	X(605, PLATFORM_LOG_RESTORED, LOG_LEVEL_WARN)                                              \
 	X(700, FRAME_BAD, LOG_LEVEL_WARN)                                                          \
 	X(701, LINK_SILENT, LOG_LEVEL_WARN)                                                        \
 	X(702, PEER_REFUSED, LOG_LEVEL_WARN)                                                       \
--- a/godwithitchd/daemon.h
+++ b/godwithitchd/daemon.h
@@ -57,6 +57,8 @@
 	bool discovering;	     /**< a worker runs a discovery */
 	bool waited_for_others;	     /**< used only by the discovery: it has waited once */
 	bool listed;		     /**< this node is in the platform's list of nodes */
+	bool relisting;		     /**< it was, and the log has lost its entry */
+	int64_t listed_era;	     /**< era (core/version.h) in which it was listed */
 	GPtrArray *running_inbound;  /**< struct inbound at the target now, for crash reports */
 	struct deadline crash_window_ends_at; /**< failures until then count as one crash */
 	uint64_t next_point;		      /**< next number for call_placement_point() */
--- a/godwithitchd/dispatch.c
+++ b/godwithitchd/dispatch.c
@@ -8,6 +8,7 @@
 
 #include "base/logger.h"
 #include "core/startup.h"
+#include "core/version.h"
 #include "godwithitchd/daemon.h"
 #include "operator/parse.h"
 #include "target/health.h"
@@ -17,6 +18,7 @@
 #define LOG_WAIT_US	  (2 * US_PER_S) /* of a job, until it is started */
 #define DISCOVER_RETRY_US (500 * US_PER_MS)
 #define ASK_RETRY_US	  (250 * US_PER_MS)
+#define RELIST_WITHIN_US  (2 * US_PER_S) /* 80 nodes: 40 appends a second */
 
 enum {
 	WORKERS_RESERVED = 12, /* kept free of target requests, for links, the tick and the log */
@@ -230,6 +232,23 @@
 	dispatch_event(daemon, &event);
 }
 
+/* A log that came back from an older copy may lack this node's entry. The nodes write theirs at
+ * different times, since all of them learn of it at about the same. */
+static void notice_rollback(struct daemon *daemon, struct instant now)
+{
+	struct rng rng = { .state = peers_self(daemon->peers) ^ (uint64_t)now.wall_us };
+	int64_t era = version_era(history_version(node_history(daemon->node)));
+
+	lock_acquire(&daemon->lock);
+	if (daemon->listed && !daemon->discovering && era > daemon->listed_era) {
+		daemon->listed = false;
+		daemon->relisting = true;
+		daemon->discover_at =
+			deadline_after(now, (int64_t)rng_below(&rng, (uint64_t)RELIST_WITHIN_US));
+	}
+	lock_release(&daemon->lock);
+}
+
 static void start_discovery(struct daemon *daemon, struct instant now)
 {
 	bool start;
@@ -288,7 +307,7 @@
 		daemon->waited_for_others = true;
 		return deadline_after(now, startup_list_delay_us(&rng));
 	}
-	if (daemon->settings.first_start && knows_others(daemon))
+	if ((daemon->settings.first_start || daemon->relisting) && knows_others(daemon))
 		return (struct deadline){ 0 };
 	return list_nodes(daemon) ? (struct deadline){ 0 }
 				  : deadline_after(clock_now(), DISCOVER_RETRY_US);
@@ -296,12 +315,15 @@
 
 void dispatch_discover(struct daemon *daemon)
 {
-	bool listed = daemon->listed ||
-		      logclient_register_node(daemon->logclient, peers_self(daemon->peers), false);
+	int64_t era = daemon->listed_era;
+	bool listed =
+		daemon->listed ||
+		logclient_register_node(daemon->logclient, peers_self(daemon->peers), false, &era);
 	struct deadline next_at = next_discovery(daemon, listed);
 
 	lock_acquire(&daemon->lock);
 	daemon->listed = listed;
+	daemon->listed_era = era;
 	daemon->discovering = false;
 	daemon->discover_at = next_at;
 	lock_release(&daemon->lock);
@@ -351,6 +373,7 @@
 	inbound_dispatch_queue(daemon);
 	peers_tick(daemon->peers, now);
 	calls_tick(daemon, now);
+	notice_rollback(daemon, now);
 	start_discovery(daemon, now);
 	start_asking(daemon, now);
 	if (daemon->next_second_at.at_us == 0 || deadline_passed(daemon->next_second_at, now)) {
