--- a/regress/godwithitchd/platform_test.c
+++ b/regress/godwithitchd/platform_test.c
@@ -25,6 +25,7 @@
 struct upstream {
 	struct MHD_Daemon *daemon;
 	char id[16];
+	const char *version;
 	int port;
 	int sequence;
 	gint runs;
@@ -111,9 +112,9 @@
 	struct upstream *upstream = &upstreams[index];
 	char url[96];
 	char *body = g_strdup_printf(
-		"{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"version\":\"v1\","
+		"{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"version\":\"%s\","
 		"\"capacity\":4,\"state\":\"%s\",\"warmup_left_s\":0,\"sequence\":%d,\"born\":5}",
-		SERVICE, upstream->port, state, ++upstream->sequence);
+		SERVICE, upstream->port, upstream->version, state, ++upstream->sequence);
 	struct http_reply reply;
 
 	g_snprintf(url, sizeof(url), "http://%s/instances/%s/heartbeat",
@@ -234,6 +235,7 @@
 					       .sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
 
 		g_snprintf(upstreams[i].id, sizeof(upstreams[i].id), "i-%d", i);
+		upstreams[i].version = "v1";
 		upstreams[i].daemon = MHD_start_daemon(
 			MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD, 0, NULL,
 			NULL, on_request, &upstreams[i], MHD_OPTION_SOCK_ADDR,
@@ -557,6 +559,153 @@
 	assert_true(fleet_wait_live(fleet, NODES, WAIT_MS));
 }
 
+/* Returns whether the newest records of a topic, once decoded, hold the text of a key. */
+static bool topic_holds(const char *topic, const char *text)
+{
+	struct http_client *client = http_client_new();
+	struct http_options options = { .method = "GET", .timeout_ms = 2000 };
+	struct http_reply reply;
+	char url[96];
+	char *body;
+	char **parts;
+	bool holds;
+
+	g_snprintf(url, sizeof(url), "http://127.0.0.1:%d/log-newest?topic=%s&part=0",
+		   fleet->log_port, topic);
+	reply = http_do(client, url, &options);
+	body = str_to_cstr(strbuf_str(&reply.body));
+	holds = strstr(body, text) != NULL;
+	parts = g_strsplit(body, "\"value\":\"", -1);
+	for (int i = 1; parts[0] && parts[i]; i++) {
+		gsize len;
+		char *value;
+
+		*strchr(parts[i], '"') = '\0';
+		value = (char *)g_base64_decode(parts[i], &len);
+		holds |= g_strstr_len(value, (gssize)len, text) != NULL;
+		g_free(value);
+	}
+	g_strfreev(parts);
+	g_free(body);
+	http_reply_clear(&reply);
+	http_client_free(client);
+	return holds;
+}
+
+static bool wait_for_topic(const char *topic, const char *text)
+{
+	bool holds = false;
+
+	for (int i = 0; i < WAIT_MS / 50 && !holds; i++) {
+		holds = topic_holds(topic, text);
+		if (!holds)
+			wait_ms(50);
+	}
+	return holds;
+}
+
+static void publish_order(const char *version)
+{
+	char *text =
+		g_strdup_printf("{\"service\":\"%s\",\"target_version\":\"%s\",\"duration_s\":2}",
+				SERVICE, version);
+
+	append_record("keyed.op", "rollout/" SERVICE, text);
+	g_free(text);
+}
+
+/* Brings the store back from a copy, after a moment in which it is away. */
+static void restore_store(struct instant copied_at)
+{
+	char fault[48];
+
+	fleet_log_fault(fleet, "out=1");
+	wait_ms(300);
+	g_snprintf(fault, sizeof(fault), "out=0&restore_ms=%lld",
+		   (clock_now().mono_us - copied_at.mono_us) / US_PER_MS);
+	fleet_log_fault(fleet, fault);
+}
+
+/* For a time, each node must serve one path and must not serve the one of the version before. */
+static void assert_stays(const char *wanted, const char *older, int ms)
+{
+	for (int i = 0; i < ms / 100; i++) {
+		for (int node = 0; node < NODES; node++) {
+			assert_int_equal(request_status(node, wanted, "GET"), 200);
+			assert_int_not_equal(request_status(node, older, "GET"), 200);
+		}
+		wait_ms(100);
+	}
+}
+
+static bool node_logs(int node, const char *text)
+{
+	char *log = NULL;
+	bool found;
+
+	assert_true(g_file_get_contents(fleet->nodes[node].log_path, &log, NULL, NULL));
+	found = strstr(log, text) != NULL;
+	g_free(log);
+	return found;
+}
+
+/*
+ * The store comes back without the newest configuration, the last order with the state of its move,
+ * and the entry of a node that had started meanwhile. No node may go back to the older
+ * configuration, or run the finished move again; each must follow what the operator writes again,
+ * although the offsets are lower than those that it has read.
+ */
+static void test_store_comes_back_from_an_older_copy(void **state)
+{
+	struct instant copied_at;
+
+	(void)state;
+	wait_ms(200);
+	copied_at = clock_now();
+	wait_ms(200);
+	publish_config(31, "/r/");
+	process_kill(&fleet->nodes[1].daemon);
+	fleet_restart_node(fleet, 1);
+	upstreams[1].version = "v2";
+	send_heartbeat(1, "ready");
+	assert_int_equal(wait_for_status(0, "/r/x", 200), 200);
+	assert_int_equal(wait_for_status(1, "/r/x", 200), 200);
+	assert_true(fleet_wait_live(fleet, NODES, WAIT_MS));
+	publish_order("v2");
+	assert_true(wait_for_topic("keyed.status", "\"state\":\"completed\""));
+	assert_true(wait_for_topic("keyed.nodes", fleet->nodes[1].address));
+
+	restore_store(copied_at);
+	assert_false(topic_holds("keyed.status", "completed"));
+	assert_false(topic_holds("keyed.nodes", fleet->nodes[1].address));
+	assert_false(topic_holds("keyed.op", "/r/"));
+	assert_stays("/r/x", "/a/x", 1500);
+	assert_true(wait_for_topic("keyed.status", "\"state\":\"completed\""));
+	assert_true(wait_for_topic("keyed.nodes", fleet->nodes[1].address));
+	publish_order("v2");
+	publish_config(31, "/r/");
+	assert_stays("/r/x", "/a/x", 1000);
+	assert_false(topic_holds("keyed.status", "\"state\":\"running\""));
+	publish_config(32, "/q/");
+	for (int i = 0; i < NODES; i++) {
+		assert_int_equal(wait_for_status(i, "/q/x", 200), 200);
+		assert_true(node_logs(i, "PLATFORM_LOG_RESTORED"));
+	}
+	/* A node that starts now gets the same from the store and the others. */
+	process_kill(&fleet->nodes[1].daemon);
+	fleet_restart_node(fleet, 1);
+	upstreams[0].version = "v2";
+	for (int i = 0; i < NODES; i++)
+		send_heartbeat(i, "ready");
+	assert_only_newest_is_served("/q/x", "/r/x");
+	publish_config(33, "/a/");
+	for (int i = 0; i < NODES; i++)
+		assert_int_equal(wait_for_status(i, "/a/x", 200), 200);
+	assert_true(topic_holds("keyed.status", "\"state\":\"completed\""));
+	assert_true(fleet_wait_live(fleet, NODES, WAIT_MS));
+	assert_true(wait_for_own_target(0));
+}
+
 static void test_heartbeat_of_another_writer_does_not_replace_target(void **state)
 {
 	static const char *const states[] = { "ready", "draining" };
@@ -643,6 +792,7 @@
 		cmocka_unit_test(test_recovery_after_store_stopped_answering),
 		cmocka_unit_test(test_change_between_two_pages_is_not_lost),
 		cmocka_unit_test(test_acknowledged_change_survives_power_loss_of_all),
+		cmocka_unit_test(test_store_comes_back_from_an_older_copy),
 		cmocka_unit_test(test_heartbeat_of_another_writer_does_not_replace_target),
 		cmocka_unit_test(test_draining_target_gets_no_requests),
 		cmocka_unit_test(test_restarted_node_does_not_use_a_leaving_target),
