--- a/godwithitch/apply.c
+++ b/godwithitch/apply.c
@@ -1,5 +1,5 @@
 /*
- * The commands check, diff and apply.
+ * The command apply.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -7,94 +7,12 @@
 #include <sys/random.h>
 
 #include "godwithitch/tool.h"
-#include "operator/parse.h"
 #include "platform/logclient.h"
 
 #define APPEND_TIMEOUT_US (3 * US_PER_S)
 
 enum { POLL_MS = 100, CENSUS_WAIT_MS = 200, CHANGE_ID_BYTES = 12 };
 
-/* A configuration file on the operator's disk that was parsed without errors. */
-struct source {
-	struct label name;
-	char *text;
-	gsize len;
-};
-
-static void source_clear(struct source *source)
-{
-	g_free(source->text);
-}
-
-static bool source_read(const char *path, struct source *source)
-{
-	struct config_file *parsed;
-	GError *error = NULL;
-	char *base = g_path_get_basename(path);
-
-	*source = (struct source){ .name = label_from(str_from_cstr(base)) };
-	if (!label_fits(str_from_cstr(base)))
-		g_set_error(&error, CONFIG_ERROR, CONFIG_ERROR_NAME,
-			    "%s: the name has more than %d bytes", base, LABEL_MAX_BYTES);
-	g_free(base);
-	if (error || !g_file_get_contents(path, &source->text, &source->len, &error)) {
-		fprintf(stderr, "godwithitch: %s\n", error->message);
-		g_error_free(error);
-		return false;
-	}
-	parsed = parse_config(label_str(&source->name), (struct str){ source->text, source->len },
-			      &error);
-	config_file_free(parsed);
-	if (parsed)
-		return true;
-	fprintf(stderr, "godwithitch: %s\n", error->message);
-	g_error_free(error);
-	source_clear(source);
-	return false;
-}
-
-/* Checks all files of the command line as one configuration. */
-int tool_check(char **paths, int count)
-{
-	GPtrArray *files = g_ptr_array_new_with_free_func((GDestroyNotify)accepted_file_free);
-	struct config *config;
-	GError *error = NULL;
-
-	for (int i = 0; i < count; i++) {
-		struct source source;
-		struct change *change;
-
-		if (!source_read(paths[i], &source)) {
-			g_ptr_array_unref(files);
-			return TOOL_REJECTED;
-		}
-		change = change_new((struct label){ 0 }, source.name, 0,
-				    (struct str){ source.text, source.len });
-		parse_change(change);
-		g_ptr_array_add(files, accepted_file_new(source.name, 1, change));
-		change_unref(change);
-		source_clear(&source);
-	}
-	config = config_build(files, 1, 1, &error);
-	if (!config) {
-		fprintf(stderr, "godwithitch: %s\n", error->message);
-		g_error_free(error);
-		return TOOL_REJECTED;
-	}
-	config_unref(config);
-	printf("%d file%s checked: good\n", count, count == 1 ? "" : "s");
-	return TOOL_DONE;
-}
-
-static struct reply fetch_file(const struct tool *tool, const struct label *name)
-{
-	char *path = g_strdup_printf("/v1/file?name=%.*s", STR_ARG(label_str(name)));
-	struct reply reply = fetch_any(tool, path);
-
-	g_free(path);
-	return reply;
-}
-
 static struct label new_change_id(void)
 {
 	unsigned char bytes[CHANGE_ID_BYTES];
@@ -268,7 +186,7 @@
 static int apply_source(const struct tool *tool, struct logclient *client,
 			const struct source *source)
 {
-	struct reply reply = fetch_file(tool, &source->name);
+	struct reply reply = tool_fetch_file(tool, &source->name);
 	struct log_record record = { .kind = LOG_CHANGE };
 	int64_t newest = newest_version(tool);
 	int result = TOOL_UNKNOWN;
@@ -294,8 +212,11 @@
 	GError *error = NULL;
 	int result;
 
-	if (!source_read(path, &source))
+	if (!source_read(path, &source, &error)) {
+		fprintf(stderr, "godwithitch: %s\n", error->message);
+		g_error_free(error);
 		return TOOL_REJECTED;
+	}
 	client = logclient_new(LOG_SERVICE_NATIVE, tool->log_url, tool->pool, &error);
 	if (!client) {
 		fprintf(stderr, "godwithitch: -l: %s\n", error->message);
@@ -308,59 +229,3 @@
 	source_clear(&source);
 	return result;
 }
-
-static void print_lines(char sign, char **lines, guint from, guint to)
-{
-	for (guint i = from; i < to; i++)
-		printf("%c%s\n", sign, lines[i]);
-}
-
-/* Prints the lines between the common first and last lines; false if there are none. */
-static bool print_difference(char **old, char **new)
-{
-	guint old_end = g_strv_length(old);
-	guint new_end = g_strv_length(new);
-	guint start = 0;
-
-	while (start < old_end && start < new_end && strcmp(old[start], new[start]) == 0)
-		start++;
-	while (old_end > start && new_end > start &&
-	       strcmp(old[old_end - 1], new[new_end - 1]) == 0) {
-		old_end--;
-		new_end--;
-	}
-	if (start == old_end && start == new_end)
-		return false;
-	printf("@@ line %u @@\n", start + 1);
-	print_lines('-', old, start, old_end);
-	print_lines('+', new, start, new_end);
-	return true;
-}
-
-int tool_diff(const struct tool *tool, const char *path)
-{
-	enum { STATUS_OK = 200 };
-	struct source source;
-	struct reply reply;
-	char **old;
-	char **new;
-	bool differs;
-
-	if (!source_read(path, &source))
-		return TOOL_REJECTED;
-	reply = fetch_file(tool, &source.name);
-	if (reply.status == 0) {
-		fprintf(stderr, "godwithitch: no control address answers\n");
-		source_clear(&source);
-		return TOOL_UNKNOWN;
-	}
-	strbuf_add(&reply.body, (struct str){ "", 1 });
-	old = g_strsplit(reply.status == STATUS_OK ? reply.body.data : "", "\n", -1);
-	new = g_strsplit(source.text, "\n", -1);
-	differs = print_difference(old, new);
-	g_strfreev(old);
-	g_strfreev(new);
-	reply_clear(&reply);
-	source_clear(&source);
-	return differs ? TOOL_REJECTED : TOOL_DONE;
-}
--- a/godwithitch/main.c
+++ b/godwithitch/main.c
@@ -11,7 +11,7 @@
 
 #define TOOL_VERSION "0.1.0"
 
-enum { ARGS_MAX = 64, TIMEOUT_DEFAULT_S = 30, TIMEOUT_MAX_S = 7 * 86400 };
+enum { ARGS_MAX = 64, TIMEOUT_DEFAULT_S = 30, TIMEOUT_MAX_S = 7 * 86400, STOP_MAX_S = 86400 };
 
 /** The settings file: addresses of the nodes and the log, in JSON with comments. */
 struct tool_settings {
@@ -22,7 +22,8 @@
 {
 	fprintf(stderr,
 		"usage: godwithitch [-j] [-c host:port] [-f settings] [-l log-url] [-o chart]\n"
-		"           [-t seconds] apply file | check file ... | diff file | history |\n"
+		"           [-s seconds] [-t seconds] apply file | check file ... | diff file | "
+		"history |\n"
 		"           report log ... | show [file] | status [host:port] | version |\n"
 		"           watch service\n");
 	return TOOL_USAGE;
@@ -89,7 +90,7 @@
 		return TOOL_DONE;
 	}
 	if (strcmp(command, "check") == 0 && count > 0)
-		return tool_check(args, count);
+		return tool_check(tool, args, count);
 	if (strcmp(command, "report") == 0 && count > 0)
 		return tool_report(&(struct report_options){ args, count, tool->chart });
 	if (require(tool->control_count > 0, "a control address (-c or -f)") != TOOL_DONE)
@@ -119,6 +120,7 @@
 	struct arg_file *file;
 	struct arg_str *log_url;
 	struct arg_file *chart;
+	struct arg_dbl *stop;
 	struct arg_int *timeout;
 	struct arg_str *args;
 	struct arg_end *end;
@@ -139,8 +141,11 @@
 		g_error_free(error);
 		return TOOL_USAGE;
 	}
-	if (seconds < 1 || seconds > TIMEOUT_MAX_S)
+	if (seconds < 1 || seconds > TIMEOUT_MAX_S ||
+	    (line->stop->count && !(line->stop->dval[0] > 0 && line->stop->dval[0] <= STOP_MAX_S)))
 		return usage();
+	tool->stop_within_us =
+		line->stop->count ? (int64_t)(line->stop->dval[0] * (double)US_PER_S) : 0;
 	tool->json = line->json->count > 0;
 	tool->chart = line->chart->count ? line->chart->filename[0] : NULL;
 	tool->deadline = deadline_after(clock_now(), seconds * US_PER_S);
@@ -156,12 +161,13 @@
 		.file = arg_file0("f", NULL, "FILE", "settings"),
 		.log_url = arg_str0("l", NULL, "URL", "log"),
 		.chart = arg_file0("o", NULL, "CHART", "chart of a report"),
+		.stop = arg_dbl0("s", NULL, "SECONDS", "time of a planned stop of a node"),
 		.timeout = arg_int0("t", NULL, "SECONDS", "time limit"),
 		.args = arg_strn(NULL, NULL, "WORD", 1, ARGS_MAX, "command"),
 		.end = arg_end(4),
 	};
-	void *table[] = { line.json,  line.control, line.file, line.log_url,
-			  line.chart, line.timeout, line.args, line.end };
+	void *table[] = { line.json, line.control, line.file, line.log_url, line.chart,
+			  line.stop, line.timeout, line.args, line.end };
 	struct tool_settings settings = { NULL };
 	struct tool tool = { 0 };
 	int status;
--- a/regress/godwithitch/operations_test.c
+++ b/regress/godwithitch/operations_test.c
@@ -25,9 +25,12 @@
 	const char *output;
 } command_cases[] = {
 	{ "check %s/atelier.json", 0, "1 file checked: good" },
+	{ "check %s/atelier.json", 0, "atelier.json: new, none is in force" },
 	{ "diff %s/atelier.json", 1, "+" },
 	{ "apply %s/atelier.json", 0, "accepted at version 1, in force on 2 of 2 nodes" },
 	{ "diff %s/atelier.json", 0, "" },
+	{ "check %s/atelier.json", 0, "atelier.json: same as version 1 in force" },
+	{ "-j check %s/atelier.json", 0, "\"state\":\"same\",\"version\":1" },
 	{ "apply %s/bad.json", 1, "bad.json:1: routes[0]" },
 	{ "apply %s/nowhere.json", 1, "rejected (invalid): nowhere.json:1: routes.x" },
 	{ "history", 0, "atelier.json" },
@@ -98,6 +101,38 @@
 	fleet_free(fleet);
 }
 
+/* A check compares with the file in force, which a node or the log knows. */
+static void test_check_shows_what_changes(void **state)
+{
+	(void)state;
+	fleet = fleet_new(0);
+	fleet_add_node(fleet, "fes-a");
+	assert_true(fleet_wait_live(fleet, 1, 10000));
+	assert_int_equal(fleet_apply(fleet, "one.json", SERVICES "}", NULL), 0);
+	write_file("one.json", SERVICES ",\n\"switches\": {\"all\": {\"eject\": \"off\"}}}");
+	for (int by_log = 0; by_log <= 1; by_log++) {
+		char *source;
+		char *command;
+		char *output = NULL;
+		int status = -1;
+
+		source = by_log ? g_strdup_printf("-l http://127.0.0.1:%d", fleet->log_port)
+				: g_strdup_printf("-c %s", fleet->nodes[0].control_address);
+		command = g_strdup_printf("%s/godwithitch %s -j check %s/one.json", fleet->bin,
+					  source, fleet->dir);
+		assert_true(g_spawn_command_line_sync(command, &output, NULL, &status, NULL));
+		/* The version v2 of the file gets no calls: a warning. */
+		if (WEXITSTATUS(status) != 4 ||
+		    !strstr(output, "\"state\":\"changed\",\"version\":1,\"line\":1") ||
+		    !strstr(output, "\"eject\\\": \\\"off"))
+			fail_msg("%s: exit %d, %s", command, WEXITSTATUS(status), output);
+		g_free(output);
+		g_free(command);
+		g_free(source);
+	}
+	fleet_free(fleet);
+}
+
 /* Two operators change the same file at once: one change must be rejected as a conflict. */
 static void test_conflicting_change_is_rejected(void **state)
 {
@@ -171,6 +206,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_documented_commands),
+		cmocka_unit_test(test_check_shows_what_changes),
 		cmocka_unit_test(test_conflicting_change_is_rejected),
 		cmocka_unit_test(test_examples_are_valid),
 	};
