--- a/regress/godwithitch/operations_test.c
+++ b/regress/godwithitch/operations_test.c
@@ -25,6 +25,7 @@
 	const char *output;
 } command_cases[] = {
 	{ "check %s/atelier.json", 0, "1 file checked: good" },
+	{ "-j -s 30 check %s/atelier.json", 0, "\"warnings\":[]" },
 	{ "check %s/atelier.json", 0, "atelier.json: new, none is in force" },
 	{ "diff %s/atelier.json", 1, "+" },
 	{ "apply %s/atelier.json", 0, "accepted at version 1, in force on 2 of 2 nodes" },
