--- a/core/node_confirm.c
+++ b/core/node_confirm.c
@@ -11,6 +11,7 @@
  * while a key is withdrawn.
  */
 #include "core/node_parts.h"
+#include "core/version.h"
 
 /* A node whose ticks have a gap of this length was paused. Messages that waited meanwhile are older
  * than they say, and are not taken as confirmations for the same time afterwards. */
@@ -241,6 +242,9 @@
 void confirm_from_log(struct node *node, int64_t newest, struct instant at, struct instant now,
 		      struct actions *out)
 {
+	/* An answer from before a rollback may have come long after it was made. */
+	if (version_era(newest) < version_era(history_version(node->history)))
+		return;
 	confirm(node, newest, at.mono_us);
 	forget_unconfirmed(node, newest, at.mono_us);
 	if (take_forward(node))
@@ -313,6 +317,8 @@
 {
 	int64_t held_version = history_version(node->history);
 
+	if (version_era(newest) < version_era(held_version))
+		return;
 	lock_acquire(&node->gossip.lock);
 	prove(node, newest, held_version, asked_at.mono_us);
 	lock_release(&node->gossip.lock);
