Limit calls to cold targets and refuse those to evacuated data centres

The target's node decides both, since all calls for a target pass through it: a token bucket limits a cold target's calls, and calls are refused, queued ones returned, while the configuration closes the data centre. Entry nodes choose no targets in closed data centres.

--- a/base/events.h
+++ b/base/events.h
@@ -27,6 +27,8 @@
 	X(208, PULL_STARTED, LOG_LEVEL_INFO)                                                       \
 	X(209, PULL_UNANSWERED, LOG_LEVEL_WARN)                                                    \
 	X(210, PULL_DELAYED, LOG_LEVEL_INFO)                                                       \
+	X(211, EVACUATION_STARTED, LOG_LEVEL_WARN)                                                 \
+	X(212, EVACUATION_ENDED, LOG_LEVEL_INFO)                                                   \
 	X(300, MEMBER_CHANGED, LOG_LEVEL_INFO)                                                     \
 	X(301, SUSPICION_REFUTED, LOG_LEVEL_WARN)                                                  \
 	X(302, READER_STARTED, LOG_LEVEL_INFO)                                                     \
@@ -46,6 +48,8 @@
 	X(505, TARGET_LOADED, LOG_LEVEL_INFO)                                                      \
 	X(506, TARGET_DOUBTED, LOG_LEVEL_INFO)                                                     \
 	X(507, TARGET_ANSWER_BROKEN, LOG_LEVEL_WARN)                                               \
+	X(508, TARGET_COLD, LOG_LEVEL_INFO)                                                        \
+	X(509, TARGET_WARM, LOG_LEVEL_INFO)                                                        \
 	X(600, PLATFORM_LOG_OUT, LOG_LEVEL_WARN)                                                   \
 	X(601, PLATFORM_LOG_BACK, LOG_LEVEL_INFO)                                                  \
 	X(602, PLATFORM_RECORD_BAD, LOG_LEVEL_ERROR)                                               \
--- a/base/lockorder.h
+++ b/base/lockorder.h
@@ -21,6 +21,7 @@
 	LOCK_CALLS,	 /**< open calls of the daemon */
 	LOCK_LINKS,	 /**< table of links to other nodes */
 	LOCK_LINK,	 /**< streams and output of one link */
+	LOCK_RULES,	 /**< order in which configurations take effect on the own target */
 	LOCK_HISTORY,	 /**< accepted configuration */
 	LOCK_MEMBERS,	 /**< membership and the state of each target */
 	LOCK_GOSSIP,	 /**< probes, pulls and pending updates */
--- a/core/admit.c
+++ b/core/admit.c
@@ -81,7 +81,9 @@
 struct admit {
 	struct lock lock;
 	bool closed;
-	bool return_queued;	       /* queued calls go back, to be sent to other targets */
+	bool return_queued; /* queued calls go back, to be sent to other targets */
+	bool evacuated;	    /* as .return_queued, while the data centre is evacuated */
+	struct warmup warmup;
 	struct deadline queue_ends_at; /* 0, as the next: the node does not stop */
 	struct deadline work_ends_at;
 	int announced_slots;
@@ -98,6 +100,7 @@
 	double start_times_sum_us; /* sum of the start times of the running calls */
 	double service_us;
 	double service_square; /* smoothed square of the service times */
+	bool measured_cold;    /* the smoothed times are those of cold calls */
 	GQueue late; /* struct queue_entry; its objective can't be met: runs after all others */
 	struct lane_queue lanes[LANE_COUNT];
 	GHashTable *tenants[LANE_COUNT]; /* struct label -> struct tenant_queue */
@@ -117,8 +120,12 @@
 		return STR("queue full");
 	case ADMIT_LATE:
 		return STR("deadline can't be met");
+	case ADMIT_COLD:
+		return STR("the target is cold");
 	case ADMIT_CLOSED:
 		return STR("target takes no work");
+	case ADMIT_EVACUATED:
+		return STR("the data centre is evacuated");
 	}
 	g_assert_not_reached();
 }
@@ -128,6 +135,7 @@
 	struct admit *admit = g_new0(struct admit, 1);
 
 	lock_init(&admit->lock, LOCK_ADMIT, pool);
+	warmup_init(&admit->warmup, NULL);
 	admit->service_us = INITIAL_SERVICE_US;
 	g_queue_init(&admit->late);
 	admit->routes = g_hash_table_new_full(label_hash, label_hash_equal, NULL, g_free);
@@ -186,6 +194,37 @@
 	lock_release(&admit->lock);
 }
 
+void admit_set_warmup_options(struct admit *admit, const struct warmup_options *options)
+{
+	lock_acquire(&admit->lock);
+	warmup_init(&admit->warmup, options);
+	lock_release(&admit->lock);
+}
+
+void admit_set_rules(struct admit *admit, const struct admit_rules *rules, struct instant now)
+{
+	lock_acquire(&admit->lock);
+	warmup_set_rule(&admit->warmup, &rules->warmup, now);
+	if (admit->evacuated && !rules->evacuated)
+		warmup_note_cold(&admit->warmup, COLD_REOPENED, now);
+	admit->evacuated = rules->evacuated;
+	lock_release(&admit->lock);
+}
+
+void admit_target_started(struct admit *admit, struct instant now)
+{
+	lock_acquire(&admit->lock);
+	warmup_note_cold(&admit->warmup, COLD_STARTED, now);
+	lock_release(&admit->lock);
+}
+
+void admit_heartbeat(struct admit *admit, bool states_warmup, bool cold, struct instant now)
+{
+	lock_acquire(&admit->lock);
+	warmup_note_heartbeat(&admit->warmup, states_warmup, cold, now);
+	lock_release(&admit->lock);
+}
+
 static enum lane lane_of(const struct queue_entry *entry)
 {
 	switch (entry->class) {
@@ -242,12 +281,12 @@
 	return MIN((int)admit->nested_running, admit->slots / RESERVED_DIVISOR);
 }
 
-static bool may_run(struct admit *admit, const struct queue_entry *entry)
+static bool may_run(struct admit *admit, const struct queue_entry *entry, struct instant now)
 {
 	int bulk_limit = (admit->slots * BULK_SLOT_PERCENT + 99) / 100;
 	int others = admit->running - admit->running_of[LANE_NESTED];
 
-	if (admit->running >= admit->slots)
+	if (admit->running >= admit->slots || !warmup_may_start(&admit->warmup, now))
 		return false;
 	if (lane_of(entry) != LANE_NESTED && others >= admit->slots - reserved_slots(admit))
 		return false;
@@ -260,6 +299,8 @@
 		       struct instant now)
 {
 	update_nested_running(admit, now);
+	entry->cold = warmup_cause(&admit->warmup, now) != COLD_NOT;
+	warmup_start(&admit->warmup, now);
 	entry->started_at_us = now.mono_us;
 	entry->running_at_start = admit->running + 1;
 	admit->start_times_sum_us += (double)now.mono_us;
@@ -312,7 +353,7 @@
 }
 
 /* Estimates the wait of a new call: calls of higher lanes go first, and those of its own lane
- * that the round robin between tenants serves before it. */
+ * that the round robin between tenants serves before it. A cold target takes them at its rate. */
 static int64_t expected_wait_us(const struct admit *admit, const struct queue_entry *entry,
 				const struct tenant_queue *tenant, struct instant now)
 {
@@ -321,6 +362,7 @@
 	int tenants = MAX((int)lane->active.length, 1);
 	int ahead = MIN(lane->queued, own * tenants);
 	int slots = admit->slots;
+	int64_t wait_us;
 
 	/* Higher lanes keep the slots that they use and go first when a slot becomes free. */
 	for (int i = 0; i < (int)lane_of(entry); i++) {
@@ -328,7 +370,8 @@
 		slots -= admit->running_of[i];
 	}
 	slots = MAX(slots, (admit->slots + LOWER_LANE_DIVISOR - 1) / LOWER_LANE_DIVISOR);
-	return (int64_t)((double)(ahead + 1) * admit->service_us * slowness(admit, now) / slots);
+	wait_us = (int64_t)((double)(ahead + 1) * admit->service_us * slowness(admit, now) / slots);
+	return MAX(wait_us, warmup_wait_us(&admit->warmup, ahead + 1, now));
 }
 
 /* Each lane has its own bound. A tenant with less than its equal share of the bound still gets in
@@ -401,7 +444,7 @@
 static bool may_start(struct admit *admit, const struct queue_entry *entry, int64_t service_us,
 		      struct instant now)
 {
-	if (admit->queued > 0 || !may_run(admit, entry))
+	if (admit->queued > 0 || !may_run(admit, entry, now))
 		return false;
 	return !entry->no_queue || admit->running == 0 || entry->objective.at_us == 0 ||
 	       service_us <= deadline_remaining_us(entry->objective, now);
@@ -437,6 +480,8 @@
 
 	if (admit->slots == 0 || admit->closed || admit->return_queued)
 		return ADMIT_CLOSED;
+	if (admit->evacuated)
+		return ADMIT_EVACUATED;
 	if (remaining_us(admit, entry, now) == 0 || is_hopeless(admit, entry, now))
 		return ADMIT_LATE;
 	tenant = tenant_get(admit, entry);
@@ -446,11 +491,11 @@
 		start_call(admit, tenant, entry, now);
 		return ADMIT_RUN;
 	}
-	if (admit->queued > 0 || !may_run(admit, entry))
+	if (admit->queued > 0 || !may_run(admit, entry, now))
 		wait_us = expected_wait_us(admit, entry, tenant, now);
 	entry->expected_us = wait_us + service_us;
 	if (entry->no_queue)
-		return ADMIT_BUSY;
+		return warmup_may_start(&admit->warmup, now) ? ADMIT_BUSY : ADMIT_COLD;
 	if (is_full(admit, entry, tenant))
 		return ADMIT_FULL;
 	/* Without an objective, only the wait has to end before the deadline. */
@@ -515,10 +560,30 @@
 	*smoothed += weight * (value - *smoothed);
 }
 
-static void update_service_times(struct admit *admit, struct route_use *route, int64_t service_us)
+/* Makes the next calls weigh as much as the first ones. */
+static void forget_service_times(struct admit *admit)
+{
+	struct route_use *route;
+	GHashTableIter iter;
+
+	g_hash_table_iter_init(&iter, admit->routes);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&route))
+		route->served = 0;
+	admit->served = 0;
+	admit->measured_cold = false;
+}
+
+/* A cold target is slower than usual: its times are used only while there are no others. */
+static void update_service_times(struct admit *admit, struct route_use *route,
+				 const struct queue_entry *entry, int64_t service_us)
 {
 	double us = (double)service_us;
 
+	if (entry->cold && admit->served >= WARMUP_CALLS && !admit->measured_cold)
+		return;
+	if (!entry->cold && admit->measured_cold)
+		forget_service_times(admit);
+	admit->measured_cold |= entry->cold;
 	route->served = MIN(route->served + 1, WARMUP_CALLS);
 	admit->served = MIN(admit->served + 1, WARMUP_CALLS);
 	smooth(&route->service_us, route->served, ROUTE_SMOOTHING, us);
@@ -539,7 +604,7 @@
 	admit->running_of[lane_of(entry)]--;
 	admit->start_times_sum_us -= (double)entry->started_at_us;
 	if (outcome == SLOT_SERVED) {
-		update_service_times(admit, route, service_us);
+		update_service_times(admit, route, entry, service_us);
 		note_concurrency(admit, entry, entry->started_at_us + service_us);
 	}
 	if (admit->slots > 0)
@@ -608,7 +673,7 @@
 	for (GList *at = lane->active.head; at; at = at->next) {
 		struct tenant_queue *tenant = at->data;
 
-		if (!tenant || !may_run(admit, g_queue_peek_head(&tenant->entries)))
+		if (!tenant || !may_run(admit, g_queue_peek_head(&tenant->entries), now))
 			continue;
 		if (!first || has_precedence(tenant, first, now))
 			first = tenant;
@@ -619,7 +684,7 @@
 /* Whether queued calls go back to where they came from. */
 static bool returns_queue(const struct admit *admit, struct instant now)
 {
-	return admit->slots == 0 || admit->return_queued ||
+	return admit->slots == 0 || admit->return_queued || admit->evacuated ||
 	       deadline_passed(admit->queue_ends_at, now);
 }
 
@@ -664,6 +729,7 @@
 	int ahead = admit->queued - (int)g_queue_get_length(&admit->late);
 	double wait_us = admit->slots ? ahead * admit->service_us / admit->slots : 0;
 
+	wait_us = MAX(wait_us, (double)warmup_wait_us(&admit->warmup, ahead + 1, now));
 	return (double)deadline_remaining_us(entry->deadline, now) <
 	       wait_us + expected_service_us(admit, entry, now);
 }
@@ -682,7 +748,7 @@
 	refuse = returns_queue(admit, now) || is_hopeless(admit, head, now) ||
 		 misses_deadline_behind_others(admit, head, now) ||
 		 (int)g_queue_get_length(&admit->late) > admit->slots;
-	if (!refuse && !may_run(admit, head))
+	if (!refuse && !may_run(admit, head, now))
 		return (struct admit_dispatch){ DISPATCH_NONE, NULL };
 	g_queue_pop_head(&admit->late);
 	admit->queued--;
@@ -750,6 +816,8 @@
 	counts.late = (int)g_queue_get_length(&admit->late);
 	counts.service_us = (int64_t)admit->service_us;
 	counts.slowness = slowness(admit, now);
+	counts.cold = warmup_cause(&admit->warmup, now);
+	counts.evacuated = admit->evacuated;
 	lock_release(&admit->lock);
 	return counts;
 }
--- a/core/admit.h
+++ b/core/admit.h
@@ -16,6 +16,7 @@
 
 #include "base/clock.h"
 #include "core/config.h"
+#include "core/warmup.h"
 
 /** A call that asks for a slot. The code that offers it owns it and must not change it while it is
  * queued. */
@@ -34,15 +35,18 @@
 	int64_t started_at_us;	   /**< monotonic; time at which it got its slot */
 	int running_at_start;	   /**< calls running at that time, this one included */
 	int64_t expected_us;	   /**< estimated time until its answer, unless it runs now */
+	bool cold;		   /**< it started while the target was cold */
 };
 
 enum admit_result {
-	ADMIT_RUN,    /**< has a slot, which admit_done() frees */
-	ADMIT_QUEUED, /**< admit_next() returns it later */
-	ADMIT_BUSY,   /**< no slot is free, or the target is too slow: not run */
-	ADMIT_FULL,   /**< the queue is full: not run */
-	ADMIT_LATE,   /**< the deadline or objective can't be met: not run */
-	ADMIT_CLOSED, /**< the target is leaving, or there is none: not run */
+	ADMIT_RUN,	 /**< has a slot, which admit_done() frees */
+	ADMIT_QUEUED,	 /**< admit_next() returns it later */
+	ADMIT_BUSY,	 /**< no slot is free, or the target is too slow: not run */
+	ADMIT_FULL,	 /**< the queue is full: not run */
+	ADMIT_LATE,	 /**< the deadline or objective can't be met: not run */
+	ADMIT_COLD,	 /**< the target is cold, and gets no more calls for now: not run */
+	ADMIT_CLOSED,	 /**< the target is leaving, or there is none: not run */
+	ADMIT_EVACUATED, /**< the data centre is evacuated: not run */
 };
 
 /** Returns the text that stands for a result in logs and refusals. */
@@ -68,6 +72,20 @@
  * are returned from @p queue_ends_at on.
  */
 void admit_end_by(struct admit *admit, struct deadline queue_ends_at, struct deadline work_ends_at);
+/** Sets the tolerance of the limit of cold targets. */
+void admit_set_warmup_options(struct admit *admit, const struct warmup_options *options);
+/** What the configuration in force states about the node's target. */
+struct admit_rules {
+	struct warmup_rule warmup;
+	/** The target's data centre is evacuated: as after admit_return_queued(), but independent
+	 * of it. The target counts as cold once it no longer is. */
+	bool evacuated;
+};
+void admit_set_rules(struct admit *admit, const struct admit_rules *rules, struct instant now);
+/** Records that the target is another incarnation, or the first one known: it counts as cold. */
+void admit_target_started(struct admit *admit, struct instant now);
+/** Records a heartbeat; see warmup_note_heartbeat(). */
+void admit_heartbeat(struct admit *admit, bool states_warmup, bool cold, struct instant now);
 /** Gives a call a slot, queues it or refuses it. */
 enum admit_result admit_offer(struct admit *admit, struct queue_entry *entry, struct instant now);
 
@@ -98,9 +116,11 @@
 	int slots; /**< slots that are used: those announced, fewer after shed calls */
 	int running;
 	int queued;
-	int late;	    /**< queued calls that can't meet their objective */
-	int64_t service_us; /**< smoothed service time of a call */
-	double slowness;    /**< estimated service time over the usual one, 1 or more */
+	int late;	      /**< queued calls that can't meet their objective */
+	int64_t service_us;   /**< smoothed service time of a call */
+	double slowness;      /**< estimated service time over the usual one, 1 or more */
+	enum cold_cause cold; /**< why the target's calls are limited now; COLD_NOT: they aren't */
+	bool evacuated;
 };
 struct admit_counts admit_count(struct admit *admit, struct instant now);
 
--- a/core/config.c
+++ b/core/config.c
@@ -102,6 +102,7 @@
 	g_array_set_clear_func(file->routes, route_clear);
 	file->moves = g_array_new(FALSE, TRUE, sizeof(struct move_spec));
 	file->switches = g_array_new(FALSE, TRUE, sizeof(struct auto_switch));
+	file->evacuated = g_array_new(FALSE, TRUE, sizeof(struct label));
 	file->text = g_string_chunk_new(256);
 	return file;
 }
@@ -114,6 +115,7 @@
 	g_array_unref(file->routes);
 	g_array_unref(file->moves);
 	g_array_unref(file->switches);
+	g_array_unref(file->evacuated);
 	g_string_chunk_free(file->text);
 	g_free(file);
 }
@@ -364,6 +366,17 @@
 	return true;
 }
 
+/* Several files may name the same data centre: it is evacuated while any of them does. */
+static void add_evacuated(struct config *config, const struct config_file *parsed)
+{
+	for (guint i = 0; i < parsed->evacuated->len; i++) {
+		struct label name = g_array_index(parsed->evacuated, struct label, i);
+
+		if (!config_is_evacuated(config, name))
+			g_array_append_val(config->evacuated, name);
+	}
+}
+
 static bool add_services(struct config *config, const struct accepted_file *file, GError **error)
 {
 	GArray *services = file->change->parsed->services;
@@ -390,6 +403,7 @@
 		if (!add_switch(config, file,
 				&g_array_index(parsed->switches, struct auto_switch, i), error))
 			return false;
+	add_evacuated(config, parsed);
 	return true;
 }
 
@@ -446,6 +460,7 @@
 		g_hash_table_new_full(label_hash, label_hash_equal, g_free, g_free);
 	config->moves = g_array_new(FALSE, TRUE, sizeof(struct move_spec));
 	config->switches = g_array_new(FALSE, TRUE, sizeof(struct auto_switch));
+	config->evacuated = g_array_new(FALSE, TRUE, sizeof(struct label));
 	if (!add_files(config, error)) {
 		config_unref(config);
 		return NULL;
@@ -470,6 +485,7 @@
 	g_hash_table_destroy(config->longest_objectives);
 	g_array_unref(config->moves);
 	g_array_unref(config->switches);
+	g_array_unref(config->evacuated);
 	g_ptr_array_unref(config->files);
 	g_free(config);
 }
@@ -546,6 +562,14 @@
 	return NULL;
 }
 
+bool config_is_evacuated(const struct config *config, struct label data_centre)
+{
+	for (guint i = 0; i < config->evacuated->len; i++)
+		if (label_equal(&g_array_index(config->evacuated, struct label, i), &data_centre))
+			return true;
+	return false;
+}
+
 bool config_auto_allowed(const struct config *config, struct label service, enum auto_kind kind)
 {
 	bool all_off = false;
--- a/core/config.h
+++ b/core/config.h
@@ -11,6 +11,7 @@
 #include <stdint.h>
 
 #include "base/str.h"
+#include "core/warmup.h"
 
 #define CONFIG_ERROR (config_error_quark())
 GQuark config_error_quark(void);
@@ -58,6 +59,7 @@
 	bool any_version;  /**< none is declared: every version that targets announce is used */
 	struct str health; /**< path of the targets' health check; empty: none */
 	int connections;   /**< limit on concurrent connections to a target; 0: none */
+	struct warmup_rule warmup;
 	int line;
 };
 
@@ -127,11 +129,12 @@
 
 /** The declarations of one file. Owned by its struct change. */
 struct config_file {
-	GArray *services; /**< struct service */
-	GArray *routes;	  /**< struct route */
-	GArray *moves;	  /**< struct move_spec; ids are 0 until accepted */
-	GArray *switches; /**< struct auto_switch */
-	int64_t serial;	  /**< increases with each version of the file; 0: none */
+	GArray *services;  /**< struct service */
+	GArray *routes;	   /**< struct route */
+	GArray *moves;	   /**< struct move_spec; ids are 0 until accepted */
+	GArray *switches;  /**< struct auto_switch */
+	GArray *evacuated; /**< struct label, data centres that are evacuated */
+	int64_t serial;	   /**< increases with each version of the file; 0: none */
 	GStringChunk *text;
 };
 
@@ -187,6 +190,7 @@
 	GHashTable *longest_objectives; /**< struct label -> int64_t, us; by service */
 	GArray *moves;			/**< struct move_spec with ids */
 	GArray *switches;		/**< struct auto_switch */
+	GArray *evacuated;		/**< struct label, data centres that are evacuated */
 };
 
 /**
@@ -217,6 +221,8 @@
  * those without. NULL: none matches. */
 const struct route *config_match(const struct config *config, struct str host, struct str method,
 				 struct str path);
+/** Returns whether the data centre is evacuated: its targets get no calls. */
+bool config_is_evacuated(const struct config *config, struct label data_centre);
 /** Returns whether an automatic decision is allowed for a service: it is switched off neither for
  * the service nor for all services. */
 bool config_auto_allowed(const struct config *config, struct label service, enum auto_kind kind);
--- a/core/dialect.h
+++ b/core/dialect.h
@@ -34,6 +34,7 @@
 	struct str caller_service;  /**< request, set by the entry node: the service that calls */
 	struct str expected_target; /**< request to a target: id of the target that may run it */
 	struct str target_id;	    /**< health answer: the target's id */
+	struct str warmup_left_ms;  /**< health answer: how long the target stays cold */
 	struct str load;	    /**< answer: "running,waiting,slots" of the target */
 	struct str not_run;	    /**< answer: the target did not run the request */
 	struct str signature;	    /**< answer: a success without it is not from the target */
--- a/core/event.h
+++ b/core/event.h
@@ -66,6 +66,9 @@
 			struct label service;
 			struct label version;
 			int slots;
+			bool started;	    /**< another incarnation, or none was known */
+			bool states_warmup; /**< the target states whether it is cold */
+			bool cold;
 		} target;
 		struct {
 			struct deadline queue_ends_at; /**< as in struct stop_plan */
--- a/core/member.h
+++ b/core/member.h
@@ -128,6 +128,8 @@
 	int avoid_count;
 	enum choice_data_centre data_centre;
 	int max_targets; /**< limit on eligible targets, the same ones on all nodes; 0: all */
+	const GArray
+		*evacuated; /**< struct label, data centres without eligible targets; or NULL */
 };
 
 /**
@@ -162,8 +164,9 @@
 /** Returns the version with the most live targets, except @p except; empty if there is none. */
 struct label members_main_version(struct members *members, struct label service,
 				  struct label except);
-/** Counts the live targets of the versions that @p version selects. */
+/** Counts the live targets of the versions that @p version selects, without those in the data
+ *  centres of @p evacuated (struct label, or NULL). */
 int members_version_targets(struct members *members, struct label service,
-			    const struct version_filter *version);
+			    const struct version_filter *version, const GArray *evacuated);
 
 #endif
--- a/core/member_choice.c
+++ b/core/member_choice.c
@@ -37,6 +37,15 @@
 	return peer->record.state == MEMBER_ALIVE && peer->record.slots > 0;
 }
 
+static bool is_evacuated(const struct peer *peer, const GArray *evacuated)
+{
+	for (guint i = 0; evacuated && i < evacuated->len; i++)
+		if (label_equal(&g_array_index(evacuated, struct label, i),
+				&peer->record.data_centre))
+			return true;
+	return false;
+}
+
 /* Whether this node contains the target, that is, sends it no calls for now. */
 static bool is_contained(const struct peer *peer, struct instant now)
 {
@@ -48,7 +57,7 @@
 {
 	return is_serving(peer) && version_matches(&options->version, &peer->record.version) &&
 	       !id_list_contains(options->avoid, options->avoid_count, peer->record.id) &&
-	       !is_contained(peer, now);
+	       !is_contained(peer, now) && !is_evacuated(peer, options->evacuated);
 }
 
 /* How long a refusal for lack of a free slot raises the target's cost. */
@@ -151,7 +160,7 @@
 	for (guint i = 0; i < list->len && earlier < options->max_targets; i++) {
 		const struct peer *other = g_ptr_array_index(list, i);
 
-		earlier += is_serving(other) &&
+		earlier += is_serving(other) && !is_evacuated(other, options->evacuated) &&
 			   version_matches(&options->version, &other->record.version) &&
 			   rng_mix(other->record.id) < hash;
 	}
@@ -310,14 +319,16 @@
 	lock_release(&members->lock);
 }
 
-static int count_version(const GPtrArray *list, const struct version_filter *version)
+static int count_version(const GPtrArray *list, const struct version_filter *version,
+			 const GArray *evacuated)
 {
 	int count = 0;
 
 	for (guint i = 0; list && i < list->len; i++) {
 		const struct peer *peer = g_ptr_array_index(list, i);
 
-		count += is_serving(peer) && version_matches(version, &peer->record.version);
+		count += is_serving(peer) && !is_evacuated(peer, evacuated) &&
+			 version_matches(version, &peer->record.version);
 	}
 	return count;
 }
@@ -337,7 +348,7 @@
 		int count = label_equal(&peer->record.version, &except) ||
 					    label_equal(&peer->record.version, &found)
 				    ? 0
-				    : count_version(list, &version);
+				    : count_version(list, &version, NULL);
 
 		if (count > most) {
 			most = count;
@@ -349,12 +360,13 @@
 }
 
 int members_version_targets(struct members *members, struct label service,
-			    const struct version_filter *version)
+			    const struct version_filter *version, const GArray *evacuated)
 {
 	int count;
 
 	lock_acquire(&members->lock);
-	count = count_version(g_hash_table_lookup(members->by_service, &service), version);
+	count = count_version(g_hash_table_lookup(members->by_service, &service), version,
+			      evacuated);
 	lock_release(&members->lock);
 	return count;
 }
--- a/core/node.c
+++ b/core/node.c
@@ -84,6 +84,9 @@
 	node->members = members_new(&members, node->pool);
 	node->moves = moves_new(node->pool);
 	node->admit = admit_new(node->pool);
+	if (options->warmup)
+		admit_set_warmup_options(node->admit, options->warmup);
+	lock_init(&node->target_rules.lock, LOCK_RULES, node->pool);
 	node->tally = tally_new(node->pool);
 	node->poison = poison_new(node->pool);
 	node->claims = claims_new(node->pool);
@@ -108,6 +111,7 @@
 	g_hash_table_destroy(node->gossip.budgets);
 	assembly_clear(&node->gossip.from_peer);
 	assembly_clear(&node->gossip.from_log);
+	lock_destroy(&node->target_rules.lock);
 	lock_destroy(&node->gossip.lock);
 	traffic_free(node->traffic);
 	claims_free(node->claims);
@@ -237,6 +241,7 @@
 	log_tick(node, now, out);
 	confirm_tick(node, now, out);
 	claims_tick(node, now, out);
+	target_tick(node, now, out);
 	if (rearm_if_due(node, &node->gossip.moves_at, MOVES_TICK_US, now))
 		moves_tick(node, now, out);
 	if (!rearm_if_due(node, &node->gossip.round_at, ROUND_US, now))
@@ -246,7 +251,7 @@
 	moves_round(node, now, out);
 }
 
-static void on_target_up(struct node *node, const struct event *event, struct actions *out)
+static void update_target(struct node *node, const struct event *event, struct actions *out)
 {
 	struct member self = members_self(node->members);
 	bool unchanged = self.slots == event->target.slots &&
@@ -270,6 +275,17 @@
 	fleet_update_self(node, &self, 0, out);
 }
 
+static void on_target_up(struct node *node, const struct event *event, struct instant now,
+			 struct actions *out)
+{
+	/* The target is cold before it gets slots. */
+	if (event->target.started)
+		admit_target_started(node->admit, now);
+	admit_heartbeat(node->admit, event->target.states_warmup, event->target.cold, now);
+	update_target(node, event, out);
+	target_apply_rules(node, now, out);
+}
+
 /* Without a target the node still serves callers, but it accepts no calls for its own target. */
 static void on_target_down(struct node *node, struct actions *out)
 {
@@ -361,7 +377,7 @@
 		fleet_introduce(node, event->peers.ids, event->peers.count, now, out);
 		return;
 	case EVENT_TARGET_UP:
-		on_target_up(node, event, out);
+		on_target_up(node, event, now, out);
 		return;
 	case EVENT_TARGET_DOWN:
 		on_target_down(node, out);
--- a/core/node.h
+++ b/core/node.h
@@ -29,6 +29,7 @@
 	bool log_retains_files; /**< the log retains each file's newest version: no snapshots */
 	double retry_ratio;	/**< retries per call of a service; default 0.1 */
 	int retry_slack;	/**< extra retries at once, shared by all nodes; 0: 50 per node */
+	const struct warmup_options *warmup; /**< limit of cold targets; copied; default if NULL */
 };
 
 struct node;
--- a/core/node_calls.c
+++ b/core/node_calls.c
@@ -18,13 +18,14 @@
 }
 
 static uint64_t choose_target(struct node *node, const struct call_attributes *attributes,
-			      const struct version_filter *version, struct rng *rng,
-			      struct instant now)
+			      const struct version_filter *version, const GArray *evacuated,
+			      struct rng *rng, struct instant now)
 {
 	struct choice_options options = {
 		.service = call_service(attributes),
 		.version = *version,
 		.avoid_count = attributes->avoid_count,
+		.evacuated = evacuated,
 	};
 	int targets = 0;
 
@@ -32,7 +33,8 @@
 		options.avoid[i] = attributes->avoid[i];
 	options.data_centre = attributes->data_centre;
 	if (version->kind == VERSION_IS)
-		targets = members_version_targets(node->members, options.service, version);
+		targets =
+			members_version_targets(node->members, options.service, version, evacuated);
 	options.max_targets = moves_canaries(node->moves, options.service, version, targets, now);
 	return members_choose(node->members, &options, rng, now);
 }
@@ -71,15 +73,16 @@
 	}
 	if (!moves_choose_version(node->moves, config, service, attributes->point, now, &version))
 		return choice;
-	if (members_version_targets(node->members, service, &version) == 0)
+	if (members_version_targets(node->members, service, &version, config->evacuated) == 0)
 		version = fallback_version(node, config, service, version);
-	choice.target = choose_target(node, attributes, &version, &rng, now);
+	choice.target = choose_target(node, attributes, &version, config->evacuated, &rng, now);
 	/* A version without a local target may have one in a remote data centre. Overflow of the
 	 * old version does not go to a new one under trial. */
 	if (choice.target == 0 && attributes->data_centre != CHOOSE_LOCAL &&
 	    moves_is_new_version(node->moves, service, &version) &&
 	    moves_fallback_version(node->moves, service, &version, &version))
-		choice.target = choose_target(node, attributes, &version, &rng, now);
+		choice.target =
+			choose_target(node, attributes, &version, config->evacuated, &rng, now);
 	if (choice.target == 0)
 		return choice;
 	choice.kind = CHOICE_TARGET;
--- a/core/node_config.c
+++ b/core/node_config.c
@@ -405,6 +405,7 @@
 		restart_delivery(node);
 		confirm_applied(node);
 		configure_moves(node);
+		target_apply_rules(node, now, out);
 	}
 	return advanced;
 }
@@ -549,6 +550,7 @@
 		return false;
 	confirm_applied(node);
 	configure_moves(node);
+	target_apply_rules(node, now, out);
 	actions_log_event(out, LOG_EVENT_SNAPSHOT_LOADED,
 			  "version=%ld accepted=%ld parts=%d way=%s behind_ms=%ld", part->version,
 			  part->accepted, part->count, way_name(source->way), late_ms);
--- a/core/node_moves.c
+++ b/core/node_moves.c
@@ -74,7 +74,7 @@
 	message->evidence.version = self->version;
 	message->evidence.windows = tally_collect(
 		node->tally, self->id,
-		(uint32_t)members_version_targets(node->members, self->service, &own));
+		(uint32_t)members_version_targets(node->members, self->service, &own, NULL));
 	for (int i = 0; i < count && message->evidence.windows->len; i++) {
 		if (to[i] == self->id)
 			moves_on_evidence(node, message);
@@ -141,8 +141,10 @@
 	new_version.name = spec.to;
 	old_versions = moves_old_versions(node->moves, id);
 	inputs.main_version = members_main_version(node->members, spec.service, spec.to);
-	inputs.new_targets = members_version_targets(node->members, spec.service, &new_version);
-	inputs.old_targets = members_version_targets(node->members, spec.service, &old_versions);
+	inputs.new_targets =
+		members_version_targets(node->members, spec.service, &new_version, NULL);
+	inputs.old_targets =
+		members_version_targets(node->members, spec.service, &old_versions, NULL);
 	change = moves_coordinate(node->moves, id, &inputs, now);
 	if (change.kind == MOVE_CHANGE_NONE)
 		return;
--- a/core/node_parts.h
+++ b/core/node_parts.h
@@ -192,6 +192,13 @@
 	double tokens;
 };
 
+/** The effect of the configuration on the node's own target. */
+struct target_rules {
+	struct lock lock; /**< LOCK_RULES; held while a configuration takes effect */
+	bool evacuated;
+	enum cold_cause cold; /**< as it was logged last, like .evacuated */
+};
+
 struct node {
 	struct node_options options;
 	uint64_t *seeds;
@@ -205,6 +212,7 @@
 	struct claims *claims;
 	struct traffic *traffic;
 	struct gossip_state gossip;
+	struct target_rules target_rules;
 	struct deadline
 		target_slow_start_until; /**< under gossip.lock; unset before the first call */
 };
@@ -314,6 +322,12 @@
 void moves_on_digest(struct node *node, uint64_t from, const struct digest *digest,
 		     struct instant now, struct actions *out);
 
+/* node_target.c */
+/** Applies what the configuration states about the node's own target. Takes LOCK_RULES. */
+void target_apply_rules(struct node *node, struct instant now, struct actions *out);
+/** Logs when the target's limit begins or ends. Takes LOCK_RULES. */
+void target_tick(struct node *node, struct instant now, struct actions *out);
+
 /* node_claims.c */
 void claims_on_ask(struct node *node, uint64_t from, const struct message *message,
 		   struct instant now, struct actions *out);
--- a/godwithitchd/daemon.h
+++ b/godwithitchd/daemon.h
@@ -139,7 +139,7 @@
 void inbound_unref(struct inbound *inbound);
 /** Runs the request, then queued ones while slots are free; takes over a reference. */
 void inbound_run(struct inbound *inbound);
-/** Refuses queued requests that can't run in time and starts one if a slot is free. */
+/** Refuses queued requests that can't run in time and starts those that may run now. */
 void inbound_dispatch_queue(struct daemon *daemon);
 
 #endif
--- a/godwithitchd/dispatch.c
+++ b/godwithitchd/dispatch.c
@@ -540,6 +540,12 @@
 					 announcement->service };
 }
 
+/* Returns whether the target is cold, as far as the announcement says. */
+static bool is_cold(const struct announcement *announcement)
+{
+	return announcement->states_warmup && announcement->slow_start_until.at_us != 0;
+}
+
 static void on_target_up(struct daemon *daemon, const struct announcement *announcement)
 {
 	struct event event = { .kind = EVENT_TARGET_UP };
@@ -560,6 +566,9 @@
 	target_set_endpoint(daemon->target, &endpoint);
 	event.target.service = announcement->service;
 	event.target.version = announcement->version;
+	event.target.started = first;
+	event.target.states_warmup = announcement->states_warmup;
+	event.target.cold = is_cold(announcement);
 	event.target.slots =
 		(int)MIN(announcement->slots, daemon->settings.workers - WORKERS_RESERVED);
 	dispatch_event(daemon, &event);
@@ -606,18 +615,20 @@
 	g_assert_not_reached();
 }
 
-/* Returns whether the target of a doubted announcement answers that it is healthy. Where its
- * service has no health check, the announcement has to do. */
-static bool is_healthy(struct daemon *daemon, const struct announcement *announcement)
+/* Asks the target of a doubted announcement for its health. Where its service has no health check,
+ * the announcement has to do. */
+static struct target_health ask_health(struct daemon *daemon,
+				       const struct announcement *announcement)
 {
 	struct target_endpoint endpoint = target_endpoint_of(daemon, announcement);
 	struct config *config = node_config(daemon->node);
 	const struct service *service = config_find_service(config, endpoint.service);
-	bool healthy = service && (service->health.len == 0 ||
-				   target_is_healthy(daemon->dialect, &endpoint, service->health));
+	struct target_health health = { .healthy = service && service->health.len == 0 };
 
+	if (service && service->health.len)
+		health = target_ask_health(daemon->dialect, &endpoint, service->health);
 	config_unref(config);
-	return healthy;
+	return health;
 }
 
 /* Makes the target of a doubted announcement the known one; false if it has left since. The newest
@@ -640,16 +651,24 @@
 void dispatch_settle_doubt(struct daemon *daemon)
 {
 	struct announcement announcement;
+	struct target_health health = { .healthy = false };
 	bool doubted;
 
 	lock_acquire(&daemon->lock);
 	doubted = daemon->registration.doubted;
 	announcement = daemon->doubted;
 	lock_release(&daemon->lock);
-	if (doubted && is_healthy(daemon, &announcement)) {
+	if (doubted)
+		health = ask_health(daemon, &announcement);
+	if (health.healthy) {
 		lock_acquire(&daemon->announcements);
-		if (confirm_target(daemon, &announcement))
+		if (confirm_target(daemon, &announcement)) {
+			/* The heartbeat is older than the answer. */
+			if (health.states_warmup && health.cold && !is_cold(&announcement))
+				announcement.slow_start_until = deadline_after(clock_now(), 1);
+			announcement.states_warmup |= health.states_warmup;
 			on_target_up(daemon, &announcement);
+		}
 		lock_release(&daemon->announcements);
 	}
 	lock_acquire(&daemon->lock);
--- a/godwithitchd/inbound.c
+++ b/godwithitchd/inbound.c
@@ -213,6 +213,16 @@
 	g_assert_not_reached();
 }
 
+static void count_refusal(struct daemon *daemon, enum admit_result result)
+{
+	struct str reason = admit_result_name(result);
+	char labels[64];
+
+	g_snprintf(labels, sizeof(labels), "reason=\"%.*s\"", STR_ARG(reason));
+	metrics_add(daemon->metrics, STR("godwithitch_target_refusals_total"),
+		    str_from_cstr(labels), 1);
+}
+
 /* Returns true if the call may run now. Otherwise it was refused, or it was queued and holds a
  * reference until it is dispatched. */
 static bool admit(struct inbound *inbound)
@@ -235,9 +245,15 @@
 	case ADMIT_BUSY:
 	case ADMIT_FULL:
 	case ADMIT_LATE:
+	case ADMIT_COLD:
+		count_refusal(inbound->daemon, result);
+		refuse(inbound, REFUSAL_BUSY, VERDICT_NOT_RUN, admit_result_name(result));
+		inbound_unref(inbound);
+		return false;
 	case ADMIT_CLOSED:
-		refuse(inbound, result == ADMIT_CLOSED ? REFUSAL_CLOSED : REFUSAL_BUSY,
-		       VERDICT_NOT_RUN, admit_result_name(result));
+	case ADMIT_EVACUATED:
+		count_refusal(inbound->daemon, result);
+		refuse(inbound, REFUSAL_CLOSED, VERDICT_NOT_RUN, admit_result_name(result));
 		inbound_unref(inbound);
 		return false;
 	}
@@ -814,8 +830,13 @@
 
 void inbound_dispatch_queue(struct daemon *daemon)
 {
-	struct inbound *inbound = next_dispatch(daemon);
+	struct inbound *inbound;
 
-	if (inbound && !workers_post(daemon->workers, (struct work){ WORK_INBOUND, inbound }))
+	/* A cold target takes several calls at once after a pause. */
+	while ((inbound = next_dispatch(daemon)) != NULL) {
+		if (workers_post(daemon->workers, (struct work){ WORK_INBOUND, inbound }))
+			continue;
 		inbound_run(inbound);
+		return;
+	}
 }
--- a/godwithitchd/main.c
+++ b/godwithitchd/main.c
@@ -118,8 +118,12 @@
 				     .log_retention_us = settings->log_retention_s * US_PER_S,
 				     .first_start = settings->first_start,
 				     .retry_ratio = settings->retry_ratio,
-				     .retry_slack = (int)settings->retry_slack };
+				     .retry_slack = (int)settings->retry_slack,
+				     .warmup = &settings->warmup };
 
+	/* Evacuations come the same way as all changes. */
+	if (settings->evacuate_within_us)
+		node.apply_within_us = MIN(node.apply_within_us, settings->evacuate_within_us);
 	/* All nodes of a fleet use the same log, so the hash of its URL identifies the fleet. */
 	peers.fleet = str_hash(settings->log_url, 0);
 	for (int i = 0; i < settings->fleet_count; i++)
--- a/godwithitchd/settings.c
+++ b/godwithitchd/settings.c
@@ -23,6 +23,10 @@
 #define RETRY_RATIO_DEFAULT	0.1 /* extra load from retries when every call fails */
 #define LINK_MAX_MBPS		1e6 /* 1 Tbit/s; a larger value is taken for a typing error */
 #define RETRY_SLACK_DEFAULT	0
+#define COLD_OVER_DEFAULT	1.5
+#define COLD_OVER_MAX		100.0
+#define COLD_SLACK_DEFAULT	8.0
+#define COLD_SLACK_MAX		1e6
 
 /** A document that is being read, and the destinations of its values and errors. */
 struct settings_reader {
@@ -169,12 +173,28 @@
 	       read_seconds(r, STR("stop_notice_s"), STOP_MAX_US, 0, &s->stop_notice_us) &&
 	       read_seconds(r, STR("apply_within_s"), APPLY_WITHIN_MAX_US, APPLY_WITHIN_DEFAULT_US,
 			    &s->apply_within_us) &&
+	       read_seconds(r, STR("evacuate_within_s"), APPLY_WITHIN_MAX_US, 0,
+			    &s->evacuate_within_us) &&
 	       read_seconds(r, STR("announce_ttl_s"), ANNOUNCE_TTL_MAX_US, 0,
 			    &s->announce_ttl_us) &&
 	       read_double(r, STR("retry_ratio"), 1, &s->retry_ratio) &&
 	       read_double(r, STR("link_mbps"), LINK_MAX_MBPS, &s->link_mbps);
 }
 
+static bool read_warmup(struct settings_reader *r)
+{
+	struct warmup_options *warmup = &r->settings->warmup;
+
+	*warmup = (struct warmup_options){ .cold_over = COLD_OVER_DEFAULT,
+					   .cold_slack = COLD_SLACK_DEFAULT };
+	if (!read_double(r, STR("cold_over"), COLD_OVER_MAX, &warmup->cold_over) ||
+	    !read_double(r, STR("cold_slack"), COLD_SLACK_MAX, &warmup->cold_slack))
+		return false;
+	return warmup->cold_over >= 1 ||
+	       json_fail(r->doc, json_get(r->doc->root, STR("cold_over")), CONFIG_ERROR_TYPE,
+			 r->error, "expected a number of 1 or more");
+}
+
 static bool read_integers(struct settings_reader *r)
 {
 	struct settings *s = r->settings;
@@ -232,7 +252,7 @@
 	       read_endpoint(r, STR("control"), &r->settings->control) &&
 	       read_endpoint(r, STR("announce"), &r->settings->announce) && read_strings(r) &&
 	       read_interface(r) && read_first_start(r) && read_seeds(r) && read_fleet(r) &&
-	       read_integers(r) && read_times_and_rates(r) &&
+	       read_integers(r) && read_times_and_rates(r) && read_warmup(r) &&
 	       json_check_unknown_keys(r->doc, r->doc->root, r->error);
 }
 
--- a/godwithitchd/settings.h
+++ b/godwithitchd/settings.h
@@ -8,6 +8,7 @@
 
 #include <glib.h>
 
+#include "core/warmup.h"
 #include "peer/peers.h"
 
 /** Address of a listening socket. */
@@ -45,6 +46,8 @@
 	double retry_ratio;	 /**< retries per call of a service, over the whole fleet */
 	int64_t retry_slack; /**< retries allowed beyond the ratio, fleet-wide; 0: 50 per node */
 	double link_mbps;    /**< link rate of this VM, Mbit/s; 0: large answers are not paced */
+	struct warmup_options warmup;
+	int64_t evacuate_within_us; /**< as .apply_within_us, of an evacuation; 0: not stated */
 	int64_t workers;
 	int64_t connections;
 	int64_t connections_per_address;
--- a/operator/parse.c
+++ b/operator/parse.c
@@ -8,8 +8,11 @@
 	TIMEOUT_MAX_MS = 3600 * 1000,
 	WEIGHT_MAX = 1000000,
 	ATTEMPTS_MAX = 64,
+	WARMUP_MAX_MS = 3600 * 1000,
 };
 
+#define WARMUP_PER_S_MAX 1e6
+
 /* State of parsing one configuration file. */
 struct parser {
 	const struct json_doc *doc;
@@ -48,6 +51,29 @@
 				p->error);
 }
 
+/* Reads the limit of cold targets; 0, like a missing key, means none. */
+static bool parse_warmup(struct parser *p, const struct json *item, struct warmup_rule *warmup)
+{
+	const struct json *rate = json_get(item, STR("warmup_per_s"));
+	int64_t duration_ms = 0;
+
+	if (!json_read_int(p->doc, item, STR("warmup_ms"), JSON_OPTIONAL, 0, WARMUP_MAX_MS,
+			   &duration_ms, p->error))
+		return false;
+	warmup->duration_us = duration_ms * US_PER_MS;
+	if (!rate)
+		return true;
+	if (rate->kind == JSON_INTEGER)
+		warmup->per_s = (double)rate->integer;
+	else if (json_check_kind(p->doc, rate, JSON_DOUBLE, p->error))
+		warmup->per_s = rate->number;
+	else
+		return false;
+	return (warmup->per_s >= 0 && warmup->per_s <= WARMUP_PER_S_MAX) ||
+	       json_fail(p->doc, rate, CONFIG_ERROR_TYPE, p->error,
+			 "expected a number from 0 to %g", WARMUP_PER_S_MAX);
+}
+
 static bool parse_service(struct parser *p, const struct json *item)
 {
 	struct service service = { .name = label_from(item->key), .line = item->line };
@@ -60,7 +86,8 @@
 	    !read_versions(p, item, &versions) ||
 	    !json_read_str(p->doc, item, STR("health"), JSON_OPTIONAL, &health, p->error) ||
 	    !json_read_int(p->doc, item, STR("connections"), JSON_OPTIONAL, 0, INT32_MAX,
-			   &connections, p->error))
+			   &connections, p->error) ||
+	    !parse_warmup(p, item, &service.warmup))
 		return false;
 	service.any_version = versions == NULL;
 	service.health = config_file_copy_str(p->file, health);
@@ -298,6 +325,21 @@
 	return true;
 }
 
+static bool parse_evacuated(struct parser *p, const struct json *item)
+{
+	struct label name;
+
+	if (!json_check_kind(p->doc, item, JSON_STRING, p->error))
+		return false;
+	if (item->string.len == 0 || !label_fits(item->string))
+		return json_fail(p->doc, item, CONFIG_ERROR_TYPE, p->error,
+				 "expected a data centre's name of 1 to %d characters",
+				 LABEL_MAX_BYTES);
+	name = label_from(item->string);
+	g_array_append_val(p->file->evacuated, name);
+	return true;
+}
+
 static bool parse_section(struct parser *p, struct str key, enum json_kind kind,
 			  bool (*parse_item)(struct parser *p, const struct json *item))
 {
@@ -320,6 +362,7 @@
 	       parse_section(p, STR("routes"), JSON_ARRAY, parse_route) &&
 	       parse_section(p, STR("moves"), JSON_ARRAY, parse_move) &&
 	       parse_section(p, STR("switches"), JSON_OBJECT, parse_switches) &&
+	       parse_section(p, STR("evacuate"), JSON_ARRAY, parse_evacuated) &&
 	       json_check_unknown_keys(p->doc, p->doc->root, p->error);
 }
 
--- a/operator/report.c
+++ b/operator/report.c
@@ -72,6 +72,8 @@
 	add_number(out, "slots_used_at_most", counts.slots);
 	add_number(out, "running", counts.running);
 	add_number(out, "queued", counts.queued);
+	add_text(out, "cold", counts.cold == COLD_NOT ? STR("no") : cold_cause_name(counts.cold));
+	add_bool(out, "evacuated", counts.evacuated);
 	strbuf_add(out, STR("}"));
 }
 
--- a/regress/core/admit_test.c
+++ b/regress/core/admit_test.c
@@ -61,7 +61,9 @@
 	case ADMIT_BUSY:
 	case ADMIT_FULL:
 	case ADMIT_LATE:
+	case ADMIT_COLD:
 	case ADMIT_CLOSED:
+	case ADMIT_EVACUATED:
 		sim->refused[tenant]++;
 		g_free(entry);
 		return;
--- a/regress/core/nested_test.c
+++ b/regress/core/nested_test.c
@@ -314,7 +314,9 @@
 	case ADMIT_BUSY:
 	case ADMIT_FULL:
 	case ADMIT_LATE:
+	case ADMIT_COLD:
 	case ADMIT_CLOSED:
+	case ADMIT_EVACUATED:
 		refuse_request(model, request);
 		return;
 	}
--- a/regress/target/broken_answers_test.c
+++ b/regress/target/broken_answers_test.c
@@ -671,8 +671,8 @@
 						   .end = row.end };
 
 			break_server_set(server, &plan);
-			wrong += target_is_healthy(&dialect_platform, &endpoint, STR("/health")) !=
-				 is_healthy_answer(&row);
+			wrong += target_ask_health(&dialect_platform, &endpoint, STR("/health"))
+					 .healthy != is_healthy_answer(&row);
 		}
 	}
 	printf("%d questions, %d wrong\n", calls, wrong);
--- a/regress/target/endless_test.c
+++ b/regress/target/endless_test.c
@@ -253,7 +253,7 @@
 		row.is_body = false;
 		server_start(&server, &row);
 		endpoint.port = server.port;
-		healthy = target_is_healthy(&dialect_platform, &endpoint, STR("/health"));
+		healthy = target_ask_health(&dialect_platform, &endpoint, STR("/health")).healthy;
 		check_end(&server, started_us, clock_now().mono_us, memory_before_kb);
 		if (healthy && !g_str_has_prefix(row.name, "bytes after"))
 			fail_msg("%s: the target counts as healthy", row.name);
--- a/target/announce.h
+++ b/target/announce.h
@@ -28,8 +28,10 @@
 	int slots;
 	uint32_t ipv4; /**< address of the target; 0: that of the announcement endpoint */
 	uint16_t port;
-	struct deadline slow_start_until; /**< end of the slow start; 0: not stated */
-	struct deadline expires_at;	  /**< the announcement expires unless renewed */
+	bool states_warmup; /**< it says whether the target is cold */
+	struct deadline
+		slow_start_until;   /**< end of the slow start; 0: it is warm, or not stated */
+	struct deadline expires_at; /**< the announcement expires unless renewed */
 };
 
 /** Options of the endpoint. */
--- a/target/health.c
+++ b/target/health.c
@@ -14,17 +14,34 @@
 	const struct dialect *dialect;
 	const struct label *expected;
 	bool other_target;
+	struct target_health *health;
 	size_t body_bytes;
 };
 
+static void read_warmup(struct target_health *health, struct str value)
+{
+	int64_t left_ms;
+
+	if (!str_to_int64(value, &left_ms))
+		return;
+	health->states_warmup = true;
+	health->cold = left_ms > 0;
+}
+
 static void read_head(struct health_answer *answer, const struct head *head)
 {
-	struct str name = answer->dialect->target_id;
+	struct str id = answer->dialect->target_id;
+	struct str warmup = answer->dialect->warmup_left_ms;
+
+	for (int i = 0; i < head->field_count; i++) {
+		const struct head_field *field = &head->fields[i];
 
-	for (int i = 0; name.len && i < head->field_count; i++)
-		if (str_equal_nocase(head->fields[i].name, name) &&
-		    !str_equal(head->fields[i].value, label_str(answer->expected)))
+		if (id.len && str_equal_nocase(field->name, id) &&
+		    !str_equal(field->value, label_str(answer->expected)))
 			answer->other_target = true;
+		if (warmup.len && str_equal_nocase(field->name, warmup))
+			read_warmup(answer->health, field->value);
+	}
 }
 
 static bool on_event(void *context, struct transfer_event *event)
@@ -46,10 +63,13 @@
 	g_assert_not_reached();
 }
 
-bool target_is_healthy(const struct dialect *dialect, const struct target_endpoint *endpoint,
-		       struct str path)
+struct target_health target_ask_health(const struct dialect *dialect,
+				       const struct target_endpoint *endpoint, struct str path)
 {
-	struct health_answer answer = { .dialect = dialect, .expected = &endpoint->id };
+	struct target_health health = { .healthy = false };
+	struct health_answer answer = { .dialect = dialect,
+					.expected = &endpoint->id,
+					.health = &health };
 	uint32_t ip = endpoint->ipv4;
 	char *url = g_strdup_printf("http://%u.%u.%u.%u:%u%.*s", ip >> 24, ip >> 16 & 255,
 				    ip >> 8 & 255, ip & 255, endpoint->port, STR_ARG(path));
@@ -67,6 +87,7 @@
 	result = transfer_run(&options);
 	curl_easy_cleanup(curl);
 	g_free(url);
-	return result.end == TRANSFER_WHOLE && result.whole.status == STATUS_OK &&
-	       !answer.other_target;
+	health.healthy = result.end == TRANSFER_WHOLE && result.whole.status == STATUS_OK &&
+			 !answer.other_target;
+	return health;
 }
--- a/target/health.h
+++ b/target/health.h
@@ -9,13 +9,19 @@
 #include "core/dialect.h"
 #include "target/call.h"
 
+/** Answer of a target to the question for its health. */
+struct target_health {
+	bool healthy; /**< false for any other answer than 200, that of another target, none */
+	bool states_warmup; /**< it says whether the target is cold */
+	bool cold;
+};
+
 /**
  * Asks the target at @p endpoint whether it is healthy and not leaving. Blocks for up to 300 ms.
  *
  * @param path  path of the health answer
- * Returns false for any other answer than 200, for the answer of another target, and without one.
  */
-bool target_is_healthy(const struct dialect *dialect, const struct target_endpoint *endpoint,
-		       struct str path);
+struct target_health target_ask_health(const struct dialect *dialect,
+				       const struct target_endpoint *endpoint, struct str path);
 
 #endif
