--- a/core/warmup.c
+++ b/core/warmup.c
@@ -15,6 +15,9 @@
 /* Part of the stated rate that is used even where the slack has no room for a burst of one call. */
 #define RATE_FRACTION_MIN 0.1
 
+/* The queue of a cold target is looked at by the tick, up to this long after a token came. */
+#define WAKE_US (100 * US_PER_MS)
+
 /* Two heartbeats of 1.5 s and the delay of a third are missing. */
 #define SILENCE_US (4 * US_PER_S)
 
@@ -74,10 +77,14 @@
 	if (warmup->rule.per_s == rule->per_s && warmup->rule.duration_us == rule->duration_us)
 		return;
 	/* Calls that have started still count under the new rule. */
-	warmup->tokens = warmup->rule.per_s > 0 ? tokens_at(warmup, now) : 0;
+	if (warmup->rule.per_s > 0)
+		warmup->tokens = tokens_at(warmup, now);
+	else if (warmup->last_start_us && now.mono_us - warmup->last_start_us < US_PER_S)
+		warmup->tokens = 0;
+	else
+		warmup->tokens = burst(warmup);
 	warmup->filled_at_us = now.mono_us;
 	warmup->rule = *rule;
-	warmup->tokens = MIN(warmup->tokens, burst(warmup));
 }
 
 void warmup_note_cold(struct warmup *warmup, enum cold_cause cause, struct instant now)
@@ -118,6 +125,7 @@
 
 void warmup_start(struct warmup *warmup, struct instant now)
 {
+	warmup->last_start_us = now.mono_us;
 	if (warmup->rule.per_s <= 0)
 		return;
 	/* Calls from before the last second no longer count. */
@@ -132,5 +140,5 @@
 	if (warmup_cause(warmup, now) == COLD_NOT)
 		return 0;
 	missing = calls - tokens_at(warmup, now);
-	return missing > 0 ? (int64_t)(missing / rate_per_s(warmup) * US_PER_S) : 0;
+	return missing > 0 ? (int64_t)(missing / rate_per_s(warmup) * US_PER_S) + WAKE_US : 0;
 }
--- a/core/warmup.h
+++ b/core/warmup.h
@@ -46,9 +46,10 @@
 	int64_t cold_since_us; /**< monotonic, of .cause */
 	bool states_warmup;    /**< the newest heartbeat states the remaining time */
 	struct deadline
-		silent_at;    /**< the next heartbeat is missing from then on; 0: none is due */
-	double tokens;	      /**< calls that may start now; negative after warm calls */
-	int64_t filled_at_us; /**< monotonic, of .tokens */
+		silent_at;     /**< the next heartbeat is missing from then on; 0: none is due */
+	double tokens;	       /**< calls that may start now; negative after warm calls */
+	int64_t filled_at_us;  /**< monotonic, of .tokens */
+	int64_t last_start_us; /**< monotonic, of a call; 0: none yet */
 };
 
 /** Initializes the state of a warm target; NULL: the default options. */
