--- a/regress/core/choice_test.c
+++ b/regress/core/choice_test.c
@@ -9,6 +9,7 @@
 #define CONFIG                                                                                     \
 	"{\"services\":{\"s\":{\"versions\":\"any\"}},\"routes\":[{\"name\":\"r\",\"path\":\"/\"," \
 	"\"service\":\"s\"}]}"
+#define EVACUATE_A "{\"evacuate\":[\"a\"]}"
 #define ORDER                                                                                      \
 	"{\"moves\":[{\"service\":\"s\",\"to\":\"v2\",\"start\":\"2026-12-04T10:00:00Z\","         \
 	"\"finish\":\"2026-12-04T10:00:20Z\"}]}"
@@ -44,6 +45,24 @@
 		log_record_clear(&records[i]);
 }
 
+static void send_change(struct node *node, int64_t offset, const char *file, const char *text)
+{
+	struct event event = { .kind = EVENT_LOG_BATCH };
+	struct log_record record = { .kind = LOG_CHANGE, .offset = offset };
+	char id[16];
+
+	g_snprintf(id, sizeof(id), "%ld", offset);
+	record.change = change_new(label_from(str_from_cstr(id)), label_from(str_from_cstr(file)),
+				   CHANGE_ANY_BASE, str_from_cstr(text));
+	parse_record_changes(&record);
+	event.batch.stream = STREAM_CONFIG;
+	event.batch.records = &record;
+	event.batch.count = 1;
+	event.batch.newest = offset;
+	handle(node, &event);
+	log_record_clear(&record);
+}
+
 static void send_member(struct node *node, uint64_t id, const char *data_centre,
 			const char *version)
 {
@@ -302,6 +321,42 @@
 	node_free(node);
 }
 
+/* Entry nodes offered calls to targets of an evacuated data centre, each offer a refusal more. The
+ * nodes there still serve their own callers, through other data centres. */
+static void test_evacuated_data_centre_is_not_chosen(void **state)
+{
+	struct node *node = make_node();
+
+	(void)state;
+	send_member(node, FIRST_TARGET, "b", "v1");
+	assert_int_equal(choose(node, CHOOSE_LOCAL).target, LOCAL_OLD);
+	send_change(node, 3, "evacuation", EVACUATE_A);
+	assert_int_equal(choose(node, CHOOSE_LOCAL).kind, CHOICE_NO_TARGET);
+	for (int i = 0; i < 50; i++)
+		assert_int_equal(choose(node, CHOOSE_ANYWHERE).target, FIRST_TARGET);
+	assert_true(node_is_ready(node));
+	send_change(node, 4, "evacuation", "");
+	assert_int_equal(choose(node, CHOOSE_LOCAL).target, LOCAL_OLD);
+	node_free(node);
+}
+
+/* A version with targets only in an evacuated data centre has none: its calls were refused. */
+static void test_evacuated_version_falls_back(void **state)
+{
+	struct node *node = make_node();
+	struct move_state done = { .id = MOVE_ID, .step = MOVE_STEPS, .from = LABEL("v1") };
+
+	(void)state;
+	done.done_at_us = 1;
+	send_move_state(node, &done);
+	assert_int_equal(choose(node, CHOOSE_ANYWHERE).target, REMOTE_NEW);
+	send_change(node, 3, "evacuation", "{\"evacuate\":[\"b\"]}");
+	assert_int_equal(choose(node, CHOOSE_ANYWHERE).target, LOCAL_OLD);
+	send_change(node, 4, "evacuation", EVACUATE_A);
+	assert_int_equal(choose(node, CHOOSE_ANYWHERE).target, REMOTE_NEW);
+	node_free(node);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -313,6 +368,8 @@
 		cmocka_unit_test(test_outlier_is_ejected),
 		cmocka_unit_test(test_retiring_node_still_admits_calls),
 		cmocka_unit_test(test_stopped_node_stays_closed_to_calls),
+		cmocka_unit_test(test_evacuated_data_centre_is_not_chosen),
+		cmocka_unit_test(test_evacuated_version_falls_back),
 	};
 
 	apr_initialize();
--- a/regress/core/cold_test.c
+++ b/regress/core/cold_test.c
@@ -420,7 +420,6 @@
 	assert_int_equal(model->arrivals, 4 + queued);
 	assert_true(model->now_us - started_us <= 4500 * US_PER_MS);
 	assert_true(most_in_a_second(model, 0) <= 4 * COLD_OVER + COLD_SLACK);
-	/* The queue must not stay empty of tokens for good either: it is open again when warm. */
 	send_heartbeat(model, false, 0);
 	assert_int_equal(offer(model, true, 4 * US_PER_S), ADMIT_RUN);
 	model_free(model);
--- a/regress/platform/document_test.c
+++ b/regress/platform/document_test.c
@@ -62,6 +62,18 @@
 	  "," HOSTS("{\"name\":\"r\",\"path_prefix\":\"/a/"
 		    "\",\"kind\":\"odd\",\"service\":\"s\"," TIMES "}") "}",
 	  "the kind is unknown" },
+	{ "cold targets",
+	  "{\"version\":7,\"services\":[{\"name\":\"s\",\"warmup_s\":6.5,\"warmup_per_s\":2.25}]"
+	  "," HOSTS(PATH) "}",
+	  NULL },
+	{ "negative rate of cold targets",
+	  "{\"version\":7,\"services\":[{\"name\":\"s\",\"warmup_s\":6,\"warmup_per_s\":-1}]"
+	  "," HOSTS(PATH) "}",
+	  "out of range" },
+	{ "rate of cold targets of another type",
+	  "{\"version\":7,\"services\":[{\"name\":\"s\",\"warmup_s\":6,\"warmup_per_s\":\"4\"}]"
+	  "," HOSTS(PATH) "}",
+	  "expected a number" },
 	{ "number instead of an array", "{\"version\":7,\"services\":3," HOSTS(PATH) "}",
 	  "expected an array" },
 };
@@ -108,6 +120,78 @@
 	change_unref(change);
 }
 
+/* The fields were ignored: cold targets got the full load. */
+static void test_limit_of_cold_targets_is_decoded(void **state)
+{
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(config_cases); i++) {
+		struct change *change;
+		const struct service *service;
+
+		if (strcmp(config_cases[i].name, "cold targets") != 0 &&
+		    strcmp(config_cases[i].name, "valid configuration") != 0)
+			continue;
+		change = document_decode_change(STR("config"), str_from_cstr(config_cases[i].text),
+						5, instant_at_s(0));
+		assert_null(change->parse_error);
+		service = &g_array_index(change->parsed->services, struct service, 0);
+		if (strcmp(config_cases[i].name, "cold targets") == 0) {
+			assert_int_equal(service->warmup.duration_us, 6500 * US_PER_MS);
+			assert_true(service->warmup.per_s == 2.25);
+		} else {
+			assert_true(service->warmup.per_s == 0);
+		}
+		change_unref(change);
+	}
+}
+
+static const struct evacuation_case {
+	const char *name;
+	const char *key;
+	const char *value;
+	const char *error;  /* part of the expected error; NULL: valid */
+	const char *closed; /* data centre; NULL: none */
+} evacuation_cases[] = {
+	{ "empty object", "evacuate/fes-a", "{}", NULL, "fes-a" },
+	{ "object with members", "evacuate/fes-a", "{\"by\":\"op\",\"evacuate\":[\"b\"]}", NULL,
+	  "fes-a" },
+	{ "quotes in the name", "evacuate/\"],\"", "{}", NULL, "\"],\"" },
+	{ "removed", "evacuate/fes-a", "", NULL, NULL },
+	{ "no object", "evacuate/fes-a", "[]", "expected an object", NULL },
+	{ "no JSON", "evacuate/fes-a", "yes", "evacuate/fes-a:1", NULL },
+	{ "no name", "evacuate/", "{}", "1 to 39", NULL },
+	{ "longest name", "evacuate/123456789012345678901234567890", "{}", NULL,
+	  "123456789012345678901234567890" },
+	/* Cut to a file's name, it would replace the record of the data centre above. */
+	{ "name too long", "evacuate/1234567890123456789012345678901", "{}", "too long", NULL },
+};
+
+/* An evacuation that is misread leaves a data centre in use, or closes another one. */
+static void test_evacuations_are_decoded(void **state)
+{
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(evacuation_cases); i++) {
+		const struct evacuation_case *row = &evacuation_cases[i];
+		struct change *change = document_decode_change(
+			str_from_cstr(row->key), str_from_cstr(row->value), 9, instant_at_s(5));
+		const GArray *closed = change->parsed ? change->parsed->evacuated : NULL;
+
+		if (row->error ? !change->parse_error || !strstr(change->parse_error, row->error)
+			       : change->parse_error != NULL)
+			fail_msg("%s: got %s", row->name,
+				 change->parse_error ? change->parse_error : "no error");
+		if (row->closed ? !closed || closed->len != 1 ||
+					  !label_is(&g_array_index(closed, struct label, 0),
+						    str_from_cstr(row->closed))
+				: closed && closed->len)
+			fail_msg("%s: another data centre", row->name);
+		change_unref(change);
+	}
+	/* Other keys without a value stay without effect. */
+	assert_null(document_decode_change(STR("config"), STR(""), 9, instant_at_s(5)));
+	assert_null(document_decode_change(STR("rollout/s"), STR(""), 9, instant_at_s(5)));
+}
+
 static void test_rollout_is_decoded_as_move(void **state)
 {
 	struct change *change = document_decode_change(
@@ -150,6 +234,42 @@
 	strbuf_clear(&text);
 }
 
+/* A heartbeat that says that the target is warm was not told from one that says nothing. */
+static void test_heartbeat_states_whether_the_target_is_cold(void **state)
+{
+	static const struct {
+		const char *field;
+		bool states;
+		int64_t left_us;
+	} cases[] = {
+		{ ",\"warmup_left_s\":1.5", true, 1500 * US_PER_MS },
+		{ ",\"warmup_left_s\":2", true, 2 * US_PER_S },
+		{ ",\"warmup_left_s\":0", true, 0 },
+		{ ",\"warmup_left_s\":0.0", true, 0 },
+		{ ",\"warmup_left_s\":1e-9", true, 1 },
+		{ ",\"warmup_left_s\":null", false, 0 },
+		{ "", false, 0 },
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct announcement announcement = { 0 };
+		struct instant now = instant_at_s(1);
+		char *text = g_strdup_printf(
+			"{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"version\":\"v1\","
+			"\"capacity\":9,\"state\":\"ready\",\"sequence\":4%s}",
+			cases[i].field);
+
+		assert_true(heartbeat_decode(str_from_cstr(text), now, US_PER_S, &announcement));
+		if (announcement.states_warmup != cases[i].states ||
+		    announcement.slow_start_until.at_us !=
+			    (cases[i].left_us ? now.mono_us + cases[i].left_us : 0))
+			fail_msg("\"%s\": states %d, until %ld", cases[i].field,
+				 announcement.states_warmup, announcement.slow_start_until.at_us);
+		g_free(text);
+	}
+}
+
 static void test_invalid_heartbeats_are_rejected(void **state)
 {
 	static const struct {
@@ -221,8 +341,11 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_invalid_configurations_are_rejected),
 		cmocka_unit_test(test_configuration_values_are_decoded),
+		cmocka_unit_test(test_limit_of_cold_targets_is_decoded),
+		cmocka_unit_test(test_evacuations_are_decoded),
 		cmocka_unit_test(test_rollout_is_decoded_as_move),
 		cmocka_unit_test(test_status_restores_move_state),
+		cmocka_unit_test(test_heartbeat_states_whether_the_target_is_cold),
 		cmocka_unit_test(test_invalid_heartbeats_are_rejected),
 	};
 
