--- a/regress/godwithitchd/platform_test.c
+++ b/regress/godwithitchd/platform_test.c
@@ -19,7 +19,7 @@
 #define SERVICE "books"
 #define HOST	"Host: shop.example"
 
-enum { NODES = 2, WAIT_MS = 8000, SLOW_MS = 300 };
+enum { NODES = 2, WAIT_MS = 8000, SLOW_MS = 300, ARRIVALS_MAX = 1 << 16 };
 
 /** The target of one node, an HTTP server in this process. */
 struct upstream {
@@ -32,6 +32,10 @@
 	gint aborted; /**< requests whose connection closed before the answer */
 	gint leaving; /**< its health answer is 503 */
 	char caller_service[32];
+	double warmup_left_s; /**< stated by its heartbeats */
+	GMutex mutex;	      /**< of the arrivals */
+	int64_t arrivals_us[ARRIVALS_MAX];
+	int arrivals;
 };
 
 static struct fleet *fleet;
@@ -87,6 +91,10 @@
 	if (strstr(url, "/shed"))
 		return queue_response(connection, 503, "", false, false);
 	g_atomic_int_inc(&upstream->runs);
+	g_mutex_lock(&upstream->mutex);
+	if (upstream->arrivals < ARRIVALS_MAX)
+		upstream->arrivals_us[upstream->arrivals++] = clock_now().mono_us;
+	g_mutex_unlock(&upstream->mutex);
 	if (strstr(url, "/write"))
 		g_atomic_int_inc(&upstream->write_runs);
 	if (strstr(url, "/slow"))
@@ -112,8 +120,8 @@
 	char url[96];
 	char *body = g_strdup_printf(
 		"{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"version\":\"v1\","
-		"\"capacity\":4,\"state\":\"%s\",\"warmup_left_s\":0,\"sequence\":%d,\"born\":5}",
-		SERVICE, upstream->port, state, ++upstream->sequence);
+		"\"capacity\":4,\"state\":\"%s\",\"warmup_left_s\":%g,\"sequence\":%d,\"born\":5}",
+		SERVICE, upstream->port, state, upstream->warmup_left_s, ++upstream->sequence);
 	struct http_reply reply;
 
 	g_snprintf(url, sizeof(url), "http://%s/instances/%s/heartbeat",
@@ -162,21 +170,27 @@
 	strbuf_clear(&record);
 }
 
-static void publish_config(int version, const char *prefix)
+/* @param more  further members of the service */
+static void publish_config_with(int version, const char *prefix, const char *more)
 {
 	char *text = g_strdup_printf(
-		"{\"version\":%d,\"services\":[{\"name\":\"%s\",\"health_path\":\"/health\"}],"
+		"{\"version\":%d,\"services\":[{\"name\":\"%s\",\"health_path\":\"/health\"%s}],"
 		"\"virtual_hosts\":[{\"host\":\"shop.example\",\"paths\":["
 		"{\"name\":\"read\",\"path_prefix\":\"%s\",\"kind\":\"safe\",\"timeout_s\":1,"
 		"\"service\":\"%s\",\"max_attempts\":2},"
 		"{\"name\":\"write\",\"path_prefix\":\"/write/\",\"kind\":\"unsafe\","
 		"\"timeout_s\":1,\"service\":\"%s\",\"max_attempts\":2}]}]}",
-		version, SERVICE, prefix, SERVICE, SERVICE);
+		version, SERVICE, more, prefix, SERVICE, SERVICE);
 
 	append_record("keyed.op", "config", text);
 	g_free(text);
 }
 
+static void publish_config(int version, const char *prefix)
+{
+	publish_config_with(version, prefix, "");
+}
+
 static struct http_reply send_request(int node, const char *path, const char *method)
 {
 	struct http_client *client = http_client_new();
@@ -576,6 +590,91 @@
 	}
 }
 
+/* Returns the number of requests at an upstream from @p from_us to @p to_us. */
+static int arrivals_between(struct upstream *upstream, int64_t from_us, int64_t to_us)
+{
+	int count = 0;
+
+	g_mutex_lock(&upstream->mutex);
+	for (int i = 0; i < upstream->arrivals; i++)
+		count += upstream->arrivals_us[i] >= from_us && upstream->arrivals_us[i] < to_us;
+	g_mutex_unlock(&upstream->mutex);
+	return count;
+}
+
+/* Returns the most requests at an upstream in any second from @p from_us on. */
+static int most_in_a_second(struct upstream *upstream, int64_t from_us)
+{
+	int most = 0;
+
+	for (int i = 0; i < upstream->arrivals; i++)
+		if (upstream->arrivals_us[i] >= from_us)
+			most = MAX(most, arrivals_between(upstream, upstream->arrivals_us[i],
+							  upstream->arrivals_us[i] + US_PER_S));
+	return most;
+}
+
+/* Sends requests at both nodes for @p ms; returns how many were refused. */
+static int send_requests_for(int ms)
+{
+	int64_t end_us = clock_now().mono_us + ms * US_PER_MS;
+	int refused = 0;
+
+	for (int i = 0; clock_now().mono_us < end_us; i++)
+		refused += request_status(i % NODES, "/a/x", "GET") != 200;
+	return refused;
+}
+
+/* The fields of the platform's configuration and heartbeats did not reach the limit. */
+static void test_cold_targets_get_few_requests(void **state)
+{
+	int64_t cold_us;
+	int64_t warm_us;
+
+	(void)state;
+	publish_config_with(50, "/a/", ",\"warmup_s\":6,\"warmup_per_s\":4");
+	wait_ms(1500);
+	assert_int_equal(wait_for_status(0, "/a/x", 200), 200);
+	for (int i = 0; i < NODES; i++) {
+		upstreams[i].warmup_left_s = 6;
+		send_heartbeat(i, "ready");
+	}
+	cold_us = clock_now().mono_us;
+	send_requests_for(2500);
+	for (int i = 0; i < NODES; i++) {
+		printf("upstream %d: %d in a second, %d in all\n", i,
+		       most_in_a_second(&upstreams[i], cold_us),
+		       arrivals_between(&upstreams[i], cold_us, INT64_MAX));
+		assert_true(most_in_a_second(&upstreams[i], cold_us) <= 14);
+		assert_true(arrivals_between(&upstreams[i], cold_us, INT64_MAX) >= 8);
+		upstreams[i].warmup_left_s = 0;
+		send_heartbeat(i, "ready");
+	}
+	/* Warm targets serve far more of the same requests. */
+	warm_us = clock_now().mono_us;
+	assert_int_equal(send_requests_for(1000), 0);
+	for (int i = 0; i < NODES; i++)
+		assert_true(arrivals_between(&upstreams[i], warm_us, INT64_MAX) > 28);
+	publish_config(51, "/a/");
+	wait_ms(1000);
+}
+
+/* A record of an evacuation had no effect on the nodes, or its removal had none. */
+static void test_evacuated_target_gets_no_requests(void **state)
+{
+	int64_t closed_us;
+
+	(void)state;
+	assert_true(wait_for_own_target(0));
+	append_record("keyed.op", "evacuate/dc-a", "{}");
+	closed_us = clock_now().mono_us + 5 * US_PER_S;
+	assert_int_equal(send_requests_for(7000), 0);
+	assert_int_equal(arrivals_between(&upstreams[0], closed_us, INT64_MAX), 0);
+	assert_true(arrivals_between(&upstreams[1], closed_us, INT64_MAX) > 10);
+	append_record("keyed.op", "evacuate/dc-a", "");
+	assert_true(wait_for_own_target(0));
+}
+
 static void test_draining_target_gets_no_requests(void **state)
 {
 	(void)state;
@@ -644,6 +743,8 @@
 		cmocka_unit_test(test_change_between_two_pages_is_not_lost),
 		cmocka_unit_test(test_acknowledged_change_survives_power_loss_of_all),
 		cmocka_unit_test(test_heartbeat_of_another_writer_does_not_replace_target),
+		cmocka_unit_test(test_cold_targets_get_few_requests),
+		cmocka_unit_test(test_evacuated_target_gets_no_requests),
 		cmocka_unit_test(test_draining_target_gets_no_requests),
 		cmocka_unit_test(test_restarted_node_does_not_use_a_leaving_target),
 		cmocka_unit_test(test_graceful_stop_completes_requests),
