--- a/regress/platform/store_test.c
+++ b/regress/platform/store_test.c
@@ -225,11 +225,11 @@
 {
 	struct config *config = history_config(history);
 
-	for (char name = 'a'; name <= 'd'; name++) {
-		bool evacuated = config_is_evacuated(config, label_from((struct str){ &name, 1 }));
+	for (const char *name = "abcd"; *name; name++) {
+		bool evacuated = config_is_evacuated(config, label_from((struct str){ name, 1 }));
 
-		if (evacuated != (strchr(expected, name) != NULL))
-			fail_msg("version %ld: %c is evacuated: %d", config->version, name,
+		if (evacuated != (strchr(expected, *name) != NULL))
+			fail_msg("version %ld: %c is evacuated: %d", config->version, *name,
 				 evacuated);
 	}
 	config_unref(config);
