--- a/core/config.c
+++ b/core/config.c
@@ -111,6 +111,7 @@
 	file->switches = g_array_new(FALSE, TRUE, sizeof(struct auto_switch));
 	file->tenants = g_array_new(FALSE, TRUE, sizeof(struct tenant));
 	g_array_set_clear_func(file->tenants, tenant_clear);
+	file->evacuated = g_array_new(FALSE, TRUE, sizeof(struct label));
 	file->text = g_string_chunk_new(256);
 	return file;
 }
@@ -124,6 +125,7 @@
 	g_array_unref(file->moves);
 	g_array_unref(file->switches);
 	g_array_unref(file->tenants);
+	g_array_unref(file->evacuated);
 	g_string_chunk_free(file->text);
 	g_free(file);
 }
@@ -418,6 +420,17 @@
 	return true;
 }
 
+/* Several files may name the same data centre: it is evacuated while any of them does. */
+static void add_evacuated(struct config *config, const struct config_file *parsed)
+{
+	for (guint i = 0; i < parsed->evacuated->len; i++) {
+		struct label name = g_array_index(parsed->evacuated, struct label, i);
+
+		if (!config_is_evacuated(config, name))
+			g_array_append_val(config->evacuated, name);
+	}
+}
+
 static bool add_services(struct config *config, const struct accepted_file *file, GError **error)
 {
 	GArray *services = file->change->parsed->services;
@@ -444,6 +457,7 @@
 		if (!add_switch(config, file,
 				&g_array_index(parsed->switches, struct auto_switch, i), error))
 			return false;
+	add_evacuated(config, parsed);
 	return add_tenants(config, file, error);
 }
 
@@ -512,6 +526,7 @@
 	config->switches = g_array_new(FALSE, TRUE, sizeof(struct auto_switch));
 	config->tenants = g_hash_table_new(label_hash, label_hash_equal);
 	config->tenants_by_key = g_hash_table_new(hash_str, equal_str);
+	config->evacuated = g_array_new(FALSE, TRUE, sizeof(struct label));
 	if (!add_files(config, error)) {
 		config_unref(config);
 		return NULL;
@@ -538,6 +553,7 @@
 	g_array_unref(config->switches);
 	g_hash_table_destroy(config->tenants);
 	g_hash_table_destroy(config->tenants_by_key);
+	g_array_unref(config->evacuated);
 	g_ptr_array_unref(config->files);
 	g_free(config);
 }
@@ -624,6 +640,14 @@
 	return NULL;
 }
 
+bool config_is_evacuated(const struct config *config, struct label data_centre)
+{
+	for (guint i = 0; i < config->evacuated->len; i++)
+		if (label_equal(&g_array_index(config->evacuated, struct label, i), &data_centre))
+			return true;
+	return false;
+}
+
 bool config_auto_allowed(const struct config *config, struct label service, enum auto_kind kind)
 {
 	bool all_off = false;
--- a/core/config.h
+++ b/core/config.h
@@ -11,6 +11,7 @@
 #include <stdint.h>
 
 #include "base/str.h"
+#include "core/warmup.h"
 
 #define CONFIG_ERROR (config_error_quark())
 GQuark config_error_quark(void);
@@ -58,6 +59,7 @@
 	bool any_version;  /**< none is declared: every version that targets announce is used */
 	struct str health; /**< path of the targets' health check; empty: none */
 	int connections;   /**< limit on concurrent connections to a target; 0: none */
+	struct warmup_rule warmup;
 	int line;
 };
 
@@ -139,13 +141,14 @@
 
 /** The declarations of one file. Owned by its struct change. */
 struct config_file {
-	GArray *services; /**< struct service */
-	GArray *routes;	  /**< struct route */
-	GArray *moves;	  /**< struct move_spec; ids are 0 until accepted */
-	GArray *switches; /**< struct auto_switch */
-	GArray *tenants;  /**< struct tenant */
-	bool has_tenants; /**< the file declares tenants, maybe none */
-	int64_t serial;	  /**< increases with each version of the file; 0: none */
+	GArray *services;  /**< struct service */
+	GArray *routes;	   /**< struct route */
+	GArray *moves;	   /**< struct move_spec; ids are 0 until accepted */
+	GArray *switches;  /**< struct auto_switch */
+	GArray *tenants;   /**< struct tenant */
+	bool has_tenants;  /**< the file declares tenants, maybe none */
+	GArray *evacuated; /**< struct label, data centres that are evacuated */
+	int64_t serial;	   /**< increases with each version of the file; 0: none */
 	GStringChunk *text;
 };
 
@@ -202,8 +205,9 @@
 	GArray *moves;			/**< struct move_spec with ids */
 	GArray *switches;		/**< struct auto_switch */
 	bool has_tenants;		/**< requests need a key, except on public routes */
-	GHashTable *tenants;		/**< struct label -> struct tenant, borrowed from the files */
-	GHashTable *tenants_by_key;	/**< struct str -> struct tenant, borrowed */
+	GHashTable *tenants;	    /**< struct label -> struct tenant, borrowed from the files */
+	GHashTable *tenants_by_key; /**< struct str -> struct tenant, borrowed */
+	GArray *evacuated;	    /**< struct label, data centres that are evacuated */
 };
 
 /**
@@ -237,6 +241,8 @@
  * those without. NULL: none matches. */
 const struct route *config_match(const struct config *config, struct str host, struct str method,
 				 struct str path);
+/** Returns whether the data centre is evacuated: its targets get no calls. */
+bool config_is_evacuated(const struct config *config, struct label data_centre);
 /** Returns whether an automatic decision is allowed for a service: it is switched off neither for
  * the service nor for all services. */
 bool config_auto_allowed(const struct config *config, struct label service, enum auto_kind kind);
--- a/core/dialect.h
+++ b/core/dialect.h
@@ -36,6 +36,7 @@
 	struct str tenant;	    /**< request to a target, set by the entry node: the tenant */
 	struct str expected_target; /**< request to a target: id of the target that may run it */
 	struct str target_id;	    /**< health answer: the target's id */
+	struct str warmup_left_ms;  /**< health answer: how long the target stays cold */
 	struct str load;	    /**< answer: "running,waiting,slots" of the target */
 	struct str not_run;	    /**< answer: the target did not run the request */
 	struct str signature;	    /**< answer: a success without it is not from the target */
--- a/core/node.h
+++ b/core/node.h
@@ -33,6 +33,7 @@
 	struct quota_options quota; /**< tolerance of the limits of tenants; window 0: defaults */
 	double retry_ratio;	    /**< retries per call of a service; default 0.1 */
 	int retry_slack; /**< extra retries at once, shared by all nodes; 0: 50 per node */
+	const struct warmup_options *warmup; /**< limit of cold targets; copied; default if NULL */
 };
 
 struct node;
