--- a/regress/peer/link_test.c
+++ b/regress/peer/link_test.c
@@ -312,40 +312,98 @@
 	close(listen_fd);
 }
 
-/* Returns whether a link with a call counts as silent 0.7 s after the node last read from it. */
-static bool is_silent(bool bytes_wait)
+enum { UNTIL_SILENT_MS = 700, UNTIL_SILENT_IN_TRANSIT_MS = 2100 };
+
+/* A link with one call to a raw peer. */
+struct lone_call {
+	struct owner owner;
+	struct stream stream;
+	struct link *link;
+	int peer_fd;
+};
+
+static void open_lone_call(struct lone_call *call)
 {
-	struct owner owner = { .base.refs = 1 };
 	struct request_head head = request_head();
-	struct stream stream = { 0 };
-	struct instant later;
-	struct link *link;
-	bool lost;
 	int fds[2];
 
+	*call = (struct lone_call){ .owner.base.refs = 1 };
 	assert_int_equal(socketpair(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0, fds), 0);
-	link = link_new(peers, fds[0], true, LINK_OPEN);
-	assert_true(link_open(link, &owner.base, &head, NULL, &stream));
-	if (bytes_wait)
-		assert_int_equal(send(fds[1], "bytes", 5, 0), 5);
-	later = clock_now();
-	later.mono_us += 700 * US_PER_MS;
-	link_tick(link, later);
-	lost = g_atomic_int_get(&owner.lost);
-	link_close(link);
-	link_unref(stream.link);
-	link_unref(link);
-	close(fds[1]);
-	return lost;
+	call->link = link_new(peers, fds[0], true, LINK_OPEN);
+	call->peer_fd = fds[1];
+	assert_true(link_open(call->link, &call->owner.base, &head, NULL, &call->stream));
+}
+
+static void close_lone_call(struct lone_call *call)
+{
+	link_close(call->link);
+	link_unref(call->stream.link);
+	link_unref(call->link);
+	close(call->peer_fd);
+}
+
+/* Returns whether the link counts as silent some time after the node last read from it. */
+static bool is_silent_after(struct lone_call *call, int ms)
+{
+	struct instant later = clock_now();
+
+	later.mono_us += ms * US_PER_MS;
+	link_tick(call->link, later);
+	return g_atomic_int_get(&call->owner.lost);
 }
 
 /* A node that had no processor time for a while found all its links silent, though their bytes
  * waited unread, and closed them in the middle of answers. */
 static void test_unread_bytes_are_no_silence(void **state)
 {
+	struct lone_call call;
+
+	(void)state;
+	open_lone_call(&call);
+	assert_true(is_silent_after(&call, UNTIL_SILENT_MS));
+	close_lone_call(&call);
+	open_lone_call(&call);
+	assert_int_equal(send(call.peer_fd, "bytes", 5, 0), 5);
+	assert_false(is_silent_after(&call, UNTIL_SILENT_MS));
+	close_lone_call(&call);
+}
+
+static void send_body(struct lone_call *call, size_t bytes)
+{
+	struct strbuf frames = { 0 };
+	struct body_sum sum = { 0 };
+	char *body = g_malloc0(bytes);
+
+	wire_put_data(&frames, call->stream.id, &sum, (struct str){ body, bytes });
+	stream_send(call->stream, &frames);
+	strbuf_clear(&frames);
+	g_free(body);
+}
+
+/* Heartbeats behind a large body in the network arrived after 0.6 s, and the link was closed. */
+static void test_moving_body_extends_the_limit_of_silence(void **state)
+{
+	struct lone_call call;
+
+	(void)state;
+	open_lone_call(&call);
+	send_body(&call, SMALL_DATA_BYTES + 1);
+	assert_false(is_silent_after(&call, UNTIL_SILENT_MS));
+	assert_true(is_silent_after(&call, UNTIL_SILENT_IN_TRANSIT_MS));
+	close_lone_call(&call);
+}
+
+/* A peer that has ended accepts small bodies and heartbeats into its kernel's buffer: they must not
+ * keep its link. */
+static void test_small_body_does_not_extend_the_limit_of_silence(void **state)
+{
+	struct lone_call call;
+
 	(void)state;
-	assert_true(is_silent(false));
-	assert_false(is_silent(true));
+	open_lone_call(&call);
+	send_body(&call, SMALL_DATA_BYTES);
+	assert_true(is_silent_after(&call, UNTIL_SILENT_MS));
+	close_lone_call(&call);
 }
 
 int main(void)
@@ -362,6 +420,10 @@
 						set_up, tear_down),
 		cmocka_unit_test_setup_teardown(test_unread_bytes_are_no_silence, set_up,
 						tear_down),
+		cmocka_unit_test_setup_teardown(test_moving_body_extends_the_limit_of_silence,
+						set_up, tear_down),
+		cmocka_unit_test_setup_teardown(
+			test_small_body_does_not_extend_the_limit_of_silence, set_up, tear_down),
 	};
 
 	apr_initialize();
