Request bodies above 8 KiB wait for a grant of the target's node

The bodies of refused offers filled the links of targets that take uploads. The head now goes alone, and the target's node grants the body once the call has its slot; it passes the request on only when a part of the body has come, so that a request whose body never left has not run. A node learns from the answer to its first heartbeat whether the other one grants bodies, and sends them at once until then.

--- a/base/pipe.c
+++ b/base/pipe.c
@@ -173,6 +173,19 @@
 	return n;
 }
 
+bool pipe_wait(struct pipe *pipe, struct deadline deadline)
+{
+	bool in_time = true;
+	bool readable;
+
+	lock_acquire(&pipe->lock);
+	while (in_time && buffered_bytes(pipe) == 0 && pipe->end == PIPE_OPEN)
+		in_time = wait_for_change(pipe, deadline);
+	readable = pipe->end != PIPE_FAILED && (buffered_bytes(pipe) || pipe->end == PIPE_DONE);
+	lock_release(&pipe->lock);
+	return readable;
+}
+
 void pipe_abandon(struct pipe *pipe)
 {
 	lock_acquire(&pipe->lock);
--- a/base/pipe.h
+++ b/base/pipe.h
@@ -37,6 +37,9 @@
 /** Waits for bytes or the end of the body, which ends as PIPE_FAILED if @p deadline passes. */
 size_t pipe_read_wait(struct pipe *pipe, char *into, size_t cap, enum pipe_end *end,
 		      struct deadline deadline);
+/** Waits until bytes can be read or the body has ended; false if it is cut off or @p deadline
+ * passed before. Reads nothing. */
+bool pipe_wait(struct pipe *pipe, struct deadline deadline);
 /** Ends the reading side: later writes are discarded and pipe_write_wait() fails. */
 void pipe_abandon(struct pipe *pipe);
 /** Returns the number of bytes that were written but not read. */
--- a/godwithitchd/attempt.c
+++ b/godwithitchd/attempt.c
@@ -58,8 +58,9 @@
 	if (attempt->inbound) {
 		if (inbound_cancel(attempt->inbound))
 			attempt_settle(attempt, VERDICT_NOT_RUN);
-	} else if (g_atomic_pointer_get(&attempt->stream.link)) {
-		stream_cancel(attempt->stream);
+	} else if (g_atomic_pointer_get(&attempt->stream.link) &&
+		   stream_cancel(attempt->stream) == VERDICT_NOT_RUN) {
+		attempt_settle(attempt, VERDICT_NOT_RUN);
 	}
 }
 
@@ -168,6 +169,20 @@
 				      accepted);
 }
 
+/* Counts a refused offer whose body had not been sent. */
+static void count_spared_body(const struct attempt *attempt)
+{
+	struct call *call = attempt->call;
+	bool spared;
+
+	lock_acquire(&call->lock);
+	spared = attempt->upload_state == UPLOAD_OPEN && attempt->upload_sum.length == 0;
+	lock_release(&call->lock);
+	if (spared)
+		metrics_add(call->daemon->metrics, STR("godwithitch_bodies_spared_total"), STR(""),
+			    1);
+}
+
 void attempt_refused(struct attempt *attempt, const struct refusal *refusal)
 {
 	if (!attempt_finish(attempt))
@@ -175,6 +190,7 @@
 	attempt_settle(attempt, refusal->verdict);
 	record_remote_offer(attempt, refusal->target_reached);
 	attempt_record_outcome(attempt, outcome_from_refusal(refusal->kind));
+	count_spared_body(attempt);
 	if (refusal->verdict == VERDICT_NOT_RUN && !refusal->target_reached && !attempt->has_head)
 		offer_to_next_target(attempt, refusal);
 	else
@@ -270,7 +286,7 @@
 	if (rest.len)
 		memcpy(into, rest.data, rest.len);
 	attempt->body_offset += rest.len;
-	*end = PIPE_DONE;
+	*end = attempt->body_offset == body.len ? PIPE_DONE : PIPE_OPEN;
 	return rest.len;
 }
 
@@ -295,31 +311,46 @@
 	g_assert_not_reached();
 }
 
+/* Reads a part of the body for another node without waiting. call->lock is held. */
+static size_t read_upload(struct attempt *attempt, char *into, size_t cap, enum pipe_end *end)
+{
+	const struct caller_body *body = caller_body(attempt->call->caller);
+	size_t n;
+
+	switch (body->kind) {
+	case CALLER_BODY_WHOLE:
+		return read_whole_body(attempt, strbuf_str(&body->whole), into, cap, end);
+	case CALLER_BODY_STREAMED:
+		n = pipe_read(body->upload, into, cap, end);
+		attempt->call->body_consumed |= n > 0;
+		return n;
+	}
+	g_assert_not_reached();
+}
+
 /* Appends one block of the upload to @p frames, within the credit. Returns false if no more can be
  * sent now. call->lock is held. */
-static bool forward_upload_block(struct attempt *attempt, struct pipe *upload,
-				 struct strbuf *frames)
+static bool forward_upload_block(struct attempt *attempt, struct strbuf *frames)
 {
-	struct call *call = attempt->call;
 	size_t cap = MIN(FORWARD_BLOCK_BYTES, (size_t)MAX(attempt->credit, 0));
 	char *chunk;
 	enum pipe_end end = PIPE_OPEN;
 	size_t n;
 
 	/* The bytes belong to the next attempt once this one has finished. */
-	if (cap == 0 || attempt->upload_ended || g_atomic_int_get(&attempt->finished))
+	if (cap == 0 || attempt->upload_state != UPLOAD_OPEN ||
+	    g_atomic_int_get(&attempt->finished))
 		return false;
 	chunk = g_malloc(cap);
-	n = pipe_read(upload, chunk, cap, &end);
+	n = read_upload(attempt, chunk, cap, &end);
 	if (n) {
 		wire_put_data(frames, attempt->stream.id, &attempt->upload_sum,
 			      (struct str){ chunk, n });
 		attempt->credit -= (int64_t)n;
-		call->body_consumed = true;
 	}
 	if (end == PIPE_DONE) {
 		wire_put_end(frames, attempt->stream.id, &attempt->upload_sum);
-		attempt->upload_ended = true;
+		attempt->upload_state = UPLOAD_DONE;
 	}
 	g_free(chunk);
 	return n > 0 && end == PIPE_OPEN;
@@ -352,7 +383,22 @@
 	return !pending;
 }
 
-static void forward_upload(struct attempt *attempt, struct pipe *upload)
+/* Lets the caller send more of a streamed body. */
+static void resume_caller(struct attempt *attempt)
+{
+	struct caller_call *caller = attempt->call->caller;
+
+	switch (caller_body(caller)->kind) {
+	case CALLER_BODY_WHOLE:
+		return;
+	case CALLER_BODY_STREAMED:
+		caller_upload_consumed(caller);
+		return;
+	}
+	g_assert_not_reached();
+}
+
+void attempt_forward_upload(struct attempt *attempt)
 {
 	struct strbuf frames = { 0 };
 
@@ -363,29 +409,37 @@
 
 		while (more && !g_atomic_int_get(&attempt->finished)) {
 			lock_acquire(&attempt->call->lock);
-			more = forward_upload_block(attempt, upload, &frames);
+			more = forward_upload_block(attempt, &frames);
 			lock_release(&attempt->call->lock);
+			call_count_sent(attempt->call, frames.len);
 			if (frames.len)
 				stream_send(attempt->stream, &frames);
-			caller_upload_consumed(attempt->call->caller);
+			resume_caller(attempt);
 		}
 	} while (!end_forwarding(attempt));
 	strbuf_clear(&frames);
 }
 
-void attempt_forward_upload(struct attempt *attempt)
+void attempt_begin_upload(struct attempt *attempt, bool waits)
 {
-	const struct caller_body *body = caller_body(attempt->call->caller);
+	struct call *call = attempt->call;
 
-	switch (body->kind) {
+	lock_acquire(&call->lock);
+	switch (caller_body(call->caller)->kind) {
 	case CALLER_BODY_WHOLE:
-		/* It was sent with the request. */
-		return;
+		attempt->upload_state = waits ? UPLOAD_OPEN : UPLOAD_DONE;
+		break;
 	case CALLER_BODY_STREAMED:
-		forward_upload(attempt, body->upload);
-		return;
+		attempt->upload_state = UPLOAD_OPEN;
+		attempt->credit += waits ? 0 : STREAM_WINDOW;
+		break;
 	}
-	g_assert_not_reached();
+	lock_release(&call->lock);
+	/* Whoever finished it while the stream was being opened could not cancel it, and its slot
+	 * would wait for the body. */
+	if (g_atomic_int_get(&attempt->finished))
+		stream_cancel(attempt->stream);
+	attempt_forward_upload(attempt);
 }
 
 static void on_window_update(struct attempt *attempt, uint64_t bytes)
--- a/godwithitchd/calls.c
+++ b/godwithitchd/calls.c
@@ -131,7 +131,6 @@
 	g_atomic_int_inc(&call->refs);
 	attempt->call = call;
 	attempt->target = target;
-	attempt->credit = STREAM_WINDOW;
 	return attempt;
 }
 
@@ -186,11 +185,15 @@
 
 enum start_result { START_OK, START_NO_LINK };
 
+/* Larger bodies wait until the call has a slot: 96 offers a second with bodies of 60 KB fill the
+ * links of five targets at 10 Mbit/s, and the bodies of refused offers are of no use. */
+enum { HEAD_BODY_BYTES = 8 << 10 };
+
 /* A whole body goes with the request, beyond the stream's credit. */
 G_STATIC_ASSERT((size_t)SMALL_BODY_BYTES <= (size_t)STREAM_WINDOW);
 
 static enum start_result start_remote(struct call *call, struct attempt *attempt,
-				      const struct request_head *head)
+				      struct request_head *head)
 {
 	const struct caller_body *body = caller_body(call->caller);
 	const struct str *sent = NULL;
@@ -202,15 +205,17 @@
 		 * request. */
 		whole = strbuf_str(&body->whole);
 		sent = &whole;
+		head->body_waits = whole.len > HEAD_BODY_BYTES;
 		break;
 	case CALLER_BODY_STREAMED:
+		head->body_waits = true;
 		break;
 	}
-	call_count_sent(call, head->target.len + whole.len);
 	if (!peers_call(call->daemon->peers, attempt->target, &attempt->owner, head, sent,
 			&attempt->stream))
 		return START_NO_LINK;
-	attempt_forward_upload(attempt);
+	call_count_sent(call, head->target.len + (head->body_waits ? 0 : whole.len));
+	attempt_begin_upload(attempt, head->body_waits);
 	return START_OK;
 }
 
--- a/godwithitchd/calls.h
+++ b/godwithitchd/calls.h
@@ -52,6 +52,13 @@
 	struct deadline held_until; /* an answer in daemon->held_answers */
 };
 
+/** What is known of the body that an attempt sends to another node. */
+enum upload_state {
+	UPLOAD_UNDECIDED, /**< the head is being sent */
+	UPLOAD_OPEN,	  /**< the body follows the head, within the credit */
+	UPLOAD_DONE,	  /**< all of it was sent */
+};
+
 /** One attempt of a call at one target. */
 struct attempt {
 	struct stream_owner owner; /* must be first: the link casts from it */
@@ -65,13 +72,13 @@
 	int status;
 	size_t answer_bytes;
 	size_t drained_bytes; /* bytes moved to the caller's output since the last window frame */
-	size_t body_offset;   /* bytes of a small body that this node's target has read */
+	size_t body_offset;   /* bytes of a small body that were read for the target */
 	/* Upload to another node. Guarded by call->lock. */
 	struct body_sum upload_sum;
 	int64_t credit;
 	bool forwarding;
 	bool forward_again;
-	bool upload_ended;
+	enum upload_state upload_state;
 };
 
 /* calls.c */
@@ -144,7 +151,12 @@
 void attempt_cancel(struct attempt *attempt);
 /** Reports the outcome of an attempt to core. */
 void attempt_record_outcome(struct attempt *attempt, enum call_outcome outcome);
-/** Forwards received bytes of a streamed body to the other node, within the credit. */
+/**
+ * Starts the upload of an attempt whose head was sent to another node. With @p waits the body is
+ * sent once that node grants it; otherwise a whole one has gone with the head. Takes call->lock.
+ */
+void attempt_begin_upload(struct attempt *attempt, bool waits);
+/** Forwards bytes of the body to the other node, within the credit. Takes call->lock. */
 void attempt_forward_upload(struct attempt *attempt);
 
 #endif
--- a/godwithitchd/inbound.c
+++ b/godwithitchd/inbound.c
@@ -745,6 +745,39 @@
 	return result->complete ? SLOT_SERVED : SLOT_UNMEASURED;
 }
 
+/* Grants a body that waits, now that the call has its slot, and waits for its first part. Returns
+ * false if none came: the sender relies on it that such a request is not passed on. */
+static bool receive_body(struct inbound *inbound)
+{
+	struct strbuf payload = { 0 };
+	struct strbuf frame = { 0 };
+
+	if (!inbound->head.body_waits)
+		return true;
+	switch (inbound->sink.kind) {
+	case SINK_LOCAL:
+		return true;
+	case SINK_REMOTE:
+		wire_put_u64(&payload, STREAM_WINDOW);
+		wire_put(&frame, FRAME_WINDOW, inbound->sink.stream.id, strbuf_str(&payload));
+		stream_send(inbound->sink.stream, &frame);
+		strbuf_clear(&payload);
+		strbuf_clear(&frame);
+		return pipe_wait(inbound->body,
+				 calls_work_deadline(inbound->daemon, inbound->entry.deadline));
+	}
+	g_assert_not_reached();
+}
+
+/* Ends a call that has a slot and was not passed to the target. */
+static void give_back_slot(struct inbound *inbound, enum refusal_kind kind, struct str reason)
+{
+	admit_done(node_admit(inbound->daemon->node), &inbound->entry, SLOT_UNMEASURED, 0);
+	/* The estimate says nothing about the slots. */
+	inbound->entry.expected_us = 0;
+	refuse(inbound, kind, VERDICT_NOT_RUN, reason);
+}
+
 static void run_at_target(struct inbound *inbound)
 {
 	struct daemon *daemon = inbound->daemon;
@@ -756,8 +789,11 @@
 
 	/* Another target may have started on this VM while the call was queued. */
 	if (!target_runs_service(daemon->target, &inbound->head.service)) {
-		admit_done(node_admit(daemon->node), &inbound->entry, SLOT_UNMEASURED, 0);
-		refuse(inbound, REFUSAL_CLOSED, VERDICT_NOT_RUN, STR("another service is here"));
+		give_back_slot(inbound, REFUSAL_CLOSED, STR("another service is here"));
+		return;
+	}
+	if (!receive_body(inbound)) {
+		give_back_slot(inbound, REFUSAL_BUSY, STR("the body did not come in time"));
 		return;
 	}
 	inbound->entry.deadline = calls_work_deadline(daemon, inbound->entry.deadline);
--- a/peer/frames.c
+++ b/peer/frames.c
@@ -276,13 +276,28 @@
 
 static void send_pong(struct link *link)
 {
+	struct strbuf payload = { 0 };
 	struct strbuf frame = { 0 };
 
-	wire_put(&frame, FRAME_PONG, 0, STR(""));
+	wire_put_u64(&payload, FEATURE_GRANTS_BODIES);
+	wire_put(&frame, FRAME_PONG, 0, strbuf_str(&payload));
 	link_write(link, strbuf_str(&frame));
+	strbuf_clear(&payload);
 	strbuf_clear(&frame);
 }
 
+static void handle_pong(struct link *link, const struct frame *frame)
+{
+	struct str payload = frame->payload;
+	uint64_t features;
+
+	if (!wire_read_u64(&payload, &features))
+		return;
+	lock_acquire(&link->lock);
+	link->peer_features = features;
+	lock_release(&link->lock);
+}
+
 static bool handle_frame(struct link *link, const struct frame *frame,
 			 struct admitted_calls *admitted)
 {
@@ -312,6 +327,7 @@
 		send_pong(link);
 		return true;
 	case FRAME_PONG:
+		handle_pong(link, frame);
 		return true;
 	case FRAME_KINDS:
 		break;
--- a/peer/link.c
+++ b/peer/link.c
@@ -70,6 +70,8 @@
 		return NULL;
 	}
 	wire_put_tagged(&hello, FRAME_HELLO, peers_self(peers), peers_fleet_tag(peers), STR(""));
+	/* The answer says what the peer can do. */
+	wire_put(&hello, FRAME_PING, 0, STR(""));
 	schedule_add(&link->schedule, strbuf_str(&hello), false);
 	strbuf_clear(&hello);
 	return link;
@@ -213,12 +215,15 @@
 {
 	bool write_now = link->state == LINK_OPEN && !link->writing;
 	struct stream_entry *entry = NULL;
+	bool has_body;
 	struct frame first;
 	size_t used;
 
 	if (wire_read_frame(frames, &first, &used) == WIRE_FRAME)
 		entry = g_hash_table_lookup(link->streams, &first.stream);
-	schedule_add(&link->schedule, frames, entry != NULL);
+	has_body = schedule_add(&link->schedule, frames, entry != NULL);
+	if (entry)
+		entry->body_begun |= has_body;
 	if (write_now)
 		link->writing = true;
 	return write_now;
@@ -248,8 +253,8 @@
 	wire_put_end(frames, id, &sum);
 }
 
-void link_add_entry(struct link *link, uint64_t id, struct stream_owner *owner,
-		    uint64_t request_end, struct body body)
+struct stream_entry *link_add_entry(struct link *link, uint64_t id, struct stream_owner *owner,
+				    uint64_t request_end, struct body body)
 {
 	struct stream_entry *entry = g_new0(struct stream_entry, 1);
 
@@ -259,12 +264,14 @@
 	entry->body = body;
 	g_hash_table_insert(link->streams, &entry->id, entry);
 	link->used_at_us = clock_now().mono_us;
+	return entry;
 }
 
-bool link_open(struct link *link, struct stream_owner *owner, const struct request_head *head,
+bool link_open(struct link *link, struct stream_owner *owner, struct request_head *head,
 	       const struct str *body, struct stream *stream)
 {
 	struct strbuf frames = { 0 };
+	struct stream_entry *entry;
 	size_t head_len;
 	uint64_t id;
 	bool write_now = false;
@@ -272,14 +279,16 @@
 
 	lock_acquire(&link->lock);
 	id = link->next_stream++;
+	head->body_waits = head->body_waits && link->peer_features & FEATURE_GRANTS_BODIES;
 	lock_release(&link->lock);
-	put_request(&frames, id, head, body, &head_len);
+	put_request(&frames, id, head, head->body_waits ? NULL : body, &head_len);
 	lock_acquire(&link->lock);
 	open = link->state != LINK_CLOSED;
 	if (open) {
 		g_atomic_int_inc(&owner->refs);
-		link_add_entry(link, id, owner, link->schedule.queued + head_len,
-			       body_of_answer(head->method));
+		entry = link_add_entry(link, id, owner, link->schedule.queued + head_len,
+				       body_of_answer(head->method));
+		entry->body_waits = head->body_waits;
 		stream->id = id;
 		g_atomic_pointer_set(&stream->link, link_ref(link));
 		/* The silence of an idle link counts from its first new stream. */
@@ -325,7 +334,7 @@
 }
 
 /* The request may have run if its full head was passed to the socket, or is being passed to it by
- * another worker now. */
+ * another worker now; one whose body waits for a grant, if a part of the body was queued. */
 static enum verdict lost_verdict(struct link *link, const struct stream_entry *entry)
 {
 	uint64_t taken;
@@ -333,6 +342,8 @@
 	lock_acquire(&link->lock);
 	taken = link->schedule.taken;
 	lock_release(&link->lock);
+	if (entry->body_waits && !entry->body_begun)
+		return VERDICT_NOT_RUN;
 	return taken >= entry->request_end ? VERDICT_MAY_HAVE_RUN : VERDICT_NOT_RUN;
 }
 
@@ -430,17 +441,28 @@
 	frames->len = 0;
 }
 
-void stream_cancel(struct stream stream)
+enum verdict stream_cancel(struct stream stream)
 {
+	enum verdict verdict = VERDICT_MAY_HAVE_RUN;
+	struct link *link = stream.link;
+	const struct stream_entry *entry;
 	struct strbuf frame = { 0 };
-	struct stream_owner *owner = link_remove_entry(stream.link, stream.id);
+	struct stream_owner *owner;
 
+	lock_acquire(&link->lock);
+	entry = g_hash_table_lookup(link->streams, &stream.id);
+	/* Parts of the body that are queued from now on are dropped. */
+	if (entry && entry->body_waits && !entry->body_begun)
+		verdict = VERDICT_NOT_RUN;
+	owner = link_take_entry(link, stream.id);
+	lock_release(&link->lock);
 	if (!owner)
-		return;
+		return VERDICT_MAY_HAVE_RUN;
 	wire_put(&frame, FRAME_CANCEL, stream.id, STR(""));
-	link_write(stream.link, strbuf_str(&frame));
+	link_write(link, strbuf_str(&frame));
 	strbuf_clear(&frame);
-	link_release_owner(stream.link, owner);
+	link_release_owner(link, owner);
+	return verdict;
 }
 
 void link_abandon(struct link *link)
--- a/peer/link.h
+++ b/peer/link.h
@@ -18,6 +18,8 @@
 	struct stream_owner *owner; /* one reference */
 	uint64_t request_end;	    /* value of schedule.queued at the end of the request's head */
 	struct body body;	    /* that is received: the request's or the answer's */
+	bool body_waits;	    /* the request runs only once a part of its body has come */
+	bool body_begun;	    /* a part of the body that is sent was queued */
 };
 
 /** State of a watch; it decides which thread drops the watch's reference to the link. */
@@ -46,7 +48,8 @@
 	enum link_state state;
 	struct schedule schedule; /* of the output */
 	bool writing;
-	GHashTable *streams; /* id -> struct stream_entry */
+	GHashTable *streams;	/* id -> struct stream_entry */
+	uint64_t peer_features; /* as in the peer's last PONG */
 	uint64_t next_stream;
 	int64_t received_at_us; /* monotonic; last read */
 	int64_t used_at_us;	/* monotonic; last stream opened or closed */
@@ -59,8 +62,9 @@
 struct link *link_connect(struct peers *peers, uint64_t to, struct instant now);
 /** Registers the accepted or connecting link with the pool. */
 void link_start(struct link *link);
-/** Opens a stream; false if the link is closed. On success adds a reference to @p owner. */
-bool link_open(struct link *link, struct stream_owner *owner, const struct request_head *head,
+/** Opens a stream as peers_call() does; false if the link is closed. On success adds a reference to
+ *  @p owner. */
+bool link_open(struct link *link, struct stream_owner *owner, struct request_head *head,
 	       const struct str *body, struct stream *stream);
 /** Queues frames and writes as many bytes as the socket accepts. */
 void link_write(struct link *link, struct str frames);
@@ -74,8 +78,8 @@
 void link_end_handling(struct link *link, struct watch *watch, enum watch_state *state, bool rearm,
 		       int interest);
 /** Adds a stream's entry and passes it the caller's reference to @p owner. LOCK_LINK is held. */
-void link_add_entry(struct link *link, uint64_t id, struct stream_owner *owner,
-		    uint64_t request_end, struct body body);
+struct stream_entry *link_add_entry(struct link *link, uint64_t id, struct stream_owner *owner,
+				    uint64_t request_end, struct body body);
 /** Removes a stream's entry; returns its reference to the owner, NULL if there is no entry. */
 struct stream_owner *link_remove_entry(struct link *link, uint64_t id);
 /** Like link_remove_entry(). LOCK_LINK is held. */
--- a/peer/peers.c
+++ b/peer/peers.c
@@ -404,13 +404,17 @@
 }
 
 bool peers_call(struct peers *peers, uint64_t to, struct stream_owner *owner,
-		const struct request_head *head, const struct str *body, struct stream *stream)
+		struct request_head *head, const struct str *body, struct stream *stream)
 {
+	bool body_waits = head->body_waits;
+
 	/* A link that was closed in the meantime is replaced once. */
 	for (int i = 0; i < 2; i++) {
 		struct link *link = get_link(peers, to);
-		bool open = link && link_open(link, owner, head, body, stream);
+		bool open;
 
+		head->body_waits = body_waits;
+		open = link && link_open(link, owner, head, body, stream);
 		link_unref(link);
 		if (open)
 			return true;
--- a/peer/peers.h
+++ b/peer/peers.h
@@ -33,7 +33,7 @@
 	PEER_REFUSED,
 	PEER_DATA,     /**< bytes of a body, in order, at most as many as its head announced */
 	PEER_END,      /**< the body is whole: as its head announced it, and its checksum matches */
-	PEER_WINDOW,   /**< the other side consumed bytes */
+	PEER_WINDOW,   /**< the other side consumed bytes, or grants a body that waits */
 	PEER_LOST,     /**< the stream was cancelled, its link closed, or its body was broken */
 	PEER_RELEASED, /**< drop the table's reference to the owner */
 	PEER_RUN,      /**< the admitted call is to run on this worker */
@@ -102,19 +102,25 @@
 };
 
 /**
- * Opens a stream to a node and sends the request's head, with the complete body if @p body is not
- * NULL. *stream is set before anything is sent, with a reference to the link for the caller.
- * Returns false if no link can be opened: nothing was sent, and @p owner gets no reference.
+ * Opens a stream to a node and sends the request's head. With head->body_waits set, the body is to
+ * wait for PEER_WINDOW; the function clears it if the node is not known to grant bodies. Unless the
+ * body waits, @p body, if not NULL, is the complete body and goes with the head. *stream is set
+ * before anything is sent, with a reference to the link for the caller. Returns false if no link
+ * can be opened: nothing was sent, and @p owner gets no reference.
  */
 bool peers_call(struct peers *peers, uint64_t to, struct stream_owner *owner,
-		const struct request_head *head, const struct str *body, struct stream *stream);
+		struct request_head *head, const struct str *body, struct stream *stream);
 
 /** Sends frames made with wire_put_*() and empties @p frames. */
 void stream_send(struct stream stream, struct strbuf *frames);
 /** Ends a stream on this side; later frames for it are dropped. Releases the owner. */
 void stream_close(struct stream stream);
-/** Sends CANCEL to the other side and closes the stream. Releases the owner. */
-void stream_cancel(struct stream stream);
+/**
+ * Sends CANCEL to the other side and closes the stream. Releases the owner. Returns VERDICT_NOT_RUN
+ * if the request can't have run, since its body waited for a grant and nothing of it was sent; also
+ * if the stream was closed before: VERDICT_MAY_HAVE_RUN.
+ */
+enum verdict stream_cancel(struct stream stream);
 struct link *link_ref(struct link *link);
 void link_unref(struct link *link);
 
--- a/peer/wire.c
+++ b/peer/wire.c
@@ -113,7 +113,7 @@
 	msgpack_packer packer;
 
 	pack_start(&packer, out);
-	msgpack_pack_array(&packer, 17);
+	msgpack_pack_array(&packer, 18);
 	pack_str(&packer, head->method);
 	pack_str(&packer, head->target);
 	pack_label(&packer, &head->route);
@@ -131,6 +131,7 @@
 	msgpack_pack_uint64(&packer, head->fingerprint);
 	msgpack_pack_int(&packer, head->hops);
 	pack_fields(&packer, head->fields, head->field_count);
+	msgpack_pack_int(&packer, head->body_waits);
 	close_frame(out, start);
 }
 
@@ -241,6 +242,8 @@
 		head->fingerprint = unpack_u64(&in);
 		head->hops = unpack_int(&in, INT16_MAX);
 		head->field_count = unpack_fields(&in, head->fields);
+		/* Absent from older nodes, which send the body at once. */
+		head->body_waits = in.remaining && unpack_int(&in, 1);
 	}
 	return end_unpack(&in, storage);
 }
--- a/peer/wire.h
+++ b/peer/wire.h
@@ -31,10 +31,13 @@
 	FRAME_CANCEL,
 	FRAME_WINDOW, /**< number of bytes consumed since the last WINDOW */
 	FRAME_PING,
-	FRAME_PONG,
+	FRAME_PONG, /**< features of the sender (8 bytes); absent from older nodes */
 	FRAME_KINDS,
 };
 
+/** Features of a node, as in its PONG. */
+enum { FEATURE_GRANTS_BODIES = 1 /**< it reads request_head.body_waits */ };
+
 struct frame {
 	enum frame_kind kind;
 	uint64_t stream;
@@ -83,6 +86,9 @@
 	int64_t body_length; /**< -1: not known */
 	uint64_t fingerprint;
 	int hops; /**< nodes passed so far */
+	/** The body is sent once the target's node has granted credit for it. That node passes the
+	 *  request on only after that, when the first part of the body has come. */
+	bool body_waits;
 	int field_count;
 	struct field fields[FIELDS_MAX];
 };
