--- a/regress/peer/codec_test.c
+++ b/regress/peer/codec_test.c
@@ -330,6 +330,7 @@
 				     .remaining_us = 12345,
 				     .body_length = -1,
 				     .fingerprint = 99,
+				     .body_waits = true,
 				     .field_count = 1,
 				     .fields = { { STR("A"), STR("") } } };
 	struct request_head decoded = { 0 };
@@ -352,6 +353,7 @@
 	assert_int_equal(decoded.remaining_us, 12345);
 	assert_int_equal(decoded.body_length, -1);
 	assert_int_equal(decoded.field_count, 1);
+	assert_true(decoded.body_waits);
 	decoded_head_free(storage);
 	strbuf_clear(&bytes);
 }
--- a/regress/peer/link_test.c
+++ b/regress/peer/link_test.c
@@ -406,6 +406,97 @@
 	close_lone_call(&call);
 }
 
+/* Opens a second call, whose body waits if the peer is known to grant bodies. Returns whether it
+ * waits. */
+static bool open_waiting_call(struct lone_call *call, struct owner *owner, struct stream *stream)
+{
+	struct request_head head = request_head();
+	struct str body = STR("body");
+
+	head.body_waits = true;
+	head.body_length = (int64_t)body.len;
+	assert_true(link_open(call->link, &owner->base, &head, &body, stream));
+	return head.body_waits;
+}
+
+/* Reads what the node has sent, up to the last frame; returns a bit for each kind of frame. */
+static unsigned int kinds_sent(const struct lone_call *call)
+{
+	char bytes[4096];
+	ssize_t n = recv(call->peer_fd, bytes, sizeof(bytes), MSG_DONTWAIT);
+	struct str remaining = { bytes, n > 0 ? (size_t)n : 0 };
+	unsigned int kinds = 0;
+	struct frame frame;
+	size_t used;
+
+	while (wire_read_frame(remaining, &frame, &used) == WIRE_FRAME) {
+		kinds |= 1U << frame.kind;
+		remaining = str_sub(remaining, used, remaining.len);
+	}
+	return kinds;
+}
+
+/* A node of an older version never grants a body: it would wait for one until the deadline. */
+static void test_body_goes_at_once_to_an_older_node(void **state)
+{
+	struct owner owner = { .base.refs = 1 };
+	struct stream stream = { 0 };
+	struct lone_call call;
+
+	(void)state;
+	open_lone_call(&call);
+	assert_false(open_waiting_call(&call, &owner, &stream));
+	assert_true(kinds_sent(&call) & 1U << FRAME_DATA);
+	close_lone_call(&call);
+	assert_int_equal(owner.verdict, VERDICT_MAY_HAVE_RUN);
+	link_unref(stream.link);
+}
+
+enum way_to_end { LINK_CLOSES, CALLER_LEAVES };
+
+/* Returns the verdict of a request whose body waited. */
+static enum verdict verdict_of_waiting(enum way_to_end way, bool body_begins)
+{
+	struct owner owner = { .base.refs = 1 };
+	struct stream stream = { 0 };
+	enum verdict verdict = VERDICT_MAY_HAVE_RUN;
+	struct lone_call call;
+
+	open_lone_call(&call);
+	call.link->peer_features = FEATURE_GRANTS_BODIES;
+	assert_true(open_waiting_call(&call, &owner, &stream));
+	assert_int_equal(kinds_sent(&call), 1U << FRAME_REQUEST);
+	if (body_begins) {
+		struct lone_call waiting = { .stream = stream };
+
+		send_body(&waiting, 1);
+		assert_int_equal(kinds_sent(&call), 1U << FRAME_DATA);
+	}
+	switch (way) {
+	case LINK_CLOSES:
+		link_close(call.link);
+		verdict = owner.verdict;
+		break;
+	case CALLER_LEAVES:
+		verdict = stream_cancel(stream);
+		assert_int_equal(kinds_sent(&call), 1U << FRAME_CANCEL);
+		break;
+	}
+	close_lone_call(&call);
+	link_unref(stream.link);
+	return verdict;
+}
+
+/* An upload that was lost before its body was sent was answered as one that may have run. */
+static void test_request_whose_body_waited_has_not_run(void **state)
+{
+	(void)state;
+	assert_int_equal(verdict_of_waiting(LINK_CLOSES, false), VERDICT_NOT_RUN);
+	assert_int_equal(verdict_of_waiting(LINK_CLOSES, true), VERDICT_MAY_HAVE_RUN);
+	assert_int_equal(verdict_of_waiting(CALLER_LEAVES, false), VERDICT_NOT_RUN);
+	assert_int_equal(verdict_of_waiting(CALLER_LEAVES, true), VERDICT_MAY_HAVE_RUN);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -424,6 +515,10 @@
 						set_up, tear_down),
 		cmocka_unit_test_setup_teardown(
 			test_small_body_does_not_extend_the_limit_of_silence, set_up, tear_down),
+		cmocka_unit_test_setup_teardown(test_body_goes_at_once_to_an_older_node, set_up,
+						tear_down),
+		cmocka_unit_test_setup_teardown(test_request_whose_body_waited_has_not_run, set_up,
+						tear_down),
 	};
 
 	apr_initialize();
