Tests: a program that can't be started ends the test

fork() failed at the machine's limit of processes; the id -1 was kept, and process_wait() waited for any child. A signal to it would have gone to all processes of the user.

--- a/regress/lib/fleet.c
+++ b/regress/lib/fleet.c
@@ -34,6 +34,9 @@
 	if (pipe2(in, O_CLOEXEC) != 0 || pipe2(out, O_CLOEXEC) != 0)
 		abort();
 	process.pid = fork();
+	/* A process id of -1 would stand for all processes in waitpid() and kill(). */
+	if (process.pid < 0)
+		abort();
 	if (process.pid == 0) {
 		int fd = errors_path ? open(errors_path, O_WRONLY | O_CREAT | O_APPEND, 0644) : -1;
 
