--- a/peer/link.h
+++ b/peer/link.h
@@ -8,6 +8,7 @@
 #include "base/lockorder.h"
 #include "peer/body.h"
 #include "peer/peers.h"
+#include "peer/schedule.h"
 
 enum link_state { LINK_CONNECTING, LINK_OPEN, LINK_CLOSED };
 
@@ -15,8 +16,10 @@
 struct stream_entry {
 	uint64_t id;
 	struct stream_owner *owner; /* one reference */
-	uint64_t request_end;	    /* value of link->queued at the end of the request's head */
+	uint64_t request_end;	    /* value of schedule.queued at the end of the request's head */
 	struct body body;	    /* that is received: the request's or the answer's */
+	bool body_waits;	    /* the request runs only once a part of its body has come */
+	bool body_begun;	    /* a part of the body that is sent was queued */
 };
 
 /** State of a watch; it decides which thread drops the watch's reference to the link. */
@@ -43,14 +46,15 @@
 	enum watch_state read_state;
 	enum watch_state write_state;
 	enum link_state state;
-	struct strbuf out;
+	struct schedule schedule; /* of the output */
 	bool writing;
-	uint64_t queued;     /* total bytes appended to out */
-	uint64_t detached;   /* total bytes taken from out for the socket and not put back */
-	GHashTable *streams; /* id -> struct stream_entry */
+	GHashTable *streams;	/* id -> struct stream_entry */
+	uint64_t peer_features; /* as in the peer's last PONG */
 	uint64_t next_stream;
 	int64_t received_at_us; /* monotonic; last read */
 	int64_t used_at_us;	/* monotonic; last stream opened or closed */
+	int64_t moved_at_us;	/* monotonic; bytes of a large body last sent or received */
+	bool late; /* the link was silent for SILENT_US while a large body was in transit */
 };
 
 struct link *link_new(struct peers *peers, int fd, bool outgoing, enum link_state state);
@@ -58,8 +62,9 @@
 struct link *link_connect(struct peers *peers, uint64_t to, struct instant now);
 /** Registers the accepted or connecting link with the pool. */
 void link_start(struct link *link);
-/** Opens a stream; false if the link is closed. On success adds a reference to @p owner. */
-bool link_open(struct link *link, struct stream_owner *owner, const struct request_head *head,
+/** Opens a stream as peers_call() does; false if the link is closed. On success adds a reference to
+ *  @p owner. */
+bool link_open(struct link *link, struct stream_owner *owner, struct request_head *head,
 	       const struct str *body, struct stream *stream);
 /** Queues frames and writes as many bytes as the socket accepts. */
 void link_write(struct link *link, struct str frames);
@@ -73,8 +78,8 @@
 void link_end_handling(struct link *link, struct watch *watch, enum watch_state *state, bool rearm,
 		       int interest);
 /** Adds a stream's entry and passes it the caller's reference to @p owner. LOCK_LINK is held. */
-void link_add_entry(struct link *link, uint64_t id, struct stream_owner *owner,
-		    uint64_t request_end, struct body body);
+struct stream_entry *link_add_entry(struct link *link, uint64_t id, struct stream_owner *owner,
+				    uint64_t request_end, struct body body);
 /** Removes a stream's entry; returns its reference to the owner, NULL if there is no entry. */
 struct stream_owner *link_remove_entry(struct link *link, uint64_t id);
 /** Like link_remove_entry(). LOCK_LINK is held. */
@@ -90,6 +95,8 @@
 void peers_deliver(struct peers *peers, struct peer_event *event);
 void peers_remove_link(struct peers *peers, struct link *link);
 struct workers *peers_workers(struct peers *peers);
+/** Adds one to a counter. */
+void peers_count(struct peers *peers, struct str name);
 uint64_t peers_fleet_tag(const struct peers *peers);
 /** Decodes and delivers a message; false if the payload is not one. */
 bool peers_receive_message(struct peers *peers, uint64_t from, struct str payload);
--- a/peer/peers.c
+++ b/peer/peers.c
@@ -157,6 +157,12 @@
 	return peers->options.fleet;
 }
 
+void peers_count(struct peers *peers, struct str name)
+{
+	if (peers->options.metrics)
+		metrics_add(peers->options.metrics, name, STR(""), 1);
+}
+
 uint64_t peers_self(const struct peers *peers)
 {
 	return peers->options.self;
@@ -301,7 +307,7 @@
 	close(link->write_fd);
 	g_hash_table_destroy(link->streams);
 	strbuf_clear(&link->in);
-	strbuf_clear(&link->out);
+	schedule_clear(&link->schedule);
 	apr_pool_destroy(link->pool);
 	g_free(link);
 }
@@ -398,13 +404,17 @@
 }
 
 bool peers_call(struct peers *peers, uint64_t to, struct stream_owner *owner,
-		const struct request_head *head, const struct str *body, struct stream *stream)
+		struct request_head *head, const struct str *body, struct stream *stream)
 {
+	bool body_waits = head->body_waits;
+
 	/* A link that was closed in the meantime is replaced once. */
 	for (int i = 0; i < 2; i++) {
 		struct link *link = get_link(peers, to);
-		bool open = link && link_open(link, owner, head, body, stream);
+		bool open;
 
+		head->body_waits = body_waits;
+		open = link && link_open(link, owner, head, body, stream);
 		link_unref(link);
 		if (open)
 			return true;
@@ -430,7 +440,7 @@
 		struct link *link = g_ptr_array_index(peers->all, i);
 
 		lock_acquire(&link->lock);
-		unsent += link->out.len;
+		unsent += schedule_bytes(&link->schedule);
 		lock_release(&link->lock);
 	}
 	lock_release(&peers->lock);
