Account of the memory that callers hold; limits on what a connection may make a node keep

Bodies in chunks are ended at body_max_bytes, header sections at 32 KiB or after 5 s, and a connection that was opened and left gives its place to a new one. A caller that sends requests without reading answers no longer counts as active.

--- a/base/events.h
+++ b/base/events.h
@@ -57,7 +57,10 @@
 	X(800, CALL_CUT, LOG_LEVEL_WARN)                                                           \
 	X(801, CALL_ENDED, LOG_LEVEL_INFO)                                                         \
 	X(802, CALL_RETRIED, LOG_LEVEL_INFO)                                                       \
-	X(803, OUTCOME_UNRECORDED, LOG_LEVEL_WARN)
+	X(803, OUTCOME_UNRECORDED, LOG_LEVEL_WARN)                                                 \
+	X(804, CALLER_CLOSED, LOG_LEVEL_WARN)                                                      \
+	X(805, CALLER_REFUSED, LOG_LEVEL_WARN)                                                     \
+	X(806, CALLER_MEMORY, LOG_LEVEL_WARN)
 
 enum log_event {
 #define LOG_EVENT_ENUM(number, name, level) LOG_EVENT_##name = (number),
--- a/base/metrics.c
+++ b/base/metrics.c
@@ -8,7 +8,7 @@
 /* The number of series is bounded because callers choose the tenant names in the labels. */
 enum { METRICS_SERIES_MAX = 2000 };
 
-enum series_kind { SERIES_COUNTER, SERIES_HISTOGRAM };
+enum series_kind { SERIES_COUNTER /* or gauge */, SERIES_HISTOGRAM };
 
 struct series {
 	struct str name;
@@ -102,6 +102,13 @@
 	lock_release(&metrics->lock);
 }
 
+void metrics_set(struct metrics *metrics, struct str name, struct str labels, int64_t value)
+{
+	lock_acquire(&metrics->lock);
+	series_get(metrics, name, labels, SERIES_COUNTER)->value = value;
+	lock_release(&metrics->lock);
+}
+
 void metrics_observe(struct metrics *metrics, struct str name, struct str labels, int64_t us)
 {
 	lock_acquire(&metrics->lock);
--- a/base/metrics.h
+++ b/base/metrics.h
@@ -1,6 +1,6 @@
 /**
  * @file
- * Counters and histograms by name and labels, printed in the text format of Prometheus.
+ * Counters, gauges and histograms by name and labels, printed in the text format of Prometheus.
  */
 #ifndef BASE_METRICS_H
 #define BASE_METRICS_H
@@ -20,6 +20,8 @@
  * Beyond METRICS_SERIES_MAX series, new labels are counted as `other="1"`. Takes LOCK_COUNTERS.
  */
 void metrics_add(struct metrics *metrics, struct str name, struct str labels, int64_t amount);
+/** Sets a gauge; otherwise as metrics_add(). */
+void metrics_set(struct metrics *metrics, struct str name, struct str labels, int64_t value);
 /** Adds @p us to a histogram, which is created on first use. Takes LOCK_COUNTERS. */
 void metrics_observe(struct metrics *metrics, struct str name, struct str labels, int64_t us);
 /** Appends all series, sorted by name and labels. Takes LOCK_COUNTERS. */
--- a/base/pipe.c
+++ b/base/pipe.c
@@ -9,7 +9,10 @@
 	gint refs;
 	struct lock lock;
 	apr_thread_cond_t *changed;
-	apr_pool_t *pool;
+	struct memory *memory; /* NULL: the buffer is not counted */
+	struct memory_holder *holder;
+	enum memory_use use;
+	size_t counted; /* bytes of the buffer that the account has */
 	struct strbuf buffered;
 	size_t consumed; /* bytes at the front of buffered that were read */
 	size_t limit;
@@ -18,25 +21,53 @@
 	bool reader_waiting;
 };
 
-struct pipe *pipe_new(size_t limit, apr_pool_t *parent)
+struct pipe *pipe_new(size_t limit, apr_pool_t *pool)
 {
 	struct pipe *pipe = g_new0(struct pipe, 1);
 
 	pipe->refs = 1;
 	pipe->limit = limit;
-	/* Each pipe has its own pool, since pipes are created and freed with the calls. */
-	apr_pool_create(&pipe->pool, parent);
-	lock_init(&pipe->lock, LOCK_PIPE, pipe->pool);
-	apr_thread_cond_create(&pipe->changed, pipe->pool);
+	lock_init(&pipe->lock, LOCK_PIPE, pool);
+	apr_thread_cond_create(&pipe->changed, pool);
 	return pipe;
 }
 
+void pipe_set_account(struct pipe *pipe, struct memory *memory, struct memory_holder *holder,
+		      enum memory_use use)
+{
+	lock_acquire(&pipe->lock);
+	pipe->memory = memory;
+	pipe->holder = holder;
+	pipe->use = use;
+	lock_release(&pipe->lock);
+}
+
+/* Counts the buffer as large as it is now. LOCK_PIPE is held, or nobody else uses the pipe. */
+static void count_buffer(struct pipe *pipe)
+{
+	size_t counted = pipe->counted;
+
+	if (!pipe->memory)
+		return;
+	pipe->counted = pipe->buffered.cap;
+	memory_charge(pipe->memory, pipe->holder, pipe->use,
+		      (int64_t)pipe->counted - (int64_t)counted);
+}
+
+static void clear_buffer(struct pipe *pipe)
+{
+	strbuf_clear(&pipe->buffered);
+	pipe->consumed = 0;
+	count_buffer(pipe);
+}
+
 void pipe_unref(struct pipe *pipe)
 {
 	if (!pipe || !g_atomic_int_dec_and_test(&pipe->refs))
 		return;
-	strbuf_clear(&pipe->buffered);
-	apr_pool_destroy(pipe->pool);
+	clear_buffer(pipe);
+	apr_thread_cond_destroy(pipe->changed);
+	lock_destroy(&pipe->lock);
 	g_free(pipe);
 }
 
@@ -57,6 +88,7 @@
 		pipe->consumed = 0;
 	}
 	strbuf_add(&pipe->buffered, bytes);
+	count_buffer(pipe);
 	pipe->reader_waiting = false;
 	apr_thread_cond_broadcast(pipe->changed);
 	return waiting;
@@ -130,6 +162,8 @@
 		return 0;
 	memcpy(into, pipe->buffered.data + pipe->consumed, n);
 	pipe->consumed += n;
+	if (buffered_bytes(pipe) == 0)
+		clear_buffer(pipe);
 	apr_thread_cond_broadcast(pipe->changed);
 	return n;
 }
@@ -177,6 +211,7 @@
 {
 	lock_acquire(&pipe->lock);
 	pipe->abandoned = true;
+	clear_buffer(pipe);
 	apr_thread_cond_broadcast(pipe->changed);
 	lock_release(&pipe->lock);
 }
--- a/base/pipe.h
+++ b/base/pipe.h
@@ -10,6 +10,7 @@
 #include <apr_pools.h>
 
 #include "base/clock.h"
+#include "base/memory.h"
 #include "base/str.h"
 
 enum pipe_end {
@@ -20,8 +21,12 @@
 
 struct pipe;
 
-/** pipe_write_wait() waits for room while @p limit bytes or more are buffered. */
-struct pipe *pipe_new(size_t limit, apr_pool_t *parent);
+/** pipe_write_wait() waits for room while @p limit bytes or more are buffered. The pipe uses
+ *  @p pool, which must live as long. */
+struct pipe *pipe_new(size_t limit, apr_pool_t *pool);
+/** Counts the pipe's buffer in an account from now on. To be called before anything is written. */
+void pipe_set_account(struct pipe *pipe, struct memory *memory, struct memory_holder *holder,
+		      enum memory_use use);
 void pipe_unref(struct pipe *pipe);
 
 /** Appends all of @p bytes, even past the limit; true if a reader was waiting. */
@@ -37,7 +42,8 @@
 /** Waits for bytes or the end of the body, which ends as PIPE_FAILED if @p deadline passes. */
 size_t pipe_read_wait(struct pipe *pipe, char *into, size_t cap, enum pipe_end *end,
 		      struct deadline deadline);
-/** Ends the reading side: later writes are discarded and pipe_write_wait() fails. */
+/** Ends the reading side: the buffer is freed, later writes are discarded and pipe_write_wait()
+ *  fails. */
 void pipe_abandon(struct pipe *pipe);
 /** Returns the number of bytes that were written but not read. */
 size_t pipe_buffered_bytes(struct pipe *pipe);
--- a/caller/connection.c
+++ b/caller/connection.c
@@ -8,6 +8,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+/* Callers send a header section within 3 s. */
+#define HEAD_TIMEOUT_US	  (5 * US_PER_S)
 #define LINGER_TIMEOUT_US (1 * US_PER_S) /* time for the caller to close after the last answer */
 
 enum {
@@ -18,6 +20,7 @@
 	DISCARD_MAX_BYTES = 1 << 20, /* then a connection is not read any more */
 	STATUS_NO_CONTENT = 204,
 	STATUS_NOT_MODIFIED = 304,
+	STATUS_UNAVAILABLE = 503,
 };
 
 struct connection *connection_ref(struct connection *connection)
@@ -32,18 +35,23 @@
 		return;
 	close(connection->fd);
 	strbuf_clear(&connection->output);
+	connection->counted_output = 0;
 	caller_recycle(connection->caller, connection);
 }
 
 void connection_open(struct connection *connection, int fd, uint32_t ipv4)
 {
 	struct workers *workers = caller_options_of(connection->caller)->workers;
+	struct memory *memory = caller_options_of(connection->caller)->memory;
+	struct instant now = clock_now();
 	int enable = 1;
 
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &enable, sizeof(enable));
 	connection->refs = 1;
 	connection->ipv4 = ipv4;
 	input_reset(connection);
+	memory_join(memory, &connection->holder, now);
+	memory_charge(memory, &connection->holder, MEMORY_REQUESTS, sizeof(*connection));
 	lock_acquire(&connection->lock);
 	connection->state = CONNECTION_OPEN;
 	connection->fd = fd;
@@ -51,7 +59,12 @@
 	connection->event_pending = false;
 	connection->awaiting_writable = false;
 	connection->answers = ANSWERS_FOLLOW;
-	connection->last_active_us = clock_now().mono_us;
+	connection->used = false;
+	connection->in_head = false;
+	connection->heads = 0;
+	connection->opened_us = now.mono_us;
+	connection->last_active_us = now.mono_us;
+	connection->last_taken_us = now.mono_us;
 	connection->watch.fd = fd;
 	lock_release(&connection->lock);
 	if (!workers_watch(workers, &connection->watch, WATCH_READ))
@@ -77,6 +90,7 @@
 	lock_release(&connection->lock);
 	if (call->dispatched)
 		caller_notify(call, CALLER_ENDED, 0);
+	caller_call_uncount(call);
 	caller_add_active(connection->caller, -1);
 	caller_call_unref(call);
 }
@@ -118,6 +132,8 @@
 	being_handled = connection->handling;
 	if (closes) {
 		connection->state = CONNECTION_CLOSED;
+		memory_set_closing(caller_options_of(connection->caller)->memory,
+				   &connection->holder);
 		move_calls(&connection->answered, &calls);
 		move_calls(&connection->calls, &calls);
 		workers_unwatch(caller_options_of(connection->caller)->workers, &connection->watch);
@@ -140,6 +156,17 @@
 	close_if(connection, CLOSE_ALWAYS);
 }
 
+void connection_close_for(struct connection *connection, const char *why)
+{
+	struct caller *caller = connection->caller;
+	struct memory_closing state;
+
+	memory_describe(caller_options_of(caller)->memory, &connection->holder, clock_now(),
+			&state);
+	caller_log_closing(caller, connection, &state, why);
+	connection_close(connection);
+}
+
 void connection_close_idle(struct connection *connection)
 {
 	close_if(connection, CLOSE_IDLE);
@@ -353,6 +380,26 @@
 	return socket_full;
 }
 
+/* Counts the output as large as it is now. The connection's lock is held. */
+static void count_output(struct connection *connection)
+{
+	int64_t bytes = (int64_t)connection->output.cap;
+
+	memory_charge(caller_options_of(connection->caller)->memory, &connection->holder,
+		      MEMORY_ANSWERS, bytes - connection->counted_output);
+	connection->counted_output = bytes;
+}
+
+/* Records that the caller took bytes of its answers. The connection's lock is held. */
+static void record_taken(struct connection *connection)
+{
+	struct instant now = clock_now();
+
+	connection->last_active_us = now.mono_us;
+	connection->last_taken_us = now.mono_us;
+	memory_sent(caller_options_of(connection->caller)->memory, &connection->holder, now);
+}
+
 /* Writes until no output is ready or the socket is full. Only one thread at a time runs this. */
 static bool write_output(struct connection *connection)
 {
@@ -364,7 +411,11 @@
 		struct strbuf bytes = { 0 };
 		struct caller_call *call;
 		size_t body_bytes;
+		size_t offered;
 
+		/* Without output the caller has had nothing to take. */
+		if (connection->output.len == 0)
+			connection->last_taken_us = clock_now().mono_us;
 		call = serialize_front(connection, &body_bytes);
 		if (call) {
 			lock_release(&connection->lock);
@@ -377,12 +428,15 @@
 		}
 		if (!detach_output(connection, &bytes))
 			break;
+		offered = bytes.len;
 		lock_release(&connection->lock);
 		ok = send_bytes(connection->fd, &bytes);
 		lock_acquire(&connection->lock);
-		connection->last_active_us = clock_now().mono_us;
+		if (bytes.len < offered)
+			record_taken(connection);
 		socket_full = restore_output(connection, &bytes);
 	}
+	count_output(connection);
 	connection->awaiting_writable = socket_full;
 	if (socket_full && !connection->handling && connection->state != CONNECTION_CLOSED)
 		rearm_watch(connection);
@@ -467,12 +521,14 @@
 	return true;
 }
 
-/* Returns the next call that may start. Calls with safe methods run concurrently; any other call
- * runs alone. */
-static struct caller_call *next_startable_call(struct connection *connection)
+/* Returns the next call that may start, with a reference, and whether memory lets it run. Calls
+ * with safe methods run concurrently; any other call runs alone. */
+static struct caller_call *next_startable_call(struct connection *connection,
+					       enum memory_admission *admission)
 {
 	struct caller_call *found = NULL;
 
+	*admission = MEMORY_WAIT;
 	lock_acquire(&connection->lock);
 	for (GList *at = connection->calls.head; at && !found; at = at->next) {
 		struct caller_call *call = at->data;
@@ -484,11 +540,15 @@
 		if (!call->safe)
 			break;
 	}
-	if (found && may_dispatch(connection)) {
+	if (found && may_dispatch(connection))
+		*admission = memory_admit(caller_options_of(connection->caller)->memory,
+					  &connection->holder,
+					  found == g_queue_peek_head(&connection->calls));
+	if (*admission == MEMORY_WAIT) {
+		found = NULL;
+	} else {
 		found->dispatched = true;
 		caller_call_ref(found);
-	} else {
-		found = NULL;
 	}
 	lock_release(&connection->lock);
 	return found;
@@ -496,10 +556,22 @@
 
 static void dispatch_calls(struct connection *connection)
 {
+	enum memory_admission admission;
 	struct caller_call *call;
 
-	while ((call = next_startable_call(connection)) != NULL) {
-		caller_notify(call, CALLER_READY, 0);
+	while ((call = next_startable_call(connection, &admission)) != NULL) {
+		switch (admission) {
+		case MEMORY_RUN:
+			caller_notify(call, CALLER_READY, 0);
+			break;
+		case MEMORY_REFUSE:
+			/* The handler has not seen it: it has not run, and never will. */
+			caller_log_refusal(connection->caller, connection);
+			call_reject(call, STATUS_UNAVAILABLE);
+			break;
+		case MEMORY_WAIT:
+			break;
+		}
 		caller_call_unref(call);
 	}
 }
@@ -531,7 +603,10 @@
 	if (connection->input.discarded > DISCARD_MAX_BYTES)
 		return false;
 	lock_acquire(&connection->lock);
-	room = g_queue_get_length(&connection->calls) < PIPELINE_MAX;
+	room = g_queue_get_length(&connection->calls) < PIPELINE_MAX &&
+	       (connection->answers != ANSWERS_FOLLOW ||
+		memory_may_read(caller_options_of(connection->caller)->memory,
+				&connection->holder));
 	lock_release(&connection->lock);
 	return room && (!call || caller_body_has_room(&call->body));
 }
@@ -551,6 +626,16 @@
 /* The result of reading from the socket. */
 enum read_result { READ_DRAINED, READ_MORE, READ_CLOSED };
 
+static void record_received(struct connection *connection)
+{
+	struct instant now = clock_now();
+
+	lock_acquire(&connection->lock);
+	connection->last_active_us = now.mono_us;
+	memory_received(caller_options_of(connection->caller)->memory, &connection->holder, now);
+	lock_release(&connection->lock);
+}
+
 static enum read_result read_once(struct connection *connection)
 {
 	char bytes[READ_BYTES];
@@ -560,9 +645,7 @@
 		return READ_DRAINED;
 	if (n <= 0)
 		return READ_CLOSED;
-	lock_acquire(&connection->lock);
-	connection->last_active_us = clock_now().mono_us;
-	lock_release(&connection->lock);
+	record_received(connection);
 	/* Bytes after the last request are read from the socket and discarded: closing it with
 	 * unread bytes would reset it, and the caller could lose its last answer. */
 	if (!reads_requests(connection) ||
@@ -589,6 +672,7 @@
 		return has_hung_up(connection->fd) ? READ_CLOSED : READ_MORE;
 	for (int i = 0; i < READS_PER_EVENT && result == READ_MORE && can_read(connection); i++)
 		result = read_once(connection);
+	caller_relieve(connection->caller);
 	return result;
 }
 
@@ -609,6 +693,18 @@
 	return acquired;
 }
 
+/* Records since when a head is being received. The connection's lock is held. */
+static void record_head(struct connection *connection)
+{
+	const struct request_input *input = &connection->input;
+
+	connection->in_head = input->call && !input->head_complete;
+	if (connection->heads == input->heads)
+		return;
+	connection->heads = input->heads;
+	connection->head_since_us = connection->last_active_us;
+}
+
 /* Returns true if the connection waits for its next event, false if one arrived meanwhile. */
 static bool end_handling(struct connection *connection)
 {
@@ -622,6 +718,7 @@
 	connection->handling = !finished;
 	closed = connection->state == CONNECTION_CLOSED;
 	connection->reading_paused = !room;
+	record_head(connection);
 	if (finished && !closed)
 		rearm_watch(connection);
 	lock_release(&connection->lock);
@@ -662,16 +759,28 @@
 {
 	int64_t timeout_us = caller_options_of(connection->caller)->idle_s * US_PER_S;
 	int64_t inactive_us;
-	bool has_output;
+	bool unread;
+	bool head_late;
+	bool held_up;
 
 	lock_acquire(&connection->lock);
 	inactive_us = now.mono_us - connection->last_active_us;
 	if (connection->state == CONNECTION_LINGERING)
 		timeout_us = LINGER_TIMEOUT_US;
 	/* If the caller does not read its answers, its connection and output are kept no longer
-	 * than an idle connection. */
-	has_output = connection->output.len > 0;
+	 * than an idle connection, also if it sends requests. */
+	unread =
+		connection->output.len > 0 && now.mono_us - connection->last_taken_us >= timeout_us;
+	head_late = connection->in_head && !connection->reading_paused && is_idle(connection) &&
+		    now.mono_us - connection->head_since_us >= HEAD_TIMEOUT_US;
+	held_up = connection->reading_paused || connection->calls.length > 0;
 	lock_release(&connection->lock);
-	if (inactive_us >= timeout_us)
-		close_if(connection, has_output ? CLOSE_ALWAYS : CLOSE_IDLE);
+	if (unread)
+		connection_close_for(connection, "unread");
+	else if (head_late)
+		connection_close_for(connection, "head");
+	else if (inactive_us >= timeout_us)
+		close_if(connection, CLOSE_IDLE);
+	else if (held_up)
+		connection_advance(connection); /* memory may have become available */
 }
--- a/caller/connection.h
+++ b/caller/connection.h
@@ -70,6 +70,9 @@
 	bool truncated; /* the answer failed before its end; no more of it is sent */
 	struct response_head head;
 	struct strbuf head_text;
+	int64_t counted_request; /* bytes that the account has */
+	int64_t counted_body;
+	bool uncounted; /* the connection is done with the call: nothing more is counted */
 };
 
 /**
@@ -112,6 +115,7 @@
 	int error_status;   /* answer to an invalid request, after which nothing is read; 0: none */
 	bool ended;	    /* the last request is complete; bytes after it are discarded */
 	uint64_t discarded; /* bytes that belong to no request */
+	uint64_t heads;	    /* that have begun */
 };
 
 struct connection {
@@ -120,7 +124,7 @@
 	struct watch watch;
 	uint32_t ipv4;
 	struct request_input input;
-	apr_pool_t *pool;
+	struct memory_holder holder; /* guarded by the account */
 
 	struct lock lock; /* LOCK_CONNECTION: guards all members below */
 	enum connection_state state;
@@ -135,7 +139,14 @@
 	bool writing;	    /* a thread is writing */
 	bool write_pending; /* the writing thread must make another pass */
 	enum connection_answers answers;
-	int64_t last_active_us; /* monotonic time */
+	int64_t counted_output; /* bytes of the output that the account has */
+	bool used;		/* a request has come, at least its head */
+	bool in_head;		/* a head has begun and not ended */
+	uint64_t heads;		/* value of input.heads when head_since_us was set */
+	int64_t head_since_us;	/* monotonic times */
+	int64_t opened_us;
+	int64_t last_active_us; /* last byte in either direction */
+	int64_t last_taken_us;	/* last byte of an answer that was taken, or its start */
 };
 
 /** Returns whether a request may be queued: the connection is open, and its last answer is not
@@ -151,6 +162,8 @@
 void connection_close(struct connection *connection);
 /** Resumes reading after room has become available. */
 void connection_resume(struct connection *connection);
+/** Logs why the connection is closed, and closes it. */
+void connection_close_for(struct connection *connection, const char *why);
 /** Closes the connection if it has no calls. */
 void connection_close_idle(struct connection *connection);
 /** Closes the connection if it was inactive for too long. */
@@ -164,10 +177,16 @@
 bool input_parse(struct connection *connection, struct str bytes);
 void input_reset(struct connection *connection);
 void input_abort(struct connection *connection);
+/** Answers a request that was not passed to the handler, and never will be. */
+void call_reject(struct caller_call *call, int status);
 
 /* caller/http.c */
 
 struct caller_call *caller_call_new(struct connection *connection);
+/** Counts the call as large as it is now. Takes the connection's lock. */
+void caller_call_count(struct caller_call *call);
+/** Counts nothing more for the call. Takes the connection's lock. */
+void caller_call_uncount(struct caller_call *call);
 /** Ends a body that is cut. A whole body needs no mark: its call is passed on only complete. */
 void caller_body_cut(struct caller_body *body);
 /** Returns whether more bytes of a body may be read from the caller. */
@@ -176,6 +195,13 @@
 const struct caller_options *caller_options_of(const struct caller *caller);
 bool caller_is_retired(struct caller *caller);
 void caller_add_active(struct caller *caller, int change);
+/** Closes connections while callers hold more memory than the budget. No lock may be held. */
+void caller_relieve(struct caller *caller);
+/** Logs that a request is refused for want of memory. */
+void caller_log_refusal(struct caller *caller, const struct connection *connection);
+/** Logs and counts that a connection is closed, and what it holds. */
+void caller_log_closing(struct caller *caller, const struct connection *connection,
+			const struct memory_closing *closing, const char *why);
 /** Makes a closed connection available for reuse. */
 void caller_recycle(struct caller *caller, struct connection *connection);
 
--- a/caller/http.c
+++ b/caller/http.c
@@ -8,11 +8,15 @@
 #include <unistd.h>
 
 #include "base/lockorder.h"
+#include "base/logger.h"
 #include "caller/connection.h"
 
 enum {
 	LISTEN_BACKLOG = 1024,
 	ACCEPTS_PER_EVENT = 32,
+	HEAD_MAX_BYTES = 32 << 10, /* twice of what callers in the field send */
+	/* State of a call in this process beside its text: three pools of 8 KiB and the records. */
+	CALL_BYTES = 24 << 10,
 };
 
 struct caller {
@@ -21,6 +25,8 @@
 	struct watch listen_watch;
 	gint active;
 	gint retired;
+	gint listen_paused;	     /* no descriptor was free */
+	gint short_logged;	     /* the last log line on memory said that it is short */
 	struct lock lock;	     /* LOCK_CALLERS: guards all members below */
 	int listen_fd;		     /* -1 after caller_quiesce() */
 	GPtrArray *connections;	     /* struct connection; all that were created */
@@ -37,9 +43,52 @@
 	call->method = STR("GET");
 	apr_pool_create(&call->pool, NULL);
 	call->answer = pipe_new(ANSWER_LIMIT_BYTES, call->pool);
+	pipe_set_account(call->answer, caller_options_of(connection->caller)->memory,
+			 &connection->holder, MEMORY_ANSWERS);
 	return call;
 }
 
+static int64_t whole_body_bytes(const struct caller_body *body)
+{
+	switch (body->kind) {
+	case CALLER_BODY_WHOLE:
+		return (int64_t)body->whole.cap;
+	case CALLER_BODY_STREAMED:
+		/* Its pipe counts it. */
+		return 0;
+	}
+	g_assert_not_reached();
+}
+
+/* The connection's lock is held. */
+static void set_counted(struct caller_call *call, int64_t request, int64_t body)
+{
+	struct memory *memory = caller_options_of(call->connection->caller)->memory;
+	struct memory_holder *holder = &call->connection->holder;
+
+	memory_charge(memory, holder, MEMORY_REQUESTS, request - call->counted_request);
+	memory_charge(memory, holder, MEMORY_BODIES, body - call->counted_body);
+	call->counted_request = request;
+	call->counted_body = body;
+}
+
+void caller_call_count(struct caller_call *call)
+{
+	lock_acquire(&call->connection->lock);
+	if (!call->uncounted)
+		set_counted(call, CALL_BYTES + (int64_t)call->text.cap,
+			    whole_body_bytes(&call->body));
+	lock_release(&call->connection->lock);
+}
+
+void caller_call_uncount(struct caller_call *call)
+{
+	lock_acquire(&call->connection->lock);
+	call->uncounted = true;
+	set_counted(call, 0, 0);
+	lock_release(&call->connection->lock);
+}
+
 struct caller_call *caller_call_ref(struct caller_call *call)
 {
 	g_atomic_int_inc(&call->refs);
@@ -86,6 +135,7 @@
 {
 	if (!call || !g_atomic_int_dec_and_test(&call->refs))
 		return;
+	caller_call_uncount(call);
 	body_clear(&call->body);
 	pipe_unref(call->answer);
 	strbuf_clear(&call->text);
@@ -188,6 +238,8 @@
 			    g_strerror(errno));
 		return NULL;
 	}
+	/* The parser has one limit for the process. */
+	http_parser_set_max_header_size(HEAD_MAX_BYTES);
 	caller = g_new0(struct caller, 1);
 	caller->options = *options;
 	caller->listen_fd = fd;
@@ -223,8 +275,8 @@
 
 	connection->caller = caller;
 	connection->watch.work = (struct work){ WORK_CALLER, connection };
-	apr_pool_create(&connection->pool, NULL);
-	lock_init(&connection->lock, LOCK_CONNECTION, connection->pool);
+	/* Connections live as long as the caller's pool; its lock is held. */
+	lock_init(&connection->lock, LOCK_CONNECTION, caller->pool);
 	g_queue_init(&connection->calls);
 	g_queue_init(&connection->answered);
 	return connection;
@@ -255,6 +307,7 @@
 
 void caller_recycle(struct caller *caller, struct connection *connection)
 {
+	memory_leave(caller->options.memory, &connection->holder);
 	lock_acquire(&caller->lock);
 	add_address_count(caller, connection->ipv4, -1);
 	lock_release(&caller->lock);
@@ -266,11 +319,85 @@
 	lock_release(&caller->lock);
 }
 
+/* Returns all open and lingering connections, with a reference each. */
+static GPtrArray *open_connections(struct caller *caller)
+{
+	GPtrArray *open = g_ptr_array_new_with_free_func((GDestroyNotify)connection_unref);
+
+	lock_acquire(&caller->lock);
+	for (guint i = 0; i < caller->connections->len; i++) {
+		struct connection *connection = g_ptr_array_index(caller->connections, i);
+
+		lock_acquire(&connection->lock);
+		if (connection->state == CONNECTION_OPEN ||
+		    connection->state == CONNECTION_LINGERING)
+			g_ptr_array_add(open, connection_ref(connection));
+		lock_release(&connection->lock);
+	}
+	lock_release(&caller->lock);
+	return open;
+}
+
+/* Returns the oldest open connection that has sent no request, with a reference; NULL if there is
+ * none. @p ipv4: only of this address; 0: of any. */
+static struct connection *oldest_unused(struct caller *caller, uint32_t ipv4)
+{
+	GPtrArray *open = open_connections(caller);
+	struct connection *oldest = NULL;
+	int64_t oldest_us = INT64_MAX;
+
+	for (guint i = 0; i < open->len; i++) {
+		struct connection *connection = g_ptr_array_index(open, i);
+
+		lock_acquire(&connection->lock);
+		if (!connection->used && connection->opened_us < oldest_us &&
+		    (ipv4 == 0 || connection->ipv4 == ipv4)) {
+			oldest = connection;
+			oldest_us = connection->opened_us;
+		}
+		lock_release(&connection->lock);
+	}
+	if (oldest)
+		connection_ref(oldest);
+	g_ptr_array_unref(open);
+	return oldest;
+}
+
+/* Closes a connection that was opened and left, so that a new caller is served. */
+static bool make_room(struct caller *caller, uint32_t ipv4)
+{
+	struct connection *unused;
+	bool by_address;
+
+	lock_acquire(&caller->lock);
+	by_address = address_count(caller, ipv4) >= caller->options.connections_per_address;
+	lock_release(&caller->lock);
+	unused = oldest_unused(caller, by_address ? ipv4 : 0);
+	if (!unused)
+		return false;
+	connection_close_for(unused, "room");
+	connection_unref(unused);
+	return true;
+}
+
+static void rearm_listening(struct caller *caller)
+{
+	lock_acquire(&caller->lock);
+	if (caller->listen_fd >= 0)
+		workers_rearm(caller->options.workers, &caller->listen_watch, WATCH_READ);
+	lock_release(&caller->lock);
+}
+
+/* Returns whether accept() failed for want of a descriptor or of memory. */
+static bool is_out_of_descriptors(int error)
+{
+	return error == EMFILE || error == ENFILE || error == ENOBUFS || error == ENOMEM;
+}
+
 void caller_on_listen(struct caller *caller)
 {
 	struct sockaddr_in address = { 0 };
 	int fd = 0;
-	bool listening;
 
 	for (int i = 0; i < ACCEPTS_PER_EVENT && fd >= 0; i++) {
 		socklen_t len = sizeof(address);
@@ -279,20 +406,23 @@
 
 		fd = accept4(caller->listen_watch.fd, (struct sockaddr *)&address, &len,
 			     SOCK_NONBLOCK | SOCK_CLOEXEC);
+		/* The event would be reported again at once: caller_tick() listens again. */
+		if (fd < 0 && is_out_of_descriptors(errno)) {
+			g_atomic_int_set(&caller->listen_paused, 1);
+			return;
+		}
 		if (fd < 0)
 			break;
 		ipv4 = ntohl(address.sin_addr.s_addr);
 		connection = acquire_connection(caller, ipv4);
+		if (!connection && make_room(caller, ipv4))
+			connection = acquire_connection(caller, ipv4);
 		if (connection)
 			connection_open(connection, fd, ipv4);
 		else
 			close(fd);
 	}
-	lock_acquire(&caller->lock);
-	listening = caller->listen_fd >= 0;
-	if (listening)
-		workers_rearm(caller->options.workers, &caller->listen_watch, WATCH_READ);
-	lock_release(&caller->lock);
+	rearm_listening(caller);
 }
 
 void caller_on_connection(struct connection *connection)
@@ -305,25 +435,6 @@
 	g_atomic_int_set(&caller->retired, 1);
 }
 
-/* Returns all open and lingering connections, with a reference each. */
-static GPtrArray *open_connections(struct caller *caller)
-{
-	GPtrArray *open = g_ptr_array_new_with_free_func((GDestroyNotify)connection_unref);
-
-	lock_acquire(&caller->lock);
-	for (guint i = 0; i < caller->connections->len; i++) {
-		struct connection *connection = g_ptr_array_index(caller->connections, i);
-
-		lock_acquire(&connection->lock);
-		if (connection->state == CONNECTION_OPEN ||
-		    connection->state == CONNECTION_LINGERING)
-			g_ptr_array_add(open, connection_ref(connection));
-		lock_release(&connection->lock);
-	}
-	lock_release(&caller->lock);
-	return open;
-}
-
 static void for_each_connection(struct caller *caller, void (*visit)(struct connection *connection))
 {
 	GPtrArray *open = open_connections(caller);
@@ -348,10 +459,115 @@
 	for_each_connection(caller, connection_close_idle);
 }
 
+static void log_line(const struct connection *connection, enum log_event event,
+		     const struct memory_closing *closing, const char *why)
+{
+	const struct memory *memory = connection->caller->options.memory;
+	struct strbuf address = { 0 };
+
+	strbuf_addf(&address, "%u.%u.%u.%u", connection->ipv4 >> 24, connection->ipv4 >> 16 & 255,
+		    connection->ipv4 >> 8 & 255, connection->ipv4 & 255);
+	logger_event(event,
+		     "address=%.*s why=%s requests=%ld answers=%ld bodies=%ld stalled_ms=%lld "
+		     "held=%ld budget=%ld",
+		     STR_ARG(strbuf_str(&address)), why, closing->held[MEMORY_REQUESTS],
+		     closing->held[MEMORY_ANSWERS], closing->held[MEMORY_BODIES],
+		     closing->stalled_us / US_PER_MS, closing->total, memory_budget_of(memory));
+	strbuf_clear(&address);
+}
+
+static void count_decision(struct caller *caller, const char *name, const char *why)
+{
+	char labels[64];
+
+	if (!caller->options.metrics)
+		return;
+	g_snprintf(labels, sizeof(labels), "why=\"%s\"", why);
+	metrics_add(caller->options.metrics, str_from_cstr(name), str_from_cstr(labels), 1);
+}
+
+void caller_log_closing(struct caller *caller, const struct connection *connection,
+			const struct memory_closing *closing, const char *why)
+{
+	log_line(connection, LOG_EVENT_CALLER_CLOSED, closing, why);
+	count_decision(caller, "godwithitch_callers_closed_total", why);
+}
+
+void caller_log_refusal(struct caller *caller, const struct connection *connection)
+{
+	struct memory_closing state;
+
+	memory_describe(caller->options.memory, &connection->holder, clock_now(), &state);
+	log_line(connection, LOG_EVENT_CALLER_REFUSED, &state, "memory");
+	count_decision(caller, "godwithitch_callers_refused_total", "memory");
+}
+
+/* Returns the open connection of a holder, with a reference, or NULL. */
+static struct connection *connection_of_holder(struct caller *caller,
+					       const struct memory_holder *holder)
+{
+	struct connection *found = NULL;
+	GPtrArray *open = open_connections(caller);
+
+	for (guint i = 0; i < open->len && !found; i++) {
+		struct connection *connection = g_ptr_array_index(open, i);
+
+		if (&connection->holder == holder)
+			found = connection_ref(connection);
+	}
+	g_ptr_array_unref(open);
+	return found;
+}
+
+void caller_relieve(struct caller *caller)
+{
+	struct memory *memory = caller->options.memory;
+	struct memory_closing closing;
+
+	while (memory_is_over(memory) && memory_choose(memory, clock_now(), &closing)) {
+		struct connection *connection = connection_of_holder(caller, closing.holder);
+
+		/* Otherwise it has been closed since. */
+		if (!connection)
+			continue;
+		caller_log_closing(caller, connection, &closing, "memory");
+		connection_close(connection);
+		connection_unref(connection);
+	}
+}
+
+/* Logs that memory has become short, or is no longer. */
+static void report_memory(struct caller *caller)
+{
+	struct memory *memory = caller->options.memory;
+	bool is_short = memory_is_short(memory);
+	int64_t total = 0;
+
+	for (int i = 0; i < MEMORY_USES; i++) {
+		enum memory_use use = (enum memory_use)i;
+		char labels[32];
+
+		total += memory_held(memory, use);
+		g_snprintf(labels, sizeof(labels), "use=\"%.*s\"", STR_ARG(memory_use_name(use)));
+		if (caller->options.metrics)
+			metrics_set(caller->options.metrics, STR("godwithitch_caller_memory_bytes"),
+				    str_from_cstr(labels), memory_held(memory, use));
+	}
+	if (is_short == (bool)g_atomic_int_get(&caller->short_logged))
+		return;
+	g_atomic_int_set(&caller->short_logged, is_short);
+	logger_event(LOG_EVENT_CALLER_MEMORY, "short=%d held=%ld budget=%ld", is_short, total,
+		     memory_budget_of(memory));
+}
+
 void caller_tick(struct caller *caller, struct instant now)
 {
 	GPtrArray *open = open_connections(caller);
 
+	if (g_atomic_int_compare_and_exchange(&caller->listen_paused, 1, 0))
+		rearm_listening(caller);
+	caller_relieve(caller);
+	report_memory(caller);
 	for (guint i = 0; i < open->len; i++)
 		connection_tick(g_ptr_array_index(open, i), now);
 	g_ptr_array_unref(open);
@@ -367,7 +583,6 @@
 		struct connection *connection = g_ptr_array_index(caller->connections, i);
 
 		lock_destroy(&connection->lock);
-		apr_pool_destroy(connection->pool);
 		g_free(connection);
 	}
 	g_ptr_array_unref(caller->connections);
@@ -544,6 +759,7 @@
 {
 	if (pipe_write(call->answer, bytes))
 		connection_advance(call->connection);
+	caller_relieve(call->connection->caller);
 }
 
 bool caller_write_wait(struct caller_call *call, struct str bytes, struct deadline deadline)
@@ -551,6 +767,7 @@
 	if (!pipe_write_wait(call->answer, bytes, deadline))
 		return false;
 	connection_advance(call->connection);
+	caller_relieve(call->connection->caller);
 	return true;
 }
 
--- a/caller/http.h
+++ b/caller/http.h
@@ -9,6 +9,8 @@
 #include <apr_pools.h>
 #include <glib.h>
 
+#include "base/memory.h"
+#include "base/metrics.h"
 #include "base/pipe.h"
 #include "base/workers.h"
 #include "peer/wire.h"
@@ -54,6 +56,8 @@
 	int idle_s;		     /**< seconds until an idle connection is closed */
 	int64_t body_max;	     /**< maximum bytes of a request's body */
 	struct str verdict_field;    /**< name of the field that carries the verdict; empty: none */
+	struct memory *memory;	     /**< account of what callers make the process hold */
+	struct metrics *metrics;     /**< NULL: none are kept */
 	struct workers *workers;
 	void (*handle)(void *context, const struct caller_event *event);
 	void *context;
@@ -73,7 +77,8 @@
 uint16_t caller_port(const struct caller *caller);
 /** Returns the number of calls in progress. */
 int caller_active(struct caller *caller);
-/** Closes connections that were idle for too long. To be called once a second. */
+/** Closes connections that were idle for too long, resumes others, and sets the gauges. To be
+ * called once a second. */
 void caller_tick(struct caller *caller, struct instant now);
 
 /* Called by the handler of the worker pool. */
--- a/caller/read.c
+++ b/caller/read.c
@@ -10,6 +10,7 @@
 	STATUS_BAD_REQUEST = 400,
 	STATUS_TOO_LARGE = 413,
 	STATUS_HEAD_TOO_LARGE = 431,
+	BODY_REJECTED = 1,
 	HEAD_REJECTED = -1, /* ends parsing; 1 and 2 have other meanings for the parser */
 };
 
@@ -24,6 +25,7 @@
 	struct request_input *input = &connection->input;
 
 	input->call = caller_call_new(connection);
+	input->heads++;
 	input->target = (struct span){ 0 };
 	input->field_count = 0;
 	input->in_value = false;
@@ -124,7 +126,9 @@
 {
 	bool streamed = call->body.kind == CALLER_BODY_STREAMED;
 
+	caller_call_count(call);
 	lock_acquire(&connection->lock);
+	connection->used = true;
 	call->queued = connection_takes_calls(connection);
 	if (call->queued) {
 		if (expects_continue(call) && g_queue_is_empty(&connection->calls) &&
@@ -149,6 +153,15 @@
 	       (call->in_chunks && caller_is_retired(connection->caller));
 }
 
+static struct pipe *new_upload(struct connection *connection, struct caller_call *call)
+{
+	struct pipe *upload = pipe_new(UPLOAD_LIMIT_BYTES, call->pool);
+
+	pipe_set_account(upload, caller_options_of(connection->caller)->memory, &connection->holder,
+			 MEMORY_BODIES);
+	return upload;
+}
+
 static int on_headers_complete(struct http_parser *parser)
 {
 	struct connection *connection = connection_of(parser);
@@ -170,7 +183,7 @@
 	if (is_streamed(connection, call, call->body_length))
 		call->body = (struct caller_body){
 			.kind = CALLER_BODY_STREAMED,
-			.upload = pipe_new(UPLOAD_LIMIT_BYTES, call->pool),
+			.upload = new_upload(connection, call),
 		};
 	enqueue_call(connection, call);
 	return 0;
@@ -181,7 +194,7 @@
 static void stream_body(struct connection *connection, struct caller_call *call)
 {
 	struct strbuf collected = call->body.whole;
-	struct pipe *upload = pipe_new(UPLOAD_LIMIT_BYTES, call->pool);
+	struct pipe *upload = new_upload(connection, call);
 
 	pipe_write(upload, strbuf_str(&collected));
 	lock_acquire(&connection->lock);
@@ -200,6 +213,11 @@
 	struct caller_call *call = input->call;
 
 	input->body += len;
+	/* Only a body in chunks gets here with more than it may have. */
+	if (input->body > (uint64_t)caller_options_of(connection->caller)->body_max) {
+		input->error_status = STATUS_TOO_LARGE;
+		return BODY_REJECTED;
+	}
 	switch (call->body.kind) {
 	case CALLER_BODY_WHOLE:
 		strbuf_add(&call->body.whole, (struct str){ data, len });
@@ -240,6 +258,7 @@
 
 	input->call = NULL;
 	input->ended = input->closes;
+	caller_call_count(call);
 	end_body(connection, call);
 	if (input->ended)
 		http_parser_pause(parser, 1);
@@ -276,12 +295,10 @@
 	caller_call_unref(call);
 }
 
-/* Answers a request that was not passed to the handler: 4xx, and the connection closes behind it.
- */
-static void answer_rejected(struct connection *connection, struct caller_call *call, int status)
+void call_reject(struct caller_call *call, int status)
 {
 	struct response_head head = { .status = status };
-	struct str verdict = caller_options_of(connection->caller)->verdict_field;
+	struct str verdict = caller_options_of(call->connection->caller)->verdict_field;
 
 	if (verdict.len)
 		head.fields[head.field_count++] = (struct field){ verdict, STR("not-run") };
@@ -314,10 +331,11 @@
 		connection_advance(connection);
 		return;
 	case QUEUED_WAITING:
-		answer_rejected(connection, call, status);
+		call_reject(call, status);
 		return;
 	case QUEUED_RUNNING:
-		connection_close(connection);
+		/* 413 would say that it has not run: the caller learns from the close. */
+		connection_close_for(connection, "body");
 		return;
 	}
 	g_assert_not_reached();
@@ -340,7 +358,7 @@
 	}
 	lock_release(&connection->lock);
 	if (queued)
-		answer_rejected(connection, call, status);
+		call_reject(call, status);
 }
 
 static void reject_request(struct connection *connection)
@@ -379,6 +397,8 @@
 	input->received += parsed;
 	if (input->ended)
 		return false;
+	if (input->call)
+		caller_call_count(input->call);
 	if (parsed == bytes.len && HTTP_PARSER_ERRNO(&input->parser) == HPE_OK && !is_hollow(input))
 		return true;
 	if (input->error_status == 0)
--- a/godwithitchd/daemon.h
+++ b/godwithitchd/daemon.h
@@ -29,6 +29,7 @@
 	apr_pool_t *pool;
 	struct metrics *metrics;
 	struct workers *workers;
+	struct memory *memory; /**< account of what callers make the process hold */
 	struct peers *peers;
 	struct node *node;
 	struct logclient *logclient;
--- a/godwithitchd/main.c
+++ b/godwithitchd/main.c
@@ -11,6 +11,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <sys/eventfd.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include "base/logger.h"
@@ -177,6 +178,8 @@
 					 .idle_s = (int)settings->idle_s,
 					 .body_max = settings->body_max_bytes,
 					 .verdict_field = daemon->dialect->verdict,
+					 .memory = daemon->memory,
+					 .metrics = daemon->metrics,
 					 .workers = daemon->workers,
 					 .handle = calls_on_caller,
 					 .context = daemon };
@@ -205,6 +208,7 @@
 	lock_init(&daemon->announcements, LOCK_ANNOUNCE, daemon->pool);
 	lock_init(&daemon->lock, LOCK_CALLS, daemon->pool);
 	daemon->metrics = metrics_new(daemon->pool);
+	daemon->memory = memory_new(memory_budget(settings->memory_mb), daemon->pool);
 	daemon->pace = pace_of_link(settings->link_mbps);
 	daemon->dialect =
 		settings->interface == INTERFACE_PLATFORM ? &dialect_platform : &dialect_native;
@@ -265,6 +269,7 @@
 	target_free(daemon->target);
 	node_free(daemon->node);
 	metrics_free(daemon->metrics);
+	memory_free(daemon->memory);
 	dispatch_drop_log_jobs(daemon);
 	g_hash_table_destroy(daemon->pending_claims);
 	g_ptr_array_unref(daemon->running_inbound);
@@ -411,6 +416,17 @@
 	}
 }
 
+/* The usual limit of 1,024 descriptors is below the default of callers' connections. */
+static void raise_descriptor_limit(void)
+{
+	struct rlimit limit;
+
+	if (getrlimit(RLIMIT_NOFILE, &limit) != 0)
+		return;
+	limit.rlim_cur = limit.rlim_max;
+	setrlimit(RLIMIT_NOFILE, &limit);
+}
+
 static int run(const struct settings *settings)
 {
 	struct daemon *daemon;
@@ -426,6 +442,7 @@
 	sigaddset(&signals, SIGHUP);
 	pthread_sigmask(SIG_BLOCK, &signals, NULL);
 	signal(SIGPIPE, SIG_IGN);
+	raise_descriptor_limit();
 	daemon = daemon_new(settings, &error);
 	if (!daemon) {
 		fprintf(stderr, "godwithitchd: %s\n", error->message);
--- a/godwithitchd/settings.c
+++ b/godwithitchd/settings.c
@@ -11,6 +11,8 @@
 	CONNECTIONS_DEFAULT = 2000,
 	CONNECTIONS_PER_ADDRESS_DEFAULT = 500,
 	IDLE_DEFAULT_S = 60,
+	MEMORY_MIN_MB = 32,
+	MEMORY_MAX_MB = 1 << 20,
 	RETENTION_DEFAULT_S = 3600,
 };
 
@@ -175,6 +177,13 @@
 	       read_double(r, STR("link_mbps"), LINK_MAX_MBPS, &s->link_mbps);
 }
 
+/* The size of the VM; 0 if it is not stated. */
+static bool read_memory(struct settings_reader *r)
+{
+	return read_integer(r, STR("memory_mb"), MEMORY_MIN_MB, MEMORY_MAX_MB, 0,
+			    &r->settings->memory_mb);
+}
+
 static bool read_integers(struct settings_reader *r)
 {
 	struct settings *s = r->settings;
@@ -188,6 +197,7 @@
 			    &s->connections) &&
 	       read_integer(r, STR("connections_per_address"), 1, 100000,
 			    CONNECTIONS_PER_ADDRESS_DEFAULT, &s->connections_per_address) &&
+	       read_memory(r) &&
 	       read_integer(r, STR("idle_s"), 1, 3600, IDLE_DEFAULT_S, &s->idle_s) &&
 	       read_integer(r, STR("body_max_bytes"), 0, 1LL << 40, BODY_DEFAULT_BYTES,
 			    &s->body_max_bytes);
--- a/godwithitchd/settings.h
+++ b/godwithitchd/settings.h
@@ -50,6 +50,7 @@
 	int64_t connections_per_address;
 	int64_t idle_s;
 	int64_t body_max_bytes;
+	int64_t memory_mb; /**< of the VM; 0: not stated, see memory_budget() */
 };
 
 /** Reads and checks a file. Returns false and sets @p error on failure; the message for an invalid
--- a/regress/lib/callers.c
+++ b/regress/lib/callers.c
@@ -12,6 +12,7 @@
 struct callers callers;
 
 static struct workers *workers;
+static struct memory *memory;
 static apr_pool_t *pool;
 
 static void on_ready(struct caller_call *call)
@@ -86,6 +87,8 @@
 	callers.calls = g_ptr_array_new_with_free_func((GDestroyNotify)caller_call_unref);
 	apr_pool_create(&pool, NULL);
 	workers = workers_new(&pool_options, pool, NULL);
+	memory = memory_new(memory_budget(0), pool);
+	options.memory = memory;
 	options.workers = workers;
 	callers.caller = caller_new(&options, pool, NULL);
 	assert_non_null(callers.caller);
@@ -113,6 +116,7 @@
 	workers_stop(workers);
 	caller_free(callers.caller);
 	workers_free(workers);
+	memory_free(memory);
 	apr_pool_destroy(pool);
 	return 0;
 }
