--- a/base/head.c
+++ b/base/head.c
@@ -6,6 +6,7 @@
 	STATUS_MIN = 100,
 	STATUS_SWITCHING = 101,
 	STATUS_FINAL = 200,
+	STATUS_MAX = 599,
 	STATUS_NO_CONTENT = 204,
 	STATUS_NOT_MODIFIED = 304,
 	STATUS_DIGITS = 3,
@@ -108,6 +109,8 @@
 
 	if (status < STATUS_MIN || status == STATUS_SWITCHING)
 		return fail(reader, "the answer has no status line");
+	if (status > STATUS_MAX)
+		return fail(reader, "the status is above 599");
 	if (holds_status_line(str_sub(line, 1, line.len)))
 		return fail(reader, "a status line holds another one");
 	reader->head = (struct head){ .status = status, .content_length = -1 };
--- a/base/head.h
+++ b/base/head.h
@@ -29,7 +29,7 @@
 
 /** A whole head. Its strings belong to the reader. */
 struct head {
-	int status; /**< 200 or more */
+	int status; /**< 200 to 599 */
 	enum head_framing framing;
 	int64_t content_length; /**< as stated; -1: not stated, or the body is in chunks */
 	const struct head_field *fields;
--- a/godwithitchd/attempt.c
+++ b/godwithitchd/attempt.c
@@ -7,7 +7,11 @@
 #include "base/logger.h"
 #include "godwithitchd/calls.h"
 
-enum { FORWARD_BLOCK_BYTES = 32 << 10 };
+enum {
+	FORWARD_BLOCK_BYTES = 32 << 10,
+	STATUS_FINAL = 200,
+	STATUS_MAX = 599,
+};
 
 struct attempt *attempt_ref(struct attempt *attempt)
 {
@@ -198,8 +202,9 @@
 	if (g_atomic_int_get(&attempt->finished))
 		return;
 	/* The target's node rejects such a head; its status must not reach the caller from any. */
-	if (dialect_answer_statement(attempt->call->daemon->dialect, head->status, false) !=
-	    STATES_RAN) {
+	if (head->status < STATUS_FINAL || head->status > STATUS_MAX ||
+	    dialect_answer_statement(attempt->call->daemon->dialect, head->status, false) !=
+		    STATES_RAN) {
 		if (attempt->stream.link)
 			stream_cancel(attempt->stream);
 		attempt_connection_lost(attempt, VERDICT_MAY_HAVE_RUN);
