--- a/godwithitchd/inbound.c
+++ b/godwithitchd/inbound.c
@@ -10,6 +10,7 @@
 #define CRASH_WINDOW_US (2 * US_PER_S) /* calls that fail within it are counted as one crash */
 /* A process that ends closes its connections before its listening socket. */
 #define CRASH_CHECK_US (50 * US_PER_MS)
+#define LINK_WAIT_US   (100 * US_PER_MS) /* then a cancelled call is noticed */
 
 enum {
 	FLUSH_BYTES = 16 << 10, /* answers up to this size are sent in one write */
@@ -370,10 +371,24 @@
 	return !g_atomic_int_get(&inbound->cancelled);
 }
 
+/* Waits until the link to the entry node takes more of a large answer: each answer has a window of
+ * its own, and a slow node would leave all of them in this one. Returns false if the call was
+ * cancelled or its deadline passed. */
+static bool wait_for_link(struct inbound *inbound)
+{
+	while (!g_atomic_int_get(&inbound->cancelled) &&
+	       !deadline_passed(inbound->entry.deadline, clock_now()))
+		if (stream_wait_room(inbound->sink.stream, LINK_WAIT_US))
+			return true;
+	return false;
+}
+
 static bool send_body(struct inbound *inbound, struct str bytes)
 {
 	if (!wait_for_credit(inbound) || !wait_for_pacing(inbound, bytes.len))
 		return false;
+	if (inbound->frames.len + bytes.len > FLUSH_BYTES && !wait_for_link(inbound))
+		return false;
 	wire_put_data(&inbound->frames, inbound->sink.stream.id, &inbound->answer_sum, bytes);
 	lock_acquire(&inbound->lock);
 	inbound->credit -= (int64_t)bytes.len;
--- a/peer/link.c
+++ b/peer/link.c
@@ -14,6 +14,9 @@
 #define SILENT_US    (600 * US_PER_MS) /* leaves time to retry on another node */
 #define IDLE_US	     (60 * US_PER_S)
 
+/* Output beyond which no part of a large answer is added: two windows. */
+enum { OUTPUT_ROOM_BYTES = 2 * STREAM_WINDOW };
+
 struct link *link_new(struct peers *peers, int fd, bool outgoing, enum link_state state)
 {
 	struct link *link = g_new0(struct link, 1);
@@ -33,6 +36,7 @@
 	link->used_at_us = link->received_at_us;
 	apr_pool_create(&link->pool, NULL);
 	lock_init(&link->lock, LOCK_LINK, link->pool);
+	apr_thread_cond_create(&link->drained, link->pool);
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &enable, sizeof(enable));
 	return link;
 }
@@ -174,6 +178,12 @@
 	*bytes = (struct strbuf){ 0 };
 }
 
+/* Returns whether parts of large answers may be added. LOCK_LINK is held. */
+static bool has_room(const struct link *link)
+{
+	return link->state == LINK_CLOSED || link->out.len < OUTPUT_ROOM_BYTES;
+}
+
 /* Writes until the output is empty; true if the socket is full before that. The caller sets
  * link->writing, which stays set while the socket is full. */
 static bool write_output(struct link *link)
@@ -193,6 +203,8 @@
 		if (full)
 			requeue_unsent(link, &bytes, sent);
 		strbuf_clear(&bytes);
+		if (has_room(link))
+			apr_thread_cond_broadcast(link->drained);
 	}
 	lock_release(&link->lock);
 	if (!ok)
@@ -357,6 +369,7 @@
 	lock_acquire(&link->lock);
 	if (link->state != LINK_CLOSED) {
 		link->state = LINK_CLOSED;
+		apr_thread_cond_broadcast(link->drained);
 		streams = link->streams;
 		link->streams = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
 		write_idle = link->write_state == WATCH_IDLE;
@@ -411,6 +424,19 @@
 	frames->len = 0;
 }
 
+bool stream_wait_room(struct stream stream, int64_t us)
+{
+	struct link *link = stream.link;
+	bool room;
+
+	lock_acquire(&link->lock);
+	if (!has_room(link))
+		lock_wait(&link->lock, link->drained, us);
+	room = has_room(link);
+	lock_release(&link->lock);
+	return room;
+}
+
 void stream_cancel(struct stream stream)
 {
 	struct strbuf frame = { 0 };
--- a/peer/link.h
+++ b/peer/link.h
@@ -44,6 +44,7 @@
 	enum watch_state write_state;
 	enum link_state state;
 	struct strbuf out;
+	apr_thread_cond_t *drained; /* the output has room again, or the link is closed */
 	bool writing;
 	uint64_t queued;     /* total bytes appended to out */
 	uint64_t detached;   /* total bytes taken from out for the socket and not put back */
--- a/peer/peers.h
+++ b/peer/peers.h
@@ -111,6 +111,9 @@
 
 /** Sends frames made with wire_put_*() and empties @p frames. */
 void stream_send(struct stream stream, struct strbuf *frames);
+/** Waits until the output of the stream's link has room, @p us microseconds at most. Returns false
+ *  if it has none then; a closed link has. Takes LOCK_LINK. */
+bool stream_wait_room(struct stream stream, int64_t us);
 /** Ends a stream on this side; later frames for it are dropped. Releases the owner. */
 void stream_close(struct stream stream);
 /** Sends CANCEL to the other side and closes the stream. Releases the owner. */
