Queued calls take 6 KiB: pool and pipe of an answer come with its dispatch

With 40 callers of 64 pipelined requests the state of queued calls alone was above the budget, and connections were closed for it.

--- a/caller/connection.c
+++ b/caller/connection.c
@@ -84,7 +84,8 @@
 /* Abandons the call's pipes, notifies the handler if it has the call, and drops a reference. */
 static void end_call(struct connection *connection, struct caller_call *call)
 {
-	pipe_abandon(call->answer);
+	if (call->answer)
+		pipe_abandon(call->answer);
 	lock_acquire(&connection->lock);
 	caller_body_cut(&call->body);
 	lock_release(&connection->lock);
@@ -547,10 +548,13 @@
 	if (*admission == MEMORY_WAIT) {
 		found = NULL;
 	} else {
+		caller_call_prepare(found);
 		found->dispatched = true;
 		caller_call_ref(found);
 	}
 	lock_release(&connection->lock);
+	if (found)
+		caller_call_count(found);
 	return found;
 }
 
--- a/caller/connection.h
+++ b/caller/connection.h
@@ -39,8 +39,8 @@
 struct caller_call {
 	gint refs;
 	struct connection *connection; /* one reference */
-	apr_pool_t *pool;
-	struct strbuf text; /* strings of the request's head */
+	apr_pool_t *pool;	       /* NULL until the call needs one */
+	struct strbuf text;	       /* strings of the request's head */
 	struct str method;
 	struct str target;
 	struct field fields[FIELDS_MAX];
@@ -49,7 +49,7 @@
 	bool in_chunks;
 	struct instant arrived; /* the head, as a whole */
 	struct caller_body body;
-	struct pipe *answer;
+	struct pipe *answer; /* NULL until the call is dispatched or rejected */
 	void *data;
 	bool queued;	  /* its head was valid; for the worker that reads */
 	bool safe;	  /* GET, HEAD or OPTIONS: may run concurrently with others */
@@ -70,6 +70,7 @@
 	bool truncated; /* the answer failed before its end; no more of it is sent */
 	struct response_head head;
 	struct strbuf head_text;
+	bool prepared;
 	int64_t counted_request; /* bytes that the account has */
 	int64_t counted_body;
 	bool uncounted; /* the connection is done with the call: nothing more is counted */
@@ -183,6 +184,11 @@
 /* caller/http.c */
 
 struct caller_call *caller_call_new(struct connection *connection);
+/** Prepares a call for its answer: queued calls do without what that takes. Called before the call
+ * is passed on, by the only worker that uses it. */
+void caller_call_prepare(struct caller_call *call);
+/** Returns the call's pool, as caller_call_prepare() does. */
+apr_pool_t *caller_call_pool(struct caller_call *call);
 /** Counts the call as large as it is now. Takes the connection's lock. */
 void caller_call_count(struct caller_call *call);
 /** Counts nothing more for the call. Takes the connection's lock. */
--- a/caller/http.c
+++ b/caller/http.c
@@ -15,7 +15,9 @@
 	LISTEN_BACKLOG = 1024,
 	ACCEPTS_PER_EVENT = 32,
 	HEAD_MAX_BYTES = 32 << 10, /* twice of what callers in the field send */
-	/* State of a call in this process beside its text: three pools of 8 KiB and the records. */
+	/* State of a call in this process beside its text: before it is passed on, and then, with
+	 * pools of 8 KiB here and in the handler. */
+	QUEUED_CALL_BYTES = 6 << 10,
 	CALL_BYTES = 24 << 10,
 };
 
@@ -41,13 +43,16 @@
 	call->refs = 1;
 	call->connection = connection_ref(connection);
 	call->method = STR("GET");
-	apr_pool_create(&call->pool, NULL);
-	call->answer = pipe_new(ANSWER_LIMIT_BYTES, call->pool);
-	pipe_set_account(call->answer, caller_options_of(connection->caller)->memory,
-			 &connection->holder, MEMORY_ANSWERS);
 	return call;
 }
 
+apr_pool_t *caller_call_pool(struct caller_call *call)
+{
+	if (!call->pool)
+		apr_pool_create(&call->pool, NULL);
+	return call->pool;
+}
+
 static int64_t whole_body_bytes(const struct caller_body *body)
 {
 	switch (body->kind) {
@@ -76,11 +81,22 @@
 {
 	lock_acquire(&call->connection->lock);
 	if (!call->uncounted)
-		set_counted(call, CALL_BYTES + (int64_t)call->text.cap,
+		set_counted(call,
+			    (call->prepared ? CALL_BYTES : QUEUED_CALL_BYTES) +
+				    (int64_t)call->text.cap,
 			    whole_body_bytes(&call->body));
 	lock_release(&call->connection->lock);
 }
 
+void caller_call_prepare(struct caller_call *call)
+{
+	struct memory *memory = caller_options_of(call->connection->caller)->memory;
+
+	call->answer = pipe_new(ANSWER_LIMIT_BYTES, caller_call_pool(call));
+	pipe_set_account(call->answer, memory, &call->connection->holder, MEMORY_ANSWERS);
+	call->prepared = true;
+}
+
 void caller_call_uncount(struct caller_call *call)
 {
 	lock_acquire(&call->connection->lock);
@@ -141,7 +157,8 @@
 	strbuf_clear(&call->text);
 	strbuf_clear(&call->head_text);
 	connection_unref(call->connection);
-	apr_pool_destroy(call->pool);
+	if (call->pool)
+		apr_pool_destroy(call->pool);
 	g_free(call);
 }
 
--- a/caller/read.c
+++ b/caller/read.c
@@ -155,7 +155,7 @@
 
 static struct pipe *new_upload(struct connection *connection, struct caller_call *call)
 {
-	struct pipe *upload = pipe_new(UPLOAD_LIMIT_BYTES, call->pool);
+	struct pipe *upload = pipe_new(UPLOAD_LIMIT_BYTES, caller_call_pool(call));
 
 	pipe_set_account(upload, caller_options_of(connection->caller)->memory, &connection->holder,
 			 MEMORY_BODIES);
@@ -321,6 +321,7 @@
 		connection->answers = ANSWERS_ENDED;
 	} else if (!call->dispatched) {
 		state = QUEUED_WAITING;
+		caller_call_prepare(call);
 		call->dispatched = true;
 		call->startable = true;
 		call->close_after = true;
@@ -350,6 +351,7 @@
 	lock_acquire(&connection->lock);
 	queued = connection_takes_calls(connection);
 	if (queued) {
+		caller_call_prepare(call);
 		call->dispatched = true;
 		call->startable = true;
 		caller_call_ref(call);
