--- a/peer/link.c
+++ b/peer/link.c
@@ -21,6 +21,9 @@
 /* Bytes that the kernel holds unsent: 26 ms of a link of 10 Mbit/s, 1.3 ms of one of 200. */
 enum { UNSENT_MAX_BYTES = 32 << 10 };
 
+/* Output beyond which no part of a large answer is added: two windows. */
+enum { OUTPUT_ROOM_BYTES = 2 * STREAM_WINDOW };
+
 struct link *link_new(struct peers *peers, int fd, bool outgoing, enum link_state state)
 {
 	struct link *link = g_new0(struct link, 1);
@@ -43,6 +46,7 @@
 	link->moved_at_us = -IN_TRANSIT_US;
 	apr_pool_create(&link->pool, NULL);
 	lock_init(&link->lock, LOCK_LINK, link->pool);
+	apr_thread_cond_create(&link->drained, link->pool);
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &enable, sizeof(enable));
 	/* Only the order of what this node still holds can change. Not all sockets have the option.
 	 */
@@ -183,6 +187,12 @@
 		schedule_put_back(&link->schedule, piece, sent);
 }
 
+/* Returns whether parts of large answers may be added. LOCK_LINK is held. */
+static bool has_room(const struct link *link)
+{
+	return link->state == LINK_CLOSED || schedule_bytes(&link->schedule) < OUTPUT_ROOM_BYTES;
+}
+
 /* Writes until the output is empty; true if the socket is full before that. The caller sets
  * link->writing, which stays set while the socket is full. */
 static bool write_output(struct link *link)
@@ -201,6 +211,8 @@
 		full = sent < piece.bytes.len;
 		note_sent(link, &piece, sent);
 		strbuf_clear(&piece.bytes);
+		if (has_room(link))
+			apr_thread_cond_broadcast(link->drained);
 	}
 	lock_release(&link->lock);
 	if (!ok)
@@ -379,6 +391,7 @@
 	lock_acquire(&link->lock);
 	if (link->state != LINK_CLOSED) {
 		link->state = LINK_CLOSED;
+		apr_thread_cond_broadcast(link->drained);
 		streams = link->streams;
 		link->streams = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
 		write_idle = link->write_state == WATCH_IDLE;
@@ -441,6 +454,19 @@
 	frames->len = 0;
 }
 
+bool stream_wait_room(struct stream stream, int64_t us)
+{
+	struct link *link = stream.link;
+	bool room;
+
+	lock_acquire(&link->lock);
+	if (!has_room(link))
+		lock_wait(&link->lock, link->drained, us);
+	room = has_room(link);
+	lock_release(&link->lock);
+	return room;
+}
+
 enum verdict stream_cancel(struct stream stream)
 {
 	enum verdict verdict = VERDICT_MAY_HAVE_RUN;
--- a/peer/link.h
+++ b/peer/link.h
@@ -46,7 +46,8 @@
 	enum watch_state read_state;
 	enum watch_state write_state;
 	enum link_state state;
-	struct schedule schedule; /* of the output */
+	struct schedule schedule;   /* of the output */
+	apr_thread_cond_t *drained; /* the output has room again, or the link is closed */
 	bool writing;
 	GHashTable *streams;	/* id -> struct stream_entry */
 	uint64_t peer_features; /* as in the peer's last PONG */
