Admission: bodies start at the rate of the VM's link

Twelve granted bodies of 128 KiB queued for 1.2 s on a target's link of 10 Mbit/s; nested calls behind them failed, and with them the reservations that needed them, and live links were closed as silent. A call with a body to be fetched starts only when the link has room, others pass it, and its expected time counts the bodies before it. Calls that are late or wait for the link no longer keep others from a free slot.

--- a/core/admit.c
+++ b/core/admit.c
@@ -3,10 +3,15 @@
 #include <math.h>
 
 #include "base/lockorder.h"
+#include "core/pace.h"
 
 /* Half-life of a tenant's recorded use: much longer than a call, much shorter than an overload. */
 #define USE_HALF_LIFE_US (500 * US_PER_MS)
 
+/* Part of the link that bodies for the target may use: the VM's callers, nested calls and the
+ * fleet's messages share it. */
+#define INTAKE_FRACTION 0.75
+
 enum {
 	QUEUE_PER_SLOT = 8, /* queued calls for each slot */
 	TENANTS_MAX = 256,  /* further tenants share one queue */
@@ -68,6 +73,7 @@
 struct lane_queue {
 	GQueue active; /* struct tenant_queue with queued calls */
 	int queued;
+	int queued_bodies; /* those of them with a body that is to be fetched */
 	int credit; /* calls that may still start in this round */
 };
 
@@ -84,6 +90,8 @@
 	bool return_queued; /* queued calls go back, to be sent to other targets */
 	bool evacuated;	    /* as .return_queued, while the data centre is evacuated */
 	struct warmup warmup;
+	struct pace intake; /* of the bodies that are fetched for the target */
+	int64_t queued_body_bytes;
 	struct deadline queue_ends_at; /* 0, as the next: the node does not stop */
 	struct deadline work_ends_at;
 	int announced_slots;
@@ -172,6 +180,20 @@
 	lock_release(&admit->lock);
 }
 
+void admit_set_link(struct admit *admit, double mbps)
+{
+	lock_acquire(&admit->lock);
+	admit->intake = pace_of_link(INTAKE_FRACTION * mbps);
+	lock_release(&admit->lock);
+}
+
+void admit_count_received(struct admit *admit, int64_t bytes, struct instant now)
+{
+	lock_acquire(&admit->lock);
+	pace_count(&admit->intake, (size_t)bytes, now);
+	lock_release(&admit->lock);
+}
+
 void admit_close(struct admit *admit)
 {
 	lock_acquire(&admit->lock);
@@ -288,6 +310,8 @@
 
 	if (admit->running >= admit->slots || !warmup_may_start(&admit->warmup, now))
 		return false;
+	if (entry->body_bytes && pace_wait_us(&admit->intake, now) > 0)
+		return false;
 	if (lane_of(entry) != LANE_NESTED && others >= admit->slots - reserved_slots(admit))
 		return false;
 	if (lane_of(entry) == LANE_BULK && admit->running_of[LANE_BULK] >= bulk_limit)
@@ -301,6 +325,7 @@
 	update_nested_running(admit, now);
 	entry->cold = warmup_cause(&admit->warmup, now) != COLD_NOT;
 	warmup_start(&admit->warmup, now);
+	pace_count(&admit->intake, (size_t)entry->body_bytes, now);
 	entry->started_at_us = now.mono_us;
 	entry->running_at_start = admit->running + 1;
 	admit->start_times_sum_us += (double)now.mono_us;
@@ -371,7 +396,12 @@
 	}
 	slots = MAX(slots, (admit->slots + LOWER_LANE_DIVISOR - 1) / LOWER_LANE_DIVISOR);
 	wait_us = (int64_t)((double)(ahead + 1) * admit->service_us * slowness(admit, now) / slots);
-	return MAX(wait_us, warmup_wait_us(&admit->warmup, ahead + 1, now));
+	wait_us = MAX(wait_us, warmup_wait_us(&admit->warmup, ahead + 1, now));
+	if (entry->body_bytes)
+		wait_us = MAX(wait_us,
+			      pace_wait_us(&admit->intake, now) +
+				      pace_transfer_us(&admit->intake, admit->queued_body_bytes));
+	return wait_us;
 }
 
 /* Each lane has its own bound. A tenant with less than its equal share of the bound still gets in
@@ -397,6 +427,8 @@
 	g_queue_push_tail(&tenant->entries, entry);
 	lane->queued++;
 	admit->queued++;
+	lane->queued_bodies += entry->body_bytes > 0;
+	admit->queued_body_bytes += entry->body_bytes;
 }
 
 /* Returns the tenant's recent use, which halves in USE_HALF_LIFE_US. */
@@ -439,12 +471,23 @@
 	return entry->retried && (double)expected_us * RETRIED_MARGIN <= (double)left_us;
 }
 
+/* Whether a queued call goes before a new one as soon as a slot is free. Calls that wait for the
+ * link, and late ones, don't. */
+static bool is_preceded(const struct admit *admit, const struct queue_entry *entry)
+{
+	for (int i = 0; i <= (int)lane_of(entry); i++)
+		if (admit->lanes[i].queued > admit->lanes[i].queued_bodies ||
+		    (entry->body_bytes && admit->lanes[i].queued_bodies))
+			return true;
+	return false;
+}
+
 /* Whether a call may start at once. A target so slow that the answer would be late refuses the call
  * unless the call may queue. An idle target always takes one call, to detect its recovery. */
 static bool may_start(struct admit *admit, const struct queue_entry *entry, int64_t service_us,
 		      struct instant now)
 {
-	if (admit->queued > 0 || !may_run(admit, entry, now))
+	if (is_preceded(admit, entry) || !may_run(admit, entry, now))
 		return false;
 	return !entry->no_queue || admit->running == 0 || entry->objective.at_us == 0 ||
 	       service_us <= deadline_remaining_us(entry->objective, now);
@@ -485,13 +528,14 @@
 	if (remaining_us(admit, entry, now) == 0 || is_hopeless(admit, entry, now))
 		return ADMIT_LATE;
 	tenant = tenant_get(admit, entry);
-	service_us = (int64_t)expected_service_us(admit, entry, now);
+	service_us = (int64_t)expected_service_us(admit, entry, now) +
+		     pace_transfer_us(&admit->intake, entry->body_bytes);
 	if (may_start(admit, entry, service_us, now)) {
 		add_use(tenant, route_get(admit, &entry->route)->service_us, now);
 		start_call(admit, tenant, entry, now);
 		return ADMIT_RUN;
 	}
-	if (admit->queued > 0 || !may_run(admit, entry, now))
+	if (is_preceded(admit, entry) || !may_run(admit, entry, now))
 		wait_us = expected_wait_us(admit, entry, tenant, now);
 	entry->expected_us = wait_us + service_us;
 	if (entry->no_queue)
@@ -619,6 +663,8 @@
 
 	lane->queued--;
 	admit->queued--;
+	lane->queued_bodies -= entry->body_bytes > 0;
+	admit->queued_body_bytes -= entry->body_bytes;
 	if (g_queue_is_empty(&tenant->entries))
 		g_queue_remove(&lane->active, tenant);
 	return entry;
--- a/core/admit.h
+++ b/core/admit.h
@@ -8,6 +8,10 @@
  * Load pattern: services that call each other at 1.2 times their capacity. A nested call that waits
  * behind callers' requests misses its short deadline; the call that needs it fails after it has
  * held a slot, and its caller tries again.
+ *
+ * Load pattern: uploads to targets whose VM has a slow link, at up to twice the link's rate. A call
+ * with a large body starts only when its body can be fetched soon; others pass it. Fetched all at
+ * once, the bodies fill the link for a second, and nested calls and heartbeats wait behind them.
  */
 #ifndef CORE_ADMIT_H
 #define CORE_ADMIT_H
@@ -29,6 +33,7 @@
 	struct deadline objective; /**< an answer after it is late; 0: no objective */
 	bool no_queue;		   /**< refused if no slot is free */
 	bool retried;		   /**< refused before: better late than refused again */
+	int64_t body_bytes;	   /**< of its body, which is fetched over the VM's link; 0: none */
 	bool nested;		   /**< another target waits for it: see config_is_nested() */
 	void *owner;		   /**< context of the code that offers it */
 	int64_t queued_at_us;	   /**< monotonic; set by admit_offer() */
@@ -62,6 +67,10 @@
 /** Sets the slots that the target announced; 0: it takes no calls. Takes LOCK_ADMIT, like all
  * below. */
 void admit_set_slots(struct admit *admit, int slots);
+/** Sets the rate of the VM's network link, megabits a second; 0: bodies are not limited. */
+void admit_set_link(struct admit *admit, double mbps);
+/** Counts bytes of a body that came over the same link for other targets. */
+void admit_count_received(struct admit *admit, int64_t bytes, struct instant now);
 /** Refuses new calls for good, since the node stops; queued calls still run. */
 void admit_close(struct admit *admit);
 /** Refuses new calls; admit_next() returns queued calls as late, to be sent to other targets.
--- a/core/node.c
+++ b/core/node.c
@@ -88,6 +88,7 @@
 	node->members = members_new(&members, node->pool);
 	node->moves = moves_new(node->pool);
 	node->admit = admit_new(node->pool);
+	admit_set_link(node->admit, node->options.link_mbps);
 	if (options->warmup)
 		admit_set_warmup_options(node->admit, options->warmup);
 	lock_init(&node->target_rules.lock, LOCK_RULES, node->pool);
--- a/core/node.h
+++ b/core/node.h
@@ -31,6 +31,7 @@
 	/** Time after which a key that was withdrawn admits no request on any node; 0: none. */
 	int64_t revoke_within_us;
 	struct quota_options quota; /**< tolerance of the limits of tenants; window 0: defaults */
+	double link_mbps;	    /**< rate of the VM's link; 0: bodies are not limited */
 	double retry_ratio;	    /**< retries per call of a service; default 0.1 */
 	int retry_slack; /**< extra retries at once, shared by all nodes; 0: 50 per node */
 	const struct warmup_options *warmup; /**< limit of cold targets; copied; default if NULL */
--- a/core/pace.c
+++ b/core/pace.c
@@ -22,6 +22,16 @@
 			      (int64_t)bytes * US_PER_S / pace->bytes_per_s;
 }
 
+int64_t pace_wait_us(const struct pace *pace, struct instant now)
+{
+	return MAX(pace->free_at.at_us - now.mono_us - PACE_QUEUE_US, 0);
+}
+
+int64_t pace_transfer_us(const struct pace *pace, int64_t bytes)
+{
+	return pace->bytes_per_s ? bytes * US_PER_S / pace->bytes_per_s : 0;
+}
+
 int64_t pace_reserve(struct pace *pace, uint64_t before, size_t bytes, struct instant now)
 {
 	int64_t wait_us = pace->free_at.at_us - now.mono_us - PACE_QUEUE_US;
--- a/godwithitchd/calls.c
+++ b/godwithitchd/calls.c
@@ -434,6 +434,8 @@
 	call->attributes.point = call_placement_point(daemon, key);
 	call->service = call_service(&call->attributes);
 	call->attributes.fingerprint = request_fingerprint(call->route, caller, key);
+	if (caller_body_length(caller) > 0)
+		admit_count_received(node_admit(daemon->node), caller_body_length(caller), now);
 	node_record_call(daemon->node, call->service);
 	call_open_add(call);
 	if (call->key_tenant)
--- a/godwithitchd/inbound.c
+++ b/godwithitchd/inbound.c
@@ -133,6 +133,9 @@
 	inbound->entry.no_queue = !head->may_queue;
 	inbound->entry.retried = head->retried;
 	inbound->entry.nested = is_nested(daemon, head);
+	if (head->body_waits)
+		inbound->entry.body_bytes =
+			head->body_length >= 0 ? head->body_length : (int64_t)STREAM_WINDOW;
 	inbound->entry.owner = inbound;
 	g_atomic_int_inc(&daemon->inbound_count);
 	return inbound;
--- a/godwithitchd/main.c
+++ b/godwithitchd/main.c
@@ -120,6 +120,7 @@
 				     .first_start = settings->first_start,
 				     .revoke_within_us = settings->revoke_within_us,
 				     .quota = settings->quota,
+				     .link_mbps = settings->link_mbps,
 				     .retry_ratio = settings->retry_ratio,
 				     .retry_slack = (int)settings->retry_slack,
 				     .warmup = &settings->warmup };
