Admission: what is turned away is what costs callers least

A queued call gives way to one that could not be answered in time behind it, if that one is worth more to callers for the work it needs: by class, by whether it is in time, by the calls that wait for it, and by the time it takes of the slots or of the link.

--- a/core/admit.c
+++ b/core/admit.c
@@ -4,6 +4,7 @@
 
 #include "base/lockorder.h"
 #include "core/pace.h"
+#include "core/shed.h"
 
 /* Half-life of a tenant's recorded use: much longer than a call, much shorter than an overload. */
 #define USE_HALF_LIFE_US (500 * US_PER_MS)
@@ -74,7 +75,7 @@
 	GQueue active; /* struct tenant_queue with queued calls */
 	int queued;
 	int queued_bodies; /* those of them with a body that is to be fetched */
-	int credit; /* calls that may still start in this round */
+	int credit;	   /* calls that may still start in this round */
 };
 
 struct route_use {
@@ -109,6 +110,7 @@
 	double service_us;
 	double service_square; /* smoothed square of the service times */
 	bool measured_cold;    /* the smoothed times are those of cold calls */
+	GQueue shed;	       /* struct queue_entry; turned away for others, to be refused */
 	GQueue late; /* struct queue_entry; its objective can't be met: runs after all others */
 	struct lane_queue lanes[LANE_COUNT];
 	GHashTable *tenants[LANE_COUNT]; /* struct label -> struct tenant_queue */
@@ -146,6 +148,7 @@
 	warmup_init(&admit->warmup, NULL);
 	admit->service_us = INITIAL_SERVICE_US;
 	g_queue_init(&admit->late);
+	g_queue_init(&admit->shed);
 	admit->routes = g_hash_table_new_full(label_hash, label_hash_equal, NULL, g_free);
 	for (int i = 0; i < LANE_COUNT; i++) {
 		admit->tenants[i] =
@@ -165,6 +168,7 @@
 		g_hash_table_destroy(admit->tenants[i]);
 	}
 	g_queue_clear(&admit->late);
+	g_queue_clear(&admit->shed);
 	g_hash_table_destroy(admit->routes);
 	lock_destroy(&admit->lock);
 	g_free(admit);
@@ -515,6 +519,85 @@
 		is_cut_off(admit, entry, service_us, now));
 }
 
+/* Returns the time that a call takes of what is short: the link if it has a body to be fetched, or
+ * else the slots. */
+static int64_t work_us(struct admit *admit, const struct queue_entry *entry)
+{
+	if (entry->body_bytes)
+		return pace_transfer_us(&admit->intake, entry->body_bytes);
+	return (int64_t)route_get(admit, &entry->route)->service_us / MAX(admit->slots, 1);
+}
+
+static struct shed_call shed_call_of(struct admit *admit, const struct queue_entry *entry,
+				     struct instant now)
+{
+	double left_us = (double)deadline_remaining_us(entry->objective, now);
+
+	return (struct shed_call){ .class = entry->class,
+				   .nested = entry->nested,
+				   .in_time = expected_service_us(admit, entry, now) <= left_us,
+				   .retried = entry->retried,
+				   .work_us = work_us(admit, entry) };
+}
+
+/* Returns the queued call of the lane that costs least and less than @p entry, and whose place
+ * helps it; NULL if there is none. */
+static struct queue_entry *cheapest_queued(struct admit *admit, const struct queue_entry *entry,
+					   struct tenant_queue **holder, struct instant now)
+{
+	struct shed_call other = shed_call_of(admit, entry, now);
+	struct queue_entry *cheapest = NULL;
+	double least = 0;
+
+	for (GList *at = admit->lanes[lane_of(entry)].active.head; at; at = at->next) {
+		struct tenant_queue *tenant = at->data;
+
+		for (GList *item = tenant->entries.head; item; item = item->next) {
+			struct queue_entry *queued = item->data;
+			struct shed_call call = shed_call_of(admit, queued, now);
+
+			if ((queued->body_bytes > 0) != (entry->body_bytes > 0) ||
+			    !shed_is_recent(queued->queued_at_us, now) ||
+			    !shed_prefers(&other, &call) || (cheapest && shed_cost(&call) >= least))
+				continue;
+			cheapest = queued;
+			least = shed_cost(&call);
+			*holder = tenant;
+		}
+	}
+	return cheapest;
+}
+
+static void turn_away(struct admit *admit, struct tenant_queue *tenant, struct queue_entry *entry)
+{
+	struct lane_queue *lane = &admit->lanes[lane_of(entry)];
+
+	g_queue_remove(&tenant->entries, entry);
+	lane->queued--;
+	lane->queued_bodies -= entry->body_bytes > 0;
+	admit->queued_body_bytes -= entry->body_bytes;
+	if (g_queue_is_empty(&tenant->entries))
+		g_queue_remove(&lane->active, tenant);
+	g_queue_push_tail(&admit->shed, entry);
+}
+
+/* Makes room for a call that could not be answered in time behind the others: a queued call that
+ * costs callers less, and takes enough, is turned away. Returns whether there was one. */
+static bool make_room(struct admit *admit, const struct queue_entry *entry, struct instant now)
+{
+	int64_t objective_us = deadline_remaining_us(entry->objective, now);
+	struct tenant_queue *tenant = NULL;
+	struct queue_entry *cheapest;
+
+	if (!is_deferrable(entry) || expected_service_us(admit, entry, now) > (double)objective_us)
+		return false;
+	cheapest = cheapest_queued(admit, entry, &tenant, now);
+	if (!cheapest || work_us(admit, cheapest) < entry->expected_us - objective_us)
+		return false;
+	turn_away(admit, tenant, cheapest);
+	return true;
+}
+
 static enum admit_result offer(struct admit *admit, struct queue_entry *entry, struct instant now)
 {
 	struct tenant_queue *tenant;
@@ -542,10 +625,12 @@
 		return warmup_may_start(&admit->warmup, now) ? ADMIT_BUSY : ADMIT_COLD;
 	if (is_full(admit, entry, tenant))
 		return ADMIT_FULL;
+	if (wait_us > deadline_remaining_us(admit->queue_ends_at, now))
+		return ADMIT_LATE;
 	/* Without an objective, only the wait has to end before the deadline. */
 	if (!is_worth_queueing(admit, entry, entry->objective.at_us ? entry->expected_us : wait_us,
-			       now) ||
-	    wait_us > deadline_remaining_us(admit->queue_ends_at, now))
+			       now) &&
+	    !make_room(admit, entry, now))
 		return ADMIT_LATE;
 	entry->queued_at_us = now.mono_us;
 	enqueue(admit, entry);
@@ -820,6 +905,12 @@
 {
 	struct admit_dispatch dispatch = { DISPATCH_NONE, NULL };
 
+	dispatch.entry = g_queue_pop_head(&admit->shed);
+	if (dispatch.entry) {
+		admit->queued--;
+		dispatch.kind = DISPATCH_LATE;
+		return dispatch;
+	}
 	for (int i = 0; i < LANE_COUNT; i++)
 		defer_late_calls(admit, &admit->lanes[i], now);
 	refill_credit(admit);
--- a/regress/core/admit_test.c
+++ b/regress/core/admit_test.c
@@ -5,6 +5,7 @@
 
 #include "base/rng.h"
 #include "core/admit.h"
+#include "core/shed.h"
 
 enum { SLOTS = 9, SERVICE_US = 2000, QUEUED_MAX = 4096 };
 
@@ -321,6 +322,154 @@
 	sim_free(&sim);
 }
 
+/* Offers an upload of 60 KB, or a nested call without a body. */
+static enum admit_result offer_body(struct target_sim *sim, bool nested, int64_t body_bytes)
+{
+	struct queue_entry *entry = entry_new(sim, 0, CLASS_STANDARD);
+	enum admit_result result;
+
+	entry->route = nested ? LABEL("nested") : LABEL("upload");
+	entry->nested = nested;
+	entry->no_queue = nested;
+	entry->body_bytes = body_bytes;
+	entry->objective = deadline_after(sim_now(sim), 2 * US_PER_S);
+	result = admit_offer(sim->admit, entry, sim_now(sim));
+	if (result == ADMIT_RUN)
+		run(sim, entry);
+	return result;
+}
+
+/* Guards against bodies that are fetched all at once over a slow link: nested calls and heartbeats
+ * waited behind them for a second. Uploads at twice the rate of a link of 10 Mbit/s start at its
+ * rate, nested calls pass them, and those that can't be fetched in time are refused at once. */
+static void test_uploads_start_at_the_rate_of_the_link(void **state)
+{
+	const int64_t body_bytes = 60000;
+	const int64_t link_bytes_per_s = 1250000;
+	struct target_sim sim = { .admit = admit_new(pool), .now_us = US_PER_S };
+	int64_t fetched_bytes = 0;
+	int refused = 0;
+
+	(void)state;
+	admit_set_slots(sim.admit, SLOTS);
+	admit_set_link(sim.admit, 10);
+	for (int i = 0; i < 200; i++) {
+		enum admit_result result = offer_body(&sim, false, body_bytes);
+		struct admit_dispatch dispatch;
+
+		fetched_bytes += result == ADMIT_RUN ? body_bytes : 0;
+		refused += result == ADMIT_LATE;
+		assert_int_equal(offer_body(&sim, true, 0), ADMIT_RUN);
+		sim.now_us += 24 * US_PER_MS;
+		for (int j = 0; j < sim.count; j++) {
+			admit_done(sim.admit, sim.running[j], SLOT_SERVED, SERVICE_US);
+			g_free(sim.running[j]);
+		}
+		sim.count = 0;
+		while ((dispatch = admit_next(sim.admit, sim_now(&sim))).kind == DISPATCH_RUN) {
+			fetched_bytes += dispatch.entry->body_bytes;
+			run(&sim, dispatch.entry);
+		}
+	}
+	assert_true(refused > 0);
+	assert_true(fetched_bytes <= link_bytes_per_s * 200 * 24 / 1000);
+	assert_true(fetched_bytes >= link_bytes_per_s * 200 * 24 / 1000 / 2);
+	admit_free(sim.admit);
+}
+
+/* Guards against a free slot that is refused to a call because others wait that can't use it: calls
+ * that are late, or whose bodies wait for the link. */
+static void test_waiting_bodies_do_not_block_other_calls(void **state)
+{
+	struct target_sim sim = { .admit = admit_new(pool), .now_us = US_PER_S };
+
+	(void)state;
+	admit_set_slots(sim.admit, SLOTS);
+	admit_set_link(sim.admit, 4);
+	assert_int_equal(offer_body(&sim, false, 100000), ADMIT_RUN);
+	assert_int_equal(offer_body(&sim, false, 100000), ADMIT_QUEUED);
+	assert_int_equal(offer_body(&sim, true, 0), ADMIT_RUN);
+	assert_int_equal(offer_body(&sim, false, 0), ADMIT_RUN);
+	assert_int_equal(offer_body(&sim, false, 100000), ADMIT_QUEUED);
+	admit_free(sim.admit);
+}
+
+/* Runs uploads of unequal size at twice the rate of a link for a while; returns how many were
+ * served and, in *bytes, the bytes of those. */
+static int serve_uploads(int64_t *bytes, bool equal)
+{
+	struct target_sim sim = { .admit = admit_new(pool), .now_us = US_PER_S };
+	struct rng rng = { 5 };
+	int served = 0;
+
+	*bytes = 0;
+	admit_set_slots(sim.admit, SLOTS);
+	admit_set_link(sim.admit, 10);
+	for (int i = 0; i < 2000; i++) {
+		int64_t size = equal ? 60000 : 10000 + (int64_t)rng_below(&rng, 100000);
+		struct admit_dispatch dispatch;
+
+		if (offer_body(&sim, false, size) == ADMIT_RUN)
+			continue;
+		sim.now_us += 24 * US_PER_MS;
+		for (int j = 0; j < sim.count; j++) {
+			served++;
+			*bytes += sim.running[j]->body_bytes;
+			admit_done(sim.admit, sim.running[j], SLOT_SERVED, SERVICE_US);
+			g_free(sim.running[j]);
+		}
+		sim.count = 0;
+		while ((dispatch = admit_next(sim.admit, sim_now(&sim))).kind != DISPATCH_NONE)
+			if (dispatch.kind == DISPATCH_RUN)
+				run(&sim, dispatch.entry);
+	}
+	admit_free(sim.admit);
+	return served;
+}
+
+/* Guards against large uploads that keep out several small ones for having come first. The same
+ * bytes serve more callers; the best that a queue which knows all sizes could do is to serve the
+ * smallest half. */
+static void test_large_uploads_give_way_to_small_ones(void **state)
+{
+	int64_t equal_bytes;
+	int64_t bytes;
+	int equal = serve_uploads(&equal_bytes, true);
+	int served = serve_uploads(&bytes, false);
+
+	(void)state;
+	print_message("served %d of equal size, %d of unequal size; %ld and %ld bytes\n", equal,
+		      served, equal_bytes, bytes);
+	assert_true(served >= equal * 5 / 4);
+}
+
+/* Guards against refusing by class alone: a call that needs many times the work gives way to one of
+ * its class, and a call that is late or of a lower class to one that is not. */
+static void test_cost_counts_class_objective_and_work(void **state)
+{
+	const struct shed_call call = { .class = CLASS_STANDARD,
+					.in_time = true,
+					.work_us = 10000 };
+	struct shed_call other = call;
+
+	(void)state;
+	assert_false(shed_prefers(&call, &other));
+	other.work_us *= 4;
+	assert_true(shed_prefers(&call, &other));
+	other = call;
+	other.in_time = false;
+	assert_true(shed_prefers(&call, &other));
+	other = call;
+	other.class = CLASS_BACKGROUND;
+	assert_true(shed_prefers(&call, &other));
+	other = call;
+	other.nested = true;
+	assert_true(shed_prefers(&other, &call));
+	assert_false(shed_prefers(&call, &other));
+	assert_true(shed_is_recent(US_PER_S, (struct instant){ US_PER_S + 1000, 0 }));
+	assert_false(shed_is_recent(US_PER_S, (struct instant){ 2 * US_PER_S, 0 }));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -335,6 +484,10 @@
 		cmocka_unit_test(test_target_without_slots_returns_its_queue),
 		cmocka_unit_test(test_call_that_a_stop_would_cut_off_is_refused),
 		cmocka_unit_test(test_stop_returns_the_queue_in_time),
+		cmocka_unit_test(test_uploads_start_at_the_rate_of_the_link),
+		cmocka_unit_test(test_waiting_bodies_do_not_block_other_calls),
+		cmocka_unit_test(test_large_uploads_give_way_to_small_ones),
+		cmocka_unit_test(test_cost_counts_class_objective_and_work),
 	};
 
 	apr_initialize();
