--- a/core/member_table.h
+++ b/core/member_table.h
@@ -35,7 +35,7 @@
 	GPtrArray *all;
 	GPtrArray *live;
 	GPtrArray *local;
-	GArray *probe_round; /* uint64_t: members still to probe */
+	GArray *probe_round;	 /* uint64_t: members still to probe */
 	int64_t live_changed_us; /* monotonic: a member became live or ceased to be */
 	uint64_t hash;
 	uint64_t bucket[MEMBER_BUCKETS];
--- a/core/node.c
+++ b/core/node.c
@@ -160,6 +160,63 @@
 	message_unref(message);
 }
 
+/* Handles messages that serve calls: claims, limits, proofs, poison marks and the census. */
+static void on_call_message(struct node *node, uint64_t from, const struct message *message,
+			    struct instant now, struct actions *out)
+{
+	switch (message->kind) {
+	case MESSAGE_POISON:
+		calls_on_poison(node, &message->poison, now, out);
+		return;
+	case MESSAGE_CENSUS_ASK:
+		calls_on_census_ask(node, from, message->census.seq, out);
+		return;
+	case MESSAGE_CENSUS:
+		calls_on_census(node, message->census.seq, message->census.version);
+		return;
+	case MESSAGE_CLAIM_ASK:
+		claims_on_ask(node, from, message, now, out);
+		return;
+	case MESSAGE_CLAIM_ANSWER:
+		claims_on_answer(node, message->claim_answer.seq, message->claim_answer.result,
+				 message->claim_answer.status, out);
+		return;
+	case MESSAGE_CLAIM_END:
+		claims_on_end(node, from, &message->claim_end, now, out);
+		return;
+	case MESSAGE_CLAIM_ENDED:
+		claims_on_ended(node, message->claim_ended, out);
+		return;
+	case MESSAGE_CONFIRM_ASK:
+		confirm_on_ask(node, from, message->confirm.seq, now, out);
+		return;
+	case MESSAGE_CONFIRM:
+		confirm_on_answer(node, message);
+		return;
+	case MESSAGE_QUOTA_ASK:
+		quotas_on_ask(node, from, message, now, out);
+		return;
+	case MESSAGE_QUOTA_GRANT:
+		quotas_on_grant(node, message, now, out);
+		return;
+	case MESSAGE_PING:
+	case MESSAGE_ACK:
+	case MESSAGE_PING_REQUEST:
+	case MESSAGE_ADVERT:
+	case MESSAGE_PULL:
+	case MESSAGE_RECORDS:
+	case MESSAGE_SNAPSHOT:
+	case MESSAGE_MEMBERS_ASK:
+	case MESSAGE_MEMBERS:
+	case MESSAGE_MOVES:
+	case MESSAGE_EVIDENCE:
+	case MESSAGE_RETRY:
+	case MESSAGE_KINDS:
+		break;
+	}
+	g_assert_not_reached();
+}
+
 static void on_message(struct node *node, const struct event *event, struct instant now,
 		       struct actions *out)
 {
@@ -204,38 +261,17 @@
 		config_on_retry(node, from, message->retry_after_us, now, out);
 		return;
 	case MESSAGE_POISON:
-		calls_on_poison(node, &message->poison, now, out);
-		return;
 	case MESSAGE_CENSUS_ASK:
-		calls_on_census_ask(node, from, message->census.seq, out);
-		return;
 	case MESSAGE_CENSUS:
-		calls_on_census(node, message->census.seq, message->census.version);
-		return;
 	case MESSAGE_CLAIM_ASK:
-		claims_on_ask(node, from, message, now, out);
-		return;
 	case MESSAGE_CLAIM_ANSWER:
-		claims_on_answer(node, message->claim_answer.seq, message->claim_answer.result,
-				 message->claim_answer.status, out);
-		return;
 	case MESSAGE_CLAIM_END:
-		claims_on_end(node, from, &message->claim_end, now, out);
-		return;
 	case MESSAGE_CLAIM_ENDED:
-		claims_on_ended(node, message->claim_ended, out);
-		return;
 	case MESSAGE_CONFIRM_ASK:
-		confirm_on_ask(node, from, message->confirm.seq, now, out);
-		return;
 	case MESSAGE_CONFIRM:
-		confirm_on_answer(node, message);
-		return;
 	case MESSAGE_QUOTA_ASK:
-		quotas_on_ask(node, from, message, now, out);
-		return;
 	case MESSAGE_QUOTA_GRANT:
-		quotas_on_grant(node, message, now, out);
+		on_call_message(node, from, message, now, out);
 		return;
 	case MESSAGE_KINDS:
 		break;
--- a/peer/codec.c
+++ b/peer/codec.c
@@ -177,6 +177,60 @@
 	msgpack_pack_int(out, message->pull.packed);
 }
 
+/* Packs messages that serve calls; see on_call_message() in core/node.c. */
+static void pack_call_body(msgpack_packer *out, const struct message *message)
+{
+	switch (message->kind) {
+	case MESSAGE_POISON:
+		pack_poison(out, &message->poison);
+		return;
+	case MESSAGE_CENSUS_ASK:
+	case MESSAGE_CENSUS:
+		msgpack_pack_array(out, 2);
+		msgpack_pack_uint64(out, message->census.seq);
+		msgpack_pack_int64(out, message->census.version);
+		return;
+	case MESSAGE_CLAIM_ASK:
+		pack_claim_ask(out, message);
+		return;
+	case MESSAGE_CLAIM_ANSWER:
+		pack_claim_answer(out, message);
+		return;
+	case MESSAGE_CLAIM_END:
+		msgpack_pack_array(out, 1);
+		pack_claim_op(out, &message->claim_end);
+		return;
+	case MESSAGE_CLAIM_ENDED:
+		pack_claim_ended(out, message);
+		return;
+	case MESSAGE_CONFIRM_ASK:
+	case MESSAGE_CONFIRM:
+		pack_confirm(out, message);
+		return;
+	case MESSAGE_QUOTA_ASK:
+		pack_quota_ask(out, message);
+		return;
+	case MESSAGE_QUOTA_GRANT:
+		pack_quota_grant(out, message);
+		return;
+	case MESSAGE_PING:
+	case MESSAGE_ACK:
+	case MESSAGE_PING_REQUEST:
+	case MESSAGE_ADVERT:
+	case MESSAGE_PULL:
+	case MESSAGE_RECORDS:
+	case MESSAGE_SNAPSHOT:
+	case MESSAGE_MEMBERS_ASK:
+	case MESSAGE_MEMBERS:
+	case MESSAGE_MOVES:
+	case MESSAGE_EVIDENCE:
+	case MESSAGE_RETRY:
+	case MESSAGE_KINDS:
+		break;
+	}
+	g_assert_not_reached();
+}
+
 static void pack_body(msgpack_packer *out, const struct message *message)
 {
 	switch (message->kind) {
@@ -221,36 +275,17 @@
 		msgpack_pack_int64(out, message->retry_after_us);
 		return;
 	case MESSAGE_POISON:
-		pack_poison(out, &message->poison);
-		return;
 	case MESSAGE_CENSUS_ASK:
 	case MESSAGE_CENSUS:
-		msgpack_pack_array(out, 2);
-		msgpack_pack_uint64(out, message->census.seq);
-		msgpack_pack_int64(out, message->census.version);
-		return;
 	case MESSAGE_CLAIM_ASK:
-		pack_claim_ask(out, message);
-		return;
 	case MESSAGE_CLAIM_ANSWER:
-		pack_claim_answer(out, message);
-		return;
 	case MESSAGE_CLAIM_END:
-		msgpack_pack_array(out, 1);
-		pack_claim_op(out, &message->claim_end);
-		return;
 	case MESSAGE_CLAIM_ENDED:
-		pack_claim_ended(out, message);
-		return;
 	case MESSAGE_CONFIRM_ASK:
 	case MESSAGE_CONFIRM:
-		pack_confirm(out, message);
-		return;
 	case MESSAGE_QUOTA_ASK:
-		pack_quota_ask(out, message);
-		return;
 	case MESSAGE_QUOTA_GRANT:
-		pack_quota_grant(out, message);
+		pack_call_body(out, message);
 		return;
 	case MESSAGE_KINDS:
 		break;
@@ -420,6 +455,59 @@
 	message->quota_grant.room_in_us = unpack_i64(in);
 }
 
+static void unpack_call_body(struct unpack *in, struct message *message)
+{
+	switch (message->kind) {
+	case MESSAGE_POISON:
+		unpack_poison(in, &message->poison);
+		return;
+	case MESSAGE_CENSUS_ASK:
+	case MESSAGE_CENSUS:
+		message->census.seq = unpack_u64(in);
+		message->census.version = unpack_i64(in);
+		return;
+	case MESSAGE_CLAIM_ASK:
+		unpack_claim_ask(in, message);
+		return;
+	case MESSAGE_CLAIM_ANSWER:
+		message->claim_answer.seq = unpack_u64(in);
+		message->claim_answer.result = unpack_int(in, CLAIM_TIMEOUT);
+		message->claim_answer.status = unpack_int(in, 999);
+		return;
+	case MESSAGE_CLAIM_END:
+		unpack_claim_op(in, &message->claim_end);
+		return;
+	case MESSAGE_CLAIM_ENDED:
+		message->claim_ended = unpack_u64(in);
+		return;
+	case MESSAGE_CONFIRM_ASK:
+	case MESSAGE_CONFIRM:
+		unpack_confirm(in, message);
+		return;
+	case MESSAGE_QUOTA_ASK:
+		unpack_quota_ask(in, message);
+		return;
+	case MESSAGE_QUOTA_GRANT:
+		unpack_quota_grant(in, message);
+		return;
+	case MESSAGE_PING:
+	case MESSAGE_ACK:
+	case MESSAGE_PING_REQUEST:
+	case MESSAGE_ADVERT:
+	case MESSAGE_PULL:
+	case MESSAGE_RECORDS:
+	case MESSAGE_SNAPSHOT:
+	case MESSAGE_MEMBERS_ASK:
+	case MESSAGE_MEMBERS:
+	case MESSAGE_MOVES:
+	case MESSAGE_EVIDENCE:
+	case MESSAGE_RETRY:
+	case MESSAGE_KINDS:
+		break;
+	}
+	g_assert_not_reached();
+}
+
 static void unpack_body(struct unpack *in, struct message *message)
 {
 	switch (message->kind) {
@@ -463,36 +551,17 @@
 		message->retry_after_us = unpack_i64(in);
 		return;
 	case MESSAGE_POISON:
-		unpack_poison(in, &message->poison);
-		return;
 	case MESSAGE_CENSUS_ASK:
 	case MESSAGE_CENSUS:
-		message->census.seq = unpack_u64(in);
-		message->census.version = unpack_i64(in);
-		return;
 	case MESSAGE_CLAIM_ASK:
-		unpack_claim_ask(in, message);
-		return;
 	case MESSAGE_CLAIM_ANSWER:
-		message->claim_answer.seq = unpack_u64(in);
-		message->claim_answer.result = unpack_int(in, CLAIM_TIMEOUT);
-		message->claim_answer.status = unpack_int(in, 999);
-		return;
 	case MESSAGE_CLAIM_END:
-		unpack_claim_op(in, &message->claim_end);
-		return;
 	case MESSAGE_CLAIM_ENDED:
-		message->claim_ended = unpack_u64(in);
-		return;
 	case MESSAGE_CONFIRM_ASK:
 	case MESSAGE_CONFIRM:
-		unpack_confirm(in, message);
-		return;
 	case MESSAGE_QUOTA_ASK:
-		unpack_quota_ask(in, message);
-		return;
 	case MESSAGE_QUOTA_GRANT:
-		unpack_quota_grant(in, message);
+		unpack_call_body(in, message);
 		return;
 	case MESSAGE_KINDS:
 		break;
--- a/regress/core/quota_test.c
+++ b/regress/core/quota_test.c
@@ -198,6 +198,7 @@
 {
 	double share = m->limit.rate_per_s / NODES;
 	int count = m->mail_count;
+	double due;
 
 	m->now_us += STEP_US;
 	for (int i = 0; i < NODES; i++) {
@@ -213,12 +214,13 @@
 		else
 			deliver(m, &mail);
 	}
-	for (double due = rate_per_s * STEP_US / US_PER_S; due > 0; due--)
-		if (rng_unit(rng) < due) {
-			double u = rng_unit(rng);
+	due = rate_per_s * STEP_US / US_PER_S;
+	while (rng_unit(rng) < due) {
+		double u = rng_unit(rng);
 
-			request(m, (int)(u * u * u * NODES));
-		}
+		request(m, (int)(u * u * u * NODES));
+		due--;
+	}
 	if (m->now_us % (100 * US_PER_MS) == 0)
 		for (int i = 0; i < NODES; i++)
 			expire(m, i);
--- a/regress/peer/codec_test.c
+++ b/regress/peer/codec_test.c
@@ -137,6 +137,65 @@
 	return buckets;
 }
 
+static void fill_call_message(struct rng *rng, struct message *message)
+{
+	switch (message->kind) {
+	case MESSAGE_POISON:
+		message->poison.fingerprint = rng_next(rng);
+		return;
+	case MESSAGE_CENSUS_ASK:
+	case MESSAGE_CENSUS:
+		message->census.seq = rng_next(rng);
+		return;
+	case MESSAGE_CLAIM_ASK:
+		message->claim_ask.key.low = rng_next(rng);
+		return;
+	case MESSAGE_CLAIM_ANSWER:
+		message->claim_answer.status = 200;
+		return;
+	case MESSAGE_CLAIM_END:
+		message->claim_end.claim = rng_next(rng);
+		return;
+	case MESSAGE_CLAIM_ENDED:
+		message->claim_ended = rng_next(rng);
+		return;
+	case MESSAGE_CONFIRM_ASK:
+	case MESSAGE_CONFIRM:
+		message->confirm.seq = rng_next(rng);
+		message->confirm.version = (int64_t)rng_below(rng, 1000);
+		message->confirm.age_us = (int64_t)rng_below(rng, 1000) - 1;
+		return;
+	case MESSAGE_QUOTA_ASK:
+		message->quota_ask.seq = rng_next(rng);
+		message->quota_ask.tenant = LABEL("studio");
+		message->quota_ask.shard = (int)rng_below(rng, QUOTA_SHARDS);
+		message->quota_ask.needed = (int)rng_below(rng, 100);
+		message->quota_ask.extra = (int)rng_below(rng, 100);
+		return;
+	case MESSAGE_QUOTA_GRANT:
+		message->quota_grant.seq = rng_next(rng);
+		message->quota_grant.tokens = (int)rng_below(rng, 100);
+		message->quota_grant.holds = rng_below(rng, 2) != 0;
+		message->quota_grant.room_in_us = (int64_t)rng_below(rng, US_PER_S);
+		return;
+	case MESSAGE_PING:
+	case MESSAGE_ACK:
+	case MESSAGE_PING_REQUEST:
+	case MESSAGE_ADVERT:
+	case MESSAGE_PULL:
+	case MESSAGE_RECORDS:
+	case MESSAGE_SNAPSHOT:
+	case MESSAGE_MEMBERS_ASK:
+	case MESSAGE_MEMBERS:
+	case MESSAGE_MOVES:
+	case MESSAGE_EVIDENCE:
+	case MESSAGE_RETRY:
+	case MESSAGE_KINDS:
+		break;
+	}
+	fail();
+}
+
 static struct message *random_message(struct rng *rng, enum message_kind kind)
 {
 	struct message *message = message_new(kind);
@@ -186,42 +245,17 @@
 		message->retry_after_us = (int64_t)rng_below(rng, 1000);
 		break;
 	case MESSAGE_POISON:
-		message->poison.fingerprint = rng_next(rng);
-		break;
 	case MESSAGE_CENSUS_ASK:
 	case MESSAGE_CENSUS:
-		message->census.seq = rng_next(rng);
-		break;
 	case MESSAGE_CLAIM_ASK:
-		message->claim_ask.key.low = rng_next(rng);
-		break;
 	case MESSAGE_CLAIM_ANSWER:
-		message->claim_answer.status = 200;
-		break;
 	case MESSAGE_CLAIM_END:
-		message->claim_end.claim = rng_next(rng);
-		break;
 	case MESSAGE_CLAIM_ENDED:
-		message->claim_ended = rng_next(rng);
-		break;
 	case MESSAGE_CONFIRM_ASK:
 	case MESSAGE_CONFIRM:
-		message->confirm.seq = rng_next(rng);
-		message->confirm.version = (int64_t)rng_below(rng, 1000);
-		message->confirm.age_us = (int64_t)rng_below(rng, 1000) - 1;
-		break;
 	case MESSAGE_QUOTA_ASK:
-		message->quota_ask.seq = rng_next(rng);
-		message->quota_ask.tenant = LABEL("studio");
-		message->quota_ask.shard = (int)rng_below(rng, QUOTA_SHARDS);
-		message->quota_ask.needed = (int)rng_below(rng, 100);
-		message->quota_ask.extra = (int)rng_below(rng, 100);
-		break;
 	case MESSAGE_QUOTA_GRANT:
-		message->quota_grant.seq = rng_next(rng);
-		message->quota_grant.tokens = (int)rng_below(rng, 100);
-		message->quota_grant.holds = rng_below(rng, 2) != 0;
-		message->quota_grant.room_in_us = (int64_t)rng_below(rng, US_PER_S);
+		fill_call_message(rng, message);
 		break;
 	case MESSAGE_KINDS:
 		break;
