--- a/regress/core/admit_test.c
+++ b/regress/core/admit_test.c
@@ -427,10 +427,8 @@
 	return served;
 }
 
-/* Guards against large uploads that keep out several small ones for having come first. The same
- * bytes serve more callers; the best that a queue which knows all sizes could do is to serve the
- * smallest half. */
-static void test_large_uploads_give_way_to_small_ones(void **state)
+/* Guards against large uploads that keep out several small ones for having come first. */
+static void test_unequal_uploads_serve_more_callers(void **state)
 {
 	int64_t equal_bytes;
 	int64_t bytes;
@@ -443,6 +441,33 @@
 	assert_true(served >= equal * 5 / 4);
 }
 
+/* Guards against refusing a small upload because large ones that have just come fill the link's
+ * queue: the largest gives way, and is refused as not run. A caller that has waited keeps its
+ * place. */
+static void test_large_upload_gives_way_to_a_small_one(void **state)
+{
+	const int64_t large = 200000;
+	struct target_sim sim = { .admit = admit_new(pool), .now_us = US_PER_S };
+	struct admit_dispatch dispatch;
+	int queued = 0;
+
+	(void)state;
+	admit_set_slots(sim.admit, SLOTS);
+	admit_set_link(sim.admit, 10);
+	assert_int_equal(offer_body(&sim, false, large), ADMIT_RUN);
+	while (offer_body(&sim, false, large) == ADMIT_QUEUED)
+		queued++;
+	assert_true(queued > 2);
+	while (offer_body(&sim, false, large / 2) == ADMIT_QUEUED)
+		queued++;
+	assert_int_equal(offer_body(&sim, false, large / 10), ADMIT_QUEUED);
+	dispatch = admit_next(sim.admit, sim_now(&sim));
+	assert_int_equal(dispatch.kind, DISPATCH_LATE);
+	assert_int_equal(dispatch.entry->body_bytes, large);
+	g_free(dispatch.entry);
+	admit_free(sim.admit);
+}
+
 /* Guards against refusing by class alone: a call that needs many times the work gives way to one of
  * its class, and a call that is late or of a lower class to one that is not. */
 static void test_cost_counts_class_objective_and_work(void **state)
@@ -486,7 +511,8 @@
 		cmocka_unit_test(test_stop_returns_the_queue_in_time),
 		cmocka_unit_test(test_uploads_start_at_the_rate_of_the_link),
 		cmocka_unit_test(test_waiting_bodies_do_not_block_other_calls),
-		cmocka_unit_test(test_large_uploads_give_way_to_small_ones),
+		cmocka_unit_test(test_unequal_uploads_serve_more_callers),
+		cmocka_unit_test(test_large_upload_gives_way_to_a_small_one),
 		cmocka_unit_test(test_cost_counts_class_objective_and_work),
 	};
 
