Names of the platform's fields stay in platform/; tests of keys and limits with real nodes

core, operator and the daemon's settings had the platform's names rate_per_s, quota_over, quota_slack, cold_over, cold_slack and warmup_per_s. The tests show at the targets that a key does not reach them, that the tenant's name does, and that a withdrawn key and requests over the limit are refused.

--- a/core/config.h
+++ b/core/config.h
@@ -115,7 +115,7 @@
 	GArray *keys;		  /**< struct str; empty: all keys were withdrawn */
 	bool has_class;		  /**< .class goes before the class of the route */
 	enum traffic_class class; /**< class of its requests, with .has_class */
-	double rate_per_s;	  /**< limit over the whole fleet, requests per second; 0: none */
+	double limit_per_s;	  /**< limit over the whole fleet, requests per second; 0: none */
 	double burst;		  /**< requests beyond the rate at once, over the whole fleet */
 	int line;
 };
--- a/core/node_quota.c
+++ b/core/node_quota.c
@@ -26,7 +26,7 @@
 
 	if (tenant && node_is_current(node) &&
 	    shard_holder(node, &question->tenant, question->shard) == node->options.id) {
-		struct quota_limit limit = { tenant->name, tenant->rate_per_s, tenant->burst };
+		struct quota_limit limit = { tenant->name, tenant->limit_per_s, tenant->burst };
 
 		grant = quota_grant(node->quota, &limit, question,
 				    members_live_changed_us(node->members), now);
@@ -79,7 +79,7 @@
 	struct quota_question question;
 	GArray *results;
 
-	if (tenant->rate_per_s <= 0)
+	if (tenant->limit_per_s <= 0)
 		return decision;
 	*waiter = rng_next(&rng) | 1;
 	if (!quota_take(node->quota, &tenant->name, *waiter, now, &decision, &question))
--- a/core/quota.c
+++ b/core/quota.c
@@ -9,9 +9,9 @@
  * rate and the burst, so that a tenant at its limit isn't refused for rounding. */
 #define LIFETIME_FRACTION 0.6
 #define EXTRA_FRACTION	  0.3
-/* Part of the slack that the bursts get. A small tenant's limit is split into shards with about one
+/* Part of the allowance that the bursts get. A small tenant's limit is split into shards with about one
  * token each, and parts of tokens serve nobody. */
-#define SLACK_FRACTION 0.3
+#define ALLOWANCE_FRACTION 0.3
 
 /* Time for an answer, before the next holder is asked as well. */
 #define ANSWER_US (100 * US_PER_MS)
@@ -124,21 +124,21 @@
 /* How long tokens may be used after they were asked for. */
 static int64_t lifetime_us(const struct quota *quota)
 {
-	int64_t us = (int64_t)(LIFETIME_FRACTION * quota->options.over *
+	int64_t us = (int64_t)(LIFETIME_FRACTION * quota->options.tolerance *
 			       (double)quota->options.window_us);
 
 	return MAX(us, LIFETIME_MIN_US);
 }
 
-static double shard_rate(const struct quota *quota, const struct quota_limit *limit)
+static double shard_fill_per_s(const struct quota *quota, const struct quota_limit *limit)
 {
-	return limit->rate_per_s * (1 + EXTRA_FRACTION * quota->options.over) / QUOTA_SHARDS;
+	return limit->limit_per_s * (1 + EXTRA_FRACTION * quota->options.tolerance) / QUOTA_SHARDS;
 }
 
 static double shard_burst(const struct quota *quota, const struct quota_limit *limit)
 {
-	double burst = limit->burst * (1 + EXTRA_FRACTION * quota->options.over) +
-		       SLACK_FRACTION * quota->options.slack;
+	double burst = limit->burst * (1 + EXTRA_FRACTION * quota->options.tolerance) +
+		       ALLOWANCE_FRACTION * quota->options.allowance;
 
 	return MAX(burst / QUOTA_SHARDS, 1);
 }
@@ -168,11 +168,11 @@
 	return bucket;
 }
 
-static void bucket_fill(struct bucket *bucket, double rate_per_s, double burst, struct instant now)
+static void bucket_fill(struct bucket *bucket, double fill_per_s, double burst, struct instant now)
 {
 	double seconds = (double)(now.mono_us - bucket->filled_at_us) / US_PER_S;
 
-	bucket->tokens = MIN(bucket->tokens + rate_per_s * seconds, burst);
+	bucket->tokens = MIN(bucket->tokens + fill_per_s * seconds, burst);
 	bucket->missing *= exp(-seconds);
 	bucket->filled_at_us = now.mono_us;
 }
@@ -198,7 +198,7 @@
 			       const struct quota_question *question, int64_t held_since_us,
 			       struct instant now)
 {
-	double rate_per_s = shard_rate(quota, limit);
+	double fill_per_s = shard_fill_per_s(quota, limit);
 	double burst = shard_burst(quota, limit);
 	struct quota_grant grant = { .holds = true };
 	struct bucket *bucket;
@@ -206,13 +206,13 @@
 
 	lock_acquire(&quota->lock);
 	bucket = bucket_get(quota, question, held_since_us, now);
-	bucket_fill(bucket, rate_per_s, burst, now);
+	bucket_fill(bucket, fill_per_s, burst, now);
 	grant.tokens = bucket_take(bucket, question, burst);
 	if (grant.tokens < question->needed) {
 		bucket->missing += question->needed - grant.tokens;
 		wanted = bucket->missing - bucket->tokens;
 		grant.room_in_us =
-			rate_per_s > 0 ? (int64_t)(wanted / rate_per_s * US_PER_S) : ROOM_MAX_US;
+			fill_per_s > 0 ? (int64_t)(wanted / fill_per_s * US_PER_S) : ROOM_MAX_US;
 		grant.room_in_us = CLAMP(grant.room_in_us, ROOM_MIN_US, ROOM_MAX_US);
 	}
 	lock_release(&quota->lock);
--- a/core/quota.h
+++ b/core/quota.h
@@ -23,18 +23,18 @@
 /** Holders that share a limit: one that is lost takes a quarter of it until it is replaced. */
 enum { QUOTA_SHARDS = 4 };
 
-/** Tolerance of a limit: (rate x window + burst) x (1 + over) + slack requests in any window. */
+/** Tolerance of a limit: (rate x window + burst) x (1 + tolerance) + allowance requests in any window. */
 struct quota_options {
 	int64_t window_us;
-	double over;
-	double slack;
+	double tolerance;
+	double allowance;
 	uint64_t seed; /**< of the numbers of questions */
 };
 
 /** Limit of a tenant, as the configuration states it. */
 struct quota_limit {
 	struct label tenant;
-	double rate_per_s;
+	double limit_per_s;
 	double burst;
 };
 
--- a/core/warmup.c
+++ b/core/warmup.c
@@ -2,7 +2,7 @@
 
 #include <glib.h>
 
-static const struct warmup_options default_options = { .cold_over = 1.5, .cold_slack = 8 };
+static const struct warmup_options default_options = { .cold_factor = 1.5, .cold_allowance = 8 };
 
 /* Calls that start within this many seconds may reach the target within one: the time from the
  * start of a call to its arrival varies by up to 250 ms on a busy VM. */
@@ -41,20 +41,20 @@
 /* Returns the calls that a cold target may get in any second. */
 static double calls_per_second_max(const struct warmup *warmup)
 {
-	return warmup->rule.per_s * warmup->options.cold_over + warmup->options.cold_slack;
+	return warmup->rule.per_s * warmup->options.cold_factor + warmup->options.cold_allowance;
 }
 
 /* Returns the capacity of the bucket. At least one call has to fit. */
 static double burst(const struct warmup *warmup)
 {
-	return MAX(warmup->options.cold_slack * BURST_FRACTION, 1);
+	return MAX(warmup->options.cold_allowance * BURST_FRACTION, 1);
 }
 
 /* Returns the rate that, with a burst, keeps each second within the limit. */
-static double rate_per_s(const struct warmup *warmup)
+static double fill_per_s(const struct warmup *warmup)
 {
 	double without_burst = calls_per_second_max(warmup) - burst(warmup);
-	double stated = warmup->rule.per_s * warmup->options.cold_over;
+	double stated = warmup->rule.per_s * warmup->options.cold_factor;
 
 	return CLAMP(without_burst, RATE_FRACTION_MIN * stated, stated) / ARRIVAL_WINDOW_S;
 }
@@ -64,7 +64,7 @@
 {
 	double elapsed_s = (double)(now.mono_us - warmup->filled_at_us) / US_PER_S;
 
-	return MIN(warmup->tokens + elapsed_s * rate_per_s(warmup), burst(warmup));
+	return MIN(warmup->tokens + elapsed_s * fill_per_s(warmup), burst(warmup));
 }
 
 void warmup_init(struct warmup *warmup, const struct warmup_options *options)
@@ -129,7 +129,7 @@
 	if (warmup->rule.per_s <= 0)
 		return;
 	/* Calls from before the last second no longer count. */
-	warmup->tokens = MAX(tokens_at(warmup, now) - 1, -rate_per_s(warmup));
+	warmup->tokens = MAX(tokens_at(warmup, now) - 1, -fill_per_s(warmup));
 	warmup->filled_at_us = now.mono_us;
 }
 
@@ -140,5 +140,5 @@
 	if (warmup_cause(warmup, now) == COLD_NOT)
 		return 0;
 	missing = calls - tokens_at(warmup, now);
-	return missing > 0 ? (int64_t)(missing / rate_per_s(warmup) * US_PER_S) + WAKE_US : 0;
+	return missing > 0 ? (int64_t)(missing / fill_per_s(warmup) * US_PER_S) + WAKE_US : 0;
 }
--- a/godwithitchd/settings.c
+++ b/godwithitchd/settings.c
@@ -27,13 +27,13 @@
 #define RETRY_SLACK_DEFAULT	0
 #define QUOTA_WINDOW_DEFAULT_US (5 * US_PER_S)
 #define QUOTA_WINDOW_MAX_US	(600 * US_PER_S)
-#define QUOTA_OVER_DEFAULT	0.1
-#define QUOTA_SLACK_DEFAULT	20
-#define QUOTA_SLACK_MAX		1e6
-#define COLD_OVER_DEFAULT	1.5
-#define COLD_OVER_MAX		100.0
-#define COLD_SLACK_DEFAULT	8.0
-#define COLD_SLACK_MAX		1e6
+#define QUOTA_TOLERANCE_DEFAULT	0.1
+#define QUOTA_ALLOWANCE_DEFAULT	20
+#define QUOTA_ALLOWANCE_MAX		1e6
+#define COLD_FACTOR_DEFAULT	1.5
+#define COLD_FACTOR_MAX		100.0
+#define COLD_ALLOWANCE_DEFAULT	8.0
+#define COLD_ALLOWANCE_MAX		1e6
 
 /** A document that is being read, and the destinations of its values and errors. */
 struct settings_reader {
@@ -174,11 +174,11 @@
 {
 	struct quota_options *quota = &r->settings->quota;
 
-	*quota = (struct quota_options){ .over = QUOTA_OVER_DEFAULT, .slack = QUOTA_SLACK_DEFAULT };
-	return read_seconds(r, STR("quota_window_s"), QUOTA_WINDOW_MAX_US, QUOTA_WINDOW_DEFAULT_US,
+	*quota = (struct quota_options){ .tolerance = QUOTA_TOLERANCE_DEFAULT, .allowance = QUOTA_ALLOWANCE_DEFAULT };
+	return read_seconds(r, STR("limit_window_s"), QUOTA_WINDOW_MAX_US, QUOTA_WINDOW_DEFAULT_US,
 			    &quota->window_us) &&
-	       read_double(r, STR("quota_over"), 1, &quota->over) &&
-	       read_double(r, STR("quota_slack"), QUOTA_SLACK_MAX, &quota->slack);
+	       read_double(r, STR("limit_tolerance"), 1, &quota->tolerance) &&
+	       read_double(r, STR("limit_allowance"), QUOTA_ALLOWANCE_MAX, &quota->allowance);
 }
 
 static bool read_times_and_rates(struct settings_reader *r)
@@ -206,13 +206,13 @@
 {
 	struct warmup_options *warmup = &r->settings->warmup;
 
-	*warmup = (struct warmup_options){ .cold_over = COLD_OVER_DEFAULT,
-					   .cold_slack = COLD_SLACK_DEFAULT };
-	if (!read_double(r, STR("cold_over"), COLD_OVER_MAX, &warmup->cold_over) ||
-	    !read_double(r, STR("cold_slack"), COLD_SLACK_MAX, &warmup->cold_slack))
+	*warmup = (struct warmup_options){ .cold_factor = COLD_FACTOR_DEFAULT,
+					   .cold_allowance = COLD_ALLOWANCE_DEFAULT };
+	if (!read_double(r, STR("cold_factor"), COLD_FACTOR_MAX, &warmup->cold_factor) ||
+	    !read_double(r, STR("cold_allowance"), COLD_ALLOWANCE_MAX, &warmup->cold_allowance))
 		return false;
-	return warmup->cold_over >= 1 ||
-	       json_fail(r->doc, json_get(r->doc->root, STR("cold_over")), CONFIG_ERROR_TYPE,
+	return warmup->cold_factor >= 1 ||
+	       json_fail(r->doc, json_get(r->doc->root, STR("cold_factor")), CONFIG_ERROR_TYPE,
 			 r->error, "expected a number of 1 or more");
 }
 
--- a/operator/parse.c
+++ b/operator/parse.c
@@ -57,7 +57,7 @@
 /* Reads the limit of cold targets; 0, like a missing key, means none. */
 static bool parse_warmup(struct parser *p, const struct json *item, struct warmup_rule *warmup)
 {
-	const struct json *rate = json_get(item, STR("warmup_per_s"));
+	const struct json *rate = json_get(item, STR("cold_calls_per_s"));
 	int64_t duration_ms = 0;
 
 	if (!json_read_int(p->doc, item, STR("warmup_ms"), JSON_OPTIONAL, 0, WARMUP_MAX_MS,
@@ -322,7 +322,7 @@
 	    !json_read_member(p->doc, item, STR("keys"), JSON_REQUIRED, JSON_ARRAY, &keys,
 			      p->error) ||
 	    !parse_tenant_class(p, item, &tenant) ||
-	    !parse_rate(p, item, STR("rate_per_s"), &tenant.rate_per_s) ||
+	    !parse_rate(p, item, STR("limit_per_s"), &tenant.limit_per_s) ||
 	    !parse_rate(p, item, STR("burst"), &tenant.burst) ||
 	    !json_check_unknown_keys(p->doc, item, p->error))
 		return false;
--- a/regress/core/access_test.c
+++ b/regress/core/access_test.c
@@ -15,7 +15,7 @@
 	"{\"name\":\"open\",\"path\":\"/open\",\"service\":\"s\",\"public\":true}]"
 #define TENANTS                                                                                    \
 	",\"tenants\":{\"atelier\":{\"keys\":[\"k1\",\"k2\"],\"class\":\"interactive\","           \
-	"\"rate_per_s\":3.5,\"burst\":4},\"studio\":{\"keys\":[]}}"
+	"\"limit_per_s\":3.5,\"burst\":4},\"studio\":{\"keys\":[]}}"
 
 /* Builds the configuration of one file; returns NULL with the reason if it is invalid. */
 static struct config *build(const char *text, char **reason)
@@ -111,8 +111,8 @@
 	} rows[] = {
 		{ "{\n\"a\":{\"keys\":[\"x\"]},\n\"b\":{\"keys\":[\"x\"]}}",
 		  "f:3: tenants.b: tenant \"a\" holds one of the keys already" },
-		{ "{\n\"a\":{\"keys\":[\"x\"],\"rate_per_s\":-1}}",
-		  "f:2: tenants.a.rate_per_s: expected a number from 0 to 1e+06" },
+		{ "{\n\"a\":{\"keys\":[\"x\"],\"limit_per_s\":-1}}",
+		  "f:2: tenants.a.limit_per_s: expected a number from 0 to 1e+06" },
 		{ "{\n\"a\":{\"keys\":[\"x\"],\"burst\":1e9}}",
 		  "f:2: tenants.a.burst: expected a number from 0 to 1e+06" },
 		{ "{\n\"a\":{}}", "f:2: tenants.a: the key \"keys\" is missing" },
--- a/regress/core/cold_test.c
+++ b/regress/core/cold_test.c
@@ -261,10 +261,10 @@
 	const char *warmup;
 	double per_s;
 } rates[] = {
-	{ ",\"warmup_ms\":6000,\"warmup_per_s\":0.5", 0.5 },
-	{ ",\"warmup_ms\":6000,\"warmup_per_s\":4", 4 },
-	{ ",\"warmup_ms\":6000,\"warmup_per_s\":7.5", 7.5 },
-	{ ",\"warmup_ms\":6000,\"warmup_per_s\":30", 30 },
+	{ ",\"warmup_ms\":6000,\"cold_calls_per_s\":0.5", 0.5 },
+	{ ",\"warmup_ms\":6000,\"cold_calls_per_s\":4", 4 },
+	{ ",\"warmup_ms\":6000,\"cold_calls_per_s\":7.5", 7.5 },
+	{ ",\"warmup_ms\":6000,\"cold_calls_per_s\":30", 30 },
 };
 
 /* A cold target was sent all that its slots could take, from all entry nodes at once. */
--- a/regress/core/quota_test.c
+++ b/regress/core/quota_test.c
@@ -61,19 +61,19 @@
 	return (struct instant){ m->now_us, m->now_us };
 }
 
-static struct model *model_new(enum way way, double rate_per_s, double burst)
+static struct model *model_new(enum way way, double limit_per_s, double burst)
 {
 	struct model *m = g_new0(struct model, 1);
 
 	m->way = way;
-	m->limit = (struct quota_limit){ LABEL("studio"), rate_per_s, burst };
+	m->limit = (struct quota_limit){ LABEL("studio"), limit_per_s, burst };
 	m->mails = g_new0(struct mail, MESSAGES_MAX);
 	m->taken_us = g_new0(int64_t, 1 << 20);
 	m->now_us = 100 * US_PER_S;
 	for (int i = 0; i < NODES; i++) {
 		struct quota_options options = { .window_us = WINDOW_S * US_PER_S,
-						 .over = OVER,
-						 .slack = SLACK,
+						 .tolerance = OVER,
+						 .allowance = SLACK,
 						 .seed = (uint64_t)i + 1 };
 
 		m->quotas[i] = quota_new(&options, pool);
@@ -149,7 +149,7 @@
 		reply.question = mail->question;
 		if (m->way == WAY_HOME) {
 			reply.question.shard = 0;
-			limit.rate_per_s *= QUOTA_SHARDS;
+			limit.limit_per_s *= QUOTA_SHARDS;
 			limit.burst *= QUOTA_SHARDS;
 		}
 		reply.grant = quota_grant(m->quotas[mail->to], &limit, &reply.question,
@@ -193,10 +193,10 @@
 		note_taken(m);
 }
 
-/* Runs one step: requests at @p rate_per_s, most of them at few nodes. */
-static void step(struct model *m, struct rng *rng, double rate_per_s)
+/* Runs one step: requests at @p limit_per_s, most of them at few nodes. */
+static void step(struct model *m, struct rng *rng, double limit_per_s)
 {
-	double share = m->limit.rate_per_s / NODES;
+	double share = m->limit.limit_per_s / NODES;
 	int count = m->mail_count;
 	double due;
 
@@ -214,7 +214,7 @@
 		else
 			deliver(m, &mail);
 	}
-	due = rate_per_s * STEP_US / US_PER_S;
+	due = limit_per_s * STEP_US / US_PER_S;
 	while (rng_unit(rng) < due) {
 		double u = rng_unit(rng);
 
@@ -226,10 +226,10 @@
 			expire(m, i);
 }
 
-static void run(struct model *m, struct rng *rng, double rate_per_s, int seconds)
+static void run(struct model *m, struct rng *rng, double limit_per_s, int seconds)
 {
 	for (int i = 0; i < seconds * (US_PER_S / STEP_US); i++)
-		step(m, rng, rate_per_s);
+		step(m, rng, limit_per_s);
 }
 
 /* Returns the largest number of requests that were let through in a window. */
@@ -248,7 +248,7 @@
 
 static int bound(const struct model *m)
 {
-	return (int)((m->limit.rate_per_s * WINDOW_S + m->limit.burst) * (1 + OVER) + SLACK);
+	return (int)((m->limit.limit_per_s * WINDOW_S + m->limit.burst) * (1 + OVER) + SLACK);
 }
 
 static int setup(void **state)
@@ -372,8 +372,8 @@
 static void test_returned_token_serves_the_next_request(void **state)
 {
 	struct quota_options options = { .window_us = WINDOW_S * US_PER_S,
-					 .over = OVER,
-					 .slack = SLACK };
+					 .tolerance = OVER,
+					 .allowance = SLACK };
 	struct quota *quota = quota_new(&options, pool);
 	struct label tenant = LABEL("studio");
 	struct quota_grant grant = { .holds = true, .tokens = 1 };
--- a/regress/godwithitchd/platform_test.c
+++ b/regress/godwithitchd/platform_test.c
@@ -33,6 +33,8 @@
 	gint aborted; /**< requests whose connection closed before the answer */
 	gint leaving; /**< its health answer is 503 */
 	char caller_service[32];
+	char tenant[32];
+	gint keys;	      /**< requests with an Authorization field */
 	double warmup_left_s; /**< stated by its heartbeats */
 	GMutex mutex;	      /**< of the arrivals */
 	int64_t arrivals_us[ARRIVALS_MAX];
@@ -70,6 +72,8 @@
 		MHD_lookup_connection_value(connection, MHD_HEADER_KIND, "X-Expected-Instance");
 	const char *service =
 		MHD_lookup_connection_value(connection, MHD_HEADER_KIND, "X-Caller-Service");
+	const char *tenant =
+		MHD_lookup_connection_value(connection, MHD_HEADER_KIND, "X-Tenant-Id");
 
 	(void)method;
 	(void)version;
@@ -86,6 +90,9 @@
 		return queue_response(connection, 421, "", false, true);
 	g_strlcpy(upstream->caller_service, service ? service : "",
 		  sizeof(upstream->caller_service));
+	g_strlcpy(upstream->tenant, tenant ? tenant : "", sizeof(upstream->tenant));
+	if (MHD_lookup_connection_value(connection, MHD_HEADER_KIND, "Authorization"))
+		g_atomic_int_inc(&upstream->keys);
 	if (strcmp(url, "/health") == 0)
 		return queue_response(connection, g_atomic_int_get(&upstream->leaving) ? 503 : 200,
 				      "", false, true);
@@ -269,7 +276,8 @@
 	fleet = fleet_new_platform();
 	g_strlcpy(fleet->extra_settings,
 		  "\"interface\": \"platform\", \"service\": \"" SERVICE "\", "
-		  "\"announce_ttl_s\": 60, \"stop_notice_s\": 0.5, \"stop_within_s\": 3,",
+		  "\"announce_ttl_s\": 60, \"stop_notice_s\": 0.5, \"stop_within_s\": 3, "
+		  "\"revoke_within_s\": 5,",
 		  sizeof(fleet->extra_settings));
 	for (int i = 0; i < NODES; i++) {
 		fleet_add_node(fleet, i ? "dc-b" : "dc-a");
@@ -878,6 +886,156 @@
 	assert_int_equal(process_wait(&fleet->nodes[0].daemon, WAIT_MS), 0);
 }
 
+static void publish_tenants(int version, const char *tenants)
+{
+	char *text = g_strdup_printf(
+		"{\"version\":%d,\"services\":[{\"name\":\"%s\",\"health_path\":\"/health\"}],"
+		"\"tenants\":%s,\"virtual_hosts\":[{\"host\":\"shop.example\",\"paths\":["
+		"{\"name\":\"read\",\"path_prefix\":\"/a/\",\"kind\":\"safe\",\"timeout_s\":1,"
+		"\"service\":\"%s\"},"
+		"{\"name\":\"open\",\"path_prefix\":\"/open/\",\"kind\":\"safe\",\"timeout_s\":1,"
+		"\"service\":\"%s\",\"public\":true}]}]}",
+		version, SERVICE, tenants, SERVICE, SERVICE);
+
+	append_record("keyed.op", "config", text);
+	g_free(text);
+}
+
+/* Sends a request with a caller's own value of the tenant's field, and a key unless it is NULL. */
+static long status_with_key(int node, const char *path, const char *key)
+{
+	struct http_client *client = http_client_new();
+	struct http_options options = { .headers = { HOST, "X-Request-Id: r1", "X-Timeout-Ms: 3000",
+						     "X-Tenant-Id: forged", key },
+					.timeout_ms = 5000 };
+	char url[128];
+	struct http_reply reply;
+	long status;
+
+	g_snprintf(url, sizeof(url), "http://%s%s", fleet->nodes[node].caller_address, path);
+	reply = http_do(client, url, &options);
+	status = reply.status;
+	http_reply_clear(&reply);
+	http_client_free(client);
+	return status;
+}
+
+static long wait_for_status_with_key(int node, const char *path, const char *key, long wanted)
+{
+	long status = 0;
+
+	for (int i = 0; i < WAIT_MS / 50 && status != wanted; i++) {
+		status = status_with_key(node, path, key);
+		if (status != wanted)
+			wait_ms(50);
+	}
+	return status;
+}
+
+static int runs_of_all(void)
+{
+	int runs = 0;
+
+	for (int i = 0; i < NODES; i++)
+		runs += g_atomic_int_get(&upstreams[i].runs);
+	return runs;
+}
+
+static void assert_tenant_at_targets(const char *tenant)
+{
+	for (int i = 0; i < NODES; i++) {
+		if (upstreams[i].tenant[0] || tenant[0] == '\0')
+			assert_string_equal(upstreams[i].tenant, tenant);
+		assert_int_equal(g_atomic_int_get(&upstreams[i].keys), 0);
+	}
+}
+
+/* Guards against a target that gets a caller's key, or a tenant that the key does not belong to,
+ * and against requests that run without a valid key. */
+static void test_keys_name_the_tenant_and_stay_at_the_node(void **state)
+{
+	static const char *const refused[] = { NULL, "Authorization: Bearer none",
+					       "Authorization: Basic k1" };
+	int runs;
+
+	(void)state;
+	publish_tenants(70, "[{\"name\":\"atelier\",\"api_keys\":[\"k1\"]},"
+			    "{\"name\":\"studio\",\"api_keys\":[\"k2\"]}]");
+	for (int node = 0; node < NODES; node++) {
+		assert_int_equal(wait_for_status_with_key(node, "/a/x", NULL, 401), 401);
+		assert_int_equal(
+			wait_for_status_with_key(node, "/a/x", "Authorization: Bearer k1", 200),
+			200);
+		runs = runs_of_all();
+		for (size_t i = 0; i < G_N_ELEMENTS(refused); i++)
+			assert_int_equal(status_with_key(node, "/a/x", refused[i]), 401);
+		assert_int_equal(runs_of_all(), runs);
+	}
+	for (int i = 0; i < 10; i++)
+		assert_int_equal(status_with_key(i % NODES, "/a/x", "Authorization: Bearer k2"),
+				 200);
+	assert_tenant_at_targets("studio");
+	for (int i = 0; i < 10; i++)
+		assert_int_equal(status_with_key(i % NODES, "/open/x", NULL), 200);
+	assert_tenant_at_targets("");
+}
+
+/* Guards against a key that goes on working after it was withdrawn, at one node or at all. */
+static void test_withdrawn_key_admits_no_request(void **state)
+{
+	int runs;
+
+	(void)state;
+	publish_tenants(71, "[{\"name\":\"atelier\",\"api_keys\":[]},"
+			    "{\"name\":\"studio\",\"api_keys\":[\"k2\"]}]");
+	for (int node = 0; node < NODES; node++)
+		assert_int_equal(
+			wait_for_status_with_key(node, "/a/x", "Authorization: Bearer k1", 401),
+			401);
+	runs = runs_of_all();
+	for (int i = 0; i < 20; i++)
+		assert_int_equal(status_with_key(i % NODES, "/a/x", "Authorization: Bearer k1"),
+				 401);
+	assert_int_equal(runs_of_all(), runs);
+	assert_int_equal(status_with_key(0, "/a/x", "Authorization: Bearer k2"), 200);
+}
+
+/* Guards against a limit that each node counts alone: at both nodes together no more requests run
+ * than the tenant may send. */
+static void test_tenant_over_its_limit_gets_429(void **state)
+{
+	const int limit_per_s = 5;
+	int64_t started_us;
+	int64_t windows;
+	int served = 0;
+	int refused = 0;
+	int runs;
+
+	(void)state;
+	publish_tenants(
+		72, "[{\"name\":\"studio\",\"api_keys\":[\"k3\"],\"rate_per_s\":5,\"burst\":5}]");
+	for (int node = 0; node < NODES; node++)
+		assert_int_equal(
+			wait_for_status_with_key(node, "/a/x", "Authorization: Bearer k3", 200),
+			200);
+	runs = runs_of_all();
+	started_us = clock_now().mono_us;
+	for (int i = 0; i < 300; i++) {
+		long status = status_with_key(i % NODES, "/a/x", "Authorization: Bearer k3");
+
+		served += status == 200;
+		refused += status == 429;
+	}
+	windows = (clock_now().mono_us - started_us) / (5 * US_PER_S) + 1;
+	print_message("%d served, %d refused, %ld windows\n", served, refused, windows);
+	assert_true(refused > 0);
+	assert_int_equal(runs_of_all() - runs, served);
+	assert_true(served <= windows * ((limit_per_s * 5 + 5) * 11 / 10 + 20));
+	publish_config(73, "/a/");
+	for (int node = 0; node < NODES; node++)
+		assert_int_equal(wait_for_status(node, "/a/x", 200), 200);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -896,6 +1054,9 @@
 		cmocka_unit_test(test_heartbeat_of_another_writer_does_not_replace_target),
 		cmocka_unit_test(test_cold_targets_get_few_requests),
 		cmocka_unit_test(test_evacuated_target_gets_no_requests),
+		cmocka_unit_test(test_keys_name_the_tenant_and_stay_at_the_node),
+		cmocka_unit_test(test_withdrawn_key_admits_no_request),
+		cmocka_unit_test(test_tenant_over_its_limit_gets_429),
 		cmocka_unit_test(test_draining_target_gets_no_requests),
 		cmocka_unit_test(test_restarted_node_does_not_use_a_leaving_target),
 		cmocka_unit_test(test_graceful_stop_completes_requests),
