--- a/regress/core/admit_test.c
+++ b/regress/core/admit_test.c
@@ -468,6 +468,84 @@
 	admit_free(sim.admit);
 }
 
+/* Guards against a caller that announces a large body and sends none of it: the bodies of others
+ * waited for as long as the announced one would have taken, more than a minute. */
+static void test_announced_body_does_not_block_others(void **state)
+{
+	const int64_t announced = 64 << 20;
+	struct target_sim sim = { .admit = admit_new(pool), .now_us = US_PER_S };
+
+	(void)state;
+	admit_set_slots(sim.admit, SLOTS);
+	admit_set_link(sim.admit, 10);
+	assert_int_equal(offer_body(&sim, false, announced), ADMIT_RUN);
+	for (int i = 0; i < 100; i++)
+		admit_count_received(sim.admit, announced, sim_now(&sim));
+	sim.now_us += 1500 * US_PER_MS;
+	assert_int_equal(offer_body(&sim, false, 60000), ADMIT_RUN);
+	admit_free(sim.admit);
+}
+
+/* Guards against a tenant's call without a body that waits behind its upload while slots are free,
+ * and against new calls that are refused for it. */
+static void test_call_without_a_body_passes_a_waiting_one(void **state)
+{
+	struct target_sim sim = { .admit = admit_new(pool), .now_us = US_PER_S };
+	struct admit_dispatch dispatch;
+
+	(void)state;
+	admit_set_slots(sim.admit, 2);
+	admit_set_link(sim.admit, 4);
+	assert_int_equal(offer_body(&sim, false, 100000), ADMIT_RUN);
+	assert_int_equal(offer_body(&sim, false, 100000), ADMIT_QUEUED);
+	assert_int_equal(offer_body(&sim, false, 0), ADMIT_RUN);
+	assert_int_equal(offer_body(&sim, false, 0), ADMIT_QUEUED);
+	admit_done(sim.admit, sim.running[1], SLOT_SERVED, SERVICE_US);
+	dispatch = admit_next(sim.admit, sim_now(&sim));
+	assert_int_equal(dispatch.kind, DISPATCH_RUN);
+	assert_int_equal(dispatch.entry->body_bytes, 0);
+	admit_free(sim.admit);
+}
+
+/* Guards against calls with bodies that wait for a slot and are passed by every new call. */
+static void test_body_that_waits_for_a_slot_is_not_passed(void **state)
+{
+	struct target_sim sim = { .admit = admit_new(pool), .now_us = US_PER_S };
+
+	(void)state;
+	admit_set_slots(sim.admit, 1);
+	assert_int_equal(offer_body(&sim, true, 0), ADMIT_RUN);
+	assert_int_equal(offer_body(&sim, false, 100000), ADMIT_QUEUED);
+	admit_done(sim.admit, sim.running[0], SLOT_SERVED, SERVICE_US);
+	assert_int_equal(offer_body(&sim, false, 0), ADMIT_QUEUED);
+	admit_free(sim.admit);
+}
+
+/* Guards against a tenant that loses its place to one that has used more: small uploads of a busy
+ * tenant must not turn away the large ones of another. */
+static void test_busy_tenant_takes_no_place_of_another(void **state)
+{
+	struct target_sim sim = { .admit = admit_new(pool), .now_us = US_PER_S };
+	struct queue_entry *light;
+	enum admit_result result = ADMIT_QUEUED;
+
+	(void)state;
+	admit_set_slots(sim.admit, SLOTS);
+	admit_set_link(sim.admit, 10);
+	for (int i = 0; i < 3; i++)
+		assert_int_equal(offer_body(&sim, true, 0), ADMIT_RUN);
+	assert_int_equal(offer_body(&sim, false, 60000), ADMIT_RUN);
+	light = entry_new(&sim, 1, CLASS_STANDARD);
+	light->body_bytes = 400000;
+	light->objective = deadline_after(sim_now(&sim), 2 * US_PER_S);
+	assert_int_equal(admit_offer(sim.admit, light, sim_now(&sim)), ADMIT_QUEUED);
+	while (result == ADMIT_QUEUED)
+		result = offer_body(&sim, false, 20000);
+	assert_int_equal(result, ADMIT_LATE);
+	assert_int_not_equal(admit_next(sim.admit, sim_now(&sim)).kind, DISPATCH_LATE);
+	admit_free(sim.admit);
+}
+
 /* Guards against refusing by class alone: a call that needs many times the work gives way to one of
  * its class, and a call that is late or of a lower class to one that is not. */
 static void test_cost_counts_class_objective_and_work(void **state)
@@ -514,6 +592,10 @@
 		cmocka_unit_test(test_unequal_uploads_serve_more_callers),
 		cmocka_unit_test(test_large_upload_gives_way_to_a_small_one),
 		cmocka_unit_test(test_cost_counts_class_objective_and_work),
+		cmocka_unit_test(test_announced_body_does_not_block_others),
+		cmocka_unit_test(test_call_without_a_body_passes_a_waiting_one),
+		cmocka_unit_test(test_body_that_waits_for_a_slot_is_not_passed),
+		cmocka_unit_test(test_busy_tenant_takes_no_place_of_another),
 	};
 
 	apr_initialize();
--- a/regress/core/quota_test.c
+++ b/regress/core/quota_test.c
@@ -291,6 +291,21 @@
 	}
 }
 
+/* Guards against a tenant without a burst that is refused for a second at a time although its limit
+ * has room again soon. */
+static void test_tenant_without_a_burst_is_served_below_its_limit(void **state)
+{
+	struct model *m = model_new(WAY_SHARDS, 100, 0);
+	struct rng rng = { 16 };
+
+	(void)state;
+	run(m, &rng, 80, RUN_S);
+	print_message("%d of %d refused\n", m->exceeded + m->unreached, m->asked);
+	assert_true(m->exceeded + m->unreached <= m->asked / 10);
+	assert_true(busiest_window(m) <= bound(m));
+	model_free(m);
+}
+
 /* Guards against letting more through than the limit when a tenant asks for many times as much, and
  * against losing a good part of the limit then. */
 static void test_limit_holds_under_many_times_the_demand(void **state)
@@ -400,6 +415,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_tenant_below_its_limit_is_served_wherever_it_asks),
+		cmocka_unit_test(test_tenant_without_a_burst_is_served_below_its_limit),
 		cmocka_unit_test(test_limit_holds_under_many_times_the_demand),
 		cmocka_unit_test(test_limit_holds_while_holders_change),
 		cmocka_unit_test(test_loss_of_a_holder_takes_a_quarter),
--- a/regress/lib/callers.c
+++ b/regress/lib/callers.c
@@ -89,6 +89,7 @@
 	workers = workers_new(&pool_options, pool, NULL);
 	memory = memory_new(memory_budget(0), pool);
 	options.memory = memory;
+	callers.memory = memory;
 	options.workers = workers;
 	callers.caller = caller_new(&options, pool, NULL);
 	assert_non_null(callers.caller);
--- a/regress/lib/callers.h
+++ b/regress/lib/callers.h
@@ -19,6 +19,7 @@
 	pthread_mutex_t mutex; /**< the thread sanitizer does not see the locks of GLib */
 	pthread_cond_t changed;
 	struct caller *caller;
+	struct memory *memory; /**< the server's account */
 	GPtrArray *calls;     /**< struct caller_call, one reference each, in the order of READY */
 	gulong ready_wait_us; /**< READY takes so long */
 	int handling;	      /**< events of the newest call that are being handled */
--- a/regress/peer/link_test.c
+++ b/regress/peer/link_test.c
@@ -393,6 +393,44 @@
 	close_lone_call(&call);
 }
 
+/* Reads what has arrived at the raw peer until there is no more for a while. */
+static size_t read_all(int fd, int wait_ms)
+{
+	struct pollfd polled = { .fd = fd, .events = POLLIN };
+	char block[4096];
+	size_t bytes = 0;
+
+	while (poll(&polled, 1, wait_ms) == 1) {
+		ssize_t n = read(fd, block, sizeof(block));
+
+		if (n <= 0)
+			break;
+		bytes += (size_t)n;
+	}
+	return bytes;
+}
+
+/* Guards against output that nobody sends: another worker fills the socket while one is about to
+ * end its handling of an event, which found nothing left to send. */
+static void test_output_queued_at_the_end_of_an_event_is_sent(void **state)
+{
+	enum { BODY = 4 << 20 };
+	struct lone_call call;
+	size_t first;
+
+	(void)state;
+	open_lone_call(&call);
+	send_body(&call, BODY);
+	first = read_all(call.peer_fd, 500);
+	assert_true(first > BODY);
+	link_begin_handling(call.link, &call.link->write_state);
+	send_body(&call, BODY);
+	link_end_handling(call.link, &call.link->write_watch, &call.link->write_state, false,
+			  WATCH_WRITE);
+	assert_true(read_all(call.peer_fd, 500) > BODY);
+	close_lone_call(&call);
+}
+
 /* A peer that has ended accepts small bodies and heartbeats into its kernel's buffer: they must not
  * keep its link. */
 static void test_small_body_does_not_extend_the_limit_of_silence(void **state)
@@ -511,6 +549,8 @@
 						set_up, tear_down),
 		cmocka_unit_test_setup_teardown(test_unread_bytes_are_no_silence, set_up,
 						tear_down),
+		cmocka_unit_test_setup_teardown(test_output_queued_at_the_end_of_an_event_is_sent,
+						set_up, tear_down),
 		cmocka_unit_test_setup_teardown(test_moving_body_extends_the_limit_of_silence,
 						set_up, tear_down),
 		cmocka_unit_test_setup_teardown(
