Links: output that was queued at the end of an event is sent; a refused stream ends at once

A worker that filled the socket while another one ended its handling of an event armed no watch, so that nobody wrote again and the peer took the link for silent (peer/link, fails before). A refusal dropped the rest of a body and removed the stream in two steps; a part queued between them made a gap that cost the link (by reading, no test).

--- a/peer/frames.c
+++ b/peer/frames.c
@@ -142,6 +142,9 @@
 	if (entry) {
 		event->owner = entry->owner;
 		result = body_take(&entry->body, part);
+		/* The stream ends with the drop, so that nothing more is queued behind the gap. */
+		if (part->kind == PART_REFUSAL)
+			schedule_drop(&link->schedule, frame->stream);
 		if (part->kind == PART_REFUSAL || result == BODY_BROKEN)
 			link_take_entry(link, frame->stream);
 		else
@@ -199,7 +202,6 @@
 	if (!wire_get_refusal(frame->payload, &refusal, &storage))
 		return false;
 	event.refusal = &refusal;
-	drop_bulk(link, frame->stream);
 	valid = deliver_part(link, frame, &part, &event);
 	decoded_head_free(storage);
 	return valid;
--- a/peer/link.c
+++ b/peer/link.c
@@ -48,8 +48,8 @@
 	lock_init(&link->lock, LOCK_LINK, link->pool);
 	apr_thread_cond_create(&link->drained, link->pool);
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &enable, sizeof(enable));
-	/* Only the order of what this node still holds can change. Not all sockets have the option.
-	 */
+	/* Bytes in the kernel's buffer keep their order, so that a heartbeat would wait behind
+	 * them. Sockets that are no TCP connections lack the option, which is no error. */
 	setsockopt(fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &unsent_max, sizeof(unsent_max));
 	return link;
 }
@@ -116,6 +116,10 @@
 
 	lock_acquire(&link->lock);
 	closed = link->state == LINK_CLOSED;
+	if (state == &link->write_state) {
+		rearm |= link->write_blocked;
+		link->write_blocked = false;
+	}
 	*state = closed ? WATCH_UNREGISTERED : rearm ? WATCH_ARMED : WATCH_IDLE;
 	lock_release(&link->lock);
 	if (closed)
@@ -138,6 +142,9 @@
 
 	lock_acquire(&link->lock);
 	previous = link->write_state;
+	/* The worker that handles an event arms the watch at its end. */
+	if (previous == WATCH_HANDLING)
+		link->write_blocked = true;
 	if (link->state != LINK_CLOSED &&
 	    (previous == WATCH_IDLE || previous == WATCH_UNREGISTERED))
 		link->write_state = WATCH_ARMED;
--- a/peer/link.h
+++ b/peer/link.h
@@ -49,6 +49,7 @@
 	struct schedule schedule;   /* of the output */
 	apr_thread_cond_t *drained; /* the output has room again, or the link is closed */
 	bool writing;
+	bool write_blocked;	/* another worker filled the socket while an event was handled */
 	GHashTable *streams;	/* id -> struct stream_entry */
 	uint64_t peer_features; /* as in the peer's last PONG */
 	uint64_t next_stream;
