Callers: read answers are not charged; connections go on behind refused uploads

The buffer of an answer stayed charged, and allocated, on an idle connection: some hundred kept connections used up the budget. Behind a refused upload with a full pipe a connection was not read any more. A caller that this node does not read counts as making progress, a late node closes no connection whose head has come, and the fields that nodes add have places of their own, so that a full head does not lose the tenant's name (the last three by reading, no test).

--- a/base/memory.c
+++ b/base/memory.c
@@ -31,7 +31,7 @@
 	int64_t budget;
 	struct lock lock; /* LOCK_MEMORY: guards all members below */
 	int64_t held[MEMORY_USES];
-	int64_t kept;	    /* bytes of all holders that are not closing */
+	int64_t kept;	    /* bytes that count against the budget: without holders that close */
 	GPtrArray *holders; /* struct memory_holder */
 };
 
--- a/base/pipe.c
+++ b/base/pipe.c
@@ -42,7 +42,8 @@
 	lock_release(&pipe->lock);
 }
 
-/* Counts the buffer as large as it is now. LOCK_PIPE is held, or nobody else uses the pipe. */
+/* The account is charged for the buffer's capacity, which stays in use when it is read empty.
+ * LOCK_PIPE is held, or nobody else uses the pipe. */
 static void count_buffer(struct pipe *pipe)
 {
 	size_t counted = pipe->counted;
--- a/caller/connection.c
+++ b/caller/connection.c
@@ -81,14 +81,36 @@
 	workers_rearm(caller_options_of(connection->caller)->workers, &connection->watch, interest);
 }
 
+/** How a call ends. */
+enum call_end {
+	END_ANSWERED, /* its answer was written: nobody reads its body any more */
+	END_CLOSED,   /* what came of its body may still be read */
+};
+
+static void end_body(struct caller_body *body, enum call_end end)
+{
+	switch (end) {
+	case END_ANSWERED:
+		caller_body_abandon(body);
+		return;
+	case END_CLOSED:
+		caller_body_cut(body);
+		return;
+	}
+	g_assert_not_reached();
+}
+
 /* Abandons the call's pipes, notifies the handler if it has the call, and drops a reference. */
-static void end_call(struct connection *connection, struct caller_call *call)
+static void end_call(struct connection *connection, struct caller_call *call, enum call_end end)
 {
 	if (call->answer)
 		pipe_abandon(call->answer);
 	lock_acquire(&connection->lock);
-	caller_body_cut(&call->body);
+	end_body(&call->body, end);
 	lock_release(&connection->lock);
+	/* Reading may have stopped since nobody took the body; the rest of it is discarded. */
+	if (end == END_ANSWERED)
+		connection_resume(connection);
 	if (call->dispatched)
 		caller_notify(call, CALLER_ENDED, 0);
 	caller_call_uncount(call);
@@ -96,12 +118,12 @@
 	caller_call_unref(call);
 }
 
-static void end_calls(struct connection *connection, GQueue *calls)
+static void end_calls(struct connection *connection, GQueue *calls, enum call_end end)
 {
 	struct caller_call *call;
 
 	while ((call = g_queue_pop_head(calls)) != NULL)
-		end_call(connection, call);
+		end_call(connection, call, end);
 }
 
 static void move_calls(GQueue *from, GQueue *to)
@@ -145,7 +167,7 @@
 	/* The descriptor is closed with the last call, whose end may take a while. */
 	if (!g_queue_is_empty(&calls))
 		shutdown(connection->fd, SHUT_RDWR);
-	end_calls(connection, &calls);
+	end_calls(connection, &calls, END_CLOSED);
 	/* A worker that is reading aborts the input itself in end_handling(). */
 	if (!being_handled)
 		input_abort(connection);
@@ -377,6 +399,9 @@
 
 	strbuf_add(bytes, strbuf_str(&connection->output));
 	strbuf_clear(&connection->output);
+	/* An idle connection keeps no buffer: its caller has read the answer. */
+	if (bytes->len == 0)
+		strbuf_clear(bytes);
 	connection->output = *bytes;
 	return socket_full;
 }
@@ -468,8 +493,8 @@
 		}
 	}
 	lock_release(&connection->lock);
-	end_calls(connection, &answered);
-	end_calls(connection, &unread);
+	end_calls(connection, &answered, END_ANSWERED);
+	end_calls(connection, &unread, END_CLOSED);
 	if (half_close)
 		shutdown(connection->fd, SHUT_WR);
 	if (truncated)
@@ -759,6 +784,14 @@
 	lock_release(&connection->lock);
 }
 
+/* Returns whether bytes wait that no worker has read: this node is late, and not its caller. */
+static bool has_unread(int fd)
+{
+	struct pollfd polled = { .fd = fd, .events = POLLIN };
+
+	return poll(&polled, 1, 0) == 1 && polled.revents & POLLIN;
+}
+
 void connection_tick(struct connection *connection, struct instant now)
 {
 	int64_t timeout_us = caller_options_of(connection->caller)->idle_s * US_PER_S;
@@ -779,9 +812,14 @@
 		    now.mono_us - connection->head_since_us >= HEAD_TIMEOUT_US;
 	held_up = connection->reading_paused || connection->calls.length > 0;
 	lock_release(&connection->lock);
+	/* A caller that this node doesn't read makes no progress by no fault of its own, unless it
+	 * leaves answers unread. */
+	if (held_up)
+		memory_received(caller_options_of(connection->caller)->memory, &connection->holder,
+				now);
 	if (unread)
 		connection_close_for(connection, "unread");
-	else if (head_late)
+	else if (head_late && !has_unread(connection->fd))
 		connection_close_for(connection, "head");
 	else if (inactive_us >= timeout_us)
 		close_if(connection, CLOSE_IDLE);
--- a/caller/connection.h
+++ b/caller/connection.h
@@ -43,7 +43,7 @@
 	struct strbuf text;	       /* strings of the request's head */
 	struct str method;
 	struct str target;
-	struct field fields[FIELDS_MAX];
+	struct field fields[CALLER_FIELDS_MAX];
 	int field_count;
 	int64_t body_length;
 	bool in_chunks;
@@ -105,8 +105,8 @@
 	struct http_parser parser;
 	struct caller_call *call; /* one reference; NULL between requests */
 	struct span target;
-	struct span names[FIELDS_MAX];
-	struct span values[FIELDS_MAX];
+	struct span names[CALLER_FIELDS_MAX];
+	struct span values[CALLER_FIELDS_MAX];
 	int field_count;
 	bool in_value;
 	bool closes;	    /* no request follows this one */
@@ -195,6 +195,8 @@
 void caller_call_uncount(struct caller_call *call);
 /** Ends a body that is cut. A whole body needs no mark: its call is passed on only complete. */
 void caller_body_cut(struct caller_body *body);
+/** Ends a body that nobody reads any more: what comes of it is discarded. */
+void caller_body_abandon(struct caller_body *body);
 /** Returns whether more bytes of a body may be read from the caller. */
 bool caller_body_has_room(const struct caller_body *body);
 void caller_notify(struct caller_call *call, enum caller_event_kind kind, size_t bytes);
--- a/caller/http.c
+++ b/caller/http.c
@@ -136,6 +136,19 @@
 	g_assert_not_reached();
 }
 
+void caller_body_abandon(struct caller_body *body)
+{
+	caller_body_cut(body);
+	switch (body->kind) {
+	case CALLER_BODY_WHOLE:
+		return;
+	case CALLER_BODY_STREAMED:
+		pipe_abandon(body->upload);
+		return;
+	}
+	g_assert_not_reached();
+}
+
 bool caller_body_has_room(const struct caller_body *body)
 {
 	switch (body->kind) {
--- a/caller/read.c
+++ b/caller/read.c
@@ -59,7 +59,7 @@
 	if (input->head_complete)
 		return 0;
 	if (input->field_count == 0 || input->in_value) {
-		if (input->field_count == FIELDS_MAX) {
+		if (input->field_count == CALLER_FIELDS_MAX) {
 			input->error_status = STATUS_HEAD_TOO_LARGE;
 			return 1;
 		}
--- a/peer/wire.h
+++ b/peer/wire.h
@@ -66,7 +66,10 @@
 	struct str value;
 };
 
-enum { FIELDS_MAX = 64 };
+enum {
+	CALLER_FIELDS_MAX = 64, /* of a caller's request */
+	FIELDS_MAX = 68,	/* in a head: with those that nodes add */
+};
 
 /** The head of a call to a target. Strings borrow. */
 struct request_head {
