Admission: announced bodies, waiting bodies and busy tenants block nobody

A caller that announced 64 MiB and sent nothing blocked all uploads of a target for 84 s: a body counts as it comes, and a second ahead at most. Calls with and without bodies have queues of their own in each tenant. A queued body is passed only while the link is full. A tenant gives up no place to one that has used more. A call whose body came too late is given back as not run (by reading, no test).

--- a/core/admit.c
+++ b/core/admit.c
@@ -12,11 +12,13 @@
 /* Part of the link that bodies for the target may use: the VM's callers, nested calls and the
  * fleet's messages share it. */
 #define INTAKE_FRACTION 0.75
+#define INTAKE_AHEAD_US (1 * US_PER_S)
 
 enum {
 	QUEUE_PER_SLOT = 8, /* queued calls for each slot */
 	TENANTS_MAX = 256,  /* further tenants share one queue */
 	ROUTES_MAX = 256,
+	BODY_START_BYTES = 128 << 10, /* of a body that come before its window is extended */
 	BULK_SLOT_PERCENT = 50,
 	INITIAL_SERVICE_US = 2000, /* estimate before the first measurement */
 	GROW_AFTER_CALLS = 32,	   /* served calls after a shed one, until one more slot is used */
@@ -65,7 +67,8 @@
 
 struct tenant_queue {
 	struct label tenant;
-	GQueue entries;
+	GQueue entries; /* struct queue_entry without a body to be fetched */
+	GQueue bodies;	/* struct queue_entry with one: may wait for the link longer */
 	int running;
 	double used_us; /* target's time used by the tenant, with exponential decay */
 	int64_t used_at_us;
@@ -109,7 +112,7 @@
 	double start_times_sum_us; /* sum of the start times of the running calls */
 	double service_us;
 	double service_square; /* smoothed square of the service times */
-	bool measured_cold;    /* the smoothed times are those of cold calls */
+	bool measured_cold;    /* no warm call was measured yet: the next one replaces the times */
 	GQueue shed;	       /* struct queue_entry; turned away for others, to be refused */
 	GQueue late; /* struct queue_entry; its objective can't be met: runs after all others */
 	struct lane_queue lanes[LANE_COUNT];
@@ -191,13 +194,6 @@
 	lock_release(&admit->lock);
 }
 
-void admit_count_received(struct admit *admit, int64_t bytes, struct instant now)
-{
-	lock_acquire(&admit->lock);
-	pace_count(&admit->intake, (size_t)bytes, now);
-	lock_release(&admit->lock);
-}
-
 void admit_close(struct admit *admit)
 {
 	lock_acquire(&admit->lock);
@@ -323,13 +319,29 @@
 	return route_get(admit, &entry->route)->running < route_limit(admit, entry);
 }
 
+/* Counts bytes that come over the link. The count runs ahead of the clock by INTAKE_AHEAD_US at
+ * most: what was counted may not come. */
+static void count_intake(struct admit *admit, int64_t bytes, struct instant now)
+{
+	pace_count(&admit->intake, (size_t)bytes, now);
+	admit->intake.free_at.at_us =
+		MIN(admit->intake.free_at.at_us, now.mono_us + INTAKE_AHEAD_US);
+}
+
+void admit_count_received(struct admit *admit, int64_t bytes, struct instant now)
+{
+	lock_acquire(&admit->lock);
+	count_intake(admit, bytes, now);
+	lock_release(&admit->lock);
+}
+
 static void start_call(struct admit *admit, struct tenant_queue *tenant, struct queue_entry *entry,
 		       struct instant now)
 {
 	update_nested_running(admit, now);
 	entry->cold = warmup_cause(&admit->warmup, now) != COLD_NOT;
 	warmup_start(&admit->warmup, now);
-	pace_count(&admit->intake, (size_t)entry->body_bytes, now);
+	count_intake(admit, MIN(entry->body_bytes, BODY_START_BYTES), now);
 	entry->started_at_us = now.mono_us;
 	entry->running_at_start = admit->running + 1;
 	admit->start_times_sum_us += (double)now.mono_us;
@@ -356,10 +368,21 @@
 	tenant = g_new0(struct tenant_queue, 1);
 	tenant->tenant = name;
 	g_queue_init(&tenant->entries);
+	g_queue_init(&tenant->bodies);
 	g_hash_table_insert(tenants, &tenant->tenant, tenant);
 	return tenant;
 }
 
+static int queued_of(const struct tenant_queue *tenant)
+{
+	return (int)(tenant->entries.length + tenant->bodies.length);
+}
+
+static GQueue *queue_of(struct tenant_queue *tenant, const struct queue_entry *entry)
+{
+	return entry->body_bytes ? &tenant->bodies : &tenant->entries;
+}
+
 /* Estimates how much slower than usual the target is, from the age of the running calls. */
 static double slowness(const struct admit *admit, struct instant now)
 {
@@ -387,7 +410,7 @@
 				const struct tenant_queue *tenant, struct instant now)
 {
 	const struct lane_queue *lane = &admit->lanes[lane_of(entry)];
-	int own = (int)tenant->entries.length + 1;
+	int own = queued_of(tenant) + 1;
 	int tenants = MAX((int)lane->active.length, 1);
 	int ahead = MIN(lane->queued, own * tenants);
 	int slots = admit->slots;
@@ -415,10 +438,10 @@
 {
 	const struct lane_queue *lane = &admit->lanes[lane_of(entry)];
 	int bound = admit->slots * QUEUE_PER_SLOT;
-	int tenants = (int)lane->active.length + (tenant->entries.length == 0);
+	int tenants = (int)lane->active.length + (queued_of(tenant) == 0);
 	int guaranteed = MAX(bound / tenants, 1);
 
-	return lane->queued >= bound && (int)tenant->entries.length >= guaranteed;
+	return lane->queued >= bound && queued_of(tenant) >= guaranteed;
 }
 
 static void enqueue(struct admit *admit, struct queue_entry *entry)
@@ -426,9 +449,9 @@
 	struct lane_queue *lane = &admit->lanes[lane_of(entry)];
 	struct tenant_queue *tenant = tenant_get(admit, entry);
 
-	if (g_queue_is_empty(&tenant->entries))
+	if (queued_of(tenant) == 0)
 		g_queue_push_tail(&lane->active, tenant);
-	g_queue_push_tail(&tenant->entries, entry);
+	g_queue_push_tail(queue_of(tenant, entry), entry);
 	lane->queued++;
 	admit->queued++;
 	lane->queued_bodies += entry->body_bytes > 0;
@@ -477,12 +500,18 @@
 
 /* Whether a queued call goes before a new one as soon as a slot is free. Calls that wait for the
  * link, and late ones, don't. */
-static bool is_preceded(const struct admit *admit, const struct queue_entry *entry)
+static bool is_preceded(const struct admit *admit, const struct queue_entry *entry,
+			struct instant now)
 {
-	for (int i = 0; i <= (int)lane_of(entry); i++)
-		if (admit->lanes[i].queued > admit->lanes[i].queued_bodies ||
-		    (entry->body_bytes && admit->lanes[i].queued_bodies))
+	bool link_is_full = pace_wait_us(&admit->intake, now) > 0;
+
+	for (int i = 0; i <= (int)lane_of(entry); i++) {
+		const struct lane_queue *lane = &admit->lanes[i];
+		bool passes_bodies = link_is_full && entry->body_bytes == 0;
+
+		if (lane->queued > (passes_bodies ? lane->queued_bodies : 0))
 			return true;
+	}
 	return false;
 }
 
@@ -491,7 +520,7 @@
 static bool may_start(struct admit *admit, const struct queue_entry *entry, int64_t service_us,
 		      struct instant now)
 {
-	if (is_preceded(admit, entry) || !may_run(admit, entry, now))
+	if (is_preceded(admit, entry, now) || !may_run(admit, entry, now))
 		return false;
 	return !entry->no_queue || admit->running == 0 || entry->objective.at_us == 0 ||
 	       service_us <= deadline_remaining_us(entry->objective, now);
@@ -540,24 +569,38 @@
 				   .work_us = work_us(admit, entry) };
 }
 
+/* Orders tenants by running calls, then by recent use. With use alone, a new tenant could take all
+ * slots because it has used nothing yet. */
+static bool has_precedence(const struct tenant_queue *a, const struct tenant_queue *b,
+			   struct instant now)
+{
+	if (a->running != b->running)
+		return a->running < b->running;
+	return recent_use(a, now) < recent_use(b, now);
+}
+
 /* Returns the queued call of the lane that costs least and less than @p entry, and whose place
  * helps it; NULL if there is none. */
 static struct queue_entry *cheapest_queued(struct admit *admit, const struct queue_entry *entry,
 					   struct tenant_queue **holder, struct instant now)
 {
 	struct shed_call other = shed_call_of(admit, entry, now);
+	struct tenant_queue *own = tenant_get(admit, entry);
 	struct queue_entry *cheapest = NULL;
 	double least = 0;
 
 	for (GList *at = admit->lanes[lane_of(entry)].active.head; at; at = at->next) {
 		struct tenant_queue *tenant = at->data;
+		GList *item = queue_of(tenant, entry)->head;
 
-		for (GList *item = tenant->entries.head; item; item = item->next) {
+		/* A tenant gives up no place to one that goes after it anyway. */
+		if (tenant != own && !has_precedence(own, tenant, now))
+			item = NULL;
+		for (; item; item = item->next) {
 			struct queue_entry *queued = item->data;
 			struct shed_call call = shed_call_of(admit, queued, now);
 
-			if ((queued->body_bytes > 0) != (entry->body_bytes > 0) ||
-			    !shed_is_recent(queued->queued_at_us, now) ||
+			if (!shed_is_recent(queued->queued_at_us, now) ||
 			    !shed_prefers(&other, &call) || (cheapest && shed_cost(&call) >= least))
 				continue;
 			cheapest = queued;
@@ -572,11 +615,11 @@
 {
 	struct lane_queue *lane = &admit->lanes[lane_of(entry)];
 
-	g_queue_remove(&tenant->entries, entry);
+	g_queue_remove(queue_of(tenant, entry), entry);
 	lane->queued--;
 	lane->queued_bodies -= entry->body_bytes > 0;
 	admit->queued_body_bytes -= entry->body_bytes;
-	if (g_queue_is_empty(&tenant->entries))
+	if (queued_of(tenant) == 0)
 		g_queue_remove(&lane->active, tenant);
 	g_queue_push_tail(&admit->shed, entry);
 }
@@ -618,7 +661,7 @@
 		start_call(admit, tenant, entry, now);
 		return ADMIT_RUN;
 	}
-	if (is_preceded(admit, entry) || !may_run(admit, entry, now))
+	if (is_preceded(admit, entry, now) || !may_run(admit, entry, now))
 		wait_us = expected_wait_us(admit, entry, tenant, now);
 	entry->expected_us = wait_us + service_us;
 	if (entry->no_queue)
@@ -647,6 +690,17 @@
 	return result;
 }
 
+bool admit_is_worth_running(struct admit *admit, const struct queue_entry *entry,
+			    struct instant now)
+{
+	bool worth;
+
+	lock_acquire(&admit->lock);
+	worth = remaining_us(admit, entry, now) > 0 && !is_hopeless(admit, entry, now);
+	lock_release(&admit->lock);
+	return worth;
+}
+
 /* Records how many calls the target served at once. */
 static void note_concurrency(struct admit *admit, const struct queue_entry *entry,
 			     int64_t ended_at_us)
@@ -689,7 +743,8 @@
 	*smoothed += weight * (value - *smoothed);
 }
 
-/* Makes the next calls weigh as much as the first ones. */
+/* Times measured on a cold target would make a warm one refuse calls that it can serve: the next
+ * calls weigh as much as the first ones. */
 static void forget_service_times(struct admit *admit)
 {
 	struct route_use *route;
@@ -741,16 +796,17 @@
 	lock_release(&admit->lock);
 }
 
+/* Takes the head of one of the tenant's queues. */
 static struct queue_entry *dequeue(struct admit *admit, struct lane_queue *lane,
-				   struct tenant_queue *tenant)
+				   struct tenant_queue *tenant, GQueue *queue)
 {
-	struct queue_entry *entry = g_queue_pop_head(&tenant->entries);
+	struct queue_entry *entry = g_queue_pop_head(queue);
 
 	lane->queued--;
 	admit->queued--;
 	lane->queued_bodies -= entry->body_bytes > 0;
 	admit->queued_body_bytes -= entry->body_bytes;
-	if (g_queue_is_empty(&tenant->entries))
+	if (queued_of(tenant) == 0)
 		g_queue_remove(&lane->active, tenant);
 	return entry;
 }
@@ -760,6 +816,21 @@
 	return deadline_passed(entry->deadline, now);
 }
 
+static void defer_late_heads(struct admit *admit, struct lane_queue *lane,
+			     struct tenant_queue *tenant, GQueue *queue, struct instant now)
+{
+	struct queue_entry *head;
+
+	while ((head = g_queue_peek_head(queue)) != NULL && is_deferrable(head) &&
+	       !is_expired(head, now) &&
+	       expected_service_us(admit, head, now) >
+		       (double)deadline_remaining_us(head->objective, now)) {
+		dequeue(admit, lane, tenant, queue);
+		g_queue_push_tail(&admit->late, head);
+		admit->queued++;
+	}
+}
+
 /* Moves calls that can't meet their objective to the late queue, behind those that still can. */
 static void defer_late_calls(struct admit *admit, struct lane_queue *lane, struct instant now)
 {
@@ -767,28 +838,36 @@
 
 	for (GList *at = lane->active.head; at; at = next) {
 		struct tenant_queue *tenant = at->data;
-		struct queue_entry *head;
 
 		next = at->next;
-		while (tenant && (head = g_queue_peek_head(&tenant->entries)) != NULL &&
-		       is_deferrable(head) && !is_expired(head, now) &&
-		       expected_service_us(admit, head, now) >
-			       (double)deadline_remaining_us(head->objective, now)) {
-			dequeue(admit, lane, tenant);
-			g_queue_push_tail(&admit->late, head);
-			admit->queued++;
-		}
+		if (!tenant)
+			continue;
+		defer_late_heads(admit, lane, tenant, &tenant->entries, now);
+		defer_late_heads(admit, lane, tenant, &tenant->bodies, now);
 	}
 }
 
-/* Orders tenants by running calls, then by recent use. With use alone, a new tenant could take all
- * slots because it has used nothing yet. */
-static bool has_precedence(const struct tenant_queue *a, const struct tenant_queue *b,
-			   struct instant now)
+static bool head_may_run(struct admit *admit, GQueue *queue, struct instant now)
 {
-	if (a->running != b->running)
-		return a->running < b->running;
-	return recent_use(a, now) < recent_use(b, now);
+	const struct queue_entry *head = g_queue_peek_head(queue);
+
+	return head && may_run(admit, head, now);
+}
+
+/* Returns the tenant's queue whose head may run and was queued first; NULL if none may run. */
+static GQueue *runnable_queue(struct admit *admit, struct tenant_queue *tenant, struct instant now)
+{
+	bool entry_may = head_may_run(admit, &tenant->entries, now);
+	bool body_may = head_may_run(admit, &tenant->bodies, now);
+	const struct queue_entry *entry = g_queue_peek_head(&tenant->entries);
+	const struct queue_entry *body = g_queue_peek_head(&tenant->bodies);
+
+	if (entry_may && body_may)
+		return body->queued_at_us < entry->queued_at_us ? &tenant->bodies
+								: &tenant->entries;
+	if (!entry_may && !body_may)
+		return NULL;
+	return body_may ? &tenant->bodies : &tenant->entries;
 }
 
 /*
@@ -804,7 +883,7 @@
 	for (GList *at = lane->active.head; at; at = at->next) {
 		struct tenant_queue *tenant = at->data;
 
-		if (!tenant || !may_run(admit, g_queue_peek_head(&tenant->entries), now))
+		if (!tenant || !runnable_queue(admit, tenant, now))
 			continue;
 		if (!first || has_precedence(tenant, first, now))
 			first = tenant;
@@ -819,19 +898,27 @@
 	       deadline_passed(admit->queue_ends_at, now);
 }
 
-/* Returns a tenant whose first call is to be refused: it can't be answered in time, or the target
- * takes no calls. */
-static struct tenant_queue *first_refused(struct admit *admit, struct lane_queue *lane,
-					  struct instant now)
+/* Whether the head of a queue is to be refused: it can't be answered in time, or the target takes
+ * no calls. */
+static bool refuses_head(struct admit *admit, GQueue *queue, struct instant now)
+{
+	const struct queue_entry *head = g_queue_peek_head(queue);
+
+	return head && (returns_queue(admit, now) || is_expired(head, now) ||
+			is_hopeless(admit, head, now));
+}
+
+/* Returns a call of the lane that is to be refused, NULL if there is none. */
+static struct queue_entry *take_refused(struct admit *admit, struct lane_queue *lane,
+					struct instant now)
 {
 	for (GList *at = lane->active.head; at; at = at->next) {
 		struct tenant_queue *tenant = at->data;
 
-		const struct queue_entry *head = g_queue_peek_head(&tenant->entries);
-
-		if (returns_queue(admit, now) || is_expired(head, now) ||
-		    is_hopeless(admit, head, now))
-			return tenant;
+		if (refuses_head(admit, &tenant->entries, now))
+			return dequeue(admit, lane, tenant, &tenant->entries);
+		if (refuses_head(admit, &tenant->bodies, now))
+			return dequeue(admit, lane, tenant, &tenant->bodies);
 	}
 	return NULL;
 }
@@ -839,18 +926,18 @@
 static struct admit_dispatch next_of_lane(struct admit *admit, struct lane_queue *lane,
 					  struct instant now)
 {
-	struct tenant_queue *tenant = first_refused(admit, lane, now);
-	struct queue_entry *head;
+	struct queue_entry *entry = take_refused(admit, lane, now);
+	struct tenant_queue *tenant;
 
-	if (tenant)
-		return (struct admit_dispatch){ DISPATCH_LATE, dequeue(admit, lane, tenant) };
+	if (entry)
+		return (struct admit_dispatch){ DISPATCH_LATE, entry };
 	tenant = next_tenant(admit, lane, now);
 	if (!tenant)
 		return (struct admit_dispatch){ DISPATCH_NONE, NULL };
-	head = dequeue(admit, lane, tenant);
-	add_use(tenant, route_get(admit, &head->route)->service_us, now);
-	start_call(admit, tenant, head, now);
-	return (struct admit_dispatch){ DISPATCH_RUN, head };
+	entry = dequeue(admit, lane, tenant, runnable_queue(admit, tenant, now));
+	add_use(tenant, route_get(admit, &entry->route)->service_us, now);
+	start_call(admit, tenant, entry, now);
+	return (struct admit_dispatch){ DISPATCH_RUN, entry };
 }
 
 /* Whether a late call that runs after the other queued calls would miss its deadline. */
@@ -865,30 +952,37 @@
 	       wait_us + expected_service_us(admit, entry, now);
 }
 
-/* Returns the oldest late call; called when no other queued call can run. */
+/* Late calls beyond the number of slots are refused early, while callers can still try other
+ * targets.
+ */
+static bool refuses_late(struct admit *admit, const struct queue_entry *entry, struct instant now)
+{
+	return returns_queue(admit, now) || is_hopeless(admit, entry, now) ||
+	       misses_deadline_behind_others(admit, entry, now) ||
+	       (int)g_queue_get_length(&admit->late) > admit->slots;
+}
+
+/* Returns the oldest late call that may run, or one that is to be refused; called when no other
+ * queued call can run. */
 static struct admit_dispatch next_late(struct admit *admit, struct instant now)
 {
-	struct queue_entry *head = g_queue_peek_head(&admit->late);
-	struct tenant_queue *tenant;
-	bool refuse;
+	for (GList *at = admit->late.head; at; at = at->next) {
+		struct queue_entry *entry = at->data;
+		bool refuse = refuses_late(admit, entry, now);
+		struct tenant_queue *tenant;
 
-	if (!head)
-		return (struct admit_dispatch){ DISPATCH_NONE, NULL };
-	/* Late calls beyond the number of slots are refused early, while callers can still try
-	 * other targets. */
-	refuse = returns_queue(admit, now) || is_hopeless(admit, head, now) ||
-		 misses_deadline_behind_others(admit, head, now) ||
-		 (int)g_queue_get_length(&admit->late) > admit->slots;
-	if (!refuse && !may_run(admit, head, now))
-		return (struct admit_dispatch){ DISPATCH_NONE, NULL };
-	g_queue_pop_head(&admit->late);
-	admit->queued--;
-	if (refuse)
-		return (struct admit_dispatch){ DISPATCH_LATE, head };
-	tenant = tenant_get(admit, head);
-	add_use(tenant, route_get(admit, &head->route)->service_us, now);
-	start_call(admit, tenant, head, now);
-	return (struct admit_dispatch){ DISPATCH_RUN, head };
+		if (!refuse && !may_run(admit, entry, now))
+			continue;
+		g_queue_delete_link(&admit->late, at);
+		admit->queued--;
+		if (refuse)
+			return (struct admit_dispatch){ DISPATCH_LATE, entry };
+		tenant = tenant_get(admit, entry);
+		add_use(tenant, route_get(admit, &entry->route)->service_us, now);
+		start_call(admit, tenant, entry, now);
+		return (struct admit_dispatch){ DISPATCH_RUN, entry };
+	}
+	return (struct admit_dispatch){ DISPATCH_NONE, NULL };
 }
 
 /* Starts a new round once no lane with queued calls has credit left. */
--- a/core/admit.h
+++ b/core/admit.h
@@ -98,6 +98,10 @@
 /** Gives a call a slot, queues it or refuses it. */
 enum admit_result admit_offer(struct admit *admit, struct queue_entry *entry, struct instant now);
 
+/** Returns whether a call that has a slot can still be expected to be answered in time. */
+bool admit_is_worth_running(struct admit *admit, const struct queue_entry *entry,
+			    struct instant now);
+
 /** Result of a call that had a slot. */
 enum slot_outcome {
 	SLOT_SERVED,
--- a/core/pace.h
+++ b/core/pace.h
@@ -27,7 +27,7 @@
 /** Returns for how many microseconds bytes that were counted would wait for the link beyond the
  *  longest wait that is allowed; 0: more may be sent now. */
 int64_t pace_wait_us(const struct pace *pace, struct instant now);
-/** Returns the time that @p bytes take on the link, us. */
+/** Returns the time that @p bytes take on the link at the limited rate, us; 0 without a limit. */
 int64_t pace_transfer_us(const struct pace *pace, int64_t bytes);
 /** Counts @p bytes that are sent over the same link without waiting, such as answers to callers. */
 void pace_count(struct pace *pace, size_t bytes, struct instant now);
--- a/godwithitchd/inbound.c
+++ b/godwithitchd/inbound.c
@@ -480,6 +480,9 @@
 	inbound->body_read_bytes += bytes;
 	if (inbound->body_read_bytes < WINDOW_UPDATE_BYTES)
 		return;
+	/* The start of the body was counted with its slot. */
+	admit_count_received(node_admit(inbound->daemon->node), (int64_t)inbound->body_read_bytes,
+			     clock_now());
 	wire_put_u64(&payload, inbound->body_read_bytes);
 	inbound->body_read_bytes = 0;
 	wire_put(&frame, FRAME_WINDOW, inbound->sink.stream.id, strbuf_str(&payload));
@@ -812,6 +815,15 @@
 	refuse(inbound, kind, VERDICT_NOT_RUN, reason);
 }
 
+/* Returns whether the call may be passed on now: nothing of it has reached the target yet. */
+static bool may_still_run(struct inbound *inbound)
+{
+	struct daemon *daemon = inbound->daemon;
+
+	return target_runs_service(daemon->target, &inbound->head.service) &&
+	       admit_is_worth_running(node_admit(daemon->node), &inbound->entry, clock_now());
+}
+
 static void run_at_target(struct inbound *inbound)
 {
 	struct daemon *daemon = inbound->daemon;
@@ -830,6 +842,12 @@
 		give_back_slot(inbound, REFUSAL_BUSY, STR("the body did not come in time"));
 		return;
 	}
+	/* The wait for the body may have taken most of the time, and another target may be there.
+	 */
+	if (inbound->head.body_waits && !may_still_run(inbound)) {
+		give_back_slot(inbound, REFUSAL_BUSY, STR("too late once the body had come"));
+		return;
+	}
 	inbound->entry.deadline = calls_work_deadline(daemon, inbound->entry.deadline);
 	options.deadline = inbound->entry.deadline;
 	inbound->reached = true;
