Tenants: regained shards start empty, returned tokens expire in time, proofs keep their version

A holder that got a shard back had a bucket that had filled meanwhile. A returned token got the lifetime of the newest grant. Each shard counted all that was asked for, so that Retry-After was four times too long, and a lost holder let every request ask again. The age of a proof could go with the version before it, and a call could use a configuration that was read before the knowledge of newer ones.

--- a/core/node.h
+++ b/core/node.h
@@ -144,7 +144,8 @@
 struct quota_decision node_quota_take(struct node *node, const struct tenant *tenant,
 				      uint64_t *waiter, struct instant now, struct actions *out);
 /** Returns the token of a request that was refused and has not run. */
-void node_quota_return(struct node *node, const struct label *tenant, struct instant now);
+void node_quota_return(struct node *node, const struct label *tenant, struct deadline until,
+		       struct instant now);
 
 /* Census: the number of members that hold a version. */
 
--- a/core/node_confirm.c
+++ b/core/node_confirm.c
@@ -372,10 +372,11 @@
 	int64_t age_us;
 
 	message->confirm.seq = seq;
-	message->confirm.version = history_version(node->history);
 	lock_acquire(&node->gossip.lock);
 	age_us = was_suspended(node, now) ? INT64_MAX : proof_age_us(node, now);
 	lock_release(&node->gossip.lock);
+	/* Read after the proof: a proof of a newer version must not go with an older one. */
+	message->confirm.version = history_version(node->history);
 	message->confirm.age_us = age_us == INT64_MAX ? CONFIRMED_NEVER : age_us;
 	actions_send(out, from, message);
 }
--- a/core/node_fleet.c
+++ b/core/node_fleet.c
@@ -188,6 +188,8 @@
 			break;
 		case MERGE_ABOUT_SELF:
 			refute(node, record->incarnation, out);
+			if (record->state == MEMBER_DEAD)
+				quotas_on_refutation(node, now);
 			break;
 		}
 	}
--- a/core/node_log.c
+++ b/core/node_log.c
@@ -55,7 +55,8 @@
 	read = next_read(node, held_version, now, &stream, &from);
 	if (read) {
 		node->gossip.log.reading[stream] = true;
-		node->gossip.log.asked_at = now;
+		if (stream == STREAM_CONFIG)
+			node->gossip.log.asked_at = now;
 	}
 	current = node->gossip.boot.phase == BOOT_CURRENT;
 	lock_release(&node->gossip.lock);
--- a/core/node_parts.h
+++ b/core/node_parts.h
@@ -96,7 +96,7 @@
 struct log_state {
 	bool reading[2]; /**< indexed by STREAM_CONFIG and STREAM_SYSTEM */
 	int64_t system_next;
-	struct instant asked_at; /**< last read of STREAM_CONFIG or STREAM_SYSTEM */
+	struct instant asked_at; /**< last read of STREAM_CONFIG */
 	int64_t retry_us;	 /**< grows while the log limits the rate */
 	struct deadline retry_at;
 	bool unavailable;
@@ -198,6 +198,8 @@
 		int64_t version;
 		struct census census;
 	} census[CENSUS_ENTRIES];
+	int64_t refuted_us;	   /**< this node last refuted its death; 0: never */
+	int64_t shards_checked_us; /**< change of the members after which shards were checked */
 	bool retiring;
 	bool stopping;
 	GHashTable *budgets; /**< struct label -> struct retry_budget */
@@ -372,6 +374,8 @@
 		   struct instant now, struct actions *out);
 void quotas_on_grant(struct node *node, const struct message *message, struct instant now,
 		     struct actions *out);
+/** Others took this node for dead, and asked other holders for its shards. */
+void quotas_on_refutation(struct node *node, struct instant now);
 void quotas_tick(struct node *node, struct instant now, struct actions *out);
 
 /* node_calls.c */
--- a/core/node_quota.c
+++ b/core/node_quota.c
@@ -15,6 +15,41 @@
 	return holder;
 }
 
+/* Returns since when this node has held its shards at the earliest: the holders change with the
+ * members, and when others took this node for dead. */
+static int64_t held_since_us(struct node *node)
+{
+	int64_t since_us;
+
+	lock_acquire(&node->gossip.lock);
+	since_us = node->gossip.refuted_us;
+	lock_release(&node->gossip.lock);
+	return MAX(since_us, members_live_changed_us(node->members));
+}
+
+/* Drops the buckets of shards that this node does not hold any more: their next holder gives out
+ * tokens, and this node starts from none when it gets them back. */
+static void drop_lost_shards(struct node *node)
+{
+	GArray *shards = quota_shards(node->quota);
+
+	for (guint i = 0; i < shards->len; i++) {
+		const struct quota_shard *shard = &g_array_index(shards, struct quota_shard, i);
+
+		if (shard_holder(node, &shard->tenant, shard->index) != node->options.id)
+			quota_drop(node->quota, shard);
+	}
+	g_array_unref(shards);
+}
+
+void quotas_on_refutation(struct node *node, struct instant now)
+{
+	lock_acquire(&node->gossip.lock);
+	node->gossip.refuted_us = now.mono_us;
+	lock_release(&node->gossip.lock);
+	quota_drop_all(node->quota);
+}
+
 /* Answers a question for tokens. A node that does not know the tenant yet, or that is not the
  * holder in its own view, gives none. */
 static struct quota_grant grant(struct node *node, const struct quota_question *question,
@@ -28,8 +63,7 @@
 	    shard_holder(node, &question->tenant, question->shard) == node->options.id) {
 		struct quota_limit limit = { tenant->name, tenant->limit_per_s, tenant->burst };
 
-		grant = quota_grant(node->quota, &limit, question,
-				    members_live_changed_us(node->members), now);
+		grant = quota_grant(node->quota, &limit, question, held_since_us(node), now);
 	}
 	config_unref(config);
 	return grant;
@@ -91,9 +125,10 @@
 	return decision;
 }
 
-void node_quota_return(struct node *node, const struct label *tenant, struct instant now)
+void node_quota_return(struct node *node, const struct label *tenant, struct deadline until,
+		       struct instant now)
 {
-	quota_return(node->quota, tenant, now);
+	quota_return(node->quota, tenant, until, now);
 }
 
 void quotas_on_ask(struct node *node, uint64_t from, const struct message *message,
@@ -133,7 +168,15 @@
 {
 	GArray *results = g_array_new(FALSE, FALSE, sizeof(struct quota_result));
 	struct quota_question next;
-
+	int64_t changed_us = members_live_changed_us(node->members);
+	bool changed;
+
+	lock_acquire(&node->gossip.lock);
+	changed = changed_us != node->gossip.shards_checked_us;
+	node->gossip.shards_checked_us = changed_us;
+	lock_release(&node->gossip.lock);
+	if (changed)
+		drop_lost_shards(node);
 	while (quota_expire(node->quota, now, results, &next))
 		ask(node, next, results, now, out);
 	report(results, out);
--- a/core/quota.c
+++ b/core/quota.c
@@ -9,8 +9,8 @@
  * rate and the burst, so that a tenant at its limit isn't refused for rounding. */
 #define LIFETIME_FRACTION 0.6
 #define EXTRA_FRACTION	  0.3
-/* Part of the allowance that the bursts get. A small tenant's limit is split into shards with about one
- * token each, and parts of tokens serve nobody. */
+/* Part of the allowance that the bursts get. A small tenant's limit is split into shards with about
+ * one token each, and parts of tokens serve nobody. */
 #define ALLOWANCE_FRACTION 0.3
 
 /* Time for an answer, before the next holder is asked as well. */
@@ -21,6 +21,8 @@
 #define ROOM_MIN_US	(20 * US_PER_MS)
 #define ROOM_MAX_US	(1 * US_PER_S)
 #define UNREACHED_US	(200 * US_PER_MS)
+/* Longest time without a question: the shards get tokens all the while. */
+#define REFUSE_MAX_US	(250 * US_PER_MS)
 #define SPARE_FRACTION	0.5 /* of a bucket: tokens beyond those needed come from above it */
 #define BUCKETS_IDLE_US (60 * US_PER_S)
 
@@ -43,7 +45,8 @@
 	struct label tenant;
 	int tokens;
 	struct deadline tokens_until;
-	struct deadline refuse_until; /* the shards are empty until then */
+	struct deadline refuse_until;  /* requests are refused until then, without a question */
+	struct quota_decision refusal; /* until .refuse_until */
 	double demand_per_s;
 	int64_t demand_at_us;
 	GQueue waiting; /* uint64_t *, owned */
@@ -209,7 +212,8 @@
 	bucket_fill(bucket, fill_per_s, burst, now);
 	grant.tokens = bucket_take(bucket, question, burst);
 	if (grant.tokens < question->needed) {
-		bucket->missing += question->needed - grant.tokens;
+		/* Each shard is asked for all; a part of them will come back to this one. */
+		bucket->missing += (double)(question->needed - grant.tokens) / QUOTA_SHARDS;
 		wanted = bucket->missing - bucket->tokens;
 		grant.room_in_us =
 			fill_per_s > 0 ? (int64_t)(wanted / fill_per_s * US_PER_S) : ROOM_MAX_US;
@@ -219,6 +223,40 @@
 	return grant;
 }
 
+GArray *quota_shards(struct quota *quota)
+{
+	GArray *shards = g_array_new(FALSE, FALSE, sizeof(struct quota_shard));
+	GHashTableIter iter;
+	gpointer key;
+
+	lock_acquire(&quota->lock);
+	g_hash_table_iter_init(&iter, quota->buckets);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		const struct bucket *bucket = key;
+		struct quota_shard shard = { bucket->tenant, bucket->shard };
+
+		g_array_append_val(shards, shard);
+	}
+	lock_release(&quota->lock);
+	return shards;
+}
+
+void quota_drop(struct quota *quota, const struct quota_shard *shard)
+{
+	struct bucket bucket = { .tenant = shard->tenant, .shard = shard->index };
+
+	lock_acquire(&quota->lock);
+	g_hash_table_remove(quota->buckets, &bucket);
+	lock_release(&quota->lock);
+}
+
+void quota_drop_all(struct quota *quota)
+{
+	lock_acquire(&quota->lock);
+	g_hash_table_remove_all(quota->buckets);
+	lock_release(&quota->lock);
+}
+
 static gboolean account_rested(gpointer key, gpointer value, gpointer data)
 {
 	const struct account *account = value;
@@ -305,9 +343,9 @@
 	note_demand(account, now);
 	if (take_token(account, now)) {
 		decision.kind = QUOTA_TAKEN;
+		decision.token_until = account->tokens_until;
 	} else if (account->refuse_until.at_us && !deadline_passed(account->refuse_until, now)) {
-		decision.kind = QUOTA_EXCEEDED;
-		decision.room_in_us = deadline_remaining_us(account->refuse_until, now);
+		decision = account->refusal;
 	} else if (account->waiting.length >= WAITING_MAX) {
 		decision.kind = QUOTA_EXCEEDED;
 		decision.room_in_us = ROOM_MAX_US;
@@ -348,18 +386,23 @@
 static void use_tokens(struct account *account, struct instant now, GArray *results)
 {
 	while (account->waiting.length && take_token(account, now))
-		end_waiting(account, (struct quota_decision){ .kind = QUOTA_TAKEN }, results);
+		end_waiting(account,
+			    (struct quota_decision){ .kind = QUOTA_TAKEN,
+						     .token_until = account->tokens_until },
+			    results);
 }
 
 /* No shard has tokens for the requests that still wait. */
 static void end_round(struct account *account, struct instant now, GArray *results)
 {
-	struct quota_decision decision = { QUOTA_EXCEEDED, account->room_in_us };
+	struct quota_decision decision = { .kind = QUOTA_EXCEEDED,
+					   .room_in_us = account->room_in_us };
 
 	if (account->unreached)
-		decision = (struct quota_decision){ QUOTA_UNREACHED, UNREACHED_US };
-	else
-		account->refuse_until = deadline_after(now, account->room_in_us);
+		decision = (struct quota_decision){ .kind = QUOTA_UNREACHED,
+						    .room_in_us = UNREACHED_US };
+	account->refusal = decision;
+	account->refuse_until = deadline_after(now, MIN(decision.room_in_us, REFUSE_MAX_US));
 	account->seq = 0;
 	while (account->waiting.length)
 		end_waiting(account, decision, results);
@@ -381,6 +424,18 @@
 	return true;
 }
 
+/* Adds tokens; those that are there already and the new ones all expire with the older ones. */
+static void add_tokens(struct account *account, int tokens, struct deadline until,
+		       struct instant now)
+{
+	if (account->tokens == 0 || deadline_passed(account->tokens_until, now)) {
+		account->tokens = 0;
+		account->tokens_until = until;
+	}
+	account->tokens_until.at_us = MIN(account->tokens_until.at_us, until.at_us);
+	account->tokens += tokens;
+}
+
 static void add_grant(struct quota *quota, struct account *account, const struct asked *asked,
 		      const struct quota_grant *grant, struct instant now)
 {
@@ -392,9 +447,7 @@
 		account->room_in_us = MIN(account->room_in_us, grant->room_in_us);
 	if (grant->tokens <= 0 || deadline_passed(until, now))
 		return;
-	/* An older token that was returned expires with the new ones: it is one of a few. */
-	account->tokens += grant->tokens;
-	account->tokens_until = until;
+	add_tokens(account, grant->tokens, until, now);
 	account->preferred = asked->shard;
 	account->refuse_until = (struct deadline){ 0 };
 }
@@ -458,13 +511,14 @@
 	return asks;
 }
 
-void quota_return(struct quota *quota, const struct label *tenant, struct instant now)
+void quota_return(struct quota *quota, const struct label *tenant, struct deadline until,
+		  struct instant now)
 {
 	struct account *account;
 
 	lock_acquire(&quota->lock);
 	account = g_hash_table_lookup(quota->accounts, tenant);
-	if (account && account->tokens_until.at_us && !deadline_passed(account->tokens_until, now))
-		account->tokens++;
+	if (account && !deadline_passed(until, now))
+		add_tokens(account, 1, until, now);
 	lock_release(&quota->lock);
 }
--- a/core/quota.h
+++ b/core/quota.h
@@ -23,7 +23,8 @@
 /** Holders that share a limit: one that is lost takes a quarter of it until it is replaced. */
 enum { QUOTA_SHARDS = 4 };
 
-/** Tolerance of a limit: (rate x window + burst) x (1 + tolerance) + allowance requests in any window. */
+/** Tolerance of a limit: (rate x window + burst) x (1 + tolerance) + allowance requests in any
+ * window. */
 struct quota_options {
 	int64_t window_us;
 	double tolerance;
@@ -71,6 +72,19 @@
 			       const struct quota_question *question, int64_t held_since_us,
 			       struct instant now);
 
+/** A shard of which a table has a bucket. */
+struct quota_shard {
+	struct label tenant;
+	int index;
+};
+
+/** Returns the shards that the table has buckets of (struct quota_shard); the caller frees the
+ *  array. */
+GArray *quota_shards(struct quota *quota);
+/** Drops the bucket of a shard that another node holds now. */
+void quota_drop(struct quota *quota, const struct quota_shard *shard);
+void quota_drop_all(struct quota *quota);
+
 /* The entry node */
 
 enum quota_kind {
@@ -82,7 +96,11 @@
 
 struct quota_decision {
 	enum quota_kind kind;
-	int64_t room_in_us; /**< QUOTA_EXCEEDED, QUOTA_UNREACHED: when to come back */
+	union {
+		struct deadline
+			token_until; /**< QUOTA_TAKEN: until when the token may be returned */
+		int64_t room_in_us;  /**< QUOTA_EXCEEDED, _UNREACHED: when to come back */
+	};
 };
 
 /** Decision on a request that waited. */
@@ -92,7 +110,8 @@
 };
 
 /**
- * Takes a token for a request, or lets it wait under the number @p waiter.
+ * Takes a token for a request. Without one the request waits, and its result has the number
+ * @p waiter.
  * Returns true if *question is to be asked.
  */
 bool quota_take(struct quota *quota, const struct label *tenant, uint64_t waiter,
@@ -108,7 +127,9 @@
  *  false. */
 bool quota_expire(struct quota *quota, struct instant now, GArray *results,
 		  struct quota_question *next);
-/** Returns the token of a request that was refused and has not run. */
-void quota_return(struct quota *quota, const struct label *tenant, struct instant now);
+/** Returns the token of a request that was refused and has not run. It expires when it would have.
+ */
+void quota_return(struct quota *quota, const struct label *tenant, struct deadline until,
+		  struct instant now);
 
 #endif
--- a/godwithitchd/calls.c
+++ b/godwithitchd/calls.c
@@ -115,6 +115,7 @@
 	call->refs = 1;
 	call->daemon = daemon;
 	call->caller = caller_call_ref(caller);
+	call->knowledge = node_access_knowledge(daemon->node, clock_now());
 	call->config = node_config(daemon->node);
 	call->started_us = clock_now().mono_us;
 	apr_pool_create(&call->pool, NULL);
@@ -407,6 +408,24 @@
 		call_try_target(call);
 }
 
+/* Counts what has come of the request's body over this VM's link. Of a streamed body only a part
+ * has, whatever its head announces. */
+static void count_body(const struct call *call, struct instant now)
+{
+	const struct caller_body *body = caller_body(call->caller);
+	struct admit *admit = node_admit(call->daemon->node);
+
+	switch (body->kind) {
+	case CALLER_BODY_WHOLE:
+		admit_count_received(admit, (int64_t)body->whole.len, now);
+		return;
+	case CALLER_BODY_STREAMED:
+		admit_count_received(admit, (int64_t)pipe_buffered_bytes(body->upload), now);
+		return;
+	}
+	g_assert_not_reached();
+}
+
 static void on_request(struct daemon *daemon, struct caller_call *caller)
 {
 	struct call *call = call_new(daemon, caller);
@@ -425,7 +444,7 @@
 		return;
 	}
 	call->tenant = label_from(tenant_text(call->route, caller));
-	if (!call_identify(call, now))
+	if (!call_identify(call))
 		return;
 	call->deadline = calls_work_deadline(daemon, make_deadline(daemon->dialect, call->route,
 								   caller, caller_arrived(caller)));
@@ -434,8 +453,7 @@
 	call->attributes.point = call_placement_point(daemon, key);
 	call->service = call_service(&call->attributes);
 	call->attributes.fingerprint = request_fingerprint(call->route, caller, key);
-	if (caller_body_length(caller) > 0)
-		admit_count_received(node_admit(daemon->node), caller_body_length(caller), now);
+	count_body(call, now);
 	node_record_call(daemon->node, call->service);
 	call_open_add(call);
 	if (call->key_tenant)
--- a/godwithitchd/calls.h
+++ b/godwithitchd/calls.h
@@ -21,6 +21,7 @@
 	gint refs;
 	struct daemon *daemon;
 	struct caller_call *caller;
+	enum access_knowledge knowledge; /* of newer versions than .config, read before it */
 	struct config *config;
 	const struct route *route;
 	struct label service; /* destination of the route, chosen once */
@@ -29,6 +30,7 @@
 	const struct tenant *key_tenant; /* of the caller's key, borrowed from config; NULL: none */
 	enum traffic_class class;	 /* of the tenant, or else of the route */
 	gint holds_token;		 /* atomic: a token of the tenant's limit */
+	struct deadline token_until;	 /* then it may not be returned any more */
 	int64_t retry_after_us;		 /* for a refusal; 0: chosen by the placement */
 	struct deadline deadline;
 	int64_t started_us;
@@ -126,7 +128,7 @@
 /* tenants.c */
 
 /** Sets the tenant and the class of a call by its caller's key. Returns false if it was refused. */
-bool call_identify(struct call *call, struct instant now);
+bool call_identify(struct call *call);
 /** Takes a token of the tenant's limit, maybe later, and starts or refuses the call. Takes
  *  daemon->lock. */
 void call_take_token(struct call *call, struct instant now);
--- a/godwithitchd/tenants.c
+++ b/godwithitchd/tenants.c
@@ -15,12 +15,10 @@
 		    str_from_cstr(labels), 1);
 }
 
-bool call_identify(struct call *call, struct instant now)
+bool call_identify(struct call *call)
 {
-	struct daemon *daemon = call->daemon;
 	struct str key = access_key(caller_field(call->caller, STR("Authorization")));
-	struct access access = access_decide(call->config, call->route, key,
-					     node_access_knowledge(daemon->node, now));
+	struct access access = access_decide(call->config, call->route, key, call->knowledge);
 
 	call->class = access_class(call->route, access.tenant);
 	call->key_tenant = access.tenant;
@@ -48,8 +46,13 @@
 {
 	switch (decision->kind) {
 	case QUOTA_TAKEN:
+		call->token_until = decision->token_until;
 		g_atomic_int_set(&call->holds_token, 1);
-		call_start(call);
+		/* The call may have expired while it waited. */
+		if (g_atomic_int_get(&call->answered))
+			call_return_token(call);
+		else
+			call_start(call);
 		return;
 	case QUOTA_WAITS:
 		return;
@@ -107,5 +110,6 @@
 void call_return_token(struct call *call)
 {
 	if (g_atomic_int_compare_and_exchange(&call->holds_token, 1, 0))
-		node_quota_return(call->daemon->node, &call->tenant, clock_now());
+		node_quota_return(call->daemon->node, &call->tenant, call->token_until,
+				  clock_now());
 }
