--- a/core/node.c
+++ b/core/node.c
@@ -11,8 +11,8 @@
 #define BOOT_LOG_JITTER_US	(3 * US_PER_S)
 #define APPLY_WITHIN_DEFAULT_US (8 * US_PER_S)
 #define QUOTA_WINDOW_DEFAULT_US (5 * US_PER_S)
-#define QUOTA_TOLERANCE_DEFAULT	0.1
-#define QUOTA_ALLOWANCE_DEFAULT	20
+#define QUOTA_TOLERANCE_DEFAULT 0.1
+#define QUOTA_ALLOWANCE_DEFAULT 20
 enum { READERS_DEFAULT = 2, READERS_MAX = 16 };
 
 /* When all nodes start at once, the delay keeps them from reading the log at the same time. */
@@ -97,9 +97,10 @@
 	node->claims = claims_new(node->pool);
 	node->traffic = traffic_new(node->pool);
 	if (node->options.quota.window_us == 0)
-		node->options.quota = (struct quota_options){ .window_us = QUOTA_WINDOW_DEFAULT_US,
-							      .tolerance = QUOTA_TOLERANCE_DEFAULT,
-							      .allowance = QUOTA_ALLOWANCE_DEFAULT };
+		node->options.quota =
+			(struct quota_options){ .window_us = QUOTA_WINDOW_DEFAULT_US,
+						.tolerance = QUOTA_TOLERANCE_DEFAULT,
+						.allowance = QUOTA_ALLOWANCE_DEFAULT };
 	node->options.quota.seed = node->options.seed ^ node->options.id;
 	node->quota = quota_new(&node->options.quota, node->pool);
 	gossip_init(node, now);
--- a/core/warmup.c
+++ b/core/warmup.c
@@ -8,11 +8,12 @@
  * start of a call to its arrival varies by up to 250 ms on a busy VM. */
 #define ARRIVAL_WINDOW_S 1.25
 
-/* Part of the slack that is used for bursts; the rest covers calls that are sent twice, when a kept
- * connection turns out to be closed. */
+/* Part of the allowance that is used for bursts; the rest covers calls that are sent twice, when a
+ * kept connection turns out to be closed. */
 #define BURST_FRACTION 0.5
 
-/* Part of the stated rate that is used even where the slack has no room for a burst of one call. */
+/* Part of the stated rate that is used even where the allowance has no room for a burst of one
+ * call. */
 #define RATE_FRACTION_MIN 0.1
 
 /* The queue of a cold target is looked at by the tick, up to this long after a token came. */
--- a/core/warmup.h
+++ b/core/warmup.h
@@ -16,7 +16,7 @@
 
 /** Tolerance of the limit, the same for all services. */
 struct warmup_options {
-	double cold_factor;  /**< factor on warmup_rule.per_s; 1 or more, default 1.5 */
+	double cold_factor;    /**< factor on warmup_rule.per_s; 1 or more, default 1.5 */
 	double cold_allowance; /**< calls in any second beyond that; default 8 */
 };
 
--- a/godwithitchd/settings.c
+++ b/godwithitchd/settings.c
@@ -27,13 +27,13 @@
 #define RETRY_SLACK_DEFAULT	0
 #define QUOTA_WINDOW_DEFAULT_US (5 * US_PER_S)
 #define QUOTA_WINDOW_MAX_US	(600 * US_PER_S)
-#define QUOTA_TOLERANCE_DEFAULT	0.1
-#define QUOTA_ALLOWANCE_DEFAULT	20
-#define QUOTA_ALLOWANCE_MAX		1e6
+#define QUOTA_TOLERANCE_DEFAULT 0.1
+#define QUOTA_ALLOWANCE_DEFAULT 20
+#define QUOTA_ALLOWANCE_MAX	1e6
 #define COLD_FACTOR_DEFAULT	1.5
 #define COLD_FACTOR_MAX		100.0
 #define COLD_ALLOWANCE_DEFAULT	8.0
-#define COLD_ALLOWANCE_MAX		1e6
+#define COLD_ALLOWANCE_MAX	1e6
 
 /** A document that is being read, and the destinations of its values and errors. */
 struct settings_reader {
@@ -174,7 +174,8 @@
 {
 	struct quota_options *quota = &r->settings->quota;
 
-	*quota = (struct quota_options){ .tolerance = QUOTA_TOLERANCE_DEFAULT, .allowance = QUOTA_ALLOWANCE_DEFAULT };
+	*quota = (struct quota_options){ .tolerance = QUOTA_TOLERANCE_DEFAULT,
+					 .allowance = QUOTA_ALLOWANCE_DEFAULT };
 	return read_seconds(r, STR("limit_window_s"), QUOTA_WINDOW_MAX_US, QUOTA_WINDOW_DEFAULT_US,
 			    &quota->window_us) &&
 	       read_double(r, STR("limit_tolerance"), 1, &quota->tolerance) &&
--- a/peer/codec.c
+++ b/peer/codec.c
@@ -177,7 +177,8 @@
 	msgpack_pack_int(out, message->pull.packed);
 }
 
-/* Packs messages that serve calls; see on_call_message() in core/node.c. */
+/* The messages that on_call_message() in core/node.c handles: one function for all kinds would be
+ * too long to read. */
 static void pack_call_body(msgpack_packer *out, const struct message *message)
 {
 	switch (message->kind) {
--- a/regress/core/cold_test.c
+++ b/regress/core/cold_test.c
@@ -13,7 +13,7 @@
 #define COLD_SLACK 8.0
 #define EVACUATE   "{\"evacuate\":[\"a\"]}"
 
-/* Calls reach the target up to this much later than they start. */
+/* A call counts at the target when it arrives, up to this much later than it starts. */
 #define ARRIVAL_DELAY_US (200 * US_PER_MS)
 #define TICK_US		 (100 * US_PER_MS)
 #define STEP_US		 (5 * US_PER_MS)
--- a/regress/core/quota_fleet_test.c
+++ b/regress/core/quota_fleet_test.c
@@ -6,7 +6,7 @@
 #include "regress/lib/sim.h"
 
 #define TENANTS                                                                                    \
-	"{\"services\":{\"s\":{\"versions\":\"any\"}},\"tenants\":{\"studio\":{\"keys\":[\"k\"],"             \
+	"{\"services\":{\"s\":{\"versions\":\"any\"}},\"tenants\":{\"studio\":{\"keys\":[\"k\"],"  \
 	"\"limit_per_s\":200,\"burst\":200}}}"
 
 enum {
--- a/regress/godwithitchd/abusive_callers_test.c
+++ b/regress/godwithitchd/abusive_callers_test.c
@@ -31,7 +31,7 @@
 	PIPELINED = 64,	       /* requests of each */
 	ANSWER_BYTES = 120000, /* fits in a window: the target is free for the next one */
 	BODY_CALLERS = 4,
-	BODY_MAX_BYTES = 1 << 20, /* setting body_max_bytes */
+	BODY_MAX_BYTES = 1 << 20, /* limit of the node, so that a small body exceeds it */
 	BODY_SENT_BYTES = 64 << 20,
 	CHUNKED_BODY_BYTES = 8 << 20,
 	CHUNK_BYTES = 32 << 10,
@@ -233,6 +233,11 @@
 	}
 	settle();
 	check_nodes("pipelined requests", ENTRY_MEMORY_MAX_KB);
+	/* The crowd made the node hold what it could, and was not just turned away. */
+	print_message("%ld bytes held for callers\n",
+		      (long)fleet_metric(fleet, ENTRY, "godwithitch_caller_memory_bytes"));
+	assert_true(fleet_metric(fleet, ENTRY, "godwithitch_caller_memory_bytes") >
+		    PIPELINING_CALLERS * ANSWER_BYTES);
 	close_all(fds, PIPELINING_CALLERS);
 	strbuf_clear(&requests);
 }
--- a/regress/godwithitchd/granted_bodies_test.c
+++ b/regress/godwithitchd/granted_bodies_test.c
@@ -77,6 +77,9 @@
 	print_message("%d of %d uploads of %zu bytes ran\n", ran, CALLERS, bytes);
 	assert_in_range(ran, 1, CALLERS - 1);
 	assert_true(has_metric("godwithitch_bodies_spared_total"));
+	/* Each upload that was refused was offered with its head alone at least once. */
+	assert_true(fleet_metric(fleet, BESIDE_ANOTHER_NODE, "godwithitch_bodies_spared_total") >=
+		    CALLERS - ran);
 }
 
 static void test_refused_offers_move_no_whole_body(void **state)
--- a/regress/lib/callers.h
+++ b/regress/lib/callers.h
@@ -20,9 +20,9 @@
 	pthread_cond_t changed;
 	struct caller *caller;
 	struct memory *memory; /**< the server's account */
-	GPtrArray *calls;     /**< struct caller_call, one reference each, in the order of READY */
-	gulong ready_wait_us; /**< READY takes so long */
-	int handling;	      /**< events of the newest call that are being handled */
+	GPtrArray *calls;      /**< struct caller_call, one reference each, in the order of READY */
+	gulong ready_wait_us;  /**< READY takes so long */
+	int handling;	       /**< events of the newest call that are being handled */
 	int ready;
 	int ended;
 	bool ended_while_handling;
--- a/regress/platform/store_test.c
+++ b/regress/platform/store_test.c
@@ -168,7 +168,7 @@
 	}
 }
 
-/* Makes the list of the newest records, with or without those that are removed. */
+/* The store may list a key that was deleted with an empty value, or leave it out. */
 static void make_newest(struct strbuf *out, bool list_removed)
 {
 	bool first = true;
