--- a/Makefile
+++ b/Makefile
@@ -5,9 +5,11 @@
 OPT = -O2 -g
 SAN =
 OUT = build
-PKGS = apr-1 apr-util-1 glib-2.0 msgpack libmicrohttpd libcurl yajl libxxhash zlib
+PKGS = apr-1 apr-util-1 glib-2.0 msgpack libmicrohttpd yajl libxxhash zlib
+# Used by the tests' clients alone: libcurl loads 7 MB of libraries for TLS and directories.
+TEST_LIBS = $(shell pkg-config --libs libcurl) -lcmocka
 CFLAGS = $(STD) $(WARN) $(OPT) $(SAN) -I. $(shell pkg-config --cflags $(PKGS))
-LDLIBS = $(shell pkg-config --libs $(PKGS)) -largtable2 -lhttp_parser -lm -lpthread
+LDLIBS = -Wl,--as-needed $(shell pkg-config --libs $(PKGS)) -largtable2 -lhttp_parser -lm -lpthread
 folders = base core caller target peer platform operator
 
 all: programs
@@ -43,11 +45,11 @@
 
 $(OUT)/bin/%: $(OUT)/regress/%.o $(lib)
 	@mkdir -p $(@D)
-	@echo LD $@; $(CC) $(SAN) -o $@ $^ $(LDLIBS)
+	@echo LD $@; $(CC) $(SAN) -o $@ $^ $(LDLIBS) $(TEST_LIBS)
 
 $(OUT)/test/%: $(OUT)/regress/%.o $(regress_common:%.c=$(OUT)/regress/%.o) $(lib)
 	@mkdir -p $(@D)
-	@echo LD $@; $(CC) $(SAN) -o $@ $^ $(LDLIBS) -lcmocka
+	@echo LD $@; $(CC) $(SAN) -o $@ $^ $(LDLIBS) $(TEST_LIBS)
 
 lib: $(lib)
 
--- a/base/chunks.h
+++ b/base/chunks.h
@@ -1,6 +1,6 @@
 /**
  * @file
- * Finds the end of an HTTP body in chunks.
+ * Decodes an HTTP body in chunks and finds its end.
  */
 #ifndef BASE_CHUNKS_H
 #define BASE_CHUNKS_H
@@ -14,19 +14,27 @@
 	CHUNKS_LINE,	/**< end of the line behind a chunk */
 	CHUNKS_TRAILER, /**< a trailer, or the empty line behind the last chunk */
 	CHUNKS_ENDED,
+	CHUNKS_MALFORMED, /**< the bytes are no chunks */
 };
 
 /** A body as far as it came; zero at its start. */
 struct chunks {
 	enum chunks_state state;
-	uint64_t left;	 /**< bytes of the chunk that are to come */
-	size_t line_len; /**< of a trailer, without its end */
-	uint64_t data;	 /**< bytes of chunks that came */
-	uint64_t total;	 /**< all bytes that came */
+	int digits;		/**< of the size that is being read */
+	uint64_t left;		/**< bytes of the chunk that are to come */
+	size_t line_len;	/**< of a trailer, without its end */
+	uint64_t trailer_bytes; /**< of all trailers that came */
+	uint64_t data;		/**< bytes of chunks that came */
+	uint64_t total;		/**< all bytes that came */
 };
 
-/** Reads the next bytes; those behind the body's end are ignored. */
-void chunks_read(struct chunks *chunks, struct str bytes);
+/**
+ * Decodes bytes at the front of @p input and removes them.
+ *
+ * @return the next bytes of the body, a view of @p input; empty if @p input holds no more of them.
+ *         Bytes behind the body's end, or behind what is no chunk, stay in @p input.
+ */
+struct str chunks_next(struct chunks *chunks, struct str *input);
 /**
  * Returns whether a body in chunks, of whose @p total bytes @p data are its own, has too little of
  * them. Lines with sizes have no other limit, and reading them takes time from other work.
--- a/base/head.c
+++ b/base/head.c
@@ -10,6 +10,7 @@
 	STATUS_NO_CONTENT = 204,
 	STATUS_NOT_MODIFIED = 304,
 	STATUS_DIGITS = 3,
+	MINOR_VERSION_AT = 7, /* "HTTP/1.1" */
 };
 
 struct str head_framing_name(enum head_framing framing)
@@ -113,7 +114,9 @@
 		return fail(reader, "the status is above 599");
 	if (holds_status_line(str_sub(line, 1, line.len)))
 		return fail(reader, "a status line holds another one");
-	reader->head = (struct head){ .status = status, .content_length = -1 };
+	reader->head = (struct head){ .status = status,
+				      .content_length = -1,
+				      .persistent = line.data[MINOR_VERSION_AT] != '0' };
 	reader->chunked = false;
 	reader->text.len = 0;
 	g_array_set_size(reader->lengths, 0);
@@ -135,11 +138,25 @@
 	return reader->state;
 }
 
-/* Applies a field that the end of the answer or its request depends on. */
+static void set_persistent(struct head *head, struct str options)
+{
+	while (options.len) {
+		struct str option = trim(str_split(options, ',', &options));
+
+		if (str_equal_nocase(option, STR("close")))
+			head->persistent = false;
+		else if (str_equal_nocase(option, STR("keep-alive")))
+			head->persistent = true;
+	}
+}
+
+/* Applies a field that the end of the answer, its connection or its request depends on. */
 static enum head_state apply_field(struct head_reader *reader, struct str name, struct str value)
 {
 	if (str_equal_nocase(name, STR("content-length")))
 		return set_length(reader, value);
+	if (str_equal_nocase(name, STR("connection")))
+		set_persistent(&reader->head, value);
 	if (str_equal_nocase(name, STR("transfer-encoding"))) {
 		if (!str_equal_nocase(value, STR("chunked")))
 			return fail(reader, "the transfer encoding is not known");
--- a/base/head.h
+++ b/base/head.h
@@ -32,6 +32,7 @@
 	int status; /**< 200 to 599 */
 	enum head_framing framing;
 	int64_t content_length; /**< as stated; -1: not stated, or the body is in chunks */
+	bool persistent;	/**< the connection may serve another request */
 	const struct head_field *fields;
 	int field_count;
 };
--- a/base/socket.h
+++ b/base/socket.h
@@ -1,6 +1,6 @@
 /**
  * @file
- * Whether a connection that is kept open can be used, and whether a new one can be opened.
+ * Opening TCP connections without blocking, and whether one that is kept open can be used.
  */
 #ifndef BASE_SOCKET_H
 #define BASE_SOCKET_H
@@ -13,6 +13,19 @@
 /** Returns whether an idle connection is open and has no bytes to read. Does not block. */
 bool socket_is_quiet(int fd);
 
+/**
+ * Begins to open a TCP connection, without blocking.
+ *
+ * @param error  0 if the connection is open, EINPROGRESS if socket_wait_open() has to be called,
+ *               otherwise what failed
+ * @return its descriptor, which does not block, or -1 if there is none
+ */
+int socket_open(uint32_t ipv4, uint16_t port, int *error);
+/** Waits for the outcome of socket_open() and returns it as there; EINPROGRESS past @p deadline. */
+int socket_wait_open(int fd, struct deadline deadline);
+/** Waits for @p events of poll(), for an error or for @p deadline; returns the events. */
+short socket_wait(int fd, short events, struct deadline deadline);
+
 enum socket_probe {
 	SOCKET_ACCEPTED,
 	SOCKET_REFUSED,	   /**< nobody listens at the address */
--- a/base/transfer.c
+++ b/base/transfer.c
@@ -1,24 +1,50 @@
 #include "base/transfer.h"
 
-#include "base/chunks.h"
+#include <errno.h>
+#include <glib.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "base/socket.h"
 
 enum {
-	CHECK_INTERVAL_MS = 100,
 	/* Parts of a body below this size, such as small chunks, are delivered together. */
 	COLLECT_BYTES = 4 << 10,
+	BUFFER_BYTES = 16 << 10,
+	STATUS_REDIRECT = 300,
+};
+
+#define CHECK_INTERVAL_US (100 * US_PER_MS)
+
+/* The request as far as it was sent on the present connection. */
+struct outgoing {
+	struct strbuf bytes;
+	size_t sent;   /* of .bytes */
+	int64_t left;  /* of TRANSFER_UPLOAD_BYTES */
+	bool all_read; /* .bytes holds the end of the request */
 };
 
 /* A running transfer. */
 struct transfer {
 	const struct transfer_options *options;
-	struct head_reader reader;
-	size_t head_bytes;
-	int64_t body_bytes;
-	struct chunks chunks;	 /* the body, if it is in chunks */
-	struct strbuf collected; /* bytes of the body that are not delivered yet */
-	bool too_long;		 /* the head is */
+	struct response response;
+	struct outgoing outgoing;
+	struct strbuf collected; /* bytes of the answer's body that are not delivered yet */
+	char *buffer;		 /* BUFFER_BYTES for what is read next */
+	int fd;
+	bool kept;	    /* the connection served before */
+	bool sent_any;	    /* bytes of the request were sent, on any connection */
+	bool sent_here;	    /* on the present one */
+	bool answered_here; /* bytes came on the present one */
+	bool upload_read;   /* the handler has delivered bytes of the request's body */
+	bool reusable;	    /* the connection, as far as it is known */
 	bool foreign;
-	bool stopped; /* by the handler */
+	bool ended; /* .cause and .reason are set */
+	enum transfer_cause cause;
+	const char *reason;
 };
 
 struct str transfer_end_name(enum transfer_end end)
@@ -40,293 +66,426 @@
 	g_assert_not_reached();
 }
 
-static bool deliver(struct transfer *transfer, struct transfer_event *event)
+static bool fail(struct transfer *transfer, enum transfer_cause cause, const char *reason)
 {
-	if (transfer->options->handle(transfer->options->context, event))
-		return true;
-	transfer->stopped = true;
+	transfer->ended = true;
+	transfer->cause = cause;
+	transfer->reason = reason;
 	return false;
 }
 
-static bool deliver_head(struct transfer *transfer)
+static const char *connection_reason(int error)
 {
-	struct transfer_event event = { .kind = TRANSFER_HEAD,
-					.head = { &transfer->reader.head, false } };
-	bool wanted;
+	if (error == ECONNREFUSED)
+		return "the connection was refused";
+	if (error == ECONNRESET || error == EPIPE)
+		return "the connection was reset";
+	return "the connection failed";
+}
 
-	/* libcurl takes an end within the last line of the chunks for a whole body: the bytes that
-	 * come from here on are looked at as they are. */
-	if (transfer->reader.head.framing == FRAMING_CHUNKS)
-		curl_easy_setopt(transfer->options->curl, CURLOPT_VERBOSE, 1L);
-	wanted = deliver(transfer, &event);
-	transfer->foreign = event.head.foreign;
-	return wanted && !transfer->foreign;
-}
-
-/* Returning less than the length ends the transfer and closes its connection. */
-static size_t on_header(char *data, size_t size, size_t count, void *context)
-{
-	struct transfer *transfer = context;
-	struct str line = { data, size * count };
-
-	transfer->head_bytes += line.len;
-	transfer->too_long = transfer->head_bytes > transfer->options->head_max_bytes;
-	if (transfer->too_long)
-		return 0;
-	/* Trailers are not forwarded. */
-	if (transfer->reader.state == HEAD_ENDED)
-		return line.len;
-	switch (head_reader_add(&transfer->reader, line)) {
-	case HEAD_STATUS_LINE:
-	case HEAD_FIELDS:
-		return line.len;
-	case HEAD_ENDED:
-		return deliver_head(transfer) ? line.len : 0;
-	case HEAD_MALFORMED:
-		return 0;
-	}
-	g_assert_not_reached();
+static bool fail_connection(struct transfer *transfer, int error)
+{
+	return fail(transfer, TRANSFER_CONNECTION, connection_reason(error));
 }
 
-static bool deliver_body(struct transfer *transfer, struct str bytes)
+static bool deliver(struct transfer *transfer, struct transfer_event *event)
 {
-	struct transfer_event event = { .kind = TRANSFER_BODY, .bytes = bytes };
+	return transfer->options->handle(transfer->options->context, event) ||
+	       fail(transfer, TRANSFER_HANDLER, "nobody waits for the answer");
+}
 
-	return deliver(transfer, &event);
+/* The rest of the request is not sent, so that the connection can't serve again. */
+static void stop_sending(struct transfer *transfer)
+{
+	struct outgoing *outgoing = &transfer->outgoing;
+
+	transfer->reusable &= outgoing->all_read && outgoing->sent == outgoing->bytes.len;
+	outgoing->all_read = true;
+	outgoing->sent = outgoing->bytes.len;
+}
+
+static bool is_sent(const struct transfer *transfer)
+{
+	return transfer->outgoing.all_read &&
+	       transfer->outgoing.sent == transfer->outgoing.bytes.len;
+}
+
+static bool deliver_head(struct transfer *transfer)
+{
+	const struct head *head = &transfer->response.reader.head;
+	struct transfer_event event = { .kind = TRANSFER_HEAD, .head = { head, false } };
+
+	/* An answer other than a success is final: the peer may not read the rest. */
+	if (head->status >= STATUS_REDIRECT)
+		stop_sending(transfer);
+	if (!deliver(transfer, &event))
+		return false;
+	transfer->foreign = event.head.foreign;
+	return !transfer->foreign ||
+	       fail(transfer, TRANSFER_CONNECTION, "the answer is not one to this request");
 }
 
 /* Delivers the collected bytes. Each delivery may end in a write to a socket. */
 static bool deliver_collected(struct transfer *transfer)
 {
-	bool wanted = true;
+	struct transfer_event event = { .kind = TRANSFER_BODY,
+					.bytes = strbuf_str(&transfer->collected) };
 
-	if (transfer->collected.len && !transfer->stopped)
-		wanted = deliver_body(transfer, strbuf_str(&transfer->collected));
+	if (transfer->collected.len == 0)
+		return true;
 	transfer->collected.len = 0;
-	return wanted;
+	return deliver(transfer, &event);
 }
 
-static size_t on_body(char *data, size_t size, size_t count, void *context)
+static bool add_body(struct transfer *transfer, struct str bytes)
 {
-	struct transfer *transfer = context;
-	struct str bytes = { data, size * count };
-	bool wanted = true;
+	struct transfer_event event = { .kind = TRANSFER_BODY, .bytes = bytes };
 
-	if (transfer->reader.state != HEAD_ENDED)
-		return 0;
-	transfer->body_bytes += (int64_t)bytes.len;
 	if (transfer->collected.len == 0 && bytes.len >= COLLECT_BYTES)
-		return deliver_body(transfer, bytes) ? bytes.len : 0;
+		return deliver(transfer, &event);
 	strbuf_add(&transfer->collected, bytes);
-	if (transfer->collected.len >= COLLECT_BYTES)
-		wanted = deliver_collected(transfer);
-	return wanted ? bytes.len : 0;
+	return transfer->collected.len < COLLECT_BYTES || deliver_collected(transfer);
 }
 
-static size_t on_read(char *into, size_t size, size_t count, void *context)
+/* Reads what has come of the answer. */
+static bool take_answer(struct transfer *transfer, struct str input)
 {
-	struct transfer *transfer = context;
-	struct transfer_event event = { .kind = TRANSFER_READ, .read = { into, size * count, 0 } };
+	struct response *response = &transfer->response;
+	bool wanted = true;
+	bool more = true;
+
+	while (wanted && more) {
+		struct str bytes = STR("");
 
-	return deliver(transfer, &event) ? event.read.len : CURL_READFUNC_ABORT;
+		switch (response_next(response, &input, &bytes)) {
+		case RESPONSE_NOTHING:
+			more = false;
+			break;
+		case RESPONSE_HEAD:
+			wanted = deliver_head(transfer);
+			break;
+		case RESPONSE_BODY:
+			wanted = add_body(transfer, bytes);
+			break;
+		}
+	}
+	if (!wanted || !deliver_collected(transfer))
+		return false;
+	if (response->state == RESPONSE_MALFORMED)
+		return fail(transfer, TRANSFER_CONNECTION, response->problem);
+	if (input.len)
+		transfer->reusable = false;
+	return true;
 }
 
-static int on_seek(void *context, curl_off_t offset, int origin)
+static bool end_answer(struct transfer *transfer)
 {
-	struct transfer *transfer = context;
-	struct transfer_event event = { .kind = TRANSFER_REWIND, .rewound = false };
+	transfer->reusable = false;
+	stop_sending(transfer);
+	response_end(&transfer->response);
+	return transfer->response.state == RESPONSE_WHOLE ||
+	       fail(transfer, TRANSFER_CONNECTION, "the answer broke off");
+}
+
+static bool receive(struct transfer *transfer)
+{
+	ssize_t n = recv(transfer->fd, transfer->buffer, BUFFER_BYTES, 0);
+	bool is_whole = transfer->response.state == RESPONSE_WHOLE;
+
+	if (n < 0 && (errno == EAGAIN || errno == EINTR))
+		return true;
+	/* What comes behind an answer, or its end, ends a request that is still being sent. */
+	if (is_whole) {
+		transfer->reusable = false;
+		stop_sending(transfer);
+		return true;
+	}
+	if (n == 0)
+		return end_answer(transfer);
+	if (n < 0)
+		return fail_connection(transfer, errno);
+	transfer->answered_here = true;
+	return take_answer(transfer, (struct str){ transfer->buffer, (size_t)n });
+}
+
+/* Adds bytes of the request's body as its framing says. */
+static bool add_upload(struct transfer *transfer, struct str bytes)
+{
+	struct outgoing *outgoing = &transfer->outgoing;
+
+	switch (transfer->options->upload) {
+	case TRANSFER_NO_UPLOAD:
+		return true;
+	case TRANSFER_UPLOAD_BYTES:
+		if (bytes.len == 0)
+			return fail(transfer, TRANSFER_HANDLER, "the request's body is too short");
+		strbuf_add(&outgoing->bytes, bytes);
+		outgoing->left -= (int64_t)bytes.len;
+		outgoing->all_read = outgoing->left == 0;
+		return true;
+	case TRANSFER_UPLOAD_CHUNKS:
+		strbuf_addf(&outgoing->bytes, "%zx\r\n", bytes.len);
+		strbuf_add(&outgoing->bytes, bytes);
+		strbuf_add(&outgoing->bytes, STR("\r\n"));
+		outgoing->all_read = bytes.len == 0;
+		return true;
+	}
+	g_assert_not_reached();
+}
 
-	if (offset != 0 || origin != SEEK_SET || !deliver(transfer, &event))
-		return CURL_SEEKFUNC_FAIL;
-	return event.rewound ? CURL_SEEKFUNC_OK : CURL_SEEKFUNC_CANTSEEK;
+static bool read_upload(struct transfer *transfer)
+{
+	struct outgoing *outgoing = &transfer->outgoing;
+	struct transfer_event event = { .kind = TRANSFER_READ,
+					.read = { transfer->buffer, BUFFER_BYTES, 0 } };
+
+	if (transfer->options->upload == TRANSFER_UPLOAD_BYTES)
+		event.read.cap = (size_t)MIN((int64_t)BUFFER_BYTES, outgoing->left);
+	if (!deliver(transfer, &event))
+		return false;
+	transfer->upload_read |= event.read.len > 0;
+	outgoing->bytes.len = 0;
+	outgoing->sent = 0;
+	return add_upload(transfer, (struct str){ transfer->buffer, event.read.len });
 }
 
-/* Returns whether the answer is in chunks that hold next to nothing of a body. */
-static bool is_hollow(const struct transfer *transfer)
+/* Sends as much as the connection takes. */
+static bool send_request(struct transfer *transfer)
 {
-	return chunks_are_hollow(transfer->chunks.total, transfer->chunks.data);
+	struct outgoing *outgoing = &transfer->outgoing;
+	ssize_t n;
+
+	if (outgoing->sent == outgoing->bytes.len && !outgoing->all_read && !read_upload(transfer))
+		return false;
+	if (outgoing->sent == outgoing->bytes.len)
+		return true;
+	n = send(transfer->fd, outgoing->bytes.data + outgoing->sent,
+		 outgoing->bytes.len - outgoing->sent, MSG_NOSIGNAL);
+	if (n > 0) {
+		outgoing->sent += (size_t)n;
+		transfer->sent_any = true;
+		transfer->sent_here = true;
+	} else if (n < 0 && errno != EAGAIN && errno != EINTR) {
+		/* An answer may have come before the connection broke. */
+		stop_sending(transfer);
+		transfer->reusable = false;
+	}
+	return true;
 }
 
 static bool is_awaited(struct transfer *transfer)
 {
 	struct transfer_event event = { .kind = TRANSFER_CHECK };
 
-	return deliver_collected(transfer) && !is_hollow(transfer) && deliver(transfer, &event);
+	if (!deliver(transfer, &event))
+		return false;
+	return !deadline_passed(transfer->options->deadline, clock_now()) ||
+	       fail(transfer, TRANSFER_DEADLINE, "the deadline passed");
 }
 
-static int on_progress(void *context, curl_off_t download_total, curl_off_t downloaded,
-		       curl_off_t upload_total, curl_off_t uploaded)
+/* Returns the next moment at which somebody is asked whether the answer is awaited. */
+static struct deadline next_check(const struct transfer *transfer)
 {
-	(void)download_total;
-	(void)downloaded;
-	(void)upload_total;
-	(void)uploaded;
-	return !is_awaited(context);
+	struct instant now = clock_now();
+	int64_t left_us = deadline_remaining_us(transfer->options->deadline, now);
+
+	return deadline_after(now, MIN(left_us, CHECK_INTERVAL_US));
 }
 
-static int on_debug(CURL *curl, curl_infotype type, char *data, size_t size, void *context)
+static struct deadline next_wait(const struct transfer *transfer)
 {
-	struct transfer *transfer = context;
+	bool may_send_more = !transfer->outgoing.all_read &&
+			     transfer->outgoing.sent == transfer->outgoing.bytes.len;
 
-	if (type == CURLINFO_DATA_IN)
-		chunks_read(&transfer->chunks, (struct str){ data, size });
-	/* Otherwise libcurl reads on while there are bytes. is_awaited() ends the transfer. */
-	if (is_hollow(transfer))
-		curl_easy_pause(curl, CURLPAUSE_RECV);
-	return 0;
+	return may_send_more ? deadline_after(clock_now(), 0) : next_check(transfer);
 }
 
-static void set_callbacks(CURL *curl, struct transfer *transfer)
+static bool is_finished(const struct transfer *transfer)
 {
-	curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, on_header);
-	curl_easy_setopt(curl, CURLOPT_HEADERDATA, transfer);
-	curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, on_body);
-	curl_easy_setopt(curl, CURLOPT_WRITEDATA, transfer);
-	curl_easy_setopt(curl, CURLOPT_READFUNCTION, on_read);
-	curl_easy_setopt(curl, CURLOPT_READDATA, transfer);
-	curl_easy_setopt(curl, CURLOPT_SEEKFUNCTION, on_seek);
-	curl_easy_setopt(curl, CURLOPT_SEEKDATA, transfer);
-	curl_easy_setopt(curl, CURLOPT_DEBUGFUNCTION, on_debug);
-	curl_easy_setopt(curl, CURLOPT_DEBUGDATA, transfer);
+	return transfer->ended || (transfer->response.state == RESPONSE_WHOLE && is_sent(transfer));
 }
 
-/* Returns the code of the finished transfer. */
-static CURLcode finished_code(CURLM *multi)
+/* Sends the request and reads the answer on the open connection. */
+static void exchange(struct transfer *transfer)
 {
-	CURLcode code = CURLE_ABORTED_BY_CALLBACK;
-	CURLMsg *message;
-	int queued = 0;
-
-	while ((message = curl_multi_info_read(multi, &queued)) != NULL)
-		if (message->msg == CURLMSG_DONE)
-			code = message->data.result;
-	return code;
+	while (!is_finished(transfer) && is_awaited(transfer) && send_request(transfer)) {
+		bool blocked = transfer->outgoing.sent < transfer->outgoing.bytes.len;
+		short events = (short)(POLLIN | (blocked ? POLLOUT : 0));
+		short ready = is_finished(transfer)
+				      ? 0
+				      : socket_wait(transfer->fd, events, next_wait(transfer));
+
+		if ((ready & ~POLLOUT) && !receive(transfer))
+			return;
+	}
 }
 
-/* Runs the transfer with the connections of .multi. Sets *fd to its connection. */
-static CURLcode perform_multi(struct transfer *transfer, curl_socket_t *fd)
+static void set_options(const struct transfer *transfer)
 {
-	CURL *curl = transfer->options->curl;
-	CURLM *multi = transfer->options->multi;
-	CURLcode code = CURLE_ABORTED_BY_CALLBACK;
-	int running = 1;
+	int on = 1;
+	int interval_s = transfer->options->probe_interval_s;
+
+	setsockopt(transfer->fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	if (!interval_s)
+		return;
+	setsockopt(transfer->fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+	setsockopt(transfer->fd, IPPROTO_TCP, TCP_KEEPIDLE, &interval_s, sizeof(interval_s));
+	setsockopt(transfer->fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval_s, sizeof(interval_s));
+}
 
-	curl_multi_add_handle(multi, curl);
-	while (running && is_awaited(transfer)) {
-		if (curl_multi_perform(multi, &running) != CURLM_OK || !deliver_collected(transfer))
-			break;
-		if (running)
-			curl_multi_poll(multi, NULL, 0, CHECK_INTERVAL_MS, NULL);
-	}
-	if (!running) {
-		code = finished_code(multi);
-		/* The socket is not known any more once the handle is removed. */
-		curl_easy_getinfo(curl, CURLINFO_ACTIVESOCKET, fd);
+static bool wait_open(struct transfer *transfer)
+{
+	struct deadline limit = deadline_after(clock_now(), transfer->options->connect_within_us);
+	int error = EINPROGRESS;
+
+	while (error == EINPROGRESS) {
+		if (!is_awaited(transfer))
+			return false;
+		if (deadline_passed(limit, clock_now()))
+			return fail(transfer, TRANSFER_DEADLINE,
+				    "the connection was not accepted in time");
+		error = socket_wait_open(transfer->fd, next_check(transfer));
 	}
-	/* Removing the handle closes the connection of an unfinished transfer. */
-	curl_multi_remove_handle(multi, curl);
-	return code;
+	return error == 0 || fail_connection(transfer, error);
 }
 
-static CURLcode perform(struct transfer *transfer, curl_socket_t *fd)
+static bool open_connection(struct transfer *transfer)
 {
-	CURL *curl = transfer->options->curl;
-	CURLcode code;
+	int error;
+
+	transfer->fd = socket_open(transfer->options->ipv4, transfer->options->port, &error);
+	if (transfer->fd < 0)
+		return fail(transfer, TRANSFER_CONNECTION, "no connection can be opened");
+	set_options(transfer);
+	if (error == EINPROGRESS)
+		return wait_open(transfer);
+	return error == 0 || fail_connection(transfer, error);
+}
 
-	if (transfer->options->multi)
-		return perform_multi(transfer, fd);
-	curl_easy_setopt(curl, CURLOPT_NOPROGRESS, 0L);
-	curl_easy_setopt(curl, CURLOPT_XFERINFOFUNCTION, on_progress);
-	curl_easy_setopt(curl, CURLOPT_XFERINFODATA, transfer);
-	code = curl_easy_perform(curl);
-	curl_easy_getinfo(curl, CURLINFO_ACTIVESOCKET, fd);
-	return code;
+static void close_connection(struct transfer *transfer)
+{
+	if (transfer->fd >= 0)
+		close(transfer->fd);
+	transfer->fd = -1;
 }
 
-static bool is_body_whole(const struct transfer *transfer)
+/* Prepares the transfer for its present connection. */
+static void begin(struct transfer *transfer)
 {
-	const struct head *head = &transfer->reader.head;
+	const struct transfer_options *options = transfer->options;
+	struct outgoing *outgoing = &transfer->outgoing;
+
+	transfer->ended = false;
+	transfer->sent_here = false;
+	transfer->answered_here = false;
+	transfer->reusable = true;
+	outgoing->bytes.len = 0;
+	strbuf_add(&outgoing->bytes, options->request);
+	outgoing->sent = 0;
+	outgoing->left = options->upload_bytes;
+	outgoing->all_read =
+		options->upload == TRANSFER_NO_UPLOAD ||
+		(options->upload == TRANSFER_UPLOAD_BYTES && options->upload_bytes == 0);
+}
 
-	switch (head->framing) {
-	case FRAMING_NONE:
-	case FRAMING_CLOSE:
+/* Returns whether the request may be sent again on a new connection: it failed on one that the peer
+ * may have closed already when the request was sent. */
+static bool may_repeat(const struct transfer *transfer)
+{
+	return transfer->kept && transfer->ended && transfer->cause == TRANSFER_CONNECTION &&
+	       !transfer->answered_here && (!transfer->sent_here || transfer->options->repeatable);
+}
+
+static bool rewind_upload(struct transfer *transfer)
+{
+	struct transfer_event event = { .kind = TRANSFER_REWIND, .rewound = false };
+
+	if (!transfer->upload_read)
 		return true;
-	case FRAMING_LENGTH:
-		return transfer->body_bytes == head->content_length;
-	case FRAMING_CHUNKS:
-		return transfer->chunks.state == CHUNKS_ENDED;
+	if (!deliver(transfer, &event))
+		return false;
+	return event.rewound ||
+	       fail(transfer, TRANSFER_CONNECTION, "the request's body can't be sent again");
+}
+
+static void run(struct transfer *transfer)
+{
+	begin(transfer);
+	if (transfer->kept) {
+		exchange(transfer);
+		if (!may_repeat(transfer))
+			return;
+		close_connection(transfer);
+		transfer->kept = false;
+		if (!rewind_upload(transfer))
+			return;
+		begin(transfer);
 	}
-	g_assert_not_reached();
+	if (open_connection(transfer))
+		exchange(transfer);
 }
 
-static enum transfer_end end_of(const struct transfer *transfer, CURLcode code)
+static enum transfer_end end_of(const struct transfer *transfer)
 {
-	enum head_state state = transfer->reader.state;
-	long sent = 0;
+	const struct response *response = &transfer->response;
 
-	if (transfer->foreign || state == HEAD_MALFORMED ||
-	    (transfer->too_long && state != HEAD_ENDED))
+	if (!transfer->ended)
+		return TRANSFER_WHOLE;
+	if (transfer->foreign)
+		return TRANSFER_MALFORMED;
+	if (response_has_head(response))
+		return TRANSFER_CUT_IN_BODY;
+	if (response->state == RESPONSE_MALFORMED)
 		return TRANSFER_MALFORMED;
-	if (state == HEAD_ENDED)
-		return code == CURLE_OK && !transfer->stopped && is_body_whole(transfer)
-			       ? TRANSFER_WHOLE
-			       : TRANSFER_CUT_IN_BODY;
-	if (transfer->head_bytes)
+	if (response->head_bytes)
 		return TRANSFER_CUT_IN_HEAD;
-	curl_easy_getinfo(transfer->options->curl, CURLINFO_REQUEST_SIZE, &sent);
-	return sent ? TRANSFER_UNANSWERED : TRANSFER_UNSENT;
+	return transfer->sent_any ? TRANSFER_UNANSWERED : TRANSFER_UNSENT;
 }
 
-static const char *reason_of(const struct transfer *transfer, CURLcode code)
+/* Returns the connection for its next use, or -1 once it is closed. */
+static int release_connection(struct transfer *transfer)
 {
-	if (transfer->foreign)
-		return "the answer is not one to this request";
-	if (transfer->too_long)
-		return "the answer's head is too long";
-	if (transfer->reader.state == HEAD_MALFORMED)
-		return transfer->reader.problem;
-	if (is_hollow(transfer))
-		return "the answer's chunks are nearly empty";
-	return code == CURLE_OK ? "the answer broke off" : curl_easy_strerror(code);
-}
+	const struct head *head = &transfer->response.reader.head;
+	int fd = transfer->fd;
 
-static enum transfer_cause cause_of(const struct transfer *transfer, CURLcode code)
-{
-	if (transfer->stopped)
-		return TRANSFER_HANDLER;
-	return code == CURLE_OPERATION_TIMEDOUT ? TRANSFER_DEADLINE : TRANSFER_CONNECTION;
+	if (!transfer->reusable || !head->persistent || head->framing == FRAMING_CLOSE) {
+		close_connection(transfer);
+		return -1;
+	}
+	transfer->fd = -1;
+	return fd;
 }
 
-static struct transfer_result make_result(const struct transfer *transfer, CURLcode code,
-					  curl_socket_t fd)
+static struct transfer_result make_result(struct transfer *transfer)
 {
-	const struct head *head = &transfer->reader.head;
-	struct transfer_result result = { .end = end_of(transfer, code),
-					  .cause = cause_of(transfer, code),
-					  .reason = reason_of(transfer, code) };
+	const struct response *response = &transfer->response;
+	const struct head *head = &response->reader.head;
+	struct transfer_result result = { .end = end_of(transfer),
+					  .cause = transfer->cause,
+					  .reason = transfer->reason };
 
 	switch (result.end) {
 	case TRANSFER_UNSENT:
 	case TRANSFER_UNANSWERED:
 		break;
 	case TRANSFER_CUT_IN_HEAD:
-		result.cut_in_head.head_bytes = transfer->head_bytes;
+		result.cut_in_head.head_bytes = response->head_bytes;
 		break;
 	case TRANSFER_MALFORMED:
-		result.malformed.head_bytes = transfer->head_bytes;
+		result.malformed.head_bytes = response->head_bytes;
 		break;
 	case TRANSFER_CUT_IN_BODY:
 		result.cut_in_body.framing = head->framing;
 		result.cut_in_body.content_length = head->content_length;
-		result.cut_in_body.head_bytes = transfer->head_bytes;
-		result.cut_in_body.body_bytes = transfer->body_bytes;
+		result.cut_in_body.head_bytes = response->head_bytes;
+		result.cut_in_body.body_bytes = response->body_bytes;
 		break;
 	case TRANSFER_WHOLE:
 		result.reason = NULL;
 		result.whole.status = head->status;
 		result.whole.framing = head->framing;
-		result.whole.body_bytes = transfer->body_bytes;
-		result.whole.fd = fd;
+		result.whole.body_bytes = response->body_bytes;
+		result.whole.fd = release_connection(transfer);
 		break;
 	}
 	return result;
@@ -334,17 +493,19 @@
 
 struct transfer_result transfer_run(const struct transfer_options *options)
 {
-	struct transfer transfer = { .options = options };
+	struct transfer transfer = { .options = options,
+				     .fd = options->kept_fd,
+				     .kept = options->kept_fd >= 0,
+				     .buffer = g_malloc(BUFFER_BYTES) };
 	struct transfer_result result;
-	curl_socket_t fd = CURL_SOCKET_BAD;
-	CURLcode code;
-
-	head_reader_init(&transfer.reader, options->unique, options->no_body);
-	set_callbacks(options->curl, &transfer);
-	code = perform(&transfer, &fd);
-	deliver_collected(&transfer);
-	result = make_result(&transfer, code, fd);
-	head_reader_clear(&transfer.reader);
+
+	response_init(&transfer.response, &options->answer);
+	run(&transfer);
+	result = make_result(&transfer);
+	close_connection(&transfer);
+	response_clear(&transfer.response);
+	strbuf_clear(&transfer.outgoing.bytes);
 	strbuf_clear(&transfer.collected);
+	g_free(transfer.buffer);
 	return result;
 }
--- a/base/transfer.h
+++ b/base/transfer.h
@@ -1,15 +1,13 @@
 /**
  * @file
- * HTTP exchanges by libcurl. libcurl reports success for an answer that ends within its head, so
- * nothing else in the product runs a transfer or reads a status: an answer is whole only if its
- * head and its body have ended as the protocol says.
+ * HTTP exchanges, each with a blocking worker. An answer is whole only if its head and its body
+ * have ended as the protocol says; a request that may run once is never sent twice.
  */
 #ifndef BASE_TRANSFER_H
 #define BASE_TRANSFER_H
 
-#include <curl/curl.h>
-
-#include "base/head.h"
+#include "base/clock.h"
+#include "base/response.h"
 #include "base/str.h"
 
 /** How far a transfer came. */
@@ -42,9 +40,9 @@
 			int status;
 			enum head_framing framing;
 			int64_t body_bytes;
-			/** The connection, which may serve again; CURL_SOCKET_BAD if it is closed.
-			 */
-			curl_socket_t fd;
+			/** The connection, which may serve again and belongs to the caller; -1 if
+			 * it is closed. */
+			int fd;
 		} whole;
 		struct {
 			enum head_framing framing;
@@ -89,21 +87,33 @@
 	};
 };
 
+/** What follows the request's text. */
+enum transfer_upload {
+	TRANSFER_NO_UPLOAD,	/**< nothing: the text is all */
+	TRANSFER_UPLOAD_BYTES,	/**< .upload_bytes of the handler's, as they are */
+	TRANSFER_UPLOAD_CHUNKS, /**< the handler's bytes, in chunks */
+};
+
 /** Options of a transfer. The handler returns false to end it. */
 struct transfer_options {
-	CURL *curl;	       /**< with the URL, the method, the fields and the limits set */
-	CURLM *multi;	       /**< holds the connections; NULL: curl's own */
-	struct str unique;     /**< a field that may not come with two values; empty: none */
-	bool no_body;	       /**< the request is a HEAD */
-	size_t head_max_bytes; /**< interim heads and trailers included */
+	uint32_t ipv4; /**< host byte order */
+	uint16_t port;
+	int kept_fd; /**< connection that served before and belongs to the transfer now, or -1 */
+	/** The request may run twice: it is sent again if its kept connection ends without a byte
+	 * of an answer. */
+	bool repeatable;
+	struct str request; /**< request line, fields and empty line, and a short body */
+	enum transfer_upload upload;
+	int64_t upload_bytes;	   /**< TRANSFER_UPLOAD_BYTES */
+	int64_t connect_within_us; /**< limit for the opening of a connection */
+	struct deadline deadline;
+	int probe_interval_s; /**< of a silent connection, by the kernel; 0: not probed */
+	struct response_options answer;
 	bool (*handle)(void *context, struct transfer_event *event);
 	void *context;
 };
 
-/**
- * Runs a transfer and blocks until it ends. Its handle and connection may serve again only after
- * TRANSFER_WHOLE; the caller ends them otherwise.
- */
+/** Runs a transfer and blocks until it ends. */
 struct transfer_result transfer_run(const struct transfer_options *options);
 
 #endif
--- a/godwithitch/fetch.c
+++ b/godwithitch/fetch.c
@@ -1,11 +1,15 @@
 #include <poll.h>
+#include <unistd.h>
 
+#include "base/address.h"
 #include "base/transfer.h"
 #include "godwithitch/tool.h"
 
+#define FETCH_WITHIN_US	  (5 * US_PER_S)
+#define CONNECT_WITHIN_US (1 * US_PER_S)
+
 enum {
-	FETCH_TIMEOUT_MS = 5000,
-	CONNECT_TIMEOUT_MS = 1000,
+	STANDARD_PORT = 80,
 	HEAD_MAX_BYTES = 64 << 10,
 	BODY_MAX_BYTES = 16 << 20, /* the members of 5,800 nodes, or the largest file */
 };
@@ -38,31 +42,47 @@
 	g_assert_not_reached();
 }
 
+/* Runs a request without a body; the result's connection is closed. */
+static struct transfer_result run_request(struct reply *reply, uint32_t ipv4, uint16_t port,
+					  struct str request)
+{
+	struct transfer_result result = transfer_run(&(struct transfer_options){
+		.ipv4 = ipv4,
+		.port = port,
+		.kept_fd = -1,
+		.request = request,
+		.connect_within_us = CONNECT_WITHIN_US,
+		.deadline = deadline_after(clock_now(), FETCH_WITHIN_US),
+		.answer = { .head_max_bytes = HEAD_MAX_BYTES },
+		.handle = on_event,
+		.context = reply });
+
+	if (result.end == TRANSFER_WHOLE && result.whole.fd >= 0)
+		close(result.whole.fd);
+	return result;
+}
+
 struct reply fetch(struct str control, const char *method, const char *path)
 {
 	struct reply reply = { 0 };
-	char *url = g_strdup_printf("http://%.*s%s", STR_ARG(control), path);
-	CURL *curl = curl_easy_init();
-	struct transfer_options options = { .curl = curl,
-					    .head_max_bytes = HEAD_MAX_BYTES,
-					    .handle = on_event,
-					    .context = &reply };
+	struct strbuf request = { NULL, 0, 0 };
 	struct transfer_result result;
-
-	curl_easy_setopt(curl, CURLOPT_URL, url);
-	curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, method);
-	curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
-	curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, (long)FETCH_TIMEOUT_MS);
-	curl_easy_setopt(curl, CURLOPT_CONNECTTIMEOUT_MS, (long)CONNECT_TIMEOUT_MS);
-	result = transfer_run(&options);
+	struct str host;
+	uint16_t port;
+	uint32_t ipv4;
+
+	if (!address_split(control, STANDARD_PORT, &host, &port) || !address_resolve(host, &ipv4))
+		return reply;
+	strbuf_addf(&request, "%s %s HTTP/1.1\r\nHost: %.*s\r\nConnection: close\r\n\r\n", method,
+		    path, STR_ARG(control));
+	result = run_request(&reply, ipv4, port, strbuf_str(&request));
+	strbuf_clear(&request);
 	if (result.end == TRANSFER_WHOLE) {
 		reply.status = result.whole.status;
 	} else {
 		reply.file_version = 0;
 		reply_clear(&reply);
 	}
-	curl_easy_cleanup(curl);
-	g_free(url);
 	return reply;
 }
 
--- a/godwithitch/main.c
+++ b/godwithitch/main.c
@@ -3,7 +3,6 @@
  */
 #include <apr_general.h>
 #include <argtable2.h>
-#include <curl/curl.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -173,7 +172,6 @@
 	int status;
 
 	apr_initialize();
-	curl_global_init(CURL_GLOBAL_DEFAULT);
 	apr_pool_create(&tool.pool, NULL);
 	if (arg_parse(argc, argv, table) == 0)
 		status = run_command_line(&tool, &line, &settings);
@@ -182,6 +180,5 @@
 	arg_freetable(table, sizeof(table) / sizeof(table[0]));
 	json_free(settings.doc);
 	apr_pool_destroy(tool.pool);
-	curl_global_cleanup();
 	return status;
 }
--- a/godwithitchd/main.c
+++ b/godwithitchd/main.c
@@ -5,7 +5,6 @@
 #include <apr_general.h>
 #include <apr_thread_proc.h>
 #include <argtable2.h>
-#include <curl/curl.h>
 #include <poll.h>
 #include <signal.h>
 #include <stdio.h>
@@ -491,7 +490,6 @@
 		fprintf(stderr, "godwithitchd: cannot open log file %s\n", settings.log_file);
 		status = EXIT_FAILURE;
 	} else if (!check_only) {
-		curl_global_init(CURL_GLOBAL_DEFAULT);
 		status = run(&settings);
 	}
 	settings_clear(&settings);
--- a/operator/report.c
+++ b/operator/report.c
@@ -1,5 +1,7 @@
 #include "operator/report.h"
 
+#include "base/address.h"
+
 enum { HISTORY_REPORT_MAX = 100 };
 
 static void add_key(struct strbuf *out, const char *key)
@@ -46,11 +48,10 @@
 
 static void add_address(struct strbuf *out, const char *key, uint64_t id)
 {
-	uint32_t ip = member_ipv4(id);
-
 	add_key(out, key);
-	strbuf_addf(out, "\"%u.%u.%u.%u:%u\"", ip >> 24, ip >> 16 & 255, ip >> 8 & 255, ip & 255,
-		    member_port(id));
+	strbuf_add(out, STR("\""));
+	address_add(out, member_ipv4(id), member_port(id));
+	strbuf_add(out, STR("\""));
 }
 
 static void add_separator(struct strbuf *out)
--- a/regress/base/chunks_test.c
+++ b/regress/base/chunks_test.c
@@ -11,7 +11,7 @@
 	BODY("0\r\n\r\n"),
 	BODY("4\r\nbody\r\n0\r\n\r\n"),
 	BODY("1\r\nb\r\n002\r\nod\r\n1\r\ny\r\n000\r\n\r\n"),
-	BODY("A\r\n\r\n\r\n0\r\n\r\n\r\n\r\n0\r\n\r\n"),
+	BODY("B\r\n\r\n\r\n0\r\n\r\n\r\n\r\n0\r\n\r\n"),
 	BODY("4;name=value;0\r\nbody\r\n0;last\r\n\r\n"),
 	BODY("4 \r\nbody\r\n0\r\nX-Trailer: 0\r\nX-Other:\r\n\r\n"),
 	BODY("4\nbody\n0\n\n"),
@@ -19,6 +19,17 @@
 #undef BODY
 };
 
+/* Returns the number of bytes of the body that were decoded. */
+static size_t read_all(struct chunks *chunks, struct str input)
+{
+	size_t decoded = 0;
+	struct str bytes;
+
+	while ((bytes = chunks_next(chunks, &input)).len)
+		decoded += bytes.len;
+	return decoded;
+}
+
 static void test_body_ends_with_its_last_byte(void **state)
 {
 	(void)state;
@@ -28,22 +39,61 @@
 				struct chunks chunks = { 0 };
 				bool whole = len == bodies[i].len;
 
-				chunks_read(&chunks, str_sub(bodies[i], 0, split));
-				chunks_read(&chunks, str_sub(bodies[i], split, len - split));
+				read_all(&chunks, str_sub(bodies[i], 0, split));
+				read_all(&chunks, str_sub(bodies[i], split, len - split));
 				if ((chunks.state == CHUNKS_ENDED) != whole)
 					fail_msg("body %zu, %zu bytes: state %d", i, len,
 						 chunks.state);
 			}
 }
 
+static void test_body_is_decoded(void **state)
+{
+	struct chunks chunks = { 0 };
+	struct str input = STR("1\r\nb\r\n002;x\r\nod\r\n1\r\ny\r\n0\r\nX: 0\r\n\r\nrest");
+	struct strbuf body = { NULL, 0, 0 };
+	struct str bytes;
+
+	(void)state;
+	while ((bytes = chunks_next(&chunks, &input)).len)
+		strbuf_add(&body, bytes);
+	assert_true(str_equal(strbuf_str(&body), STR("body")));
+	assert_true(str_equal(input, STR("rest")));
+	assert_int_equal(chunks.data, 4);
+	strbuf_clear(&body);
+}
+
+/* Bytes that are no chunks must not be taken for a body, nor its end for a later one. */
+static void test_what_is_no_chunk_is_malformed(void **state)
+{
+	static const char *const rows[] = {
+		"\r\n",
+		"-1\r\n",
+		"x\r\n",
+		"4\r\nbodyx\r\n",
+		"4\r\nbody4\r\nbody\r\n",
+		"1111111111111111\r\n",
+		"A\r\n\r\n\r\n0\r\n\r\n\r\n\r\n0\r\n\r\n",
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		struct chunks chunks = { 0 };
+
+		read_all(&chunks, str_from_cstr(rows[i]));
+		if (chunks.state != CHUNKS_MALFORMED)
+			fail_msg("row %zu: state %d", i, chunks.state);
+	}
+}
+
 static void test_bytes_behind_the_end_change_nothing(void **state)
 {
 	struct chunks chunks = { 0 };
 
 	(void)state;
-	chunks_read(&chunks, STR("4\r\nbody\r\n0\r\n\r\nHTTP/1.1 200 OK\r"));
+	read_all(&chunks, STR("4\r\nbody\r\n0\r\n\r\nHTTP/1.1 200 OK\r"));
 	assert_int_equal(chunks.state, CHUNKS_ENDED);
-	chunks_read(&chunks, STR("\n5\r\nfi"));
+	read_all(&chunks, STR("\n5\r\nfi"));
 	assert_int_equal(chunks.state, CHUNKS_ENDED);
 }
 
@@ -66,7 +116,7 @@
 		struct chunks chunks = { 0 };
 
 		while (chunks.total < 1 << 20)
-			chunks_read(&chunks, chunk);
+			read_all(&chunks, chunk);
 		if (chunks_are_hollow(chunks.total, chunks.data) != rows[i].hollow)
 			fail_msg("row %zu: %lu bytes, %lu of the body", i, chunks.total,
 				 chunks.data);
@@ -78,6 +128,8 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_body_with_hardly_any_bytes_is_hollow),
 		cmocka_unit_test(test_body_ends_with_its_last_byte),
+		cmocka_unit_test(test_body_is_decoded),
+		cmocka_unit_test(test_what_is_no_chunk_is_malformed),
 		cmocka_unit_test(test_bytes_behind_the_end_change_nothing),
 	};
 
--- a/target/call.c
+++ b/target/call.c
@@ -1,20 +1,19 @@
 #include "target/call.h"
 
-#include <curl/curl.h>
-#include <string.h>
-#include <sys/socket.h>
+#include <unistd.h>
 
+#include "base/address.h"
 #include "base/lockorder.h"
 #include "base/socket.h"
 #include "target/answer.h"
 
 enum {
-	CONNECT_TIMEOUT_MS = 500,
 	HEAD_MAX_BYTES = 64 << 10, /* interim heads and trailers included */
 	REFUSAL_BODY_MAX_BYTES = 64 << 10,
 	STATUS_SERVER_ERROR = 500,
 };
 
+#define CONNECT_WITHIN_US (500 * US_PER_MS)
 /* On the same VM a connection is accepted or refused at once. */
 #define PROBE_TIMEOUT_US (50 * US_PER_MS)
 /* A request that may run only once uses a kept connection this long after its last answer at most:
@@ -27,7 +26,7 @@
 	const struct dialect *dialect;
 	struct lock lock; /* LOCK_TARGET; guards the members below */
 	apr_pool_t *pool;
-	GPtrArray *idle; /* struct handle; the one used last is at the end */
+	GArray *idle; /* struct connection; the one used last is at the end */
 	struct deadline suspicious_until;
 	struct target_endpoint endpoint;
 	apr_thread_cond_t *probed; /* the running probe has ended */
@@ -36,11 +35,9 @@
 	enum target_listening listening; /* result of the last one */
 };
 
-/* A handle for one call at a time, which keeps its connections open. */
-struct handle {
-	CURL *curl;
-	CURLM *multi;
-	curl_socket_t fd; /* connection of the last call; CURL_SOCKET_BAD if it did not end well */
+/* A connection that no call uses. */
+struct connection {
+	int fd;
 	struct deadline once_until; /* see ONCE_REUSE_US */
 };
 
@@ -51,20 +48,10 @@
 	struct answer answer;
 	size_t refusal_bytes;
 	bool aborted; /* by the handler */
-	CURL *curl;
 	int64_t started_us;
 	int64_t head_us;
 };
 
-static void handle_free(gpointer data)
-{
-	struct handle *handle = data;
-
-	curl_easy_cleanup(handle->curl);
-	curl_multi_cleanup(handle->multi);
-	g_free(handle);
-}
-
 struct target *target_new(const struct dialect *dialect, apr_pool_t *pool)
 {
 	struct target *target = g_new0(struct target, 1);
@@ -73,7 +60,7 @@
 	apr_pool_create(&target->pool, pool);
 	lock_init(&target->lock, LOCK_TARGET, target->pool);
 	apr_thread_cond_create(&target->probed, target->pool);
-	target->idle = g_ptr_array_new_with_free_func(handle_free);
+	target->idle = g_array_new(FALSE, FALSE, sizeof(struct connection));
 	return target;
 }
 
@@ -81,7 +68,9 @@
 {
 	if (!target)
 		return;
-	g_ptr_array_unref(target->idle);
+	for (guint i = 0; i < target->idle->len; i++)
+		close(g_array_index(target->idle, struct connection, i).fd);
+	g_array_unref(target->idle);
 	apr_pool_destroy(target->pool);
 	g_free(target);
 }
@@ -227,34 +216,24 @@
 	g_assert_not_reached();
 }
 
-static struct handle *handle_new(void)
+/* Returns the endpoint, and an idle connection to it in *connection, whose .fd is -1 if there is
+ * none. */
+static struct target_endpoint acquire_connection(struct target *target,
+						 struct connection *connection)
 {
-	struct handle *handle = g_new0(struct handle, 1);
-
-	handle->curl = curl_easy_init();
-	handle->multi = curl_multi_init();
-	handle->fd = CURL_SOCKET_BAD;
-	/* With one connection at most it is known which one a call reuses. */
-	curl_multi_setopt(handle->multi, CURLMOPT_MAXCONNECTS, 1L);
-	return handle;
-}
-
-/* Returns a handle. Sets the URL and the expected target's id, both of the same target. */
-static struct handle *acquire_handle(struct target *target, char *url, size_t cap, struct str path,
-				     struct label *expected)
-{
-	struct handle *handle = NULL;
-	uint32_t ip;
+	struct target_endpoint endpoint;
 
+	*connection = (struct connection){ .fd = -1 };
 	lock_acquire(&target->lock);
-	if (target->idle->len)
-		handle = g_ptr_array_steal_index_fast(target->idle, target->idle->len - 1);
-	ip = target->endpoint.ipv4;
-	*expected = target->endpoint.id;
-	g_snprintf(url, (gulong)cap, "http://%u.%u.%u.%u:%u%.*s", ip >> 24, ip >> 16 & 255,
-		   ip >> 8 & 255, ip & 255, target->endpoint.port, STR_ARG(path));
+	if (target->idle->len) {
+		guint last = target->idle->len - 1;
+
+		*connection = g_array_index(target->idle, struct connection, last);
+		g_array_remove_index(target->idle, last);
+	}
+	endpoint = target->endpoint;
 	lock_release(&target->lock);
-	return handle ? handle : handle_new();
+	return endpoint;
 }
 
 /* Returns whether the target sent something that is no whole answer. */
@@ -274,54 +253,45 @@
 	g_assert_not_reached();
 }
 
-/* Keeps the handle and its connection for the next call if the answer was whole. */
-static void release_handle(struct target *target, struct handle *handle,
-			   const struct transfer_result *transfer)
+/* Keeps the connection for the next call if the answer was whole. */
+static void release_connection(struct target *target, const struct transfer_result *transfer)
 {
 	struct instant now = clock_now();
-	bool whole = transfer->end == TRANSFER_WHOLE;
-
-	if (whole) {
-		curl_easy_reset(handle->curl);
-		handle->fd = transfer->whole.fd;
-		handle->once_until = deadline_after(now, ONCE_REUSE_US);
-	} else {
-		handle_free(handle);
-	}
+	struct connection connection = { -1, deadline_after(now, ONCE_REUSE_US) };
+
+	if (transfer->end == TRANSFER_WHOLE)
+		connection.fd = transfer->whole.fd;
 	lock_acquire(&target->lock);
 	if (is_suspicious(transfer))
 		target->suspicious_until = deadline_after(now, SUSPICIOUS_US);
-	if (whole)
-		g_ptr_array_add(target->idle, handle);
+	if (connection.fd >= 0)
+		g_array_append_val(target->idle, connection);
 	lock_release(&target->lock);
 }
 
-/* Returns whether the handle's connection may serve another call. */
-static bool is_reusable(const struct handle *handle)
-{
-	return handle->fd == CURL_SOCKET_BAD || socket_is_quiet(handle->fd);
-}
-
 void target_close_stray(struct target *target)
 {
-	GPtrArray *stray = g_ptr_array_new_with_free_func(handle_free);
+	GArray *idle;
 
 	lock_acquire(&target->lock);
-	for (guint i = target->idle->len; i-- > 0;)
-		if (!is_reusable(g_ptr_array_index(target->idle, i)))
-			g_ptr_array_add(stray, g_ptr_array_steal_index(target->idle, i));
+	idle = target->idle;
+	for (guint i = idle->len; i-- > 0;) {
+		int fd = g_array_index(idle, struct connection, i).fd;
+
+		if (socket_is_quiet(fd))
+			continue;
+		close(fd);
+		g_array_remove_index(idle, i);
+	}
 	lock_release(&target->lock);
-	g_ptr_array_unref(stray);
 }
 
-static struct curl_slist *append_field(struct curl_slist *list, struct str name, struct str value)
+static void add_field(struct strbuf *request, struct str name, struct str value)
 {
-	char *line = g_strdup_printf(value.len ? "%.*s: %.*s" : "%.*s;%.*s", STR_ARG(name),
-				     STR_ARG(value));
-
-	list = curl_slist_append(list, line);
-	g_free(line);
-	return list;
+	strbuf_add(request, name);
+	strbuf_add(request, STR(": "));
+	strbuf_add(request, value);
+	strbuf_add(request, STR("\r\n"));
 }
 
 /* Returns whether a field is not forwarded but set anew for the target. */
@@ -333,64 +303,66 @@
 	       str_equal_nocase(name, STR("expect"));
 }
 
-static struct curl_slist *make_fields(const struct dialect *dialect,
-				      const struct request_head *head, struct deadline deadline,
-				      const struct label *expected)
+static void add_forwarded_fields(struct strbuf *request, const struct dialect *dialect,
+				 const struct request_head *head)
 {
-	int64_t remaining_ms = deadline_remaining_us(deadline, clock_now()) / US_PER_MS;
-	char text[32];
-	struct curl_slist *list = curl_slist_append(NULL, "Expect:");
-	bool has_type = false;
-
 	for (int i = 0; i < head->field_count; i++) {
 		const struct field *field = &head->fields[i];
 
-		if (answer_is_hop_by_hop(field->name) || is_replaced_field(dialect, field->name))
-			continue;
-		has_type |= str_equal_nocase(field->name, STR("content-type"));
-		list = append_field(list, field->name, field->value);
+		if (!answer_is_hop_by_hop(field->name) && !is_replaced_field(dialect, field->name))
+			add_field(request, field->name, field->value);
 	}
-	/* The target forwards the remaining time in its own calls, so that the whole chain ends
-	 * in time. */
-	g_snprintf(text, sizeof(text), "%ld", remaining_ms);
-	list = append_field(list, dialect->deadline_ms, str_from_cstr(text));
-	if (dialect->expected_target.len && expected->len)
-		list = append_field(list, dialect->expected_target, label_str(expected));
-	return has_type ? list : curl_slist_append(list, "Content-Type:");
 }
 
-static void set_method(CURL *curl, const struct request_head *head, bool has_body, char *method)
+static bool has_field(const struct request_head *head, struct str name)
+{
+	for (int i = 0; i < head->field_count; i++)
+		if (str_equal_nocase(head->fields[i].name, name))
+			return true;
+	return false;
+}
+
+/* Writes the head of the request to the target at @p endpoint. */
+static struct strbuf make_request(const struct dialect *dialect,
+				  const struct target_call_options *options,
+				  const struct target_endpoint *endpoint)
 {
-	if (str_equal(head->method, STR("HEAD"))) {
-		curl_easy_setopt(curl, CURLOPT_NOBODY, 1L);
-	} else if (has_body) {
-		curl_easy_setopt(curl, CURLOPT_UPLOAD, 1L);
-		if (head->body_length >= 0)
-			curl_easy_setopt(curl, CURLOPT_INFILESIZE_LARGE,
-					 (curl_off_t)head->body_length);
-		curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, method);
-	} else {
-		curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, method);
+	const struct request_head *head = options->head;
+	int64_t remaining_ms = deadline_remaining_us(options->deadline, clock_now()) / US_PER_MS;
+	struct strbuf request = { NULL, 0, 0 };
+
+	strbuf_add(&request, head->method);
+	strbuf_add(&request, STR(" "));
+	strbuf_add(&request, head->target);
+	strbuf_add(&request, STR(" HTTP/1.1\r\n"));
+	if (!has_field(head, STR("host"))) {
+		strbuf_add(&request, STR("Host: "));
+		address_add(&request, endpoint->ipv4, endpoint->port);
+		strbuf_add(&request, STR("\r\n"));
 	}
+	add_forwarded_fields(&request, dialect, head);
+	/* The target forwards the remaining time in its own calls, so that the whole chain ends
+	 * in time. */
+	strbuf_addf(&request, "%.*s: %ld\r\n", STR_ARG(dialect->deadline_ms), remaining_ms);
+	if (dialect->expected_target.len && endpoint->id.len)
+		add_field(&request, dialect->expected_target, label_str(&endpoint->id));
+	if (options->has_body && head->body_length >= 0)
+		strbuf_addf(&request, "Content-Length: %ld\r\n", head->body_length);
+	else if (options->has_body)
+		strbuf_add(&request, STR("Transfer-Encoding: chunked\r\n"));
+	strbuf_add(&request, STR("\r\n"));
+	return request;
 }
 
-/* Refuses a second connection once bytes of the request were sent: curl repeats a request in
- * silence when a kept connection ends without an answer. */
-static curl_socket_t open_unless_sent(void *context, curlsocktype purpose,
-				      struct curl_sockaddr *address)
+static enum transfer_upload upload_of(const struct target_call_options *options)
 {
-	const struct call *call = context;
-	long sent = 0;
-
-	(void)purpose;
-	curl_easy_getinfo(call->curl, CURLINFO_REQUEST_SIZE, &sent);
-	if (sent > 0)
-		return CURL_SOCKET_BAD;
-	return socket(address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
+	if (!options->has_body)
+		return TRANSFER_NO_UPLOAD;
+	return options->head->body_length >= 0 ? TRANSFER_UPLOAD_BYTES : TRANSFER_UPLOAD_CHUNKS;
 }
 
 /* Returns whether the kept connection may carry a request that may run only once. */
-static bool serves_once(struct target *target, const struct handle *handle)
+static bool serves_once(struct target *target, const struct connection *connection)
 {
 	struct instant now = clock_now();
 	bool suspicious;
@@ -399,40 +371,20 @@
 	suspicious =
 		target->suspicious_until.at_us && !deadline_passed(target->suspicious_until, now);
 	lock_release(&target->lock);
-	return !suspicious && handle->fd != CURL_SOCKET_BAD &&
-	       !deadline_passed(handle->once_until, now) && socket_is_quiet(handle->fd);
+	return !suspicious && !deadline_passed(connection->once_until, now);
 }
 
 /* Returns whether the call may use the kept connection, which the target may be closing. */
-static bool may_reuse(struct target *target, const struct handle *handle,
+static bool may_reuse(struct target *target, const struct connection *connection,
 		      const struct target_call_options *options)
 {
 	int64_t body_length = options->has_body ? options->head->body_length : 0;
 
-	if (body_length > TARGET_REWIND_BYTES)
+	if (connection->fd < 0 || body_length > TARGET_REWIND_BYTES ||
+	    !socket_is_quiet(connection->fd))
 		return false;
 	/* How much of a body of unknown length will have been sent is not known. */
-	return (options->head->idempotent && body_length >= 0) || serves_once(target, handle);
-}
-
-static void set_limits(struct target *target, struct handle *handle, struct call *call)
-{
-	const struct target_call_options *options = call->options;
-	int64_t remaining_us = deadline_remaining_us(options->deadline, clock_now());
-	CURL *curl = handle->curl;
-
-	curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
-	curl_easy_setopt(curl, CURLOPT_TCP_NODELAY, 1L);
-	curl_easy_setopt(curl, CURLOPT_PATH_AS_IS, 1L);
-	curl_easy_setopt(curl, CURLOPT_CONNECTTIMEOUT_MS, (long)CONNECT_TIMEOUT_MS);
-	if (remaining_us != INT64_MAX)
-		curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, (long)(remaining_us / US_PER_MS) + 1);
-	if (!may_reuse(target, handle, options))
-		curl_easy_setopt(curl, CURLOPT_FRESH_CONNECT, 1L);
-	if (options->head->idempotent)
-		return;
-	curl_easy_setopt(curl, CURLOPT_OPENSOCKETFUNCTION, open_unless_sent);
-	curl_easy_setopt(curl, CURLOPT_OPENSOCKETDATA, call);
+	return (options->head->idempotent && body_length >= 0) || serves_once(target, connection);
 }
 
 static enum target_outcome outcome_of(int status)
@@ -515,44 +467,52 @@
 	return result;
 }
 
+/* Sends the call on the connection if it may serve, otherwise on a new one. */
+static struct transfer_result run_call(struct target *target, struct call *call,
+				       struct connection *connection,
+				       const struct target_endpoint *endpoint)
+{
+	const struct target_call_options *options = call->options;
+	struct strbuf request = make_request(target->dialect, options, endpoint);
+	struct transfer_result result;
+
+	if (connection->fd >= 0 && !may_reuse(target, connection, options)) {
+		close(connection->fd);
+		connection->fd = -1;
+	}
+	result = transfer_run(&(struct transfer_options){
+		.ipv4 = endpoint->ipv4,
+		.port = endpoint->port,
+		.kept_fd = connection->fd,
+		.repeatable = options->head->idempotent,
+		.request = strbuf_str(&request),
+		.upload = upload_of(options),
+		.upload_bytes = options->head->body_length,
+		.connect_within_us = CONNECT_WITHIN_US,
+		.deadline = options->deadline,
+		.answer = { .unique = target->dialect->request_id,
+			    .no_body = str_equal(options->head->method, STR("HEAD")),
+			    .head_max_bytes = HEAD_MAX_BYTES },
+		.handle = on_transfer_event,
+		.context = call });
+	strbuf_clear(&request);
+	return result;
+}
+
 struct target_result target_call(struct target *target, const struct target_call_options *options)
 {
 	struct call call = { .options = options,
 			     .dialect = target->dialect,
 			     .started_us = clock_now().mono_us };
-	size_t url_cap = options->head->target.len + 64;
-	char *url = g_malloc(url_cap);
-	char *method = str_to_cstr(options->head->method);
-	struct label expected;
-	struct handle *handle =
-		acquire_handle(target, url, url_cap, options->head->target, &expected);
-	struct curl_slist *fields =
-		make_fields(target->dialect, options->head, options->deadline, &expected);
-	struct transfer_options transfer = { .curl = handle->curl,
-					     .multi = handle->multi,
-					     .unique = target->dialect->request_id,
-					     .no_body =
-						     str_equal(options->head->method, STR("HEAD")),
-					     .head_max_bytes = HEAD_MAX_BYTES,
-					     .handle = on_transfer_event,
-					     .context = &call };
+	struct connection connection;
+	struct target_endpoint endpoint = acquire_connection(target, &connection);
 	struct target_event head = { .kind = TARGET_HEAD, .head = &call.answer.head };
-	struct transfer_result transferred;
-	struct target_result result;
-
-	call.curl = handle->curl;
-	curl_easy_setopt(handle->curl, CURLOPT_URL, url);
-	curl_easy_setopt(handle->curl, CURLOPT_HTTPHEADER, fields);
-	set_method(handle->curl, options->head, options->has_body, method);
-	set_limits(target, handle, &call);
-	transferred = transfer_run(&transfer);
-	result = make_result(&call, &transferred);
+	struct transfer_result transfer = run_call(target, &call, &connection, &endpoint);
+	struct target_result result = make_result(&call, &transfer);
+
 	if (result.complete && call.answer.kind == ANSWER_REFUSAL)
 		deliver(&call, &head);
-	release_handle(target, handle, &transferred);
-	curl_slist_free_all(fields);
+	release_connection(target, &transfer);
 	answer_clear(&call.answer);
-	g_free(method);
-	g_free(url);
 	return result;
 }
--- a/target/health.c
+++ b/target/health.c
@@ -1,14 +1,18 @@
 #include "target/health.h"
 
+#include <unistd.h>
+
+#include "base/address.h"
 #include "base/transfer.h"
 
 enum {
-	TIMEOUT_MS = 300,
 	STATUS_OK = 200,
 	HEAD_MAX_BYTES = 64 << 10,
 	BODY_MAX_BYTES = 64 << 10,
 };
 
+#define TIMEOUT_US (300 * US_PER_MS)
+
 /* The answer of the target that is expected, as far as it says which one it is. */
 struct health_answer {
 	const struct dialect *dialect;
@@ -70,23 +74,26 @@
 	struct health_answer answer = { .dialect = dialect,
 					.expected = &endpoint->id,
 					.health = &health };
-	uint32_t ip = endpoint->ipv4;
-	char *url = g_strdup_printf("http://%u.%u.%u.%u:%u%.*s", ip >> 24, ip >> 16 & 255,
-				    ip >> 8 & 255, ip & 255, endpoint->port, STR_ARG(path));
-	CURL *curl = curl_easy_init();
-	struct transfer_options options = { .curl = curl,
-					    .unique = dialect->target_id,
-					    .head_max_bytes = HEAD_MAX_BYTES,
+	struct strbuf request = { NULL, 0, 0 };
+	struct transfer_options options = { .ipv4 = endpoint->ipv4,
+					    .port = endpoint->port,
+					    .kept_fd = -1,
+					    .connect_within_us = TIMEOUT_US,
+					    .deadline = deadline_after(clock_now(), TIMEOUT_US),
+					    .answer = { .unique = dialect->target_id,
+							.head_max_bytes = HEAD_MAX_BYTES },
 					    .handle = on_event,
 					    .context = &answer };
 	struct transfer_result result;
 
-	curl_easy_setopt(curl, CURLOPT_URL, url);
-	curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
-	curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, (long)TIMEOUT_MS);
+	strbuf_addf(&request, "GET %.*s HTTP/1.1\r\nHost: ", STR_ARG(path));
+	address_add(&request, endpoint->ipv4, endpoint->port);
+	strbuf_add(&request, STR("\r\nConnection: close\r\n\r\n"));
+	options.request = strbuf_str(&request);
 	result = transfer_run(&options);
-	curl_easy_cleanup(curl);
-	g_free(url);
+	if (result.end == TRANSFER_WHOLE && result.whole.fd >= 0)
+		close(result.whole.fd);
+	strbuf_clear(&request);
 	health.healthy = result.end == TRANSFER_WHOLE && result.whole.status == STATUS_OK &&
 			 !answer.other_target;
 	return health;
