Endpoints: control and announcements without libmicrohttpd

Cause: libmicrohttpd loads GnuTLS and nine libraries behind it, 2.9 MB of the resident memory of a daemon that serves no TLS, and answers were held for each request that was sent ahead. Change: base/endpoint parses requests with libhttp_parser, as the callers' connections do, in one thread that waits with poll(). Handlers get a whole request and set an answer; they know nothing of the connection any more. Nothing is read while an answer waits to be written. heartbeat_test initialises APR now, whose threads the server uses; its checks are the same.

--- a/Makefile
+++ b/Makefile
@@ -5,9 +5,9 @@
 OPT = -O2 -g
 SAN =
 OUT = build
-PKGS = apr-1 apr-util-1 glib-2.0 msgpack libmicrohttpd yajl libxxhash zlib
-# Used by the tests' clients alone: libcurl loads 7 MB of libraries for TLS and directories.
-TEST_LIBS = $(shell pkg-config --libs libcurl) -lcmocka
+PKGS = apr-1 apr-util-1 glib-2.0 msgpack yajl libxxhash zlib
+# Used by the tests' clients and services alone: both load megabytes of libraries for TLS.
+TEST_LIBS = $(shell pkg-config --libs libcurl libmicrohttpd) -lcmocka
 CFLAGS = $(STD) $(WARN) $(OPT) $(SAN) -I. $(shell pkg-config --cflags $(PKGS))
 LDLIBS = -Wl,--as-needed $(shell pkg-config --libs $(PKGS)) -largtable2 -lhttp_parser -lm -lpthread
 folders = base core caller target peer platform operator
--- a/regress/platform/heartbeat_test.c
+++ b/regress/platform/heartbeat_test.c
@@ -3,6 +3,8 @@
  */
 #include "regress/lib/check.h"
 
+#include <apr_general.h>
+
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <poll.h>
@@ -222,5 +224,6 @@
 	};
 
 	cmocka_set_test_filter(getenv("TEST_ONLY"));
+	apr_initialize();
 	return cmocka_run_group_tests_name("platform/heartbeat", tests, NULL, NULL);
 }
--- a/target/announce.c
+++ b/target/announce.c
@@ -1,10 +1,10 @@
 #include "target/announce.h"
 
-#include <string.h>
-
 #include "base/endpoint.h"
 
 enum {
+	STATUS_BAD_REQUEST = 400,
+	STATUS_NOT_FOUND = 404,
 	CONNECTIONS_MAX = 32,
 	SLOTS_MAX = 4096,
 	TTL_MIN_MS = 100,
@@ -14,82 +14,93 @@
 
 struct announce_endpoint {
 	struct announce_options options;
-	struct MHD_Daemon *daemon;
+	struct endpoint *server;
 };
 
-static enum MHD_Result answer(struct MHD_Connection *connection, unsigned int status,
-			      const char *text)
+static bool read_number(const struct endpoint_request *request, struct str name, int64_t min,
+			int64_t max, int64_t *value)
 {
-	struct MHD_Response *response =
-		MHD_create_response_from_buffer(strlen(text), (void *)text, MHD_RESPMEM_MUST_COPY);
-	enum MHD_Result result = MHD_queue_response(connection, status, response);
-
-	MHD_destroy_response(response);
-	return result;
+	struct strbuf text = { NULL, 0, 0 };
+	bool has_default = *value != 0;
+	bool valid;
+
+	endpoint_argument(request, name, &text);
+	valid = (text.len == 0 && has_default) ||
+		(str_to_int64(strbuf_str(&text), value) && *value >= min && *value <= max);
+	strbuf_clear(&text);
+	return valid;
 }
 
-static bool read_number(struct MHD_Connection *connection, const char *name, int64_t min,
-			int64_t max, int64_t *value)
+static bool read_name(const struct endpoint_request *request, struct str name, struct label *label)
 {
-	struct str text = endpoint_argument(connection, name);
-
-	if (text.len == 0 && *value)
-		return true;
-	return str_to_int64(text, value) && *value >= min && *value <= max;
+	struct strbuf text = { NULL, 0, 0 };
+	bool valid = endpoint_argument(request, name, &text) && text.len > 0 &&
+		     label_fits(strbuf_str(&text));
+
+	if (valid)
+		*label = label_from(strbuf_str(&text));
+	strbuf_clear(&text);
+	return valid;
 }
 
 /* Reads the arguments of an announcement. Returns NULL, or the text of the error. */
-static const char *read_announcement(struct MHD_Connection *connection, int64_t ttl_us,
+static const char *read_announcement(const struct endpoint_request *request, int64_t ttl_us,
 				     struct announcement *announcement)
 {
-	struct str service = endpoint_argument(connection, "service");
-	struct str version = endpoint_argument(connection, "version");
 	int64_t slots = 0;
 	int64_t port = 0;
 	int64_t ttl_ms = ttl_us ? ttl_us / US_PER_MS : TTL_DEFAULT_MS;
 
-	if (service.len == 0 || !label_fits(service))
+	if (!read_name(request, STR("service"), &announcement->service))
 		return "service: expected a name\n";
-	if (version.len == 0 || !label_fits(version))
+	if (!read_name(request, STR("version"), &announcement->version))
 		return "version: expected a name\n";
-	if (!read_number(connection, "slots", 1, SLOTS_MAX, &slots))
+	if (!read_number(request, STR("slots"), 1, SLOTS_MAX, &slots))
 		return "slots: expected a number from 1 to 4096\n";
-	if (!read_number(connection, "port", 1, UINT16_MAX, &port))
+	if (!read_number(request, STR("port"), 1, UINT16_MAX, &port))
 		return "port: expected a number from 1 to 65535\n";
-	if (!read_number(connection, "ttl_ms", TTL_MIN_MS, TTL_MAX_MS, &ttl_ms))
+	if (!read_number(request, STR("ttl_ms"), TTL_MIN_MS, TTL_MAX_MS, &ttl_ms))
 		return "ttl_ms: expected a number from 100 to 60000\n";
-	announcement->service = label_from(service);
-	announcement->version = label_from(version);
 	announcement->slots = (int)slots;
 	announcement->port = (uint16_t)port;
 	announcement->expires_at = deadline_after(clock_now(), ttl_ms * US_PER_MS);
 	return NULL;
 }
 
-static enum MHD_Result on_request(void *context, struct MHD_Connection *connection, const char *url,
-				  const char *method, const char *version, const char *data,
-				  size_t *data_size, void **state)
+static bool is_request(const struct endpoint_request *request, struct str method, struct str path)
+{
+	return str_equal(request->method, method) && str_equal(request->path, path);
+}
+
+static void set_answer(struct endpoint_answer *answer, int status, const char *text)
+{
+	answer->status = status;
+	strbuf_add(&answer->body, str_from_cstr(text));
+}
+
+static void on_request(void *context, const struct endpoint_request *request,
+		       struct endpoint_answer *answer)
 {
 	struct announce_endpoint *endpoint = context;
 	struct announcement announcement = { .kind = ANNOUNCE_UP };
 	const char *problem = NULL;
 
-	(void)version;
-	(void)data;
-	if (!endpoint_request_complete(data_size, state))
-		return MHD_YES;
-	if (strcmp(url, "/announce") == 0 && strcmp(method, "PUT") == 0)
-		problem = read_announcement(connection, endpoint->options.ttl_us, &announcement);
-	else if (strcmp(url, "/announce") == 0 && strcmp(method, "DELETE") == 0)
+	if (is_request(request, STR("PUT"), STR("/announce"))) {
+		problem = read_announcement(request, endpoint->options.ttl_us, &announcement);
+	} else if (is_request(request, STR("DELETE"), STR("/announce"))) {
 		announcement.kind = ANNOUNCE_DOWN;
-	else if (strcmp(url, "/leave") == 0 && strcmp(method, "POST") == 0)
+	} else if (is_request(request, STR("POST"), STR("/leave"))) {
 		announcement.kind = ANNOUNCE_LEAVING;
-	else
-		return answer(connection, MHD_HTTP_NOT_FOUND, "no such resource\n");
-	if (problem)
-		return answer(connection, MHD_HTTP_BAD_REQUEST, problem);
+	} else {
+		set_answer(answer, STATUS_NOT_FOUND, "no such resource\n");
+		return;
+	}
+	if (problem) {
+		set_answer(answer, STATUS_BAD_REQUEST, problem);
+		return;
+	}
 	endpoint->options.handle(endpoint->options.context, &announcement);
-	return answer(connection, MHD_HTTP_OK, "ok\n");
+	strbuf_add(&answer->body, STR("ok\n"));
 }
 
 struct announce_endpoint *announce_endpoint_new(const struct announce_options *options,
@@ -104,8 +115,8 @@
 						   .context = endpoint };
 
 	endpoint->options = *options;
-	endpoint->daemon = endpoint_start(&server_options, error);
-	if (endpoint->daemon)
+	endpoint->server = endpoint_start(&server_options, error);
+	if (endpoint->server)
 		return endpoint;
 	g_free(endpoint);
 	return NULL;
@@ -115,11 +126,11 @@
 {
 	if (!endpoint)
 		return;
-	MHD_stop_daemon(endpoint->daemon);
+	endpoint_stop(endpoint->server);
 	g_free(endpoint);
 }
 
 uint16_t announce_endpoint_port(const struct announce_endpoint *endpoint)
 {
-	return endpoint_port(endpoint->daemon);
+	return endpoint_port(endpoint->server);
 }
