Check: rules for tenants, warm-up and evacuation

Change: six findings: "public" without tenants, a tenant header beside keys, a tenant without keys, a burst or a warm-up without its limit, and a data centre that two files evacuate. Rates of tenants and of cold targets are parsed by one function.

--- a/core/config_check.c
+++ b/core/config_check.c
@@ -4,6 +4,8 @@
 
 #include "base/clock.h"
 
+enum { FIRST_LINE = 1 };
+
 /* A running check. */
 struct config_check {
 	const struct config *config;
@@ -37,6 +39,18 @@
 		return STR("attempts-beyond-deadline");
 	case FINDING_STOP_BEFORE_DEADLINE:
 		return STR("stop-before-deadline");
+	case FINDING_PUBLIC_WITHOUT_TENANTS:
+		return STR("public-without-tenants");
+	case FINDING_TENANT_HEADER_UNUSED:
+		return STR("tenant-header-unused");
+	case FINDING_TENANT_WITHOUT_KEYS:
+		return STR("tenant-without-keys");
+	case FINDING_BURST_WITHOUT_LIMIT:
+		return STR("burst-without-limit");
+	case FINDING_WARMUP_WITHOUT_LIMIT:
+		return STR("warmup-without-limit");
+	case FINDING_EVACUATED_TWICE:
+		return STR("evacuated-twice");
 	}
 	g_assert_not_reached();
 }
@@ -148,6 +162,17 @@
 				  route->timeout_us / US_PER_MS, stop_us / US_PER_MS);
 }
 
+static void check_tenant_rules(struct config_check *check, const struct route *route)
+{
+	if (route->is_public && !check->config->has_tenants)
+		add_route_finding(check, FINDING_PUBLIC_WITHOUT_TENANTS, route,
+				  "\"public\" has no effect: no tenants are declared, so that no "
+				  "route needs a key");
+	if (route->tenant_header.len && !route->is_public && check->config->has_tenants)
+		add_route_finding(check, FINDING_TENANT_HEADER_UNUSED, route,
+				  "\"tenant_header\" has no effect: the tenant is that of the key");
+}
+
 static bool route_names(const struct route *route, struct label service)
 {
 	if (!route->destinations)
@@ -179,16 +204,26 @@
 	return false;
 }
 
+static void add_service_finding(struct config_check *check, enum finding_kind kind,
+				const struct service *service, const char *text)
+{
+	struct finding *finding = add_finding(check, kind, service->line);
+
+	g_snprintf(finding->path, sizeof(finding->path), "services.%.*s",
+		   STR_ARG(label_str(&service->name)));
+	g_strlcpy(finding->text, text, sizeof(finding->text));
+}
+
 static void check_service(struct config_check *check, const struct service *service)
 {
 	struct str name = label_str(&service->name);
 
-	if (!is_used(check->config, service->name)) {
-		struct finding *finding = add_finding(check, FINDING_SERVICE_UNUSED, service->line);
-
-		g_snprintf(finding->path, sizeof(finding->path), "services.%.*s", STR_ARG(name));
-		g_strlcpy(finding->text, "no route uses the service", sizeof(finding->text));
-	}
+	if (!is_used(check->config, service->name))
+		add_service_finding(check, FINDING_SERVICE_UNUSED, service,
+				    "no route uses the service");
+	if (service->warmup.duration_us && service->warmup.per_s <= 0)
+		add_service_finding(check, FINDING_WARMUP_WITHOUT_LIMIT, service,
+				    "\"warmup_ms\" has no effect without \"cold_calls_per_s\"");
 	for (guint i = 0; i < service->versions->len; i++) {
 		const struct version *version =
 			&g_array_index(service->versions, struct version, i);
@@ -241,6 +276,53 @@
 	}
 }
 
+static void check_tenant(struct config_check *check, const struct tenant *tenant)
+{
+	enum finding_kind kind = FINDING_TENANT_WITHOUT_KEYS;
+	const char *text = "all its keys are withdrawn: no request belongs to it";
+	struct finding *finding;
+
+	if (tenant->keys->len && tenant->burst > 0 && tenant->limit_per_s <= 0) {
+		kind = FINDING_BURST_WITHOUT_LIMIT;
+		text = "\"burst\" has no effect without \"limit_per_s\"";
+	} else if (tenant->keys->len) {
+		return;
+	}
+	finding = add_finding(check, kind, tenant->line);
+	g_snprintf(finding->path, sizeof(finding->path), "tenants.%.*s",
+		   STR_ARG(label_str(&tenant->name)));
+	g_strlcpy(finding->text, text, sizeof(finding->text));
+}
+
+static bool evacuates(const struct accepted_file *file, struct label data_centre)
+{
+	const struct config_file *parsed = file->change->parsed;
+
+	for (guint i = 0; parsed && i < parsed->evacuated->len; i++)
+		if (label_equal(&g_array_index(parsed->evacuated, struct label, i), &data_centre))
+			return true;
+	return false;
+}
+
+/* A data centre opens again once no file evacuates it. */
+static void check_evacuated(struct config_check *check, struct label data_centre)
+{
+	for (guint i = 0; i < check->config->files->len; i++) {
+		const struct accepted_file *other = g_ptr_array_index(check->config->files, i);
+		struct finding *finding;
+
+		if (other == check->file || !evacuates(other, data_centre))
+			continue;
+		finding = add_finding(check, FINDING_EVACUATED_TWICE, FIRST_LINE);
+		g_snprintf(finding->path, sizeof(finding->path), "evacuate.%.*s",
+			   STR_ARG(label_str(&data_centre)));
+		g_snprintf(finding->text, sizeof(finding->text),
+			   "file \"%.*s\" evacuates it too: it opens once both files are removed",
+			   STR_ARG(label_str(&other->name)));
+		return;
+	}
+}
+
 static void check_file(struct config_check *check)
 {
 	const struct config_file *parsed = check->file->change->parsed;
@@ -253,7 +335,12 @@
 		check_match(check, route);
 		check_destinations(check, route);
 		check_limits(check, route);
+		check_tenant_rules(check, route);
 	}
+	for (guint i = 0; i < parsed->tenants->len; i++)
+		check_tenant(check, &g_array_index(parsed->tenants, struct tenant, i));
+	for (guint i = 0; i < parsed->evacuated->len; i++)
+		check_evacuated(check, g_array_index(parsed->evacuated, struct label, i));
 	for (guint i = 0; i < parsed->moves->len; i++)
 		check_move(check, i, &g_array_index(parsed->moves, struct move_spec, i));
 	for (guint i = 0; i < parsed->switches->len; i++)
--- a/core/config_check.h
+++ b/core/config_check.h
@@ -20,6 +20,12 @@
 	FINDING_OBJECTIVE_BEYOND_DEADLINE,
 	FINDING_ATTEMPTS_BEYOND_DEADLINE, /**< the last attempts can't begin in time */
 	FINDING_STOP_BEFORE_DEADLINE,	  /**< a planned stop ends before the route's calls may */
+	FINDING_PUBLIC_WITHOUT_TENANTS,	  /**< no tenants are declared: no route needs a key */
+	FINDING_TENANT_HEADER_UNUSED,	  /**< the tenant is known by the key */
+	FINDING_TENANT_WITHOUT_KEYS,	  /**< no request belongs to it */
+	FINDING_BURST_WITHOUT_LIMIT,	  /**< a tenant's burst, but no limit */
+	FINDING_WARMUP_WITHOUT_LIMIT,	  /**< cold targets get as many calls as warm ones */
+	FINDING_EVACUATED_TWICE,	  /**< another file keeps the data centre evacuated */
 };
 
 /** Returns the kind's name for machines, such as "route-covered". It never changes. */
--- a/operator/parse.c
+++ b/operator/parse.c
@@ -12,9 +12,8 @@
 	WARMUP_MAX_MS = 3600 * 1000,
 };
 
-/* A larger limit of a tenant is taken for a typing error. */
-#define RATE_MAX_PER_S	 1e6
-#define WARMUP_PER_S_MAX 1e6
+/* A larger rate is taken for a typing error. */
+#define RATE_MAX_PER_S 1e6
 
 /* State of parsing one configuration file. */
 struct parser {
@@ -54,27 +53,34 @@
 				p->error);
 }
 
-/* Reads the limit of cold targets; 0, like a missing key, means none. */
+/* Reads a rate of requests, integer or not; an absent one is 0, which means no limit. */
+static bool parse_rate(struct parser *p, const struct json *item, struct str key, double *rate)
+{
+	const struct json *value = json_get(item, key);
+
+	if (!value)
+		return true;
+	if (value->kind == JSON_INTEGER)
+		*rate = (double)value->integer;
+	else if (value->kind == JSON_DOUBLE)
+		*rate = value->number;
+	else
+		return json_check_kind(p->doc, value, JSON_DOUBLE, p->error);
+	if (*rate >= 0 && *rate <= RATE_MAX_PER_S)
+		return true;
+	return json_fail(p->doc, value, CONFIG_ERROR_TYPE, p->error,
+			 "expected a number from 0 to %g", RATE_MAX_PER_S);
+}
+
 static bool parse_warmup(struct parser *p, const struct json *item, struct warmup_rule *warmup)
 {
-	const struct json *rate = json_get(item, STR("cold_calls_per_s"));
 	int64_t duration_ms = 0;
 
 	if (!json_read_int(p->doc, item, STR("warmup_ms"), JSON_OPTIONAL, 0, WARMUP_MAX_MS,
 			   &duration_ms, p->error))
 		return false;
 	warmup->duration_us = duration_ms * US_PER_MS;
-	if (!rate)
-		return true;
-	if (rate->kind == JSON_INTEGER)
-		warmup->per_s = (double)rate->integer;
-	else if (json_check_kind(p->doc, rate, JSON_DOUBLE, p->error))
-		warmup->per_s = rate->number;
-	else
-		return false;
-	return (warmup->per_s >= 0 && warmup->per_s <= WARMUP_PER_S_MAX) ||
-	       json_fail(p->doc, rate, CONFIG_ERROR_TYPE, p->error,
-			 "expected a number from 0 to %g", WARMUP_PER_S_MAX);
+	return parse_rate(p, item, STR("cold_calls_per_s"), &warmup->per_s);
 }
 
 static bool parse_service(struct parser *p, const struct json *item)
@@ -264,25 +270,6 @@
 	return valid;
 }
 
-/* Reads a rate of requests, integer or not; an absent one is 0, which means no limit. */
-static bool parse_rate(struct parser *p, const struct json *item, struct str key, double *rate)
-{
-	const struct json *value = json_get(item, key);
-
-	if (!value)
-		return true;
-	if (value->kind == JSON_INTEGER)
-		*rate = (double)value->integer;
-	else if (value->kind == JSON_DOUBLE)
-		*rate = value->number;
-	else
-		return json_check_kind(p->doc, value, JSON_DOUBLE, p->error);
-	if (*rate >= 0 && *rate <= RATE_MAX_PER_S)
-		return true;
-	return json_fail(p->doc, value, CONFIG_ERROR_TYPE, p->error,
-			 "expected a number from 0 to %g", RATE_MAX_PER_S);
-}
-
 static bool parse_key(struct parser *p, const struct json *item, struct tenant *tenant)
 {
 	struct str key;
--- a/regress/core/config_check_test.c
+++ b/regress/core/config_check_test.c
@@ -11,7 +11,9 @@
 #define SERVICES	  "\"services\":{\"s\":{\"versions\":{\"v1\":{\"share\":100}}}}"
 #define ROUTE(name, more) "{\"name\":\"" name "\",\"service\":\"s\",\"path\":\"/\"" more "}"
 #define ROUTES(list)	  "{" SERVICES ",\n\"routes\":[" list "]}"
-#define TIMES		  "\"start\":\"2026-12-04T10:00:00Z\",\"finish\":\"2026-12-04T11:00:00Z\""
+#define TENANTS(more, list)                                                                        \
+	"{" SERVICES ",\"routes\":[" ROUTE("r", more) "],\"tenants\":{" list "}}"
+#define TIMES "\"start\":\"2026-12-04T10:00:00Z\",\"finish\":\"2026-12-04T11:00:00Z\""
 
 /** A configuration, and its findings as "KIND PATH", separated by spaces. */
 static const struct check_case {
@@ -72,6 +74,31 @@
 	{ "a deadline as long as a stop", ROUTES(ROUTE("r", ",\"deadline_ms\":20000")), "" },
 	{ "a deadline longer than a stop", ROUTES(ROUTE("r", ",\"deadline_ms\":20001")),
 	  "stop-before-deadline routes.r" },
+	{ "a public route, and no tenants", ROUTES(ROUTE("r", ",\"public\":true")),
+	  "public-without-tenants routes.r" },
+	{ "tenants, one of them without a limit",
+	  TENANTS("", "\"a\":{\"keys\":[\"k\"],\"limit_per_s\":5,\"burst\":2},"
+		      "\"b\":{\"keys\":[\"l\"]}"),
+	  "" },
+	{ "a public route beside tenants", TENANTS(",\"public\":true", "\"a\":{\"keys\":[\"k\"]}"),
+	  "" },
+	{ "a header beside keys", TENANTS(",\"tenant_header\":\"X-T\"", "\"a\":{\"keys\":[\"k\"]}"),
+	  "tenant-header-unused routes.r" },
+	{ "a header of a public route",
+	  TENANTS(",\"public\":true,\"tenant_header\":\"X-T\"", "\"a\":{\"keys\":[\"k\"]}"), "" },
+	{ "a tenant whose keys are withdrawn", TENANTS("", "\"a\":{\"keys\":[]}"),
+	  "tenant-without-keys tenants.a" },
+	{ "a burst without a limit", TENANTS("", "\"a\":{\"keys\":[\"k\"],\"burst\":2}"),
+	  "burst-without-limit tenants.a" },
+	{ "a warm-up without a limit",
+	  "{\"services\":{\"s\":{\"versions\":\"any\",\"warmup_ms\":500}},\"routes\":[" ROUTE(
+		  "r", "") "]}",
+	  "warmup-without-limit services.s" },
+	{ "a warm-up with a limit",
+	  "{\"services\":{\"s\":{\"versions\":\"any\",\"warmup_ms\":500,"
+	  "\"cold_calls_per_s\":2}},\"routes\":[" ROUTE("r", "") "]}",
+	  "" },
+	{ "one evacuation", "{\"evacuate\":[\"dc1\"]}", "" },
 };
 
 static struct config *build(const char *text)
@@ -128,6 +155,41 @@
 	}
 }
 
+static struct accepted_file *make_file(const char *name, const char *text)
+{
+	struct label label = label_from(str_from_cstr(name));
+	struct change *change = change_new((struct label){ 0 }, label, 0, str_from_cstr(text));
+	struct accepted_file *file;
+
+	parse_change(change);
+	assert_non_null(change->parsed);
+	file = accepted_file_new(label, 1, change);
+	change_unref(change);
+	return file;
+}
+
+/* An operator who removes one of two files would expect the data centre to open again. */
+static void test_data_centre_evacuated_by_two_files(void **state)
+{
+	GPtrArray *files = g_ptr_array_new_with_free_func((GDestroyNotify)accepted_file_free);
+	struct config_check_options options = { 0 };
+	struct config *config;
+	GArray *findings;
+	char *text;
+
+	(void)state;
+	g_ptr_array_add(files, make_file("one", "{\"evacuate\":[\"dc1\",\"dc2\"]}"));
+	g_ptr_array_add(files, make_file("two", "{\"evacuate\":[\"dc3\",\"dc1\"]}"));
+	config = config_build(files, 1, 1, NULL);
+	assert_non_null(config);
+	findings = config_check(config, &options);
+	text = describe(findings);
+	assert_string_equal(text, "evacuated-twice evacuate.dc1 evacuated-twice evacuate.dc1");
+	g_free(text);
+	g_array_unref(findings);
+	config_unref(config);
+}
+
 /* A route that is said never to match must not match, and one without that finding must. */
 static void test_covered_routes_agree_with_the_match(void **state)
 {
@@ -196,6 +258,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_findings_of_each_configuration),
+		cmocka_unit_test(test_data_centre_evacuated_by_two_files),
 		cmocka_unit_test(test_covered_routes_agree_with_the_match),
 	};
 
