--- a/godwithitchd/answer.c
+++ b/godwithitchd/answer.c
@@ -6,8 +6,8 @@
 #include "base/rng.h"
 #include "godwithitchd/calls.h"
 
-/* The target's node and libcurl end a call by timers of their own, which may fire a little before
- * the deadline of the entry node. */
+/* The target's node ends a call by its own clock, which may be a little before the deadline of the
+ * entry node. */
 #define DEADLINE_SLACK_US (20 * US_PER_MS)
 
 static void add_field(struct response_head *head, struct str name, struct str value)
