Fuzz targets for readers of outside bytes; a malformed change no longer leaks its delta

Cause: answers, frames, messages, records, heartbeats and files come from outside, and only cases that somebody had thought of were tested. The first run of the messages' target found a fault: a record whose change can't be decoded, with a delta behind it, left the delta allocated, so that a peer could fill the memory with such messages.

--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,8 @@
 OPT = -O2 -g
 SAN =
 OUT = build
+FUZZ_MAIN = $(OUT)/regress/fuzz/replay.o
+FUZZ_LINK =
 PKGS = apr-1 apr-util-1 glib-2.0 msgpack yajl libxxhash zlib
 # Used by the tests' clients and services alone: both load megabytes of libraries for TLS.
 TEST_LIBS = $(shell pkg-config --libs libcurl libmicrohttpd) -lcmocka
@@ -24,8 +26,9 @@
 helpers = $(regress_helpers:%=$(OUT)/bin/%)
 tools = $(regress_tools:%=$(OUT)/test/%)
 tests = $(regress_tests:%=$(OUT)/test/%)
+replays = $(fuzz_targets:%=$(OUT)/fuzz/%)
 
-programs: $(daemon) $(tool) $(helpers) $(tools)
+programs: $(daemon) $(tool) $(helpers) $(tools) $(replays)
 
 $(OUT)/%.o: %.c
 	@mkdir -p $(@D)
@@ -51,6 +54,10 @@
 	@mkdir -p $(@D)
 	@echo LD $@; $(CC) $(SAN) -o $@ $^ $(LDLIBS) $(TEST_LIBS)
 
+$(OUT)/fuzz/%: $(OUT)/regress/fuzz/%.o $(FUZZ_MAIN) $(lib)
+	@mkdir -p $(@D)
+	@echo LD $@; $(CC) $(SAN) $(FUZZ_LINK) -o $@ $^ $(LDLIBS)
+
 lib: $(lib)
 
 daemon: $(daemon)
@@ -66,6 +73,23 @@
 	G_SLICE=always-malloc TSAN_OPTIONS=halt_on_error=1 \
 		$(MAKE) OUT=build-tsan SAN=-fsanitize=thread OPT="-O1 -g" check
 
+# Run each fuzz target for FUZZ_RUNS inputs from a fixed seed, so that a run can be repeated; by hand
+# with FUZZ="-max_total_time=600" for ten minutes of inputs that are always new.
+FUZZ = -runs=$(FUZZ_RUNS) -seed=1
+FUZZ_RUNS = 200000
+fuzz_sanitizers = address,undefined
+fuzz:
+	@$(MAKE) OUT=build-fuzz CC=clang FUZZ_MAIN= FUZZ_LINK=-fsanitize=fuzzer OPT="-O1 -g" WARN=-Wall \
+		SAN="-fsanitize=fuzzer-no-link,$(fuzz_sanitizers) -fno-sanitize-recover=undefined" \
+		$(fuzz_targets:%=build-fuzz/fuzz/%)
+	@for target in $(fuzz_targets); do mkdir -p build-fuzz/new/$$target && \
+		build-fuzz/fuzz/$$target $(FUZZ) -timeout=5 -rss_limit_mb=1024 -print_final_stats=1 \
+		-artifact_prefix=build-fuzz/crash-$$target- build-fuzz/new/$$target \
+		regress/fuzz/corpus/$$target >build-fuzz/$$target.log 2>&1 || \
+		{ tail -n 40 build-fuzz/$$target.log; exit 1; }; \
+		echo "fuzz: $$target, no fault in $$(sed -n \
+		's/^stat::number_of_executed_units: *//p' build-fuzz/$$target.log) inputs"; done
+
 # Measure cost against load and fleet size (docs/CAPACITY.md); measure distribution and moves.
 capacity: programs
 	$(OUT)/test/capacity
--- a/peer/codec.c
+++ b/peer/codec.c
@@ -350,8 +350,10 @@
 		struct delta *delta = item.remaining ? unpack_delta(&item) : NULL;
 
 		list.bad |= item.bad;
-		if (!change)
+		if (!change) {
+			delta_unref(delta);
 			break;
+		}
 		message->records.records[message->records.count++] =
 			(struct change_record){ offset, change, delta };
 		message->records.packed |= delta && delta->encoding;
