--- a/base/endpoint.c
+++ b/base/endpoint.c
@@ -421,7 +421,7 @@
 
 uint16_t endpoint_port(const struct endpoint *endpoint)
 {
-	struct sockaddr_in address;
+	struct sockaddr_in address = { .sin_port = 0 };
 	socklen_t len = sizeof(address);
 
 	if (getsockname(endpoint->listen_fd, (struct sockaddr *)&address, &len) != 0)
