Target: connections to a former address are closed

Cause: since transfers keep descriptors instead of handles of libcurl, a kept connection was used for the next call although the target had moved to another address: it led to the process that was there before.

--- a/target/call.c
+++ b/target/call.c
@@ -26,7 +26,7 @@
 	const struct dialect *dialect;
 	struct lock lock; /* LOCK_TARGET; guards the members below */
 	apr_pool_t *pool;
-	GArray *idle; /* struct connection; the one used last is at the end */
+	GArray *idle; /* struct connection to .endpoint; the one used last is at the end */
 	struct deadline suspicious_until;
 	struct target_endpoint endpoint;
 	apr_thread_cond_t *probed; /* the running probe has ended */
@@ -64,12 +64,23 @@
 	return target;
 }
 
+static bool is_same_address(const struct target_endpoint *a, const struct target_endpoint *b)
+{
+	return a->ipv4 == b->ipv4 && a->port == b->port;
+}
+
+static void close_idle(struct target *target)
+{
+	for (guint i = 0; i < target->idle->len; i++)
+		close(g_array_index(target->idle, struct connection, i).fd);
+	g_array_set_size(target->idle, 0);
+}
+
 void target_free(struct target *target)
 {
 	if (!target)
 		return;
-	for (guint i = 0; i < target->idle->len; i++)
-		close(g_array_index(target->idle, struct connection, i).fd);
+	close_idle(target);
 	g_array_unref(target->idle);
 	apr_pool_destroy(target->pool);
 	g_free(target);
@@ -78,6 +89,8 @@
 void target_set_endpoint(struct target *target, const struct target_endpoint *endpoint)
 {
 	lock_acquire(&target->lock);
+	if (!is_same_address(&target->endpoint, endpoint))
+		close_idle(target);
 	target->endpoint = *endpoint;
 	lock_release(&target->lock);
 }
@@ -253,8 +266,9 @@
 	g_assert_not_reached();
 }
 
-/* Keeps the connection for the next call if the answer was whole. */
-static void release_connection(struct target *target, const struct transfer_result *transfer)
+/* Keeps the connection to @p endpoint for the next call if the answer was whole. */
+static void release_connection(struct target *target, const struct target_endpoint *endpoint,
+			       const struct transfer_result *transfer)
 {
 	struct instant now = clock_now();
 	struct connection connection = { -1, deadline_after(now, ONCE_REUSE_US) };
@@ -264,8 +278,10 @@
 	lock_acquire(&target->lock);
 	if (is_suspicious(transfer))
 		target->suspicious_until = deadline_after(now, SUSPICIOUS_US);
-	if (connection.fd >= 0)
+	if (connection.fd >= 0 && is_same_address(endpoint, &target->endpoint))
 		g_array_append_val(target->idle, connection);
+	else if (connection.fd >= 0)
+		close(connection.fd);
 	lock_release(&target->lock);
 }
 
@@ -512,7 +528,7 @@
 
 	if (result.complete && call.answer.kind == ANSWER_REFUSAL)
 		deliver(&call, &head);
-	release_connection(target, &transfer);
+	release_connection(target, &endpoint, &transfer);
 	answer_clear(&call.answer);
 	return result;
 }
