--- a/review/rig-2/rig.c
+++ b/review/rig-2/rig.c
@@ -11,6 +11,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -244,6 +245,8 @@
 		dup2(fd, STDOUT_FILENO);
 		dup2(fd, STDERR_FILENO);
 	}
+	/* It ends with this program, however that ends. */
+	prctl(PR_SET_PDEATHSIG, SIGKILL);
 	execve(DAEMON, arguments, environment);
 	_exit(RIG_UNABLE);
 }
