Transfers: a reset within an upload does not end an answer

Callers got part of an answer as a whole one: a target answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was still being written.

Cause: a socket reports a reset to one call only. If that was send(), transfers read on for an answer that may have come before; recv() then gave the queued bytes and an end of file, which ends a body without a length in order. The error of send() was dropped.

Transfers keep it now. Linux reports EPIPE for a reset that came behind the peer's FIN, and ECONNRESET or another error otherwise (the state of the connection decides, not the architecture). The end of file counts only after EPIPE or without an error of send(). An answer that was closed in order stays whole if a reset follows. All readers of answers use the transfer: calls to targets, health checks, the platform's store and log, the command line tool; a stream to another node and the caller's chunks already passed the break on.

--- a/base/transfer.c
+++ b/base/transfer.c
@@ -42,7 +42,8 @@
 	bool upload_read;   /* the handler has delivered bytes of the request's body */
 	bool reusable;	    /* the connection, as far as it is known */
 	bool foreign;
-	bool ended; /* .cause and .reason are set */
+	int send_error; /* errno of the send() that failed on the present connection, or 0 */
+	bool ended;	/* .cause and .reason are set */
 	enum transfer_cause cause;
 	const char *reason;
 };
@@ -178,10 +179,20 @@
 	return true;
 }
 
+/* Returns whether the end of file that recv() reports was sent by the peer. A reset is reported to
+ * one call only: if that was send(), recv() gives what had come and then an end of file as well. In
+ * this case the error is EPIPE only if the peer had ended its side before the reset. */
+static bool is_end_sent(const struct transfer *transfer)
+{
+	return transfer->send_error == 0 || transfer->send_error == EPIPE;
+}
+
 static bool end_answer(struct transfer *transfer)
 {
 	transfer->reusable = false;
 	stop_sending(transfer);
+	if (!is_end_sent(transfer))
+		return fail_connection(transfer, transfer->send_error);
 	response_end(&transfer->response);
 	return transfer->response.state == RESPONSE_WHOLE ||
 	       fail(transfer, TRANSFER_CONNECTION, "the answer broke off");
@@ -267,6 +278,7 @@
 		transfer->sent_here = true;
 	} else if (n < 0 && errno != EAGAIN && errno != EINTR) {
 		/* An answer may have come before the connection broke. */
+		transfer->send_error = errno;
 		stop_sending(transfer);
 		transfer->reusable = false;
 	}
@@ -383,6 +395,7 @@
 	transfer->ended = false;
 	transfer->sent_here = false;
 	transfer->answered_here = false;
+	transfer->send_error = 0;
 	transfer->reusable = true;
 	outgoing->bytes.len = 0;
 	strbuf_add(&outgoing->bytes, options->request);
--- a/regress/lib/break_server.c
+++ b/regress/lib/break_server.c
@@ -53,8 +53,11 @@
 
 static struct break_plan copy_plan(const struct break_plan *plan)
 {
-	return (struct break_plan){ str_dup(plan->first), str_dup(plan->early),
-				    str_dup(plan->bytes), plan->end };
+	return (struct break_plan){ .first = str_dup(plan->first),
+				    .early = str_dup(plan->early),
+				    .early_end = plan->early_end,
+				    .bytes = str_dup(plan->bytes),
+				    .end = plan->end };
 }
 
 static void clear_plan(struct break_plan *plan)
@@ -104,10 +107,12 @@
 {
 	struct linger reset = { 1, 0 };
 
-	if (end == BREAK_RESET) {
+	if (end == BREAK_FIN_RESET)
+		shutdown(connection->fd, SHUT_WR);
+	if (end == BREAK_RESET || end == BREAK_FIN_RESET)
 		wait_taken(connection->fd);
+	if (end == BREAK_RESET || end == BREAK_RESET_AT_ONCE || end == BREAK_FIN_RESET)
 		setsockopt(connection->fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
-	}
 	close(connection->fd);
 	g_string_free(connection->in, TRUE);
 	connection->fd = -1;
@@ -135,19 +140,40 @@
 	return connection->in->len >= len ? len : 0;
 }
 
-static void send_early(struct break_server *server, struct connection *connection, struct str early)
+static void note_early(struct break_server *server)
 {
-	if (connection->early_sent)
-		return;
-	connection->early_sent = true;
-	send_all(connection->fd, early);
-	wait_taken(connection->fd);
 	g_mutex_lock(&server->mutex);
 	server->early_sent = true;
 	g_cond_signal(&server->cond);
 	g_mutex_unlock(&server->mutex);
 }
 
+/* Sends the early bytes, once; false if they end the connection. */
+static bool send_early(struct break_server *server, struct connection *connection,
+		       const struct break_plan *plan)
+{
+	if (connection->early_sent)
+		return true;
+	connection->early_sent = true;
+	send_all(connection->fd, plan->early);
+	switch (plan->early_end) {
+	case BREAK_KEEP:
+		wait_taken(connection->fd);
+		break;
+	case BREAK_FIN:
+		shutdown(connection->fd, SHUT_WR);
+		wait_taken(connection->fd);
+		break;
+	case BREAK_RESET:
+	case BREAK_RESET_AT_ONCE:
+	case BREAK_FIN_RESET:
+		close_connection(connection, plan->early_end);
+		break;
+	}
+	note_early(server);
+	return connection->fd >= 0;
+}
+
 /* Carries out the plan for the first request, if it is complete; false once the connection has to
  * end. */
 static bool answer_request(struct break_server *server, struct connection *connection,
@@ -159,8 +185,8 @@
 
 	if (head_len == 0)
 		return true;
-	if (!is_first && plan->early.len)
-		send_early(server, connection, plan->early);
+	if (!is_first && plan->early.len && !send_early(server, connection, plan))
+		return false;
 	len = request_len(connection, head_len);
 	if (len == 0)
 		return true;
@@ -192,7 +218,7 @@
 		g_string_append_len(connection->in, bytes, n);
 		going_on = answer_request(server, connection, &plan);
 	}
-	if (!going_on)
+	if (!going_on && connection->fd >= 0)
 		close_connection(connection, end);
 	clear_plan(&plan);
 	return going_on;
--- a/regress/lib/break_server.h
+++ b/regress/lib/break_server.h
@@ -11,13 +11,20 @@
 #include "base/str.h"
 
 /** What the server does with the connection after an answer. */
-enum break_end { BREAK_KEEP, BREAK_FIN, BREAK_RESET };
+enum break_end {
+	BREAK_KEEP,
+	BREAK_FIN,
+	BREAK_RESET,	     /**< once the bytes have arrived */
+	BREAK_RESET_AT_ONCE, /**< while the client may still be within a call that sends */
+	BREAK_FIN_RESET,     /**< ends its side in order, then resets the connection */
+};
 
 /** What the server sends. */
 struct break_plan {
 	struct str first; /**< answer to a request with the id 1, which keeps its connection */
 	struct str early; /**< sent as soon as the head of another request has come */
-	struct str bytes; /**< sent once another request is complete */
+	enum break_end early_end; /**< behind .early; after BREAK_FIN requests are still read */
+	struct str bytes;	  /**< sent once another request is complete */
 	enum break_end end;
 };
 
@@ -35,7 +42,7 @@
 /** Copies the plan and sets the counts to zero. */
 void break_server_set(struct break_server *server, const struct break_plan *plan);
 struct break_counts break_server_counts(struct break_server *server);
-/** Waits up to a second until .early was sent; false if it was not. */
+/** Waits up to a second until .early and .early_end are carried out; false if they are not. */
 bool break_server_wait_early(struct break_server *server);
 
 /** Returns the length of the final head of @p answer, interim heads before it included. */
--- a/regress/lib/breaker.c
+++ b/regress/lib/breaker.c
@@ -45,10 +45,14 @@
 	struct strbuf name;
 	struct strbuf value;
 	bool in_value;
+	bool has_head;
 	bool whole;
 	int requests; /* that were read */
 };
 
+/* How reading a request ended. */
+enum reading { READING_WHOLE, READING_BROKEN, READING_ANSWERED };
+
 static void copy_text(char *into, size_t cap, const struct strbuf *text)
 {
 	g_snprintf(into, (gulong)cap, "%.*s", STR_ARG(strbuf_str(text)));
@@ -100,7 +104,10 @@
 
 static int on_head(http_parser *parser)
 {
-	end_field(parser->data);
+	struct connection *connection = parser->data;
+
+	end_field(connection);
+	connection->has_head = true;
 	return 0;
 }
 
@@ -124,37 +131,6 @@
 	return 0;
 }
 
-/* Reads one request. Returns false if the connection ended before the request was whole. */
-static bool read_request(struct connection *connection)
-{
-	static const http_parser_settings settings = { .on_url = on_url,
-						       .on_header_field = on_field,
-						       .on_header_value = on_value,
-						       .on_headers_complete = on_head,
-						       .on_body = on_body,
-						       .on_message_complete = on_whole };
-	http_parser parser = { .data = connection };
-	char block[BLOCK_BYTES];
-
-	http_parser_init(&parser, HTTP_REQUEST);
-	connection->request =
-		(struct breaker_request){ .on_kept_connection = connection->requests++ > 0 };
-	connection->expected[0] = '\0';
-	connection->name.len = 0;
-	connection->value.len = 0;
-	connection->whole = false;
-	while (!connection->whole) {
-		ssize_t n = recv(connection->fd, block, sizeof(block), 0);
-
-		if (n <= 0)
-			return false;
-		http_parser_execute(&parser, &settings, block, (size_t)n);
-		if (!connection->whole && HTTP_PARSER_ERRNO(&parser) != HPE_OK)
-			return false;
-	}
-	return true;
-}
-
 static bool send_bytes(int fd, struct str bytes)
 {
 	while (bytes.len) {
@@ -217,6 +193,9 @@
 		return false;
 	case BREAKER_FIN:
 		return false;
+	case BREAKER_END_SENDING:
+		shutdown(fd, SHUT_WR);
+		return true;
 	case BREAKER_RESET:
 		setsockopt(fd, SOL_SOCKET, SO_LINGER, &abort_at_close, sizeof(abort_at_close));
 		return false;
@@ -256,24 +235,86 @@
 	g_free(text);
 }
 
+/* Carries out a plan and clears it. Returns false if the connection is to be closed. */
+static bool carry_out(struct connection *connection, struct breaker_plan *plan)
+{
+	bool keep = true;
+
+	for (int i = 0; i < plan->count; i++) {
+		keep = keep && take_step(connection->breaker, connection->fd, &plan->steps[i]);
+		if (plan->steps[i].kind == BREAKER_SEND || plan->steps[i].kind == BREAKER_FLOOD)
+			strbuf_clear(&plan->steps[i].bytes);
+	}
+	return keep;
+}
+
+static bool is_own(const struct connection *connection)
+{
+	return strcmp(connection->request.path, "/health") == 0 ||
+	       (connection->expected[0] &&
+		strcmp(connection->expected, connection->breaker->options->instance) != 0);
+}
+
+/* Returns whether the request was answered though its body has not been read. */
+static bool answer_head(struct connection *connection)
+{
+	const struct breaker_options *options = connection->breaker->options;
+	struct breaker_plan plan = { .count = 0 };
+
+	if (!options->answer_early || is_own(connection) ||
+	    !options->answer_early(options->context, &connection->request, &plan))
+		return false;
+	carry_out(connection, &plan);
+	return true;
+}
+
 /* Answers the request that was read. Returns false if the connection is to be closed. */
 static bool answer_request(struct connection *connection)
 {
 	const struct breaker_options *options = connection->breaker->options;
 	struct breaker_plan plan = { .count = 0 };
-	bool keep = true;
 
-	if (strcmp(connection->request.path, "/health") == 0 ||
-	    (connection->expected[0] && strcmp(connection->expected, options->instance) != 0))
+	if (is_own(connection))
 		plan_own_answer(connection, &plan);
 	else
 		options->answer(options->context, &connection->request, &plan);
-	for (int i = 0; i < plan.count; i++) {
-		keep = keep && take_step(connection->breaker, connection->fd, &plan.steps[i]);
-		if (plan.steps[i].kind == BREAKER_SEND || plan.steps[i].kind == BREAKER_FLOOD)
-			strbuf_clear(&plan.steps[i].bytes);
+	return carry_out(connection, &plan);
+}
+
+/* Reads one request, unless it is answered when its head has come. */
+static enum reading read_request(struct connection *connection)
+{
+	static const http_parser_settings settings = { .on_url = on_url,
+						       .on_header_field = on_field,
+						       .on_header_value = on_value,
+						       .on_headers_complete = on_head,
+						       .on_body = on_body,
+						       .on_message_complete = on_whole };
+	http_parser parser = { .data = connection };
+	char block[BLOCK_BYTES];
+	bool had_head = false;
+
+	http_parser_init(&parser, HTTP_REQUEST);
+	connection->request =
+		(struct breaker_request){ .on_kept_connection = connection->requests++ > 0 };
+	connection->expected[0] = '\0';
+	connection->name.len = 0;
+	connection->value.len = 0;
+	connection->has_head = false;
+	connection->whole = false;
+	while (!connection->whole) {
+		ssize_t n = recv(connection->fd, block, sizeof(block), 0);
+
+		if (n <= 0)
+			return READING_BROKEN;
+		http_parser_execute(&parser, &settings, block, (size_t)n);
+		if (!connection->whole && HTTP_PARSER_ERRNO(&parser) != HPE_OK)
+			return READING_BROKEN;
+		if (connection->has_head && !had_head && answer_head(connection))
+			return READING_ANSWERED;
+		had_head = connection->has_head;
 	}
-	return keep;
+	return READING_WHOLE;
 }
 
 static gpointer serve_connection(gpointer data)
@@ -281,7 +322,7 @@
 	struct connection *connection = data;
 	struct breaker *breaker = connection->breaker;
 
-	while (read_request(connection) && !g_atomic_int_get(&breaker->silent) &&
+	while (read_request(connection) == READING_WHOLE && !g_atomic_int_get(&breaker->silent) &&
 	       answer_request(connection))
 		;
 	/* What a silent upstream has read is never answered, and its connections stay open. */
--- a/regress/lib/breaker.h
+++ b/regress/lib/breaker.h
@@ -19,6 +19,7 @@
 	BREAKER_WAIT,
 	BREAKER_WAIT_REQUEST, /**< until bytes of the next request arrive, 2 s at most */
 	BREAKER_FIN,
+	BREAKER_END_SENDING, /**< ends the sending side; the connection stays open */
 	BREAKER_RESET,
 	BREAKER_FLOOD, /**< sends the bytes over and over until the connection ends */
 };
@@ -53,6 +54,10 @@
 	/** Fills the plan of an answer; called by several threads. */
 	void (*answer)(void *context, const struct breaker_request *request,
 		       struct breaker_plan *plan);
+	/** If set, called once the head of a request has come; returns whether the plan is carried
+	 * out then, before the request's body is read. The connection ends behind it. */
+	bool (*answer_early)(void *context, const struct breaker_request *request,
+			     struct breaker_plan *plan);
 	void *context;
 };
 
--- a/regress/lib/rawcall.c
+++ b/regress/lib/rawcall.c
@@ -183,11 +183,23 @@
 	return RAW_WHOLE;
 }
 
-static bool send_bytes(int fd, struct str bytes)
+/* Waits until bytes can be sent; false if the peer has ended its side. */
+static bool wait_writable(int fd)
+{
+	struct pollfd waited = { .fd = fd, .events = POLLOUT | POLLRDHUP };
+
+	return poll(&waited, 1, -1) == 1 && !(waited.revents & ~POLLOUT);
+}
+
+static bool send_bytes(int fd, struct str bytes, bool stops_at_end)
 {
 	while (bytes.len) {
-		ssize_t n = send(fd, bytes.data, bytes.len, MSG_NOSIGNAL);
+		ssize_t n;
 
+		if (stops_at_end && !wait_writable(fd))
+			return false;
+		n = send(fd, bytes.data, bytes.len,
+			 MSG_NOSIGNAL | (stops_at_end ? MSG_DONTWAIT : 0));
 		if (n <= 0)
 			return false;
 		bytes = str_sub(bytes, (size_t)n, bytes.len);
@@ -245,7 +257,7 @@
 	if (request->body != RAW_NO_BODY)
 		add_body(&text, request->body, 0, first_half);
 	if (request->pause_ms || request->ends_early) {
-		sent = send_bytes(fd, strbuf_str(&text));
+		sent = send_bytes(fd, strbuf_str(&text), request->stops_at_end);
 		text.len = 0;
 		if (request->ends_early || !sent) {
 			strbuf_clear(&text);
@@ -257,7 +269,7 @@
 		add_body(&text, request->body, first_half, request->body_bytes - first_half);
 	if (request->body == RAW_IN_CHUNKS)
 		strbuf_add(&text, STR("0\r\n\r\n"));
-	sent = send_bytes(fd, strbuf_str(&text));
+	sent = send_bytes(fd, strbuf_str(&text), request->stops_at_end);
 	strbuf_clear(&text);
 	return sent;
 }
--- a/regress/lib/rawcall.h
+++ b/regress/lib/rawcall.h
@@ -26,9 +26,10 @@
 	const char *id;
 	enum raw_body body;
 	size_t body_bytes;
-	int pause_ms;	 /**< between the halves of the body */
-	bool ends_early; /**< the connection closes after the first half of the body */
-	int timeout_ms;	 /**< sent as X-Timeout-Ms; the answer may take a second more */
+	int pause_ms;	   /**< between the halves of the body */
+	bool ends_early;   /**< the connection closes after the first half of the body */
+	bool stops_at_end; /**< nothing more is sent once the node has ended the connection */
+	int timeout_ms;	   /**< sent as X-Timeout-Ms; the answer may take a second more */
 };
 
 enum raw_framing { RAW_UNFRAMED, RAW_BY_LENGTH, RAW_BY_CHUNKS };
--- a/regress/platform/exchange_test.c
+++ b/regress/platform/exchange_test.c
@@ -18,7 +18,13 @@
 
 #define JSON_FIELDS "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
 
-enum { SHOWN_MAX = 8, DEADLINE_MS = 2000, VERSION = 17 };
+enum {
+	SHOWN_MAX = 8,
+	DEADLINE_MS = 2000,
+	VERSION = 17,
+	POSTS = 20,
+	POST_BYTES = 16 << 20, /* more than the sockets' buffers hold */
+};
 
 struct whole_answer {
 	const char *name;
@@ -157,6 +163,49 @@
 	check_each_byte(answers, G_N_ELEMENTS(answers), check_post);
 }
 
+/* Returns how many of the POSTs were answered by an answer that ends before they are sent. */
+static int count_answered(struct break_server *server, enum break_end end)
+{
+	struct strbuf post = { 0 };
+	int answered = 0;
+	apr_pool_t *pool;
+
+	apr_pool_create(&pool, NULL);
+	strbuf_reserve(&post, POST_BYTES);
+	memset(post.data, 'p', POST_BYTES);
+	post.len = POST_BYTES;
+	for (int i = 0; i < POSTS; i++) {
+		struct exchange_client *http = client_of(server, pool);
+		struct exchange_request request = { .path = STR("a"), .post = &post };
+		struct break_plan plan = { .early = answers[2].bytes, .early_end = end };
+		struct exchange exchange;
+
+		break_server_set(server, &plan);
+		request.deadline = deadline_after(clock_now(), DEADLINE_MS * US_PER_MS);
+		exchange = exchange_run(http, &request);
+		answered += is_answered(&exchange);
+		strbuf_clear(&exchange.body);
+		exchange_client_free(http);
+	}
+	strbuf_clear(&post);
+	apr_pool_destroy(pool);
+	return answered;
+}
+
+static void test_answer_reset_before_end_of_post_is_a_failed_exchange(void **state)
+{
+	struct break_server *server = break_server_new();
+	int reset = count_answered(server, BREAK_RESET_AT_ONCE);
+	int closed = count_answered(server, BREAK_FIN_RESET);
+
+	(void)state;
+	printf("answered: %d of %d reset, %d of %d closed and then reset\n", reset, POSTS, closed,
+	       POSTS);
+	break_server_free(server);
+	assert_int_equal(reset, 0);
+	assert_int_equal(closed, POSTS);
+}
+
 /* Answers to an append, with what each means if it is whole. */
 static const struct whole_answer append_answers[] = {
 	ANSWER("done", JSON_FIELDS "Content-Length: 13\r\n\r\n{\"offset\":17}"),
@@ -415,6 +464,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_broken_answer_is_a_failed_exchange),
+		cmocka_unit_test(test_answer_reset_before_end_of_post_is_a_failed_exchange),
 		cmocka_unit_test(test_append_with_broken_answer_may_have_happened),
 		cmocka_unit_test(test_entry_of_node_with_broken_answer_is_not_written),
 		cmocka_unit_test(test_broken_list_of_nodes_is_not_read),
