Chunks: lines around them end in CR LF, sizes in white space or extensions

Found by a test of the reader, not seen at a client.

RFC 9112, 7.1 has CR LF at each of these places, and its leave to accept a lone LF (2.2) names the start line and the fields alone. Behind a size come optional white space and extensions; white space without an extension is still taken, since servers are known to pad sizes. Control bytes within an extension are refused.

--- a/base/chunks.c
+++ b/base/chunks.c
@@ -8,38 +8,63 @@
 	DIGITS_MAX = 15,      /* so that no size overflows */
 };
 
-/* Reads a byte of the line with a chunk's size. */
+static enum chunks_state read_behind_size(char byte)
+{
+	switch (byte) {
+	case ' ':
+	case '\t':
+		return CHUNKS_BLANK;
+	case ';':
+		return CHUNKS_EXTENSION;
+	case '\r':
+		return CHUNKS_SIZE_LF;
+	default:
+		return CHUNKS_MALFORMED;
+	}
+}
+
 static enum chunks_state read_size(struct chunks *chunks, char byte)
 {
-	if (chunks->state == CHUNKS_SIZE && g_ascii_isxdigit(byte)) {
+	if (g_ascii_isxdigit(byte)) {
 		chunks->left = chunks->left << 4 | (uint64_t)g_ascii_xdigit_value(byte);
 		return ++chunks->digits > DIGITS_MAX ? CHUNKS_MALFORMED : CHUNKS_SIZE;
 	}
-	if (chunks->digits == 0)
-		return CHUNKS_MALFORMED;
+	return chunks->digits ? read_behind_size(byte) : CHUNKS_MALFORMED;
+}
+
+static enum chunks_state read_extension(char byte)
+{
+	if (byte == '\r')
+		return CHUNKS_SIZE_LF;
+	return g_ascii_iscntrl(byte) && byte != '\t' ? CHUNKS_MALFORMED : CHUNKS_EXTENSION;
+}
+
+static enum chunks_state end_size(struct chunks *chunks, char byte)
+{
 	if (byte != '\n')
-		return CHUNKS_REST;
+		return CHUNKS_MALFORMED;
 	chunks->digits = 0;
 	return chunks->left ? CHUNKS_DATA : CHUNKS_TRAILER;
 }
 
 static enum chunks_state read_trailer(struct chunks *chunks, char byte)
 {
-	if (byte == '\n' && chunks->line_len == 0)
-		return CHUNKS_ENDED;
-	if (byte == '\n')
-		chunks->line_len = 0;
-	else
-		chunks->line_len += byte != '\r';
 	chunks->trailer_bytes++;
-	return CHUNKS_TRAILER;
+	if (byte == '\r')
+		return CHUNKS_TRAILER_LF;
+	chunks->line_len++;
+	return byte == '\n' ? CHUNKS_MALFORMED : CHUNKS_TRAILER;
 }
 
-static enum chunks_state read_line_end(char byte)
+static enum chunks_state end_trailer(struct chunks *chunks, char byte)
 {
-	if (byte == '\n')
-		return CHUNKS_SIZE;
-	return byte == '\r' ? CHUNKS_LINE : CHUNKS_MALFORMED;
+	bool is_last = chunks->line_len == 0;
+
+	chunks->trailer_bytes++;
+	chunks->line_len = 0;
+	if (byte != '\n')
+		return CHUNKS_MALFORMED;
+	return is_last ? CHUNKS_ENDED : CHUNKS_TRAILER;
 }
 
 /* Returns the bytes of the chunk at the front. */
@@ -50,7 +75,7 @@
 	chunks->left -= taken;
 	chunks->data += taken;
 	if (chunks->left == 0)
-		chunks->state = CHUNKS_LINE;
+		chunks->state = CHUNKS_DATA_CR;
 	return str_sub(input, 0, taken);
 }
 
@@ -59,12 +84,21 @@
 {
 	switch (chunks->state) {
 	case CHUNKS_SIZE:
-	case CHUNKS_REST:
 		return read_size(chunks, byte);
-	case CHUNKS_LINE:
-		return read_line_end(byte);
+	case CHUNKS_BLANK:
+		return read_behind_size(byte);
+	case CHUNKS_EXTENSION:
+		return read_extension(byte);
+	case CHUNKS_SIZE_LF:
+		return end_size(chunks, byte);
+	case CHUNKS_DATA_CR:
+		return byte == '\r' ? CHUNKS_DATA_LF : CHUNKS_MALFORMED;
+	case CHUNKS_DATA_LF:
+		return byte == '\n' ? CHUNKS_SIZE : CHUNKS_MALFORMED;
 	case CHUNKS_TRAILER:
 		return read_trailer(chunks, byte);
+	case CHUNKS_TRAILER_LF:
+		return end_trailer(chunks, byte);
 	case CHUNKS_DATA:
 	case CHUNKS_ENDED:
 	case CHUNKS_MALFORMED:
--- a/base/chunks.h
+++ b/base/chunks.h
@@ -1,6 +1,6 @@
 /**
  * @file
- * Decodes an HTTP body in chunks and finds its end.
+ * Decodes an HTTP body in chunks and finds its end. Each line around the chunks ends in CR and LF.
  */
 #ifndef BASE_CHUNKS_H
 #define BASE_CHUNKS_H
@@ -8,11 +8,15 @@
 #include "base/str.h"
 
 enum chunks_state {
-	CHUNKS_SIZE,	/**< digits of a size */
-	CHUNKS_REST,	/**< rest of the line with the size */
-	CHUNKS_DATA,	/**< bytes of a chunk */
-	CHUNKS_LINE,	/**< end of the line behind a chunk */
-	CHUNKS_TRAILER, /**< a trailer, or the empty line behind the last chunk */
+	CHUNKS_SIZE,	   /**< digits of a size */
+	CHUNKS_BLANK,	   /**< white space behind a size */
+	CHUNKS_EXTENSION,  /**< rest of the line with the size */
+	CHUNKS_SIZE_LF,	   /**< last byte of that line */
+	CHUNKS_DATA,	   /**< bytes of a chunk */
+	CHUNKS_DATA_CR,	   /**< end of the line behind a chunk */
+	CHUNKS_DATA_LF,	   /**< last byte of that line */
+	CHUNKS_TRAILER,	   /**< a trailer, or the empty line behind the last chunk */
+	CHUNKS_TRAILER_LF, /**< last byte of one of these lines */
 	CHUNKS_ENDED,
 	CHUNKS_MALFORMED, /**< the bytes are no chunks */
 };
