Chunks: a trailer holds fields alone

Any bytes could stand in the lines behind the last chunk: a name with a blank or a control byte, a line without a colon, or the status line of the next answer. An answer that broke off in its trailer and was joined with another one so counted as whole. Found by a test of the reader, not seen at a client; trailers are not passed on.

Cause: the reader counted the bytes of these lines and looked for the empty one.

--- a/base/chunks.c
+++ b/base/chunks.c
@@ -2,6 +2,8 @@
 
 #include <glib.h>
 
+#include "base/head.h"
+
 enum {
 	FRAMING_FREE_BYTES = 64 << 10,
 	FRAMING_PER_BYTE = 8, /* a chunk of a single byte has five bytes around it */
@@ -36,7 +38,7 @@
 {
 	if (byte == '\r')
 		return CHUNKS_SIZE_LF;
-	return g_ascii_iscntrl(byte) && byte != '\t' ? CHUNKS_MALFORMED : CHUNKS_EXTENSION;
+	return head_is_text_byte(byte) ? CHUNKS_EXTENSION : CHUNKS_MALFORMED;
 }
 
 static enum chunks_state end_size(struct chunks *chunks, char byte)
@@ -47,24 +49,25 @@
 	return chunks->left ? CHUNKS_DATA : CHUNKS_TRAILER;
 }
 
-static enum chunks_state read_trailer(struct chunks *chunks, char byte)
+static enum chunks_state begin_trailer(char byte)
 {
-	chunks->trailer_bytes++;
 	if (byte == '\r')
-		return CHUNKS_TRAILER_LF;
-	chunks->line_len++;
-	return byte == '\n' ? CHUNKS_MALFORMED : CHUNKS_TRAILER;
+		return CHUNKS_LAST_LF;
+	return head_is_name_byte(byte) ? CHUNKS_TRAILER_NAME : CHUNKS_MALFORMED;
 }
 
-static enum chunks_state end_trailer(struct chunks *chunks, char byte)
+static enum chunks_state read_trailer_name(char byte)
 {
-	bool is_last = chunks->line_len == 0;
+	if (byte == ':')
+		return CHUNKS_TRAILER_VALUE;
+	return head_is_name_byte(byte) ? CHUNKS_TRAILER_NAME : CHUNKS_MALFORMED;
+}
 
-	chunks->trailer_bytes++;
-	chunks->line_len = 0;
-	if (byte != '\n')
-		return CHUNKS_MALFORMED;
-	return is_last ? CHUNKS_ENDED : CHUNKS_TRAILER;
+static enum chunks_state read_trailer_value(char byte)
+{
+	if (byte == '\r')
+		return CHUNKS_TRAILER_LF;
+	return head_is_text_byte(byte) ? CHUNKS_TRAILER_VALUE : CHUNKS_MALFORMED;
 }
 
 /* Returns the bytes of the chunk at the front. */
@@ -96,9 +99,15 @@
 	case CHUNKS_DATA_LF:
 		return byte == '\n' ? CHUNKS_SIZE : CHUNKS_MALFORMED;
 	case CHUNKS_TRAILER:
-		return read_trailer(chunks, byte);
+		return begin_trailer(byte);
+	case CHUNKS_TRAILER_NAME:
+		return read_trailer_name(byte);
+	case CHUNKS_TRAILER_VALUE:
+		return read_trailer_value(byte);
 	case CHUNKS_TRAILER_LF:
-		return end_trailer(chunks, byte);
+		return byte == '\n' ? CHUNKS_TRAILER : CHUNKS_MALFORMED;
+	case CHUNKS_LAST_LF:
+		return byte == '\n' ? CHUNKS_ENDED : CHUNKS_MALFORMED;
 	case CHUNKS_DATA:
 	case CHUNKS_ENDED:
 	case CHUNKS_MALFORMED:
@@ -119,6 +128,7 @@
 			data = read_data(chunks, *input);
 			taken = data.len;
 		} else {
+			chunks->trailer_bytes += chunks->state >= CHUNKS_TRAILER;
 			chunks->state = read_framing(chunks, input->data[0]);
 		}
 		chunks->total += taken;
--- a/base/chunks.h
+++ b/base/chunks.h
@@ -8,15 +8,18 @@
 #include "base/str.h"
 
 enum chunks_state {
-	CHUNKS_SIZE,	   /**< digits of a size */
-	CHUNKS_BLANK,	   /**< white space behind a size */
-	CHUNKS_EXTENSION,  /**< rest of the line with the size */
-	CHUNKS_SIZE_LF,	   /**< last byte of that line */
-	CHUNKS_DATA,	   /**< bytes of a chunk */
-	CHUNKS_DATA_CR,	   /**< end of the line behind a chunk */
-	CHUNKS_DATA_LF,	   /**< last byte of that line */
-	CHUNKS_TRAILER,	   /**< a trailer, or the empty line behind the last chunk */
-	CHUNKS_TRAILER_LF, /**< last byte of one of these lines */
+	CHUNKS_SIZE,	      /**< digits of a size */
+	CHUNKS_BLANK,	      /**< white space behind a size */
+	CHUNKS_EXTENSION,     /**< rest of the line with the size */
+	CHUNKS_SIZE_LF,	      /**< last byte of that line */
+	CHUNKS_DATA,	      /**< bytes of a chunk */
+	CHUNKS_DATA_CR,	      /**< end of the line behind a chunk */
+	CHUNKS_DATA_LF,	      /**< last byte of that line */
+	CHUNKS_TRAILER,	      /**< a field of the trailer, or the empty line that ends it */
+	CHUNKS_TRAILER_NAME,  /**< rest of a field's name */
+	CHUNKS_TRAILER_VALUE, /**< rest of a field */
+	CHUNKS_TRAILER_LF,    /**< last byte of a field's line */
+	CHUNKS_LAST_LF,	      /**< last byte of the empty line */
 	CHUNKS_ENDED,
 	CHUNKS_MALFORMED, /**< the bytes are no chunks */
 };
@@ -26,8 +29,7 @@
 	enum chunks_state state;
 	int digits;		/**< of the size that is being read */
 	uint64_t left;		/**< bytes of the chunk that are to come */
-	size_t line_len;	/**< of a trailer, without its end */
-	uint64_t trailer_bytes; /**< of all trailers that came */
+	uint64_t trailer_bytes; /**< that came of the trailer */
 	uint64_t data;		/**< bytes of chunks that came */
 	uint64_t total;		/**< all bytes that came */
 };
--- a/base/head.c
+++ b/base/head.c
@@ -79,10 +79,20 @@
 	return false;
 }
 
+bool head_is_name_byte(char byte)
+{
+	return g_ascii_isalnum(byte) || (byte && strchr("!#$%&'*+-.^_`|~", byte));
+}
+
+bool head_is_text_byte(char byte)
+{
+	return byte == '\t' || !g_ascii_iscntrl(byte);
+}
+
 static bool is_text(struct str s)
 {
 	for (size_t i = 0; i < s.len; i++)
-		if (g_ascii_iscntrl(s.data[i]) && s.data[i] != '\t')
+		if (!head_is_text_byte(s.data[i]))
 			return false;
 	return true;
 }
@@ -90,7 +100,7 @@
 static bool is_name(struct str s)
 {
 	for (size_t i = 0; i < s.len; i++)
-		if (!g_ascii_isalnum(s.data[i]) && !strchr("!#$%&'*+-.^_`|~", s.data[i]))
+		if (!head_is_name_byte(s.data[i]))
 			return false;
 	return s.len > 0;
 }
@@ -232,7 +242,8 @@
 
 enum head_state head_reader_add(struct head_reader *reader, struct str line)
 {
-	/* A line feed alone may be the first byte of a broken name, and would end the head there. */
+	/* A line feed alone may be the first byte of a broken name, and would end the head there.
+	 */
 	if (line.len < 2 || line.data[line.len - 2] != '\r' || line.data[line.len - 1] != '\n')
 		return fail(reader, "a line of the head does not end in CR and LF");
 	line.len -= 2;
--- a/base/head.h
+++ b/base/head.h
@@ -21,6 +21,11 @@
 /** Returns the framing's name for log lines. */
 struct str head_framing_name(enum head_framing framing);
 
+/** Returns whether a byte may stand in the name of a field. */
+bool head_is_name_byte(char byte);
+/** Returns whether a byte may stand in a line: any but control bytes, of which a tab may. */
+bool head_is_text_byte(char byte);
+
 /** A header field, without the white space around its value. */
 struct head_field {
 	struct str name;
@@ -61,7 +66,8 @@
 void head_reader_init(struct head_reader *reader, struct str unique_name, bool no_body);
 void head_reader_clear(struct head_reader *reader);
 
-/** Reads a line with its end, CR and LF. Interim (1xx) heads are read and forgotten. Returns the new state. */
+/** Reads a line with its end, CR and LF. Interim (1xx) heads are read and forgotten. Returns the
+ * new state. */
 enum head_state head_reader_add(struct head_reader *reader, struct str line);
 
 #endif
--- a/regress/base/chunks_test.c
+++ b/regress/base/chunks_test.c
@@ -106,6 +106,32 @@
 	assert_int_equal(wrong, 0);
 }
 
+/* What is no field of a trailer may be part of another answer. */
+static void test_broken_trailer_is_malformed(void **state)
+{
+	static const char *const lines[] = {
+		"no colon\r\n",	       ": no name\r\n", "X Y: 1\r\n",	 "X-Y : 1\r\n",
+		" X-Y: 1\r\n",	       "X-Y\t: 1\r\n",	"X\x01Y: 1\r\n", "\x7fX-Y: 1\r\n",
+		"X-Y: \x01\r\n",       "X-Y: 1\r1\r\n", "\rX-Y: 1\r\n",	 "X-Y: 1\r\n continued\r\n",
+		"HTTP/1.1 200 OK\r\n",
+	};
+	int wrong = 0;
+
+	(void)state;
+	for (size_t i = 0; i < 2 * G_N_ELEMENTS(lines); i++) {
+		char *text = g_strdup_printf("4\r\nbody\r\n0\r\n%s%s\r\n",
+					     i % 2 ? "X-Other: a\tb\r\n" : "", lines[i / 2]);
+		struct chunks chunks = { 0 };
+
+		read_all(&chunks, str_from_cstr(text));
+		if (chunks.state != CHUNKS_MALFORMED)
+			print_message("line %zu: state %d\n", i / 2, chunks.state);
+		wrong += chunks.state != CHUNKS_MALFORMED;
+		g_free(text);
+	}
+	assert_int_equal(wrong, 0);
+}
+
 static void test_bytes_behind_the_end_change_nothing(void **state)
 {
 	struct chunks chunks = { 0 };
@@ -150,6 +176,7 @@
 		cmocka_unit_test(test_body_ends_with_its_last_byte),
 		cmocka_unit_test(test_body_is_decoded),
 		cmocka_unit_test(test_what_is_no_chunk_is_malformed),
+		cmocka_unit_test(test_broken_trailer_is_malformed),
 		cmocka_unit_test(test_bytes_behind_the_end_change_nothing),
 	};
 
