Callers: an answer without a length ends with the connection over HTTP/1.0

Whole answers without a length had the lines of the chunks in their bodies.

Cause: one framing for all answers without a length, and one way to end a connection. Over HTTP/1.0 such a body now ends with the connection (RFC 9112, 6.1 and 6.3), and one that is cut ends by a reset. No request behind it is passed on before it has ended.

--- a/base/socket.c
+++ b/base/socket.c
@@ -56,6 +56,13 @@
 	return getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &len) == 0 ? error : errno;
 }
 
+bool socket_reset(int fd)
+{
+	struct sockaddr address = { .sa_family = AF_UNSPEC };
+
+	return connect(fd, &address, sizeof(address)) == 0;
+}
+
 static enum socket_probe outcome_of(int error)
 {
 	if (error == 0)
--- a/base/socket.h
+++ b/base/socket.h
@@ -26,6 +26,10 @@
 /** Waits for @p events of poll(), for an error or for @p deadline; returns the events. */
 short socket_wait(int fd, short events, struct deadline deadline);
 
+/** Resets a TCP connection at once; the descriptor stays open, without a connection. False if the
+ * system refuses. */
+bool socket_reset(int fd);
+
 enum socket_probe {
 	SOCKET_ACCEPTED,
 	SOCKET_REFUSED,	   /**< nobody listens at the address */
--- a/caller/connection.c
+++ b/caller/connection.c
@@ -8,6 +8,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "base/socket.h"
+
 /* Callers send a header section within 3 s. */
 #define HEAD_TIMEOUT_US	  (5 * US_PER_S)
 #define LINGER_TIMEOUT_US (1 * US_PER_S) /* time for the caller to close after the last answer */
@@ -141,18 +143,31 @@
 	return connection->calls.length == 0 && connection->answered.length == 0;
 }
 
+/* Returns whether the end of the connection would end an answer that was sent in part. The
+ * connection's lock is held. */
+static bool is_cut_by_end(struct connection *connection)
+{
+	const struct caller_call *written = g_queue_peek_tail(&connection->answered);
+	const struct caller_call *running = g_queue_peek_head(&connection->calls);
+
+	return (written && written->framing.kind == BODY_UNTIL_CLOSE) ||
+	       (running && running->head_serialized && running->framing.kind == BODY_UNTIL_CLOSE);
+}
+
 /* Closes the connection if the condition holds: no request is queued in between. */
 static void close_if(struct connection *connection, enum close_condition condition)
 {
 	GQueue calls = G_QUEUE_INIT;
 	bool closes;
 	bool being_handled;
+	bool cut;
 
 	lock_acquire(&connection->lock);
 	closes = (connection->state == CONNECTION_OPEN ||
 		  connection->state == CONNECTION_LINGERING) &&
 		 (condition == CLOSE_ALWAYS || is_idle(connection));
 	being_handled = connection->handling;
+	cut = is_cut_by_end(connection);
 	if (closes) {
 		connection->state = CONNECTION_CLOSED;
 		memory_set_closing(caller_options_of(connection->caller)->memory,
@@ -165,7 +180,7 @@
 	if (!closes)
 		return;
 	/* The descriptor is closed with the last call, whose end may take a while. */
-	if (!g_queue_is_empty(&calls))
+	if (!(cut && socket_reset(connection->fd)) && !g_queue_is_empty(&calls))
 		shutdown(connection->fd, SHUT_RDWR);
 	end_calls(connection, &calls, END_CLOSED);
 	/* A worker that is reading aborts the input itself in end_handling(). */
@@ -210,7 +225,8 @@
 	    head->status == STATUS_NOT_MODIFIED)
 		return (struct framing){ .kind = BODY_ABSENT };
 	if (head->body_length < 0)
-		return (struct framing){ .kind = BODY_CHUNKED };
+		return (struct framing){ .kind = call->takes_chunks ? BODY_CHUNKED
+								    : BODY_UNTIL_CLOSE };
 	return (struct framing){ .kind = BODY_SIZED, .length.missing = head->body_length };
 }
 
@@ -239,7 +255,8 @@
 	else if (head->body_length >= 0 && head->status != STATUS_NO_CONTENT)
 		strbuf_addf(output, "Content-Length: %ld\r\n", head->body_length);
 	call->close_after |=
-		caller_is_retired(connection->caller) && !is_followed(connection, call);
+		call->framing.kind == BODY_UNTIL_CLOSE ||
+		(caller_is_retired(connection->caller) && !is_followed(connection, call));
 	if (call->close_after) {
 		strbuf_add(output, STR("Connection: close\r\n"));
 		connection->answers = ANSWERS_LAST;
@@ -256,6 +273,7 @@
 	switch (framing->kind) {
 	case BODY_ABSENT:
 	case BODY_CHUNKED:
+	case BODY_UNTIL_CLOSE:
 		return true;
 	case BODY_SIZED:
 		return end == PIPE_DONE ? (int64_t)bytes == missing : (int64_t)bytes <= missing;
@@ -301,6 +319,9 @@
 	case BODY_CHUNKED:
 		serialize_chunk(output, bytes, end);
 		return;
+	case BODY_UNTIL_CLOSE:
+		strbuf_add(output, bytes);
+		return;
 	}
 	g_assert_not_reached();
 }
@@ -548,7 +569,7 @@
 }
 
 /* Returns the next call that may start, with a reference, and whether memory lets it run. Calls
- * with safe methods run concurrently; any other call runs alone. */
+ * with safe methods over HTTP/1.1 run concurrently; any other call runs alone. */
 static struct caller_call *next_startable_call(struct connection *connection,
 					       enum memory_admission *admission)
 {
@@ -559,11 +580,11 @@
 	for (GList *at = connection->calls.head; at && !found; at = at->next) {
 		struct caller_call *call = at->data;
 
-		if (!call || !call->startable || (!call->safe && at->prev))
+		if (!call || !call->startable || (!call->concurrent && at->prev))
 			break;
 		if (!call->dispatched)
 			found = call;
-		if (!call->safe)
+		if (!call->concurrent)
 			break;
 	}
 	if (found && may_dispatch(connection))
--- a/caller/connection.h
+++ b/caller/connection.h
@@ -25,6 +25,7 @@
 	BODY_ABSENT, /**< there is no body */
 	BODY_SIZED,
 	BODY_CHUNKED,
+	BODY_UNTIL_CLOSE, /**< for callers over HTTP/1.0, which take no chunks */
 };
 
 struct framing {
@@ -51,9 +52,10 @@
 	struct caller_body body;
 	struct pipe *answer; /* NULL until the call is dispatched or rejected */
 	void *data;
-	bool queued;	  /* its head was valid; for the worker that reads */
-	bool safe;	  /* GET, HEAD or OPTIONS: may run concurrently with others */
-	bool close_after; /* the connection closes after this answer */
+	bool queued;	   /* its head was valid; for the worker that reads */
+	bool takes_chunks; /* the request came over HTTP/1.1 */
+	bool concurrent;   /* may run beside others: GET, HEAD or OPTIONS over HTTP/1.1 */
+	bool close_after;  /* the connection closes after this answer */
 
 	/* Guarded by the connection's lock. */
 	bool startable;	      /* enough of the request has arrived */
--- a/caller/read.c
+++ b/caller/read.c
@@ -105,7 +105,10 @@
 		call->fields[i] = (struct field){ span_str(call, input->names[i]),
 						  span_str(call, input->values[i]) };
 	call->field_count = input->field_count;
-	call->safe = is_safe(parser->method);
+	call->takes_chunks =
+		parser->http_major > 1 || (parser->http_major == 1 && parser->http_minor > 0);
+	/* An answer without chunks may end with its connection, and nothing may run behind it. */
+	call->concurrent = is_safe(parser->method) && call->takes_chunks;
 	call->arrived = clock_now();
 	input->closes = !http_should_keep_alive(parser);
 	call->close_after = input->closes;
--- a/regress/caller/answers_test.c
+++ b/regress/caller/answers_test.c
@@ -2,8 +2,10 @@
 #include "regress/lib/check.h"
 
 #include <apr_general.h>
+#include <errno.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "regress/lib/callers.h"
@@ -219,6 +221,93 @@
 	close(fd);
 }
 
+/* Reads until the connection ends; returns whether a reset ended it. */
+static bool read_to_end(int fd, GString *bytes)
+{
+	struct timeval limit = { .tv_sec = WAIT_MS / 1000 };
+	char block[4096];
+	ssize_t n;
+
+	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+	while ((n = recv(fd, block, sizeof(block), 0)) > 0)
+		g_string_append_len(bytes, block, n);
+	return n < 0 && errno == ECONNRESET;
+}
+
+/* Answers a request over HTTP/1.0 by the script; the caller takes the end of the connection for
+ * that of a body without a length. Returns whether it can tell the whole answer from a part. */
+static bool is_told_end(const struct answer_case *c, const char *fields, size_t body_bytes)
+{
+	struct response_head head = { .status = c->status, .body_length = c->length };
+	char *text = g_strdup_printf("%s /1 HTTP/1.0\r\n%s\r\n", c->method, fields);
+	GString *bytes = g_string_new(NULL);
+	int fd = callers_connect();
+	const char *end;
+	bool reset;
+	bool told;
+
+	callers_send(fd, text);
+	assert_true(caller_write_head(callers_call(0), &head));
+	for (const char *step = c->script; *step; step++)
+		perform(callers_call(0), (enum step) * step);
+	reset = read_to_end(fd, bytes);
+	end = strstr(bytes->str, "\r\n\r\n");
+	told = strchr(c->script, FAIL) ? reset || !end
+				       : !reset && end && strlen(end + 4) == body_bytes;
+	if (!told || strstr(bytes->str, "chunked"))
+		print_error("%s %s, length %ld: %s, %zu bytes\n", c->method, c->script, c->length,
+			    reset ? "reset" : "closed", bytes->len);
+	told &= !strstr(bytes->str, "chunked");
+	g_string_free(bytes, TRUE);
+	g_free(text);
+	close(fd);
+	callers_release();
+	return told;
+}
+
+/* Such callers got chunks, and a part of a body looked like the whole one. */
+static void test_caller_without_chunks_can_tell_a_part(void **state)
+{
+	static const struct {
+		struct answer_case answer;
+		size_t body_bytes;
+	} rows[] = {
+		{ { "se", "GET", 200, -1 }, 4 },    { { "spe", "GET", 200, -1 }, 4 },
+		{ { "e", "GET", 200, -1 }, 0 },	    { { "bpbpe", "GET", 200, -1 }, LARGE },
+		{ { "spe", "POST", 200, -1 }, 4 },  { { "e", "HEAD", 200, -1 }, 0 },
+		{ { "e", "GET", 204, -1 }, 0 },	    { { "se", "GET", 200, 4 }, 4 },
+		{ { "f", "GET", 200, -1 }, 0 },	    { { "pf", "GET", 200, -1 }, 0 },
+		{ { "spf", "GET", 200, -1 }, 0 },   { { "bf", "GET", 200, -1 }, 0 },
+		{ { "bpbpf", "GET", 200, -1 }, 0 }, { { "bpbpf", "POST", 200, -1 }, 0 },
+	};
+	int wrong = 0;
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++)
+		wrong += !is_told_end(&rows[i].answer, "", rows[i].body_bytes);
+	assert_int_equal(wrong, 0);
+}
+
+/* Nothing may be passed on behind an answer that ends with its connection. */
+static void test_caller_without_chunks_gets_no_request_passed_on_behind(void **state)
+{
+	struct response_head head = { .status = 200, .body_length = -1 };
+	GString *bytes = g_string_new(NULL);
+	int fd = callers_connect();
+
+	(void)state;
+	callers_send(fd, "GET /1 HTTP/1.0\r\nConnection: keep-alive\r\n\r\n"
+			 "GET /2 HTTP/1.0\r\nConnection: keep-alive\r\n\r\n");
+	assert_true(caller_write_head(callers_call(0), &head));
+	perform(callers_call(0), WRITE_SMALL);
+	perform(callers_call(0), FINISH);
+	assert_false(read_to_end(fd, bytes));
+	assert_true(g_str_has_suffix(bytes->str, "\r\n\r\nbody"));
+	assert_int_equal(callers.ready, 1);
+	g_string_free(bytes, TRUE);
+	close(fd);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -234,6 +323,11 @@
 						callers_set_up, callers_tear_down),
 		cmocka_unit_test_setup_teardown(test_invalid_body_gets_no_second_answer,
 						callers_set_up, callers_tear_down),
+		cmocka_unit_test_setup_teardown(test_caller_without_chunks_can_tell_a_part,
+						callers_set_up, callers_tear_down),
+		cmocka_unit_test_setup_teardown(
+			test_caller_without_chunks_gets_no_request_passed_on_behind, callers_set_up,
+			callers_tear_down),
 	};
 
 	cmocka_set_test_filter(getenv("TEST_ONLY"));
