Known faults: a caller that only sends waits after a cut answer

The node closes its end by a FIN; the caller's window is closed, and what it sends is neither read nor refused.

The tests' raw caller now gives up sending at its deadline, where it had no limit.

--- a/regress/lib/rawcall.c
+++ b/regress/lib/rawcall.c
@@ -183,23 +183,26 @@
 	return RAW_WHOLE;
 }
 
-/* Waits until bytes can be sent; false if the peer has ended its side. */
-static bool wait_writable(int fd)
+/* Waits until bytes can be sent; false if none can in time, or if sending is to stop. */
+static bool wait_writable(int fd, bool stops_at_end, int64_t until_us)
 {
-	struct pollfd waited = { .fd = fd, .events = POLLOUT | POLLRDHUP };
+	int64_t left_us = until_us - clock_now().mono_us;
+	struct pollfd waited = { .fd = fd, .events = POLLOUT };
 
-	return poll(&waited, 1, -1) == 1 && !(waited.revents & ~POLLOUT);
+	if (stops_at_end)
+		waited.events |= POLLRDHUP;
+	return left_us > 0 && poll(&waited, 1, (int)(left_us / US_PER_MS) + 1) == 1 &&
+	       !(waited.revents & POLLRDHUP);
 }
 
-static bool send_bytes(int fd, struct str bytes, bool stops_at_end)
+static bool send_bytes(int fd, struct str bytes, bool stops_at_end, int64_t until_us)
 {
 	while (bytes.len) {
 		ssize_t n;
 
-		if (stops_at_end && !wait_writable(fd))
+		if (!wait_writable(fd, stops_at_end, until_us))
 			return false;
-		n = send(fd, bytes.data, bytes.len,
-			 MSG_NOSIGNAL | (stops_at_end ? MSG_DONTWAIT : 0));
+		n = send(fd, bytes.data, bytes.len, MSG_NOSIGNAL | MSG_DONTWAIT);
 		if (n <= 0)
 			return false;
 		bytes = str_sub(bytes, (size_t)n, bytes.len);
@@ -247,7 +250,7 @@
 }
 
 /* Returns false if the connection broke or the request ends early. */
-static bool send_request(int fd, const struct raw_request *request)
+static bool send_request(int fd, const struct raw_request *request, int64_t until_us)
 {
 	size_t first_half = request->body_bytes / 2;
 	struct strbuf text = { 0 };
@@ -257,7 +260,7 @@
 	if (request->body != RAW_NO_BODY)
 		add_body(&text, request->body, 0, first_half);
 	if (request->pause_ms || request->ends_early) {
-		sent = send_bytes(fd, strbuf_str(&text), request->stops_at_end);
+		sent = send_bytes(fd, strbuf_str(&text), request->stops_at_end, until_us);
 		text.len = 0;
 		if (request->ends_early || !sent) {
 			strbuf_clear(&text);
@@ -269,7 +272,7 @@
 		add_body(&text, request->body, first_half, request->body_bytes - first_half);
 	if (request->body == RAW_IN_CHUNKS)
 		strbuf_add(&text, STR("0\r\n\r\n"));
-	sent = send_bytes(fd, strbuf_str(&text), request->stops_at_end);
+	sent = send_bytes(fd, strbuf_str(&text), request->stops_at_end, until_us);
 	strbuf_clear(&text);
 	return sent;
 }
@@ -284,7 +287,7 @@
 	if (!ensure_connected(caller, &stray))
 		return reader.answer;
 	/* A node may answer before it has read the whole request. */
-	sent = send_request(caller->fd, request);
+	sent = send_request(caller->fd, request, until_us);
 	if (sent || !request->ends_early)
 		reader.answer.ending = read_answer(caller->fd, &reader, until_us);
 	reader.answer.extra_bytes += stray;
