Tests: the target of early_answers reads on before it resets

In rows with a wait the node was blocked when the reset came, so that recv() met it. The target reads slowly meanwhile now, so that the upload goes on; the field for the ending had one value and goes.

--- a/base/head.c
+++ b/base/head.c
@@ -242,8 +242,7 @@
 
 enum head_state head_reader_add(struct head_reader *reader, struct str line)
 {
-	/* A line feed alone may be the first byte of a broken name, and would end the head there.
-	 */
+	/* A line feed alone may belong to a broken name, and would end the head before it. */
 	if (line.len < 2 || line.data[line.len - 2] != '\r' || line.data[line.len - 1] != '\n')
 		return fail(reader, "a line of the head does not end in CR and LF");
 	line.len -= 2;
--- a/regress/godwithitchd/early_answers_test.c
+++ b/regress/godwithitchd/early_answers_test.c
@@ -16,29 +16,25 @@
 	BODY_BYTES = 20000,
 };
 
-/* What the target sends, and what follows once it has waited. */
+/* What the target sends. It goes on reading for a time, and then resets the connection. */
 static const struct early_row {
 	const char *name;
 	enum raw_body upload;
 	const char *framing; /* a field of the head, or none */
-	enum breaker_step_kind ending;
-	int wait_ms;
-	bool ends_first; /* its side ends in order before the wait */
+	int reads_ms;
+	bool ends_first; /* its side ends in order before it reads */
 	bool whole;
 } rows[] = {
-	{ "reset at once", RAW_WITH_LENGTH, "", BREAKER_RESET, 0, false, false },
-	{ "reset after 20 ms", RAW_WITH_LENGTH, "", BREAKER_RESET, 20, false, false },
-	{ "reset after 100 ms", RAW_WITH_LENGTH, "", BREAKER_RESET, 100, false, false },
-	{ "reset at once, chunks", RAW_IN_CHUNKS, "", BREAKER_RESET, 0, false, false },
-	{ "reset after 100 ms, chunks", RAW_IN_CHUNKS, "", BREAKER_RESET, 100, false, false },
-	{ "length, cut", RAW_WITH_LENGTH, "Content-Length: 20001\r\n", BREAKER_RESET, 0, false,
-	  false },
-	{ "chunks, cut", RAW_WITH_LENGTH, "Transfer-Encoding: chunked\r\n", BREAKER_RESET, 100,
-	  false, false },
-	{ "closed, reset 50 ms later", RAW_WITH_LENGTH, "", BREAKER_RESET, 50, true, true },
-	{ "closed, reset 50 ms later, chunks", RAW_IN_CHUNKS, "", BREAKER_RESET, 50, true, true },
-	{ "whole by its length", RAW_WITH_LENGTH, "Content-Length: 20000\r\n", BREAKER_RESET, 100,
-	  false, true },
+	{ "reset at once", RAW_WITH_LENGTH, "", 0, false, false },
+	{ "reset after 20 ms", RAW_WITH_LENGTH, "", 20, false, false },
+	{ "reset after 100 ms", RAW_WITH_LENGTH, "", 100, false, false },
+	{ "reset at once, chunks", RAW_IN_CHUNKS, "", 0, false, false },
+	{ "reset after 100 ms, chunks", RAW_IN_CHUNKS, "", 100, false, false },
+	{ "length, cut", RAW_WITH_LENGTH, "Content-Length: 20001\r\n", 0, false, false },
+	{ "chunks, cut", RAW_WITH_LENGTH, "Transfer-Encoding: chunked\r\n", 100, false, false },
+	{ "closed, reset 50 ms later", RAW_WITH_LENGTH, "", 50, true, true },
+	{ "closed, reset 50 ms later, chunks", RAW_IN_CHUNKS, "", 50, true, true },
+	{ "whole by its length", RAW_WITH_LENGTH, "Content-Length: 20000\r\n", 100, false, true },
 };
 
 static struct raw_target *target;
@@ -71,8 +67,8 @@
 	strbuf_clear(&bytes);
 	if (row->ends_first)
 		breaker_plan_step(plan, BREAKER_END_SENDING, 0);
-	breaker_plan_step(plan, BREAKER_WAIT, row->wait_ms);
-	breaker_plan_step(plan, row->ending, 0);
+	breaker_plan_step(plan, BREAKER_READ_SLOWLY, row->reads_ms);
+	breaker_plan_step(plan, BREAKER_RESET, 0);
 	return true;
 }
 
--- a/regress/lib/breaker.c
+++ b/regress/lib/breaker.c
@@ -155,6 +155,15 @@
 	return true;
 }
 
+/* Reads so slowly that a large upload goes on meanwhile. */
+static void read_slowly(int fd, int ms)
+{
+	char block[BLOCK_BYTES];
+
+	for (int i = 0; i < ms && recv(fd, block, sizeof(block), MSG_DONTWAIT) != 0; i++)
+		g_usleep(1000);
+}
+
 /* Sends the bytes over and over until the connection ends. */
 static void flood(struct breaker *breaker, int fd, struct str bytes)
 {
@@ -186,6 +195,9 @@
 	case BREAKER_WAIT:
 		g_usleep((gulong)step->wait_ms * 1000);
 		return true;
+	case BREAKER_READ_SLOWLY:
+		read_slowly(fd, step->wait_ms);
+		return true;
 	case BREAKER_WAIT_REQUEST:
 		return await_request(breaker, fd);
 	case BREAKER_FLOOD:
--- a/regress/lib/breaker.h
+++ b/regress/lib/breaker.h
@@ -17,6 +17,7 @@
 enum breaker_step_kind {
 	BREAKER_SEND,
 	BREAKER_WAIT,
+	BREAKER_READ_SLOWLY,  /**< reads 16 KiB a millisecond, and drops it */
 	BREAKER_WAIT_REQUEST, /**< until bytes of the next request arrive, 2 s at most */
 	BREAKER_FIN,
 	BREAKER_END_SENDING, /**< ends the sending side; the connection stays open */
@@ -29,7 +30,7 @@
 	enum breaker_step_kind kind;
 	union {
 		struct strbuf bytes; /**< BREAKER_SEND, BREAKER_FLOOD; cleared by the breaker */
-		int wait_ms;	     /**< BREAKER_WAIT */
+		int wait_ms;	     /**< BREAKER_WAIT, BREAKER_READ_SLOWLY */
 	};
 };
 
@@ -79,7 +80,7 @@
 void breaker_plan_send(struct breaker_plan *plan, struct str bytes);
 /** Appends a step that sends copies of @p bytes without end. */
 void breaker_plan_flood(struct breaker_plan *plan, struct str bytes);
-/** Appends a step without bytes; @p wait_ms is for BREAKER_WAIT. */
+/** Appends a step without bytes; @p wait_ms is for steps that take a time. */
 void breaker_plan_step(struct breaker_plan *plan, enum breaker_step_kind kind, int wait_ms);
 
 #endif
