Tests: the routes of status_lines allow two seconds again

Both have two seconds now, as status_lines had.

Passed with two seconds: status_lines, and early_answers with 0 of 120 wrong at each hop.

--- a/regress/lib/raw_target.c
+++ b/regress/lib/raw_target.c
@@ -6,7 +6,7 @@
 
 #include "regress/lib/platform.h"
 
-enum { WAIT_MS = 15000, CALL_MS = 3000, CHECK_MS = 100, CAPACITY = 16 };
+enum { WAIT_MS = 15000, CALL_MS = 2000, CHECK_MS = 100, CAPACITY = 16 };
 
 struct raw_target {
 	struct fleet *fleet;
@@ -19,9 +19,9 @@
 static const char configuration[] =
 	"{\"version\":3,\"services\":[{\"name\":\"books\",\"health_path\":\"/health\"}],"
 	"\"virtual_hosts\":[{\"host\":\"shop.example\",\"paths\":["
-	"{\"name\":\"read\",\"path_prefix\":\"/r/\",\"kind\":\"safe\",\"timeout_s\":3,"
+	"{\"name\":\"read\",\"path_prefix\":\"/r/\",\"kind\":\"safe\",\"timeout_s\":2,"
 	"\"service\":\"books\",\"max_attempts\":1},"
-	"{\"name\":\"write\",\"path_prefix\":\"/w/\",\"kind\":\"unsafe\",\"timeout_s\":3,"
+	"{\"name\":\"write\",\"path_prefix\":\"/w/\",\"kind\":\"unsafe\",\"timeout_s\":2,"
 	"\"service\":\"books\",\"max_attempts\":1}]}]}";
 
 static bool wait_for_answer(struct raw_target *target, enum raw_target_node node)
--- a/regress/lib/raw_target.h
+++ b/regress/lib/raw_target.h
@@ -17,7 +17,7 @@
 
 /**
  * Starts the nodes and waits until both answer "/r/a"; NULL if they do not. The routes are "/r/"
- * (safe) and "/w/" (unsafe), each with three seconds and one attempt.
+ * (safe) and "/w/" (unsafe), each with two seconds and one attempt.
  *
  * @param answers  of the target; their context is set to the new object. They have to answer "/r/a"
  *                 with a success, and to live as long as the object.
