--- a/regress/lib/rawcall.c
+++ b/regress/lib/rawcall.c
@@ -203,6 +203,8 @@
 		if (!wait_writable(fd, stops_at_end, until_us))
 			return false;
 		n = send(fd, bytes.data, bytes.len, MSG_NOSIGNAL | MSG_DONTWAIT);
+		if (n < 0 && errno == EAGAIN)
+			continue;
 		if (n <= 0)
 			return false;
 		bytes = str_sub(bytes, (size_t)n, bytes.len);
