Tests: malformed answers at each reader, chunks through whole daemons

The fixes of heads, chunks and trailers were shown at the readers' own tests, and for heads at daemons. These rows show them where answers are used.

--- a/regress/godwithitchd/status_lines_test.c
+++ b/regress/godwithitchd/status_lines_test.c
@@ -1,5 +1,6 @@
-/* Status lines and field names of targets: one that the protocol doesn't allow never reaches a
- * caller as an answer, whether the target is beside the caller's node or beside another one. */
+/* Status lines, field names and chunks of targets: one that the protocol doesn't allow never
+ * reaches a caller as an answer, whether the target is beside the caller's node or beside another
+ * one. */
 #include "regress/lib/check.h"
 
 #include <curl/curl.h>
@@ -17,6 +18,10 @@
 #define FIELDS OWN "Content-Length: 2\r\n\r\nok"
 #define OK     "HTTP/1.1 200 OK\r\n"
 
+#define CHUNKED OK OWN "Transfer-Encoding: chunked\r\n\r\n"
+
+enum { CUT = -1 }; /* .passed_on: the head may have gone, and the answer must not look whole */
+
 /* What follows the bytes of a row. */
 enum row_ending { ROW_KEPT, ROW_CLOSED, ROW_WITHOUT_END };
 
@@ -24,7 +29,7 @@
 static const struct status_row {
 	const char *name;
 	const char *bytes;
-	int passed_on; /* status that the caller gets; 0: a failure that the node states */
+	int passed_on; /* status that the caller gets; 0: a failure that the node states, or CUT */
 	enum row_ending ending;
 } rows[] = {
 	{ "000", "HTTP/1.1 000 None\r\n" FIELDS, 0, ROW_KEPT },
@@ -64,6 +69,16 @@
 	  ROW_CLOSED },
 	{ "a line feed at the end of an interim head", "HTTP/1.1 103 Early Hints\r\n\n" OK FIELDS,
 	  0, ROW_CLOSED },
+	{ "sound chunks", CHUNKED "2;x\r\nok\r\n0\r\nX-Y: 1\r\n\r\n", 200, ROW_KEPT },
+	{ "a size with a line feed alone", CHUNKED "2\nok\r\n0\r\n\r\n", CUT, ROW_CLOSED },
+	{ "a chunk with a line feed alone", CHUNKED "2\r\nok\n0\r\n\r\n", CUT, ROW_CLOSED },
+	{ "a last line of a line feed alone", CHUNKED "2\r\nok\r\n0\r\n\n", CUT, ROW_CLOSED },
+	{ "bytes behind a size", CHUNKED "2 4\r\nok\r\n0\r\n\r\n", CUT, ROW_CLOSED },
+	{ "a blank within a trailer's name", CHUNKED "2\r\nok\r\n0\r\nX Y: 1\r\n\r\n", CUT,
+	  ROW_CLOSED },
+	{ "a control byte in a trailer's name", CHUNKED "2\r\nok\r\n0\r\nX\x01Y: 1\r\n\r\n", CUT,
+	  ROW_CLOSED },
+	{ "a status line in a trailer", CHUNKED "2\r\nok\r\n0\r\n" OK "\r\n", CUT, ROW_CLOSED },
 };
 
 static struct raw_target *target;
@@ -105,7 +120,9 @@
 
 static bool is_kept(const struct status_row *row, int status)
 {
-	if (row->passed_on)
+	if (row->passed_on == CUT && status == 0)
+		return true;
+	if (row->passed_on > 0)
 		return status == row->passed_on;
 	/* It has run: 503 and 429 would say that it has not. */
 	return status == 502 || status == 504;
--- a/regress/platform/exchange_test.c
+++ b/regress/platform/exchange_test.c
@@ -23,7 +23,7 @@
 	DEADLINE_MS = 2000,
 	VERSION = 17,
 	POSTS = 20,
-	POST_BYTES = 16 << 20, /* more than the sockets' buffers hold */
+	POST_BYTES = 16 << 20, /* exceeds the socket buffers, so that a part is unsent */
 };
 
 struct whole_answer {
@@ -206,6 +206,48 @@
 	assert_int_equal(closed, POSTS);
 }
 
+static const struct whole_answer malformed[] = {
+	UNTIL_CLOSE("a line feed before the length",
+		    "HTTP/1.1 200 OK\r\n\nContent-Length: 4\r\n\r\nbody"),
+	ANSWER("a line feed before a field",
+	       "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\nX-A: 1\r\n\r\nbody"),
+	ANSWER("line feeds around chunks",
+	       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\nbody\n0\n\n"),
+	ANSWER("a trailer that is none", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+					 "4\r\nbody\r\n0\r\nX Y: 1\r\n\r\n"),
+	ANSWER("status 000", "HTTP/1.1 000 None\r\nContent-Length: 4\r\n\r\nbody"),
+	ANSWER("a blank in a name", "HTTP/1.1 200 OK\r\nX A: 1\r\nContent-Length: 4\r\n\r\nbody"),
+};
+
+static void test_malformed_answer_is_a_failed_exchange(void **state)
+{
+	struct break_server *server = break_server_new();
+	int answered = 0;
+	apr_pool_t *pool;
+
+	(void)state;
+	apr_pool_create(&pool, NULL);
+	for (size_t i = 0; i < G_N_ELEMENTS(malformed); i++) {
+		struct broken_case row = { &malformed[i], malformed[i].bytes.len, BREAK_FIN };
+		struct exchange_client *http = client_of(server, pool);
+		struct exchange_request request = { .path = STR("a") };
+		struct exchange exchange;
+
+		set_plan(server, &row);
+		request.deadline = deadline_after(clock_now(), DEADLINE_MS * US_PER_MS);
+		exchange = exchange_run(http, &request);
+		if (is_answered(&exchange))
+			printf("taken: %s\n", malformed[i].name);
+		answered += is_answered(&exchange);
+		strbuf_clear(&exchange.body);
+		exchange_client_free(http);
+	}
+	apr_pool_destroy(pool);
+	break_server_free(server);
+	printf("%d of %zu taken\n", answered, G_N_ELEMENTS(malformed));
+	assert_int_equal(answered, 0);
+}
+
 /* Answers to an append, with what each means if it is whole. */
 static const struct whole_answer append_answers[] = {
 	ANSWER("done", JSON_FIELDS "Content-Length: 13\r\n\r\n{\"offset\":17}"),
@@ -465,6 +507,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_broken_answer_is_a_failed_exchange),
 		cmocka_unit_test(test_answer_reset_before_end_of_post_is_a_failed_exchange),
+		cmocka_unit_test(test_malformed_answer_is_a_failed_exchange),
 		cmocka_unit_test(test_append_with_broken_answer_may_have_happened),
 		cmocka_unit_test(test_entry_of_node_with_broken_answer_is_not_written),
 		cmocka_unit_test(test_broken_list_of_nodes_is_not_read),
--- a/regress/target/broken_answers_test.c
+++ b/regress/target/broken_answers_test.c
@@ -680,6 +680,43 @@
 	assert_int_equal(wrong, 0);
 }
 
+/* Answers whose last byte has come, though they are malformed; the head of another target's was
+ * taken for a body, and that target for the one that was asked. */
+static const struct str malformed_health[] = {
+#define HEALTH(text)                                                                               \
+	{                                                                                          \
+		(text), sizeof(text) - 1                                                           \
+	}
+	HEALTH("HTTP/1.1 200 OK\r\n\nX-Instance-Id: other\r\nContent-Length: 4\r\n\r\nfine"),
+	HEALTH("HTTP/1.1 200 OK\r\nX-Instance-Id: i\r\n\nContent-Length: 4\r\n\r\nfine"),
+	HEALTH("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\nfine\n0\n\n"),
+	HEALTH("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\n"
+	       "X Y: 1\r\n\r\n"),
+	HEALTH("HTTP/1.1 000 None\r\nContent-Length: 4\r\n\r\nfine"),
+	HEALTH("HTTP/1.1 200 OK\r\nX Y: 1\r\nContent-Length: 4\r\n\r\nfine"),
+#undef HEALTH
+};
+
+static void test_target_with_malformed_health_answer_is_not_healthy(void **state)
+{
+	struct break_server *server = break_server_new();
+	struct target_endpoint endpoint = { .ipv4 = INADDR_LOOPBACK,
+					    .port = break_server_port(server),
+					    .id = LABEL("i") };
+	int healthy = 0;
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(malformed_health); i++) {
+		struct break_plan plan = { .bytes = malformed_health[i], .end = BREAK_FIN };
+
+		break_server_set(server, &plan);
+		healthy += target_ask_health(&dialect_platform, &endpoint, STR("/health")).healthy;
+	}
+	printf("%d of %zu taken for healthy\n", healthy, G_N_ELEMENTS(malformed_health));
+	break_server_free(server);
+	assert_int_equal(healthy, 0);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -692,6 +729,7 @@
 		cmocka_unit_test(test_malformed_head_is_no_answer),
 		cmocka_unit_test(test_broken_answer_makes_kept_connections_suspicious),
 		cmocka_unit_test(test_target_with_broken_health_answer_is_not_healthy),
+		cmocka_unit_test(test_target_with_malformed_health_answer_is_not_healthy),
 	};
 
 	apr_initialize();
