Quarantine: the time that a mark has left, not a time of day

A node with a wrong clock passed on a request that all others refused, or refused it for longer than ten minutes: it measured marks, which state when they expire, with its own time of day. A clock an hour ahead took each mark for expired; one an hour behind, at the crash, made marks that others dropped. A mark now carries the time that is left, and a node keeps a deadline of its monotonic clock. Nodes of earlier builds still send and read the time of day; what they send holds ten minutes at most.

--- a/core/message.h
+++ b/core/message.h
@@ -82,9 +82,12 @@
 struct poison_mark {
 	uint64_t fingerprint;  /**< hash of the request */
 	uint64_t crash;	       /**< identifier of the crash */
-	int64_t expires_at_us; /**< wall clock */
+	int64_t expires_at_us; /**< wall clock of the sender, for earlier builds */
+	int64_t remaining_us;  /**< time until it expires, or MARK_REMAINING_UNKNOWN */
 };
 
+enum { MARK_REMAINING_UNKNOWN = -1 };
+
 /** A message. The kind selects the member of the union. */
 struct message {
 	gint refs;
--- a/core/node_calls.c
+++ b/core/node_calls.c
@@ -221,6 +221,7 @@
 			.fingerprint = fingerprints[i],
 			.crash = rng_mix(self.id ^ (uint64_t)now.wall_us),
 			.expires_at_us = now.wall_us + POISON_MEMORY_US,
+			.remaining_us = POISON_MEMORY_US,
 		};
 
 		calls_on_poison(node, &mark, now, out);
--- a/core/poison.c
+++ b/core/poison.c
@@ -8,7 +8,7 @@
 	uint64_t fingerprint;
 	uint64_t crash[2];
 	int crashes;
-	int64_t expires_at_us;
+	struct deadline expires_at;
 };
 
 struct poison {
@@ -39,7 +39,7 @@
 	const struct entry *entry = value;
 
 	(void)key;
-	return entry->expires_at_us <= ((const struct instant *)now)->wall_us;
+	return deadline_passed(entry->expires_at, *(const struct instant *)now);
 }
 
 static struct entry *entry_get(struct poison *poison, uint64_t fingerprint, struct instant *now)
@@ -58,13 +58,23 @@
 	return entry;
 }
 
-static bool add_crash(struct entry *entry, const struct poison_mark *mark)
+/* Returns how long the mark holds. Nodes of earlier builds state a time of their own clock. */
+static int64_t mark_remaining_us(const struct poison_mark *mark, struct instant now)
+{
+	int64_t us = mark->remaining_us;
+
+	if (us == MARK_REMAINING_UNKNOWN)
+		us = MAX(mark->expires_at_us, now.wall_us) - now.wall_us;
+	return MIN(us, POISON_MEMORY_US);
+}
+
+static bool add_crash(struct entry *entry, const struct poison_mark *mark,
+		      struct deadline expires_at)
 {
 	for (int i = 0; i < entry->crashes; i++)
 		if (entry->crash[i] == mark->crash)
 			return false;
-	if (mark->expires_at_us > entry->expires_at_us)
-		entry->expires_at_us = mark->expires_at_us;
+	entry->expires_at.at_us = MAX(entry->expires_at.at_us, expires_at.at_us);
 	if (entry->crashes == 2)
 		return false;
 	entry->crash[entry->crashes++] = mark->crash;
@@ -73,17 +83,19 @@
 
 bool poison_merge(struct poison *poison, const struct poison_mark *mark, struct instant now)
 {
+	int64_t remaining_us = mark_remaining_us(mark, now);
+	struct deadline expires_at = deadline_after(now, remaining_us);
 	struct entry *entry;
 	bool changed = false;
 
-	if (mark->expires_at_us <= now.wall_us)
+	if (remaining_us <= 0)
 		return false;
 	lock_acquire(&poison->lock);
 	entry = entry_get(poison, mark->fingerprint, &now);
-	if (entry && entry->expires_at_us <= now.wall_us)
+	if (entry && deadline_passed(entry->expires_at, now))
 		entry->crashes = 0;
 	if (entry)
-		changed = add_crash(entry, mark);
+		changed = add_crash(entry, mark, expires_at);
 	lock_release(&poison->lock);
 	return changed;
 }
@@ -95,7 +107,7 @@
 
 	lock_acquire(&poison->lock);
 	entry = g_hash_table_lookup(poison->entries, &fingerprint);
-	quarantined = entry && entry->crashes == 2 && entry->expires_at_us > now.wall_us;
+	quarantined = entry && entry->crashes == 2 && !deadline_passed(entry->expires_at, now);
 	lock_release(&poison->lock);
 	return quarantined;
 }
--- a/peer/codec.c
+++ b/peer/codec.c
@@ -105,10 +105,11 @@
 
 static void pack_poison(msgpack_packer *out, const struct poison_mark *mark)
 {
-	msgpack_pack_array(out, 3);
+	msgpack_pack_array(out, 4);
 	msgpack_pack_uint64(out, mark->fingerprint);
 	msgpack_pack_uint64(out, mark->crash);
 	msgpack_pack_int64(out, mark->expires_at_us);
+	msgpack_pack_int64(out, mark->remaining_us);
 }
 
 static void pack_claim_ask(msgpack_packer *out, const struct message *message)
@@ -423,6 +424,7 @@
 	mark->fingerprint = unpack_u64(in);
 	mark->crash = unpack_u64(in);
 	mark->expires_at_us = unpack_i64(in);
+	mark->remaining_us = in->remaining ? unpack_i64(in) : MARK_REMAINING_UNKNOWN;
 }
 
 static void unpack_claim_ask(struct unpack *in, struct message *message)
--- a/regress/core/fleet_test.c
+++ b/regress/core/fleet_test.c
@@ -343,25 +343,9 @@
 	assert_true(failed[0] > 100 || failed[1] > 100);
 }
 
-static enum choice_kind choose_fingerprint(struct sim *sim, int entry, uint64_t fingerprint)
-{
-	struct config *config = node_config(sim_node(sim, entry)->node);
-	struct call_attributes call = { .fingerprint = fingerprint };
-	enum choice_kind kind;
-
-	call.route = config_find_route(config, LABEL("r"));
-	kind = node_choose_target(sim_node(sim, entry)->node, config, &call, sim_now(sim)).kind;
-	config_unref(config);
-	return kind;
-}
-
 static void crash_target(struct sim *sim, int index, uint64_t fingerprint)
 {
-	struct actions actions = actions_new();
-
-	node_target_crashed(sim_node(sim, index)->node, &fingerprint, 1, LABEL("r"), sim_now(sim),
-			    &actions);
-	sim_dispatch_actions(sim, index, &actions);
+	sim_crash_target(sim, index, fingerprint);
 	sim_run(sim, 2 * US_PER_S);
 }
 
@@ -380,14 +364,14 @@
 				    "{\"switches\": {\"all\": {\"quarantine\": \"off\"}}}");
 		sim_run(sim, 5 * US_PER_S);
 		crash_target(sim, 2, 77);
-		assert_int_equal(choose_fingerprint(sim, 5, 77), CHOICE_TARGET);
+		assert_int_equal(sim_choose(sim, 5, 77), CHOICE_TARGET);
 		crash_target(sim, 4, 77);
 		for (int i = 0; i < 9; i++)
-			assert_int_equal(choose_fingerprint(sim, i, 77),
+			assert_int_equal(sim_choose(sim, i, 77),
 					 off ? CHOICE_TARGET : CHOICE_QUARANTINED);
-		assert_int_equal(choose_fingerprint(sim, 0, 78), CHOICE_TARGET);
+		assert_int_equal(sim_choose(sim, 0, 78), CHOICE_TARGET);
 		sim_run(sim, 601 * US_PER_S);
-		assert_int_equal(choose_fingerprint(sim, 0, 77), CHOICE_TARGET);
+		assert_int_equal(sim_choose(sim, 0, 77), CHOICE_TARGET);
 		sim_free(sim);
 	}
 }
--- a/regress/lib/sim.c
+++ b/regress/lib/sim.c
@@ -11,6 +11,14 @@
 	return (struct instant){ START_MONO_US + sim->now_us, START_WALL_US + sim->now_us };
 }
 
+struct instant sim_node_now(const struct sim *sim, int index)
+{
+	struct instant now = sim_now(sim);
+
+	now.wall_us += sim->nodes[index].wall_offset_us;
+	return now;
+}
+
 void *sim_context(const struct sim *sim)
 {
 	return sim->options.context;
@@ -267,7 +275,7 @@
 {
 	struct actions actions = actions_new();
 
-	node_handle(sim->nodes[index].node, event, sim_now(sim), &actions);
+	node_handle(sim->nodes[index].node, event, sim_node_now(sim, index), &actions);
 	sim_dispatch_actions(sim, index, &actions);
 	check_invariants(sim, index);
 }
@@ -377,7 +385,7 @@
 	instance->started_us = sim->now_us + 1;
 	instance->last_version = 0;
 	instance->last_move = (struct move_state){ 0 };
-	instance->node = node_new(&options, sim_now(sim), NULL);
+	instance->node = node_new(&options, sim_node_now(sim, index), NULL);
 	sim_schedule(sim, sim->now_us + (int64_t)rng_below(&sim->rng, TICK_US), PENDING_TICK,
 		     index);
 }
--- a/regress/lib/sim.h
+++ b/regress/lib/sim.h
@@ -65,6 +65,7 @@
 	struct move_state last_move; /**< last state that the invariant check saw */
 	bool frozen;		     /**< see sim_freeze() */
 	bool isolated;		     /**< see sim_isolate() */
+	int64_t wall_offset_us;	     /**< error of the node's time of day */
 	int64_t sending_until_us;    /**< when the link has sent all that it was given */
 	int64_t receiving_until_us;  /**< when the link has received all that was sent to it */
 };
@@ -83,6 +84,8 @@
  */
 int64_t sim_run_until_version(struct sim *sim, int64_t version, int64_t limit_us);
 struct instant sim_now(const struct sim *sim);
+/** Returns the time on the clocks of a node. */
+struct instant sim_node_now(const struct sim *sim, int index);
 int64_t sim_elapsed_us(const struct sim *sim);
 int sim_count(const struct sim *sim);
 struct sim_node *sim_node(struct sim *sim, int index);
@@ -132,6 +135,11 @@
 enum sim_call_result sim_call(struct sim *sim, int index, const char *route, uint64_t point,
 			      struct label *version);
 
+/** Crashes the target of a node with one request in flight. */
+void sim_crash_target(struct sim *sim, int index, uint64_t fingerprint);
+/** Chooses a target for a request on the route "r" at the entry node @p index. */
+enum choice_kind sim_choose(struct sim *sim, int index, uint64_t fingerprint);
+
 /** Returns the first violation of an invariant, or an empty string. */
 const char *sim_violation(const struct sim *sim);
 /** Returns a hash of all actions so far. Runs with the same seed give the same hash. */
--- a/regress/lib/sim_calls.c
+++ b/regress/lib/sim_calls.c
@@ -80,3 +80,28 @@
 	config_unref(config);
 	return result;
 }
+
+void sim_crash_target(struct sim *sim, int index, uint64_t fingerprint)
+{
+	struct actions actions = actions_new();
+
+	node_target_crashed(sim->nodes[index].node, &fingerprint, 1, label_from(STR("r")),
+			    sim_node_now(sim, index), &actions);
+	sim_dispatch_actions(sim, index, &actions);
+}
+
+enum choice_kind sim_choose(struct sim *sim, int index, uint64_t fingerprint)
+{
+	struct instant now = sim_node_now(sim, index);
+	struct node *entry = sim->nodes[index].node;
+	struct config *config = node_config(entry);
+	struct call_attributes call = { .fingerprint = fingerprint };
+	struct choice choice;
+
+	call.route = config_find_route(config, label_from(STR("r")));
+	choice = node_choose_target(entry, config, &call, now);
+	if (choice.kind == CHOICE_TARGET)
+		members_call_ended(node_members(entry), choice.target, CALL_ANSWERED, false, now);
+	config_unref(config);
+	return choice.kind;
+}
--- a/regress/peer/codec_test.c
+++ b/regress/peer/codec_test.c
@@ -142,6 +142,7 @@
 	switch (message->kind) {
 	case MESSAGE_POISON:
 		message->poison.fingerprint = rng_next(rng);
+		message->poison.remaining_us = (int64_t)rng_below(rng, 1000) - 1;
 		return;
 	case MESSAGE_CENSUS_ASK:
 	case MESSAGE_CENSUS:
