Quarantine: a full table keeps the requests that crashed most

A caller that crashed targets with ever new requests kept marks of others out of the table: at 4,096 entries each new mark was dropped, without a line in the log, so that the next request that crashed two targets was passed on by all nodes. The entry with the fewest crashes that expires first now gives way, so that a quarantined request stays, and MARKS_LOST (407) counts what was forgotten. The order is the same on all nodes.

test_new_requests_do_not_push_marks_out, before: after 6,000 such requests a request that crashed two targets got a target, where it must be refused.

--- a/base/events.h
+++ b/base/events.h
@@ -40,6 +40,7 @@
 	X(406, MOVE_RECHECKED, LOG_LEVEL_WARN)                                                     \
 	X(404, TARGET_EJECTED, LOG_LEVEL_WARN)                                                     \
 	X(405, REQUEST_QUARANTINED, LOG_LEVEL_WARN)                                                \
+	X(407, MARKS_LOST, LOG_LEVEL_WARN)                                                         \
 	X(500, TARGET_ANNOUNCED, LOG_LEVEL_INFO)                                                   \
 	X(501, TARGET_LAPSED, LOG_LEVEL_WARN)                                                      \
 	X(502, TARGET_LEAVING, LOG_LEVEL_INFO)                                                     \
--- a/core/node.c
+++ b/core/node.c
@@ -312,6 +312,7 @@
 	fleet_round(node, now, out);
 	log_round(node, now, out);
 	moves_round(node, now, out);
+	calls_round(node, out);
 }
 
 static void update_target(struct node *node, const struct event *event, struct actions *out)
--- a/core/node_calls.c
+++ b/core/node_calls.c
@@ -228,6 +228,15 @@
 	}
 }
 
+void calls_round(struct node *node, struct actions *out)
+{
+	int lost = poison_take_lost(node->poison);
+
+	if (lost)
+		actions_log_event(out, LOG_EVENT_MARKS_LOST, "lost=%d held=%d", lost,
+				  POISON_ENTRIES_MAX);
+}
+
 uint64_t node_census_start(struct node *node, int64_t version, struct actions *out)
 {
 	struct message *message = message_new(MESSAGE_CENSUS_ASK);
--- a/core/node_parts.h
+++ b/core/node_parts.h
@@ -381,6 +381,8 @@
 /* node_calls.c */
 void calls_on_poison(struct node *node, const struct poison_mark *mark, struct instant now,
 		     struct actions *out);
+/** Reports the marks that the full table has lost. */
+void calls_round(struct node *node, struct actions *out);
 void calls_on_census_ask(struct node *node, uint64_t from, uint64_t seq, struct actions *out);
 void calls_on_census(struct node *node, uint64_t seq, int64_t version);
 
--- a/core/poison.c
+++ b/core/poison.c
@@ -2,11 +2,11 @@
 
 #include "base/lockorder.h"
 
-enum { POISON_ENTRIES_MAX = 4096 };
+enum { CRASHES_MAX = 2 };
 
 struct entry {
 	uint64_t fingerprint;
-	uint64_t crash[2];
+	uint64_t crash[CRASHES_MAX];
 	int crashes;
 	struct deadline expires_at;
 };
@@ -14,6 +14,7 @@
 struct poison {
 	struct lock lock;
 	GHashTable *entries; /* fingerprint -> struct entry */
+	int lost;
 };
 
 struct poison *poison_new(apr_pool_t *pool)
@@ -42,20 +43,57 @@
 	return deadline_passed(entry->expires_at, *(const struct instant *)now);
 }
 
-static struct entry *entry_get(struct poison *poison, uint64_t fingerprint, struct instant *now)
+static bool gives_way(const struct entry *entry, const struct entry *other)
 {
-	struct entry *entry = g_hash_table_lookup(poison->entries, &fingerprint);
+	if (entry->crashes != other->crashes)
+		return entry->crashes < other->crashes;
+	return entry->expires_at.at_us < other->expires_at.at_us;
+}
 
-	if (entry)
-		return entry;
-	if (g_hash_table_size(poison->entries) >= POISON_ENTRIES_MAX)
-		g_hash_table_foreach_remove(poison->entries, has_expired, now);
-	if (g_hash_table_size(poison->entries) >= POISON_ENTRIES_MAX)
-		return NULL;
-	entry = g_new0(struct entry, 1);
-	entry->fingerprint = fingerprint;
+static struct entry *first_to_give_way(const struct poison *poison)
+{
+	struct entry *first = NULL;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, poison->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (!first || gives_way(value, first))
+			first = value;
+	return first;
+}
+
+/* Makes room for an entry. The same entries give way on each node: if it were the oldest, a flood
+ * of requests that crash one target each would remove a request that crashed two. */
+static bool make_room(struct poison *poison, const struct entry *added, struct instant *now)
+{
+	const struct entry *first;
+
+	if (g_hash_table_size(poison->entries) < POISON_ENTRIES_MAX ||
+	    g_hash_table_foreach_remove(poison->entries, has_expired, now) > 0)
+		return true;
+	poison->lost++;
+	first = first_to_give_way(poison);
+	if (!gives_way(first, added))
+		return false;
+	g_hash_table_remove(poison->entries, &first->fingerprint);
+	return true;
+}
+
+static bool add_entry(struct poison *poison, const struct poison_mark *mark,
+		      struct deadline expires_at, struct instant *now)
+{
+	struct entry added = { .fingerprint = mark->fingerprint,
+			       .crash = { mark->crash },
+			       .crashes = 1,
+			       .expires_at = expires_at };
+	struct entry *entry;
+
+	if (!make_room(poison, &added, now))
+		return false;
+	entry = g_memdup2(&added, sizeof(added));
 	g_hash_table_insert(poison->entries, &entry->fingerprint, entry);
-	return entry;
+	return true;
 }
 
 /* Returns how long the mark holds. Nodes of earlier builds state a time of their own clock. */
@@ -75,7 +113,7 @@
 		if (entry->crash[i] == mark->crash)
 			return false;
 	entry->expires_at.at_us = MAX(entry->expires_at.at_us, expires_at.at_us);
-	if (entry->crashes == 2)
+	if (entry->crashes == CRASHES_MAX)
 		return false;
 	entry->crash[entry->crashes++] = mark->crash;
 	return true;
@@ -86,16 +124,20 @@
 	int64_t remaining_us = mark_remaining_us(mark, now);
 	struct deadline expires_at = deadline_after(now, remaining_us);
 	struct entry *entry;
-	bool changed = false;
+	bool changed;
 
 	if (remaining_us <= 0)
 		return false;
 	lock_acquire(&poison->lock);
-	entry = entry_get(poison, mark->fingerprint, &now);
-	if (entry && deadline_passed(entry->expires_at, now))
-		entry->crashes = 0;
+	entry = g_hash_table_lookup(poison->entries, &mark->fingerprint);
+	if (entry && deadline_passed(entry->expires_at, now)) {
+		g_hash_table_remove(poison->entries, &mark->fingerprint);
+		entry = NULL;
+	}
 	if (entry)
 		changed = add_crash(entry, mark, expires_at);
+	else
+		changed = add_entry(poison, mark, expires_at, &now);
 	lock_release(&poison->lock);
 	return changed;
 }
@@ -107,7 +149,19 @@
 
 	lock_acquire(&poison->lock);
 	entry = g_hash_table_lookup(poison->entries, &fingerprint);
-	quarantined = entry && entry->crashes == 2 && !deadline_passed(entry->expires_at, now);
+	quarantined =
+		entry && entry->crashes == CRASHES_MAX && !deadline_passed(entry->expires_at, now);
 	lock_release(&poison->lock);
 	return quarantined;
 }
+
+int poison_take_lost(struct poison *poison)
+{
+	int lost;
+
+	lock_acquire(&poison->lock);
+	lost = poison->lost;
+	poison->lost = 0;
+	lock_release(&poison->lock);
+	return lost;
+}
--- a/core/poison.h
+++ b/core/poison.h
@@ -13,14 +13,22 @@
 /** How long a fingerprint is remembered and refused after its last crash. */
 #define POISON_MEMORY_US (10 * 60 * US_PER_S)
 
+enum { POISON_ENTRIES_MAX = 4096 };
+
 struct poison;
 
 struct poison *poison_new(apr_pool_t *pool);
 void poison_free(struct poison *poison);
 
-/** Merges a mark; true if it added a crash that was not known. Takes LOCK_POISON. */
+/**
+ * Merges a mark; true if it added a crash that was not known. In a full table the entry with the
+ * fewest crashes that expires first gives way, or the mark is dropped if it is that one itself.
+ * Takes LOCK_POISON.
+ */
 bool poison_merge(struct poison *poison, const struct poison_mark *mark, struct instant now);
 /** True if two crashes are known for the fingerprint. Takes LOCK_POISON. */
 bool poison_is_quarantined(struct poison *poison, uint64_t fingerprint, struct instant now);
+/** Returns how many marks the full table has lost since the last call. Takes LOCK_POISON. */
+int poison_take_lost(struct poison *poison);
 
 #endif
--- a/regress/core/quarantine_test.c
+++ b/regress/core/quarantine_test.c
@@ -117,11 +117,37 @@
 	}
 }
 
+/* A caller that crashes targets with ever new requests must not remove the mark of another one, nor
+ * keep one out of the table. */
+static void test_new_requests_do_not_push_marks_out(void **state)
+{
+	enum { OTHERS = 6000 };
+	struct sim *sim = new_fleet(4);
+
+	(void)state;
+	crash_twice(sim);
+	for (int i = 0; i < OTHERS; i++) {
+		sim_crash_target(sim, i % NODES, 1000 + (uint64_t)i);
+		if (i % 100 == 0)
+			sim_run(sim, 100 * US_PER_MS);
+	}
+	sim_run(sim, STABILITY_WINDOW_US);
+	assert_int_equal(count_passing(sim), 0);
+	sim_crash_target(sim, 9, POISON + 1);
+	sim_run(sim, 100 * US_PER_MS);
+	sim_crash_target(sim, 12, POISON + 1);
+	sim_run(sim, STABILITY_WINDOW_US);
+	for (int i = 0; i < NODES; i++)
+		assert_int_equal(sim_choose(sim, i, POISON + 1), CHOICE_QUARANTINED);
+	sim_free(sim);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_quarantine_is_known_after_disruptions),
 		cmocka_unit_test(test_quarantine_ends_after_disruptions),
+		cmocka_unit_test(test_new_requests_do_not_push_marks_out),
 	};
 
 	apr_initialize();
