Quarantine: a later crash prolongs it on all nodes

A request that crashed a third target was refused for ten more minutes by the node beside that target alone, and by all others until ten minutes after the second crash: docs/CALLERS.md promises ten minutes after the last one. The third mark changed nothing that poison_merge() reported, so that it was not sent on. An entry whose time grows by more than a second now counts as changed; the same mark by another way grows it by less.

test_later_crash_prolongs_quarantine, before: after a third crash, five minutes after the second, 23 of 24 nodes passed the request on five minutes later.

--- a/core/node_calls.c
+++ b/core/node_calls.c
@@ -199,9 +199,11 @@
 void calls_on_poison(struct node *node, const struct poison_mark *mark, struct instant now,
 		     struct actions *out)
 {
+	bool refused = poison_is_quarantined(node->poison, mark->fingerprint, now);
+
 	if (!poison_merge(node->poison, mark, now))
 		return;
-	if (poison_is_quarantined(node->poison, mark->fingerprint, now))
+	if (!refused && poison_is_quarantined(node->poison, mark->fingerprint, now))
 		actions_log_event(out, LOG_EVENT_REQUEST_QUARANTINED, "fingerprint=%lx",
 				  mark->fingerprint);
 	send_poison_mark(node, mark, out);
--- a/core/poison.c
+++ b/core/poison.c
@@ -2,6 +2,9 @@
 
 #include "base/lockorder.h"
 
+/* A mark that arrives by another way is that much later at most. */
+#define EXTENSION_MIN_US (1 * US_PER_S)
+
 enum { CRASHES_MAX = 2 };
 
 struct entry {
@@ -96,29 +99,37 @@
 	return true;
 }
 
-/* Returns how long the mark holds. Nodes of earlier builds state a time of their own clock. */
-static int64_t mark_remaining_us(const struct poison_mark *mark, struct instant now)
+static bool extend(struct entry *entry, struct deadline expires_at)
 {
-	int64_t us = mark->remaining_us;
+	int64_t by_us = expires_at.at_us - entry->expires_at.at_us;
 
-	if (us == MARK_REMAINING_UNKNOWN)
-		us = MAX(mark->expires_at_us, now.wall_us) - now.wall_us;
-	return MIN(us, POISON_MEMORY_US);
+	entry->expires_at.at_us = MAX(entry->expires_at.at_us, expires_at.at_us);
+	return by_us > EXTENSION_MIN_US;
 }
 
-static bool add_crash(struct entry *entry, const struct poison_mark *mark,
-		      struct deadline expires_at)
+static bool add_crash(struct entry *entry, uint64_t crash, struct deadline expires_at)
 {
+	bool extended = extend(entry, expires_at);
+
 	for (int i = 0; i < entry->crashes; i++)
-		if (entry->crash[i] == mark->crash)
-			return false;
-	entry->expires_at.at_us = MAX(entry->expires_at.at_us, expires_at.at_us);
+		if (entry->crash[i] == crash)
+			return extended;
 	if (entry->crashes == CRASHES_MAX)
-		return false;
-	entry->crash[entry->crashes++] = mark->crash;
+		return extended;
+	entry->crash[entry->crashes++] = crash;
 	return true;
 }
 
+/* Returns how long the mark holds. Nodes of earlier builds state a time of their own clock. */
+static int64_t mark_remaining_us(const struct poison_mark *mark, struct instant now)
+{
+	int64_t us = mark->remaining_us;
+
+	if (us == MARK_REMAINING_UNKNOWN)
+		us = MAX(mark->expires_at_us, now.wall_us) - now.wall_us;
+	return MIN(us, POISON_MEMORY_US);
+}
+
 bool poison_merge(struct poison *poison, const struct poison_mark *mark, struct instant now)
 {
 	int64_t remaining_us = mark_remaining_us(mark, now);
@@ -135,7 +146,7 @@
 		entry = NULL;
 	}
 	if (entry)
-		changed = add_crash(entry, mark, expires_at);
+		changed = add_crash(entry, mark->crash, expires_at);
 	else
 		changed = add_entry(poison, mark, expires_at, &now);
 	lock_release(&poison->lock);
--- a/core/poison.h
+++ b/core/poison.h
@@ -21,9 +21,9 @@
 void poison_free(struct poison *poison);
 
 /**
- * Merges a mark; true if it added a crash that was not known. In a full table the entry with the
- * fewest crashes that expires first gives way, or the mark is dropped if it is that one itself.
- * Takes LOCK_POISON.
+ * Merges a mark; true if other nodes may lack what it changed: it added a crash or extended the
+ * quarantine. In a full table the entry with the fewest crashes that expires first gives way, or
+ * the mark is dropped if it is that one itself. Takes LOCK_POISON.
  */
 bool poison_merge(struct poison *poison, const struct poison_mark *mark, struct instant now);
 /** True if two crashes are known for the fingerprint. Takes LOCK_POISON. */
--- a/regress/core/quarantine_test.c
+++ b/regress/core/quarantine_test.c
@@ -117,6 +117,22 @@
 	}
 }
 
+/* A third crash must prolong the quarantine on all nodes. */
+static void test_later_crash_prolongs_quarantine(void **state)
+{
+	struct sim *sim = new_fleet(3);
+
+	(void)state;
+	crash_twice(sim);
+	sim_run(sim, MEMORY_US / 2);
+	sim_crash_target(sim, 4, POISON);
+	sim_run(sim, MEMORY_US / 2 + STABILITY_WINDOW_US);
+	assert_int_equal(count_passing(sim), 0);
+	sim_run(sim, MEMORY_US / 2);
+	assert_int_equal(count_passing(sim), NODES);
+	sim_free(sim);
+}
+
 /* A caller that crashes targets with ever new requests must not remove the mark of another one, nor
  * keep one out of the table. */
 static void test_new_requests_do_not_push_marks_out(void **state)
@@ -147,6 +163,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_quarantine_is_known_after_disruptions),
 		cmocka_unit_test(test_quarantine_ends_after_disruptions),
+		cmocka_unit_test(test_later_crash_prolongs_quarantine),
 		cmocka_unit_test(test_new_requests_do_not_push_marks_out),
 	};
 
