Quarantine: nodes repair the marks of poison requests that they lack

Cause: a mark was gossiped once, when it was new, to ten peers. A node that was started, paused or cut off then, or that lost the datagrams, never heard of it; nothing compared what nodes hold.

Digests now carry a hash of the marks. A node whose hash differs from a current peer's asks it for the differing parts of the table, once a second at most, and gossips what it learned. A joining node does so before it becomes current, and a node that stops tells ten peers, so that marks outlive a restart of all nodes in turn. Entries with less than five seconds left are not exchanged: transfers take time, and nodes would revive expired entries. Nodes of earlier builds send no hash and are not asked.

--- a/core/message.c
+++ b/core/message.c
@@ -49,6 +49,10 @@
 		return STR("quota_ask");
 	case MESSAGE_QUOTA_GRANT:
 		return STR("quota_grant");
+	case MESSAGE_MARKS_ASK:
+		return STR("marks_ask");
+	case MESSAGE_MARKS:
+		return STR("marks");
 	case MESSAGE_KINDS:
 		break;
 	}
@@ -112,6 +116,9 @@
 	case MESSAGE_EVIDENCE:
 		array_unref(message->evidence.windows);
 		return;
+	case MESSAGE_MARKS:
+		array_unref(message->marks);
+		return;
 	case MESSAGE_PING_REQUEST:
 	case MESSAGE_ADVERT:
 	case MESSAGE_PULL:
@@ -127,6 +134,7 @@
 	case MESSAGE_CONFIRM:
 	case MESSAGE_QUOTA_ASK:
 	case MESSAGE_QUOTA_GRANT:
+	case MESSAGE_MARKS_ASK:
 		return;
 	case MESSAGE_KINDS:
 		break;
--- a/core/message.h
+++ b/core/message.h
@@ -22,12 +22,13 @@
 	int64_t snapshot_at_us;	  /**< when that snapshot was written, wall clock */
 	uint64_t members_hash;
 	uint64_t moves_hash;
-	bool current; /**< false while the node joins */
+	bool current;	     /**< false while the node joins */
+	uint64_t marks_hash; /**< of the poison marks; MARKS_HASH_NONE from earlier builds */
 	/** Time since the log was known to hold nothing newer than .version; or CONFIRMED_NEVER */
 	int64_t confirmed_age_us;
 };
 
-enum { CONFIRMED_NEVER = -1 };
+enum { CONFIRMED_NEVER = -1, MARKS_HASH_NONE = 0, MARK_BUCKETS = 16 };
 
 /** A part of a snapshot: some of its files. All parts of a version make up the snapshot. */
 struct snapshot_part {
@@ -64,6 +65,8 @@
 	MESSAGE_CONFIRM,
 	MESSAGE_QUOTA_ASK,
 	MESSAGE_QUOTA_GRANT,
+	MESSAGE_MARKS_ASK,
+	MESSAGE_MARKS,
 	MESSAGE_KINDS,
 };
 
@@ -123,6 +126,11 @@
 		} evidence;
 		int64_t retry_after_us; /**< RETRY: delay before the requester asks again */
 		struct poison_mark poison;
+		uint64_t mark_buckets[MARK_BUCKETS]; /**< MARKS_ASK: hashes of the parts held */
+		struct {
+			GArray *marks;	/**< MARKS: struct poison_mark, owned */
+			bool marks_end; /**< last message of an answer to MARKS_ASK */
+		};
 		struct {
 			uint64_t seq;
 			int64_t version;
--- a/core/node.c
+++ b/core/node.c
@@ -167,7 +167,13 @@
 {
 	switch (message->kind) {
 	case MESSAGE_POISON:
-		calls_on_poison(node, &message->poison, now, out);
+		marks_on_poison(node, &message->poison, now, out);
+		return;
+	case MESSAGE_MARKS_ASK:
+		marks_on_ask(node, from, message, now, out);
+		return;
+	case MESSAGE_MARKS:
+		marks_on_marks(node, message, now, out);
 		return;
 	case MESSAGE_CENSUS_ASK:
 		calls_on_census_ask(node, from, message->census.seq, out);
@@ -272,6 +278,8 @@
 	case MESSAGE_CONFIRM:
 	case MESSAGE_QUOTA_ASK:
 	case MESSAGE_QUOTA_GRANT:
+	case MESSAGE_MARKS_ASK:
+	case MESSAGE_MARKS:
 		on_call_message(node, from, message, now, out);
 		return;
 	case MESSAGE_KINDS:
@@ -312,7 +320,7 @@
 	fleet_round(node, now, out);
 	log_round(node, now, out);
 	moves_round(node, now, out);
-	calls_round(node, out);
+	marks_round(node, out);
 }
 
 static void update_target(struct node *node, const struct event *event, struct actions *out)
@@ -384,7 +392,7 @@
 	lock_release(&node->gossip.lock);
 }
 
-static void on_stop(struct node *node, struct actions *out)
+static void on_stop(struct node *node, struct instant now, struct actions *out)
 {
 	struct member self = members_self(node->members);
 
@@ -392,6 +400,7 @@
 	node->gossip.stopping = true;
 	lock_release(&node->gossip.lock);
 	admit_close(node->admit);
+	marks_on_stop(node, now, out);
 	self.state = MEMBER_LEAVING;
 	fleet_update_self(node, &self, 0, out);
 }
@@ -453,7 +462,7 @@
 		on_retire(node, event);
 		return;
 	case EVENT_STOP:
-		on_stop(node, out);
+		on_stop(node, now, out);
 		return;
 	}
 	g_assert_not_reached();
@@ -532,6 +541,7 @@
 		.confirmed_age_us = confirm_age_us(node, now),
 		.members_hash = members_hash(node->members),
 		.moves_hash = moves_hash(node->moves),
+		.marks_hash = poison_hash(node->poison, now),
 	};
 
 	lock_acquire(&node->gossip.lock);
--- a/core/node_calls.c
+++ b/core/node_calls.c
@@ -1,6 +1,6 @@
 /*
- * The node's part in calls: choice of version and target, retry budgets, results of calls,
- * quarantine of poison requests, and the census.
+ * The node's part in calls: choice of version and target, retry budgets, results of calls, and the
+ * census.
  */
 #include "core/node_parts.h"
 
@@ -188,57 +188,6 @@
 	tally_add(node->tally, route, outcome, service_us, is_cold(node, now));
 }
 
-static void send_poison_mark(struct node *node, const struct poison_mark *mark, struct actions *out)
-{
-	struct message *message = message_new(MESSAGE_POISON);
-
-	message->poison = *mark;
-	node_gossip(node, message, out);
-}
-
-void calls_on_poison(struct node *node, const struct poison_mark *mark, struct instant now,
-		     struct actions *out)
-{
-	bool refused = poison_is_quarantined(node->poison, mark->fingerprint, now);
-
-	if (!poison_merge(node->poison, mark, now))
-		return;
-	if (!refused && poison_is_quarantined(node->poison, mark->fingerprint, now))
-		actions_log_event(out, LOG_EVENT_REQUEST_QUARANTINED, "fingerprint=%lx",
-				  mark->fingerprint);
-	send_poison_mark(node, mark, out);
-}
-
-void node_target_crashed(struct node *node, const uint64_t *fingerprints, int count,
-			 struct label route, struct instant now, struct actions *out)
-{
-	struct member self = members_self(node->members);
-	struct config *config = node_config(node);
-	bool may_mark = config_auto_allowed(config, self.service, AUTO_QUARANTINE);
-
-	config_unref(config);
-	tally_crash(node->tally, route);
-	for (int i = 0; may_mark && i < count; i++) {
-		struct poison_mark mark = {
-			.fingerprint = fingerprints[i],
-			.crash = rng_mix(self.id ^ (uint64_t)now.wall_us),
-			.expires_at_us = now.wall_us + POISON_MEMORY_US,
-			.remaining_us = POISON_MEMORY_US,
-		};
-
-		calls_on_poison(node, &mark, now, out);
-	}
-}
-
-void calls_round(struct node *node, struct actions *out)
-{
-	int lost = poison_take_lost(node->poison);
-
-	if (lost)
-		actions_log_event(out, LOG_EVENT_MARKS_LOST, "lost=%d held=%d", lost,
-				  POISON_ENTRIES_MAX);
-}
-
 uint64_t node_census_start(struct node *node, int64_t version, struct actions *out)
 {
 	struct message *message = message_new(MESSAGE_CENSUS_ASK);
--- a/core/node_config.c
+++ b/core/node_config.c
@@ -193,6 +193,13 @@
 	lock_release(&node->gossip.lock);
 }
 
+void config_set_marks_known(struct node *node)
+{
+	lock_acquire(&node->gossip.lock);
+	node->gossip.boot.marks_known = true;
+	lock_release(&node->gossip.lock);
+}
+
 void config_on_digest(struct node *node, uint64_t from, const struct digest *digest,
 		      struct instant now, struct actions *out)
 {
@@ -655,7 +662,8 @@
 	const struct boot_state *boot = &node->gossip.boot;
 	int64_t joining_us = now.mono_us - boot->started_us;
 
-	if (boot->current_peers == 0 || held_version < boot->newest_seen || !boot->members_known)
+	if (boot->current_peers == 0 || held_version < boot->newest_seen || !boot->members_known ||
+	    !boot->marks_known)
 		return false;
 	if (node->gossip.confirm.confirmed_at_us >= boot->started_us)
 		return true;
--- a/core/node_fleet.c
+++ b/core/node_fleet.c
@@ -311,6 +311,7 @@
 		handle_ack(node, message);
 	config_on_digest(node, from, digest, now, out);
 	moves_on_digest(node, from, digest, now, out);
+	marks_on_digest(node, from, digest, now, out);
 	sync_members(node, from, digest, now, out);
 }
 
--- a/core/node_parts.h
+++ b/core/node_parts.h
@@ -91,6 +91,7 @@
 	int64_t started_us;		  /**< monotonic */
 	struct deadline members_retry_at; /**< next request for all members */
 	bool members_known;
+	bool marks_known;
 };
 
 struct log_state {
@@ -191,6 +192,8 @@
 	struct deadline dead_ping_at;
 	int pulls_answered; /**< pulls answered in this round */
 	int syncs_answered;
+	int marks_answered;
+	struct deadline marks_ask_at; /**< earliest next request for marks */
 	uint32_t seq;
 	uint64_t tag;
 	struct {
@@ -292,6 +295,8 @@
 GPtrArray *config_snapshot_parts(struct node *node, struct instant now);
 /** Records that a peer's answer with all members is complete. */
 void config_set_members_known(struct node *node);
+/** Records that this node holds the poison marks of a current peer. */
+void config_set_marks_known(struct node *node);
 void config_set_current(struct node *node, struct instant now, struct actions *out);
 
 /* node_confirm.c: all functions take LOCK_GOSSIP but confirm_init(), which runs before it is shared
@@ -379,11 +384,21 @@
 void quotas_tick(struct node *node, struct instant now, struct actions *out);
 
 /* node_calls.c */
-void calls_on_poison(struct node *node, const struct poison_mark *mark, struct instant now,
-		     struct actions *out);
-/** Reports the marks that the full table has lost. */
-void calls_round(struct node *node, struct actions *out);
 void calls_on_census_ask(struct node *node, uint64_t from, uint64_t seq, struct actions *out);
 void calls_on_census(struct node *node, uint64_t seq, int64_t version);
 
+/* node_marks.c */
+void marks_on_poison(struct node *node, const struct poison_mark *mark, struct instant now,
+		     struct actions *out);
+/** Asks a current node for its marks if they differ from those held. */
+void marks_on_digest(struct node *node, uint64_t from, const struct digest *digest,
+		     struct instant now, struct actions *out);
+void marks_on_ask(struct node *node, uint64_t from, const struct message *message,
+		  struct instant now, struct actions *out);
+void marks_on_marks(struct node *node, const struct message *message, struct instant now,
+		    struct actions *out);
+/** Sends marks to some peers: this node may be the last one that holds them. */
+void marks_on_stop(struct node *node, struct instant now, struct actions *out);
+void marks_round(struct node *node, struct actions *out);
+
 #endif
--- a/core/poison.c
+++ b/core/poison.c
@@ -2,6 +2,9 @@
 
 #include "base/lockorder.h"
 
+/* Entries that expire sooner are not exchanged: each transfer takes a while, so that nodes would
+ * revive each other's expired entries for ever. */
+#define EXCHANGE_MIN_US (5 * US_PER_S)
 /* A mark that arrives by another way is that much later at most. */
 #define EXTENSION_MIN_US (1 * US_PER_S)
 
@@ -137,7 +140,7 @@
 	struct entry *entry;
 	bool changed;
 
-	if (remaining_us <= 0)
+	if (remaining_us < EXCHANGE_MIN_US)
 		return false;
 	lock_acquire(&poison->lock);
 	entry = g_hash_table_lookup(poison->entries, &mark->fingerprint);
@@ -166,6 +169,106 @@
 	return quarantined;
 }
 
+static int bucket_of(const struct entry *entry)
+{
+	return (int)(rng_mix(entry->fingerprint) % MARK_BUCKETS);
+}
+
+/* Which two of several crashes a node knows depends on their order, and changes nothing. */
+static uint64_t entry_hash(const struct entry *entry)
+{
+	if (entry->crashes == CRASHES_MAX)
+		return rng_mix(entry->fingerprint + 1);
+	return rng_mix(entry->fingerprint ^ rng_mix(entry->crash[0]));
+}
+
+/* LOCK_POISON is held. */
+static void hash_buckets(const struct poison *poison, uint64_t *buckets, struct instant now)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	for (int i = 0; i < MARK_BUCKETS; i++)
+		buckets[i] = 0;
+	g_hash_table_iter_init(&iter, poison->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (!has_expired(NULL, value, &now))
+			buckets[bucket_of(value)] += entry_hash(value);
+}
+
+void poison_buckets(struct poison *poison, uint64_t *buckets, struct instant now)
+{
+	lock_acquire(&poison->lock);
+	hash_buckets(poison, buckets, now);
+	lock_release(&poison->lock);
+}
+
+uint64_t poison_hash(struct poison *poison, struct instant now)
+{
+	uint64_t buckets[MARK_BUCKETS];
+	uint64_t hash = 1;
+
+	poison_buckets(poison, buckets, now);
+	for (int i = 0; i < MARK_BUCKETS; i++)
+		hash = rng_mix(hash ^ buckets[i]);
+	return hash == MARKS_HASH_NONE ? 1 : hash;
+}
+
+/* Appends the differing entries with that many crashes. LOCK_POISON is held. */
+static void list_differing(const struct poison *poison, const bool *differs, int crashes,
+			   GPtrArray *list, struct instant now)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, poison->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct entry *entry = value;
+
+		if (entry->crashes == crashes && differs[bucket_of(entry)] &&
+		    deadline_remaining_us(entry->expires_at, now) >= EXCHANGE_MIN_US)
+			g_ptr_array_add(list, entry);
+	}
+}
+
+static void append_marks(GArray *marks, const struct entry *entry, struct instant now)
+{
+	for (int i = 0; i < entry->crashes; i++) {
+		int64_t remaining_us = deadline_remaining_us(entry->expires_at, now);
+		struct poison_mark mark = { .fingerprint = entry->fingerprint,
+					    .crash = entry->crash[i],
+					    .expires_at_us = now.wall_us + remaining_us,
+					    .remaining_us = remaining_us };
+
+		g_array_append_val(marks, mark);
+	}
+}
+
+GArray *poison_differing(struct poison *poison, const uint64_t *buckets, guint max, struct rng *rng,
+			 struct instant now)
+{
+	GArray *marks = g_array_new(FALSE, FALSE, sizeof(struct poison_mark));
+	uint64_t own[MARK_BUCKETS];
+	bool differs[MARK_BUCKETS];
+
+	lock_acquire(&poison->lock);
+	hash_buckets(poison, own, now);
+	for (int i = 0; i < MARK_BUCKETS; i++)
+		differs[i] = own[i] != buckets[i];
+	for (int crashes = CRASHES_MAX; crashes > 0; crashes--) {
+		GPtrArray *list = g_ptr_array_new();
+		guint start;
+
+		list_differing(poison, differs, crashes, list, now);
+		start = list->len ? (guint)rng_below(rng, list->len) : 0;
+		for (guint i = 0; i < list->len && marks->len + (guint)crashes <= max; i++)
+			append_marks(marks, g_ptr_array_index(list, (start + i) % list->len), now);
+		g_ptr_array_unref(list);
+	}
+	lock_release(&poison->lock);
+	return marks;
+}
+
 int poison_take_lost(struct poison *poison)
 {
 	int lost;
--- a/peer/codec.c
+++ b/peer/codec.c
@@ -4,7 +4,7 @@
 
 static void pack_digest(msgpack_packer *out, const struct digest *digest)
 {
-	msgpack_pack_array(out, 7);
+	msgpack_pack_array(out, 8);
 	msgpack_pack_int64(out, digest->version);
 	msgpack_pack_int64(out, digest->snapshot_version);
 	msgpack_pack_int64(out, digest->snapshot_at_us);
@@ -15,6 +15,7 @@
 	else
 		msgpack_pack_false(out);
 	msgpack_pack_int64(out, digest->confirmed_age_us);
+	msgpack_pack_uint64(out, digest->marks_hash);
 }
 
 static void pack_probe(msgpack_packer *out, const struct probe_body *probe)
@@ -112,6 +113,24 @@
 	msgpack_pack_int64(out, mark->remaining_us);
 }
 
+static void pack_mark_buckets(msgpack_packer *out, const uint64_t *buckets)
+{
+	msgpack_pack_array(out, MARK_BUCKETS);
+	for (int i = 0; i < MARK_BUCKETS; i++)
+		msgpack_pack_uint64(out, buckets[i]);
+}
+
+static void pack_marks(msgpack_packer *out, const struct message *message)
+{
+	const GArray *marks = message->marks;
+
+	msgpack_pack_array(out, 2);
+	msgpack_pack_int(out, message->marks_end);
+	msgpack_pack_array(out, marks->len);
+	for (guint i = 0; i < marks->len; i++)
+		pack_poison(out, &g_array_index(marks, struct poison_mark, i));
+}
+
 static void pack_claim_ask(msgpack_packer *out, const struct message *message)
 {
 	msgpack_pack_array(out, 5);
@@ -215,6 +234,12 @@
 	case MESSAGE_QUOTA_GRANT:
 		pack_quota_grant(out, message);
 		return;
+	case MESSAGE_MARKS_ASK:
+		pack_mark_buckets(out, message->mark_buckets);
+		return;
+	case MESSAGE_MARKS:
+		pack_marks(out, message);
+		return;
 	case MESSAGE_PING:
 	case MESSAGE_ACK:
 	case MESSAGE_PING_REQUEST:
@@ -287,6 +312,8 @@
 	case MESSAGE_CONFIRM:
 	case MESSAGE_QUOTA_ASK:
 	case MESSAGE_QUOTA_GRANT:
+	case MESSAGE_MARKS_ASK:
+	case MESSAGE_MARKS:
 		pack_call_body(out, message);
 		return;
 	case MESSAGE_KINDS:
@@ -322,6 +349,7 @@
 	digest->moves_hash = unpack_u64(&inner);
 	digest->current = unpack_bool(&inner);
 	digest->confirmed_age_us = unpack_age(&inner);
+	digest->marks_hash = inner.remaining ? unpack_u64(&inner) : MARKS_HASH_NONE;
 	in->bad |= inner.bad;
 }
 
@@ -427,6 +455,30 @@
 	mark->remaining_us = in->remaining ? unpack_i64(in) : MARK_REMAINING_UNKNOWN;
 }
 
+static void unpack_mark_buckets(struct unpack *in, uint64_t *buckets)
+{
+	for (int i = 0; i < MARK_BUCKETS; i++)
+		buckets[i] = unpack_u64(in);
+}
+
+static void unpack_marks(struct unpack *in, struct message *message)
+{
+	struct unpack list;
+
+	message->marks_end = unpack_int(in, 1) != 0;
+	message->marks = g_array_new(FALSE, FALSE, sizeof(struct poison_mark));
+	list = unpack_inner(in);
+	while (list.remaining && !list.bad) {
+		struct unpack item = unpack_inner(&list);
+		struct poison_mark mark;
+
+		unpack_poison(&item, &mark);
+		list.bad |= item.bad;
+		g_array_append_val(message->marks, mark);
+	}
+	in->bad |= list.bad;
+}
+
 static void unpack_claim_ask(struct unpack *in, struct message *message)
 {
 	message->claim_ask.seq = unpack_u64(in);
@@ -495,6 +547,12 @@
 	case MESSAGE_QUOTA_GRANT:
 		unpack_quota_grant(in, message);
 		return;
+	case MESSAGE_MARKS_ASK:
+		unpack_mark_buckets(in, message->mark_buckets);
+		return;
+	case MESSAGE_MARKS:
+		unpack_marks(in, message);
+		return;
 	case MESSAGE_PING:
 	case MESSAGE_ACK:
 	case MESSAGE_PING_REQUEST:
@@ -566,6 +624,8 @@
 	case MESSAGE_CONFIRM:
 	case MESSAGE_QUOTA_ASK:
 	case MESSAGE_QUOTA_GRANT:
+	case MESSAGE_MARKS_ASK:
+	case MESSAGE_MARKS:
 		unpack_call_body(in, message);
 		return;
 	case MESSAGE_KINDS:
--- a/regress/peer/codec_test.c
+++ b/regress/peer/codec_test.c
@@ -137,6 +137,20 @@
 	return buckets;
 }
 
+static GArray *random_marks(struct rng *rng)
+{
+	GArray *marks = g_array_new(FALSE, FALSE, sizeof(struct poison_mark));
+
+	for (uint64_t i = rng_below(rng, 3); i > 0; i--) {
+		struct poison_mark mark = { .fingerprint = rng_next(rng),
+					    .crash = rng_next(rng),
+					    .remaining_us = (int64_t)rng_below(rng, 1000) };
+
+		g_array_append_val(marks, mark);
+	}
+	return marks;
+}
+
 static void fill_call_message(struct rng *rng, struct message *message)
 {
 	switch (message->kind) {
@@ -144,6 +158,13 @@
 		message->poison.fingerprint = rng_next(rng);
 		message->poison.remaining_us = (int64_t)rng_below(rng, 1000) - 1;
 		return;
+	case MESSAGE_MARKS_ASK:
+		message->mark_buckets[rng_below(rng, MARK_BUCKETS)] = rng_next(rng);
+		return;
+	case MESSAGE_MARKS:
+		message->marks = random_marks(rng);
+		message->marks_end = rng_below(rng, 2);
+		return;
 	case MESSAGE_CENSUS_ASK:
 	case MESSAGE_CENSUS:
 		message->census.seq = rng_next(rng);
@@ -208,6 +229,7 @@
 		message->probe.origin = rng_next(rng);
 		message->probe.digest.members_hash = rng_next(rng);
 		message->probe.digest.current = rng_below(rng, 2);
+		message->probe.digest.marks_hash = rng_next(rng);
 		message->probe.members = random_members(rng);
 		break;
 	case MESSAGE_PING_REQUEST:
@@ -256,6 +278,8 @@
 	case MESSAGE_CONFIRM:
 	case MESSAGE_QUOTA_ASK:
 	case MESSAGE_QUOTA_GRANT:
+	case MESSAGE_MARKS_ASK:
+	case MESSAGE_MARKS:
 		fill_call_message(rng, message);
 		break;
 	case MESSAGE_KINDS:
