Links: a full line is no sign of a dead peer

A node whose VM's line was full closed live links as silent after 0.6 s, and the calls on them got 502, or were sent again: a link was judged by its own bytes alone, but the line is shared, so that its bytes waited behind those of other connections.

A node now counts what it reads from links and callers; while that was three quarters of the line's rate in the last half second, a link is silent after 2 s, as one with a large body in transit is. LINK_SILENT and LINK_LATE say whether the line was full.

--- a/base/lockorder.h
+++ b/base/lockorder.h
@@ -34,6 +34,7 @@
 	LOCK_TARGET,	 /**< the announced target, idle handles of platform services */
 	LOCK_PIPE,	 /**< one body in transit, one inbound request */
 	LOCK_MEMORY,	 /**< account of the memory that callers hold */
+	LOCK_LINE,	 /**< bytes received over the VM's line */
 	LOCK_WORKERS,	 /**< queue of posted work */
 	LOCK_COUNTERS,	 /**< table of counters and histograms */
 	LOCK_LOG,	 /**< log lines that wait to be written */
--- a/caller/connection.c
+++ b/caller/connection.c
@@ -676,13 +676,16 @@
 /* The result of reading from the socket. */
 enum read_result { READ_DRAINED, READ_MORE, READ_CLOSED };
 
-static void record_received(struct connection *connection)
+static void record_received(struct connection *connection, size_t bytes)
 {
+	const struct caller_options *options = caller_options_of(connection->caller);
 	struct instant now = clock_now();
 
+	if (options->line)
+		line_count(options->line, bytes, now);
 	lock_acquire(&connection->lock);
 	connection->last_active_us = now.mono_us;
-	memory_received(caller_options_of(connection->caller)->memory, &connection->holder, now);
+	memory_received(options->memory, &connection->holder, now);
 	lock_release(&connection->lock);
 }
 
@@ -695,7 +698,7 @@
 		return READ_DRAINED;
 	if (n <= 0)
 		return READ_CLOSED;
-	record_received(connection);
+	record_received(connection, (size_t)n);
 	/* Bytes after the last request are read from the socket and discarded: closing it with
 	 * unread bytes would reset it, and the caller could lose its last answer. */
 	if (!reads_requests(connection) ||
--- a/caller/http.h
+++ b/caller/http.h
@@ -13,6 +13,7 @@
 #include "base/metrics.h"
 #include "base/pipe.h"
 #include "base/workers.h"
+#include "core/line.h"
 #include "peer/wire.h"
 
 struct caller;
@@ -58,6 +59,7 @@
 	struct str verdict_field;    /**< name of the field that carries the verdict; empty: none */
 	struct memory *memory;	     /**< account of what callers make the process hold */
 	struct metrics *metrics;     /**< NULL: none are kept */
+	struct line *line;	     /**< the VM's; counts what callers send; NULL: not known */
 	struct workers *workers;
 	void (*handle)(void *context, const struct caller_event *event);
 	void *context;
--- a/godwithitchd/daemon.h
+++ b/godwithitchd/daemon.h
@@ -48,6 +48,7 @@
 	struct lock lock;		/**< LOCK_CALLS; protects all members below */
 	int log_jobs;			/**< running appends, and reads of STREAM_KEYS */
 	GQueue waiting_log_jobs;	/**< struct work; those that wait for one to end */
+	struct line *line;		/**< of this VM, receiving */
 	struct pace pace;		/**< rate limit of large answers to other nodes */
 	struct deadline announcement_expires_at; /**< 0: no target is announced */
 	struct registration registration;	 /**< registration of the target on this VM */
--- a/godwithitchd/main.c
+++ b/godwithitchd/main.c
@@ -119,6 +119,7 @@
 							 settings->address.port),
 				       .range_count = settings->fleet_count,
 				       .metrics = daemon->metrics,
+				       .line = daemon->line,
 				       .handle = on_peer,
 				       .context = daemon };
 	struct node_options node = { .data_centre = settings->data_centre,
@@ -197,6 +198,7 @@
 					 .verdict_field = daemon->dialect->verdict,
 					 .memory = daemon->memory,
 					 .metrics = daemon->metrics,
+					 .line = daemon->line,
 					 .workers = daemon->workers,
 					 .handle = calls_on_caller,
 					 .context = daemon };
@@ -227,6 +229,7 @@
 	daemon->metrics = metrics_new(daemon->pool);
 	daemon->memory = memory_new(memory_budget(settings->memory_mb), daemon->pool);
 	daemon->pace = pace_of_link(settings->link_mbps);
+	daemon->line = line_new(settings->link_mbps, daemon->pool);
 	daemon->dialect =
 		settings->interface == INTERFACE_PLATFORM ? &dialect_platform : &dialect_native;
 	daemon->target = target_new(daemon->dialect, daemon->pool);
@@ -288,6 +291,7 @@
 	node_free(daemon->node);
 	metrics_free(daemon->metrics);
 	memory_free(daemon->memory);
+	line_free(daemon->line);
 	dispatch_drop_log_jobs(daemon);
 	g_hash_table_destroy(daemon->pending_claims);
 	g_hash_table_destroy(daemon->pending_tokens);
--- a/peer/frames.c
+++ b/peer/frames.c
@@ -414,6 +414,7 @@
 		if (n == 0)
 			return false;
 		link->in.len += (size_t)n;
+		peers_count_received(link->peers, (size_t)n, clock_now());
 		if (n < READ_BYTES)
 			return true;
 	}
--- a/peer/link.c
+++ b/peer/link.c
@@ -13,7 +13,8 @@
 #define HEARTBEAT_US (200 * US_PER_MS)
 #define SILENT_US    (600 * US_PER_MS) /* leaves time to retry on another node */
 /* Bytes of a large body that moved this recently may still fill the network: 12 windows of streams
- * take 1.3 s of a link of 10 Mbit/s. Heartbeats behind them are late, and not lost. */
+ * take 1.3 s of a link of 10 Mbit/s. Heartbeats behind them are late, and not lost. Bytes of other
+ * connections that fill the VM's line have the same effect. */
 #define IN_TRANSIT_US	     US_PER_S
 #define SILENT_IN_TRANSIT_US (2 * US_PER_S)
 #define IDLE_US		     (60 * US_PER_S)
@@ -544,6 +545,7 @@
 	int64_t silent_us;
 	int64_t unused_us;
 	bool in_transit; /* a large body moved a moment ago */
+	bool line_full;	 /* bytes of other connections delay those of this one */
 	bool being_read;
 	guint streams;
 	size_t unsent;
@@ -551,7 +553,7 @@
 
 static struct link_times read_times(struct link *link, struct instant now)
 {
-	struct link_times times;
+	struct link_times times = { .line_full = peers_line_is_full(link->peers, now) };
 
 	lock_acquire(&link->lock);
 	times.silent_us = now.mono_us - link->received_at_us;
@@ -578,8 +580,8 @@
 {
 	int64_t silent_ms = times->silent_us / US_PER_MS;
 
-	logger_event(event, "member=%lx streams=%u silent_ms=%ld unsent=%zu", link->peer,
-		     times->streams, silent_ms, times->unsent);
+	logger_event(event, "member=%lx streams=%u silent_ms=%ld unsent=%zu line_full=%d",
+		     link->peer, times->streams, silent_ms, times->unsent, times->line_full);
 }
 
 static void close_silent(struct link *link, const struct link_times *times)
@@ -607,7 +609,8 @@
 static void check_silence(struct link *link, const struct link_times *times)
 {
 	bool silent = times->silent_us >= SILENT_US && !times->being_read && !has_unread(link);
-	int64_t limit_us = times->in_transit ? SILENT_IN_TRANSIT_US : SILENT_US;
+	bool delayed = times->in_transit || times->line_full;
+	int64_t limit_us = delayed ? SILENT_IN_TRANSIT_US : SILENT_US;
 
 	if (silent && times->silent_us >= limit_us) {
 		close_silent(link, times);
--- a/peer/link.h
+++ b/peer/link.h
@@ -101,6 +101,10 @@
 /** Adds one to a counter. */
 void peers_count(struct peers *peers, struct str name);
 uint64_t peers_fleet_tag(const struct peers *peers);
+/** Counts bytes that a link has read. */
+void peers_count_received(struct peers *peers, size_t bytes, struct instant now);
+/** Returns whether bytes of other connections may delay those of any link. */
+bool peers_line_is_full(struct peers *peers, struct instant now);
 /** Decodes and delivers a message; false if the payload is not one. */
 bool peers_receive_message(struct peers *peers, uint64_t from, struct str payload);
 
--- a/peer/peers.c
+++ b/peer/peers.c
@@ -163,6 +163,17 @@
 		metrics_add(peers->options.metrics, name, STR(""), 1);
 }
 
+void peers_count_received(struct peers *peers, size_t bytes, struct instant now)
+{
+	if (peers->options.line)
+		line_count(peers->options.line, bytes, now);
+}
+
+bool peers_line_is_full(struct peers *peers, struct instant now)
+{
+	return peers->options.line && line_is_full(peers->options.line, now);
+}
+
 uint64_t peers_self(const struct peers *peers)
 {
 	return peers->options.self;
--- a/peer/peers.h
+++ b/peer/peers.h
@@ -10,6 +10,7 @@
 
 #include "base/metrics.h"
 #include "base/workers.h"
+#include "core/line.h"
 #include "core/message.h"
 #include "peer/wire.h"
 
@@ -79,6 +80,7 @@
 	int range_count;
 	struct workers *workers;
 	struct metrics *metrics;
+	struct line *line; /**< the VM's; links count what they read; NULL: not known */
 	void (*handle)(void *context, struct peer_event *event);
 	void *context;
 };
