--- a/regress/capacity.c
+++ b/regress/capacity.c
@@ -284,6 +284,7 @@
 	ping->probe.members = g_array_new(FALSE, FALSE, sizeof(struct member));
 	ping->probe.digest.members_hash = UINT64_MAX;
 	ping->probe.digest.moves_hash = UINT64_MAX;
+	ping->probe.digest.marks_hash = UINT64_MAX;
 	advert->advert.version = 1 << 20;
 	printf("\nmessage bytes without the 24-byte header: evidence of a route %zu, ping %zu, "
 	       "advert %zu\n",
